--- /dev/null
+++ b/src/main/java/anisebend/Balancer.java
@@ -0,0 +1,142 @@
+package anisebend;
+
+import java.util.List;
+
+/**
+ * The decisions of one sidecar, as events in and actions out.
+ *
+ * <p><b>Threading.</b> Not thread-safe: one caller at a time; instances share nothing, so any number may live
+ * in one process. <b>Order.</b> {@link #start} comes first and once, then {@link #servers}, then anything;
+ * {@code now} never goes back. Actions are issued during the event method that causes them, in the order
+ * they are to be carried out; the sink must not call back into the balancer. <b>Time</b> is the caller's, in
+ * integer microseconds from any origin. <b>Lifetime.</b> After a crash, make a new instance. The same
+ * settings, seed and events give the same actions. No method blocks, does I/O or keeps a thread.
+ */
+public interface Balancer {
+    /** Begins. Throws {@link IllegalArgumentException} naming a setting that cannot be worked with. */
+    void start(long now, long seed, Settings settings);
+
+    /**
+     * News of the server list. Entries of {@link ListKind#CHANGES} are laid over the known list; any other
+     * kind but FAILED replaces it, and a server that it lacks has gone.
+     */
+    void servers(long now, ListKind kind, List<Server> entries);
+
+    /** A client's request; it gets one final answer: the first OK outcome, a refusal or a failure. */
+    void request(long now, Request request);
+
+    /** How one attempt ended; each {@link Actions#send} gets exactly one. Unknown attempts are ignored. */
+    void outcome(long now, Outcome outcome);
+
+    /** The answer to a {@link Actions#probe}; {@code report} may be null. */
+    void probed(long now, String server, boolean alive, Report report);
+
+    /** A streamed answer has begun: the request is served, though its attempt is still out. */
+    void streaming(long now, String request);
+
+    /** The client has gone: no answer is owed. Its attempt still gets an outcome. Unknown ids are ignored. */
+    void abandoned(long now, String request);
+
+    /** A timer set by {@link Actions#timer} is due. Stale and unknown ones are ignored. */
+    void timer(long now, long token);
+
+    /** What the balancer wants done. Implementations must not throw and must not call the balancer. */
+    interface Actions {
+        /** Sends the request's next attempt (they count from 0), to be given up at {@code until}. */
+        void send(String request, String server, long until);
+
+        /** Final answer: no, and trying again does no harm; 0 gives no advice on when. */
+        void refuse(String request, long retryAfter);
+
+        /** Final answer: failed, promising nothing about the effect. */
+        void fail(String request);
+
+        /** Calls an attempt off; its outcome still comes. */
+        void cancel(String request, int attempt);
+
+        /** Asks a server for a sign of life and its load. */
+        void probe(String server);
+
+        /** Closes this balancer's idle connections to a server. */
+        void closeIdle(String server);
+
+        /** Asks for the server list and its changes from now on; answered by {@link Balancer#servers}. */
+        void subscribe();
+
+        /** Asks for a {@link Balancer#timer} call at or after {@code at}. */
+        void timer(long at, long token);
+
+        /** A line for the operator. */
+        void log(String text);
+    }
+
+    /** What a request's repetition does: nothing, nothing while its key is remembered, or harm. */
+    enum Effect { SAFE, KEYED, UNSAFE }
+
+    /** The servers that remember a keyed request's key. */
+    enum Group { ALL, ZONE, CELL }
+
+    /** State of a server in the list. */
+    enum State { GONE, READY, DRAINING }
+
+    /** What a list event brings; CACHED is the last list known before a restart and may be old. */
+    enum ListKind { CHANGES, FULL, CACHED, FAILED }
+
+    /** How an attempt ended. */
+    enum Code {
+        OK(true), ERROR(true), FULL(false), TIMEOUT(true), CONNECT_FAILED(false), RESET(true),
+        CANCELLED(true), NOT_SENT(false), MISS(false);
+
+        /** Whether the request may have run. */
+        public final boolean mayHaveRun;
+        /** Whether the attempt says nothing of its server, as it ended on this side. */
+        public final boolean calledOff;
+
+        Code(boolean mayHaveRun) {
+            this.mayHaveRun = mayHaveRun;
+            this.calledOff = name().equals("CANCELLED") || name().equals("NOT_SENT");
+        }
+    }
+
+    /** What a miss tells of other fetches: nothing known, none out, or one out for another request. */
+    enum Note { NONE, HIT, MISS, MISS_FETCHING }
+
+    /** A class of requests: {@code aim} is the wanted, {@code deadline} the longest wait, in microseconds. */
+    record RequestClass(Effect effect, Group group, long window, long aim, long deadline, double worth) {
+    }
+
+    /** A tenant: its part of the service and the rate, over all balancers, that counts in full. */
+    record Tenant(double share, double quotaPerSecond) {
+    }
+
+    /** Load as a server last reported it; a value that is not reported is NaN. */
+    record Report(double held, double utilization, double serviceMicros) {
+    }
+
+    /**
+     * All that is set at start. {@code originKind} is the kind of the list entry that is the origin when
+     * servers answer misses (cache-aside), or -1 when they fetch for themselves. Within any {@code resendSpan}
+     * the attempts after each request's first number at most {@code freeResends} plus {@code resendShare} of
+     * the requests taken in it, one after each miss not counted; a span of 0 means no such ration. Times in
+     * microseconds.
+     */
+    record Settings(int balancers, int zone, int originKind, List<RequestClass> classes, List<Tenant> tenants,
+                    double overShareWorth, int maxAttempts, boolean mayCancel, boolean mayProbe,
+                    boolean retryAfter, long maxRetryAfter, boolean listMustBeAsked,
+                    long listAskWithin, double coldShare, long coldTime,
+                    double freeResends, double resendShare, long resendSpan) {
+    }
+
+    /** One entry of the server list; {@code startedAt} is 0 for long ago. */
+    record Server(String id, int zone, int kind, int cell, State state, double weight, long startedAt) {
+    }
+
+    /** One request; {@code key} may be null. The client stops waiting at {@code giveUp}. */
+    record Request(String id, int requestClass, int tenant, String key, long giveUp, boolean write) {
+    }
+
+    /** End of an attempt; {@code over}: the request needs no answer any more. {@code report} may be null. */
+    record Outcome(String request, int attempt, Code code, long elapsed, boolean over, Note note,
+                   Report report) {
+    }
+}
--- /dev/null
+++ b/src/main/java/anisebend/Decide.java
@@ -0,0 +1,975 @@
+package anisebend;
+
+import anisebend.Measures.Estimate;
+import anisebend.Measures.Rate;
+import anisebend.Measures.Window;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+
+/**
+ * The policy. Its events, actions and records are in {@code Balancer.java}; docs/design.md tells where it
+ * comes from and where it departs. The key table (or, after a miss, the origin) gives a request its server;
+ * it waits in that server's queue for the earliest free lane, and is sent; each lane's {@link Sleeper} grows
+ * on failure and shrinks after counted successes. All times are the caller's, in microseconds.
+ */
+public final class Decide implements Balancer {
+    /** The paper's multipliers and threshold: doubled on failure, halved after a few successes. */
+    private static final double UP = 2;
+    private static final double DOWN = 0.5;
+    private static final double RANDOMIZATION = 0.3;
+    static final int THRESHOLD = 6;
+    /** Both bounds of an interval, as parts of the shortest deadline, and the lanes that they pace. */
+    private static final int INITIAL_PART = 50;
+    private static final int MAX_PART = 5;
+    private static final int LANES = 2;
+    /** A key moves when its server holds HIGH times the mean and another less than it; floors in requests. */
+    private static final double HIGH = 2;
+    private static final double HIGH_FLOOR = 4;
+    private static final double LOW_FLOOR = 2;
+    private static final int TABLE_SIZE = 1 << 14;
+    /** Deviations past the mean after which an unanswered request makes its server suspect. */
+    private static final double PATIENCE = 4;
+    /**
+     * How far a tenant's part of the traffic here must exceed its fraction before it counts as over its
+     * share: balancers get uneven parts, so a plain division of the quota would blame a busy one's tenants.
+     */
+    private static final double OVER = 1.25;
+    /** A server whose answers take this part of their aim has no room for work beyond a tenant's share. */
+    private static final double PRESSED = 0.5;
+    /**
+     * Retries earned by each served request, and how many may be saved up: retries must not feed their own
+     * cause, whatever it is. Can cost requests when a large part of the fleet goes at once.
+     */
+    private static final double RETRY_SHARE = 0.2;
+    private static final double RETRY_BURST = 10;
+    /** Part of the requests that may try suspect servers, however many there are. */
+    private static final double TRIAL_SHARE = 0.1;
+    /** Times its homes' part of all requests that a key must be asked for to get more homes. */
+    private static final double HOT = 2;
+    /** Weight of a server of the own zone in the order of a key with copies. */
+    private static final double NEAR = 8;
+    private static final double MICROS = 1e6;
+    /** What a cold server may get over its part of a warm one's usual work. */
+    private static final double COLD_ROOM = 1.5;
+
+    private final Actions actions;
+    private SplittableRandom random;
+    private Settings settings;
+    private long now;
+    private long shortestDeadline;
+    private int salt;
+    private long sequence;
+    private final Map<String, Target> targets = new LinkedHashMap<>();
+    private Target origin;
+    private final Map<String, Held> open = new HashMap<>();
+    private final LinkedHashSet<Held> homeless = new LinkedHashSet<>();
+    private final Map<String, Held> fetches = new HashMap<>();
+    private final Map<String, Home> table = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Home> eldest) {
+            return size() > TABLE_SIZE;
+        }
+    };
+    private final Alarms alarms = new Alarms();
+    private Sleeper listSleeper;
+    private Rate arrivals;
+    /** Answers of warm servers, and the weights of these and of all at the last look at the whole fleet. */
+    private Rate carried;
+    private double warmWeights;
+    private double allWeights;
+    private double unit;
+    private boolean someSuspect;
+    private Share[] shares;
+    private Estimate[] cacheTimes;
+    private Estimate originTime;
+    private double retries = RETRY_BURST;
+    private double trials;
+    private final Window taken = new Window();
+    private final Window resent = new Window();
+
+    /** A balancer that issues its actions to {@code actions}. */
+    public Decide(Actions actions) {
+        this.actions = actions;
+    }
+
+    // ---- the paper's mechanism
+
+    /** The paper's sleeper: an interval that failures multiply up and counted successes step down. */
+    static class Sleeper {
+        final SplittableRandom random;
+        final long initialInterval;
+        final long maxInterval;
+        final long maxRandomization;
+        long currentInterval;
+        int currentSuccess;
+
+        Sleeper(SplittableRandom random, long initialInterval, long maxInterval) {
+            this.random = random;
+            this.initialInterval = initialInterval;
+            this.maxInterval = maxInterval;
+            this.maxRandomization = maxInterval / 2;
+        }
+
+        void goUp() {
+            currentInterval = currentInterval == 0 ? initialInterval
+                : Math.min(maxInterval, draw(currentInterval * UP));
+        }
+
+        void success() {
+            if (currentInterval > 0 && ++currentSuccess >= THRESHOLD) {
+                goDown();
+                currentSuccess = 0;
+            }
+        }
+
+        private void goDown() {
+            long next = draw(currentInterval * DOWN);
+            currentInterval = next < initialInterval ? 0 : next;
+        }
+
+        private long draw(double interval) {
+            double delta = Math.min(RANDOMIZATION * interval, maxRandomization);
+            return (long) (interval - delta + 2 * delta * random.nextDouble());
+        }
+    }
+
+    /**
+     * One of a target's paced ways out. While paced it carries one request, as the paper's workers do, which
+     * bounds what is out at a slow server, however much its queue would take.
+     */
+    private static final class Lane extends Sleeper {
+        /** Since when it rests: its last send or, like the paper's sleep after a call, the answer to it. */
+        long restSince;
+        int out;
+
+        Lane(SplittableRandom random, long deadline) {
+            super(random, deadline / INITIAL_PART, deadline / MAX_PART);
+        }
+
+        long readyAt() {
+            return currentInterval == 0 ? 0 : out > 0 ? Long.MAX_VALUE : restSince + currentInterval;
+        }
+    }
+
+    /** A cache server or the origin, with what is held for it and what is known of its health. */
+    private final class Target {
+        final String id;
+        final long hash;
+        final List<Lane> lanes = new ArrayList<>();
+        final Rate rate = new Rate(Math.max(settings.coldTime() / 4.0, shortestDeadline));
+        final Sleeper trials = new Sleeper(random, shortestDeadline / MAX_PART, shortestDeadline);
+        final TreeSet<Held> queue = new TreeSet<>(Held.LEAVING);
+        final LinkedHashSet<Held> inFlight = new LinkedHashSet<>();
+        Server entry;
+        long lastAnswer;
+        long coldSince = Long.MIN_VALUE;
+        /** What a cold server may be sent, earned over time; a send takes 1. */
+        double credit;
+        long creditAt;
+        long pumpAt = Long.MAX_VALUE;
+        long trialAt;
+        boolean suspect;
+        int doubts;
+        double slowness;
+
+        Target(Server entry) {
+            this.id = entry.id();
+            this.hash = Measures.hash(entry.id());
+            this.entry = entry;
+            this.lastAnswer = now;
+            for (int i = 0; i < LANES; i++) {
+                lanes.add(new Lane(random, shortestDeadline));
+            }
+        }
+
+        boolean ready() {
+            return entry.state() == State.READY;
+        }
+
+        double load() {
+            return (queue.size() + inFlight.size()) / entry.weight();
+        }
+
+        Lane earliest() {
+            Lane best = lanes.get(0);
+            for (Lane lane : lanes) {
+                if (lane.readyAt() < best.readyAt()
+                    || lane.readyAt() == best.readyAt() && lane.restSince < best.restSince) {
+                    best = lane;
+                }
+            }
+            return best;
+        }
+
+        /** When a request with {@code ahead} others before it may leave. */
+        long leaves(int ahead) {
+            long sum = 0;
+            long first = Long.MAX_VALUE;
+            for (Lane lane : lanes) {
+                sum += lane.currentInterval;
+                first = Math.min(first, lane.restSince + lane.currentInterval);
+            }
+            return Math.max(Math.max(now, first), coldWait())
+                + ahead * sum / lanes.size() / lanes.size();
+        }
+
+        /**
+         * Keeps as many lanes as carry the usual rate of served work at the longest interval. With a fixed
+         * number a busy balancer would be throttled by a few failures while a quiet one never notices.
+         */
+        void servedOne() {
+            rate.add(now);
+            if (rate.peak * lanes.get(0).maxInterval > lanes.size() * MICROS) {
+                lanes.add(new Lane(random, shortestDeadline));
+            }
+        }
+
+        boolean pressed() {
+            return slowness > PRESSED || earliest().readyAt() > now || !queue.isEmpty();
+        }
+
+        void cool(long since) {
+            coldSince = since;
+            credit = random.nextDouble();
+            creditAt = now;
+        }
+
+        /**
+         * Until when a cold server's allowance is used up. It earns its part of what warm ones carry from
+         * this balancer, by weight, of all requests where none is warm. Guards against pushing over whatever
+         * starts or comes back: its queue waits like a paced lane's. Holds summed over any number of
+         * balancers, as each earns from its own traffic, beginning at a chance point. Counts served work of
+         * all warm servers together: failures do not widen it and few answers still tell. Could hurt where a
+         * balancer has only just begun.
+         */
+        long coldWait() {
+            if (warmth() == 1) {
+                return 0;
+            }
+            double usual = warmWeights > 0 ? carried.at(now) / warmWeights : arrivals.at(now) / allWeights;
+            double perMicro = COLD_ROOM * warmth() * usual * entry.weight() / MICROS;
+            credit = Math.min(1, credit + (now - creditAt) * perMicro);
+            creditAt = now;
+            return credit >= 1 ? 0
+                : (long) Math.min(coldSince + settings.coldTime(), now + 1 + (1 - credit) / perMicro);
+        }
+
+        /** The part of its full capacity that a server can be trusted with, 1 when warm. */
+        double warmth() {
+            long age = now - coldSince;
+            if (coldSince == Long.MIN_VALUE || age >= settings.coldTime()) {
+                return 1;
+            }
+            return settings.coldShare() + (1 - settings.coldShare()) * age / settings.coldTime();
+        }
+    }
+
+    /** Where a key lives, and since when nobody asked. */
+    private static final class Home {
+        Target target;
+        long used;
+        long served;
+        double interval;
+        int copies = 1;
+
+        /**
+         * Notes a served request. A key served well over once in {@code part} seconds, a server's part of
+         * this balancer's requests, gets twice as many homes. Guards against hot keys that push their home
+         * over while no balancer holds enough to see it crowded. Clients' retries would look like heat, so
+         * only served ones count. Each copy costs a fetch, those of chance repeats too.
+         */
+        void servedOne(long now, double part) {
+            interval = served == 0 ? 0 : interval == 0 ? now - served : (interval + now - served) / 2;
+            served = now;
+            if (interval > 0 && part * MICROS > HOT * copies * interval) {
+                copies *= 2;
+                target = null;
+            }
+        }
+    }
+
+    /** A request that is owed an answer or has an attempt out. */
+    private static final class Held {
+        static final Comparator<Held> LEAVING = Comparator.<Held>comparingDouble(h -> -h.worth)
+            .thenComparingLong(h -> -h.order);
+        final Request request;
+        final RequestClass type;
+        final long order;
+        final double worth;
+        final boolean over;
+        final List<Held> followers = new ArrayList<>(0);
+        /** Servers that turned it away or left it without an answer. */
+        final List<Target> failedAt = new ArrayList<>(0);
+        int attempts;
+        boolean answered;
+        boolean missed;
+        boolean waited;
+        /** Its last attempt was a miss, so that the next is outside the ration. */
+        boolean unrationed;
+        Target queuedAt;
+        Target out;
+        Lane lane;
+        long sentAt;
+        /** Server and time of the first attempt that may have run, once there is one. */
+        Server ranAt;
+        long ranSince;
+
+        Held(Request request, RequestClass type, long order, double worth, boolean over) {
+            this.request = request;
+            this.type = type;
+            this.order = order;
+            this.worth = worth;
+            this.over = over;
+        }
+    }
+
+    /** A tenant's use of its share at this balancer. */
+    private static final class Share {
+        final Rate rate;
+        double tokens;
+        long last;
+
+        Share(Rate rate) {
+            this.rate = rate;
+        }
+    }
+
+    // ---- events
+
+    @Override
+    public void start(long time, long seed, Settings given) {
+        check(!given.classes().isEmpty(), "classes");
+        check(given.balancers() > 0, "balancers");
+        check(given.maxAttempts() > 0, "maxAttempts");
+        check(given.coldShare() > 0 && given.coldShare() <= 1, "coldShare");
+        check(given.coldTime() >= 0, "coldTime");
+        check(given.freeResends() >= 0, "freeResends");
+        check(given.resendShare() >= 0, "resendShare");
+        check(given.resendSpan() > 0 || given.resendSpan() == 0
+            && given.freeResends() + given.resendShare() == 0, "resendSpan");
+        now = time;
+        settings = given;
+        random = new SplittableRandom(seed);
+        salt = random.nextInt();
+        shortestDeadline = Long.MAX_VALUE;
+        cacheTimes = new Estimate[given.classes().size()];
+        long shortestAim = Long.MAX_VALUE;
+        for (int i = 0; i < cacheTimes.length; i++) {
+            RequestClass type = given.classes().get(i);
+            check(type.deadline() >= INITIAL_PART && type.aim() > 0, "deadline and aim of class " + i);
+            shortestDeadline = Math.min(shortestDeadline, type.deadline());
+            shortestAim = Math.min(shortestAim, type.aim());
+            cacheTimes[i] = new Estimate(type.aim() / 4.0);
+        }
+        originTime = new Estimate(shortestAim / 4.0);
+        double span = Math.max(given.coldTime() / 4.0, shortestDeadline);
+        arrivals = new Rate(span);
+        carried = new Rate(span);
+        shares = new Share[given.tenants().size()];
+        for (int i = 0; i < shares.length; i++) {
+            shares[i] = new Share(new Rate(span));
+        }
+        if (given.listMustBeAsked()) {
+            check(given.listAskWithin() > 0, "listAskWithin");
+            long within = given.listAskWithin();
+            listSleeper = new Sleeper(random, within / INITIAL_PART, within / MAX_PART);
+            actions.subscribe();
+        }
+        alarms.arm(actions);
+    }
+
+    private static void check(boolean holds, String setting) {
+        if (!holds) {
+            throw new IllegalArgumentException("setting cannot be worked with: " + setting);
+        }
+    }
+
+    @Override
+    public void servers(long time, ListKind kind, List<Server> entries) {
+        now = time;
+        if (kind == ListKind.FAILED) {
+            if (listSleeper != null) {
+                listSleeper.goUp();
+                alarms.set(now + listSleeper.currentInterval, actions::subscribe);
+            }
+            alarms.arm(actions);
+            return;
+        }
+        if (listSleeper != null && kind != ListKind.CACHED) {
+            listSleeper.currentInterval = 0;
+        }
+        LinkedHashSet<String> listed = new LinkedHashSet<>();
+        for (Server entry : entries) {
+            listed.add(entry.id());
+            learn(entry);
+        }
+        List<Target> known = new ArrayList<>(targets.values());
+        known.addAll(origin == null ? List.of() : List.of(origin));
+        for (Target target : known) {
+            if (kind != ListKind.CHANGES && !listed.contains(target.id)) {
+                Server e = target.entry;
+                target.entry = new Server(e.id(), e.zone(), e.kind(), e.cell(), State.GONE, e.weight(), 0);
+            }
+            if (!target.ready()) {
+                reroute(target.queue);
+                if (target.entry.state() == State.GONE && target.inFlight.isEmpty()) {
+                    targets.remove(target.id);
+                }
+            }
+        }
+        reroute(homeless);
+        alarms.arm(actions);
+    }
+
+    private void learn(Server entry) {
+        boolean isOrigin = entry.kind() == settings.originKind();
+        Target target = targets.get(entry.id());
+        if (isOrigin && origin != null && origin.id.equals(entry.id())) {
+            target = origin;
+        }
+        if (target == null) {
+            target = new Target(entry);
+            if (isOrigin) {
+                origin = target;
+            } else {
+                targets.put(entry.id(), target);
+                if (entry.startedAt() > 0) {
+                    target.cool(entry.startedAt());
+                }
+            }
+            return;
+        }
+        boolean restarted = entry.startedAt() > target.entry.startedAt();
+        target.entry = entry;
+        if (restarted && !isOrigin) {
+            revive(target);
+            target.cool(Math.max(entry.startedAt(), target.coldSince));
+        }
+    }
+
+    @Override
+    public void request(long time, Request request) {
+        now = time;
+        if (open.containsKey(request.id())) {
+            return;
+        }
+        RequestClass type = settings.classes().get(request.requestClass());
+        boolean over = overShare(request.tenant());
+        double worth = type.worth() * (over ? settings.overShareWorth() : 1);
+        Held held = new Held(request, type, sequence++, worth, over);
+        open.put(request.id(), held);
+        arrivals.add(now);
+        if (settings.resendSpan() > 0) {
+            taken.add(now);
+        }
+        alarms.set(request.giveUp(), () -> conclude(held));
+        alarms.set(request.giveUp() - typical(held, null), () -> {
+            if (held.out == null) {
+                conclude(held);
+            }
+        });
+        route(held);
+        alarms.arm(actions);
+    }
+
+    @Override
+    public void outcome(long time, Outcome o) {
+        now = time;
+        Held held = open.get(o.request());
+        if (held == null || held.out == null || o.attempt() != held.attempts - 1) {
+            return;
+        }
+        Target target = held.out;
+        held.out = null;
+        target.inFlight.remove(held);
+        held.lane.out--;
+        held.lane.restSince = now;
+        feedback(held, target, o);
+        if (o.code().mayHaveRun && held.ranAt == null) {
+            held.ranAt = target.entry;
+            held.ranSince = held.sentAt;
+        }
+        if (o.over()) {
+            held.answered = true;
+        }
+        if (held.answered) {
+            finish(held);
+        } else {
+            react(held, target, o);
+        }
+        pump(target);
+        alarms.arm(actions);
+    }
+
+    @Override
+    public void probed(long time, String server, boolean alive, Report report) {
+        now = time;
+        Target target = targets.get(server);
+        if (target != null && alive) {
+            heard(target);
+            reroute(homeless);
+        } else if (target != null && target.suspect) {
+            target.trials.goUp();
+        } else if (target != null && target.lastAnswer < target.trialAt - target.trials.initialInterval) {
+            suspect(target);
+        }
+        alarms.arm(actions);
+    }
+
+    @Override
+    public void streaming(long time, String request) {
+        abandoned(time, request);
+    }
+
+    @Override
+    public void abandoned(long time, String request) {
+        now = time;
+        Held held = open.get(request);
+        if (held != null) {
+            held.answered = true;
+            finish(held);
+        }
+        alarms.arm(actions);
+    }
+
+    @Override
+    public void timer(long time, long token) {
+        now = time;
+        alarms.run(now, token);
+        alarms.arm(actions);
+    }
+
+    // ---- the way of a request
+
+    private void route(Held held) {
+        if (held.answered) {
+            return;
+        }
+        String key = held.request.key();
+        if (held.attempts >= settings.maxAttempts() || now >= held.request.giveUp() || !mayRepeat(held)) {
+            conclude(held);
+            return;
+        }
+        boolean aside = settings.originKind() >= 0;
+        Target target = aside && (held.request.write() || held.missed) ? origin : choose(held);
+        if (aside && !held.request.write() && key != null) {
+            Held leader = fetches.get(key);
+            if (leader != null && leader != held) {
+                leader.followers.add(held);
+                return;
+            }
+            if (held.missed) {
+                fetches.put(key, held);
+            }
+        }
+        if (target == null || !target.ready()) {
+            homeless.add(held);
+            return;
+        }
+        if (held.over && target.pressed()) {
+            conclude(held);
+            return;
+        }
+        target.queue.add(held);
+        held.queuedAt = target;
+        int ahead = target.earliest().readyAt() <= now ? 0 : target.queue.headSet(held).size();
+        if (target.leaves(ahead) > held.request.giveUp() - typical(held, target)) {
+            conclude(held);
+            return;
+        }
+        pump(target);
+    }
+
+    private long typical(Held held, Target target) {
+        boolean fetch = target != null && target == origin;
+        Estimate usual = fetch ? originTime : cacheTimes[held.request.requestClass()];
+        return (long) (usual.mean + usual.deviation);
+    }
+
+    private void pump(Target target) {
+        while (!target.queue.isEmpty() && target.ready()) {
+            Lane lane = target.earliest();
+            long ready = Math.max(lane.readyAt(), target.coldWait());
+            if (ready > now) {
+                if (ready < Long.MAX_VALUE && (ready < target.pumpAt || target.pumpAt <= now)) {
+                    target.pumpAt = ready;
+                    alarms.set(ready, () -> pump(target));
+                }
+                return;
+            }
+            Held held = target.queue.pollFirst();
+            held.queuedAt = null;
+            if (now + typical(held, target) > held.request.giveUp() || !mayRepeat(held) || !mayResend(held)) {
+                conclude(held);
+            } else {
+                send(held, target, lane);
+            }
+        }
+    }
+
+    private void send(Held held, Target target, Lane lane) {
+        lane.restSince = now;
+        lane.out++;
+        held.lane = lane;
+        held.out = target;
+        held.sentAt = now;
+        if (settings.resendSpan() > 0 && held.attempts > 0 && !held.unrationed) {
+            resent.add(now);
+        }
+        held.unrationed = false;
+        int attempt = held.attempts++;
+        target.inFlight.add(held);
+        long until = held.request.giveUp();
+        if (target != origin) {
+            target.credit -= 1;
+            Estimate usual = cacheTimes[held.request.requestClass()];
+            long patience = (long) (usual.mean + PATIENCE * usual.deviation);
+            if (target.suspect && held.type.effect() == Effect.SAFE) {
+                until = Math.min(until, now + patience);
+            }
+            alarms.set(now + patience, () -> {
+                if (held.out == target && held.attempts == attempt + 1) {
+                    doubt(target, held.sentAt);
+                }
+            });
+        }
+        actions.send(held.request.id(), target.id, until);
+    }
+
+    /** Lane growth, health and estimates from one outcome. */
+    private void feedback(Held held, Target target, Outcome o) {
+        Code code = o.code();
+        // Late answers count as failures: a long waiting room never says "full", so lateness is what tells of
+        // overload before work is wasted. Heavy single requests trip it too; a few successes undo that.
+        boolean failed = code == Code.FULL || code == Code.TIMEOUT || code == Code.CONNECT_FAILED
+            || code == Code.ERROR && target == origin
+            || code == Code.OK && o.elapsed() > PRESSED * held.type.aim();
+        if (failed) {
+            held.lane.goUp();
+        } else if (!code.calledOff) {
+            held.lane.success();
+        }
+        if (code == Code.OK || code == Code.FULL || code == Code.ERROR || code == Code.MISS) {
+            heard(target);
+        } else if (!o.code().calledOff) {
+            target.doubts += code == Code.CONNECT_FAILED ? 1 : 0;
+            doubt(target, held.sentAt);
+        }
+        if (code == Code.OK || code == Code.MISS) {
+            target.servedOne();
+            if (target != origin && target.warmth() == 1) {
+                carried.add(now);
+            }
+        }
+        if (code == Code.OK) {
+            (target == origin ? originTime : cacheTimes[held.request.requestClass()]).add(o.elapsed());
+            retries = Math.min(RETRY_BURST, retries + RETRY_SHARE);
+            Home home = target == origin || held.request.key() == null ? null : table.get(held.request.key());
+            if (home != null) {
+                home.servedOne(now, targets.size() / arrivals.at(now));
+            }
+            target.slowness = Measures.smooth(target.slowness, (double) o.elapsed() / held.type.aim());
+        }
+    }
+
+    /** What follows an outcome that did not end the request. */
+    private void react(Held held, Target target, Outcome o) {
+        if (o.code() != Code.MISS && !o.code().calledOff && o.code() != Code.ERROR) {
+            held.failedAt.add(target);
+        }
+        long wait = held.lane.currentInterval;
+        if (o.code() == Code.MISS) {
+            held.missed = true;
+            held.unrationed = true;
+            boolean spare = held.attempts + 2 <= settings.maxAttempts();
+            if (o.note() == Note.MISS_FETCHING && !held.waited && spare) {
+                held.waited = true;
+                held.missed = false;
+                alarms.set(now + (long) originTime.mean, () -> route(held));
+                return;
+            }
+            route(held);
+            return;
+        }
+        if (target == origin && !held.request.write() && o.code() != Code.FULL) {
+            release(held);
+        }
+        boolean late = now + wait + typical(held, target) > held.request.giveUp();
+        if (!o.code().calledOff && retries < 1 || late || !mayRepeat(held)
+            || !mayResend(held)) {
+            conclude(held);
+        } else {
+            retries -= o.code().calledOff ? 0 : 1;
+            alarms.set(now + wait, () -> route(held));
+        }
+    }
+
+    /** Rule: what may have run is sent again only within what its class allows. */
+    private boolean mayRepeat(Held held) {
+        return held.ranAt == null || held.type.effect() == Effect.SAFE
+            || held.type.effect() == Effect.KEYED && now < held.ranSince + held.type.window();
+    }
+
+    /**
+     * Rule: the ration of further attempts, checked at each send as several may wait for one place in it, and
+     * before the wait so that nobody waits for nothing. Guards against retries that add to what they answer;
+     * can cost requests where a few servers lose many answers.
+     */
+    private boolean mayResend(Held held) {
+        long since = now - settings.resendSpan();
+        return settings.resendSpan() == 0 || held.attempts == 0 || held.unrationed
+            || resent.countAfter(since - 1) < Math.floor(settings.freeResends()
+                + settings.resendShare() * taken.countAfter(since));
+    }
+
+    private boolean sameGroup(Held held, Target target) {
+        if (held.ranAt == null || held.type.effect() != Effect.KEYED || held.type.group() == Group.ALL) {
+            return true;
+        }
+        return held.type.group() == Group.ZONE ? held.ranAt.zone() == target.entry.zone()
+            : held.ranAt.cell() == target.entry.cell();
+    }
+
+    /** The final answer to a request that was not served: a refusal where that is true, else a failure. */
+    private void conclude(Held held) {
+        if (held.answered) {
+            return;
+        }
+        held.answered = true;
+        boolean refusable = held.ranAt == null && held.out == null || held.type.effect() == Effect.SAFE
+            || held.type.effect() == Effect.KEYED && held.type.group() == Group.ALL;
+        if (refusable) {
+            Target target = held.queuedAt;
+            long wait = target == null ? 0 : Math.max(0, target.leaves(target.queue.size()) - now);
+            long longest = settings.retryAfter() ? settings.maxRetryAfter() : 0;
+            actions.refuse(held.request.id(), Math.min(wait, longest));
+        } else {
+            actions.fail(held.request.id());
+        }
+        finish(held);
+    }
+
+    private void finish(Held held) {
+        if (held.queuedAt != null) {
+            held.queuedAt.queue.remove(held);
+            held.queuedAt = null;
+        }
+        homeless.remove(held);
+        release(held);
+        if (held.out == null) {
+            open.remove(held.request.id());
+        }
+    }
+
+    /** Ends a fetch that others here wait for; they ask the cache again. */
+    private void release(Held leader) {
+        String key = leader.request.key();
+        if (key != null && fetches.get(key) == leader) {
+            fetches.remove(key);
+            leader.followers.forEach(follower -> follower.missed = false);
+            reroute(leader.followers);
+        }
+    }
+
+    // ---- servers and keys
+
+    private void reroute(Collection<Held> waiting) {
+        List<Held> moved = List.copyOf(waiting);
+        waiting.clear();
+        for (Held held : moved) {
+            held.queuedAt = null;
+            route(held);
+        }
+    }
+
+    private void heard(Target target) {
+        if (target.suspect) {
+            if (now - target.lastAnswer > shortestDeadline) {
+                target.cool(now);
+            }
+            revive(target);
+        }
+        target.lastAnswer = now;
+        target.doubts = 0;
+    }
+
+    private void revive(Target target) {
+        if (target.suspect) {
+            actions.log("server answers again: " + target.id);
+        }
+        target.suspect = false;
+        target.trials.currentInterval = 0;
+    }
+
+    /** A request sent at {@code since} has no answer, later than usual or for good: does anything come? */
+    private void doubt(Target target, long since) {
+        if (target == origin || target.lastAnswer >= since) {
+            return;
+        }
+        if (target.suspect) {
+            target.trials.goUp();
+        } else if (settings.mayProbe()) {
+            if (now >= target.trialAt) {
+                target.trialAt = now + target.trials.initialInterval;
+                actions.probe(target.id);
+            }
+        } else if (target.doubts++ > 0) {
+            suspect(target);
+        }
+    }
+
+    /**
+     * A server that is silent well past what is usual counts as displaced until it answers a paced trial.
+     * What it holds and can be repeated is called back.
+     */
+    private void suspect(Target target) {
+        long ready = targets.values().stream().filter(t -> t.ready() && !t.suspect).count();
+        if (2 * ready <= targets.size()) {
+            return; // Silence on most sides is overload or our own network; moving every key would add to it.
+        }
+        actions.log("server silent: " + target.id);
+        target.suspect = true;
+        someSuspect = true;
+        target.trials.goUp();
+        target.trialAt = now + target.trials.currentInterval;
+        actions.closeIdle(target.id);
+        if (settings.mayCancel() && settings.resendSpan() == 0) { // rations are not for moving work
+            for (Held held : target.inFlight) {
+                boolean spare = held.attempts < settings.maxAttempts();
+                if (!held.answered && held.type.effect() == Effect.SAFE && spare) {
+                    actions.cancel(held.request.id(), held.attempts - 1);
+                }
+            }
+        }
+        reroute(target.queue);
+        if (settings.mayProbe()) {
+            alarms.set(target.trialAt, () -> trial(target));
+        }
+    }
+
+    private void trial(Target target) {
+        if (target.suspect && target.entry.state() == State.READY) {
+            actions.probe(target.id);
+            alarms.set(now + target.trials.currentInterval, () -> trial(target));
+        }
+    }
+
+    private Target choose(Held held) {
+        trials = Math.min(1, trials + (held.attempts == 0 ? TRIAL_SHARE : 0));
+        boolean trial = !settings.mayProbe() && held.type.effect() == Effect.SAFE && held.attempts == 0
+            && trials >= 1 && someSuspect;
+        String key = held.request.key();
+        Home home = key == null ? new Home() : table.computeIfAbsent(key, k -> new Home());
+        if (now - home.used > settings.coldTime()) {
+            home.target = null;
+        }
+        home.used = now;
+        Target target = home.target;
+        if (target != null && !trial && fits(held, target) && target.load() * unit <= HIGH_FLOOR) {
+            return target;
+        }
+        List<Target> usable = new ArrayList<>(targets.size());
+        List<Target> doubtful = new ArrayList<>(0);
+        double weights = 0;
+        double counts = 0;
+        warmWeights = 0;
+        allWeights = 0;
+        for (Target t : targets.values()) {
+            allWeights += t.ready() ? t.entry.weight() : 0;
+            warmWeights += t.ready() && t.warmth() == 1 ? t.entry.weight() : 0;
+            if (t.ready() && sameGroup(held, t)) {
+                (t.suspect ? doubtful : usable).add(t);
+                weights += t.entry.weight();
+                counts += t.queue.size() + t.inFlight.size();
+            }
+        }
+        someSuspect = !doubtful.isEmpty();
+        for (Target t : doubtful) {
+            if (trial && now >= t.trialAt) {
+                trials = 0;
+                t.trialAt = now + t.trials.currentInterval;
+                return t;
+            }
+        }
+        usable = usable.isEmpty() ? doubtful : usable;
+        if (usable.isEmpty()) {
+            return null;
+        }
+        double mean = counts / weights;
+        unit = weights / usable.size();
+        if (target == null || !usable.contains(target)) {
+            return home.target = fewest(held, home, usable, mean, null);
+        }
+        boolean crowded = target.load() > Math.max(HIGH * mean, HIGH_FLOOR / unit);
+        Target other = crowded || !fits(held, target) ? fewest(held, home, usable, mean, target) : null;
+        if (other == null) {
+            return target;
+        }
+        if (crowded && other.load() < Math.max(mean, LOW_FLOOR / unit)) {
+            home.target = other;
+        }
+        return crowded ? home.target : other;
+    }
+
+    private boolean fits(Held held, Target target) {
+        return target.ready() && !target.suspect && sameGroup(held, target) && target.coldWait() <= now
+            && !held.failedAt.contains(target);
+    }
+
+    /**
+     * The server with fewest held and in flight. Under the low bound all count as equally few and the key's
+     * rendezvous order decides, so that balancers that share nothing find the same home for a key.
+     */
+    private Target fewest(Held held, Home home, List<Target> usable, double mean, Target not) {
+        String key = held.request.key();
+        long keyHash = key == null ? random.nextLong() : Measures.hash(key) + (salt & home.copies - 1);
+        Target best = null;
+        double bestLoad = 0;
+        double bestRank = 0;
+        double low = Math.max(mean, LOW_FLOOR / unit);
+        for (int pass = 0; pass < 2 && best == null; pass++) {
+            for (Target target : usable) {
+                if (target == not || pass == 0 && !fits(held, target)) {
+                    continue;
+                }
+                double load = target.load() < low ? 0 : target.load();
+                double near = home.copies > 1 && target.entry.zone() == settings.zone() ? NEAR : 1;
+                double rank = -near * target.entry.weight() / Math.log(Measures.unit(keyHash ^ target.hash));
+                if (best == null || load < bestLoad || load == bestLoad && rank > bestRank) {
+                    best = target;
+                    bestLoad = load;
+                    bestRank = rank;
+                }
+            }
+        }
+        return best;
+    }
+
+    /** Whether a tenant is over its share: of its quota here, and of what this balancer gets. */
+    private boolean overShare(int tenant) {
+        if (tenant >= shares.length) {
+            return false;
+        }
+        Tenant t = settings.tenants().get(tenant);
+        Share share = shares[tenant];
+        double perMicro = t.quotaPerSecond() / settings.balancers() / MICROS;
+        share.tokens = Math.min(perMicro * MICROS, share.tokens + (now - share.last) * perMicro);
+        share.last = now;
+        share.rate.add(now);
+        if (share.tokens >= 1) {
+            share.tokens--;
+            return false;
+        }
+        return share.rate.value > OVER * t.share() * arrivals.value;
+    }
+}
--- /dev/null
+++ b/src/test/java/anisebend/DecideTest.java
@@ -0,0 +1,501 @@
+package anisebend;
+
+import static anisebend.World.CHARGE;
+import static anisebend.World.MS;
+import static anisebend.World.READ;
+import static anisebend.World.SAVE;
+import static anisebend.World.SAVE_IN_ZONE;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import anisebend.Balancer.Code;
+import anisebend.Balancer.ListKind;
+import anisebend.Balancer.State;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class DecideTest {
+    private final World world = new World(false).list(ListKind.FULL, "a1", "a2", "b3");
+
+    @Test
+    void refusesSettingsItCannotWorkWith() {
+        Balancer.Settings s = World.settings(false);
+        Balancer.Settings bad = new Balancer.Settings(s.balancers(), s.zone(), s.originKind(), List.of(),
+            s.tenants(), s.overShareWorth(), s.maxAttempts(), s.mayCancel(), s.mayProbe(), s.retryAfter(),
+            s.maxRetryAfter(), s.listMustBeAsked(), s.listAskWithin(),
+            s.coldShare(), s.coldTime(), 0, 0, 0);
+        assertRefused("classes", bad);
+        assertRefused("freeResends", World.rationed(s, -1, 0.1, 1000));
+        assertRefused("resendShare", World.rationed(s, 1, -0.1, 1000));
+        assertRefused("resendSpan", World.rationed(s, 1, 0.1, -1));
+        assertRefused("resendSpan", World.rationed(s, 1, 0.1, 0));
+    }
+
+    private static void assertRefused(String setting, Balancer.Settings bad) {
+        String message = assertThrows(IllegalArgumentException.class,
+            () -> new Decide(new Recorder()).start(0, 1, bad)).getMessage();
+        assertTrue(message.contains(setting), message);
+    }
+
+    @Test
+    void furtherAttemptsStayWithinTheRation() {
+        World few = new World(false, 7, World.rationed(World.settings(false), 2, 0.1, 5000 * MS))
+            .list(ListKind.FULL, "a1", "a2", "b3");
+        for (int i = 0; i < 10; i++) {
+            few.ask("e" + i, READ, "k" + i).answer("e" + i, Code.ERROR).pass(20 * MS);
+        }
+        assertEquals(13, few.recorder.sent.size(), "two free ones, and the tenth request earns a third");
+        assertTrue(few.recorder.has("refuse e5"), "told at once");
+        few.pass(1 * MS).ask("f", READ, "k").answer("f", Code.ERROR).pass(20 * MS);
+        assertEquals(1, few.sends("f"), "eleven requests taken allow no fourth");
+        few.pass(6000 * MS).ask("g", READ, "k").answer("g", Code.ERROR).pass(20 * MS);
+        assertEquals(2, few.sends("g"), "the span has passed");
+    }
+
+    @Test
+    void anAttemptAfterAMissIsOutsideTheRation() {
+        World none = new World(true, 7, World.rationed(World.settings(true), 0, 0.001, 5000 * MS))
+            .list(ListKind.FULL, "a1", "a2", "origin");
+        for (int i = 0; i < 5; i++) {
+            none.ask("m" + i, READ, "k" + i).answer("m" + i, Code.MISS).pass(20 * MS);
+            assertEquals("origin", none.serverOf("m" + i));
+        }
+        none.answer("m0", Code.ERROR).pass(100 * MS);
+        assertEquals(2, none.sends("m0"));
+    }
+
+    @Test
+    void aKeyStaysOnItsServer() {
+        for (int i = 0; i < 20; i++) {
+            world.ask("r" + i, READ, "k").answer("r" + i, Code.OK).pass(20 * MS);
+        }
+        assertEquals(1, world.recorder.sent.stream().map(Recorder.Sent::server).distinct().count());
+    }
+
+    @Test
+    void balancersThatShareNothingFindTheSameHomes() {
+        World other = new World(false, 99).list(ListKind.FULL, "b3", "a2", "a1");
+        for (int i = 0; i < 50; i++) {
+            String id = "r" + i;
+            world.ask(id, READ, "k" + i).answer(id, Code.OK);
+            other.ask(id, READ, "k" + i).answer(id, Code.OK);
+            assertEquals(world.serverOf(id), other.serverOf(id));
+        }
+    }
+
+    @Test
+    void aHotKeyGetsMoreHomesAcrossBalancersAndRetriedFailuresAreNotHeat() {
+        String[] fleet = {"a1", "a2", "b3", "a4", "b5", "a6", "b7", "a8", "b9"};
+        List<String> hot = new ArrayList<>();
+        List<String> failing = new ArrayList<>();
+        for (int b = 0; b < 20; b++) {
+            World one = new World(false, b).list(ListKind.FULL, fleet);
+            for (int i = 0; i < 60; i++) {
+                one.ask("h" + i, READ, "hot").answer("h" + i, Code.OK).pass(100 * MS);
+                one.ask("f" + i, READ, "failing").answer("f" + i, Code.ERROR);
+                one.balancer.abandoned(one.now, "f" + i);
+                one.pass(100 * MS);
+                one.ask("o" + i, READ, "other" + i).answer("o" + i, Code.OK).pass(100 * MS);
+            }
+            one.pass(500 * MS).ask("x", READ, "hot").ask("y", READ, "failing");
+            hot.add(one.serverOf("x"));
+            failing.add(one.serverOf("y"));
+        }
+        assertTrue(hot.stream().distinct().count() >= 2, "homes: " + hot);
+        assertEquals(1, failing.stream().distinct().count(), "homes: " + failing);
+    }
+
+    @Test
+    void onlyTheKeysOfALostServerMove() {
+        Map<String, String> before = new HashMap<>();
+        for (int i = 0; i < 60; i++) {
+            world.ask("r" + i, READ, "k" + i).answer("r" + i, Code.OK);
+            before.put("k" + i, world.serverOf("r" + i));
+        }
+        assertEquals(3, before.values().stream().distinct().count());
+        world.list(ListKind.FULL, "a1", "b3");
+        for (int i = 0; i < 60; i++) {
+            world.ask("s" + i, READ, "k" + i).answer("s" + i, Code.OK);
+            String home = before.get("k" + i);
+            if (home.equals("a2")) {
+                assertNotEquals("a2", world.serverOf("s" + i));
+            } else {
+                assertEquals(home, world.serverOf("s" + i));
+            }
+        }
+    }
+
+    @Test
+    void aPacedLaneHoldsItsNextSendUntilTheIntervalHasPassed() {
+        World one = new World(false).list(ListKind.FULL, "a1");
+        one.ask("f0", READ, "k").ask("f1", READ, "k").answer("f0", Code.FULL).answer("f1", Code.FULL);
+        long before = one.recorder.sent.size();
+        for (int i = 0; i < 4; i++) {
+            one.ask("r" + i, READ, "k");
+        }
+        assertEquals(before, one.recorder.sent.size(), "both lanes are paced by the shortest deadline / 50");
+        one.pass(39 * MS);
+        assertEquals(before, one.recorder.sent.size());
+        one.pass(2 * MS);
+        assertEquals(before + 2, one.recorder.sent.size());
+    }
+
+    @Test
+    void whatCannotLeaveInTimeIsRefusedEarly() {
+        World one = new World(false).list(ListKind.FULL, "a1");
+        for (int round = 0; round < 12; round++) {
+            one.ask("f" + round, READ, "k").answer("f" + round, Code.FULL).pass(500 * MS);
+        }
+        for (int i = 0; i < 30; i++) {
+            one.ask("r" + i, READ, "k");
+        }
+        assertTrue(one.recorder.count("refuse r") > 0, "refused at once, not when time is up");
+        assertTrue(one.recorder.count("refuse r") < 30, "some can still leave");
+    }
+
+    @Test
+    void anUnsafeRequestThatMayHaveRunIsNeitherRepeatedNorRefused() {
+        world.ask("u", CHARGE, "k").answer("u", Code.RESET).pass(3000 * MS);
+        assertEquals(1, world.sends("u"));
+        assertTrue(world.recorder.has("fail u"));
+        assertEquals(0, world.recorder.count("refuse u"));
+    }
+
+    @Test
+    void aRetryAfterAFullAnswerGoesElsewhereAndTheKeyStays() {
+        world.ask("r", READ, "k");
+        String home = world.serverOf("r");
+        world.answer("r", Code.FULL).pass(100 * MS);
+        String second = world.serverOf("r");
+        assertNotEquals(home, second);
+        world.answer("r", Code.FULL).pass(100 * MS);
+        assertEquals(3, world.recorder.sent.stream().map(Recorder.Sent::server).distinct().count());
+        world.answer("r", Code.OK).ask("s", READ, "k");
+        assertEquals(home, world.serverOf("s"));
+    }
+
+    @Test
+    void anUnsafeRequestThatNeverRanIsRepeated() {
+        world.ask("u", CHARGE, "k").answer("u", Code.FULL).pass(100 * MS);
+        assertEquals(2, world.sends("u"));
+    }
+
+    @Test
+    void aKeyedRequestIsRepeatedOnlyWithinItsWindow() {
+        world.ask("in", SAVE, "k").answer("in", Code.ERROR).pass(10 * MS);
+        assertEquals(2, world.sends("in"));
+        world.ask("out", SAVE, "k").pass(950 * MS).answer("out", Code.ERROR).pass(3000 * MS);
+        assertEquals(1, world.sends("out"));
+        assertTrue(world.recorder.has("refuse out"), "the group is all, so a refusal stays true");
+    }
+
+    @Test
+    void aKeyedRequestStaysInItsGroup() {
+        for (int i = 0; i < 20; i++) {
+            String id = "z" + i;
+            world.ask(id, SAVE_IN_ZONE, "k" + i);
+            char zone = world.serverOf(id).charAt(0);
+            world.answer(id, Code.ERROR).pass(10 * MS);
+            assertEquals(zone, world.serverOf(id).charAt(0));
+            world.pass(3000 * MS);
+            assertTrue(world.recorder.has("fail " + id) || world.sends(id) == 4);
+            assertEquals(0, world.recorder.count("refuse " + id));
+        }
+    }
+
+    @Test
+    void everyRequestEndsOnceAndInTime() {
+        world.ask("r", READ, "k").ask("u", CHARGE, "k").pass(2000 * MS);
+        assertEquals(1, world.recorder.count("refuse r") + world.recorder.count("fail r"));
+        assertEquals(1, world.recorder.count("fail u"));
+    }
+
+    @Test
+    void nothingIsSentWithoutAServerAndHeldWorkLeavesWhenOneAppears() {
+        World empty = new World(false).list(ListKind.CACHED);
+        empty.ask("r", READ, "k").pass(500 * MS);
+        assertEquals(0, empty.sends("r"));
+        empty.list(ListKind.CHANGES, "a1");
+        assertEquals("a1", empty.serverOf("r"));
+        empty.list(ListKind.FULL).ask("s", READ, "k").pass(2100 * MS);
+        assertTrue(empty.recorder.has("refuse s"));
+    }
+
+    @Test
+    void heldWorkLeavesADrainingServerAtOnce() {
+        World two = new World(false).list(ListKind.FULL, "a1");
+        two.ask("f", READ, "k").ask("g", READ, "k").answer("f", Code.FULL).answer("g", Code.FULL);
+        two.ask("r", READ, "k");
+        assertEquals(0, two.sends("r"));
+        two.list(ListKind.CHANGES, List.of(World.server("a1", State.DRAINING, 0),
+            World.server("b2", State.READY, 0)));
+        assertEquals("b2", two.serverOf("r"));
+        two.pass(3000 * MS);
+        long late = two.recorder.sent.stream().skip(2).filter(s -> s.server().equals("a1")).count();
+        assertEquals(0, late);
+    }
+
+    @Test
+    void aFailedListIsAskedForAgainAndTheOldOneServes() {
+        world.list(ListKind.FAILED);
+        assertEquals(1, world.recorder.count("subscribe"));
+        world.pass(10_000 * MS);
+        assertEquals(2, world.recorder.count("subscribe"));
+        world.ask("r", READ, "k");
+        assertEquals(1, world.sends("r"));
+    }
+
+    @Test
+    void aSilentServerIsLeftUntilItAnswersATrial() {
+        for (int i = 0; i < 30; i++) {
+            world.ask("w" + i, READ, "k").answer("w" + i, Code.OK).pass(50 * MS);
+        }
+        String silent = world.serverOf("w0");
+        world.ask("r", READ, "k").ask("q", READ, "k").pass(1000 * MS);
+        assertTrue(world.recorder.has("cancel r 0"), "called back long before its time is up");
+        world.answer("r", Code.CANCELLED).pass(10 * MS);
+        assertNotEquals(silent, world.serverOf("r"));
+        int others = 0;
+        for (int i = 0; i < 20; i++) {
+            world.ask("s" + i, READ, "k");
+            if (world.serverOf("s" + i).equals(silent)) {
+                world.answer("s" + i, Code.CONNECT_FAILED);
+            } else {
+                others++;
+                world.answer("s" + i, Code.OK);
+            }
+            world.pass(50 * MS);
+        }
+        assertTrue(others >= 17, "only paced trials go to it, not " + (20 - others) + " of 20");
+    }
+
+    @Test
+    void aFailedConnectionMakesAServerSuspectAndTrialsAreFew() {
+        World many = new World(false).list(ListKind.FULL, "a1", "a2", "b3", "a4", "b5", "a6", "b7");
+        many.ask("r", READ, "k");
+        String gone = many.serverOf("r");
+        many.answer("r", Code.CONNECT_FAILED).pass(100 * MS);
+        assertNotEquals(gone, many.serverOf("r"));
+        many.answer("r", Code.OK);
+        for (int i = 0; i < 40; i++) {
+            many.ask("s" + i, READ, "k").answer("s" + i, many.serverOf("s" + i).equals(gone)
+                ? Code.CONNECT_FAILED : Code.OK).pass(3000 * MS);
+        }
+        long trials = many.recorder.sent.stream().filter(s -> s.server().equals(gone)).count() - 1;
+        assertTrue(trials >= 2 && trials <= 4, "one request in ten, though its own pace allows all: " + trials);
+    }
+
+    @Test
+    void aColdServerGetsItsPartOnly() {
+        for (int i = 0; i < 400; i++) {
+            world.ask("w" + i, READ, "k" + i % 40).answer("w" + i, Code.OK).pass(10 * MS);
+        }
+        world.list(ListKind.CHANGES, List.of(World.server("a9", State.READY, world.now)));
+        for (int i = 0; i < 100; i++) {
+            world.ask("c" + i, READ, "new" + i).answer("c" + i, Code.OK).pass(10 * MS);
+        }
+        long cold = world.recorder.sent.stream().filter(s -> s.server().equals("a9")).count();
+        assertTrue(cold > 0 && cold <= 100 / 4 * 0.4 + 1, "a part of a fair quarter of 100, was " + cold);
+    }
+
+    @Test
+    void theAllowanceOfAColdServerHoldsSummedOverManyQuietBalancers() {
+        long cold = 0;
+        long warm = 0;
+        for (int b = 0; b < 300; b++) {
+            World quiet = new World(false, b).list(ListKind.FULL, "a1", "a2", "b3");
+            for (int i = 0; i < 20; i++) {
+                quiet.ask("w" + i, READ, "k" + b + "-" + i).answer("w" + i, Code.OK).pass(500 * MS);
+            }
+            quiet.list(ListKind.CHANGES, List.of(World.server("a9", State.READY, quiet.now)));
+            int before = quiet.recorder.sent.size();
+            for (int i = 0; i < 6; i++) {
+                quiet.ask("c" + i, READ, "new" + b + "-" + i).answer("c" + i, Code.OK).pass(500 * MS);
+            }
+            for (Recorder.Sent sent : quiet.recorder.sent.subList(before, quiet.recorder.sent.size())) {
+                cold += sent.server().equals("a9") ? 1 : 0;
+                warm += sent.server().equals("a9") ? 0 : 1;
+            }
+        }
+        double bound = warm / 3.0 * 0.5 * 1.5; // three seconds' warmth at the most, and the room over it
+        assertTrue(cold > bound / 4 && cold < bound, cold + " sends to the cold server, bound " + bound);
+    }
+
+    @Test
+    void manyColdServersDoNotStarveEachOther() {
+        for (int i = 0; i < 600; i++) {
+            world.ask("w" + i, READ, "k" + i % 40).answer("w" + i, Code.OK).pass(10 * MS);
+        }
+        List<Balancer.Server> fresh = new ArrayList<>();
+        for (int i = 0; i < 9; i++) {
+            fresh.add(World.server("a" + (50 + i), State.READY, world.now));
+        }
+        world.list(ListKind.CHANGES, fresh);
+        for (int i = 0; i < 200; i++) {
+            world.ask("c" + i, READ, "new" + i).answer("c" + i, Code.OK).pass(10 * MS);
+        }
+        long cold = world.recorder.sent.stream().filter(s -> s.server().length() == 3).count();
+        double part = 200 / 3.0 * 0.4 * 1.5; // of a warm server's two seconds, at two seconds' warmth and room
+        assertTrue(cold > 100, "nine cold servers take most of the new keys, was " + cold);
+        assertTrue(cold < 9 * part * 1.2, "and none more than its part, was " + cold);
+    }
+
+    @Test
+    void missesOfOneKeyShareAFetch() {
+        World aside = new World(true).list(ListKind.FULL, "a1", "a2", "origin");
+        aside.ask("r", READ, "k").ask("s", READ, "k").answer("r", Code.MISS).answer("s", Code.MISS);
+        assertEquals(1, aside.recorder.sent.stream().filter(x -> x.server().equals("origin")).count());
+        aside.ask("t", READ, "k");
+        assertEquals(0, aside.sends("t"), "waits for the fetch that is out");
+        aside.answer("r", Code.OK);
+        assertEquals(2, aside.sends("s"));
+        assertNotEquals("origin", aside.serverOf("s"));
+        assertNotEquals("origin", aside.serverOf("t"));
+    }
+
+    @Test
+    void aFullOriginIsPacedBeforeItIsUsedMore() {
+        World aside = new World(true).list(ListKind.FULL, "a1", "a2", "origin");
+        aside.ask("v", SAVE, "k").ask("w", SAVE, "l").answer("v", Code.FULL).answer("w", Code.FULL);
+        int before = aside.recorder.sent.size();
+        aside.ask("x", SAVE, "m");
+        assertEquals(before, aside.recorder.sent.size(), "as few lanes as any server has to begin with");
+        aside.pass(50 * MS);
+        assertTrue(aside.recorder.sent.size() > before);
+    }
+
+    @Test
+    void aRationIsNotSpentOnCallBacks() {
+        World few = new World(false, 7, World.rationed(World.settings(false), 2, 0.1, 5000 * MS))
+            .list(ListKind.FULL, "a1", "a2", "b3");
+        for (int i = 0; i < 30; i++) {
+            few.ask("w" + i, READ, "k").answer("w" + i, Code.OK).pass(50 * MS);
+        }
+        few.ask("r", READ, "k").ask("q", READ, "k").pass(1000 * MS);
+        assertTrue(few.recorder.count("log server silent") > 0);
+        assertEquals(0, few.recorder.count("cancel"));
+    }
+
+    @Test
+    void writesGoToTheOriginWhereCachesDoNotFetch() {
+        World aside = new World(true).list(ListKind.FULL, "a1", "a2", "origin");
+        aside.ask("w", SAVE, "k");
+        assertEquals("origin", aside.serverOf("w"));
+    }
+
+    @Test
+    void overShareWorkGivesWayUnderPressureOnly() {
+        World one = new World(false).list(ListKind.FULL, "a1");
+        for (int i = 0; i < 200; i++) {
+            one.ask("r" + i, READ, "k", 1).answer("r" + i, Code.OK).pass(5 * MS);
+        }
+        assertEquals(0, one.recorder.count("refuse"), "there is room");
+        for (int i = 0; i < 20; i++) {
+            one.ask("s" + i, READ, "k", 0).answer("s" + i, Code.OK, 450 * MS);
+        }
+        one.ask("over", READ, "k", 1).ask("over2", READ, "k", 1).ask("within", READ, "k", 0).pass(1000 * MS);
+        assertTrue(one.recorder.has("refuse over2"));
+        assertEquals(1, one.sends("within"));
+    }
+
+    @Test
+    void retriesOfErrorsRunOutWhenNothingIsServed() {
+        for (int i = 0; i < 100; i++) {
+            String id = "e" + i;
+            world.ask(id, READ, "k" + i);
+            while (world.sends(id) > 0 && !world.recorder.has("refuse " + id) && world.sends(id) < 4) {
+                world.answer(id, Code.ERROR).pass(5 * MS);
+            }
+            world.answer(id, Code.ERROR).pass(5 * MS);
+        }
+        assertTrue(world.recorder.sent.size() < 100 * 1.2, "attempts: " + world.recorder.sent.size());
+    }
+
+    @Test
+    void lateAnswersPaceAServerAndPacedLanesCarryOneRequestEach() {
+        World one = new World(false).list(ListKind.FULL, "a1");
+        one.ask("s", READ, "k").ask("t", READ, "k");
+        one.answer("s", Code.OK, 450 * MS).answer("t", Code.OK, 450 * MS);
+        for (int i = 0; i < 5; i++) {
+            one.ask("r" + i, READ, "k");
+        }
+        one.pass(300 * MS);
+        assertEquals(4, one.recorder.sent.size(), "two lanes, both busy until they are answered");
+        assertEquals(1, one.sends("r4"), "the newest leaves first");
+        one.answer("r4", Code.OK).pass(300 * MS);
+        assertEquals(5, one.recorder.sent.size());
+    }
+
+    @Test
+    void aBusyBalancerHasMoreLanes() {
+        World one = new World(false).list(ListKind.FULL, "a1");
+        for (int i = 0; i < 400; i++) {
+            one.ask("w" + i, READ, "k").answer("w" + i, Code.OK).pass(20 * MS);
+        }
+        for (int i = 0; i < 10; i++) {
+            one.ask("f" + i, READ, "k").answer("f" + i, Code.FULL);
+            one.ask("r" + i, READ, "k");
+        }
+        assertTrue(one.sends("r0") + one.sends("r5") == 2, "ten failures do not pace all lanes at 50 a second");
+    }
+
+    @Test
+    void strayEventsAreHarmless() {
+        world.ask("r", READ, "k");
+        int before = world.recorder.sent.size();
+        world.balancer.outcome(world.now, new Balancer.Outcome("r", 5, Code.FULL, 0, false, Balancer.Note.NONE,
+            null));
+        world.balancer.outcome(world.now, new Balancer.Outcome("x", 0, Code.OK, 0, true, Balancer.Note.NONE, null));
+        world.balancer.timer(world.now, 123);
+        world.balancer.abandoned(world.now, "y");
+        world.balancer.probed(world.now, "z", true, null);
+        assertEquals(before, world.recorder.sent.size());
+        assertEquals(0, world.recorder.count("refuse") + world.recorder.count("fail"));
+    }
+
+    @Test
+    void theSameEventsGiveTheSameActions() {
+        List<List<String>> runs = new ArrayList<>();
+        for (int run = 0; run < 2; run++) {
+            RandomEvents events = new RandomEvents(5, false);
+            events.run(3000);
+            runs.add(events.world.recorder.lines);
+        }
+        assertEquals(runs.get(0), runs.get(1));
+        assertTrue(runs.get(0).size() > 1500, "lines: " + runs.get(0).size());
+    }
+
+    @Test
+    void theRulesHoldOverRandomLegalEvents() {
+        for (int seed = 0; seed < 30; seed++) {
+            new RandomEvents(seed, seed % 2 == 1).run(1500);
+        }
+    }
+
+    @Test
+    void theRationHoldsOverRandomLegalEvents() {
+        int resent = 0;
+        for (int seed = 0; seed < 30; seed++) {
+            RandomEvents events = new RandomEvents(seed, seed % 2 == 1, 2, 0.05, 3000 * MS);
+            events.run(1500);
+            resent += events.resentInAll;
+        }
+        assertTrue(resent > 300, "the ration is used, not only kept: " + resent);
+    }
+
+    @Test
+    void theRationCheckerSeesACountOffByOne() {
+        assertThrows(AssertionError.class, () -> {
+            for (int seed = 0; seed < 10; seed++) {
+                RandomEvents events = new RandomEvents(seed, false, 3, 0.05, 3000 * MS);
+                events.free = 2;
+                events.run(1500);
+            }
+        });
+    }
+}
