Serve clients on real sockets around the decision module

Package anisebend.net on Netty: ProxyConfig, ProxyServer, Engine, Upstream and Discovery on one event loop; Main gets "serve". The module is unchanged; WireEvent.object and WireSettings.settings are public for the configuration.

--- a/src/main/java/anisebend/Main.java
+++ b/src/main/java/anisebend/Main.java
@@ -1,18 +1,34 @@
 package anisebend;
 
+import anisebend.net.ProxyServer;
 import java.io.IOException;
 
-/** Entry point of the jar: {@code adapter} serves the wire on standard input and output. */
+/**
+ * Entry point of the jar: {@code serve} runs the real proxy, {@code adapter} serves the wire on standard
+ * input and output.
+ */
 public final class Main {
     private Main() {
     }
 
     /** Runs the named program; any other argument is a usage error. */
     public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: anisebend adapter");
-            System.exit(2);
+        switch (args.length == 1 ? args[0] : "") {
+            case "adapter" -> System.exit(new Adapter(System.in, System.out, System.err).run());
+            case "serve" -> serve();
+            default -> {
+                System.err.println("usage: anisebend serve|adapter");
+                System.exit(2);
+            }
+        }
+    }
+
+    private static void serve() {
+        try {
+            ProxyServer.start(System.getenv()).drainOnTermination();
+        } catch (IOException e) {
+            System.err.println("anisebend: " + e.getMessage());
+            System.exit(1);
         }
-        System.exit(new Adapter(System.in, System.out, System.err).run());
     }
 }
--- a/src/main/java/anisebend/WireEvent.java
+++ b/src/main/java/anisebend/WireEvent.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 
 /** One message of the wire, read field by field and reused. Absent numbers are {@link #NONE}. */
-final class WireEvent {
+public final class WireEvent {
     static final long NONE = Long.MIN_VALUE;
 
     String type;
@@ -265,7 +265,8 @@
         return List.copyOf(list);
     }
 
-    private static Map<String, Object> object(JsonParser in) throws IOException {
+    /** Reads the object that the parser stands on: numbers as Double, lists and maps nested. */
+    public static Map<String, Object> object(JsonParser in) throws IOException {
         if (in.currentToken() != JsonToken.START_OBJECT) {
             throw new WireException("env must be an object");
         }
--- a/src/main/java/anisebend/WireSettings.java
+++ b/src/main/java/anisebend/WireSettings.java
@@ -6,11 +6,12 @@
 import java.util.Map;
 
 /** Turns the settings object of the wire into {@link Balancer.Settings}. */
-final class WireSettings {
+public final class WireSettings {
     private WireSettings() {
     }
 
-    static Balancer.Settings settings(Map<String, Object> env) throws WireException {
+    /** The settings that the module is started with. */
+    public static Balancer.Settings settings(Map<String, Object> env) throws WireException {
         Map<?, ?> allowed = map(env, "allowed");
         Map<?, ?> rules = map(env, "rules");
         Map<?, ?> extra = map(env, "extra");
--- /dev/null
+++ b/src/main/java/anisebend/net/Discovery.java
@@ -0,0 +1,280 @@
+package anisebend.net;
+
+import anisebend.Balancer.ListKind;
+import anisebend.Balancer.Server;
+import anisebend.Balancer.State;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The list of cache nodes as this proxy knows it, and the calls that keep it fresh. When to ask again after
+ * a failed call is the module's to say, by {@link #subscribe}; a watch that goes well goes on by itself.
+ */
+final class Discovery {
+    private static final String LIST = "/registry/instances";
+    private static final int MAX_ANSWER = 4 << 20;
+    /** A silent call counts as told this long after its wait at the latest, so it has failed by then. */
+    private static final long GRACE_MILLIS = 2_000;
+    private static final long WHOLE_LIST_MILLIS = 6_000;
+    private static final long MAX_WAIT_MILLIS = 60_000;
+
+    /** A cache node: where to dial it, and when it last started, in Unix milliseconds, 0 for long ago. */
+    record Node(String host, InetSocketAddress dial, double bornMillis, boolean ready) {
+    }
+
+    /** Told of each answer as soon as it is read, and of each call that failed. */
+    interface Listener {
+        void news(ListKind kind, List<Server> entries);
+
+        /** Connections to this node are of no more use: it drains, has gone or has started anew. */
+        void unusable(String host);
+    }
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final ProxyConfig.Names names;
+    private final long waitMillis;
+    private final Listener listener;
+    private final Bootstrap bootstrap;
+    private final Map<String, Node> nodes = new HashMap<>();
+    private long version;
+    /** Whether this process has had a whole list from discovery itself. */
+    private boolean listed;
+    private Channel channel;
+    private Call call;
+
+    Discovery(EventLoop loop, InetSocketAddress address, ProxyConfig.Names names, long askWithinMicros,
+              long connectMillis, Listener listener) {
+        this.loop = loop;
+        this.address = address;
+        this.names = names;
+        this.waitMillis = Math.max(1, Math.min(MAX_WAIT_MILLIS, askWithinMicros / 1000));
+        this.listener = listener;
+        this.bootstrap = Upstream.client(loop, Math.max(connectMillis, GRACE_MILLIS));
+    }
+
+    Node node(String host) {
+        return nodes.get(host);
+    }
+
+    /** Whether the node, as started when {@code node} was read, may be sent anything new. */
+    boolean ready(Node node) {
+        Node present = nodes.get(node.host());
+        return present != null && present.ready() && present.bornMillis() == node.bornMillis()
+            && present.dial().equals(node.dial());
+    }
+
+    /** Starts from the list that the configuration brought. */
+    void begin(Map<String, Object> known) throws IOException {
+        apply(known, ListKind.CACHED);
+    }
+
+    /** Asks for the list and for what changes from now on; a watch that is out already goes on. */
+    void subscribe() {
+        if (call == null) {
+            next();
+        }
+    }
+
+    private void next() {
+        String uri = listed ? LIST + "?after=" + version + "&wait_ms=" + waitMillis : LIST;
+        call = new Call(listed ? waitMillis + GRACE_MILLIS : WHOLE_LIST_MILLIS);
+        call.start(uri);
+    }
+
+    private void answered(FullHttpResponse answer) {
+        try {
+            if (answer.decoderResult().isFailure() || answer.status().code() != 200) {
+                throw new IOException("discovery answers " + answer.status().code());
+            }
+            Map<String, Object> list = ProxyConfig.parse(ByteBufUtil.getBytes(answer.content()));
+            ListKind kind = Boolean.TRUE.equals(list.get("whole")) ? ListKind.FULL : ListKind.CHANGES;
+            if (kind == ListKind.CHANGES && !listed) {
+                throw new IOException("discovery answers a call for the whole list with changes");
+            }
+            apply(list, kind);
+            listed = true;
+        } catch (IOException e) {
+            failed();
+            return;
+        }
+        next();
+    }
+
+    private void failed() {
+        call = null;
+        if (channel != null) {
+            channel.close();
+            channel = null;
+        }
+        listener.news(ListKind.FAILED, List.of());
+    }
+
+    /** Reads the whole answer before any of it counts, so that a malformed one leaves the list as it was. */
+    private void apply(Map<String, Object> list, ListKind kind) throws IOException {
+        long seq = (long) ProxyConfig.number(list, "seq");
+        List<Server> servers = new ArrayList<>();
+        List<Node> changed = new ArrayList<>();
+        Set<String> present = new HashSet<>();
+        for (Object item : ProxyConfig.list(list, "hosts")) {
+            Map<String, Object> entry = ProxyConfig.asMap(item, "hosts");
+            String host = ProxyConfig.string(entry, "host");
+            State state = switch (ProxyConfig.string(entry, "health")) {
+                case "Ready" -> State.READY;
+                case "Terminating" -> State.DRAINING;
+                case "Gone" -> State.GONE;
+                default -> throw new IOException("unknown health of " + host);
+            };
+            double born = entry.get("born_ms") == null ? 0 : ProxyConfig.number(entry, "born_ms");
+            double share = entry.get("share") == null ? 1 : ProxyConfig.number(entry, "share");
+            int cell = entry.get("block") == null ? 0 : (int) ProxyConfig.number(entry, "block");
+            present.add(host);
+            if (state == State.GONE) {
+                changed.add(new Node(host, null, born, false));
+            } else {
+                changed.add(new Node(host, ProxyConfig.address(ProxyConfig.string(entry, "dial")), born,
+                    state == State.READY));
+            }
+            servers.add(new Server(host, index(names.zones(), entry.get("site")),
+                index(names.kinds(), entry.get("class")), cell, state, share, (long) (born * 1000)));
+        }
+        version = seq;
+        if (kind != ListKind.CHANGES) {
+            List<String> gone = nodes.keySet().stream().filter(host -> !present.contains(host)).toList();
+            gone.forEach(this::forget);
+        }
+        for (Node node : changed) {
+            if (node.dial() == null) {
+                forget(node.host());
+                continue;
+            }
+            Node before = nodes.put(node.host(), node);
+            if (before != null && !before.equals(node)) {
+                listener.unusable(node.host());
+            }
+        }
+        listener.news(kind, servers);
+    }
+
+    private void forget(String host) {
+        nodes.remove(host);
+        listener.unusable(host);
+    }
+
+    /** A zone's or kind's number, by its name or, where none are named, as given. */
+    private static int index(List<String> names, Object value) throws IOException {
+        if (value == null) {
+            return 0;
+        }
+        int at = value instanceof Double number ? number.intValue() : names.indexOf(value);
+        if (at < 0) {
+            throw new IOException("unknown name " + value);
+        }
+        return at;
+    }
+
+    /** One call; its channel is kept for the next. */
+    private final class Call {
+        private final ScheduledFuture<?> limit;
+
+        Call(long limitMillis) {
+            limit = loop.schedule(this::fail, limitMillis, TimeUnit.MILLISECONDS);
+        }
+
+        void start(String uri) {
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
+                Unpooled.EMPTY_BUFFER);
+            request.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(address));
+            if (channel != null && channel.isActive()) {
+                write(request);
+                return;
+            }
+            ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER),
+                        new Answers());
+                }
+            }).connect(address);
+            channel = connecting.channel();
+            connecting.addListener(done -> {
+                if (done.isSuccess() && call == this) {
+                    write(request);
+                } else {
+                    fail();
+                }
+            });
+        }
+
+        private void write(FullHttpRequest request) {
+            channel.writeAndFlush(request).addListener(done -> {
+                if (!done.isSuccess()) {
+                    fail();
+                }
+            });
+        }
+
+        void fail() {
+            if (call == this) {
+                limit.cancel(false);
+                failed();
+            }
+        }
+    }
+
+    /** What comes back on the present channel. */
+    private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+            if (ctx.channel() != channel || call == null) {
+                ctx.close();
+                return;
+            }
+            call.limit.cancel(false);
+            if (!HttpUtil.isKeepAlive(answer)) {
+                channel = null;
+                ctx.close();
+            }
+            answered(answer);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (ctx.channel() == channel && call != null) {
+                call.fail();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/anisebend/net/Engine.java
@@ -0,0 +1,342 @@
+package anisebend.net;
+
+import anisebend.Balancer;
+import anisebend.Balancer.Code;
+import anisebend.Balancer.ListKind;
+import anisebend.Balancer.Note;
+import anisebend.Decide;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+
+/**
+ * Drives the module: its events come from the sockets, its actions go to them. It keeps the timers and the
+ * single final answer and decides nothing. The module is never entered while it is running: what an action
+ * brings about waits until the event before it is done. All of it runs on the one event loop.
+ */
+final class Engine implements Balancer.Actions {
+    /** The module's deadline comes this long before the client's, whose clock began before ours. */
+    private static final long MARGIN_MICROS = 10_000;
+    /** What the module has left unanswered fails this long before the client's deadline. */
+    private static final long BACKSTOP_MICROS = 5_000;
+    private static final double MICROS = 1e6;
+
+    /** Where one request's single final answer goes. */
+    interface Client {
+        /** The answer's content is only lent. */
+        void served(FullHttpResponse answer);
+
+        void refused(long retryAfterMicros);
+
+        void failed();
+    }
+
+    /** A client's request, read and checked. */
+    record Call(HttpMethod method, String uri, String correlationId, String idempotencyKey, ByteBuf body,
+                int requestClass, int tenant, String key, long arrival, long waitMicros) {
+    }
+
+    /** A request from its arrival until it is answered and nothing of it is out. */
+    final class Exchange {
+        private final String id;
+        private final Call call;
+        private final Client client;
+        private ScheduledFuture<?> backstop;
+        private Upstream.Attempt out;
+        private int attempts;
+        private boolean answered;
+
+        Exchange(String id, Call call, Client client) {
+            this.id = id;
+            this.call = call;
+            this.client = client;
+        }
+
+        boolean answered() {
+            return answered;
+        }
+    }
+
+    private final EventLoop loop;
+    private final Balancer module = new Decide(this);
+    private final Upstream upstream;
+    private final Discovery discovery;
+    private final Map<String, Exchange> open = new HashMap<>();
+    private final Queue<Runnable> events = new ArrayDeque<>();
+    private final Queue<Runnable> actions = new ArrayDeque<>();
+    /** The module's clock: Unix time in microseconds at the start, and monotonic from there. */
+    private final long startMicros = System.currentTimeMillis() * 1000;
+    private final long startNanos = System.nanoTime();
+    private long sequence;
+    private boolean busy;
+
+    Engine(EventLoop loop, ProxyConfig config, int maxConnections) {
+        this.loop = loop;
+        this.discovery = new Discovery(loop, config.discovery(), config.names(),
+            config.settings().listAskWithin(), config.connectTimeoutMillis(), new Discovery.Listener() {
+                @Override
+                public void news(ListKind kind, List<Balancer.Server> entries) {
+                    if (kind == ListKind.FAILED) {
+                        log("discovery call failed");
+                    }
+                    tell(() -> module.servers(now(), kind, entries));
+                }
+
+                @Override
+                public void unusable(String host) {
+                    upstream.closeIdle(host);
+                }
+            });
+        this.upstream = new Upstream(loop, discovery::ready, maxConnections, config.connIdleMillis(),
+            config.connectTimeoutMillis());
+    }
+
+    /** Starts the module; a setting or list that can't be worked with is thrown back. */
+    void begin(ProxyConfig config) throws IOException {
+        AtomicReference<RuntimeException> refused = new AtomicReference<>();
+        tell(() -> {
+            try {
+                module.start(now(), config.seed(), config.settings());
+            } catch (IllegalArgumentException e) {
+                refused.set(e);
+            }
+            // The list must be known before the first call to discovery comes back.
+        });
+        if (refused.get() != null) {
+            throw refused.get();
+        }
+        discovery.begin(config.known());
+    }
+
+    long now() {
+        return startMicros + (System.nanoTime() - startNanos) / 1000;
+    }
+
+    /** Takes a request, and its body's reference. */
+    Exchange take(Call call, Client client) {
+        Exchange x = new Exchange("r" + sequence++, call, client);
+        open.put(x.id, x);
+        long deadline = call.arrival() + call.waitMicros();
+        x.backstop = loop.schedule(() -> giveUp(x), deadline - BACKSTOP_MICROS - now(), TimeUnit.MICROSECONDS);
+        Balancer.Request request = new Balancer.Request(x.id, call.requestClass(), call.tenant(), call.key(),
+            deadline - MARGIN_MICROS, call.method().equals(HttpMethod.PUT));
+        tell(() -> {
+            try {
+                module.request(now(), request);
+            } catch (RuntimeException e) {
+                fault(e);
+                fail(x.id);
+            }
+        });
+        return x;
+    }
+
+    /** The client has gone: nothing more is owed, and nothing more goes out. */
+    void gone(Exchange x) {
+        if (!x.answered) {
+            settle(x);
+            tell(() -> module.abandoned(now(), x.id));
+        }
+    }
+
+    /** Fails what the module has left unanswered. */
+    private void giveUp(Exchange x) {
+        if (!x.answered) {
+            settle(x);
+            x.client.failed();
+            tell(() -> module.abandoned(now(), x.id));
+        }
+    }
+
+    /** Fails all that is unanswered, as the process is about to be killed. */
+    void giveUpAll() {
+        List.copyOf(open.values()).forEach(this::giveUp);
+    }
+
+    private void tell(Runnable event) {
+        events.add(event);
+        if (busy) {
+            return;
+        }
+        busy = true;
+        try {
+            while (!events.isEmpty()) {
+                guarded(events.poll());
+                while (!actions.isEmpty()) {
+                    guarded(actions.poll());
+                }
+            }
+        } finally {
+            busy = false;
+        }
+    }
+
+    /** One faulty event or action must not take the others, or the process, with it. */
+    private void guarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            fault(e);
+        }
+    }
+
+    private void fault(RuntimeException e) {
+        log("fault: " + e);
+        e.printStackTrace();
+    }
+
+    /** Ends a request for the client; what is still out for it is closed. */
+    private void settle(Exchange x) {
+        x.answered = true;
+        x.backstop.cancel(false);
+        if (x.out != null) {
+            x.out.cancel();
+        }
+        forget(x);
+    }
+
+    private void forget(Exchange x) {
+        if (x.answered && x.out == null && open.remove(x.id) != null) {
+            x.call.body().release();
+        }
+    }
+
+    // ---- actions of the module, carried out after it has returned
+
+    @Override
+    public void send(String request, String server, long until) {
+        actions.add(() -> sendNow(request, server, until));
+    }
+
+    private void sendNow(String request, String server, long until) {
+        Exchange x = open.get(request);
+        if (x == null) {
+            return;
+        }
+        int attempt = x.attempts++;
+        long sentAt = now();
+        Discovery.Node node = discovery.node(server);
+        long wait = Math.min(until, x.call.arrival() + x.call.waitMicros()) - sentAt;
+        if (x.out != null) {
+            x.out.cancel(); // never two at once, whatever the module says
+        }
+        if (x.answered || node == null || wait <= 0) {
+            ended(x, attempt, sentAt, Code.NOT_SENT, Note.NONE, null);
+            return;
+        }
+        Upstream.Attempt[] mine = new Upstream.Attempt[1];
+        boolean[] over = new boolean[1];
+        mine[0] = upstream.send(node, message(x.call, node, wait), wait, (code, note, answer) -> {
+            over[0] = true;
+            if (x.out == mine[0]) {
+                x.out = null;
+            }
+            ended(x, attempt, sentAt, code, note, answer);
+        });
+        if (!over[0]) {
+            x.out = mine[0];
+        }
+    }
+
+    private static FullHttpRequest message(Call call, Discovery.Node node, long wait) {
+        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri(),
+            call.body().isReadable() ? call.body().retainedDuplicate() : Unpooled.EMPTY_BUFFER);
+        message.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(node.dial()))
+            .set("X-Correlation-Id", call.correlationId())
+            .set("X-Time-Left", String.format(Locale.ROOT, "%.3f", wait / MICROS));
+        if (call.idempotencyKey() != null) {
+            message.headers().set("Idempotency-Key", call.idempotencyKey());
+        }
+        if (call.method().equals(HttpMethod.PUT)) {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().readableBytes());
+        }
+        return message;
+    }
+
+    private void ended(Exchange x, int attempt, long sentAt, Code code, Note note, FullHttpResponse answer) {
+        if (code == Code.OK && !x.answered) {
+            settle(x);
+            x.client.served(answer);
+        }
+        forget(x);
+        boolean over = x.answered;
+        tell(() -> {
+            long now = now();
+            module.outcome(now, new Balancer.Outcome(x.id, attempt, code, now - sentAt, over, note, null));
+        });
+    }
+
+    @Override
+    public void refuse(String request, long retryAfter) {
+        answer(request, client -> client.refused(retryAfter));
+    }
+
+    @Override
+    public void fail(String request) {
+        answer(request, Client::failed);
+    }
+
+    private void answer(String request, Consumer<Client> how) {
+        actions.add(() -> {
+            Exchange x = open.get(request);
+            if (x != null && !x.answered) {
+                settle(x);
+                how.accept(x.client);
+            }
+        });
+    }
+
+    @Override
+    public void cancel(String request, int attempt) {
+        actions.add(() -> {
+            Exchange x = open.get(request);
+            if (x != null && x.out != null && x.attempts - 1 == attempt) {
+                x.out.cancel();
+            }
+        });
+    }
+
+    @Override
+    public void probe(String server) {
+        log("probes are not part of this deployment");
+    }
+
+    @Override
+    public void closeIdle(String server) {
+        actions.add(() -> upstream.closeIdle(server));
+    }
+
+    @Override
+    public void subscribe() {
+        actions.add(discovery::subscribe);
+    }
+
+    @Override
+    public void timer(long at, long token) {
+        actions.add(() -> loop.schedule(() -> tell(() -> module.timer(now(), token)),
+            Math.max(0, at - now()), TimeUnit.MICROSECONDS));
+    }
+
+    @Override
+    public void log(String text) {
+        System.err.println(text);
+    }
+}
--- /dev/null
+++ b/src/main/java/anisebend/net/ProxyConfig.java
@@ -0,0 +1,163 @@
+package anisebend.net;
+
+import anisebend.Balancer;
+import anisebend.WireEvent;
+import anisebend.WireSettings;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What the platform tells one proxy at its start. Strict: a proxy that starts on a guess would break rules
+ * silently, so whatever is missing or malformed is an {@link IOException} with one plain line. Unknown
+ * fields are skipped, as the platform may add some.
+ */
+record ProxyConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+                   Map<String, Object> known, Balancer.Settings settings, Names names, long connIdleMillis,
+                   long connectTimeoutMillis) {
+
+    /** The words that stand on the wire for the module's numbers. */
+    record Names(List<String> classes, List<String> tenants, List<String> zones, List<String> kinds) {
+    }
+
+    /** Reads the file at {@code PROXY_CONFIG}; the single variables win over it, as they are the nearer. */
+    static ProxyConfig load(Map<String, String> env) throws IOException {
+        String file = env.get("PROXY_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new IOException("PROXY_CONFIG is not set");
+        }
+        try (InputStream in = Files.newInputStream(Path.of(file))) {
+            return of(env, parse(in.readAllBytes()));
+        } catch (NoSuchFileException | InvalidPathException e) {
+            throw new IOException("no configuration at " + file, e);
+        } catch (IOException | IllegalArgumentException e) {
+            throw new IOException("configuration " + file + ": " + e.getMessage(), e);
+        }
+    }
+
+    private static ProxyConfig of(Map<String, String> env, Map<String, Object> root) throws IOException {
+        Map<String, Object> settings = map(root, "settings");
+        Map<String, Object> allowed = map(settings, "allowed");
+        Map<String, Object> limits = map(root, "limits");
+        Names names = new Names(names(settings, "lanes"), names(settings, "realms"),
+            names(settings, "failure_domains"), names(settings, "shapes"));
+        return new ProxyConfig(variable(env, "PROXY_NAME", root, "name"),
+            address(variable(env, "PROXY_LISTEN", root, "listen")),
+            address(variable(env, "PROXY_DISCOVERY", root, "discovery")),
+            seed(string(root, "seed")), (int) positive(limits, "sockets"), map(root, "known"),
+            WireSettings.settings(settings), names, positive(allowed, "conn_idle_ms"),
+            positive(allowed, "connect_timeout_ms"));
+    }
+
+    /** One whole JSON object, and nothing after it. */
+    static Map<String, Object> parse(byte[] text) throws IOException {
+        try (JsonParser in = new JsonFactory().createParser(new String(text, StandardCharsets.UTF_8))) {
+            if (in.nextToken() == null) {
+                throw new IOException("empty where a JSON object should be");
+            }
+            Map<String, Object> object = WireEvent.object(in);
+            if (in.nextToken() != null) {
+                throw new IOException("more than one JSON value");
+            }
+            return object;
+        } catch (JsonProcessingException e) {
+            throw new IOException("malformed JSON: " + e.getOriginalMessage().lines().findFirst().orElse(""), e);
+        }
+    }
+
+    /** An address in numbers: there is no DNS, and a look-up would block. */
+    static InetSocketAddress address(String text) throws IOException {
+        int colon = text.lastIndexOf(':');
+        byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+        if (ip != null) {
+            try {
+                return new InetSocketAddress(InetAddress.getByAddress(ip),
+                    Integer.parseInt(text.substring(colon + 1)));
+            } catch (IllegalArgumentException e) {
+                throw new IOException("not an address and port: " + text, e);
+            }
+        }
+        throw new IOException("not an address and port: " + text);
+    }
+
+    private static long seed(String hex) throws IOException {
+        try {
+            return Long.parseUnsignedLong(hex, 16);
+        } catch (NumberFormatException e) {
+            throw new IOException("seed must be up to 16 hex digits", e);
+        }
+    }
+
+    private static String variable(Map<String, String> env, String variable, Map<String, Object> root,
+                                   String field) throws IOException {
+        String value = env.get(variable);
+        return value == null || value.isEmpty() ? string(root, field) : value;
+    }
+
+    static String string(Map<String, Object> from, String field) throws IOException {
+        if (from.get(field) instanceof String text && !text.isEmpty()) {
+            return text;
+        }
+        throw new IOException(field + " must be a text");
+    }
+
+    static double number(Map<String, Object> from, String field) throws IOException {
+        if (from.get(field) instanceof Double number) {
+            return number;
+        }
+        throw new IOException(field + " must be a number");
+    }
+
+    private static long positive(Map<String, Object> from, String field) throws IOException {
+        double value = number(from, field);
+        if (value < 1) {
+            throw new IOException(field + " must be positive");
+        }
+        return (long) value;
+    }
+
+    static List<?> list(Map<String, Object> from, String field) throws IOException {
+        if (from.get(field) instanceof List<?> list) {
+            return list;
+        }
+        throw new IOException(field + " must be an array");
+    }
+
+    static Map<String, Object> map(Map<String, Object> from, String field) throws IOException {
+        return asMap(from.get(field), field);
+    }
+
+    static Map<String, Object> asMap(Object value, String field) throws IOException {
+        if (value instanceof Map<?, ?> map) {
+            @SuppressWarnings("unchecked") // every map that WireEvent.object makes has texts as keys
+            Map<String, Object> object = (Map<String, Object>) map;
+            return object;
+        }
+        throw new IOException(field + " must be an object");
+    }
+
+    /** The names in a list of texts, or of objects that have a name. A site may have none. */
+    private static List<String> names(Map<String, Object> settings, String field) throws IOException {
+        List<String> names = new ArrayList<>();
+        if (settings.get(field) == null) {
+            return names;
+        }
+        for (Object item : list(settings, field)) {
+            names.add(item instanceof String text ? text : string(asMap(item, field), "name"));
+        }
+        return List.copyOf(names);
+    }
+}
--- /dev/null
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -0,0 +1,351 @@
+package anisebend.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The clients' side of the proxy: it listens, checks requests, hands them to the {@link Engine} and writes
+ * each one's answer; and it ends in good order. One thread does all the work of the process.
+ */
+public final class ProxyServer {
+    private static final int MAX_BODY = 64 << 10;
+    private static final int BACKLOG = 1024;
+    /** Parts of the descriptors for either side; the rest is for the JVM, discovery and sockets on their way out. */
+    private static final double CLIENT_PART = 0.4;
+    private static final double UPSTREAM_PART = 0.4;
+    /** A client that sends ahead further than this is cut off. */
+    private static final int MAX_AHEAD = 16;
+    /** After SIGTERM connections go on coming for 0.4 s. */
+    private static final long ACCEPT_MILLIS = 600;
+    /** SIGKILL comes 0.7 s after the longest deadline, of which at most 3 s count; all must be over before it. */
+    private static final long LONGEST_MILLIS = 3_000;
+    private static final long BEFORE_KILL_MILLIS = 450;
+    private static final double MICROS = 1e6;
+    private static final String API = "/api/";
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final ProxyConfig config;
+    private final Engine engine;
+    private final int maxClients;
+    private final Set<Connection> clients = new LinkedHashSet<>();
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private final long drainMillis;
+    private Channel listener;
+    private boolean draining;
+
+    private ProxyServer(ProxyConfig config) {
+        this.config = config;
+        this.maxClients = Math.max(1, (int) (config.sockets() * CLIENT_PART));
+        this.engine = new Engine(loop, config, Math.max(1, (int) (config.sockets() * UPSTREAM_PART)));
+        long longest = config.settings().classes().stream().mapToLong(c -> c.deadline() / 1000).max().orElse(0);
+        this.drainMillis = Math.min(LONGEST_MILLIS, longest) + BEFORE_KILL_MILLIS;
+    }
+
+    /** Runs a proxy as the platform's variables say; throws what is wrong with them as one plain line. */
+    public static ProxyServer start(Map<String, String> env) throws IOException {
+        ProxyServer server = new ProxyServer(ProxyConfig.load(env));
+        try {
+            server.loop.submit(() -> {
+                server.engine.begin(server.config);
+                server.listen();
+                return null;
+            }).get();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        } catch (java.util.concurrent.ExecutionException e) {
+            server.stop();
+            throw new IOException(e.getCause().getMessage(), e.getCause());
+        }
+        return server;
+    }
+
+    private void listen() throws IOException {
+        listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY),
+                        new Connection(ch));
+                }
+            }).bind(config.listen()).channel();
+    }
+
+    /** Where it listens, once it does. */
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    /**
+     * Lets SIGTERM drain the proxy: it goes on accepting for a while, finishes what it holds and exits with 0.
+     * A shutdown hook is the library's way to hear of the signal; it must halt for the exit code to be 0.
+     */
+    public void drainOnTermination() {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            drain();
+            Runtime.getRuntime().halt(0);
+        }, "drain"));
+    }
+
+    /** Drains and returns when nothing is held, or just before a SIGKILL may come. */
+    void drain() {
+        loop.execute(this::beginDrain);
+        try {
+            drained.await(drainMillis + BEFORE_KILL_MILLIS / 3, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Stops at once. */
+    void stop() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    private void beginDrain() {
+        draining = true;
+        loop.schedule(() -> {
+            listener.close();
+            for (Connection client : Set.copyOf(clients)) {
+                if (client.exchange == null) {
+                    client.channel.close();
+                }
+            }
+            checkDrained();
+        }, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(engine::giveUpAll, drainMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void checkDrained() {
+        if (draining && !listener.isOpen() && clients.isEmpty()) {
+            drained.countDown();
+        }
+    }
+
+    /** At the bound the longest idle connection makes room; where none is idle, no more are accepted for now. */
+    private void makeRoom() {
+        if (clients.size() >= maxClients) {
+            for (Connection client : clients) {
+                if (client.exchange == null) {
+                    client.channel.close();
+                    break;
+                }
+            }
+        }
+        listener.config().setAutoRead(clients.size() < maxClients);
+    }
+
+    /** One client's connection, with the one request in hand and those that were sent ahead. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> implements Engine.Client {
+        private record Ahead(FullHttpRequest request, long arrival) {
+        }
+
+        private final Channel channel;
+        private final Queue<Ahead> ahead = new ArrayDeque<>();
+        private Engine.Exchange exchange;
+        /** A request is in hand, or its answer is being written. */
+        private boolean occupied;
+        private boolean keepAlive;
+
+        Connection(Channel channel) {
+            super(false);
+            this.channel = channel;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            clients.add(this);
+            makeRoom();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            clients.remove(this);
+            ahead.forEach(next -> next.request.release());
+            ahead.clear();
+            if (exchange != null) {
+                Engine.Exchange left = exchange;
+                exchange = null;
+                engine.gone(left);
+            }
+            makeRoom();
+            checkDrained();
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            if (ahead.size() >= MAX_AHEAD) {
+                request.release();
+                ctx.close();
+                return;
+            }
+            ahead.add(new Ahead(request, engine.now()));
+            advance();
+        }
+
+        /** Requests that were sent ahead are served one after another, as their answers must come in order. */
+        private void advance() {
+            while (!occupied && !ahead.isEmpty()) {
+                occupied = true;
+                clients.remove(this); // to the end of the order of last use
+                clients.add(this);
+                Ahead next = ahead.poll();
+                FullHttpRequest request = next.request;
+                keepAlive = HttpUtil.isKeepAlive(request);
+                try {
+                    handle(request, next.arrival);
+                } catch (RuntimeException e) {
+                    System.err.println("fault: " + e);
+                    answer(HttpResponseStatus.BAD_GATEWAY);
+                } finally {
+                    request.release();
+                }
+            }
+        }
+
+        private void handle(FullHttpRequest request, long arrival) {
+            if (request.decoderResult().isFailure()) {
+                keepAlive = false; // where this message ends is anyone's guess
+                answer(HttpResponseStatus.BAD_REQUEST);
+                return;
+            }
+            String uri = request.uri();
+            int query = uri.indexOf('?');
+            String path = query < 0 ? uri : uri.substring(0, query);
+            HttpMethod method = request.method();
+            if (path.equals("/health/ready")) {
+                answer(method.equals(HttpMethod.GET) ? HttpResponseStatus.OK : HttpResponseStatus.METHOD_NOT_ALLOWED);
+                return;
+            }
+            if (!path.startsWith(API)) {
+                answer(HttpResponseStatus.NOT_FOUND);
+                return;
+            }
+            if (!method.equals(HttpMethod.GET) && !method.equals(HttpMethod.PUT)) {
+                answer(HttpResponseStatus.METHOD_NOT_ALLOWED);
+                return;
+            }
+            HttpHeaders headers = request.headers();
+            String id = headers.get("X-Correlation-Id");
+            int requestClass = config.names().classes().indexOf(headers.get("X-Service-Class"));
+            int tenant = config.names().tenants().isEmpty() ? 0
+                : config.names().tenants().indexOf(headers.get("X-Account"));
+            long wait = micros(headers.get("X-Time-Left"));
+            if (id == null || id.isEmpty() || requestClass < 0 || tenant < 0 || wait <= 0) {
+                answer(HttpResponseStatus.BAD_REQUEST);
+                return;
+            }
+            String key = path.substring(path.lastIndexOf('/') + 1);
+            Engine.Exchange taken = engine.take(new Engine.Call(method, uri, id, headers.get("Idempotency-Key"),
+                request.content().retain(), requestClass, tenant, key.isEmpty() ? null : key, arrival, wait), this);
+            if (!taken.answered()) { // it may have been, at once
+                exchange = taken;
+            }
+        }
+
+        /** Seconds with decimals as microseconds; 0 for what is no such number. */
+        private static long micros(String seconds) {
+            try {
+                double value = seconds == null ? 0 : Double.parseDouble(seconds);
+                return value > 0 && value < 1e6 ? Math.round(value * MICROS) : 0;
+            } catch (NumberFormatException e) {
+                return 0;
+            }
+        }
+
+        @Override
+        public void served(FullHttpResponse answer) {
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
+                answer.content().retain());
+            String type = answer.headers().get(HttpHeaderNames.CONTENT_TYPE);
+            if (type != null) {
+                response.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+            }
+            write(response);
+        }
+
+        @Override
+        public void refused(long retryAfterMicros) {
+            FullHttpResponse response = empty(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            if (retryAfterMicros > 0) {
+                response.headers().set(HttpHeaderNames.RETRY_AFTER,
+                    String.format(Locale.ROOT, "%.3f", retryAfterMicros / MICROS));
+            }
+            write(response);
+        }
+
+        @Override
+        public void failed() {
+            answer(HttpResponseStatus.BAD_GATEWAY);
+        }
+
+        private void answer(HttpResponseStatus status) {
+            write(empty(status));
+        }
+
+        private FullHttpResponse empty(HttpResponseStatus status) {
+            return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+        }
+
+        private void write(FullHttpResponse response) {
+            if (draining) {
+                keepAlive = false;
+            }
+            HttpUtil.setContentLength(response, response.content().readableBytes());
+            HttpUtil.setKeepAlive(response, keepAlive);
+            exchange = null;
+            occupied = false;
+            boolean last = !keepAlive;
+            if (last) {
+                ahead.forEach(next -> next.request.release());
+                ahead.clear();
+            }
+            channel.writeAndFlush(response).addListener(last ? ChannelFutureListener.CLOSE
+                : ChannelFutureListener.CLOSE_ON_FAILURE);
+            if (!last) {
+                advance();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/anisebend/net/Upstream.java
@@ -0,0 +1,281 @@
+package anisebend.net;
+
+import anisebend.Balancer.Code;
+import anisebend.Balancer.Note;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Connections to the cache nodes and the attempts on them: one request a connection at a time, written at
+ * most once, and exactly one ending for each attempt. It never sends anything again by itself.
+ */
+final class Upstream {
+    /** A longer answer breaks the protocol and ends the connection. */
+    private static final int MAX_ANSWER = 1 << 20;
+    /** Kept connections are closed at this part of the cache nodes' own limit, so as never to race it. */
+    private static final int IDLE_PART = 2;
+
+    /** Told once how an attempt ended; {@code answer} is there for OK only and is released afterwards. */
+    interface Ending {
+        void ended(Code code, Note note, FullHttpResponse answer);
+    }
+
+    /** Whether a cache node, as last started, may be sent anything new. */
+    interface Readiness {
+        boolean ready(Discovery.Node node);
+    }
+
+    private final EventLoop loop;
+    private final Bootstrap bootstrap;
+    private final Readiness readiness;
+    private final int maxConnections;
+    private final long idleMillis;
+    private final long connectMillis;
+    private final Map<String, Deque<Connection>> idle = new HashMap<>();
+    private int connections;
+
+    Upstream(EventLoop loop, Readiness readiness, int maxConnections, long idleMillis, long connectMillis) {
+        this.loop = loop;
+        this.readiness = readiness;
+        this.maxConnections = maxConnections;
+        this.idleMillis = idleMillis / IDLE_PART;
+        this.connectMillis = connectMillis;
+        this.bootstrap = client(loop, connectMillis);
+    }
+
+    /** What all outgoing connections have in common. */
+    static Bootstrap client(EventLoop loop, long connectMillis) {
+        return new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectMillis);
+    }
+
+    /** Starts an attempt that is given up {@code waitMicros} from now; takes over the request's reference. */
+    Attempt send(Discovery.Node node, FullHttpRequest request, long waitMicros, Ending ending) {
+        Attempt attempt = new Attempt(node, request, ending);
+        attempt.limit = loop.schedule(attempt::expire, Math.max(0, waitMicros), TimeUnit.MICROSECONDS);
+        Deque<Connection> kept = idle.get(node.host());
+        Connection connection = kept == null ? null : kept.pollLast();
+        if (connection != null) {
+            connection.carry(attempt);
+        } else if (connections >= maxConnections && !closeLongestIdle()) {
+            attempt.end(Code.CONNECT_FAILED, Note.NONE, null);
+        } else {
+            new Connection(node).open(attempt);
+        }
+        return attempt;
+    }
+
+    /** Closes the kept connections to a cache node; attempts that are out go on. */
+    void closeIdle(String host) {
+        Deque<Connection> kept = idle.remove(host);
+        if (kept != null) {
+            kept.forEach(Connection::close);
+        }
+    }
+
+    private boolean closeLongestIdle() {
+        for (Deque<Connection> kept : idle.values()) {
+            Connection connection = kept.pollFirst();
+            if (connection != null) {
+                connection.close();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** One attempt: not written yet, written, or ended. */
+    final class Attempt {
+        private final Discovery.Node node;
+        private final FullHttpRequest request;
+        private final Ending ending;
+        private ScheduledFuture<?> limit;
+        private Connection connection;
+        /** Handed to the socket: from here on only an answer can say that it has not run. */
+        private boolean written;
+        /** The request's reference has gone to the connection. */
+        private boolean handedOver;
+        private boolean ended;
+
+        Attempt(Discovery.Node node, FullHttpRequest request, Ending ending) {
+            this.node = node;
+            this.request = request;
+            this.ending = ending;
+        }
+
+        /** Gives it up. What was never written has never run, so it can be told apart from what might have. */
+        void cancel() {
+            end(written ? Code.CANCELLED : Code.NOT_SENT, Note.NONE, null);
+        }
+
+        private void expire() {
+            end(written ? Code.TIMEOUT : Code.CONNECT_FAILED, Note.NONE, null);
+        }
+
+        /** Only a whole answer frees the connection; every other ending closes it, before anything follows. */
+        private void end(Code code, Note note, FullHttpResponse answer) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            limit.cancel(false);
+            if (connection != null) {
+                connection.attempt = null;
+                if (answer != null && HttpUtil.isKeepAlive(answer)) {
+                    connection.keep();
+                } else {
+                    connection.close();
+                }
+            }
+            if (!handedOver) {
+                request.release();
+            }
+            ending.ended(code, note, code == Code.OK ? answer : null);
+        }
+    }
+
+    /** One connection; at most one attempt is on it. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final Discovery.Node node;
+        private Channel channel;
+        private Attempt attempt;
+        private ScheduledFuture<?> idleLimit;
+
+        Connection(Discovery.Node node) {
+            this.node = node;
+        }
+
+        void open(Attempt first) {
+            attempt = first;
+            first.connection = this;
+            connections++;
+            ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER),
+                        Connection.this);
+                }
+            }).connect(node.dial());
+            channel = connecting.channel();
+            connecting.addListener(done -> {
+                if (!done.isSuccess()) {
+                    // Also where no socket could be made: such a channel never reports that it is closed.
+                    connections--;
+                    lost();
+                    return;
+                }
+                channel.closeFuture().addListener(closed -> {
+                    connections--;
+                    lost();
+                });
+                if (attempt != null) {
+                    carry(attempt);
+                }
+            });
+        }
+
+        void carry(Attempt next) {
+            if (idleLimit != null) {
+                idleLimit.cancel(false);
+                idleLimit = null;
+            }
+            attempt = next;
+            next.connection = this;
+            // The node may have begun to drain while the connection came up: the drain grace counts from the
+            // first byte sent, and what is withheld has never run.
+            if (!readiness.ready(node)) {
+                next.end(Code.NOT_SENT, Note.NONE, null);
+                return;
+            }
+            next.written = true;
+            next.handedOver = true;
+            channel.writeAndFlush(next.request).addListener(done -> {
+                if (!done.isSuccess() && attempt == next) {
+                    // The last byte never left, so a server can't have begun it.
+                    next.written = false;
+                    next.end(Code.CONNECT_FAILED, Note.NONE, null);
+                }
+            });
+        }
+
+        void keep() {
+            if (!channel.isActive() || !readiness.ready(node)) {
+                close();
+                return;
+            }
+            idle.computeIfAbsent(node.host(), host -> new ArrayDeque<>()).addLast(this);
+            idleLimit = loop.schedule(this::close, idleMillis, TimeUnit.MILLISECONDS);
+        }
+
+        void close() {
+            Deque<Connection> kept = idle.get(node.host());
+            if (kept != null) {
+                kept.remove(this);
+            }
+            if (idleLimit != null) {
+                idleLimit.cancel(false);
+            }
+            channel.close();
+        }
+
+        private void lost() {
+            Attempt out = attempt;
+            close();
+            if (out != null) {
+                out.end(out.written ? Code.RESET : Code.CONNECT_FAILED, Note.NONE, null);
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+            if (attempt == null || answer.decoderResult().isFailure() || !channel.isActive()) {
+                lost(); // an answer to nothing, no HTTP, or one that only the connection's end marks as whole
+                return;
+            }
+            if (answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                return;
+            }
+            Note note = note(answer.headers().get("X-Lookup"));
+            int status = answer.status().code();
+            boolean turnedAway = (status == 503 || status == 504)
+                && "1".equals(answer.headers().get("X-Unprocessed"));
+            attempt.end(status == 200 ? Code.OK : turnedAway ? Code.FULL : Code.ERROR, note, answer);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            lost();
+        }
+    }
+
+    private static Note note(String word) {
+        return word == null ? Note.NONE : switch (word) {
+            case "hit" -> Note.HIT;
+            case "miss" -> Note.MISS;
+            case "pending" -> Note.MISS_FETCHING;
+            default -> Note.NONE;
+        };
+    }
+}
