Test the proxy over loopback sockets and mend what that found

Cause: a request without a class or tenant header was answered 502, not 400. List.of().indexOf(null) throws (ProxyServer.handle); the catch round it answered. Also mended on reading: the listener's address was used before bind had finished and a failed bind went unnoticed (ProxyServer.listen); idle connections could be closed with an answer still unwritten (beginDrain, makeRoom); a client waiting at the bound on connections was not let in when another fell idle (write); a RuntimeException in a discovery answer would have ended the watch for good (Discovery.answered); X-Time-Left could round to 0.000 (Engine.message).

--- a/src/main/java/anisebend/net/Discovery.java
+++ b/src/main/java/anisebend/net/Discovery.java
@@ -121,8 +121,8 @@
             }
             apply(list, kind);
             listed = true;
-        } catch (IOException e) {
-            failed();
+        } catch (IOException | RuntimeException e) {
+            failed(); // whatever is odd about it, the watch must go on
             return;
         }
         next();
--- a/src/main/java/anisebend/net/Engine.java
+++ b/src/main/java/anisebend/net/Engine.java
@@ -38,6 +38,8 @@
     /** What the module has left unanswered fails this long before the client's deadline. */
     private static final long BACKSTOP_MICROS = 5_000;
     private static final double MICROS = 1e6;
+    /** A rounded 0 would be malformed. */
+    private static final double LEAST_SECONDS = 0.001;
 
     /** Where one request's single final answer goes. */
     interface Client {
@@ -118,7 +120,6 @@
             } catch (IllegalArgumentException e) {
                 refused.set(e);
             }
-            // The list must be known before the first call to discovery comes back.
         });
         if (refused.get() != null) {
             throw refused.get();
@@ -261,7 +262,7 @@
             call.body().isReadable() ? call.body().retainedDuplicate() : Unpooled.EMPTY_BUFFER);
         message.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(node.dial()))
             .set("X-Correlation-Id", call.correlationId())
-            .set("X-Time-Left", String.format(Locale.ROOT, "%.3f", wait / MICROS));
+            .set("X-Time-Left", String.format(Locale.ROOT, "%.3f", Math.max(LEAST_SECONDS, wait / MICROS)));
         if (call.idempotencyKey() != null) {
             message.headers().set("Idempotency-Key", call.idempotencyKey());
         }
--- a/src/main/java/anisebend/net/ProxyServer.java
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -28,11 +29,13 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -80,21 +83,20 @@
         try {
             server.loop.submit(() -> {
                 server.engine.begin(server.config);
-                server.listen();
-                return null;
-            }).get();
+                return server.listen();
+            }).get().get();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
-        } catch (java.util.concurrent.ExecutionException e) {
+        } catch (ExecutionException e) {
             server.stop();
             throw new IOException(e.getCause().getMessage(), e.getCause());
         }
         return server;
     }
 
-    private void listen() throws IOException {
-        listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+    private ChannelFuture listen() {
+        ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
             .childOption(ChannelOption.TCP_NODELAY, true)
@@ -104,7 +106,9 @@
                     ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY),
                         new Connection(ch));
                 }
-            }).bind(config.listen()).channel();
+            }).bind(config.listen());
+        listener = bound.channel();
+        return bound;
     }
 
     /** Where it listens, once it does. */
@@ -143,9 +147,7 @@
         loop.schedule(() -> {
             listener.close();
             for (Connection client : Set.copyOf(clients)) {
-                if (client.exchange == null) {
-                    client.channel.close();
-                }
+                client.closeIfIdle();
             }
             checkDrained();
         }, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
@@ -160,10 +162,13 @@
 
     /** At the bound the longest idle connection makes room; where none is idle, no more are accepted for now. */
     private void makeRoom() {
-        if (clients.size() >= maxClients) {
+        boolean full = clients.size() >= maxClients;
+        if (!full && listener.config().isAutoRead() || !listener.isOpen()) {
+            return;
+        }
+        if (full) {
             for (Connection client : clients) {
-                if (client.exchange == null) {
-                    client.channel.close();
+                if (client.closeIfIdle()) {
                     break;
                 }
             }
@@ -250,7 +255,8 @@
             String path = query < 0 ? uri : uri.substring(0, query);
             HttpMethod method = request.method();
             if (path.equals("/health/ready")) {
-                answer(method.equals(HttpMethod.GET) ? HttpResponseStatus.OK : HttpResponseStatus.METHOD_NOT_ALLOWED);
+                answer(!method.equals(HttpMethod.GET) ? HttpResponseStatus.METHOD_NOT_ALLOWED
+                    : draining ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK);
                 return;
             }
             if (!path.startsWith(API)) {
@@ -263,9 +269,9 @@
             }
             HttpHeaders headers = request.headers();
             String id = headers.get("X-Correlation-Id");
-            int requestClass = config.names().classes().indexOf(headers.get("X-Service-Class"));
+            int requestClass = index(config.names().classes(), headers.get("X-Service-Class"));
             int tenant = config.names().tenants().isEmpty() ? 0
-                : config.names().tenants().indexOf(headers.get("X-Account"));
+                : index(config.names().tenants(), headers.get("X-Account"));
             long wait = micros(headers.get("X-Time-Left"));
             if (id == null || id.isEmpty() || requestClass < 0 || tenant < 0 || wait <= 0) {
                 answer(HttpResponseStatus.BAD_REQUEST);
@@ -279,6 +285,11 @@
             }
         }
 
+        /** Where a word stands, -1 also for none: immutable lists throw when asked for null. */
+        private static int index(List<String> names, String word) {
+            return word == null ? -1 : names.indexOf(word);
+        }
+
         /** Seconds with decimals as microseconds; 0 for what is no such number. */
         private static long micros(String seconds) {
             try {
@@ -340,7 +351,16 @@
                 : ChannelFutureListener.CLOSE_ON_FAILURE);
             if (!last) {
                 advance();
+                makeRoom(); // for those who wait until somebody is idle
+            }
+        }
+
+        /** Closes between requests, when what was answered before is written out. */
+        boolean closeIfIdle() {
+            if (!occupied) {
+                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             }
+            return !occupied;
         }
 
         @Override
--- /dev/null
+++ b/src/test/java/anisebend/net/ProcessTest.java
@@ -0,0 +1,83 @@
+package anisebend.net;
+
+import static anisebend.net.Loopback.PATIENCE_SECONDS;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import anisebend.Main;
+import anisebend.net.Loopback.Client;
+import anisebend.net.Loopback.Server;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The program as the platform starts and ends it. */
+class ProcessTest {
+    @TempDir
+    Path folder;
+
+    private Process serve(Map<String, String> environment) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-cp", System.getProperty("java.class.path"), Main.class.getName(), "serve");
+        builder.environment().putAll(environment);
+        return builder.redirectErrorStream(true).start();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{", "[]", "{}", "{} {}", "{\"listen\":\"localhost:1\"}"})
+    void saysWhatIsWrongWithTheConfiguration(String text) throws Exception {
+        Path file = folder.resolve("broken.json");
+        Files.writeString(file, text);
+        Process process = serve(Map.of("PROXY_CONFIG", file.toString()));
+        String output = new String(process.getInputStream().readAllBytes());
+        assertEquals(1, process.waitFor());
+        assertEquals(1, output.lines().count(), output);
+        assertTrue(output.startsWith("anisebend: "), output);
+    }
+
+    @Test
+    void saysThatTheConfigurationIsMissing() throws Exception {
+        Process process = serve(Map.of("PROXY_CONFIG", folder.resolve("none.json").toString()));
+        String output = new String(process.getInputStream().readAllBytes());
+        assertEquals(1, process.waitFor());
+        assertEquals(1, output.lines().count(), output);
+    }
+
+    @Test
+    void servesAndExitsWithZeroOnSigterm() throws Exception {
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, Loopback.HOST)) {
+            port = free.getLocalPort();
+        }
+        try (Server discovery = new Server((request, socket) -> { })) {
+            Map<String, String> environment = new HashMap<>(Loopback.environment(folder, discovery.address(), 100,
+                60_000, Loopback.list(1, true)));
+            environment.put("PROXY_LISTEN", "127.0.0.1:" + port);
+            Process process = serve(environment);
+            try {
+                discovery.next(); // it has begun
+                boolean ready = false;
+                while (!ready && process.isAlive()) {
+                    try (Client client = new Client(port)) {
+                        ready = client.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status() == 200;
+                    } catch (IOException e) {
+                        Thread.sleep(10); // not listening yet
+                    }
+                }
+                process.destroy();
+                assertTrue(process.waitFor(PATIENCE_SECONDS, TimeUnit.SECONDS));
+                assertEquals(0, process.exitValue());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/anisebend/net/ProxyTest.java
@@ -0,0 +1,406 @@
+package anisebend.net;
+
+import static anisebend.net.Loopback.PATIENCE_SECONDS;
+import static anisebend.net.Loopback.answer;
+import static anisebend.net.Loopback.entry;
+import static anisebend.net.Loopback.list;
+import static anisebend.net.Loopback.request;
+import static anisebend.net.Loopback.write;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import anisebend.net.Loopback.Client;
+import anisebend.net.Loopback.Message;
+import anisebend.net.Loopback.Server;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A whole proxy between a client, a cache node and discovery on loopback sockets. */
+class ProxyTest {
+    private static final double LONG = 60;
+    private static final int SOCKETS = 100;
+    private static final long IDLE_MILLIS = 60_000;
+
+    @TempDir
+    Path folder;
+    private Server node;
+    private Server discovery;
+    private final BlockingQueue<String> news = new LinkedBlockingQueue<>();
+    private ProxyServer proxy;
+
+    @BeforeEach
+    void open() throws IOException {
+        node = new Server((request, socket) -> write(socket, answer(200, "X-Lookup: hit\r\n", "value")));
+        discovery = new Server((request, socket) -> {
+            try {
+                write(socket, answer(200, "", request.first().contains("after=") ? news.take() : known()));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        if (proxy != null) {
+            proxy.stop();
+        }
+        node.close();
+        discovery.close();
+    }
+
+    private String known() {
+        return list(1, true, entry("s-1", node.address(), "Ready", 0));
+    }
+
+    private Client start() throws IOException {
+        return start(SOCKETS, IDLE_MILLIS, known());
+    }
+
+    private Client start(int sockets, long idleMillis, String known) throws IOException {
+        proxy = ProxyServer.start(Loopback.environment(folder, discovery.address(), sockets, idleMillis, known));
+        return client();
+    }
+
+    private Client client() throws IOException {
+        return new Client(proxy.address().getPort());
+    }
+
+    @Test
+    void passesRequestAndAnswerUnchanged() throws Exception {
+        try (Client client = start()) {
+            Message got = client.ask(request("PUT", "/api/card-1?x=a%20b", "keyed", LONG, "amount=5"));
+            assertEquals(200, got.status());
+            assertEquals("value", got.body());
+            Message sent = node.next();
+            assertEquals("PUT /api/card-1?x=a%20b HTTP/1.1", sent.first());
+            assertEquals("9b1f03aa5c7e2d41", sent.header("X-Correlation-Id"));
+            assertEquals("key-7", sent.header("Idempotency-Key"));
+            assertEquals("amount=5", sent.body());
+            double left = Double.parseDouble(sent.header("X-Time-Left"));
+            assertTrue(left > 0 && left <= LONG, "X-Time-Left " + left);
+        }
+    }
+
+    @Test
+    void keepsConnectionsOnBothSides() throws Exception {
+        try (Client client = start()) {
+            for (int i = 0; i < 3; i++) {
+                assertEquals(200, client.ask(request("GET", "/api/card-" + i, "read", LONG, null)).status());
+            }
+            assertEquals(1, node.connections.size());
+        }
+    }
+
+    @Test
+    void answersReadinessProbe() throws Exception {
+        try (Client client = start()) {
+            assertEquals(200, client.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status());
+        }
+    }
+
+    /** Bad input must never reach the module: a class or tenant that it does not know would be a fault there. */
+    @ParameterizedTest
+    @CsvSource({
+        "GET, /api/k, X-Service-Class, odd, 400", "GET, /api/k, X-Service-Class, , 400",
+        "GET, /api/k, X-Account, odd, 400", "GET, /api/k, X-Account, , 400",
+        "GET, /api/k, X-Correlation-Id, , 400", "GET, /api/k, X-Time-Left, soon, 400",
+        "GET, /api/k, X-Time-Left, 0, 400", "GET, /api/k, X-Time-Left, -1, 400",
+        "GET, /api/k, X-Time-Left, NaN, 400", "GET, /api/k, X-Time-Left, , 400",
+        "POST, /api/k, X-Other, 1, 405", "DELETE, /api/k, X-Other, 1, 405", "GET, /else, X-Other, 1, 404",
+        "GET, /api/k, X-Facts, 'a=1,b=2', 200"})
+    void checksRequests(String method, String path, String header, String value, int status) throws Exception {
+        try (Client client = start()) {
+            String text = request(method, path, "read", LONG, null)
+                .replaceFirst(header + ": [^\r]*\r\n", "");
+            text = text.replaceFirst("\r\n", "\r\n" + (value == null ? "" : header + ": " + value + "\r\n"));
+            assertEquals(status, client.ask(text).status());
+            assertEquals(status == 200 ? 1 : 0, node.requests.size());
+            // The connection is as good as before.
+            assertEquals(200, client.ask(request("GET", "/api/k", "read", LONG, null)).status());
+        }
+    }
+
+    @Test
+    void endsConnectionWhoseFramingIsInDoubt() throws Exception {
+        try (Client client = start()) {
+            assertEquals(400, client.ask("GET /api/k HTTP/1.1\r\nContent-Length: many\r\n\r\nGET ").status());
+            assertNull(client.answer());
+        }
+    }
+
+    @Test
+    void refusesLongBodies() throws Exception {
+        try (Client client = start()) {
+            String text = request("PUT", "/api/k", "keyed", LONG, "x".repeat((64 << 10) + 1));
+            assertEquals(413, client.ask(text).status());
+            assertEquals(0, node.requests.size());
+        }
+        try (Client client = client()) {
+            assertEquals(200, client.ask(request("PUT", "/api/k", "keyed", LONG, "x".repeat(64 << 10))).status());
+        }
+    }
+
+    /** What may have run of an unsafe request is neither sent again nor refused: it has failed. */
+    @ParameterizedTest
+    @CsvSource({"500, ''", "503, ''", "504, ''", "503, 'X-Unprocessed: 0'", "404, ''", "0, ''", "-1, ''"})
+    void failsUnsafeRequestThatMayHaveRun(int status, String header) throws Exception {
+        node.script = (request, socket) -> {
+            if (status == -1) {
+                write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"); // cut off by the close
+            }
+            if (status > 0) {
+                write(socket, answer(status, header.isEmpty() ? "" : header + "\r\n", ""));
+            } else {
+                socket.close();
+            }
+        };
+        try (Client client = start()) {
+            assertEquals(502, client.ask(request("PUT", "/api/k", "once", LONG, "5")).status());
+            assertEquals(1, node.requests.size());
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"503", "504"})
+    void repeatsUnsafeRequestThatWasTurnedAway(int status) throws Exception {
+        node.script = (request, socket) -> {
+            boolean first = node.requests.size() == 1;
+            write(socket, first ? answer(status, "X-Unprocessed: 1\r\n", "") : answer(200, "", "done"));
+        };
+        try (Client client = start()) {
+            assertEquals("done", client.ask(request("PUT", "/api/k", "once", LONG, "5")).body());
+            assertEquals(2, node.requests.size());
+        }
+    }
+
+    /** A cut answer must not reach the client as a whole one; a read may simply go out again. */
+    @Test
+    void repeatsReadWhoseAnswerWasCut() throws Exception {
+        node.script = (request, socket) -> {
+            if (node.requests.size() == 1) {
+                write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+                socket.close();
+            } else {
+                write(socket, answer(200, "", "whole"));
+            }
+        };
+        try (Client client = start()) {
+            assertEquals("whole", client.ask(request("GET", "/api/k", "read", LONG, null)).body());
+        }
+    }
+
+    /** An answer without a length could be cut anywhere, so its end is no proof that it is whole. */
+    @Test
+    void takesAnswerWithoutLengthForCut() throws Exception {
+        node.script = (request, socket) -> {
+            write(socket, "HTTP/1.1 200 OK\r\n\r\nperhaps");
+            socket.close();
+        };
+        try (Client client = start()) {
+            assertEquals(502, client.ask(request("PUT", "/api/k", "once", LONG, "5")).status());
+        }
+    }
+
+    /** A silent node: one answer before the client's time is up, and the attempt is closed with it. */
+    @Test
+    void failsInTimeWhenNodeIsSilent() throws Exception {
+        node.script = (request, socket) -> { };
+        try (Client client = start()) {
+            assertEquals(502, client.ask(request("PUT", "/api/k", "once", 3, "5")).status());
+            assertNotNull(node.ended.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+            assertEquals(1, node.requests.size());
+            node.script = (request, socket) -> write(socket, answer(200, "", "again"));
+            assertEquals("again", client.ask(request("GET", "/api/k", "read", LONG, null)).body());
+        }
+    }
+
+    @Test
+    void refusesWhatNeverWentOut() throws Exception {
+        String gone = list(1, true);
+        discovery.script = (request, socket) -> {
+            if (!request.first().contains("after=")) {
+                write(socket, answer(200, "", gone));
+            }
+        };
+        try (Client client = start(SOCKETS, IDLE_MILLIS, gone)) {
+            assertEquals(503, client.ask(request("PUT", "/api/k", "once", 0.5, "5")).status());
+        }
+    }
+
+    @Test
+    void closesAttemptOfClientThatHasGone() throws Exception {
+        node.script = (request, socket) -> { };
+        try (Client client = start()) {
+            write(client.socket, request("GET", "/api/k", "read", LONG, null));
+            assertNotNull(node.next());
+        }
+        assertNotNull(node.ended.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+    }
+
+    /** Answers go out in order, however many requests a client sends ahead. */
+    @Test
+    void servesRequestsSentAhead() throws Exception {
+        node.script = (request, socket) -> write(socket, answer(200, "", request.first()));
+        try (Client client = start()) {
+            write(client.socket, request("GET", "/api/a", "read", LONG, null) + request("GET", "/none", "read", LONG, null)
+                + request("GET", "/api/b", "read", LONG, null));
+            assertTrue(client.answer().body().contains("/api/a"));
+            assertEquals(404, client.answer().status());
+            assertTrue(client.answer().body().contains("/api/b"));
+        }
+    }
+
+    /** A kept connection that the node has closed must not be written to: an unsafe request would be lost. */
+    @Test
+    void dropsConnectionsThatThePeerClosed() throws Exception {
+        node.script = (request, socket) -> {
+            write(socket, answer(200, "", "value"));
+            socket.close();
+        };
+        try (Client client = start()) {
+            assertEquals(200, client.ask(request("GET", "/api/k", "read", LONG, null)).status());
+            assertNotNull(node.ended.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+            // The close has been sent before this exchange, which goes through the same loop.
+            client.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+            assertEquals(200, client.ask(request("PUT", "/api/k", "once", LONG, "5")).status());
+        }
+    }
+
+    @Test
+    void closesIdleConnectionsBeforeTheNodeDoes() throws Exception {
+        try (Client client = start(SOCKETS, 1000, known())) {
+            assertEquals(200, client.ask(request("GET", "/api/k", "read", LONG, null)).status());
+            assertNotNull(node.ended.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+        }
+    }
+
+    /** At the bound on connections the longest idle one makes room, and nothing fails. */
+    @Test
+    void makesRoomAtTheBoundOnConnections() throws Exception {
+        try (Client first = start(10, IDLE_MILLIS, known())) {
+            assertEquals(200, first.ask(request("GET", "/api/k", "read", LONG, null)).status());
+            Client[] more = new Client[8];
+            for (int i = 0; i < more.length; i++) {
+                more[i] = client();
+                assertEquals(200, more[i].ask(request("GET", "/api/k", "read", LONG, null)).status());
+            }
+            assertNull(first.answer());
+            for (Client client : more) {
+                client.close();
+            }
+        }
+    }
+
+    @Test
+    void movesAwayFromDrainingNodeAsSoonAsToldAndClosesItsConnections() throws Exception {
+        try (Server other = new Server((request, socket) -> write(socket, answer(200, "", "other")));
+             Client client = start()) {
+            assertEquals("value", client.ask(request("GET", "/api/k", "read", LONG, null)).body());
+            news.add(list(2, false, entry("s-1", node.address(), "Terminating", 0),
+                entry("s-2", other.address(), "Ready", 0)));
+            assertNotNull(node.ended.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+            assertEquals("other", client.ask(request("GET", "/api/k", "read", LONG, null)).body());
+            assertEquals(1, node.requests.size());
+        }
+    }
+
+    /** A node that started anew has lost its connections, whether or not it could say so. */
+    @Test
+    void discardsConnectionsOfNodeThatStartedAnew() throws Exception {
+        try (Client client = start()) {
+            assertEquals(200, client.ask(request("GET", "/api/k", "read", LONG, null)).status());
+            news.add(list(2, false, entry("s-1", node.address(), "Ready", System.currentTimeMillis())));
+            assertNotNull(node.ended.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+        }
+    }
+
+    /** Half a list must not count: the earlier one stays whole, and the module asks again. */
+    @Test
+    void keepsListWhenDiscoveryIsMalformed() throws Exception {
+        try (Client client = start()) {
+            news.add("{\"seq\":2,\"whole\":true,\"hosts\":[" + entry("s-9", "nowhere", "Ready", 0) + "]}");
+            for (String call = ""; !call.contains("after=1"); ) {
+                call = discovery.next().first();
+            }
+            assertTrue(discovery.next().first().contains("after=1"));
+            assertEquals("value", client.ask(request("GET", "/api/k", "read", LONG, null)).body());
+        }
+    }
+
+    @Test
+    void asksAgainWhenDiscoveryBreaks() throws Exception {
+        discovery.script = (request, socket) -> {
+            if (discovery.requests.size() == 1) {
+                write(socket, answer(503, "", ""));
+            } else {
+                socket.close();
+            }
+        };
+        try (Client client = start(SOCKETS, IDLE_MILLIS, known())) {
+            for (int i = 0; i < 3; i++) {
+                assertNotNull(discovery.next());
+            }
+            assertEquals("value", client.ask(request("GET", "/api/k", "read", LONG, null)).body());
+        }
+    }
+
+    /** While it drains a proxy takes what still comes, says that it closes, and finishes what it holds. */
+    @Test
+    void drains() throws Exception {
+        BlockingQueue<Socket> held = new LinkedBlockingQueue<>();
+        node.script = (request, socket) -> held.add(socket);
+        try (Client client = start(); Client idle = client(); Client late = client()) {
+            assertEquals(200, idle.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status());
+            write(client.socket, request("GET", "/api/k", "read", LONG, null));
+            Socket waiting = held.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+            Thread draining = new Thread(proxy::drain);
+            draining.start();
+            while (late.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status() == 200) {
+                Thread.onSpinWait(); // until the drain has begun
+            }
+            node.script = (request, socket) -> write(socket, answer(200, "", "late"));
+            try (Client next = client()) {
+                Message got = next.ask(request("GET", "/api/l", "read", LONG, null));
+                assertEquals("late", got.body());
+                assertEquals("close", got.header("Connection"));
+                assertNull(next.answer());
+            }
+            assertNull(idle.answer());
+            write(waiting, answer(200, "", "held"));
+            assertEquals("held", client.answer().body());
+            draining.join();
+            try (Client refused = client()) {
+                assertNull(refused.answer());
+            } catch (ConnectException e) {
+                assertFalse(draining.isAlive());
+            }
+        }
+    }
+
+    /** A kill follows a drain in any case: what is still held then has failed, and the client is told. */
+    @Test
+    void failsWhatIsHeldBeforeTheKill() throws Exception {
+        node.script = (request, socket) -> { };
+        try (Client client = start()) {
+            write(client.socket, request("PUT", "/api/k", "once", LONG, "5"));
+            assertNotNull(node.next());
+            proxy.drain();
+            assertEquals(502, client.answer().status());
+        }
+    }
+}
