--- /dev/null
+++ b/deploy/archive.sh
@@ -0,0 +1,22 @@
+#!/bin/sh
+# Archives the classes that a proxy loads, so that each start maps them in place of reading and verifying
+# them: the clients of a restarted proxy wait for it. A missing or stale archive only makes the start slower.
+# The proxy runs for some seconds with itself as discovery, which loads both sides' classes, and is drained.
+set -eu
+cd "$(dirname "$0")/.."
+address=127.0.0.1:$((20000 + $$ % 20000))
+cat > target/archive.json <<JSON
+{"name":"archive","listen":"$address","discovery":"$address","seed":"1","limits":{"sockets":64},
+ "known":{"seq":0,"whole":true,"hosts":[]},
+ "settings":{"fleet_size":1,"discovery":"ask","allowed":{"conn_idle_ms":1000,"connect_timeout_ms":250,"send_cap":1},
+  "lanes":[{"name":"read","repeat":"read_like","aim_ms":100,"hard_limit_ms":1000}],
+  "rules":{"ask_within_ms":5000,"cold_from":1}}}
+JSON
+rm -f target/anisebend.jsa
+PROXY_CONFIG=target/archive.json java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx64m -XX:-UsePerfData \
+    -Xlog:disable -XX:ArchiveClassesAtExit=target/anisebend.jsa -jar target/anisebend.jar serve \
+    > target/archive.log 2>&1 &
+sleep 3
+kill -TERM $! || true
+wait $! || true
+[ -f target/anisebend.jsa ] || echo "no class archive was made; see target/archive.log" >&2
