--- a/src/main/java/anisebend/net/Engine.java
+++ b/src/main/java/anisebend/net/Engine.java
@@ -33,7 +33,10 @@
  * brings about waits until the event before it is done. All of it runs on the one event loop.
  */
 final class Engine implements Balancer.Actions {
-    /** The module's deadline comes this long before the client's, whose clock began before ours. */
+    /**
+     * The module's deadline comes this long before the client's, whose clock began before ours: from an
+     * answer to its client the bench measured 6 to 10 ms at the 99th percentile.
+     */
     private static final long MARGIN_MICROS = 10_000;
     /** What the module has left unanswered fails this long before the client's deadline. */
     private static final long BACKSTOP_MICROS = 5_000;
@@ -200,8 +203,8 @@
     }
 
     private void fault(RuntimeException e) {
-        log("fault: " + e);
-        e.printStackTrace();
+        StackTraceElement[] at = e.getStackTrace();
+        log("fault: " + e + (at.length > 0 ? " at " + at[0] : ""));
     }
 
     /** Ends a request for the client; what is still out for it is closed. */
--- a/src/main/java/anisebend/net/ProxyServer.java
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -48,8 +48,8 @@
     /** Parts of the descriptors for either side; the rest is for the JVM, discovery and sockets on their way out. */
     private static final double CLIENT_PART = 0.4;
     private static final double UPSTREAM_PART = 0.4;
-    /** A client that sends ahead further than this is cut off. */
-    private static final int MAX_AHEAD = 16;
+    /** A client that sends ahead further than this is cut off: what waits here is held in memory. */
+    private static final int MAX_AHEAD = 4;
     /** After SIGTERM connections go on coming for 0.4 s. */
     private static final long ACCEPT_MILLIS = 600;
     /** SIGKILL comes 0.7 s after the longest deadline, of which at most 3 s count; all must be over before it. */
--- a/src/main/java/anisebend/net/Upstream.java
+++ b/src/main/java/anisebend/net/Upstream.java
@@ -30,8 +30,8 @@
  * most once, and exactly one ending for each attempt. It never sends anything again by itself.
  */
 final class Upstream {
-    /** A longer answer breaks the protocol and ends the connection. */
-    private static final int MAX_ANSWER = 1 << 20;
+    /** A longer answer breaks the protocol and ends the connection; bounds what all of them hold in memory. */
+    private static final int MAX_ANSWER = 64 << 10;
     /** Kept connections are closed at this part of the cache nodes' own limit, so as never to race it. */
     private static final int IDLE_PART = 2;
 
@@ -79,7 +79,7 @@
         Connection connection = kept == null ? null : kept.pollLast();
         if (connection != null) {
             connection.carry(attempt);
-        } else if (connections >= maxConnections && !closeLongestIdle()) {
+        } else if (connections >= maxConnections && !closeOneIdle()) {
             attempt.end(Code.CONNECT_FAILED, Note.NONE, null);
         } else {
             new Connection(node).open(attempt);
@@ -95,7 +95,8 @@
         }
     }
 
-    private boolean closeLongestIdle() {
+    /** At the bound an idle connection makes room for one that is needed now. */
+    private boolean closeOneIdle() {
         for (Deque<Connection> kept : idle.values()) {
             Connection connection = kept.pollFirst();
             if (connection != null) {
--- a/src/test/java/anisebend/net/ProxyTest.java
+++ b/src/test/java/anisebend/net/ProxyTest.java
@@ -257,8 +257,8 @@
     void servesRequestsSentAhead() throws Exception {
         node.script = (request, socket) -> write(socket, answer(200, "", request.first()));
         try (Client client = start()) {
-            write(client.socket, request("GET", "/api/a", "read", LONG, null) + request("GET", "/none", "read", LONG, null)
-                + request("GET", "/api/b", "read", LONG, null));
+            write(client.socket, request("GET", "/api/a", "read", LONG, null)
+                + request("GET", "/none", "read", LONG, null) + request("GET", "/api/b", "read", LONG, null));
             assertTrue(client.answer().body().contains("/api/a"));
             assertEquals(404, client.answer().status());
             assertTrue(client.answer().body().contains("/api/b"));
