Do not close a newcomer at the bound on client connections

Cause: with every other client busy, the connection that reached the bound was itself the first idle one and was closed before it could ask (ProxyServer.makeRoom, called from channelActive). Found by the new test letsWaitingClientInWhenAnotherFallsIdle: the fourth of four allowed clients got an end of file. Ruled out: the bound on the other side (its fourth connection was never asked for). makeRoom now passes over the newcomer.

Also: new tests for connections that never come up (both time limits: CONNECT_FAILED) and for a silent watch. Tests hold unsafe requests where a slow machine might let the module call a read back.

--- a/src/main/java/anisebend/net/ProxyServer.java
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -161,14 +161,14 @@
     }
 
     /** At the bound the longest idle connection makes room; where none is idle, no more are accepted for now. */
-    private void makeRoom() {
+    private void makeRoom(Connection newcomer) {
         boolean full = clients.size() >= maxClients;
         if (!full && listener.config().isAutoRead() || !listener.isOpen()) {
             return;
         }
         if (full) {
             for (Connection client : clients) {
-                if (client.closeIfIdle()) {
+                if (client != newcomer && client.closeIfIdle()) {
                     break;
                 }
             }
@@ -196,7 +196,7 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             clients.add(this);
-            makeRoom();
+            makeRoom(this); // it has not asked yet, but is not the idle one
         }
 
         @Override
@@ -209,7 +209,7 @@
                 exchange = null;
                 engine.gone(left);
             }
-            makeRoom();
+            makeRoom(null);
             checkDrained();
         }
 
@@ -351,7 +351,7 @@
                 : ChannelFutureListener.CLOSE_ON_FAILURE);
             if (!last) {
                 advance();
-                makeRoom(); // for those who wait until somebody is idle
+                makeRoom(null); // for those who wait until somebody is idle
             }
         }
 
--- a/src/main/java/anisebend/net/Upstream.java
+++ b/src/main/java/anisebend/net/Upstream.java
@@ -251,8 +251,10 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
-            if (attempt == null || answer.decoderResult().isFailure() || !channel.isActive()) {
-                lost(); // an answer to nothing, no HTTP, or one that only the connection's end marks as whole
+            // An answer to nothing, or no HTTP. One that only the connection's end would mark as whole comes
+            // here after closeFuture, when its attempt has ended as a reset: it might have been cut anywhere.
+            if (attempt == null || answer.decoderResult().isFailure()) {
+                lost();
                 return;
             }
             if (answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
--- a/src/test/java/anisebend/net/Loopback.java
+++ b/src/test/java/anisebend/net/Loopback.java
@@ -205,7 +205,7 @@
                {"name":"keyed","repeat":"idempotency_key","group":"all","dedup_window_ms":60000.0,
                 "aim_ms":6000.0,"hard_limit_ms":60000.0,"credit":2.0}],
               "realms":[{"name":"acme","fraction":1.0,"quota_rps":1000.0}],
-              "rules":{"ask_within_ms":10000.0,"cold_from":0.32,"cold_ms":100.0}}}
+              "rules":{"ask_within_ms":1000.0,"cold_from":0.32,"cold_ms":100.0}}}
             """.formatted(discovery, sockets, known, idleMillis));
         return Map.of("PROXY_CONFIG", file.toString());
     }
--- a/src/test/java/anisebend/net/ProxyTest.java
+++ b/src/test/java/anisebend/net/ProxyTest.java
@@ -306,6 +306,41 @@
         }
     }
 
+    /** With every client busy at the bound a further one waits, and is let in when one has its answer. */
+    @Test
+    void letsWaitingClientInWhenAnotherFallsIdle() throws Exception {
+        BlockingQueue<Socket> held = new LinkedBlockingQueue<>();
+        node.script = (request, socket) -> held.add(socket);
+        Client[] busy = new Client[4];
+        busy[0] = start(10, IDLE_MILLIS, known());
+        for (int i = 0; i < busy.length; i++) {
+            busy[i] = i == 0 ? busy[0] : client();
+            write(busy[i].socket, request("PUT", "/api/k" + i, "once", LONG, "5"));
+            assertNotNull(node.next());
+        }
+        try (Client waiting = client()) {
+            write(waiting.socket, request("GET", "/api/k", "read", LONG, null));
+            node.script = (request, socket) -> write(socket, answer(200, "", "last"));
+            write(held.take(), answer(200, "", "first"));
+            assertEquals("first", busy[0].answer().body());
+            assertEquals("last", waiting.answer().body());
+        }
+        for (Client client : busy) {
+            client.close();
+        }
+    }
+
+    /** A watch that stays silent past its wait has failed, even though its connection stands. */
+    @Test
+    void asksAgainWhenTheWatchIsSilent() throws Exception {
+        try (Client client = start()) {
+            for (int calls = 0; calls < 2; ) {
+                calls += discovery.next().first().contains("after=1") ? 1 : 0;
+            }
+            assertEquals("value", client.ask(request("GET", "/api/k", "read", LONG, null)).body());
+        }
+    }
+
     @Test
     void movesAwayFromDrainingNodeAsSoonAsToldAndClosesItsConnections() throws Exception {
         try (Server other = new Server((request, socket) -> write(socket, answer(200, "", "other")));
@@ -366,7 +401,7 @@
         node.script = (request, socket) -> held.add(socket);
         try (Client client = start(); Client idle = client(); Client late = client()) {
             assertEquals(200, idle.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status());
-            write(client.socket, request("GET", "/api/k", "read", LONG, null));
+            write(client.socket, request("PUT", "/api/k", "once", LONG, "5"));
             Socket waiting = held.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
             Thread draining = new Thread(proxy::drain);
             draining.start();
--- a/src/test/java/anisebend/net/UpstreamTest.java
+++ b/src/test/java/anisebend/net/UpstreamTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import anisebend.Balancer.Code;
 import anisebend.Balancer.Note;
@@ -19,6 +20,10 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -85,6 +90,31 @@
         assertEquals(Code.CONNECT_FAILED, ended().code());
     }
 
+    /** A machine that is cut off says nothing: both the connect time-out and the attempt's own end it. */
+    @ParameterizedTest
+    @CsvSource({"60000000", "300000"})
+    void connectionThatNeverComesUpNeverRan(long waitMicros) throws Exception {
+        try (ServerSocket full = new ServerSocket(0, 1, Loopback.HOST)) {
+            List<Socket> waiting = new ArrayList<>();
+            boolean silent = false;
+            while (!silent && waiting.size() < 20) { // until the queue of those not accepted is full
+                Socket socket = new Socket();
+                waiting.add(socket);
+                try {
+                    socket.connect(full.getLocalSocketAddress(), 1000);
+                } catch (SocketTimeoutException e) {
+                    silent = true;
+                }
+            }
+            assertTrue(silent);
+            send(full.getLocalPort(), waitMicros);
+            assertEquals(Code.CONNECT_FAILED, ended().code());
+            for (Socket socket : waiting) {
+                socket.close();
+            }
+        }
+    }
+
     @Test
     void breakAfterTheLastByteMayHaveRun() throws Exception {
         try (Server server = new Server((request, socket) -> socket.close())) {
