Take over a new configuration on SIGHUP; never let one answer's rest answer the next request

Now handled before the proxy listens; the file is read anew and wins over PROXY_DISCOVERY; the new address is asked for the whole list at once, whatever call or back-off is pending, and the nodes stay until it answers; a broken file is one line.

Wrong answers. The trace showed second copies and noise in the same read; the connection was put back, and sent on, inside that read. A loopback test of each spoilt form from the trace found the rest: Netty's response decoder takes "no colon here" for a header. Rejected now, as are length with chunks, 101, and more than 16 interim answers.

Also: the proxy's own bound on connections is NOT_SENT, no longer held against the node; an exchange stays known until the module has heard of its end, so that each send gets an outcome.

--- a/src/main/java/anisebend/Main.java
+++ b/src/main/java/anisebend/Main.java
@@ -25,7 +25,10 @@
 
     private static void serve() {
         try {
-            ProxyServer.start(System.getenv()).drainOnTermination();
+            ProxyServer server = ProxyServer.of(System.getenv());
+            server.drainOnTermination();
+            server.reloadOnHangup(); // before anybody can see that it is ready
+            server.start();
         } catch (IOException e) {
             System.err.println("anisebend: " + e.getMessage());
             System.exit(1);
--- a/src/main/java/anisebend/net/Discovery.java
+++ b/src/main/java/anisebend/net/Discovery.java
@@ -58,7 +58,7 @@
     }
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final ProxyConfig.Names names;
     private final long waitMillis;
     private final Listener listener;
@@ -103,6 +103,31 @@
         }
     }
 
+    /**
+     * Turns to another discovery at once, whatever call or back-off is pending: the present one is about to end.
+     * The nodes stay until it has told the whole list, as nothing is known against them.
+     */
+    void redirect(InetSocketAddress other) {
+        if (other.equals(address)) {
+            return;
+        }
+        address = other;
+        listed = false;
+        hangUp();
+        next();
+    }
+
+    private void hangUp() {
+        if (call != null) {
+            call.limit.cancel(false);
+            call = null;
+        }
+        if (channel != null) {
+            channel.close();
+            channel = null;
+        }
+    }
+
     private void next() {
         String uri = listed ? LIST + "?after=" + version + "&wait_ms=" + waitMillis : LIST;
         call = new Call(listed ? waitMillis + GRACE_MILLIS : WHOLE_LIST_MILLIS);
@@ -129,11 +154,7 @@
     }
 
     private void failed() {
-        call = null;
-        if (channel != null) {
-            channel.close();
-            channel = null;
-        }
+        hangUp();
         listener.news(ListKind.FAILED, List.of());
     }
 
@@ -243,7 +264,6 @@
 
         void fail() {
             if (call == this) {
-                limit.cancel(false);
                 failed();
             }
         }
--- a/src/main/java/anisebend/net/Engine.java
+++ b/src/main/java/anisebend/net/Engine.java
@@ -130,6 +130,12 @@
         discovery.begin(config.known());
     }
 
+    /** Takes over what a new configuration may change while requests are under way. */
+    void reconfigure(ProxyConfig config, int maxConnections) {
+        upstream.limit(maxConnections);
+        discovery.redirect(config.discovery());
+    }
+
     long now() {
         return startMicros + (System.nanoTime() - startNanos) / 1000;
     }
@@ -157,7 +163,7 @@
     void gone(Exchange x) {
         if (!x.answered) {
             settle(x);
-            tell(() -> module.abandoned(now(), x.id));
+            abandon(x);
         }
     }
 
@@ -166,10 +172,18 @@
         if (!x.answered) {
             settle(x);
             x.client.failed();
-            tell(() -> module.abandoned(now(), x.id));
+            abandon(x);
         }
     }
 
+    /** It stays known until the module has heard, so that what that has sent meanwhile still gets an outcome. */
+    private void abandon(Exchange x) {
+        tell(() -> {
+            module.abandoned(now(), x.id);
+            actions.add(() -> forget(x));
+        });
+    }
+
     /** Fails all that is unanswered, as the process is about to be killed. */
     void giveUpAll() {
         List.copyOf(open.values()).forEach(this::giveUp);
@@ -214,7 +228,6 @@
         if (x.out != null) {
             x.out.cancel();
         }
-        forget(x);
     }
 
     private void forget(Exchange x) {
@@ -231,10 +244,7 @@
     }
 
     private void sendNow(String request, String server, long until) {
-        Exchange x = open.get(request);
-        if (x == null) {
-            return;
-        }
+        Exchange x = open.get(request); // known until the module has heard that it is over
         int attempt = x.attempts++;
         long sentAt = now();
         Discovery.Node node = discovery.node(server);
@@ -280,11 +290,11 @@
             settle(x);
             x.client.served(answer);
         }
-        forget(x);
         boolean over = x.answered;
         tell(() -> {
             long now = now();
             module.outcome(now, new Balancer.Outcome(x.id, attempt, code, now - sentAt, over, note, null));
+            actions.add(() -> forget(x));
         });
     }
 
@@ -304,6 +314,7 @@
             if (x != null && !x.answered) {
                 settle(x);
                 how.accept(x.client);
+                forget(x);
             }
         });
     }
--- a/src/main/java/anisebend/net/ProxyConfig.java
+++ b/src/main/java/anisebend/net/ProxyConfig.java
@@ -35,12 +35,21 @@
 
     /** Reads the file at {@code PROXY_CONFIG}; the single variables win over it, as they are the nearer. */
     static ProxyConfig load(Map<String, String> env) throws IOException {
+        return load(env, env);
+    }
+
+    /** Reads the file anew: it has been replaced since the variables were set, so it wins over them. */
+    static ProxyConfig reload(Map<String, String> env) throws IOException {
+        return load(env, Map.of());
+    }
+
+    private static ProxyConfig load(Map<String, String> env, Map<String, String> variables) throws IOException {
         String file = env.get("PROXY_CONFIG");
         if (file == null || file.isEmpty()) {
             throw new IOException("PROXY_CONFIG is not set");
         }
         try (InputStream in = Files.newInputStream(Path.of(file))) {
-            return of(env, parse(in.readAllBytes()));
+            return of(variables, parse(in.readAllBytes()));
         } catch (NoSuchFileException | InvalidPathException e) {
             throw new IOException("no configuration at " + file, e);
         } catch (IOException | IllegalArgumentException e) {
--- a/src/main/java/anisebend/net/ProxyServer.java
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -62,37 +62,47 @@
     private final EventLoop loop = group.next();
     private final ProxyConfig config;
     private final Engine engine;
-    private final int maxClients;
+    private final Map<String, String> env;
+    private int maxClients;
     private final Set<Connection> clients = new LinkedHashSet<>();
     private final CountDownLatch drained = new CountDownLatch(1);
     private final long drainMillis;
     private Channel listener;
     private boolean draining;
 
-    private ProxyServer(ProxyConfig config) {
+    private ProxyServer(ProxyConfig config, Map<String, String> env) {
         this.config = config;
-        this.maxClients = Math.max(1, (int) (config.sockets() * CLIENT_PART));
-        this.engine = new Engine(loop, config, Math.max(1, (int) (config.sockets() * UPSTREAM_PART)));
+        this.env = env;
+        this.maxClients = part(config, CLIENT_PART);
+        this.engine = new Engine(loop, config, part(config, UPSTREAM_PART));
         long longest = config.settings().classes().stream().mapToLong(c -> c.deadline() / 1000).max().orElse(0);
         this.drainMillis = Math.min(LONGEST_MILLIS, longest) + BEFORE_KILL_MILLIS;
     }
 
-    /** Runs a proxy as the platform's variables say; throws what is wrong with them as one plain line. */
-    public static ProxyServer start(Map<String, String> env) throws IOException {
-        ProxyServer server = new ProxyServer(ProxyConfig.load(env));
+    private static int part(ProxyConfig config, double part) {
+        return Math.max(1, (int) (config.sockets() * part));
+    }
+
+    /** A proxy as the platform's variables say; throws what is wrong with them as one plain line. */
+    public static ProxyServer of(Map<String, String> env) throws IOException {
+        return new ProxyServer(ProxyConfig.load(env), env);
+    }
+
+    /** Begins to serve. */
+    public ProxyServer start() throws IOException {
         try {
-            server.loop.submit(() -> {
-                server.engine.begin(server.config);
-                return server.listen();
+            loop.submit(() -> {
+                engine.begin(config);
+                return listen();
             }).get().get();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
         } catch (ExecutionException e) {
-            server.stop();
+            stop();
             throw new IOException(e.getCause().getMessage(), e.getCause());
         }
-        return server;
+        return this;
     }
 
     private ChannelFuture listen() {
@@ -127,6 +137,27 @@
         }, "drain"));
     }
 
+    /** Lets SIGHUP take over a configuration that has been replaced. */
+    public void reloadOnHangup() {
+        Signals.onHangup(this::reload);
+    }
+
+    /**
+     * Reads the configuration anew and takes over what may change in service; a broken file changes nothing.
+     * Signals that come close together are heard on threads of their own: one after another, the last read wins.
+     */
+    synchronized void reload() {
+        try {
+            ProxyConfig changed = ProxyConfig.reload(env);
+            loop.execute(() -> {
+                maxClients = part(changed, CLIENT_PART);
+                engine.reconfigure(changed, part(changed, UPSTREAM_PART));
+            });
+        } catch (IOException | RuntimeException e) {
+            System.err.println("configuration kept as it was: " + e.getMessage());
+        }
+    }
+
     /** Drains and returns when nothing is held, or just before a SIGKILL may come. */
     void drain() {
         loop.execute(this::beginDrain);
--- /dev/null
+++ b/src/main/java/anisebend/net/Signals.java
@@ -0,0 +1,30 @@
+package anisebend.net;
+
+import java.lang.reflect.Proxy;
+
+/**
+ * Hears of the signals that a service is sent, where the standard library has no say in them. The one way is
+ * {@code sun.misc.Signal} of the supported module jdk.unsupported. It is reached by reflection, as javac warns of
+ * each direct use, no annotation can allow one, and warnings are errors here.
+ */
+final class Signals {
+    private Signals() {
+    }
+
+    /** Runs {@code task} at each SIGHUP, on a thread of its own; without this a JVM ends on the first. */
+    static void onHangup(Runnable task) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object handle = Proxy.newProxyInstance(Signals.class.getClassLoader(), new Class<?>[] {handler},
+                (proxy, method, arguments) -> {
+                    task.run();
+                    return null;
+                });
+            signal.getMethod("handle", signal, handler)
+                .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), handle);
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("SIGHUP cannot be handled", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/anisebend/net/StrictHttp.java
@@ -0,0 +1,69 @@
+package anisebend.net;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
+
+/**
+ * Netty's decoders without their leniency: a message that gives both a length and chunks may hide another one
+ * in its body, and the two sides of a connection must never disagree on where a message ends.
+ */
+final class StrictHttp {
+    private static final int MAX_LINE = 4096;
+    private static final int MAX_HEAD = 8192;
+
+    private StrictHttp() {
+    }
+
+    private static HttpDecoderConfig config() {
+        return new HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE).setMaxHeaderSize(MAX_HEAD)
+            .setAllowDuplicateContentLengths(false).setStrictLineParsing(true);
+    }
+
+    private static void rejectTwoLengths() {
+        throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+    }
+
+    static final class Requests extends HttpRequestDecoder {
+        Requests() {
+            super(config());
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            rejectTwoLengths();
+        }
+
+        /** Whether all that has come belongs to the messages passed on so far. */
+        boolean empty() {
+            return actualReadableBytes() == 0;
+        }
+    }
+
+    static final class Responses extends HttpResponseDecoder {
+        Responses() {
+            super(config());
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            rejectTwoLengths();
+        }
+
+        /** In answers Netty lets a blank end a name, and so takes a line without a colon for a header. */
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            if (start + length >= line.length || line[start + length] != ':') {
+                throw new IllegalArgumentException("header without a colon behind its name");
+            }
+            return super.splitHeaderName(line, start, length);
+        }
+
+        /** Whether all that has come belongs to the messages passed on so far. */
+        boolean empty() {
+            return actualReadableBytes() == 0;
+        }
+    }
+}
--- a/src/main/java/anisebend/net/Upstream.java
+++ b/src/main/java/anisebend/net/Upstream.java
@@ -14,8 +14,9 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.ArrayDeque;
@@ -34,6 +35,8 @@
     private static final int MAX_ANSWER = 64 << 10;
     /** Kept connections are closed at this part of the cache nodes' own limit, so as never to race it. */
     private static final int IDLE_PART = 2;
+    /** So many 1xx may come ahead of an answer; an endless row of them is none. */
+    private static final int MAX_INTERIM = 16;
 
     /** Told once how an attempt ended; {@code answer} is there for OK only and is released afterwards. */
     interface Ending {
@@ -48,7 +51,7 @@
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final Readiness readiness;
-    private final int maxConnections;
+    private int maxConnections;
     private final long idleMillis;
     private final long connectMillis;
     private final Map<String, Deque<Connection>> idle = new HashMap<>();
@@ -63,6 +66,11 @@
         this.bootstrap = client(loop, connectMillis);
     }
 
+    /** Changes the bound on connections; those above it go as they fall idle. */
+    void limit(int connectionsAtMost) {
+        maxConnections = connectionsAtMost;
+    }
+
     /** What all outgoing connections have in common. */
     static Bootstrap client(EventLoop loop, long connectMillis) {
         return new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -76,11 +84,12 @@
         Attempt attempt = new Attempt(node, request, ending);
         attempt.limit = loop.schedule(attempt::expire, Math.max(0, waitMicros), TimeUnit.MICROSECONDS);
         Deque<Connection> kept = idle.get(node.host());
-        Connection connection = kept == null ? null : kept.pollLast();
+        // The longest idle one: what a node sends behind an answer has had most time to come and close it.
+        Connection connection = kept == null ? null : kept.pollFirst();
         if (connection != null) {
             connection.carry(attempt);
         } else if (connections >= maxConnections && !closeOneIdle()) {
-            attempt.end(Code.CONNECT_FAILED, Note.NONE, null);
+            attempt.end(Code.NOT_SENT, Note.NONE, null); // our own bound says nothing of the node
         } else {
             new Connection(node).open(attempt);
         }
@@ -144,7 +153,7 @@
             limit.cancel(false);
             if (connection != null) {
                 connection.attempt = null;
-                if (answer != null && HttpUtil.isKeepAlive(answer)) {
+                if (answer != null && !connection.excess && HttpUtil.isKeepAlive(answer)) {
                     connection.keep();
                 } else {
                     connection.close();
@@ -163,6 +172,11 @@
         private Channel channel;
         private Attempt attempt;
         private ScheduledFuture<?> idleLimit;
+        private final StrictHttp.Responses decoder = new StrictHttp.Responses();
+        /** The answer to the present attempt, until all that came with it has been read. */
+        private FullHttpResponse whole;
+        private boolean excess;
+        private int interim;
 
         Connection(Discovery.Node node) {
             this.node = node;
@@ -175,7 +189,7 @@
             ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER),
+                    ch.pipeline().addLast(new HttpRequestEncoder(), decoder, new HttpObjectAggregator(MAX_ANSWER),
                         Connection.this);
                 }
             }).connect(node.dial());
@@ -204,6 +218,7 @@
             }
             attempt = next;
             next.connection = this;
+            interim = 0;
             // The node may have begun to drain while the connection came up: the drain grace counts from the
             // first byte sent, and what is withheld has never run.
             if (!readiness.ready(node)) {
@@ -243,28 +258,67 @@
 
         private void lost() {
             Attempt out = attempt;
+            if (whole != null) {
+                excess = true;
+                conclude();
+            }
             close();
             if (out != null) {
                 out.end(out.written ? Code.RESET : Code.CONNECT_FAILED, Note.NONE, null);
             }
         }
 
+        /**
+         * Takes a whole answer, which ends its attempt only when the read is done: a second copy or noise may
+         * follow at once, and would answer whatever is sent on this connection next.
+         */
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+            if (whole != null) {
+                excess = true;
+                return;
+            }
             // An answer to nothing, or no HTTP. One that only the connection's end would mark as whole comes
             // here after closeFuture, when its attempt has ended as a reset: it might have been cut anywhere.
-            if (attempt == null || answer.decoderResult().isFailure()) {
+            if (attempt == null || !attempt.written || answer.decoderResult().isFailure()
+                || answer.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
                 lost();
                 return;
             }
             if (answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                if (++interim > MAX_INTERIM) {
+                    lost();
+                }
                 return;
             }
-            Note note = note(answer.headers().get("X-Lookup"));
+            whole = answer.retain();
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (whole != null) {
+                excess |= !decoder.empty();
+                conclude();
+            }
+        }
+
+        private void conclude() {
+            FullHttpResponse answer = whole;
+            whole = null;
+            try {
+                if (attempt != null) {
+                    attempt.end(code(answer), note(answer.headers().get("X-Lookup")), answer);
+                }
+            } finally {
+                answer.release();
+            }
+        }
+
+        private static Code code(FullHttpResponse answer) {
             int status = answer.status().code();
             boolean turnedAway = (status == 503 || status == 504)
                 && "1".equals(answer.headers().get("X-Unprocessed"));
-            attempt.end(status == 200 ? Code.OK : turnedAway ? Code.FULL : Code.ERROR, note, answer);
+            return status == 200 ? Code.OK : turnedAway ? Code.FULL : Code.ERROR;
         }
 
         @Override
