--- /dev/null
+++ b/src/main/java/anisebend/net/ClientConnection.java
@@ -0,0 +1,329 @@
+package anisebend.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One client's connection, on which one request is in hand at a time. A request is taken when the read that
+ * completes it is done and nothing came behind it: a client waits for its answer before it asks again, so whoever
+ * sends on regardless is turned away and nothing of it reaches the module.
+ */
+final class ClientConnection extends ChannelInboundHandlerAdapter implements Engine.Client {
+    /** A bad client is owed an error or a close within 3 s; a good one sends its request in far less. */
+    private static final long WHOLE_MICROS = 2_000_000;
+    /** A connection may be closed 2 s after its last answer. */
+    private static final long IDLE_MICROS = 2_500_000;
+    /** Who says nothing for this long makes room first when there is none. */
+    private static final long SILENT_MICROS = 200_000;
+    /** A client that was turned away is not listened to for this long, however fast it asks again. */
+    private static final long PAUSE_MILLIS = 250;
+    private static final double MICROS = 1e6;
+
+    /** What the server does for all connections. */
+    interface Owner {
+        ProxyConfig config();
+
+        Engine engine();
+
+        boolean draining();
+
+        void opened(ClientConnection connection);
+
+        void closed(ClientConnection connection);
+
+        /** An answer has been written and no request is in hand. */
+        void idle(ClientConnection connection);
+    }
+
+    private enum State { NEW, READING, BUSY, IDLE, CLOSING }
+
+    private final Channel channel;
+    private final StrictHttp.Requests decoder;
+    private final Owner owner;
+    private State state = State.NEW;
+    /** When this state began. */
+    private long since;
+    private boolean turnedAway;
+    /** The same within the present read. */
+    private boolean turnedAwayNow;
+    private HttpRequest request;
+    private RequestHead head;
+    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private boolean complete;
+    private boolean keepAlive;
+    private Engine.Exchange exchange;
+
+    ClientConnection(Channel channel, StrictHttp.Requests decoder, Owner owner) {
+        this.channel = channel;
+        this.decoder = decoder;
+        this.owner = owner;
+    }
+
+    private void enter(State next) {
+        state = next;
+        since = owner.engine().now();
+    }
+
+    // ---- what comes from the client
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        enter(State.NEW);
+        owner.opened(this);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        owner.closed(this);
+        dropRequest();
+        state = State.CLOSING;
+        if (exchange != null) {
+            Engine.Exchange left = exchange;
+            exchange = null;
+            owner.engine().gone(left);
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        try {
+            read(message);
+        } catch (RuntimeException e) {
+            System.err.println("fault: " + e);
+            turnAway(HttpResponseStatus.BAD_GATEWAY, false);
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void read(Object message) {
+        if (state == State.CLOSING) {
+            return;
+        }
+        if (state == State.BUSY) {
+            keepAlive = false; // it has sent ahead: the answer in hand is its last, and the rest is dropped
+            return;
+        }
+        if (message instanceof HttpRequest && (complete || turnedAwayNow)) {
+            turnAway(HttpResponseStatus.BAD_REQUEST, false); // more requests than one in a read
+            return;
+        }
+        if (message instanceof HttpRequest start) {
+            begin(start);
+        }
+        if (message instanceof HttpContent content && state == State.READING) {
+            add(content);
+        }
+    }
+
+    private void begin(HttpRequest start) {
+        if (state != State.READING) {
+            enter(State.READING);
+        }
+        request = start;
+        head = new RequestHead(start, owner.config());
+        keepAlive = HttpUtil.isKeepAlive(start);
+        if (head.problem != null) {
+            turnAway(head.problem, head.framed && keepAlive);
+        } else if (HttpUtil.is100ContinueExpected(start)) {
+            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+                Unpooled.EMPTY_BUFFER));
+        }
+    }
+
+    private void add(HttpContent content) {
+        ByteBuf part = content.content();
+        if (content.decoderResult().isFailure()) {
+            turnAway(HttpResponseStatus.BAD_REQUEST, false);
+        } else if (body.readableBytes() + part.readableBytes() > RequestHead.MAX_BODY) {
+            turnAway(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, false);
+        } else {
+            if (part.isReadable()) {
+                body = body == Unpooled.EMPTY_BUFFER ? channel.alloc().heapBuffer(part.readableBytes()) : body;
+                body.writeBytes(part);
+            }
+            complete = content instanceof LastHttpContent;
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        turnedAwayNow = false;
+        if (state == State.BUSY && !decoder.empty()) {
+            keepAlive = false;
+        } else if (complete && !decoder.empty()) {
+            turnAway(HttpResponseStatus.BAD_REQUEST, false);
+        } else if (complete) {
+            try {
+                take();
+            } catch (RuntimeException e) {
+                System.err.println("fault: " + e);
+                answer(HttpResponseStatus.BAD_GATEWAY);
+            }
+        } else if ((state == State.NEW || state == State.IDLE) && !decoder.empty()) {
+            enter(State.READING); // the first bytes of a head
+        }
+    }
+
+    private void take() {
+        HttpRequest start = request;
+        RequestHead wanted = head;
+        ByteBuf content = body;
+        request = null;
+        head = null;
+        complete = false;
+        body = Unpooled.EMPTY_BUFFER;
+        enter(State.BUSY);
+        if (wanted.id == null) {
+            content.release();
+            answer(owner.draining() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK);
+            return;
+        }
+        Engine.Exchange taken = owner.engine().take(new Engine.Call(start.method(), start.uri(), wanted.id,
+            wanted.idempotencyKey, content, wanted.requestClass, wanted.tenant,
+            wanted.key.isEmpty() ? null : wanted.key, since, wanted.waitMicros), this);
+        if (taken == null) {
+            turnAway(HttpResponseStatus.CONFLICT, keepAlive); // another's request of this id is open
+        } else if (!taken.answered()) { // it may have been, at once
+            exchange = taken;
+        }
+    }
+
+    private void dropRequest() {
+        request = null;
+        head = null;
+        complete = false;
+        body.release(); // the empty buffer takes no notice
+        body = Unpooled.EMPTY_BUFFER;
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+
+    // ---- what goes to the client
+
+    /** An error for what is not taken; the connection stays only where the next request's beginning is certain. */
+    private void turnAway(HttpResponseStatus status, boolean stay) {
+        dropRequest();
+        turnedAway = true;
+        turnedAwayNow = true;
+        keepAlive = stay;
+        answer(status);
+        if (stay && state == State.IDLE) {
+            channel.config().setAutoRead(false);
+            channel.eventLoop().schedule(() -> channel.config().setAutoRead(true), PAUSE_MILLIS,
+                TimeUnit.MILLISECONDS);
+        }
+    }
+
+    @Override
+    public void served(FullHttpResponse answer) {
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
+            answer.content().retain());
+        String type = answer.headers().get(HttpHeaderNames.CONTENT_TYPE);
+        if (type != null) {
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+        }
+        turnedAway = false;
+        write(response);
+    }
+
+    @Override
+    public void refused(long retryAfterMicros) {
+        FullHttpResponse response = empty(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        if (retryAfterMicros > 0) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER,
+                String.format(Locale.ROOT, "%.3f", retryAfterMicros / MICROS));
+        }
+        write(response);
+    }
+
+    @Override
+    public void failed() {
+        answer(HttpResponseStatus.BAD_GATEWAY);
+    }
+
+    private void answer(HttpResponseStatus status) {
+        write(empty(status));
+    }
+
+    private static FullHttpResponse empty(HttpResponseStatus status) {
+        return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    }
+
+    private void write(FullHttpResponse response) {
+        exchange = null;
+        // What it does not read must not pile up here.
+        keepAlive &= !owner.draining() && channel.isWritable();
+        HttpUtil.setContentLength(response, response.content().readableBytes());
+        HttpUtil.setKeepAlive(response, keepAlive);
+        enter(keepAlive ? State.IDLE : State.CLOSING);
+        channel.writeAndFlush(response).addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE
+            : ChannelFutureListener.CLOSE);
+        owner.idle(this);
+    }
+
+    // ---- limits
+
+    /** Ends what has been under way for too long; a taken request has its own limit. */
+    void checkTime(long now) {
+        long age = now - since;
+        switch (state) {
+            case BUSY -> { }
+            case READING -> {
+                if (age > WHOLE_MICROS) {
+                    turnAway(HttpResponseStatus.REQUEST_TIMEOUT, false);
+                }
+            }
+            case IDLE -> {
+                if (age > IDLE_MICROS) {
+                    closeIfFree();
+                }
+            }
+            default -> {
+                if (age > WHOLE_MICROS) {
+                    channel.close(); // silent from the start, or slow to read its last answer
+                }
+            }
+        }
+    }
+
+    /** Whether it has earned less than others: it has said nothing whole so far, or was turned away last. */
+    boolean dispensable(long now) {
+        boolean asked = state == State.IDLE && !turnedAway;
+        return state != State.BUSY && !asked && now - since > SILENT_MICROS;
+    }
+
+    /** Closes between requests, when what was answered before is written out. */
+    boolean closeIfFree() {
+        if (state == State.BUSY) {
+            return false;
+        }
+        enter(State.CLOSING);
+        dropRequest();
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        return true;
+    }
+
+    boolean idle() {
+        return state == State.IDLE;
+    }
+}
--- a/src/main/java/anisebend/net/Engine.java
+++ b/src/main/java/anisebend/net/Engine.java
@@ -18,10 +18,12 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -85,6 +87,8 @@
     private final Upstream upstream;
     private final Discovery discovery;
     private final Map<String, Exchange> open = new HashMap<>();
+    /** Ids of the unanswered requests, as their clients know them. */
+    private final Set<String> ids = new HashSet<>();
     private final Queue<Runnable> events = new ArrayDeque<>();
     private final Queue<Runnable> actions = new ArrayDeque<>();
     /** The module's clock: Unix time in microseconds at the start, and monotonic from there. */
@@ -140,8 +144,12 @@
         return startMicros + (System.nanoTime() - startNanos) / 1000;
     }
 
-    /** Takes a request, and its body's reference. */
+    /** Takes a request, and its body's reference; null where another's request of this id is unanswered. */
     Exchange take(Call call, Client client) {
+        if (!ids.add(call.correlationId())) {
+            call.body().release();
+            return null;
+        }
         Exchange x = new Exchange("r" + sequence++, call, client);
         open.put(x.id, x);
         long deadline = call.arrival() + call.waitMicros();
@@ -224,6 +232,7 @@
     /** Ends a request for the client; what is still out for it is closed. */
     private void settle(Exchange x) {
         x.answered = true;
+        ids.remove(x.call.correlationId());
         x.backstop.cancel(false);
         if (x.out != null) {
             x.out.cancel();
