Warm the code up before the proxy says that it is ready

Cause: some ms of interpreted code a request until it is compiled. The proxy now asks itself through its own port, 2,000 times or for 1.5 s, before /health/ready says 200; engine and module of that are thrown away. Also: no empty rows of idle connections stay for ids of nodes that have gone.

--- a/src/main/java/anisebend/Main.java
+++ b/src/main/java/anisebend/Main.java
@@ -28,7 +28,7 @@
             ProxyServer server = ProxyServer.of(System.getenv());
             server.drainOnTermination();
             server.reloadOnHangup(); // before anybody can see that it is ready
-            server.start();
+            server.startWarm();
         } catch (IOException e) {
             System.err.println("anisebend: " + e.getMessage());
             System.exit(1);
--- a/src/main/java/anisebend/net/ClientConnection.java
+++ b/src/main/java/anisebend/net/ClientConnection.java
@@ -41,6 +41,8 @@
 
         Engine engine();
 
+        boolean ready();
+
         boolean draining();
 
         void opened(ClientConnection connection);
@@ -100,6 +102,11 @@
         }
     }
 
+    @Override
+    public void handlerRemoved(ChannelHandlerContext ctx) {
+        owner.closed(this);
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
@@ -192,7 +199,7 @@
         enter(State.BUSY);
         if (wanted.id == null) {
             content.release();
-            answer(owner.draining() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK);
+            answer(owner.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
             return;
         }
         Engine.Exchange taken = owner.engine().take(new Engine.Call(start.method(), start.uri(), wanted.id,
--- a/src/main/java/anisebend/net/Discovery.java
+++ b/src/main/java/anisebend/net/Discovery.java
@@ -38,7 +38,7 @@
  * a failed call is the module's to say, by {@link #subscribe}; a watch that goes well goes on by itself.
  */
 final class Discovery {
-    private static final String LIST = "/registry/instances";
+    static final String LIST = "/registry/instances";
     private static final int MAX_ANSWER = 4 << 20;
     /** A silent call counts as told this long after its wait at the latest, so it has failed by then. */
     private static final long GRACE_MILLIS = 2_000;
@@ -117,7 +117,8 @@
         next();
     }
 
-    private void hangUp() {
+    /** Ends whatever call is out and tells nobody. */
+    void hangUp() {
         if (call != null) {
             call.limit.cancel(false);
             call = null;
--- a/src/main/java/anisebend/net/Engine.java
+++ b/src/main/java/anisebend/net/Engine.java
@@ -83,6 +83,7 @@
     }
 
     private final EventLoop loop;
+    private final Consumer<String> operator;
     private final Balancer module = new Decide(this);
     private final Upstream upstream;
     private final Discovery discovery;
@@ -97,8 +98,9 @@
     private long sequence;
     private boolean busy;
 
-    Engine(EventLoop loop, ProxyConfig config, int maxConnections) {
+    Engine(EventLoop loop, ProxyConfig config, int maxConnections, Consumer<String> operator) {
         this.loop = loop;
+        this.operator = operator;
         this.discovery = new Discovery(loop, config.discovery(), config.names(),
             config.settings().listAskWithin(), config.connectTimeoutMillis(), new Discovery.Listener() {
                 @Override
@@ -140,6 +142,13 @@
         discovery.redirect(config.discovery());
     }
 
+    /** Lets go of all connections; nothing may be asked of it any more. */
+    void stop() {
+        giveUpAll();
+        discovery.hangUp();
+        upstream.closeAllIdle();
+    }
+
     long now() {
         return startMicros + (System.nanoTime() - startNanos) / 1000;
     }
@@ -361,6 +370,6 @@
 
     @Override
     public void log(String text) {
-        System.err.println(text);
+        operator.accept(text);
     }
 }
--- a/src/main/java/anisebend/net/ProxyServer.java
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -54,12 +54,15 @@
     private final long drainMillis;
     private Channel listener;
     private boolean draining;
+    /** There while the code is warmed up; until that is over it is not ready. */
+    private Warmup warmup;
+    private boolean warming;
 
     private ProxyServer(ProxyConfig config, Map<String, String> env) {
         this.config = config;
         this.env = env;
         this.maxClients = part(config, CLIENT_PART);
-        this.engine = new Engine(loop, config, part(config, UPSTREAM_PART));
+        this.engine = new Engine(loop, config, part(config, UPSTREAM_PART), System.err::println);
         long longest = config.settings().classes().stream().mapToLong(c -> c.deadline() / 1000).max().orElse(0);
         this.drainMillis = Math.min(LONGEST_MILLIS, longest) + BEFORE_KILL_MILLIS;
     }
@@ -73,6 +76,20 @@
         return new ProxyServer(ProxyConfig.load(env), env);
     }
 
+    /** Begins to serve, and says that it is ready when its code is warm. */
+    public ProxyServer startWarm() throws IOException {
+        warming = true;
+        start();
+        loop.execute(() -> {
+            warmup = new Warmup(loop, config, address(), () -> {
+                warmup = null;
+                warming = false;
+            });
+            warmup.start();
+        });
+        return this;
+    }
+
     /** Begins to serve. */
     public ProxyServer start() throws IOException {
         try {
@@ -103,8 +120,12 @@
                 @Override
                 protected void initChannel(Channel ch) {
                     StrictHttp.Requests decoder = new StrictHttp.Requests();
-                    ch.pipeline().addLast(decoder, new HttpResponseEncoder(),
-                        new ClientConnection(ch, decoder, ProxyServer.this));
+                    ClientConnection connection = new ClientConnection(ch, decoder, ProxyServer.this);
+                    ch.pipeline().addLast(decoder, new HttpResponseEncoder());
+                    if (warmup != null) {
+                        ch.pipeline().addLast(warmup.new Gate(decoder, connection));
+                    }
+                    ch.pipeline().addLast(connection);
                 }
             }).bind(config.listen());
         listener = bound.channel();
@@ -196,6 +217,11 @@
         return engine;
     }
 
+    @Override
+    public boolean ready() {
+        return !warming && !draining;
+    }
+
     @Override
     public boolean draining() {
         return draining;
--- a/src/main/java/anisebend/net/Upstream.java
+++ b/src/main/java/anisebend/net/Upstream.java
@@ -22,6 +22,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -87,6 +88,9 @@
         // The longest idle one: what a node sends behind an answer has had most time to come and close it.
         Connection connection = kept == null ? null : kept.pollFirst();
         if (connection != null) {
+            if (kept.isEmpty()) {
+                idle.remove(node.host());
+            }
             connection.carry(attempt);
         } else if (connections >= maxConnections && !closeOneIdle()) {
             attempt.end(Code.NOT_SENT, Note.NONE, null); // our own bound says nothing of the node
@@ -104,14 +108,15 @@
         }
     }
 
+    void closeAllIdle() {
+        List.copyOf(idle.keySet()).forEach(this::closeIdle);
+    }
+
     /** At the bound an idle connection makes room for one that is needed now. */
     private boolean closeOneIdle() {
         for (Deque<Connection> kept : idle.values()) {
-            Connection connection = kept.pollFirst();
-            if (connection != null) {
-                connection.close();
-                return true;
-            }
+            kept.getFirst().close(); // takes it out, and an empty row too
+            return true;
         }
         return false;
     }
@@ -247,8 +252,8 @@
 
         void close() {
             Deque<Connection> kept = idle.get(node.host());
-            if (kept != null) {
-                kept.remove(this);
+            if (kept != null && kept.remove(this) && kept.isEmpty()) {
+                idle.remove(node.host()); // ids of nodes that have gone never come back
             }
             if (idleLimit != null) {
                 idleLimit.cancel(false);
--- a/src/test/java/anisebend/net/ProxyTest.java
+++ b/src/test/java/anisebend/net/ProxyTest.java
@@ -526,6 +526,29 @@
         }
     }
 
+    /**
+     * Cold code makes the first seconds slow, so the proxy asks itself before it is ready. Of that nothing may
+     * reach a cache node or discovery, and a client that comes meanwhile is served as ever.
+     */
+    @Test
+    void warmsUpByItselfAlone() throws Exception {
+        proxy = ProxyServer.of(Loopback.environment(folder, discovery.address(), SOCKETS, IDLE_MILLIS, known()))
+            .startWarm();
+        try (Client early = client()) {
+            assertEquals("value", early.ask(request("GET", "/api/k", "read", LONG, null)).body());
+        }
+        int status = 0;
+        while (status != 200) {
+            try (Client client = client()) {
+                status = client.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status();
+            }
+        }
+        assertEquals(1, node.requests.size());
+        assertEquals("GET /registry/instances HTTP/1.1", discovery.next().first());
+        assertTrue(discovery.next().first().contains("after=1"));
+        assertNull(discovery.requests.peek());
+    }
+
     /** While it drains a proxy takes what still comes, says that it closes, and finishes what it holds. */
     @Test
     void drains() throws Exception {
