Serve on at a planned restart until no more connections come

By the code: from SIGTERM on each answer said "Connection: close", while new connections only come for 0.2 to 0.4 s more; and connections that never asked held the exit for up to 2 s, as only idle ones were closed. Now connections stay as they are for 0.5 s, then all that have nothing in hand go at once.

--- a/src/main/java/anisebend/net/ClientConnection.java
+++ b/src/main/java/anisebend/net/ClientConnection.java
@@ -43,7 +43,8 @@
 
         boolean ready();
 
-        boolean draining();
+        /** Whether connections are to end with their answers. */
+        boolean closing();
 
         void opened(ClientConnection connection);
 
@@ -279,7 +280,7 @@
     private void write(FullHttpResponse response) {
         exchange = null;
         // What it does not read must not pile up here.
-        keepAlive &= !owner.draining() && channel.isWritable();
+        keepAlive &= !owner.closing() && channel.isWritable();
         HttpUtil.setContentLength(response, response.content().readableBytes());
         HttpUtil.setKeepAlive(response, keepAlive);
         enter(keepAlive ? State.IDLE : State.CLOSING);
--- a/src/main/java/anisebend/net/ProxyServer.java
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -38,7 +38,7 @@
     private static final int MAX_READ = 16 << 10;
     private static final long SWEEP_MILLIS = 100;
     /** After SIGTERM connections go on coming for 0.4 s. */
-    private static final long ACCEPT_MILLIS = 600;
+    private static final long ACCEPT_MILLIS = 500;
     /** SIGKILL comes 0.7 s after the longest deadline, of which at most 3 s count; all must be over before it. */
     private static final long LONGEST_MILLIS = 3_000;
     private static final long BEFORE_KILL_MILLIS = 450;
@@ -190,20 +190,29 @@
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Serves on as ever while connections still come, as clients that are told to close could not come back; then
+     * ends each connection as soon as nothing is in hand on it, those included that have never asked.
+     */
     private void beginDrain() {
         draining = true;
         loop.schedule(() -> {
             listener.close();
-            for (ClientConnection client : List.copyOf(clients)) {
-                if (client.idle()) {
-                    client.closeIfFree();
-                }
-            }
+            closeFree();
             checkDrained();
         }, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
         loop.schedule(engine::giveUpAll, drainMillis, TimeUnit.MILLISECONDS);
     }
 
+    private void closeFree() {
+        long now = engine.now();
+        for (ClientConnection client : List.copyOf(clients)) {
+            if (client.idle() || client.dispensable(now)) {
+                client.closeIfFree();
+            }
+        }
+    }
+
     private void checkDrained() {
         if (draining && !listener.isOpen() && clients.isEmpty()) {
             drained.countDown();
@@ -228,8 +237,8 @@
     }
 
     @Override
-    public boolean draining() {
-        return draining;
+    public boolean closing() {
+        return draining && !listener.isOpen();
     }
 
     @Override
@@ -260,6 +269,9 @@
         for (ClientConnection client : List.copyOf(clients)) {
             client.checkTime(now);
         }
+        if (closing()) {
+            closeFree();
+        }
         if (!listener.config().isAutoRead()) {
             makeRoom();
         }
--- a/src/main/java/anisebend/net/Warmup.java
+++ b/src/main/java/anisebend/net/Warmup.java
@@ -211,7 +211,7 @@
     }
 
     @Override
-    public boolean draining() {
+    public boolean closing() {
         return false;
     }
 
