--- a/src/main/java/anisebend/net/ProxyServer.java
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -37,11 +37,11 @@
     private static final int ACCEPTED_AT_ONCE = 4;
     private static final int MAX_READ = 16 << 10;
     private static final long SWEEP_MILLIS = 100;
-    /** After SIGTERM connections go on coming for 0.4 s. */
-    private static final long ACCEPT_MILLIS = 500;
+    /** So long before the end of a drain connections begin to close: what is usual has its answer by then. */
+    private static final long CLOSING_MILLIS = 700;
     /** SIGKILL comes 0.7 s after the longest deadline, of which at most 3 s count; all must be over before it. */
     private static final long LONGEST_MILLIS = 3_000;
-    private static final long BEFORE_KILL_MILLIS = 450;
+    private static final long BEFORE_KILL_MILLIS = 250;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -64,7 +64,7 @@
         this.maxClients = part(config, CLIENT_PART);
         this.engine = new Engine(loop, config, part(config, UPSTREAM_PART), System.err::println);
         long longest = config.settings().classes().stream().mapToLong(c -> c.deadline() / 1000).max().orElse(0);
-        this.drainMillis = Math.min(LONGEST_MILLIS, longest) + BEFORE_KILL_MILLIS;
+        this.drainMillis = Math.max(CLOSING_MILLIS, Math.min(LONGEST_MILLIS, longest) + 700 - BEFORE_KILL_MILLIS);
     }
 
     private static int part(ProxyConfig config, double part) {
@@ -179,7 +179,7 @@
     void drain() {
         loop.execute(this::beginDrain);
         try {
-            drained.await(drainMillis + BEFORE_KILL_MILLIS / 3, TimeUnit.MILLISECONDS);
+            drained.await(drainMillis + BEFORE_KILL_MILLIS / 2, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -191,8 +191,8 @@
     }
 
     /**
-     * Serves on as ever while connections still come, as clients that are told to close could not come back; then
-     * ends each connection as soon as nothing is in hand on it, those included that have never asked.
+     * Serves on as ever for as long as a kill can't come, as clients whose connections close could not come back;
+     * then ends each connection as soon as nothing is in hand on it, those included that have never asked.
      */
     private void beginDrain() {
         draining = true;
@@ -200,7 +200,7 @@
             listener.close();
             closeFree();
             checkDrained();
-        }, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
+        }, drainMillis - CLOSING_MILLIS, TimeUnit.MILLISECONDS);
         loop.schedule(engine::giveUpAll, drainMillis, TimeUnit.MILLISECONDS);
     }
 
