Write what may not be repeated so that a dead connection shows; take a break for weak evidence

Nodes become suspect in the first second by two breaks, and their keys move to where they are misses. Ruled out: connections idle for long (few), our own bound (95 of 384 descriptors), loops over the fleet (CPU 6 s). Lines: Upstream.carry wrote the whole request at once; Decide.feedback counted RESET as a lane's success and doubted the node like silence; react sent the repeat away from the key's home. Now the last byte of what may not be repeated waits for one round trip, 2 to 20 ms; a break before it has not run, and on a kept connection says nothing of the node. A break is a weak doubt, and the first leaves the key at home.

--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -39,6 +39,16 @@
     private static final long FORGOTTEN = 4;
     /** Deviations past the mean after which an unanswered request makes its server suspect. */
     private static final double PATIENCE = 4;
+    /**
+     * What tells against a server that has not answered since, and from what sum on it is suspect. A refused
+     * connection is plain. One that broke is weak: servers close what is idle, restart or shed load, and to
+     * suspect them moves their keys to where they are misses; only a row of breaks with no answer tells.
+     * Could hurt where a server breaks many connections for long and answers just enough.
+     */
+    private static final int REFUSED = 4;
+    private static final int SILENT = 2;
+    private static final int BROKEN = 1;
+    private static final int CONVICTED = 4;
     /** Answers after which a class's usual time is known. */
     private static final int ENOUGH = 64;
     /** One server in so many may be suspect at a time; the operators have seen a sixth go silent. */
@@ -660,7 +670,7 @@
             }
             alarms.set(now + patience, () -> {
                 if (held.out == target && held.attempts == attempt + 1) {
-                    doubt(target, held.sentAt);
+                    doubt(target, held.sentAt, SILENT);
                 }
             });
         }
@@ -677,14 +687,14 @@
             || code == Code.OK && target.late(o.elapsed(), held.type.aim());
         if (failed) {
             held.lane.goUp();
-        } else if (!code.calledOff) {
+        } else if (!code.calledOff && code != Code.RESET) {
             held.lane.success();
         }
         if (code == Code.OK || code == Code.FULL || code == Code.ERROR || code == Code.MISS) {
             heard(target);
         } else if (!o.code().calledOff) {
-            target.doubts += code == Code.CONNECT_FAILED ? 1 : 0;
-            doubt(target, held.sentAt);
+            doubt(target, held.sentAt, code == Code.CONNECT_FAILED ? REFUSED
+                : code == Code.RESET ? BROKEN : SILENT);
         }
         if (code == Code.OK || code == Code.MISS) {
             target.servedOne();
@@ -705,7 +715,9 @@
 
     /** What follows an outcome that did not end the request. */
     private void react(Held held, Target target, Outcome o) {
-        if (o.code() != Code.MISS && !o.code().calledOff && o.code() != Code.ERROR) {
+        // A first break leaves the key its home: elsewhere it would be a miss.
+        boolean broke = o.code() == Code.RESET && held.attempts == 1;
+        if (o.code() != Code.MISS && !o.code().calledOff && o.code() != Code.ERROR && !broke) {
             held.failedAt.add(target);
         }
         long wait = held.lane.currentInterval;
@@ -833,7 +845,7 @@
     }
 
     /** A request sent at {@code since} has no answer, later than usual or for good: does anything come? */
-    private void doubt(Target target, long since) {
+    private void doubt(Target target, long since, int weight) {
         if (target == origin || target.lastAnswer >= since) {
             return;
         }
@@ -844,8 +856,11 @@
                 target.trialAt = now + target.trials.initialInterval;
                 actions.probe(target.id);
             }
-        } else if (target.doubts++ > 0) {
-            suspect(target);
+        } else {
+            target.doubts += weight;
+            if (target.doubts >= CONVICTED) {
+                suspect(target);
+            }
         }
     }
 
--- a/src/main/java/anisebend/net/Engine.java
+++ b/src/main/java/anisebend/net/Engine.java
@@ -79,6 +79,7 @@
     }
 
     private final EventLoop loop;
+    private final List<Balancer.RequestClass> classes;
     private final Consumer<String> operator;
     private final Balancer module = new Decide(this);
     private final Upstream upstream;
@@ -96,6 +97,7 @@
 
     Engine(EventLoop loop, ProxyConfig config, int maxConnections, Consumer<String> operator) {
         this.loop = loop;
+        this.classes = config.settings().classes();
         this.operator = operator;
         this.discovery = new Discovery(loop, config.discovery(), config.names(),
             config.settings().listAskWithin(), config.connectTimeoutMillis(), new Discovery.Listener() {
@@ -277,7 +279,7 @@
         }
         Upstream.Attempt[] mine = new Upstream.Attempt[1];
         boolean[] over = new boolean[1];
-        mine[0] = upstream.send(node, message(x.call, node, wait), wait, (code, note, answer) -> {
+        mine[0] = upstream.send(node, message(x.call, node, wait), wait, once(x.call), (code, note, answer) -> {
             over[0] = true;
             if (x.out == mine[0]) {
                 x.out = null;
@@ -289,6 +291,10 @@
         }
     }
 
+    private boolean once(Call call) {
+        return classes.get(call.requestClass()).effect() == Balancer.Effect.UNSAFE;
+    }
+
     private static FullHttpRequest message(Call call, Discovery.Node node, long wait) {
         FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri(),
             call.body().isReadable() ? call.body().retainedDuplicate() : Unpooled.EMPTY_BUFFER);
--- a/src/main/java/anisebend/net/Upstream.java
+++ b/src/main/java/anisebend/net/Upstream.java
@@ -3,6 +3,7 @@
 import anisebend.Balancer.Code;
 import anisebend.Balancer.Note;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -12,6 +13,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -36,6 +40,14 @@
     private static final int MAX_ANSWER = 64 << 10;
     /** Kept connections are closed at this part of the cache nodes' own limit, so as never to race it. */
     private static final int IDLE_PART = 2;
+    /**
+     * A request that may not be repeated keeps its last byte back for the time that its connection took to come up,
+     * a round trip at least, within these bounds. A break before it shows that it never ran: the node had closed the
+     * kept connection, had died, or let nobody in. Covers whatever ends connections unseen, proxies and address
+     * translation on the way too. Costs so much of each such request, and an early answer to half a request is lost.
+     */
+    private static final long LEAST_HOLD_MICROS = 2_000;
+    private static final long MOST_HOLD_MICROS = 20_000;
     /** So many 1xx may come ahead of an answer; an endless row of them is none. */
     private static final int MAX_INTERIM = 16;
 
@@ -80,9 +92,12 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectMillis);
     }
 
-    /** Starts an attempt that is given up {@code waitMicros} from now; takes over the request's reference. */
-    Attempt send(Discovery.Node node, FullHttpRequest request, long waitMicros, Ending ending) {
-        Attempt attempt = new Attempt(node, request, ending);
+    /**
+     * Starts an attempt that is given up {@code waitMicros} from now; takes over the request's reference. One that
+     * runs {@code once} at most is written with care, so that a dead connection seldom leaves open whether it ran.
+     */
+    Attempt send(Discovery.Node node, FullHttpRequest request, long waitMicros, boolean once, Ending ending) {
+        Attempt attempt = new Attempt(node, request, once, ending);
         attempt.limit = loop.schedule(attempt::expire, Math.max(0, waitMicros), TimeUnit.MICROSECONDS);
         Deque<Connection> kept = idle.get(node.host());
         // The longest idle one: what a node sends behind an answer has had most time to come and close it.
@@ -125,18 +140,20 @@
     final class Attempt {
         private final Discovery.Node node;
         private final FullHttpRequest request;
+        private final boolean once;
         private final Ending ending;
         private ScheduledFuture<?> limit;
         private Connection connection;
-        /** Handed to the socket: from here on only an answer can say that it has not run. */
+        /** Its last byte has been handed to the socket: from here on only an answer can say that it has not run. */
         private boolean written;
         /** The request's reference has gone to the connection. */
         private boolean handedOver;
         private boolean ended;
 
-        Attempt(Discovery.Node node, FullHttpRequest request, Ending ending) {
+        Attempt(Discovery.Node node, FullHttpRequest request, boolean once, Ending ending) {
             this.node = node;
             this.request = request;
+            this.once = once;
             this.ending = ending;
         }
 
@@ -177,6 +194,9 @@
         private Channel channel;
         private Attempt attempt;
         private ScheduledFuture<?> idleLimit;
+        private long holdMicros;
+        /** Whether it was kept after an answer: that it is dead then says nothing of the node. */
+        private boolean kept;
         private final StrictHttp.Responses decoder = new StrictHttp.Responses();
         /** The answer to the present attempt, until all that came with it has been read. */
         private FullHttpResponse whole;
@@ -191,6 +211,7 @@
             attempt = first;
             first.connection = this;
             connections++;
+            long begun = System.nanoTime();
             ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
@@ -210,6 +231,8 @@
                     connections--;
                     lost();
                 });
+                long took = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - begun);
+                holdMicros = Math.max(LEAST_HOLD_MICROS, Math.min(MOST_HOLD_MICROS, took));
                 if (attempt != null) {
                     carry(attempt);
                 }
@@ -230,22 +253,50 @@
                 next.end(Code.NOT_SENT, Note.NONE, null);
                 return;
             }
-            next.written = true;
             next.handedOver = true;
-            channel.writeAndFlush(next.request).addListener(done -> {
+            if (next.once && next.request.content().isReadable()) {
+                writeWithCare(next);
+            } else {
+                finish(next, next.request);
+            }
+        }
+
+        private void writeWithCare(Attempt next) {
+            FullHttpRequest whole = next.request;
+            ByteBuf first = whole.content().readRetainedSlice(whole.content().readableBytes() - 1);
+            channel.write(new DefaultHttpRequest(whole.protocolVersion(), whole.method(), whole.uri(),
+                whole.headers()));
+            channel.writeAndFlush(new DefaultHttpContent(first));
+            loop.schedule(() -> {
+                if (attempt == next) {
+                    finish(next, new DefaultLastHttpContent(whole.content()));
+                } else {
+                    whole.release();
+                }
+            }, holdMicros, TimeUnit.MICROSECONDS);
+        }
+
+        private void finish(Attempt next, Object rest) {
+            next.written = true;
+            channel.writeAndFlush(rest).addListener(done -> {
                 if (!done.isSuccess() && attempt == next) {
                     // The last byte never left, so a server can't have begun it.
                     next.written = false;
-                    next.end(Code.CONNECT_FAILED, Note.NONE, null);
+                    next.end(unsent(), Note.NONE, null);
                 }
             });
         }
 
+        private Code unsent() {
+            return kept ? Code.NOT_SENT : Code.CONNECT_FAILED;
+        }
+
         void keep() {
             if (!channel.isActive() || !readiness.ready(node)) {
                 close();
                 return;
             }
+            kept = true;
             idle.computeIfAbsent(node.host(), host -> new ArrayDeque<>()).addLast(this);
             idleLimit = loop.schedule(this::close, idleMillis, TimeUnit.MILLISECONDS);
         }
@@ -269,7 +320,7 @@
             }
             close();
             if (out != null) {
-                out.end(out.written ? Code.RESET : Code.CONNECT_FAILED, Note.NONE, null);
+                out.end(out.written ? Code.RESET : unsent(), Note.NONE, null);
             }
         }
 
--- a/src/test/java/anisebend/net/UpstreamTest.java
+++ b/src/test/java/anisebend/net/UpstreamTest.java
@@ -22,9 +22,11 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -59,12 +61,23 @@
     }
 
     private Upstream.Attempt send(int port, long waitMicros) throws Exception {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/k",
-            Unpooled.EMPTY_BUFFER);
-        return group.next().submit(() -> upstream.send(node(port), request, waitMicros,
+        return send(port, waitMicros, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/k",
+            Unpooled.EMPTY_BUFFER), false);
+    }
+
+    private Upstream.Attempt send(int port, long waitMicros, FullHttpRequest request, boolean once) throws Exception {
+        return group.next().submit(() -> upstream.send(node(port), request, waitMicros, once,
             (code, note, got) -> endings.add(new Ended(code, note)))).get();
     }
 
+    /** A write that is to run once at most. */
+    private FullHttpRequest once(String body) throws Exception {
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.PUT, "/api/k",
+            Unpooled.copiedBuffer(body, StandardCharsets.US_ASCII));
+        request.headers().set("Content-Length", body.length());
+        return request;
+    }
+
     private Ended ended() throws InterruptedException {
         return endings.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
     }
@@ -125,6 +138,52 @@
         }
     }
 
+    /** The node answers, and is gone before the next request on that connection, too late to be seen before it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"5", "amount=5"})
+    void whatMayNotRunTwiceIsKeptFromADeadConnection(String body) throws Exception {
+        CountDownLatch asked = new CountDownLatch(1);
+        try (Server server = new Server((request, socket) -> {
+            write(socket, answer(200, "", "x"));
+            try {
+                asked.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            socket.close();
+        })) {
+            send(port(server), LONG_MICROS, once(body), true);
+            assertEquals(Code.OK, ended().code());
+            assertEquals(body, server.next().body());
+            FullHttpRequest next = once(body);
+            group.next().submit(() -> {
+                upstream.send(node(port(server)), next, LONG_MICROS, true,
+                    (code, note, got) -> endings.add(new Ended(code, note)));
+                asked.countDown();
+                return server.ended.poll(PATIENCE_SECONDS, TimeUnit.SECONDS); // while the loop is busy here
+            }).get();
+            assertEquals(Code.NOT_SENT, ended().code());
+            group.next().schedule(() -> { }, 100, TimeUnit.MILLISECONDS).get(); // behind what was kept back
+            assertEquals(0, next.refCnt());
+            assertNull(server.requests.peek());
+            send(port(server), LONG_MICROS, once(body), true);
+            assertEquals(Code.OK, ended().code());
+            assertEquals(2, server.connections.size());
+        }
+    }
+
+    /** A new connection that breaks while the request comes tells against the node, and that nothing ran. */
+    @Test
+    void whatMayNotRunTwiceIsKeptFromANodeThatResets() throws Exception {
+        try (ServerSocket resetting = new ServerSocket(0, 1, Loopback.HOST)) {
+            send(resetting.getLocalPort(), LONG_MICROS, once("amount=5"), true);
+            try (Socket socket = resetting.accept()) {
+                socket.setSoLinger(true, 0);
+            }
+            assertEquals(Code.CONNECT_FAILED, ended().code());
+        }
+    }
+
     @Test
     void silenceTimesOutAndClosesTheConnection() throws Exception {
         try (Server server = new Server((request, socket) -> { })) {
