Count the answer's time when lanes are made enough for the usual rate

Cause: Target.servedOne keeps "as many lanes as carry the usual rate at the longest interval", but a paced lane waits for its answer first, so 100 ms more; the lanes fall short of the rate, the served rate sinks, and no lane is added. Ruled out: faults by class (few are left out), our CPU alone (the other proxy has room), the nodes (quick when asked).

--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -94,6 +94,7 @@
     private Settings settings;
     private long now;
     private long shortestDeadline;
+    private long shortestAim;
     private int salt;
     private long sequence;
     private final Map<String, Target> targets = new LinkedHashMap<>();
@@ -211,6 +212,8 @@
         boolean suspect;
         int doubts;
         double slowness;
+        /** What an answer usually takes. */
+        double answer;
         /** The quickest answer so far: the way there and back, which no restraint shortens. */
         long quickest = Long.MAX_VALUE;
 
@@ -263,12 +266,17 @@
         }
 
         /**
-         * Keeps as many lanes as carry the usual rate of served work at the longest interval. With a fixed
-         * number a busy balancer would be throttled by a few failures while a quiet one never notices.
+         * Keeps as many lanes as carry the usual rate of served work at the longest interval. That begins
+         * with the answer, so its time counts too: else the lanes fall short of the rate, and it sinks with
+         * them while the server idles. With a fixed number a busy balancer would be throttled by a few
+         * failures while a quiet one never notices. Could hurt in overload, where answers are slow and more
+         * is let in; so only what may be usual counts.
          */
-        void servedOne() {
+        void servedOne(long elapsed) {
             rate.add(now);
-            if (rate.peak * lanes.get(0).maxInterval > lanes.size() * MICROS) {
+            answer = answer == 0 ? elapsed : Measures.smooth(answer, elapsed);
+            double usual = Math.min(answer, PRESSED * shortestAim);
+            if (rate.peak * (lanes.get(0).maxInterval + usual) > lanes.size() * MICROS) {
                 lanes.add(new Lane(random, shortestDeadline));
             }
         }
@@ -452,7 +460,7 @@
         salt = random.nextInt();
         shortestDeadline = Long.MAX_VALUE;
         cacheTimes = new Estimate[given.classes().size()];
-        long shortestAim = Long.MAX_VALUE;
+        shortestAim = Long.MAX_VALUE;
         for (int i = 0; i < cacheTimes.length; i++) {
             RequestClass type = given.classes().get(i);
             check(type.deadline() >= INITIAL_PART && type.aim() > 0, "deadline and aim of class " + i);
@@ -771,7 +779,7 @@
             Faults faults = target.faults(held);
             faults.sum /= 2;
             faults.leaveOut(faults.out && faults.failing());
-            target.servedOne();
+            target.servedOne(o.elapsed());
             if (target != origin && target.warmth() == 1) {
                 carried.add(now);
             }
--- a/src/test/java/anisebend/DecideTest.java
+++ b/src/test/java/anisebend/DecideTest.java
@@ -145,6 +145,26 @@
         assertEquals(before + 2, one.recorder.sent.size());
     }
 
+    /** A lane at its longest interval takes that and an answer for each request; the usual rate must still fit. */
+    @Test
+    void pacedLanesStillCarryTheUsualRate() {
+        World one = new World(false).list(ListKind.FULL, "a1");
+        for (int i = 0; i < 300; i++) {
+            one.ask("u" + i, READ, "k").pass(20 * MS).answer("u" + i, Code.OK, 100 * MS);
+        }
+        for (int i = 0; i < 500; i++) {
+            one.ask("f" + i, READ, "k").answer("f" + i, Code.FULL);
+            one.balancer.abandoned(one.now, "f" + i);
+            one.pass(500 * MS);
+        }
+        long before = one.recorder.sent.size();
+        for (int i = 0; i < 40; i++) {
+            one.ask("r" + i, READ, "k");
+        }
+        one.pass(400 * MS); // the longest interval
+        assertTrue(one.recorder.sent.size() - before >= 22, "lanes: " + (one.recorder.sent.size() - before));
+    }
+
     @Test
     void whatCannotLeaveInTimeIsRefusedEarly() {
         World one = new World(false).list(ListKind.FULL, "a1");
