Answer at the second address, send clients away, and let a new process take over

Need: operators ask and steer a proxy at a second address, empty it without ending it, and upgrade it in service.

--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -4,9 +4,10 @@
 # The proxy runs for some seconds with itself as discovery, which loads both sides' classes, and is drained.
 set -eu
 cd "$(dirname "$0")/.."
-address=127.0.0.1:$((20000 + $$ % 20000))
+port=$((20000 + $$ % 20000))
+address=127.0.0.1:$port
 cat > target/archive.json <<JSON
-{"name":"archive","listen":"$address","discovery":"$address","seed":"1","limits":{"sockets":64},
+{"name":"archive","listen":"$address","admin":"127.0.0.1:$((port + 1))","discovery":"$address","seed":"1","limits":{"sockets":64},
  "known":{"seq":0,"whole":true,"hosts":[]},
  "settings":{"fleet_size":1,"discovery":"ask","allowed":{"conn_idle_ms":1000,"connect_timeout_ms":250,"send_cap":1},
   "lanes":[{"name":"read","repeat":"read_like","aim_ms":100,"hard_limit_ms":1000}],
--- a/src/main/java/anisebend/net/ClientConnection.java
+++ b/src/main/java/anisebend/net/ClientConnection.java
@@ -39,6 +39,7 @@
 
         Engine engine();
 
+        /** What a probe at the clients' address is told. */
         boolean ready();
 
         /** Whether connections are to end with their answers. */
@@ -54,6 +55,10 @@
         /** A whole request is in hand. */
         void asks(ClientConnection connection);
 
+        /** A request of a class that is configured has been answered with this status. */
+        default void answered(int requestClass, HttpResponseStatus status) {
+        }
+
         /** An answer has been written and no request is in hand. */
         void idle(ClientConnection connection, boolean turnedAway);
 
@@ -76,6 +81,8 @@
     private HttpRequest request;
     private RequestHead head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    /** The class of the request in hand, -1 where it has none. */
+    private int requestClass = -1;
     private boolean complete;
     private boolean keepAlive;
     /** When the request that is being read is to come back; 0 for one that is taken. Nothing is kept of it. */
@@ -161,6 +168,7 @@
         received = 0;
         head = new RequestHead(start, owner.config());
         keepAlive = HttpUtil.isKeepAlive(start);
+        requestClass = head.problem == null && head.id != null ? head.requestClass : -1;
         comeBack = head.problem == null && head.id != null ? owner.turnsAway(head) : 0;
         if (head.problem != null) {
             turnAway(head.problem, head.framed && keepAlive);
@@ -305,6 +313,10 @@
 
     private void write(FullHttpResponse response) {
         exchange = null;
+        if (requestClass >= 0) {
+            owner.answered(requestClass, response.status());
+            requestClass = -1;
+        }
         // What it does not read must not pile up here.
         keepAlive &= !owner.closing() && channel.isWritable();
         HttpUtil.setContentLength(response, response.content().readableBytes());
@@ -346,6 +358,11 @@
         return state != State.BUSY && !asked && now - since > SILENT_MICROS;
     }
 
+    /** Whether nothing of a request has come on it, and it would not be missed. */
+    boolean vacant(long now) {
+        return state == State.IDLE || state == State.NEW && now - since > SILENT_MICROS;
+    }
+
     /** Closes between requests, when what was answered before is written out. */
     boolean closeIfFree() {
         if (state == State.BUSY) {
--- a/src/main/java/anisebend/net/Discovery.java
+++ b/src/main/java/anisebend/net/Discovery.java
@@ -87,6 +87,11 @@
         this.bootstrap = Upstream.client(loop, Math.max(connectMillis, GRACE_MILLIS));
     }
 
+    /** How many cache nodes are listed. */
+    int size() {
+        return nodes.size();
+    }
+
     Node node(String host) {
         return nodes.get(host);
     }
--- a/src/main/java/anisebend/net/Engine.java
+++ b/src/main/java/anisebend/net/Engine.java
@@ -6,6 +6,7 @@
 import anisebend.Balancer.Note;
 import anisebend.Decide;
 import gorsemast.admission.Lateness;
+import gorsemast.observe.Counters;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -148,9 +149,13 @@
         discovery.begin(config.known());
     }
 
-    /** Takes over what a new configuration may change while requests are under way. */
-    void reconfigure(ProxyConfig config, int maxConnections) {
+    /** Changes the bound on connections to cache nodes. */
+    void limit(int maxConnections) {
         upstream.limit(maxConnections);
+    }
+
+    /** Takes over what a new configuration may change while requests are under way. */
+    void reconfigure(ProxyConfig config) {
         discovery.redirect(config.discovery());
     }
 
@@ -178,6 +183,16 @@
         return module.view(now());
     }
 
+    /** Appends what it holds and believes, as figures. Not to be asked while an event is being worked on. */
+    void figures(StringBuilder to) {
+        Counters.counter(to, "attempts", upstream.attemptsWritten());
+        Counters.gauge(to, "in_flight", ids.size());
+        Counters.gauge(to, "cache_nodes_known", discovery.size());
+        Counters.gauge(to, "cache_nodes_excluded", view().servers().stream()
+            .filter(server -> discovery.node(server.id()) != null)
+            .filter(server -> server.suspect() || server.state() != Balancer.State.READY).count());
+    }
+
     long[] counts() {
         return counts.clone();
     }
--- a/src/main/java/anisebend/net/ProxyConfig.java
+++ b/src/main/java/anisebend/net/ProxyConfig.java
@@ -24,8 +24,11 @@
  * What the platform tells one proxy at its start. Strict: a proxy that starts on a guess would break rules
  * silently, so whatever is missing or malformed is an {@link IOException} with one plain line. Unknown
  * fields are skipped, as the platform may add some.
+ *
+ * @param admin the second address, null where there is none
  */
-record ProxyConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+record ProxyConfig(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
+                   long seed, int sockets,
                    Map<String, Object> known, Balancer.Settings settings, Names names, long connIdleMillis,
                    long connectTimeoutMillis) {
 
@@ -64,7 +67,7 @@
         Names names = new Names(names(settings, "lanes"), names(settings, "realms"),
             names(settings, "failure_domains"), names(settings, "shapes"));
         return new ProxyConfig(variable(env, "PROXY_NAME", root, "name"),
-            address(variable(env, "PROXY_LISTEN", root, "listen")),
+            address(variable(env, "PROXY_LISTEN", root, "listen")), admin(env, root),
             address(variable(env, "PROXY_DISCOVERY", root, "discovery")),
             seed(string(root, "seed")), (int) positive(limits, "sockets"), map(root, "known"),
             WireSettings.settings(settings), names, positive(allowed, "conn_idle_ms"),
@@ -102,6 +105,11 @@
         throw new IOException("not an address and port: " + text);
     }
 
+    private static InetSocketAddress admin(Map<String, String> env, Map<String, Object> root) throws IOException {
+        boolean told = env.get("PROXY_ADMIN") != null && !env.get("PROXY_ADMIN").isEmpty();
+        return told || root.get("admin") != null ? address(variable(env, "PROXY_ADMIN", root, "admin")) : null;
+    }
+
     private static long seed(String hex) throws IOException {
         try {
             return Long.parseUnsignedLong(hex, 16);
--- a/src/main/java/anisebend/net/ProxyServer.java
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -1,8 +1,13 @@
 package anisebend.net;
 
 import anisebend.Balancer;
+import gorsemast.admin.AdminListener;
 import gorsemast.admission.Door;
 import gorsemast.admission.Shedder;
+import gorsemast.lifecycle.Lifecycle;
+import gorsemast.lifecycle.Lifecycle.Phase;
+import gorsemast.observe.Counters;
+import gorsemast.upgrade.Succession;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -14,10 +19,14 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.file.Path;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -27,12 +36,13 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * The clients' side of the proxy: it listens, checks requests, hands them to the {@link Engine} and writes
  * each one's answer; and it ends in good order. One thread does all the work of the process.
  */
-public final class ProxyServer implements ClientConnection.Owner {
+public final class ProxyServer implements ClientConnection.Owner, AdminListener.Calls {
     private static final int BACKLOG = 1024;
     /** Parts of the descriptors for either side; the rest is for the JVM, discovery and sockets on their way out. */
     private static final double CLIENT_PART = 0.4;
@@ -67,26 +77,55 @@
     private final CountDownLatch drained = new CountDownLatch(1);
     private final long drainMillis;
     private Channel listener;
-    private boolean draining;
+    private final Lifecycle lifecycle;
+    private final Counters counters = new Counters();
+    private long reloadsTaken;
+    private long reloadsTurnedDown;
+    /** Null where there is no second address. */
+    private AdminListener admin;
+    /** Who else of this proxy's processes is there; null where no other can be. */
+    private Succession succession;
+    private boolean shared;
+    private int sockets;
     /** There while the code is warmed up; until that is over it is not ready. */
     private Warmup warmup;
-    private boolean warming;
 
     private ProxyServer(ProxyConfig config, Map<String, String> env) {
         this.config = config;
         this.env = env;
-        this.door = new Door<>(part(config, CLIENT_PART));
-        this.engine = new Engine(loop, config, part(config, UPSTREAM_PART), System.err::println);
+        this.door = new Door<>(part(config.sockets(), CLIENT_PART));
+        this.engine = new Engine(loop, config, part(config.sockets(), UPSTREAM_PART), System.err::println);
         this.random = new SplittableRandom(config.seed());
         this.shedder = new Shedder(
             config.settings().classes().stream().mapToDouble(Balancer.RequestClass::worth).toArray(),
             config.settings().tenants().stream().mapToDouble(Balancer.Tenant::share).toArray());
         long longest = config.settings().classes().stream().mapToLong(c -> c.deadline() / 1000).max().orElse(0);
+        this.sockets = config.sockets();
+        config.names().classes().forEach(counters::list);
         this.drainMillis = Math.max(CLOSING_MILLIS, Math.min(LONGEST_MILLIS, longest) + 700 - BEFORE_KILL_MILLIS);
+        this.lifecycle = new Lifecycle(TimeUnit.MILLISECONDS.toMicros(drainMillis - CLOSING_MILLIS));
     }
 
-    private static int part(ProxyConfig config, double part) {
-        return Math.max(1, (int) (config.sockets() * part));
+    private static int part(int sockets, double part) {
+        return Math.max(1, (int) (sockets * part));
+    }
+
+    /** While an old and a new process are there, both together may hold no more than one. */
+    private void bound() {
+        int mine = shared ? sockets / 2 : sockets;
+        door.places(part(mine, CLIENT_PART));
+        engine.limit(part(mine, UPSTREAM_PART));
+    }
+
+    private void share() {
+        if (succession != null) {
+            succession.look();
+            boolean two = succession.hasPredecessor() || succession.hasSuccessor();
+            if (two != shared) {
+                shared = two;
+                bound();
+            }
+        }
     }
 
     /** A proxy as the platform's variables say; throws what is wrong with them as one plain line. */
@@ -109,26 +148,65 @@
         return this;
     }
 
-    /** Begins to serve, and says that it is ready when its code is warm. */
+    /**
+     * Begins to serve, and says that it is ready when its code is warm. With a second address it warms up there and
+     * listens for clients only then: during an upgrade another process has them.
+     */
     public ProxyServer startWarm() throws IOException {
-        warming = true;
-        start();
-        loop.execute(() -> {
-            warmup = new Warmup(loop, config, address(), () -> {
-                warmup = null;
-                warming = false;
-            });
-            warmup.start();
-        });
+        if (config.admin() == null) {
+            begin(this::listen);
+            loop.execute(() -> warmUp(address(), lifecycle::started));
+        } else {
+            succession = succession();
+            begin(this::listenForCalls);
+            loop.execute(() -> warmUp((InetSocketAddress) admin.address(), () -> listen().addListener(bound -> {
+                if (bound.isSuccess()) {
+                    lifecycle.started();
+                } else {
+                    System.err.println("anisebend: " + bound.cause().getMessage());
+                    Runtime.getRuntime().halt(1); // nobody could ever reach it
+                }
+            })));
+        }
         return this;
     }
 
-    /** Begins to serve. */
+    private void warmUp(InetSocketAddress self, Runnable then) {
+        warmup = new Warmup(loop, config, self, () -> {
+            warmup = null;
+            then.run();
+        });
+        warmup.start();
+    }
+
+    private Succession succession() throws IOException {
+        String folder = env.get("TMPDIR");
+        return folder == null || folder.isEmpty() ? null : new Succession(Path.of(folder, "gorsemast-" + config.name()));
+    }
+
+    /** Begins to serve, cold. */
     public ProxyServer start() throws IOException {
+        begin(() -> {
+            if (config.admin() != null) {
+                listenForCalls();
+            }
+            lifecycle.started();
+            return listen();
+        });
+        return this;
+    }
+
+    private void begin(Supplier<ChannelFuture> listening) throws IOException {
         try {
             loop.submit(() -> {
                 engine.begin(config);
-                return listen();
+                engine.watchLateness(late -> {
+                    worstLate = Math.max(worstLate, late);
+                    shedder.late(engine.now(), late);
+                });
+                share();
+                loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+                return listening.get();
             }).get().get();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -137,13 +215,25 @@
             stop();
             throw new IOException(e.getCause().getMessage(), e.getCause());
         }
-        return this;
+    }
+
+    private ChannelFuture listenForCalls() {
+        admin = new AdminListener(this, ch -> {
+            if (warmup == null) {
+                return false;
+            }
+            StrictHttp.Requests decoder = new StrictHttp.Requests();
+            ch.pipeline().addLast(decoder, new HttpResponseEncoder(), warmup.new Gate(decoder, null));
+            return true;
+        });
+        return admin.listen(group, loop, config.admin());
     }
 
     @SuppressWarnings("deprecation") // of the option's name alone
     private ChannelFuture listen() {
         ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), config.admin() != null)
             .option(ChannelOption.RCVBUF_ALLOCATOR,
                 new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTED_AT_ONCE))
             .childOption(ChannelOption.RCVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 1024, MAX_READ))
@@ -162,11 +252,6 @@
                 }
             }).bind(config.listen());
         listener = bound.channel();
-        engine.watchLateness(late -> {
-            worstLate = Math.max(worstLate, late);
-            shedder.late(engine.now(), late);
-        });
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         return bound;
     }
 
@@ -204,11 +289,14 @@
         try {
             ProxyConfig changed = ProxyConfig.reload(env);
             loop.execute(() -> {
-                door.places(part(changed, CLIENT_PART));
-                engine.reconfigure(changed, part(changed, UPSTREAM_PART));
+                sockets = changed.sockets();
+                engine.reconfigure(changed);
+                bound();
+                reloadsTaken++;
             });
         } catch (IOException | RuntimeException e) {
             System.err.println("configuration kept as it was: " + e.getMessage());
+            loop.execute(() -> reloadsTurnedDown++);
         }
     }
 
@@ -233,21 +321,33 @@
     }
 
     /**
-     * Serves on as ever for as long as a kill can't come, as clients whose connections close could not come back;
-     * then ends each connection as soon as nothing is in hand on it, those included that have never asked.
+     * Where nobody else is there, serves on as ever for as long as a kill can't come, as clients whose connections
+     * close could not come back; then ends each connection as soon as nothing is in hand on it, those included that
+     * have never asked. With a successor that starts at once.
      */
     private void beginDrain() {
-        System.err.println("drains for at most " + drainMillis + " ms");
-        draining = true;
-        door.drain(engine.now());
-        loop.schedule(() -> {
-            listener.close();
-            closeFree();
-            checkDrained();
-        }, drainMillis - CLOSING_MILLIS, TimeUnit.MILLISECONDS);
+        long now = engine.now();
+        lifecycle.terminate(now, succession != null && succession.hasSuccessor());
+        System.err.println("drains for at most " + drainMillis + " ms: " + lifecycle.phase());
+        if (lifecycle.phase() == Phase.STOPPING) {
+            door.drain(now);
+        }
+        loop.schedule(this::leave, Math.max(0, lifecycle.closesFrom() - now), TimeUnit.MICROSECONDS);
+        loop.schedule(this::closeFree, drainMillis - CLOSING_MILLIS, TimeUnit.MILLISECONDS);
         loop.schedule(engine::giveUpAll, drainMillis, TimeUnit.MILLISECONDS);
     }
 
+    /** Lets nobody in any more; who waits to be let in still is, as the end of the listener would reset him. */
+    private void leave() {
+        if (listener != null) {
+            ServerBacklog.close(listener);
+        }
+        if (lifecycle.phase() == Phase.STOPPING) {
+            closeFree();
+        }
+        checkDrained();
+    }
+
     private void closeFree() {
         long now = engine.now();
         for (ClientConnection client : List.copyOf(clients)) {
@@ -257,12 +357,46 @@
         }
     }
 
+    /** Closes as many of the connections on which nothing is asked as are to go now, the longest known first. */
+    private void sendAway(long now) {
+        List<ClientConnection> vacant = clients.stream().filter(client -> client.vacant(now)).toList();
+        int left = lifecycle.toClose(now, vacant.size(), TimeUnit.MILLISECONDS.toMicros(SWEEP_MILLIS));
+        vacant.subList(0, left).forEach(ClientConnection::closeIfFree);
+    }
+
     private void checkDrained() {
-        if (draining && !listener.isOpen() && clients.isEmpty()) {
+        if (closing() && lifecycle.ending() && clients.isEmpty()) {
             drained.countDown();
         }
     }
 
+    // ---- calls at the second address
+
+    @Override
+    public boolean health() {
+        return lifecycle.ready();
+    }
+
+    @Override
+    public String counters() {
+        StringBuilder figures = new StringBuilder(1024);
+        counters.write(figures);
+        engine.figures(figures);
+        Counters.counter(figures, "reloads_ok", reloadsTaken);
+        Counters.counter(figures, "reloads_failed", reloadsTurnedDown);
+        return figures.toString();
+    }
+
+    @Override
+    public boolean quiesce() {
+        return lifecycle.quiesce(engine.now());
+    }
+
+    @Override
+    public boolean resume() {
+        return lifecycle.resume();
+    }
+
     // ---- what the connections of clients have in common
 
     @Override
@@ -277,12 +411,12 @@
 
     @Override
     public boolean ready() {
-        return !warming && !draining;
+        return lifecycle.addressReady();
     }
 
     @Override
     public boolean closing() {
-        return draining && !listener.isOpen();
+        return lifecycle.closing(engine.now());
     }
 
     @Override
@@ -312,6 +446,12 @@
         return shedder.retryAfter(random.nextDouble());
     }
 
+    @Override
+    public void answered(int requestClass, HttpResponseStatus status) {
+        counters.ended(config.names().classes().get(requestClass), status.code() == 200 ? Counters.End.SERVED
+            : status.code() == 503 || status.code() == 429 ? Counters.End.REFUSED : Counters.End.FAILED);
+    }
+
     @Override
     public void asks(ClientConnection connection) {
         door.asks(engine.now(), connection);
@@ -343,16 +483,21 @@
             client.checkTime(now);
         }
         if (closing()) {
-            closeFree();
+            if (lifecycle.phase() == Phase.STOPPING) {
+                closeFree();
+            } else {
+                sendAway(now);
+            }
         }
-        if (!listener.config().isAutoRead()) {
+        share();
+        if (listener != null && !listener.config().isAutoRead()) {
             makeRoom();
         }
     }
 
     /** Closes whom the door names, and lets more in only while it is open. */
     private void makeRoom() {
-        if (!listener.isOpen()) {
+        if (listener == null || !listener.isOpen()) {
             return;
         }
         long now = engine.now();
--- a/src/main/java/anisebend/net/Upstream.java
+++ b/src/main/java/anisebend/net/Upstream.java
@@ -76,6 +76,8 @@
     /** Attempts that wait for a connection, in the order in which they came; some may have ended meanwhile. */
     private final Map<String, Deque<Attempt>> waiting = new HashMap<>();
     private final Map<String, Traffic> traffic = new HashMap<>();
+    /** Attempts whose last byte the system has taken, since the start. */
+    private long attemptsWritten;
 
     Upstream(EventLoop loop, Readiness readiness, int maxConnections, long idleMillis, long connectMillis,
              long seed) {
@@ -87,6 +89,10 @@
         this.bootstrap = client(loop, connectMillis);
     }
 
+    long attemptsWritten() {
+        return attemptsWritten;
+    }
+
     /** What passed on the sockets to a node; null where nothing did. */
     Traffic traffic(String host) {
         return traffic.get(host);
@@ -388,6 +394,7 @@
         private void finish(Attempt next, Object rest) {
             next.written = true;
             channel.writeAndFlush(rest).addListener(done -> {
+                attemptsWritten += done.isSuccess() ? 1 : 0;
                 if (!done.isSuccess() && attempt == next) {
                     // The last byte never left, so a server can't have begun it.
                     next.written = false;
--- a/src/main/java/anisebend/net/Warmup.java
+++ b/src/main/java/anisebend/net/Warmup.java
@@ -70,7 +70,7 @@
         this.token = "warm-" + Long.toHexString(new SplittableRandom(real.seed()).nextLong());
         Map<String, Object> list = Map.of("seq", 0.0, "whole", true, "hosts", List.of(Map.of("host", NODE,
             "dial", NetUtil.toSocketAddressString(self), "health", "Ready")));
-        this.config = new ProxyConfig(real.name(), real.listen(), self, real.seed(), real.sockets(), list,
+        this.config = new ProxyConfig(real.name(), real.listen(), null, self, real.seed(), real.sockets(), list,
             real.settings(), real.names(), real.connIdleMillis(), real.connectTimeoutMillis());
         this.engine = new Engine(loop, config, CLIENTS, text -> { });
     }
@@ -152,7 +152,8 @@
 
     /**
      * Stands before the handler of a connection that comes in during the warm-up, and finds out whose it is: the
-     * warm-up's client's, its attempt at the node that it plays, its call for the list, or a real client's.
+     * warm-up's client's, its attempt at the node that it plays, its call for the list, or a real client's. Where no
+     * real client is to come, such a one is closed.
      */
     final class Gate extends ChannelInboundHandlerAdapter {
         private final StrictHttp.Requests decoder;
@@ -168,7 +169,12 @@
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             String id = message instanceof HttpRequest request ? request.headers().get("X-Correlation-Id") : null;
             if (message instanceof HttpRequest request && token.equals(request.headers().get(TOKEN))) {
-                ctx.pipeline().replace(real, null, new ClientConnection(ctx.channel(), decoder, Warmup.this));
+                ClientConnection own = new ClientConnection(ctx.channel(), decoder, Warmup.this);
+                if (real == null) {
+                    ctx.pipeline().addLast(own);
+                } else {
+                    ctx.pipeline().replace(real, null, own);
+                }
                 ctx.pipeline().remove(this);
                 ctx.fireChannelRead(message);
             } else if (id != null && id.startsWith(token)) {
@@ -178,6 +184,8 @@
                 answer = request.uri().contains("?") ? null : answer(("{\"seq\":0,\"whole\":true,\"hosts\":[{\"host\":\""
                     + NODE + "\",\"dial\":\"" + NetUtil.toSocketAddressString(self) + "\",\"health\":\"Ready\"}]}")
                     .getBytes(StandardCharsets.UTF_8));
+            } else if (message instanceof HttpRequest && real == null) {
+                ctx.close();
             } else if (message instanceof HttpRequest) {
                 ctx.pipeline().remove(this);
                 ctx.fireChannelRead(message);
--- /dev/null
+++ b/src/test/java/gorsemast/lifecycle/LifecycleTest.java
@@ -0,0 +1,82 @@
+package gorsemast.lifecycle;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gorsemast.lifecycle.Lifecycle.Phase;
+import org.junit.jupiter.api.Test;
+
+class LifecycleTest {
+    private static final long SERVE_ON = 3_000_000;
+    private static final long PERIOD = 100_000;
+    private final Lifecycle life = new Lifecycle(SERVE_ON);
+
+    @Test
+    void isReadyOnlyOnceStarted() {
+        assertFalse(life.ready());
+        assertFalse(life.quiesce(0));
+        assertFalse(life.resume());
+        life.started();
+        assertTrue(life.ready());
+        assertFalse(life.closing(Long.MAX_VALUE - 1));
+    }
+
+    @Test
+    void emptiesOnceTheFrontHasNoticedAndTakesClientsAgain() {
+        life.started();
+        assertTrue(life.quiesce(1_000));
+        assertFalse(life.ready());
+        assertFalse(life.addressReady());
+        assertFalse(life.closing(1_000 + Lifecycle.NOTICED_MICROS - 1));
+        assertTrue(life.closing(1_000 + Lifecycle.NOTICED_MICROS));
+        assertTrue(life.quiesce(900_000), "again is harmless");
+        assertTrue(life.closing(1_000 + Lifecycle.NOTICED_MICROS), "and does not put it off");
+        assertTrue(life.resume());
+        assertTrue(life.ready());
+        assertFalse(life.closing(10_000_000));
+    }
+
+    @Test
+    void spreadsWhatItClosesAndLeavesNothing() {
+        life.started();
+        life.quiesce(0);
+        int free = 200;
+        int most = 0;
+        for (long now = 0; now <= Lifecycle.NOTICED_MICROS + Lifecycle.SPREAD_MICROS; now += PERIOD) {
+            int closed = life.toClose(now, free, PERIOD);
+            assertTrue(closed <= free);
+            most = Math.max(most, closed);
+            free -= closed;
+        }
+        assertEquals(0, free);
+        assertTrue(most <= 30, "at once: " + most);
+    }
+
+    @Test
+    void stopsLateWhereNobodyFollowsAndAtOnceWhereSomebodyDoes() {
+        life.started();
+        life.terminate(0, false);
+        assertEquals(Phase.STOPPING, life.phase());
+        assertFalse(life.addressReady());
+        assertFalse(life.closing(SERVE_ON - 1));
+        assertEquals(7, life.toClose(SERVE_ON, 7, PERIOD));
+
+        Lifecycle old = new Lifecycle(SERVE_ON);
+        old.started();
+        old.terminate(5, true);
+        assertTrue(old.closing(5));
+        assertFalse(old.ready());
+        assertTrue(old.addressReady(), "the address is served by the successor");
+        assertTrue(old.ending());
+    }
+
+    @Test
+    void anEmptiedProxyNeedNotServeOn() {
+        life.started();
+        life.quiesce(0);
+        life.terminate(2_000_000, false);
+        assertTrue(life.closing(2_000_000));
+        assertFalse(life.resume());
+    }
+}
