Take new classes, rules and attempts at SIGHUP while requests of the old ones are open

A number never changes its rules (gorsemast.retune.ClassBook), so the module only grows its tables; a request keeps the number of attempts it came with. A file is taken whole or not at all: each key that the present one has must be there (Shape), attempts, aims and deadlines positive, names distinct; both outcomes are counted.

Ruled out on the way: the drain, whose rule held already with the new classes still turned away.

--- a/src/main/java/anisebend/Balancer.java
+++ b/src/main/java/anisebend/Balancer.java
@@ -16,6 +16,13 @@
     /** Begins. Throws {@link IllegalArgumentException} naming a setting that cannot be worked with. */
     void start(long now, long seed, Settings settings);
 
+    /**
+     * Goes on with other settings. A class keeps its number and its rules for good, further ones may be added; what is
+     * open keeps its number of attempts. Throws as {@link #start}, and then nothing has changed. Times that were taken
+     * from the first settings stay.
+     */
+    void retune(long now, Settings settings);
+
     /**
      * News of the server list. Entries of {@link ListKind#CHANGES} are laid over the known list; any other
      * kind but FAILED replaces it, and a server that it lacks has gone.
--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -143,7 +143,7 @@
      */
     private double keeps;
     private Shares shares;
-    private Estimate[] cacheTimes;
+    private final List<Estimate> cacheTimes = new ArrayList<>();
     private Estimate originTime;
     private double retries = RETRY_BURST;
     private double trials;
@@ -243,7 +243,7 @@
         final Sleeper trials = new Sleeper(random, shortestDeadline / MAX_PART, shortestDeadline);
         final TreeSet<Held> queue = new TreeSet<>(Held.LEAVING);
         final LinkedHashSet<Held> inFlight = new LinkedHashSet<>();
-        final Faults[] faults = new Faults[settings.classes().size()];
+        final List<Faults> faults = new ArrayList<>();
         Server entry;
         long lastAnswer;
         long coldSince = Long.MIN_VALUE;
@@ -268,13 +268,13 @@
             for (int i = 0; i < LANES; i++) {
                 lanes.add(new Lane(random, shortestDeadline));
             }
-            for (int i = 0; i < faults.length; i++) {
-                faults[i] = new Faults(settings.classes().get(i).effect());
-            }
         }
 
-        Faults faults(Held held) {
-            return faults[held.request.requestClass()];
+        Faults faults(int requestClass) {
+            while (faults.size() <= requestClass) {
+                faults.add(new Faults(settings.classes().get(faults.size()).effect()));
+            }
+            return faults.get(requestClass);
         }
 
         boolean ready() {
@@ -457,6 +457,7 @@
         /** Servers that turned it away or left it without an answer. */
         final List<Target> failedAt = new ArrayList<>(0);
         int attempts;
+        int most;
         boolean answered;
         boolean missed;
         boolean waited;
@@ -488,8 +489,7 @@
 
     // ---- events
 
-    @Override
-    public void start(long time, long seed, Settings given) {
+    private static void check(Settings given) {
         check(!given.classes().isEmpty(), "classes");
         check(given.balancers() > 0, "balancers");
         check(given.maxAttempts() > 0, "maxAttempts");
@@ -499,20 +499,36 @@
         check(given.resendShare() >= 0, "resendShare");
         check(given.resendSpan() > 0 || given.resendSpan() == 0
             && given.freeResends() + given.resendShare() == 0, "resendSpan");
-        now = time;
+        for (RequestClass type : given.classes()) {
+            check(type.deadline() >= INITIAL_PART && type.aim() > 0, "deadline and aim of a class");
+        }
+    }
+
+    private void take(Settings given) {
+        check(given);
         settings = given;
+        shortestDeadline = given.classes().stream().mapToLong(RequestClass::deadline).min().getAsLong();
+        shortestAim = given.classes().stream().mapToLong(RequestClass::aim).min().getAsLong();
+        while (cacheTimes.size() < given.classes().size()) {
+            cacheTimes.add(new Estimate(given.classes().get(cacheTimes.size()).aim() / 4.0));
+        }
+    }
+
+    @Override
+    public void retune(long time, Settings given) {
+        now = time;
+        boolean others = !given.tenants().equals(settings.tenants());
+        take(given);
+        shares = others ? new Shares(given.tenants(), given.balancers(), shares.span(), arrivals) : shares;
+        alarms.arm(actions);
+    }
+
+    @Override
+    public void start(long time, long seed, Settings given) {
+        now = time;
+        take(given);
         random = new SplittableRandom(seed);
         salt = random.nextInt();
-        shortestDeadline = Long.MAX_VALUE;
-        cacheTimes = new Estimate[given.classes().size()];
-        shortestAim = Long.MAX_VALUE;
-        for (int i = 0; i < cacheTimes.length; i++) {
-            RequestClass type = given.classes().get(i);
-            check(type.deadline() >= INITIAL_PART && type.aim() > 0, "deadline and aim of class " + i);
-            shortestDeadline = Math.min(shortestDeadline, type.deadline());
-            shortestAim = Math.min(shortestAim, type.aim());
-            cacheTimes[i] = new Estimate(type.aim() / 4.0);
-        }
         originTime = new Estimate(shortestAim / 4.0);
         double span = Math.max(given.coldTime() / 4.0, shortestDeadline);
         arrivals = new Rate(span);
@@ -615,6 +631,7 @@
         double worth = type.worth() * (over ? settings.overShareWorth() : 1);
         Held held = new Held(request, type, sequence++, worth, over,
             Math.min(request.giveUp(), (long) (now + LATE * type.aim())));
+        held.most = settings.maxAttempts();
         open.put(request.id(), held);
         arrivals.add(now);
         if (settings.resendSpan() > 0) {
@@ -725,7 +742,7 @@
             return;
         }
         String key = held.request.key();
-        if (held.attempts >= settings.maxAttempts() || now >= held.request.giveUp() || !mayRepeat(held)) {
+        if (held.attempts >= held.most || now >= held.request.giveUp() || !mayRepeat(held)) {
             conclude(held, Why.SPENT);
             return;
         }
@@ -827,7 +844,7 @@
 
     private long typical(Held held, Target target) {
         boolean fetch = target != null && (target == origin || target == ledger || held.fetch != null);
-        Estimate usual = fetch ? originTime : cacheTimes[held.request.requestClass()];
+        Estimate usual = fetch ? originTime : cacheTimes.get(held.request.requestClass());
         return (long) Math.min(usual.mean + usual.deviation, EXPECTED * LATE * held.type.aim());
     }
 
@@ -875,9 +892,9 @@
         target.inFlight.add(held);
         long until = held.request.giveUp();
         if (target != origin) {
-            target.faults(held).rest();
+            target.faults(held.request.requestClass()).rest();
             target.credit -= 1;
-            Estimate usual = cacheTimes[held.request.requestClass()];
+            Estimate usual = cacheTimes.get(held.request.requestClass());
             // The first guess knows nothing of the way and of new connections.
             long patience = (long) Math.max(usual.mean + PATIENCE * usual.deviation,
                 usual.samples < ENOUGH ? held.type.aim() : 0);
@@ -939,7 +956,7 @@
             fault(held, target, FAULT);
         }
         if (code == Code.OK || code == Code.MISS) {
-            Faults faults = target.faults(held);
+            Faults faults = target.faults(held.request.requestClass());
             faults.sum /= 2;
             faults.leaveOut(faults.out && faults.failing());
             target.servedOne(o.elapsed());
@@ -948,7 +965,7 @@
             }
         }
         if (code == Code.OK) {
-            (target == origin ? originTime : cacheTimes[held.request.requestClass()]).add(o.elapsed());
+            (target == origin ? originTime : cacheTimes.get(held.request.requestClass())).add(o.elapsed());
             retries = Math.min(RETRY_BURST, retries + RETRY_SHARE);
             comeBack.served();
             Home home = target == origin || held.request.key() == null ? null : table.get(held.request.key());
@@ -981,7 +998,7 @@
         if (o.code() == Code.MISS) {
             held.missed = true;
             held.unrationed = true;
-            boolean spare = held.attempts + 2 <= settings.maxAttempts();
+            boolean spare = held.attempts + 2 <= held.most;
             if (o.note() == Note.MISS_FETCHING && !held.waited && spare) {
                 held.waited = true;
                 held.missed = false;
@@ -1131,11 +1148,12 @@
     private void fault(Held held, Target target, double weight) {
         if (target != origin) {
             int type = held.request.requestClass();
-            target.faults[type].sum = Math.min(WORST, target.faults[type].sum + weight);
+            Faults seen = target.faults(type);
+            seen.sum = Math.min(WORST, seen.sum + weight);
             long listed = targets.values().stream().filter(Target::ready).count();
-            long bad = targets.values().stream().filter(t -> t.ready() && t.faults[type].failing()).count();
+            long bad = targets.values().stream().filter(t -> t.ready() && t.faults(type).failing()).count();
             boolean alike = FAULTY_PART * bad > listed;
-            targets.values().forEach(t -> t.faults[type].leaveOut(!alike && t.faults[type].failing()));
+            targets.values().forEach(t -> t.faults(type).leaveOut(!alike && t.faults(type).failing()));
         }
     }
 
@@ -1157,7 +1175,7 @@
         actions.closeIdle(target.id);
         if (settings.mayCancel() && settings.resendSpan() == 0) { // rations are not for moving work
             for (Held h : target.inFlight) {
-                if (!h.answered && h.type.effect() == Effect.SAFE && h.attempts < settings.maxAttempts()) {
+                if (!h.answered && h.type.effect() == Effect.SAFE && h.attempts < h.most) {
                     actions.cancel(h.request.id(), h.attempts - 1);
                 }
             }
@@ -1234,7 +1252,7 @@
 
     private boolean fits(Held held, Target target) {
         return target.ready() && !target.suspect && sameGroup(held, target) && target.coldWait() <= now
-            && !target.faults(held).shut() && !held.failedAt.contains(target);
+            && !target.faults(held.request.requestClass()).shut() && !held.failedAt.contains(target);
     }
 
     /**
--- a/src/main/java/anisebend/Shares.java
+++ b/src/main/java/anisebend/Shares.java
@@ -29,18 +29,24 @@
     private final int balancers;
     private final Rate arrivals;
     private final Use[] uses;
+    private final double span;
 
     /** The tenants of a tier of so many balancers; {@code arrivals} is the rate of all requests here, over a span. */
     Shares(List<Balancer.Tenant> tenants, int balancers, double span, Rate arrivals) {
         this.tenants = tenants;
         this.balancers = balancers;
         this.arrivals = arrivals;
+        this.span = span;
         uses = new Use[tenants.size()];
         for (int i = 0; i < uses.length; i++) {
             uses[i] = new Use(new Rate(span));
         }
     }
 
+    double span() {
+        return span;
+    }
+
     /** Takes note of a request, and says whether it is beyond its tenant's share; unknown tenants never are. */
     boolean over(long now, int tenant) {
         if (tenant >= uses.length) {
--- a/src/main/java/anisebend/net/Engine.java
+++ b/src/main/java/anisebend/net/Engine.java
@@ -85,7 +85,7 @@
     }
 
     private final EventLoop loop;
-    private final List<Balancer.RequestClass> classes;
+    private List<Balancer.RequestClass> classes;
     private final Consumer<String> operator;
     private final Balancer module = new Decide(this);
     private final Upstream upstream;
@@ -135,10 +135,15 @@
 
     /** Starts the module; a setting or list that can't be worked with is thrown back. */
     void begin(ProxyConfig config) throws IOException {
+        attempt(() -> module.start(now(), config.seed(), config.settings()));
+        discovery.begin(config.known());
+    }
+
+    private void attempt(Runnable event) {
         AtomicReference<RuntimeException> refused = new AtomicReference<>();
         tell(() -> {
             try {
-                module.start(now(), config.seed(), config.settings());
+                event.run();
             } catch (IllegalArgumentException e) {
                 refused.set(e);
             }
@@ -146,7 +151,6 @@
         if (refused.get() != null) {
             throw refused.get();
         }
-        discovery.begin(config.known());
     }
 
     /** Changes the bound on connections to cache nodes. */
@@ -154,8 +158,10 @@
         upstream.limit(maxConnections);
     }
 
-    /** Takes over what a new configuration may change while requests are under way. */
+    /** Takes over what a new configuration may change in service; throws, and changes nothing, what can't be worked with. */
     void reconfigure(ProxyConfig config) {
+        attempt(() -> module.retune(now(), config.settings()));
+        classes = config.settings().classes();
         discovery.redirect(config.discovery());
     }
 
--- a/src/main/java/anisebend/net/ProxyConfig.java
+++ b/src/main/java/anisebend/net/ProxyConfig.java
@@ -6,6 +6,8 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import gorsemast.retune.ClassBook;
+import gorsemast.retune.Shape;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.io.InputStream;
@@ -19,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What the platform tells one proxy at its start. Strict: a proxy that starts on a guess would break rules
@@ -26,14 +29,16 @@
  * fields are skipped, as the platform may add some.
  *
  * @param admin the second address, null where there is none
+ * @param classes the numbers of the classes; the settings hold the rules of each number
+ * @param text the file as it was read
  */
 record ProxyConfig(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
                    long seed, int sockets,
-                   Map<String, Object> known, Balancer.Settings settings, Names names, long connIdleMillis,
-                   long connectTimeoutMillis) {
+                   Map<String, Object> known, Balancer.Settings settings, ClassBook classes, Names names,
+                   long connIdleMillis, long connectTimeoutMillis, Map<String, Object> text) {
 
     /** The words that stand on the wire for the module's numbers. */
-    record Names(List<String> classes, List<String> tenants, List<String> zones, List<String> kinds) {
+    record Names(List<String> tenants, List<String> zones, List<String> kinds) {
     }
 
     /** Reads the file at {@code PROXY_CONFIG}; the single variables win over it, as they are the nearer. */
@@ -46,6 +51,31 @@
         return load(env, Map.of());
     }
 
+    /**
+     * This configuration as it follows another one in service: classes that are in both keep their numbers. Throws where
+     * it lacks a key that the other has, or changes what can't change without a restart.
+     */
+    ProxyConfig after(ProxyConfig present) throws IOException {
+        Shape.check(present.text, text, Set.of("known"));
+        if (!names.zones().equals(present.names.zones()) || !names.kinds().equals(present.names.kinds())
+            || settings.originKind() != present.settings.originKind()) {
+            throw new IOException("failure_domains, shapes and the origin can't change without a restart");
+        }
+        Balancer.Settings s = settings;
+        ClassBook book;
+        try {
+            book = present.classes.with(List.copyOf(classes.names()), s.classes());
+        } catch (IllegalArgumentException e) {
+            throw new IOException(e.getMessage(), e);
+        }
+        return new ProxyConfig(name, listen, admin, discovery, seed, sockets, known,
+            new Balancer.Settings(s.balancers(), s.zone(), s.originKind(), book.rules(), s.tenants(),
+                s.overShareWorth(), s.maxAttempts(), s.mayCancel(), s.mayProbe(), s.retryAfter(), s.maxRetryAfter(),
+                s.listMustBeAsked(), s.listAskWithin(), s.coldShare(), s.coldTime(), s.freeResends(),
+                s.resendShare(), s.resendSpan()),
+            book, names, connIdleMillis, connectTimeoutMillis, text);
+    }
+
     private static ProxyConfig load(Map<String, String> env, Map<String, String> variables) throws IOException {
         String file = env.get("PROXY_CONFIG");
         if (file == null || file.isEmpty()) {
@@ -64,14 +94,21 @@
         Map<String, Object> settings = map(root, "settings");
         Map<String, Object> allowed = map(settings, "allowed");
         Map<String, Object> limits = map(root, "limits");
-        Names names = new Names(names(settings, "lanes"), names(settings, "realms"),
+        Balancer.Settings read = WireSettings.settings(settings);
+        positive(allowed, "send_cap");
+        for (Object lane : list(settings, "lanes")) {
+            if (number(asMap(lane, "lanes"), "hard_limit_ms") <= 0 || number(asMap(lane, "lanes"), "aim_ms") <= 0) {
+                throw new IOException("hard_limit_ms and aim_ms must be positive");
+            }
+        }
+        Names names = new Names(names(settings, "realms"),
             names(settings, "failure_domains"), names(settings, "shapes"));
         return new ProxyConfig(variable(env, "PROXY_NAME", root, "name"),
             address(variable(env, "PROXY_LISTEN", root, "listen")), admin(env, root),
             address(variable(env, "PROXY_DISCOVERY", root, "discovery")),
             seed(string(root, "seed")), (int) positive(limits, "sockets"), map(root, "known"),
-            WireSettings.settings(settings), names, positive(allowed, "conn_idle_ms"),
-            positive(allowed, "connect_timeout_ms"));
+            read, ClassBook.of(names(settings, "lanes"), read.classes()), names, positive(allowed, "conn_idle_ms"),
+            positive(allowed, "connect_timeout_ms"), root);
     }
 
     /** One whole JSON object, and nothing after it. */
--- a/src/main/java/anisebend/net/ProxyServer.java
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -64,7 +64,7 @@
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    private final ProxyConfig config;
+    private ProxyConfig config;
     private final Engine engine;
     private final Map<String, String> env;
     private final Door<ClientConnection> door;
@@ -75,9 +75,9 @@
     private long worstLate;
     private boolean tracing;
     private final CountDownLatch drained = new CountDownLatch(1);
-    private final long drainMillis;
+    private volatile long drainMillis;
     private Channel listener;
-    private final Lifecycle lifecycle;
+    private final Lifecycle lifecycle = new Lifecycle();
     private final Counters counters = new Counters();
     private long reloadsTaken;
     private long reloadsTurnedDown;
@@ -86,7 +86,6 @@
     /** Who else of this proxy's processes is there; null where no other can be. */
     private Succession succession;
     private boolean shared;
-    private int sockets;
     /** There while the code is warmed up; until that is over it is not ready. */
     private Warmup warmup;
 
@@ -96,14 +95,19 @@
         this.door = new Door<>(part(config.sockets(), CLIENT_PART));
         this.engine = new Engine(loop, config, part(config.sockets(), UPSTREAM_PART), System.err::println);
         this.random = new SplittableRandom(config.seed());
-        this.shedder = new Shedder(
-            config.settings().classes().stream().mapToDouble(Balancer.RequestClass::worth).toArray(),
+        this.shedder = new Shedder(new double[0],
             config.settings().tenants().stream().mapToDouble(Balancer.Tenant::share).toArray());
-        long longest = config.settings().classes().stream().mapToLong(c -> c.deadline() / 1000).max().orElse(0);
-        this.sockets = config.sockets();
-        config.names().classes().forEach(counters::list);
-        this.drainMillis = Math.max(CLOSING_MILLIS, Math.min(LONGEST_MILLIS, longest) + 700 - BEFORE_KILL_MILLIS);
-        this.lifecycle = new Lifecycle(TimeUnit.MILLISECONDS.toMicros(drainMillis - CLOSING_MILLIS));
+        take(config);
+    }
+
+    /** What of a configuration is this class's to keep. */
+    private void take(ProxyConfig taken) {
+        config = taken;
+        taken.classes().names().forEach(counters::list);
+        shedder.classes(taken.settings().classes().stream().mapToDouble(Balancer.RequestClass::worth).toArray());
+        long longest = taken.classes().names().stream().mapToInt(taken.classes()::number)
+            .mapToLong(number -> taken.classes().rules().get(number).deadline() / 1000).max().orElse(0);
+        drainMillis = Math.max(CLOSING_MILLIS, Math.min(LONGEST_MILLIS, longest) + 700 - BEFORE_KILL_MILLIS);
     }
 
     private static int part(int sockets, double part) {
@@ -112,7 +116,7 @@
 
     /** While an old and a new process are there, both together may hold no more than one. */
     private void bound() {
-        int mine = shared ? sockets / 2 : sockets;
+        int mine = shared ? config.sockets() / 2 : config.sockets();
         door.places(part(mine, CLIENT_PART));
         engine.limit(part(mine, UPSTREAM_PART));
     }
@@ -157,7 +161,6 @@
             begin(this::listen);
             loop.execute(() -> warmUp(address(), lifecycle::started));
         } else {
-            succession = succession();
             begin(this::listenForCalls);
             loop.execute(() -> warmUp((InetSocketAddress) admin.address(), () -> listen().addListener(bound -> {
                 if (bound.isSuccess()) {
@@ -197,6 +200,7 @@
     }
 
     private void begin(Supplier<ChannelFuture> listening) throws IOException {
+        succession = config.admin() == null ? null : succession();
         try {
             loop.submit(() -> {
                 engine.begin(config);
@@ -260,6 +264,11 @@
         return (InetSocketAddress) listener.localAddress();
     }
 
+    /** Where it is asked and told what to do, once it listens there. */
+    InetSocketAddress adminAddress() {
+        return (InetSocketAddress) admin.address();
+    }
+
     /** Whether it has no client and holds no request. */
     boolean idle() throws InterruptedException, ExecutionException {
         return loop.submit(() -> clients.isEmpty() && engine.idle()).get();
@@ -289,17 +298,26 @@
         try {
             ProxyConfig changed = ProxyConfig.reload(env);
             loop.execute(() -> {
-                sockets = changed.sockets();
-                engine.reconfigure(changed);
-                bound();
-                reloadsTaken++;
+                try {
+                    ProxyConfig next = changed.after(config);
+                    engine.reconfigure(next);
+                    take(next);
+                    bound();
+                    reloadsTaken++;
+                } catch (IOException | RuntimeException e) {
+                    turnDown(e);
+                }
             });
         } catch (IOException | RuntimeException e) {
-            System.err.println("configuration kept as it was: " + e.getMessage());
-            loop.execute(() -> reloadsTurnedDown++);
+            loop.execute(() -> turnDown(e));
         }
     }
 
+    private void turnDown(Exception e) {
+        System.err.println("configuration kept as it was: " + e.getMessage());
+        reloadsTurnedDown++;
+    }
+
     /** Drains and returns when nothing is held, or just before a SIGKILL may come. */
     void drain() {
         loop.execute(this::beginDrain);
@@ -327,7 +345,8 @@
      */
     private void beginDrain() {
         long now = engine.now();
-        lifecycle.terminate(now, succession != null && succession.hasSuccessor());
+        lifecycle.terminate(now, succession != null && succession.hasSuccessor(),
+            TimeUnit.MILLISECONDS.toMicros(drainMillis - CLOSING_MILLIS));
         System.err.println("drains for at most " + drainMillis + " ms: " + lifecycle.phase());
         if (lifecycle.phase() == Phase.STOPPING) {
             door.drain(now);
@@ -448,7 +467,7 @@
 
     @Override
     public void answered(int requestClass, HttpResponseStatus status) {
-        counters.ended(config.names().classes().get(requestClass), status.code() == 200 ? Counters.End.SERVED
+        counters.ended(config.classes().name(requestClass), status.code() == 200 ? Counters.End.SERVED
             : status.code() == 503 || status.code() == 429 ? Counters.End.REFUSED : Counters.End.FAILED);
     }
 
--- a/src/main/java/anisebend/net/RequestHead.java
+++ b/src/main/java/anisebend/net/RequestHead.java
@@ -86,7 +86,7 @@
         }
         id = single(headers, "X-Correlation-Id");
         idempotencyKey = single(headers, "Idempotency-Key");
-        requestClass = index(config.names().classes(), single(headers, "X-Service-Class"));
+        requestClass = config.classes().number(single(headers, "X-Service-Class"));
         tenant = config.names().tenants().isEmpty() ? 0
             : index(config.names().tenants(), single(headers, "X-Account"));
         waitMicros = micros(single(headers, "X-Time-Left"));
--- a/src/main/java/anisebend/net/Warmup.java
+++ b/src/main/java/anisebend/net/Warmup.java
@@ -71,7 +71,8 @@
         Map<String, Object> list = Map.of("seq", 0.0, "whole", true, "hosts", List.of(Map.of("host", NODE,
             "dial", NetUtil.toSocketAddressString(self), "health", "Ready")));
         this.config = new ProxyConfig(real.name(), real.listen(), null, self, real.seed(), real.sockets(), list,
-            real.settings(), real.names(), real.connIdleMillis(), real.connectTimeoutMillis());
+            real.settings(), real.classes(), real.names(), real.connIdleMillis(),
+            real.connectTimeoutMillis(), Map.of());
         this.engine = new Engine(loop, config, CLIENTS, text -> { });
     }
 
@@ -112,7 +113,7 @@
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
             write ? HttpMethod.PUT : HttpMethod.GET, "/api/warm-" + number % KEYS,
             write ? Unpooled.wrappedBuffer(new byte[BODY_BYTES]) : Unpooled.EMPTY_BUFFER);
-        List<String> classes = config.names().classes();
+        List<String> classes = List.copyOf(config.classes().names());
         List<String> tenants = config.names().tenants();
         request.headers().set(HttpHeaderNames.HOST, "warm-up").set(TOKEN, token)
             .set("X-Correlation-Id", token + number)
--- a/src/main/java/gorsemast/admission/Shedder.java
+++ b/src/main/java/gorsemast/admission/Shedder.java
@@ -38,8 +38,8 @@
     private static final long FIRST_RETRY_MICROS = 200_000;
 
     /** Of each class, how many distinct worths are less. */
-    private final int[] ranks;
-    private final int most;
+    private int[] ranks;
+    private int most;
     private final double[] shares;
     private final double[] asked;
     private double askedInAll;
@@ -49,11 +49,16 @@
 
     /** For classes of these worths and tenants of these shares of the service, from 0 to 1. */
     public Shedder(double[] worths, double[] shares) {
+        classes(worths);
+        this.shares = shares.clone();
+        asked = new double[shares.length];
+    }
+
+    /** Goes on with classes of other worths, by their numbers. */
+    public void classes(double[] worths) {
         double[] order = Arrays.stream(worths).distinct().sorted().toArray();
         ranks = Arrays.stream(worths).mapToInt(worth -> Arrays.binarySearch(order, worth)).toArray();
         most = Math.max(0, order.length - 1);
-        this.shares = shares.clone();
-        asked = new double[shares.length];
     }
 
     /** How late the loop was at a tick. */
--- a/src/main/java/gorsemast/lifecycle/Lifecycle.java
+++ b/src/main/java/gorsemast/lifecycle/Lifecycle.java
@@ -25,16 +25,10 @@
     /** Idle connections are closed within this time; the last of them long before an operator looks again (4 s). */
     public static final long SPREAD_MICROS = 1_000_000;
 
-    private final long serveOnMicros;
     private Phase phase = Phase.STARTING;
     /** From when on connections end; never for as long as clients are welcome. */
     private long closesFrom = Long.MAX_VALUE;
 
-    /** A proxy that serves on for {@code serveOnMicros} when it is told to stop and has no successor. */
-    public Lifecycle(long serveOnMicros) {
-        this.serveOnMicros = serveOnMicros;
-    }
-
     /** It can serve from now on; ignored where it is already leaving. */
     public void started() {
         if (phase == Phase.STARTING) {
@@ -64,8 +58,9 @@
      * The process is to end.
      *
      * @param successor whether another process takes clients at the same address
+     * @param serveOnMicros for how long it serves on where there is none
      */
-    public void terminate(long now, boolean successor) {
+    public void terminate(long now, boolean successor, long serveOnMicros) {
         long from = successor ? now : now + serveOnMicros;
         // A proxy that has been emptied has no clients who would miss it.
         closesFrom = phase == Phase.STARTING ? now : Math.min(closesFrom, from);
--- /dev/null
+++ b/src/test/java/anisebend/RetuneTest.java
@@ -0,0 +1,65 @@
+package anisebend;
+
+import static anisebend.World.MS;
+import static anisebend.World.READ;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import anisebend.Balancer.Code;
+import anisebend.Balancer.ListKind;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Other settings while requests are open. */
+class RetuneTest {
+    private final World world = new World(false).list(ListKind.FULL, "a1", "a2", "b3");
+
+    private static Balancer.Settings with(int maxAttempts, Balancer.RequestClass... further) {
+        Balancer.Settings s = World.settings(false);
+        List<Balancer.RequestClass> classes = new ArrayList<>(s.classes());
+        classes.addAll(List.of(further));
+        return new Balancer.Settings(s.balancers(), s.zone(), s.originKind(), classes, s.tenants(),
+            s.overShareWorth(), maxAttempts, s.mayCancel(), s.mayProbe(), s.retryAfter(), s.maxRetryAfter(),
+            s.listMustBeAsked(), s.listAskWithin(), s.coldShare(), s.coldTime(), s.freeResends(), s.resendShare(),
+            s.resendSpan());
+    }
+
+    private static Balancer.RequestClass unsafe(long deadline) {
+        return new Balancer.RequestClass(Balancer.Effect.UNSAFE, Balancer.Group.ALL, 0, 500 * MS, deadline, 1);
+    }
+
+    @Test
+    void openRequestsKeepTheirAttemptsAndNewOnesGetFewer() {
+        world.ask("old", READ, "k");
+        world.balancer.retune(world.now, with(1));
+        world.ask("new", READ, "j");
+        world.answer("new", Code.ERROR).pass(1000 * MS);
+        assertEquals(1, world.sends("new"));
+        assertTrue(world.recorder.has("refuse new") || world.recorder.has("fail new"));
+        world.answer("old", Code.ERROR).pass(1000 * MS);
+        assertEquals(2, world.sends("old"));
+    }
+
+    @Test
+    void aFurtherClassGoesByItsOwnRulesAtServersThatWereKnownBefore() {
+        int further = World.settings(false).classes().size();
+        world.ask("before", READ, "k").answer("before", Code.OK).pass(100 * MS);
+        world.balancer.retune(world.now, with(4, unsafe(2000 * MS)));
+        world.ask("once", further, "k").answer("once", Code.ERROR).pass(1000 * MS);
+        assertEquals(1, world.sends("once"), "it may have run");
+        assertTrue(world.recorder.has("fail once"));
+        world.ask("read", READ, "k").answer("read", Code.ERROR).pass(1000 * MS);
+        assertEquals(2, world.sends("read"));
+    }
+
+    @Test
+    void changesNothingWhereASettingCannotBeWorkedWith() {
+        for (Balancer.Settings bad : List.of(with(0), with(4, unsafe(0)))) {
+            assertThrows(IllegalArgumentException.class, () -> world.balancer.retune(world.now, bad));
+        }
+        world.ask("read", READ, "k").answer("read", Code.ERROR).pass(1000 * MS);
+        assertEquals(2, world.sends("read"));
+    }
+}
--- a/src/test/java/anisebend/net/Loopback.java
+++ b/src/test/java/anisebend/net/Loopback.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -200,6 +201,15 @@
         return "{\"seq\":" + seq + ",\"whole\":" + whole + ",\"hosts\":[" + String.join(",", entries) + "]}";
     }
 
+    /** The same with a second address, as the platform tells of it. */
+    static Map<String, String> served(Path folder, String discovery, int sockets, long idleMillis, String known)
+        throws IOException {
+        Map<String, String> env = new HashMap<>(environment(folder, discovery, sockets, idleMillis, known));
+        env.put("PROXY_ADMIN", "127.0.0.1:0");
+        env.put("TMPDIR", folder.toString());
+        return env;
+    }
+
     /** The environment of a proxy whose configuration is a file in {@code folder}. */
     static Map<String, String> environment(Path folder, String discovery, int sockets, long idleMillis, String known)
         throws IOException {
--- /dev/null
+++ b/src/test/java/anisebend/net/ServiceTest.java
@@ -0,0 +1,247 @@
+package anisebend.net;
+
+import static anisebend.net.Loopback.PATIENCE_SECONDS;
+import static anisebend.net.Loopback.answer;
+import static anisebend.net.Loopback.entry;
+import static anisebend.net.Loopback.list;
+import static anisebend.net.Loopback.request;
+import static anisebend.net.Loopback.write;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import anisebend.net.Loopback.Client;
+import anisebend.net.Loopback.Message;
+import anisebend.net.Loopback.Server;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Daily service over sockets: the second address, emptying, retuning under load, an upgrade. */
+class ServiceTest {
+    private static final double LONG = 60;
+
+    @TempDir
+    Path folder;
+    private Server node;
+    private Server discovery;
+    private Map<String, String> env;
+    private final List<ProxyServer> proxies = new ArrayList<>();
+    /** Requests that the node holds until the test lets them go. */
+    private final BlockingQueue<Socket> held = new LinkedBlockingQueue<>();
+
+    @BeforeEach
+    void open() throws IOException {
+        node = new Server((request, socket) -> {
+            if (request.first().contains("/api/hold")) {
+                held.add(socket);
+            } else {
+                write(socket, answer(200, "X-Lookup: hit\r\n", "value"));
+            }
+        });
+        discovery = new Server((request, socket) -> { });
+        env = Loopback.served(folder, discovery.address(), 400, 60_000,
+            list(1, true, entry("s-1", node.address(), "Ready", 0)));
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        proxies.forEach(ProxyServer::stop);
+        node.close();
+        discovery.close();
+    }
+
+    private ProxyServer start() throws IOException {
+        ProxyServer proxy = ProxyServer.of(env);
+        proxies.add(proxy);
+        return proxy.start();
+    }
+
+    private static String call(ProxyServer proxy, String line) throws IOException {
+        InetSocketAddress at = proxy.adminAddress();
+        try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
+            socket.setSoTimeout(PATIENCE_SECONDS * 1000);
+            write(socket, line + "\n");
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+
+    private static long figure(ProxyServer proxy, String name) throws IOException {
+        return call(proxy, "counters").lines().filter(line -> line.startsWith("edge_proxy." + name + ":"))
+            .map(line -> line.substring(line.indexOf(':') + 1, line.indexOf('|'))).mapToLong(Long::parseLong)
+            .findFirst().orElseThrow(() -> new AssertionError("no figure " + name));
+    }
+
+    /** Asks again until the figure says so; a signal is heard on a thread of its own. */
+    private static void await(ProxyServer proxy, String name, long value) throws IOException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
+        while (figure(proxy, name) != value) {
+            assertTrue(System.nanoTime() < end, name + " is not " + value + " but " + figure(proxy, name));
+        }
+    }
+
+    private void rewrite(String from, String to) throws IOException {
+        Path file = folder.resolve("config.json");
+        String text = Files.readString(file);
+        assertTrue(text.contains(from), from);
+        Files.writeString(file, text.replace(from, to));
+    }
+
+    @Test
+    void countsWhatClientsWereTold() throws Exception {
+        ProxyServer proxy = start();
+        try (Client client = new Client(proxy.address().getPort()); Client other = new Client(proxy.address().getPort())) {
+            for (int i = 0; i < 3; i++) {
+                assertEquals(200, client.ask(request("GET", "/api/k", "read", LONG, null)).status());
+            }
+            assertEquals(404, client.ask(request("GET", "/other", "read", LONG, null)).status());
+            write(other.socket, request("PUT", "/api/hold", "once", LONG, "body"));
+            Socket waiting = held.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+            assertNotNull(waiting);
+            assertEquals(1, figure(proxy, "in_flight"));
+            write(waiting, answer(500, "", ""));
+            assertEquals(502, other.answer().status());
+            assertEquals(3, figure(proxy, "requests.read.served"));
+            assertEquals(0, figure(proxy, "requests.read.failed"));
+            assertEquals(1, figure(proxy, "requests.once.failed"));
+            assertEquals(0, figure(proxy, "requests.keyed.refused"));
+            assertEquals(4, figure(proxy, "attempts"));
+            assertEquals(0, figure(proxy, "in_flight"));
+            assertEquals(1, figure(proxy, "cache_nodes_known"));
+            assertEquals(0, figure(proxy, "cache_nodes_excluded"));
+        }
+    }
+
+    /** Silent callers, and clients of the other address, must not keep an operator out. */
+    @Test
+    void emptiesAndTakesClientsAgain() throws Exception {
+        ProxyServer proxy = start();
+        int port = proxy.address().getPort();
+        try (Client idle = new Client(port); Client busy = new Client(port); Client silent = new Client(port)) {
+            assertEquals(200, idle.ask(request("GET", "/api/k", "read", LONG, null)).status());
+            write(busy.socket, request("PUT", "/api/hold", "once", LONG, "body"));
+            Socket waiting = held.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+            assertTrue(call(proxy, "health").startsWith("200"));
+            assertTrue(call(proxy, "quiesce").startsWith("200"));
+            assertTrue(call(proxy, "health").startsWith("400"));
+            try (Client probe = new Client(port)) {
+                assertEquals(503, probe.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status());
+            }
+            assertNull(idle.answer(), "idle connections go");
+            assertNull(silent.answer(), "so do those on which nothing was ever asked");
+            write(waiting, answer(200, "", "late"));
+            Message last = busy.answer();
+            assertEquals("late", last.body(), "what is held is finished");
+            assertEquals("close", last.header("Connection"));
+            assertNull(busy.answer());
+            try (Client late = new Client(port)) {
+                Message served = late.ask(request("GET", "/api/k", "read", LONG, null));
+                assertEquals("value", served.body(), "who comes all the same is served");
+                assertEquals("close", served.header("Connection"));
+            }
+            assertTrue(call(proxy, "resume").startsWith("200"));
+            try (Client back = new Client(port)) {
+                assertEquals(200, back.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status());
+                Message served = back.ask(request("GET", "/api/k", "read", LONG, null));
+                assertFalse("close".equals(served.header("Connection")));
+            }
+        }
+    }
+
+    /** A class changes from once to safe while a request of it is out: that one is not sent again, a new one is. */
+    @Test
+    void anOpenRequestKeepsTheRulesItCameUnder() throws Exception {
+        ProxyServer proxy = start();
+        try (Client before = new Client(proxy.address().getPort()); Client after = new Client(proxy.address().getPort())) {
+            assertEquals(400, after.ask(request("GET", "/api/k", "later", LONG, null)).status());
+            write(before.socket, request("PUT", "/api/hold", "once", LONG, "body"));
+            Socket waiting = held.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+            rewrite("{\"name\":\"once\",\"repeat\":\"non_idempotent\"", "{\"name\":\"once\",\"repeat\":\"read_like\"");
+            rewrite("{\"name\":\"read\",", "{\"name\":\"later\",");
+            proxy.reload();
+            await(proxy, "reloads_ok", 1);
+            write(waiting, answer(500, "", ""));
+            assertEquals(502, before.answer().status(), "it may have run");
+            write(after.socket, request("PUT", "/api/hold", "once", LONG, "body"));
+            write(held.poll(PATIENCE_SECONDS, TimeUnit.SECONDS), answer(500, "", ""));
+            Socket again = held.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+            assertNotNull(again, "under its new rules it may be repeated");
+            write(again, answer(200, "", "second"));
+            assertEquals("second", after.answer().body());
+            assertEquals("value", after.ask(request("GET", "/api/k", "later", LONG, null)).body());
+            assertEquals(400, before.ask(request("GET", "/api/k", "read", LONG, null)).status());
+            assertEquals(1, figure(proxy, "requests.later.served"));
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = ';', value = {
+        "\"send_cap\":6; \"send_cap\":0", "\"send_cap\":6; \"send_cap\":-1", "\"send_cap\":6; \"send_cap\":\"6\"",
+        "\"send_cap\":6; \"other\":6", "\"aim_ms\":6000.0,\"hard_limit_ms\":60000.0; \"aim_ms\":6000.0",
+        "\"hard_limit_ms\":60000.0; \"hard_limit_ms\":0", "\"hard_limit_ms\":60000.0; \"hard_limit_ms\":-5",
+        "\"name\":\"once\"; \"name\":\"read\"", "\"repeat\":\"read_like\"; \"repeat\":\"perhaps\"",
+        "\"rules\"; \"roles\"", "\"name\":\"n0\",; ", "\"fraction\":1.0,; ", "\"shapes\":[\"m\"]; \"shapes\":[]"})
+    void takesNothingFromABrokenFile(String from, String to) throws Exception {
+        ProxyServer proxy = start();
+        rewrite(from, to == null ? "" : to);
+        rewrite("{\"name\":\"keyed\",", "{\"name\":\"new\",");
+        proxy.reload();
+        await(proxy, "reloads_failed", 1);
+        assertEquals(0, figure(proxy, "reloads_ok"));
+        try (Client client = new Client(proxy.address().getPort())) {
+            assertEquals("value", client.ask(request("PUT", "/api/k", "keyed", LONG, "x")).body());
+            assertEquals(400, client.ask(request("PUT", "/api/k", "new", LONG, "x")).status());
+        }
+    }
+
+    /** Both listen at one address; the old one leaves, and whoever asks is served all the time. */
+    @Test
+    void aNewProcessTakesOver() throws Exception {
+        ProxyServer old = start();
+        int port = old.address().getPort();
+        rewrite("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + port + "\"");
+        try (Client busy = new Client(port); Client idle = new Client(port)) {
+            write(busy.socket, request("PUT", "/api/hold", "once", LONG, "body"));
+            Socket waiting = held.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+            assertEquals("value", idle.ask(request("GET", "/api/k", "read", LONG, null)).body());
+            ProxyServer next = ProxyServer.of(env);
+            proxies.add(next);
+            next.startWarm();
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
+            while (!call(next, "health").startsWith("200")) {
+                assertTrue(System.nanoTime() < end, "the new one is never ready");
+            }
+            Thread leaving = new Thread(old::drain);
+            leaving.start();
+            assertNull(idle.answer());
+            write(waiting, answer(200, "", "late"));
+            assertEquals("late", busy.answer().body());
+            assertNull(busy.answer());
+            leaving.join(TimeUnit.SECONDS.toMillis(PATIENCE_SECONDS));
+            for (int i = 0; i < 20; i++) {
+                try (Client client = new Client(port)) {
+                    Message served = client.ask(request("GET", "/api/k", "read", LONG, null));
+                    assertEquals("value", served.body());
+                }
+            }
+            assertEquals(20, figure(next, "requests.read.served"), "all of them reached the new one");
+        }
+    }
+}
--- a/src/test/java/gorsemast/lifecycle/LifecycleTest.java
+++ b/src/test/java/gorsemast/lifecycle/LifecycleTest.java
@@ -10,7 +10,7 @@
 class LifecycleTest {
     private static final long SERVE_ON = 3_000_000;
     private static final long PERIOD = 100_000;
-    private final Lifecycle life = new Lifecycle(SERVE_ON);
+    private final Lifecycle life = new Lifecycle();
 
     @Test
     void isReadyOnlyOnceStarted() {
@@ -56,15 +56,15 @@
     @Test
     void stopsLateWhereNobodyFollowsAndAtOnceWhereSomebodyDoes() {
         life.started();
-        life.terminate(0, false);
+        life.terminate(0, false, SERVE_ON);
         assertEquals(Phase.STOPPING, life.phase());
         assertFalse(life.addressReady());
         assertFalse(life.closing(SERVE_ON - 1));
         assertEquals(7, life.toClose(SERVE_ON, 7, PERIOD));
 
-        Lifecycle old = new Lifecycle(SERVE_ON);
+        Lifecycle old = new Lifecycle();
         old.started();
-        old.terminate(5, true);
+        old.terminate(5, true, SERVE_ON);
         assertTrue(old.closing(5));
         assertFalse(old.ready());
         assertTrue(old.addressReady(), "the address is served by the successor");
@@ -75,7 +75,7 @@
     void anEmptiedProxyNeedNotServeOn() {
         life.started();
         life.quiesce(0);
-        life.terminate(2_000_000, false);
+        life.terminate(2_000_000, false, SERVE_ON);
         assertTrue(life.closing(2_000_000));
         assertFalse(life.resume());
     }
