Pass long answers on as they come, only as fast as their clients read

Ruled out: nodes that refuse (68 answers 503), bodies over the limit (15 of 3,271), this process's lateness (0 to 5 ms).

An answer is kept whole up to 64 KiB; beyond that it is the request's final answer from its first bytes on, passed on part by part with the node's side read only while the client's side takes it, and a cut shown to the client. The module is told when it begins. Nodes and clients that stand still for 10 s lose their connection; more than 64 MiB is no answer.

--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -1148,8 +1148,7 @@
     private void fault(Held held, Target target, double weight) {
         if (target != origin) {
             int type = held.request.requestClass();
-            Faults seen = target.faults(type);
-            seen.sum = Math.min(WORST, seen.sum + weight);
+            target.faults(type).sum = Math.min(WORST, target.faults(type).sum + weight);
             long listed = targets.values().stream().filter(Target::ready).count();
             long bad = targets.values().stream().filter(t -> t.ready() && t.faults(type).failing()).count();
             boolean alike = FAULTY_PART * bad > listed;
--- a/src/main/java/anisebend/net/ClientConnection.java
+++ b/src/main/java/anisebend/net/ClientConnection.java
@@ -7,10 +7,13 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -23,11 +26,13 @@
  * completes it is done and nothing came behind it: a client waits for its answer before it asks again, so whoever
  * sends on regardless is turned away and nothing of it reaches the module.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter implements Engine.Client {
+final class ClientConnection extends ChannelInboundHandlerAdapter implements Engine.Client, Passage {
     /** A bad client is owed an error or a close within 3 s; a good one sends its request in far less. */
     private static final long WHOLE_MICROS = 2_000_000;
     /** A connection may be closed 2 s after its last answer. */
     private static final long IDLE_MICROS = 2_500_000;
+    /** Who takes nothing of a long answer for this long has stopped reading. */
+    private static final long STALLED_MICROS = 10_000_000;
     /** Who says nothing for this long makes room first when there is none. */
     private static final long SILENT_MICROS = 200_000;
     /** A client that was turned away is not listened to for this long, however fast it asks again. */
@@ -90,6 +95,9 @@
     /** How much of its body has come. */
     private int received;
     private Engine.Exchange exchange;
+    /** The source of an answer that is being passed on. */
+    private Passage.Flow passing;
+    private boolean old;
 
     ClientConnection(Channel channel, StrictHttp.Requests decoder, Owner owner) {
         this.channel = channel;
@@ -116,6 +124,11 @@
         owner.counted(state + ">closed");
         dropRequest();
         state = State.CLOSING;
+        if (passing != null) {
+            Passage.Flow source = passing;
+            passing = null;
+            source.cancel();
+        }
         if (exchange != null) {
             Engine.Exchange left = exchange;
             exchange = null;
@@ -168,6 +181,7 @@
         received = 0;
         head = new RequestHead(start, owner.config());
         keepAlive = HttpUtil.isKeepAlive(start);
+        old = start.protocolVersion().equals(HttpVersion.HTTP_1_0);
         requestClass = head.problem == null && head.id != null ? head.requestClass : -1;
         comeBack = head.problem == null && head.id != null ? owner.turnsAway(head) : 0;
         if (head.problem != null) {
@@ -279,12 +293,67 @@
     public void served(FullHttpResponse answer) {
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
             answer.content().retain());
-        String type = answer.headers().get(HttpHeaderNames.CONTENT_TYPE);
+        copyType(answer, response);
+        turnedAway = false;
+        write(response);
+    }
+
+    private static void copyType(HttpResponse from, HttpResponse to) {
+        String type = from.headers().get(HttpHeaderNames.CONTENT_TYPE);
         if (type != null) {
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+            to.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
         }
+    }
+
+    /** Passes an answer on. Where its length is not known, HTTP/1.0 knows its end by the connection's alone. */
+    @Override
+    public Passage begins(HttpResponse answer, long length, Passage.Flow flow) {
+        exchange = null;
+        passing = flow;
         turnedAway = false;
-        write(response);
+        concluded(HttpResponseStatus.OK);
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        copyType(answer, response);
+        keepAlive &= !owner.closing() && channel.isWritable() && (length >= 0 || !old);
+        if (length >= 0) {
+            HttpUtil.setContentLength(response, length);
+        } else if (!old) {
+            HttpUtil.setTransferEncodingChunked(response, true);
+        }
+        HttpUtil.setKeepAlive(response, keepAlive);
+        channel.write(response);
+        since = owner.engine().now();
+        return this;
+    }
+
+    @Override
+    public void part(ByteBuf bytes) {
+        channel.writeAndFlush(new DefaultHttpContent(bytes.retainedDuplicate()));
+        if (!channel.isWritable() && passing != null) {
+            since = owner.engine().now();
+            passing.pause(true);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (passing != null && channel.isWritable()) {
+            since = owner.engine().now();
+            passing.pause(false);
+        }
+    }
+
+    @Override
+    public void ended() {
+        passing = null;
+        end(LastHttpContent.EMPTY_LAST_CONTENT);
+    }
+
+    @Override
+    public void broken() {
+        passing = null;
+        enter(State.CLOSING);
+        channel.close(); // the length or the last chunk is missing, and so the client can tell
     }
 
     @Override
@@ -313,16 +382,24 @@
 
     private void write(FullHttpResponse response) {
         exchange = null;
-        if (requestClass >= 0) {
-            owner.answered(requestClass, response.status());
-            requestClass = -1;
-        }
+        concluded(response.status());
         // What it does not read must not pile up here.
         keepAlive &= !owner.closing() && channel.isWritable();
         HttpUtil.setContentLength(response, response.content().readableBytes());
         HttpUtil.setKeepAlive(response, keepAlive);
+        end(response);
+    }
+
+    private void concluded(HttpResponseStatus status) {
+        if (requestClass >= 0) {
+            owner.answered(requestClass, status);
+            requestClass = -1;
+        }
+    }
+
+    private void end(Object last) {
         enter(keepAlive ? State.IDLE : State.CLOSING);
-        channel.writeAndFlush(response).addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE
+        channel.writeAndFlush(last).addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE
             : ChannelFutureListener.CLOSE);
         owner.idle(this, turnedAway);
     }
@@ -333,7 +410,11 @@
     void checkTime(long now) {
         long age = now - since;
         switch (state) {
-            case BUSY -> { }
+            case BUSY -> {
+                if (passing != null && !channel.isWritable() && age > STALLED_MICROS) {
+                    channel.close(); // it reads nothing of its answer
+                }
+            }
             case READING -> {
                 if (age > WHOLE_MICROS) {
                     turnAway(HttpResponseStatus.REQUEST_TIMEOUT, false);
--- a/src/main/java/anisebend/net/Engine.java
+++ b/src/main/java/anisebend/net/Engine.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.NetUtil;
 import java.io.IOException;
@@ -53,6 +54,9 @@
         /** The answer's content is only lent. */
         void served(FullHttpResponse answer);
 
+        /** Instead: an answer that is passed on as it comes; the caller is told of each part. */
+        Passage begins(HttpResponse head, long length, Passage.Flow flow);
+
         void refused(long retryAfterMicros);
 
         void failed();
@@ -302,8 +306,12 @@
 
     /** Ends a request for the client; what is still out for it is closed. */
     private void settle(Exchange x) {
-        x.answered = true;
         ids.remove(x.call.correlationId());
+        conclude(x);
+    }
+
+    private static void conclude(Exchange x) {
+        x.answered = true;
         x.backstop.cancel(false);
         if (x.out != null) {
             x.out.cancel();
@@ -338,12 +346,22 @@
         }
         Upstream.Attempt[] mine = new Upstream.Attempt[1];
         boolean[] over = new boolean[1];
-        mine[0] = upstream.send(node, message(x.call, node, wait), wait, once(x.call), (code, note, answer) -> {
-            over[0] = true;
-            if (x.out == mine[0]) {
+        mine[0] = upstream.send(node, message(x.call, node, wait), wait, once(x.call), new Upstream.Ending() {
+            @Override
+            public void ended(Code code, Note note, FullHttpResponse answer) {
+                over[0] = true;
+                if (x.out == mine[0]) {
+                    x.out = null;
+                }
+                Engine.this.ended(x, attempt, sentAt, code, note, answer);
+            }
+
+            @Override
+            public Passage begins(Note note, HttpResponse head, long length, Passage.Flow flow) {
+                over[0] = true;
                 x.out = null;
+                return Engine.this.begins(x, attempt, sentAt, note, new Passing(x, head, length, flow));
             }
-            ended(x, attempt, sentAt, code, note, answer);
         });
         if (!over[0]) {
             x.out = mine[0];
@@ -369,12 +387,80 @@
         return message;
     }
 
+    /**
+     * An answer that is passed on is the request's single final answer from its first bytes on, and nothing is sent
+     * again for it; so the module is told then. Its id stays taken until the last byte.
+     */
+    private Passage begins(Exchange x, int attempt, long sentAt, Note note, Passing passing) {
+        Passage taker = null;
+        if (!x.answered) {
+            conclude(x);
+            counts[1]++;
+            taker = passing.begin();
+        }
+        told(x, attempt, sentAt, Code.OK, note);
+        return taker;
+    }
+
+    /** An answer on its way from a node's connection to a client's. */
+    private final class Passing implements Passage, Passage.Flow {
+        private final Exchange x;
+        private final HttpResponse head;
+        private final long length;
+        private final Passage.Flow flow;
+        private Passage client;
+
+        Passing(Exchange x, HttpResponse head, long length, Passage.Flow flow) {
+            this.x = x;
+            this.head = head;
+            this.length = length;
+            this.flow = flow;
+        }
+
+        Passage begin() {
+            client = x.client.begins(head, length, this);
+            return this;
+        }
+
+        @Override
+        public void part(ByteBuf bytes) {
+            client.part(bytes);
+        }
+
+        @Override
+        public void ended() {
+            ids.remove(x.call.correlationId());
+            client.ended();
+        }
+
+        @Override
+        public void broken() {
+            ids.remove(x.call.correlationId());
+            client.broken();
+        }
+
+        @Override
+        public void pause(boolean paused) {
+            flow.pause(paused);
+        }
+
+        @Override
+        public void cancel() {
+            ids.remove(x.call.correlationId());
+            flow.cancel();
+        }
+    }
+
     private void ended(Exchange x, int attempt, long sentAt, Code code, Note note, FullHttpResponse answer) {
         if (code == Code.OK && !x.answered) {
             settle(x);
             counts[1]++;
             x.client.served(answer);
         }
+        told(x, attempt, sentAt, code, note);
+    }
+
+    private void told(Exchange x, int attempt, long sentAt, Code code, Note note) {
         boolean over = x.answered;
         tell(() -> {
             long now = now();
--- /dev/null
+++ b/src/main/java/anisebend/net/Passage.java
@@ -0,0 +1,27 @@
+package anisebend.net;
+
+import io.netty.buffer.ByteBuf;
+
+/**
+ * Where an answer goes that is too long to be kept: its parts, as they come, and exactly one of {@link #ended} and
+ * {@link #broken} behind them, unless its taker has called it off. On the event loop.
+ */
+interface Passage {
+    /** The next bytes; only lent. */
+    void part(ByteBuf bytes);
+
+    /** All of it has come. */
+    void ended();
+
+    /** The rest will never come; whoever reads it must be able to tell. */
+    void broken();
+
+    /** The other end: how fast the parts come. */
+    interface Flow {
+        /** Asks for no more, or for more again; what is already on its way still comes. */
+        void pause(boolean paused);
+
+        /** Nobody wants the rest. Nothing comes any more. */
+        void cancel();
+    }
+}
--- a/src/main/java/anisebend/net/StrictHttp.java
+++ b/src/main/java/anisebend/net/StrictHttp.java
@@ -13,13 +13,15 @@
 final class StrictHttp {
     private static final int MAX_LINE = 4096;
     private static final int MAX_HEAD = 8192;
+    /** Bodies come in parts of this size at most; each costs a pass through the pipeline. */
+    private static final int MAX_PART = 32 << 10;
 
     private StrictHttp() {
     }
 
     private static HttpDecoderConfig config() {
         return new HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE).setMaxHeaderSize(MAX_HEAD)
-            .setAllowDuplicateContentLengths(false).setStrictLineParsing(true);
+            .setMaxChunkSize(MAX_PART).setAllowDuplicateContentLengths(false).setStrictLineParsing(true);
     }
 
     private static void rejectTwoLengths() {
--- a/src/main/java/anisebend/net/Upstream.java
+++ b/src/main/java/anisebend/net/Upstream.java
@@ -6,6 +6,7 @@
 import gorsemast.pool.Pools.Room;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -15,16 +16,21 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -39,8 +45,12 @@
  * most once, and exactly one ending for each attempt. It never sends anything again by itself.
  */
 final class Upstream {
-    /** A longer answer breaks the protocol and ends the connection; bounds what all of them hold in memory. */
-    private static final int MAX_ANSWER = 64 << 10;
+    /** An answer is kept whole up to here, so that it can be had elsewhere if it breaks; a longer one is passed on. */
+    static final int MAX_KEPT = 64 << 10;
+    /** A longer answer breaks the protocol and ends the connection. */
+    static final long MAX_ANSWER = 64L << 20;
+    /** A node that sends nothing more of an answer that is being passed on, for this long, has broken it off. */
+    private static final long STALLED_MICROS = 10_000_000;
     /** Kept connections are closed at this part of the cache nodes' own limit, so as never to race it. */
     private static final int IDLE_PART = 2;
     /**
@@ -59,6 +69,15 @@
     /** Told once how an attempt ended; {@code answer} is there for OK only and is released afterwards. */
     interface Ending {
         void ended(Code code, Note note, FullHttpResponse answer);
+
+        /**
+         * Instead: the answer is too long to be kept and is passed on from here. Null where nobody wants it.
+         *
+         * @param length its bytes, -1 where they are not known ahead
+         */
+        default Passage begins(Note note, HttpResponse head, long length, Passage.Flow flow) {
+            return null;
+        }
     }
 
     /** Whether a cache node, as last started, may be sent anything new. */
@@ -249,6 +268,16 @@
                 : Code.CONNECT_FAILED, Note.NONE, null);
         }
 
+        /** Its answer is too long to be kept: ends here, and the connection goes on. */
+        private Passage begin(Note note, HttpResponse head, long length, Passage.Flow flow) {
+            ended = true;
+            passed.ended[Code.OK.ordinal()]++;
+            passed.okMicros += TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - begunNanos);
+            limit.cancel(false);
+            connection.attempt = null;
+            return ending.begins(note, head, length, flow);
+        }
+
         /** Only a whole answer frees the connection; every other ending closes it, before anything follows. */
         private void end(Code code, Note note, FullHttpResponse answer) {
             if (ended) {
@@ -277,7 +306,7 @@
     }
 
     /** One connection; at most one attempt is on it. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Passage.Flow {
         private final Discovery.Node node;
         private Channel channel;
         private Attempt attempt;
@@ -286,8 +315,16 @@
         /** Whether it was kept after an answer: that it is dead then says nothing of the node. */
         private boolean kept;
         private final StrictHttp.Responses decoder = new StrictHttp.Responses();
-        /** The answer to the present attempt, until all that came with it has been read. */
-        private FullHttpResponse whole;
+        /** The head of the answer to the present attempt, until all that came with it has been read. */
+        private HttpResponse head;
+        /** What is kept of its body; owned here. */
+        private ByteBuf body;
+        private long received;
+        private boolean complete;
+        /** Who takes an answer that is too long to be kept. */
+        private Passage passage;
+        private long lastPart;
+        private boolean inInterim;
         private boolean excess;
         private int interim;
         private final Traffic passed;
@@ -305,8 +342,7 @@
             ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new HttpRequestEncoder(), decoder, new HttpObjectAggregator(MAX_ANSWER),
-                        Connection.this);
+                    ch.pipeline().addLast(new HttpRequestEncoder(), decoder, Connection.this);
                 }
             }).connect(node.dial());
             channel = connecting.channel();
@@ -448,63 +484,190 @@
 
         private void lost() {
             Attempt out = attempt;
-            if (whole != null) {
+            if (complete) {
                 excess = true;
                 conclude();
             }
             close();
+            clear();
+            if (passage != null) {
+                Passage cut = passage;
+                passage = null;
+                pools.given(node.host());
+                cut.broken();
+            }
             if (out != null) {
                 out.end(out.written ? Code.RESET : unsent(), Note.NONE, null);
             }
         }
 
+        private void clear() {
+            if (body != null) {
+                body.release();
+                body = null;
+            }
+            head = null;
+            complete = false;
+            received = 0;
+        }
+
         /**
-         * Takes a whole answer, which ends its attempt only when the read is done: a second copy or noise may
+         * Takes an answer, which ends its attempt only when the read is done: a second copy or noise may
          * follow at once, and would answer whatever is sent on this connection next.
          */
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
-            if (whole != null) {
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+            if (message instanceof HttpResponse start) {
+                begin(start);
+            }
+            if (message instanceof HttpContent part) {
+                add(part);
+            }
+        }
+
+        private void begin(HttpResponse start) {
+            if (head != null) {
                 excess = true;
                 return;
             }
-            // An answer to nothing, or no HTTP. One that only the connection's end would mark as whole comes
-            // here after closeFuture, when its attempt has ended as a reset: it might have been cut anywhere.
-            if (attempt == null || !attempt.written || answer.decoderResult().isFailure()
-                || answer.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            // An answer to nothing, or no HTTP. One that only the connection's end would mark as whole comes to its
+            // end after closeFuture, when its attempt has ended as a reset: it might have been cut anywhere.
+            if (attempt == null || !attempt.written || start.decoderResult().isFailure()
+                || start.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
                 lost();
                 return;
             }
-            if (answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            inInterim = start.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+            if (inInterim) {
                 if (++interim > MAX_INTERIM) {
                     lost();
                 }
                 return;
             }
-            whole = answer.retain();
+            head = start;
+            long length = HttpUtil.getContentLength(start, -1L);
+            if (length > MAX_ANSWER) {
+                lost();
+            } else if (length > MAX_KEPT && !pass(length) && attempt == null) {
+                lost(); // nobody wants it any more
+            }
+        }
+
+        private void add(HttpContent part) {
+            if (inInterim) {
+                inInterim = !(part instanceof LastHttpContent);
+                return;
+            }
+            if (head == null || complete) {
+                excess = true;
+                return;
+            }
+            ByteBuf bytes = part.content();
+            received += bytes.readableBytes();
+            if (part.decoderResult().isFailure() || received > MAX_ANSWER) {
+                lost();
+                return;
+            }
+            boolean framed = HttpUtil.isTransferEncodingChunked(head);
+            if (passage == null && received > MAX_KEPT && !(framed && pass(-1))) {
+                lost(); // no answer of ours, or one whose end could not be told from a cut
+                return;
+            }
+            if (passage != null) {
+                lastPart = now();
+                if (bytes.isReadable()) {
+                    passage.part(bytes);
+                }
+            } else if (bytes.isReadable()) {
+                body = body == null ? channel.alloc().heapBuffer(bytes.readableBytes()) : body;
+                body.writeBytes(bytes);
+            }
+            if (part instanceof LastHttpContent && head != null) { // its taker may have left within this part
+                complete = true;
+                if (passage != null) {
+                    Passage over = passage;
+                    passage = null;
+                    pools.given(node.host());
+                    over.ended();
+                }
+            }
+        }
+
+        /** Passes the answer on from here, where it is one and somebody wants it. */
+        private boolean pass(long length) {
+            if (code(head) != Code.OK || attempt == null) {
+                return false;
+            }
+            passage = attempt.begin(note(head.headers().get("X-Lookup")), head, length, this);
+            if (passage == null) {
+                pools.given(node.host());
+                return false;
+            }
+            lastPart = now();
+            watch();
+            if (body != null) {
+                passage.part(body);
+                body.release();
+                body = null;
+            }
+            return true;
+        }
+
+        private void watch() {
+            loop.schedule(() -> {
+                if (passage != null && channel.config().isAutoRead() && now() - lastPart > STALLED_MICROS) {
+                    lost();
+                } else if (passage != null) {
+                    watch();
+                }
+            }, STALLED_MICROS / 2, TimeUnit.MICROSECONDS);
+        }
+
+        @Override
+        public void pause(boolean paused) {
+            lastPart = now();
+            channel.config().setAutoRead(!paused);
+        }
+
+        @Override
+        public void cancel() {
+            if (passage != null) {
+                passage = null;
+                pools.given(node.host());
+                close();
+                clear();
+            }
         }
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
-            if (whole != null) {
+            if (complete) {
                 excess |= !decoder.empty();
                 conclude();
             }
         }
 
         private void conclude() {
-            FullHttpResponse answer = whole;
-            whole = null;
+            HttpResponse start = head;
+            FullHttpResponse answer = new DefaultFullHttpResponse(start.protocolVersion(), start.status(),
+                body == null ? Unpooled.EMPTY_BUFFER : body, start.headers(), EmptyHttpHeaders.INSTANCE);
+            body = null;
+            clear();
             try {
                 if (attempt != null) {
                     attempt.end(code(answer), note(answer.headers().get("X-Lookup")), answer);
+                } else if (excess || !HttpUtil.isKeepAlive(answer)) {
+                    close(); // it was passed on
+                } else {
+                    channel.config().setAutoRead(true);
+                    keep();
                 }
             } finally {
                 answer.release();
             }
         }
 
-        private static Code code(FullHttpResponse answer) {
+        private static Code code(HttpResponse answer) {
             int status = answer.status().code();
             boolean turnedAway = (status == 503 || status == 504)
                 && "1".equals(answer.headers().get("X-Unprocessed"));
