Take bodies up to 32 MiB within a budget, and write them to nodes in parts

Long bodies are kept whole, as they may have to be tried elsewhere, within 0.45 of the heap; whoever finds no room is not read from, and its time only counts from its last byte (gorsemast.retention.BodyBudget: in the order of asking, one of unknown length at a time). Written in parts of 64 KiB, as JDK sockets copy a heap buffer whole; a break before the last part shows that it never ran.

Not taken: spilling to TMPDIR, which counts as memory here; streaming to the node while the body comes, which ends the right to try elsewhere.

--- a/src/main/java/anisebend/net/ClientConnection.java
+++ b/src/main/java/anisebend/net/ClientConnection.java
@@ -1,5 +1,6 @@
 package anisebend.net;
 
+import gorsemast.retention.BodyBudget;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -29,6 +30,10 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter implements Engine.Client, Passage {
     /** A bad client is owed an error or a close within 3 s; a good one sends its request in far less. */
     private static final long WHOLE_MICROS = 2_000_000;
+    /** A body may take so much longer as this many bytes a second would. */
+    private static final long SLOWEST_BYTES = 64_000;
+    /** A body of unknown length asks for room in steps. */
+    private static final long GROWTH = 1 << 20;
     /** A connection may be closed 2 s after its last answer. */
     private static final long IDLE_MICROS = 2_500_000;
     /** Who takes nothing of a long answer for this long has stopped reading. */
@@ -44,6 +49,12 @@
 
         Engine engine();
 
+        /** Room for bodies that are longer than {@link RequestHead#SHORT_BODY}. */
+        BodyBudget<Body> bodies();
+
+        /** Gives the room of a body back. */
+        void letGo(Body body);
+
         /** What a probe at the clients' address is told. */
         boolean ready();
 
@@ -85,7 +96,7 @@
     private boolean turnedAwayNow;
     private HttpRequest request;
     private RequestHead head;
-    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private Body body;
     /** The class of the request in hand, -1 where it has none. */
     private int requestClass = -1;
     private boolean complete;
@@ -93,12 +104,70 @@
     /** When the request that is being read is to come back; 0 for one that is taken. Nothing is kept of it. */
     private long comeBack;
     /** How much of its body has come. */
-    private int received;
+    private long received;
+    /** When its head was whole, or it got room. */
+    private long bodySince;
     private Engine.Exchange exchange;
     /** The source of an answer that is being passed on. */
     private Passage.Flow passing;
     private boolean old;
 
+    /** A request's body on its way in, with the room that it has or waits for. */
+    final class Body {
+        private final BodyBuffer kept = new BodyBuffer(channel.alloc());
+        private final boolean expected;
+        private long room = RequestHead.SHORT_BODY;
+        private boolean waits;
+        private boolean over;
+
+        Body(boolean expected) {
+            this.expected = expected;
+        }
+
+        /** Makes sure of room for so many bytes, all of them where that is {@code known}; until then nothing is read. */
+        private void need(long bytes, boolean known) {
+            if (bytes <= room || waits) {
+                return;
+            }
+            room = known ? bytes : Math.min(Math.min(RequestHead.MAX_BODY, owner.bodies().most()), bytes + GROWTH);
+            waits = known ? !owner.bodies().begin(this, room) : !owner.bodies().grow(this, room);
+            if (waits) {
+                owner.counted("body waits");
+                channel.config().setAutoRead(false);
+            }
+        }
+
+        /** It has its room; its time begins anew, as it could send nothing. */
+        void admitted() {
+            waits = false;
+            channel.config().setAutoRead(true);
+            if (body == this) {
+                bodySince = owner.engine().now() - receivedTime();
+                goOn();
+            }
+        }
+
+        private void goOn() {
+            if (expected && received == 0) {
+                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+                    Unpooled.EMPTY_BUFFER));
+            }
+        }
+
+        /** Nothing of it is needed any more. */
+        void done() {
+            if (!over) {
+                over = true;
+                if (waits) {
+                    channel.config().setAutoRead(true);
+                }
+                if (waits || room > RequestHead.SHORT_BODY) {
+                    owner.letGo(this);
+                }
+            }
+        }
+    }
+
     ClientConnection(Channel channel, StrictHttp.Requests decoder, Owner owner) {
         this.channel = channel;
         this.decoder = decoder;
@@ -190,6 +259,19 @@
             dropRequest();
             keepAlive = false; // whether the body still comes is up to the client
             refused(comeBack);
+        } else if (head.id != null && !head.framed) {
+            body = new Body(HttpUtil.is100ContinueExpected(start));
+            bodySince = owner.engine().now();
+            if (head.length > Math.max(owner.bodies().most(), RequestHead.SHORT_BODY)) {
+                turnAway(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, false);
+                return;
+            }
+            if (comeBack == 0) {
+                body.need(head.length, true);
+            }
+            if (!body.waits) {
+                body.goOn();
+            }
         } else if (HttpUtil.is100ContinueExpected(start)) {
             channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
                 Unpooled.EMPTY_BUFFER));
@@ -200,17 +282,28 @@
         ByteBuf part = content.content();
         if (content.decoderResult().isFailure()) {
             turnAway(HttpResponseStatus.BAD_REQUEST, false);
-        } else if ((received += part.readableBytes()) > RequestHead.MAX_BODY) {
+        } else if ((received += part.readableBytes()) > longest()) {
             turnAway(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, false);
         } else {
-            if (part.isReadable() && comeBack == 0) {
-                body = body == Unpooled.EMPTY_BUFFER ? channel.alloc().heapBuffer(part.readableBytes()) : body;
-                body.writeBytes(part);
-            }
             complete = content instanceof LastHttpContent;
+            if (part.isReadable() && comeBack == 0 && body != null) {
+                body.kept.add(part);
+                if (!complete) {
+                    body.need(received, false);
+                }
+            }
         }
     }
 
+    private long longest() {
+        return Math.min(RequestHead.MAX_BODY, Math.max(owner.bodies().most(), RequestHead.SHORT_BODY));
+    }
+
+    /** What a client may take for as much of its body as has come. */
+    private long receivedTime() {
+        return received * 1_000_000L / SLOWEST_BYTES;
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         turnedAwayNow = false;
@@ -233,26 +326,27 @@
     private void take() {
         HttpRequest start = request;
         RequestHead wanted = head;
-        ByteBuf content = body;
+        Body came = body;
         request = null;
         head = null;
         complete = false;
-        body = Unpooled.EMPTY_BUFFER;
+        body = null;
         enter(State.BUSY);
         owner.asks(this);
         if (wanted.id == null) {
-            content.release();
+            drop(came);
             answer(owner.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
             return;
         }
         if (comeBack > 0) {
-            content.release();
+            drop(came);
             refused(comeBack);
             return;
         }
         Engine.Exchange taken = owner.engine().take(new Engine.Call(start.method(), start.uri(), wanted.id,
-            wanted.idempotencyKey, content, wanted.requestClass, wanted.tenant,
-            wanted.key.isEmpty() ? null : wanted.key, since, wanted.waitMicros), this);
+            wanted.idempotencyKey, came == null ? Unpooled.EMPTY_BUFFER : came.kept.take(), wanted.requestClass, wanted.tenant,
+            wanted.key.isEmpty() ? null : wanted.key, since, wanted.waitMicros,
+            came == null ? () -> { } : came::done), this);
         if (taken == null) {
             turnAway(HttpResponseStatus.CONFLICT, keepAlive); // another's request of this id is open
         } else if (!taken.answered()) { // it may have been, at once
@@ -264,8 +358,16 @@
         request = null;
         head = null;
         complete = false;
-        body.release(); // the empty buffer takes no notice
-        body = Unpooled.EMPTY_BUFFER;
+        Body came = body;
+        body = null;
+        drop(came);
+    }
+
+    private static void drop(Body came) {
+        if (came != null) {
+            came.kept.drop();
+            came.done();
+        }
     }
 
     @Override
@@ -416,7 +518,9 @@
                 }
             }
             case READING -> {
-                if (age > WHOLE_MICROS) {
+                boolean waits = body != null && body.waits;
+                long took = body == null ? age : now - bodySince - receivedTime();
+                if (took > WHOLE_MICROS && !waits) {
                     turnAway(HttpResponseStatus.REQUEST_TIMEOUT, false);
                 }
             }
@@ -460,9 +564,9 @@
         return state.name();
     }
 
-    /** Whether a request has just begun to come, which must not be cut off to make room. */
+    /** Whether a request has just begun to come, or its body is coming, which must not be cut off to make room. */
     boolean reading(long now) {
-        return state == State.READING && now - since <= SILENT_MICROS;
+        return state == State.READING && (body != null || now - since <= SILENT_MICROS);
     }
 
     boolean idle() {
--- a/src/main/java/anisebend/net/Engine.java
+++ b/src/main/java/anisebend/net/Engine.java
@@ -62,9 +62,15 @@
         void failed();
     }
 
-    /** A client's request, read and checked. */
+    /** A client's request, read and checked; {@code bodyDone} runs once, when its body has been let go. */
     record Call(HttpMethod method, String uri, String correlationId, String idempotencyKey, ByteBuf body,
-                int requestClass, int tenant, String key, long arrival, long waitMicros) {
+                int requestClass, int tenant, String key, long arrival, long waitMicros,
+                Runnable bodyDone) {
+        /** Nothing of it is needed any more. */
+        private void release() {
+            body.release();
+            bodyDone.run();
+        }
     }
 
     /** A request from its arrival until it is answered and nothing of it is out. */
@@ -219,7 +225,7 @@
     /** Takes a request, and its body's reference; null where another's request of this id is unanswered. */
     Exchange take(Call call, Client client) {
         if (!ids.add(call.correlationId())) {
-            call.body().release();
+            call.release();
             return null;
         }
         Exchange x = new Exchange("r" + sequence++, call, client);
@@ -320,7 +326,7 @@
 
     private void forget(Exchange x) {
         if (x.answered && x.out == null && open.remove(x.id) != null) {
-            x.call.body().release();
+            x.call.release();
         }
     }
 
--- a/src/main/java/anisebend/net/ProxyServer.java
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -7,6 +7,7 @@
 import gorsemast.lifecycle.Lifecycle;
 import gorsemast.lifecycle.Lifecycle.Phase;
 import gorsemast.observe.Counters;
+import gorsemast.retention.BodyBudget;
 import gorsemast.upgrade.Succession;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
@@ -47,6 +48,11 @@
     /** Parts of the descriptors for either side; the rest is for the JVM, discovery and sockets on their way out. */
     private static final double CLIENT_PART = 0.4;
     private static final double UPSTREAM_PART = 0.4;
+    /**
+     * This part of the heap is for long bodies; with the flags in deploy/balancer.toml the longest fits in it once, and
+     * what else is alive (10 to 15 MB) beside it.
+     */
+    private static final double BODY_PART = 0.45;
     /** So many at most come in beyond the bound before it is seen. */
     private static final int ACCEPTED_AT_ONCE = 4;
     private static final int MAX_READ = 16 << 10;
@@ -69,6 +75,8 @@
     private final Map<String, String> env;
     private final Door<ClientConnection> door;
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
+    private BodyBudget<ClientConnection.Body> bodies =
+        new BodyBudget<>((long) (Runtime.getRuntime().maxMemory() * BODY_PART));
     private final Map<String, Long> events = new TreeMap<>();
     private final Shedder shedder;
     private final SplittableRandom random;
@@ -138,6 +146,12 @@
         return new ProxyServer(ProxyConfig.load(env), env);
     }
 
+    /** Room for long bodies in bytes, where it is not to follow the heap; asked for before it starts. */
+    ProxyServer bodies(long most) {
+        bodies = new BodyBudget<>(most);
+        return this;
+    }
+
     /** Writes what it does and believes each period, for whoever looks for a cause; asked for before it starts. */
     public ProxyServer trace(long periodMillis) {
         tracing = true;
@@ -438,6 +452,16 @@
         return lifecycle.closing(engine.now());
     }
 
+    @Override
+    public BodyBudget<ClientConnection.Body> bodies() {
+        return bodies;
+    }
+
+    @Override
+    public void letGo(ClientConnection.Body body) {
+        bodies.release(body).forEach(ClientConnection.Body::admitted);
+    }
+
     @Override
     public void counted(String what) {
         if (tracing) {
--- a/src/main/java/anisebend/net/RequestHead.java
+++ b/src/main/java/anisebend/net/RequestHead.java
@@ -14,7 +14,9 @@
  * cheap; whatever could be read in two ways is refused, as the other side might read it in the other.
  */
 final class RequestHead {
-    static final int MAX_BODY = 64 << 10;
+    static final int MAX_BODY = 32 << 20;
+    /** Up to here a body is kept without asking for room. */
+    static final int SHORT_BODY = 64 << 10;
     static final String READY = "/health/ready";
     private static final String API = "/api/";
     private static final int MAX_ID = 256;
@@ -33,6 +35,8 @@
     int requestClass;
     int tenant;
     long waitMicros;
+    /** How long its body is, -1 where only its end will tell. */
+    long length;
     /** Whether the client says that it has asked before. */
     boolean repeat;
 
@@ -98,6 +102,8 @@
         }
         long deadline = config.settings().classes().get(requestClass).deadline();
         waitMicros = Math.min(waitMicros, deadline + deadline / OVER_PART);
+        String told = headers.get(HttpHeaderNames.CONTENT_LENGTH);
+        length = told != null ? Long.parseLong(told) : headers.contains(HttpHeaderNames.TRANSFER_ENCODING) ? -1 : 0;
         repeat = "1".equals(headers.get("X-Repeat"));
         key = path.substring(path.lastIndexOf('/') + 1);
         return null;
--- a/src/main/java/anisebend/net/Upstream.java
+++ b/src/main/java/anisebend/net/Upstream.java
@@ -405,35 +405,57 @@
                 return;
             }
             next.handedOver = true;
-            if (next.once && next.request.content().isReadable()) {
-                writeWithCare(next);
+            if (next.once && next.request.content().isReadable()
+                || next.request.content().readableBytes() > BodyBuffer.BLOCK) {
+                writeInParts(next);
             } else {
+                next.written = true;
                 finish(next, next.request);
             }
         }
 
-        private void writeWithCare(Attempt next) {
+        /**
+         * A long body goes out as a row of parts: written as one, all of it would be copied for the socket at once. It is
+         * not written before its last part is, which the node's pace decides; a break until then shows that it never ran.
+         */
+        private void writeInParts(Attempt next) {
             FullHttpRequest whole = next.request;
-            ByteBuf first = whole.content().readRetainedSlice(whole.content().readableBytes() - 1);
+            ByteBuf content = whole.content();
             channel.write(new DefaultHttpRequest(whole.protocolVersion(), whole.method(), whole.uri(),
                 whole.headers()));
-            channel.writeAndFlush(new DefaultHttpContent(first));
-            loop.schedule(() -> {
-                if (attempt == next) {
-                    finish(next, new DefaultLastHttpContent(whole.content()));
-                } else {
-                    whole.release();
+            while (content.readableBytes() > BodyBuffer.BLOCK) {
+                channel.write(new DefaultHttpContent(content.readRetainedSlice(BodyBuffer.BLOCK)));
+            }
+            if (!next.once) {
+                finish(next, new DefaultLastHttpContent(content));
+                return;
+            }
+            ByteBuf most = content.readRetainedSlice(content.readableBytes() - 1);
+            channel.writeAndFlush(new DefaultHttpContent(most)).addListener(done -> {
+                if (!done.isSuccess()) {
+                    content.release();
+                    if (attempt == next) {
+                        next.end(unsent(), Note.NONE, null);
+                    }
+                    return;
                 }
-            }, holdMicros, TimeUnit.MICROSECONDS);
+                loop.schedule(() -> {
+                    if (attempt == next) {
+                        finish(next, new DefaultLastHttpContent(content));
+                    } else {
+                        content.release();
+                    }
+                }, holdMicros, TimeUnit.MICROSECONDS);
+            });
         }
 
+        /** Writes what is left; an answer is read only behind the end of that, on the same thread. */
         private void finish(Attempt next, Object rest) {
-            next.written = true;
             channel.writeAndFlush(rest).addListener(done -> {
                 attemptsWritten += done.isSuccess() ? 1 : 0;
+                next.written = done.isSuccess();
                 if (!done.isSuccess() && attempt == next) {
                     // The last byte never left, so a server can't have begun it.
-                    next.written = false;
                     next.end(unsent(), Note.NONE, null);
                 }
             });
@@ -532,7 +554,9 @@
             }
             // An answer to nothing, or no HTTP. One that only the connection's end would mark as whole comes to its
             // end after closeFuture, when its attempt has ended as a reset: it might have been cut anywhere.
-            if (attempt == null || !attempt.written || start.decoderResult().isFailure()
+            boolean early = attempt != null && !attempt.written && code(start) != Code.OK;
+            excess |= early; // turned away before all of it was read: the rest of it can't be called back
+            if (attempt == null || !attempt.written && !early || start.decoderResult().isFailure()
                 || start.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
                 lost();
                 return;
--- a/src/main/java/anisebend/net/Warmup.java
+++ b/src/main/java/anisebend/net/Warmup.java
@@ -1,5 +1,6 @@
 package anisebend.net;
 
+import gorsemast.retention.BodyBudget;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -58,6 +59,7 @@
     private final Runnable done;
     /** Drawn from the start's own seed and so known to nobody else: no client can be taken for the warm-up. */
     private final String token;
+    private final BodyBudget<ClientConnection.Body> bodies = new BodyBudget<>(0);
     private final List<Channel> channels = new ArrayList<>();
     private int sent;
     private int answered;
@@ -91,7 +93,7 @@
                 protected void initChannel(Channel ch) {
                     channels.add(ch);
                     ch.pipeline().addLast(new HttpRequestEncoder(), new StrictHttp.Responses(),
-                        new HttpObjectAggregator(RequestHead.MAX_BODY), new Asking());
+                        new HttpObjectAggregator(Upstream.MAX_KEPT), new Asking());
                 }
             }).connect(self);
         }
@@ -230,6 +232,16 @@
         return false;
     }
 
+    @Override
+    public BodyBudget<ClientConnection.Body> bodies() {
+        return bodies;
+    }
+
+    @Override
+    public void letGo(ClientConnection.Body body) {
+        bodies.release(body);
+    }
+
     @Override
     public void opened(ClientConnection connection) {
     }
--- /dev/null
+++ b/src/test/java/anisebend/net/LongBodyTest.java
@@ -0,0 +1,236 @@
+package anisebend.net;
+
+import static anisebend.net.Loopback.PATIENCE_SECONDS;
+import static anisebend.net.Loopback.answer;
+import static anisebend.net.Loopback.entry;
+import static anisebend.net.Loopback.list;
+import static anisebend.net.Loopback.request;
+import static anisebend.net.Loopback.write;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import anisebend.net.Loopback.Client;
+import anisebend.net.Loopback.Message;
+import anisebend.net.Loopback.Server;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Bodies that are longer than what is kept without asking, and more of them than there is room for. */
+class LongBodyTest {
+    private static final double LONG = 60;
+    private static final int ROOM = 1 << 20;
+
+    @TempDir
+    Path folder;
+    private Server node;
+    private Server discovery;
+    private ProxyServer proxy;
+    private volatile Loopback.Script script = (request, socket) -> write(socket, answer(200, "", request.body()));
+
+    @BeforeEach
+    void open() throws IOException {
+        node = new Server((request, socket) -> script.answer(request, socket));
+        discovery = new Server((request, socket) -> { });
+        proxy = ProxyServer.of(Loopback.environment(folder, discovery.address(), 200, 60_000,
+            list(1, true, entry("s-1", node.address(), "Ready", 0)))).bodies(ROOM).start();
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        proxy.stop();
+        node.close();
+        discovery.close();
+    }
+
+    private Client client() throws IOException {
+        return new Client(proxy.address().getPort());
+    }
+
+    private static String text(int length) {
+        StringBuilder text = new StringBuilder(length);
+        new Random(length).ints(length, 'a', 'z').forEach(c -> text.append((char) c));
+        return text.toString();
+    }
+
+    private static String chunked(String type, String body, int size) {
+        StringBuilder text = new StringBuilder(request("PUT", "/api/k", type, LONG, "")
+            .replace("Content-Length: 0", "Transfer-Encoding: chunked"));
+        for (int at = 0; at < body.length(); at += size) {
+            String part = body.substring(at, Math.min(body.length(), at + size));
+            text.append(Integer.toHexString(part.length())).append("\r\n").append(part).append("\r\n");
+        }
+        return text.append("0\r\n\r\n").toString();
+    }
+
+    private void awaitIdle() throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
+        while (!proxy.idle()) {
+            assertTrue(System.nanoTime() < end, "something is kept");
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"65535, once", "65536, keyed", "65537, once", "65537, keyed", "131072, once", "700000, once",
+        "1048576, keyed"})
+    void passesBodiesUnchangedInAnyFraming(int length, String type) throws Exception {
+        String body = text(length);
+        script = (request, socket) -> write(socket, answer(200, "", request.body().equals(body) ? "same" : "other"));
+        try (Client client = client()) {
+            assertEquals("same", client.ask(request("PUT", "/api/k", type, LONG, body)).body());
+            assertEquals("same", client.ask(chunked(type, body, 50_000)).body());
+            assertEquals("same", client.ask(chunked(type, body, 1_000_000)).body());
+        }
+        awaitIdle();
+    }
+
+    /** Twelve of 400 kB where two have room: the others are not read, and every one of them is served in its turn. */
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void servesMoreBodiesThanThereIsRoomFor(boolean known) throws Exception {
+        String body = text(400_000);
+        BlockingQueue<Socket> held = new LinkedBlockingQueue<>();
+        script = (request, socket) -> held.add(socket);
+        List<Client> clients = new ArrayList<>();
+        List<Thread> writers = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            Client client = client();
+            clients.add(client);
+            String text = known ? request("PUT", "/api/k" + i, "once", LONG, body) : chunked("once", body, 30_000);
+            Thread writer = new Thread(() -> {
+                try {
+                    write(client.socket, text);
+                } catch (IOException e) {
+                    return; // its answer, or the lack of one, will tell
+                }
+            });
+            writer.start();
+            writers.add(writer);
+        }
+        int most = 0;
+        for (int served = 0; served < clients.size(); served++) {
+            Socket first = held.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+            assertNotNull(first, "after " + served);
+            most = Math.max(most, 1 + held.size());
+            write(first, answer(200, "", "done"));
+        }
+        assertTrue(most <= 2, most + " at once");
+        for (Client client : clients) {
+            assertEquals("done", client.answer().body());
+            client.close();
+        }
+        for (Thread writer : writers) {
+            writer.join();
+        }
+        awaitIdle();
+    }
+
+    @Test
+    void givesTheRoomOfAClientThatLeftToTheNext() throws Exception {
+        String body = text(ROOM);
+        Client first = client();
+        write(first.socket, request("PUT", "/api/k", "once", LONG, body).substring(0, ROOM / 2));
+        try (Client second = client()) {
+            Thread writer = new Thread(() -> {
+                try {
+                    write(second.socket, request("PUT", "/api/j", "once", LONG, body));
+                } catch (IOException e) {
+                    return;
+                }
+            });
+            writer.start();
+            first.close();
+            assertEquals(body, second.answer().body());
+            writer.join();
+        }
+        assertEquals(1, node.requests.size());
+    }
+
+    /** What has no whole body can't have run, so even what may run once only is tried again. */
+    @Test
+    void triesAgainWhenTheNodeBreaksOffWithinTheBody() throws Exception {
+        String body = text(ROOM);
+        try (ServerSocket breaking = new ServerSocket()) {
+            breaking.setReceiveBufferSize(8 << 10); // so that the body can't all be on its way
+            breaking.bind(new InetSocketAddress(Loopback.HOST, 0));
+            Thread breaker = new Thread(() -> {
+                try {
+                    try (Socket socket = breaking.accept()) {
+                        socket.getInputStream().readNBytes(10_000);
+                    }
+                    try (Socket socket = breaking.accept()) {
+                        Message came = Loopback.read(new BufferedInputStream(socket.getInputStream()));
+                        write(socket, answer(200, "", "whole " + came.body().length()));
+                        socket.getInputStream().read();
+                    }
+                } catch (IOException e) {
+                    return;
+                }
+            });
+            breaker.setDaemon(true);
+            breaker.start();
+            proxy.stop();
+            proxy = ProxyServer.of(Loopback.environment(folder, discovery.address(), 200, 60_000,
+                list(1, true, entry("s-0", "127.0.0.1:" + breaking.getLocalPort(), "Ready", 0)))).bodies(ROOM).start();
+            try (Client client = client()) {
+                Thread writer = new Thread(() -> {
+                    try {
+                        write(client.socket, request("PUT", "/api/k", "once", LONG, body));
+                    } catch (IOException e) {
+                        return;
+                    }
+                });
+                writer.start();
+                assertEquals("whole " + ROOM, client.answer().body());
+                writer.join();
+            }
+            breaker.interrupt();
+        }
+    }
+
+    @Test
+    void turnsAwayWhatCanNeverHaveRoom() throws Exception {
+        try (Client client = client()) {
+            assertEquals(413, client.ask(request("PUT", "/api/k", "once", LONG, "x")
+                .replace("Content-Length: 1\r", "Content-Length: " + (ROOM + 1) + "\r")).status());
+            assertNull(client.answer());
+        }
+        assertEquals(0, node.requests.size());
+    }
+
+    /** A client that waits for leave to send hears it once there is room, and not before. */
+    @Test
+    void letsExpectantClientsGoOnOnceThereIsRoom() throws Exception {
+        String body = text(ROOM);
+        try (Client first = client(); Client second = client()) {
+            String one = request("PUT", "/api/k", "once", LONG, body).replace("Host: app.svc", "Host: app.svc\r\nExpect: 100-continue");
+            String head = one.substring(0, one.indexOf("\r\n\r\n") + 4);
+            write(first.socket, head);
+            assertEquals(100, first.answer().status());
+            write(second.socket, head.replaceFirst("X-Correlation-Id: \\S+", "X-Correlation-Id: other"));
+            write(first.socket, body);
+            Message answer = first.answer();
+            assertEquals(200, answer.status());
+            assertEquals(100, second.answer().status());
+            write(second.socket, body);
+            assertEquals(body, second.answer().body());
+        }
+    }
+}
