--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -300,8 +300,8 @@
         }
 
         /**
-         * Whether one more may be out: at the ledger no more than it answers in the wanted time (Little's law)
-         * and a few by chance, as what comes too late is fetched in vain. Could hurt where it gets quicker.
+         * Whether one more may be out: at the ledger no more than it answers in the wanted time (Little's
+         * law) and a few by chance, as what comes too late is fetched in vain. Could hurt where it gets quicker.
          */
         boolean room() {
             double usual = rate.peak * shortestAim / MICROS;
@@ -782,8 +782,8 @@
         }
         target.queue.add(held);
         held.queuedAt = target;
-        int ahead = target.room() && target.earliest().readyAt() <= now ? 0 : target.queue.headSet(held).size();
-        if (target.leaves(ahead) > held.until() - typical(held, target)) {
+        int row = target.room() && target.earliest().readyAt() <= now ? 0 : target.queue.headSet(held).size();
+        if (target.leaves(row) > held.until() - typical(held, target)) {
             conclude(held, Why.NO_ROOM);
             return;
         }
