--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -300,8 +300,8 @@
         }
 
         /**
-         * Whether one more may be out: at the ledger no more than it answers in the wanted time (Little's
-         * law) and a few by chance, as what comes too late is fetched in vain. Could hurt where it gets quicker.
+         * Whether one more may be out: at the ledger no more than it answers in the wanted time, by Little's
+         * law, and a few by chance; the rest would be fetched in vain. Could hurt where it gets quicker.
          */
         boolean room() {
             double usual = rate.peak * shortestAim / MICROS;
