--- a/src/main/java/anisebend/net/Upstream.java
+++ b/src/main/java/anisebend/net/Upstream.java
@@ -95,6 +95,7 @@
     /** Attempts that wait for a connection, in the order in which they came; some may have ended meanwhile. */
     private final Map<String, Deque<Attempt>> waiting = new HashMap<>();
     private final Map<String, Traffic> traffic = new HashMap<>();
+    private long stalledMicros = STALLED_MICROS;
     /** Attempts whose last byte the system has taken, since the start. */
     private long attemptsWritten;
 
@@ -108,6 +109,12 @@
         this.bootstrap = client(loop, connectMillis);
     }
 
+    /** After how long a node has broken off an answer that is being passed on; asked for before anything is sent. */
+    Upstream stalledAfter(long micros) {
+        stalledMicros = micros;
+        return this;
+    }
+
     long attemptsWritten() {
         return attemptsWritten;
     }
@@ -639,12 +646,12 @@
 
         private void watch() {
             loop.schedule(() -> {
-                if (passage != null && channel.config().isAutoRead() && now() - lastPart > STALLED_MICROS) {
+                if (passage != null && channel.config().isAutoRead() && now() - lastPart > stalledMicros) {
                     lost();
                 } else if (passage != null) {
                     watch();
                 }
-            }, STALLED_MICROS / 2, TimeUnit.MICROSECONDS);
+            }, stalledMicros / 2, TimeUnit.MICROSECONDS);
         }
 
         @Override
--- a/src/test/java/anisebend/net/UpstreamTest.java
+++ b/src/test/java/anisebend/net/UpstreamTest.java
@@ -11,12 +11,15 @@
 import anisebend.Balancer.Code;
 import anisebend.Balancer.Note;
 import anisebend.net.Loopback.Server;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -348,4 +351,47 @@
             assertEquals(code, ended().code());
         }
     }
+
+    /** A node that falls silent within a long answer keeps neither its connection nor its reader for ever. */
+    @Test
+    void breaksOffALongAnswerOfANodeThatFellSilent() throws Exception {
+        BlockingQueue<String> told = new LinkedBlockingQueue<>();
+        try (Server server = new Server((request, socket) ->
+            write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + "x".repeat(1_000)))) {
+            FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/k",
+                Unpooled.EMPTY_BUFFER);
+            group.next().submit(() -> upstream.stalledAfter(20_000).send(node(port(server)), message, LONG_MICROS, false,
+                new Upstream.Ending() {
+                    @Override
+                    public void ended(Code code, Note note, FullHttpResponse answer) {
+                        told.add("ended " + code);
+                    }
+
+                    @Override
+                    public Passage begins(Note note, HttpResponse head, long length, Passage.Flow flow) {
+                        told.add("begins " + length);
+                        return new Passage() {
+                            @Override
+                            public void part(ByteBuf bytes) {
+                                bytes.skipBytes(bytes.readableBytes());
+                            }
+
+                            @Override
+                            public void ended() {
+                                told.add("whole");
+                            }
+
+                            @Override
+                            public void broken() {
+                                told.add("broken");
+                            }
+                        };
+                    }
+                })).get();
+            assertEquals("begins 1000000", told.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+            assertEquals("broken", told.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+            assertNotNull(server.ended.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+            assertTrue(told.isEmpty(), "one ending: " + told);
+        }
+    }
 }
