--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -98,8 +98,6 @@
      * be of little use and take the place of one that still is. Could hurt where late answers are worth much.
      */
     private static final double LATE = 1.7;
-    /** Deviations of a chance number that a bound on it leaves room for. */
-    private static final double CHANCE = 4;
     /** Never more than this part of that is expected: what is only believed must go on being tried. */
     private static final double EXPECTED = 0.9;
     /** Further successes that a fetch well within its wanted time counts for, as the ledger has room. */
@@ -299,16 +297,6 @@
             return best;
         }
 
-        /**
-         * Whether one more may be out: at the ledger no more than it answers in the wanted time, by Little's
-         * law, and a few by chance; the rest would be fetched in vain. Could hurt where it gets quicker.
-         */
-        boolean room() {
-            double usual = rate.peak * shortestAim / MICROS;
-            return this != ledger
-                || lanes.stream().mapToInt(l -> l.out).sum() < LANES + usual + CHANCE * Math.sqrt(usual);
-        }
-
         /** When a request with {@code ahead} others before it may leave. */
         long leaves(int ahead) {
             long sum = 0;
@@ -317,9 +305,8 @@
                 sum += lane.currentInterval + (lane.currentInterval > 0 ? (long) answer : 0);
                 first = Math.min(first, lane.restSince + lane.currentInterval);
             }
-            double full = room() ? 0 : ahead * MICROS / Math.max(1, rate.at(now));
             return Math.max(Math.max(now, first), coldWait())
-                + Math.max((long) full, ahead * sum / lanes.size() / lanes.size());
+                + ahead * sum / lanes.size() / lanes.size();
         }
 
         /**
@@ -533,6 +520,7 @@
         boolean others = !given.tenants().equals(settings.tenants());
         take(given);
         shares = others ? new Shares(given.tenants(), given.balancers(), shares.span(), arrivals) : shares;
+        alarms.arm(actions);
     }
 
     @Override
@@ -623,7 +611,10 @@
         boolean restarted = entry.startedAt() > target.entry.startedAt();
         target.entry = entry;
         if (restarted && !isOrigin) {
-            target.faults.clear();
+            for (Faults faults : target.faults) {
+                faults.sum = 0;
+                faults.leaveOut(false);
+            }
             revive(target);
             target.cool(Math.max(entry.startedAt(), target.coldSince));
         }
@@ -730,8 +721,14 @@
         List<Target> all = new ArrayList<>(targets.values());
         all.addAll(ledger == null ? List.of() : List.of(ledger));
         for (Target t : all) {
-            long sum = t.lanes.stream().mapToLong(lane -> lane.currentInterval).sum();
-            int faulty = (int) t.faults.stream().filter(faults -> faults.out).count();
+            long sum = 0;
+            for (Lane lane : t.lanes) {
+                sum += lane.currentInterval;
+            }
+            int faulty = 0;
+            for (Faults faults : t.faults) {
+                faulty += faults.out ? 1 : 0;
+            }
             seen.add(new ServerView(t.id, t.entry.state(), t.suspect, t.warmth(), t.lanes.size(),
                 sum / t.lanes.size(), t.queue.size(), t.inFlight.size(), faulty, t.slowness));
         }
@@ -771,7 +768,7 @@
             if (follows(held)) {
                 return;
             }
-            if (ledger.queue.isEmpty() && ledger.room() && ledger.earliest().readyAt() <= now) {
+            if (ledger.queue.isEmpty() && ledger.earliest().readyAt() <= now) {
                 hold(held, ledger.earliest());
             } else if (held.over) {
                 conclude(held, Why.OVER_SHARE);
@@ -782,8 +779,8 @@
         }
         target.queue.add(held);
         held.queuedAt = target;
-        int row = target.room() && target.earliest().readyAt() <= now ? 0 : target.queue.headSet(held).size();
-        if (target.leaves(row) > held.until() - typical(held, target)) {
+        int ahead = target.earliest().readyAt() <= now ? 0 : target.queue.headSet(held).size();
+        if (target.leaves(ahead) > held.until() - typical(held, target)) {
             conclude(held, Why.NO_ROOM);
             return;
         }
@@ -852,7 +849,7 @@
     }
 
     private void pump(Target target) {
-        while (!target.queue.isEmpty() && target.ready() && target.room()) {
+        while (!target.queue.isEmpty() && target.ready()) {
             Lane lane = target.earliest();
             long ready = Math.max(lane.readyAt(), target.coldWait());
             if (ready > now) {
@@ -1015,7 +1012,8 @@
             release(held);
         }
         boolean late = now + wait + typical(held, target) > held.request.giveUp();
-        if (!o.code().calledOff && retries < 1 || late || !mayRepeat(held) || !mayResend(held)) {
+        if (!o.code().calledOff && retries < 1 || late || !mayRepeat(held)
+            || !mayResend(held)) {
             conclude(held, retries < 1 ? Why.NO_BUDGET : Why.SPENT);
         } else {
             retries -= o.code().calledOff ? 0 : 1;
