Leave only when a later process takes clients; let long answers outlive their process

Change: each process has a locked file with its order and what it is doing (Generations, Succession), for any number of processes; the old one leaves at once only where a later one takes clients, and as soon as one does; the rest of long answers is handed to the system (Parting); a last answer is cut only where nothing of it moves; SIGTERM is heard before anything else is loaded, and a stopped process ends after those before it. A folder that can't be shared is one line and no longer keeps the proxy from starting.

Ruled out: the node's drain, resets, the accept queue.

--- a/src/main/java/anisebend/Main.java
+++ b/src/main/java/anisebend/Main.java
@@ -2,6 +2,7 @@
 
 import anisebend.net.ProxyServer;
 import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * Entry point of the jar: {@code serve} runs the real proxy, {@code adapter} serves the wire on standard
@@ -24,17 +25,33 @@
     }
 
     private static void serve() {
+        // A restart may reach a process that has only just begun, and its end must not come before it knows whether
+        // another one is there that has clients: so SIGTERM is heard before anything else is loaded.
+        CompletableFuture<ProxyServer> started = new CompletableFuture<>();
+        Runtime.getRuntime().addShutdownHook(new Thread() {
+            @Override
+            public void run() {
+                ProxyServer server = started.join();
+                if (server != null) {
+                    server.drain();
+                    Runtime.getRuntime().halt(0); // else the signal would be the exit code
+                }
+            }
+        });
         try {
             ProxyServer server = ProxyServer.of(System.getenv());
             if (Boolean.getBoolean("gorsemast.trace")) {
                 server.trace(Math.max(10, Long.getLong("gorsemast.trace.millis", 1_000)));
             }
-            server.drainOnTermination();
             server.reloadOnHangup(); // before anybody can see that it is ready
+            started.complete(server);
             server.startWarm();
         } catch (IOException e) {
             System.err.println("anisebend: " + e.getMessage());
+            started.complete(null);
             System.exit(1);
+        } finally {
+            started.complete(null); // whatever else it was; without effect where it has started
         }
     }
 }
--- a/src/main/java/anisebend/net/ClientConnection.java
+++ b/src/main/java/anisebend/net/ClientConnection.java
@@ -7,6 +7,9 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -110,6 +113,12 @@
     private Engine.Exchange exchange;
     /** The source of an answer that is being passed on. */
     private Passage.Flow passing;
+    /** How many bytes of that are still to come; negative where it is not known. */
+    private long rest;
+    /** An answer was long: its client may stand still within it, also when the last of it has been written here. */
+    private boolean wasLong;
+    /** What the system had not taken yet when it was last looked at. */
+    private long unsent;
     private boolean old;
 
     /** A request's body on its way in, with the room that it has or waits for. */
@@ -247,6 +256,7 @@
             enter(State.READING);
         }
         request = start;
+        wasLong = false;
         received = 0;
         head = new RequestHead(start, owner.config());
         keepAlive = HttpUtil.isKeepAlive(start);
@@ -412,6 +422,8 @@
     public Passage begins(HttpResponse answer, long length, Passage.Flow flow) {
         exchange = null;
         passing = flow;
+        rest = length;
+        wasLong = true;
         turnedAway = false;
         concluded(HttpResponseStatus.OK);
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
@@ -430,6 +442,7 @@
 
     @Override
     public void part(ByteBuf bytes) {
+        rest -= rest > 0 ? bytes.readableBytes() : 0;
         channel.writeAndFlush(new DefaultHttpContent(bytes.retainedDuplicate()));
         if (!channel.isWritable() && passing != null) {
             since = owner.engine().now();
@@ -530,13 +543,47 @@
                 }
             }
             default -> {
-                if (age > WHOLE_MICROS) {
-                    channel.close(); // silent from the start, or slow to read its last answer
+                if (age > (wasLong && takes(now) ? STALLED_MICROS : WHOLE_MICROS)) {
+                    channel.close(); // silent from the start, or it reads nothing of its last answer
                 }
             }
         }
     }
 
+    /** Whether something that was written is still in this process's hands; each bit that leaves starts the time anew. */
+    private boolean takes(long now) {
+        ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
+        long left = out == null ? 0 : out.totalPendingWriteBytes();
+        if (left != unsent) {
+            unsent = left;
+            since = now;
+        }
+        return left > 0;
+    }
+
+    /** Whether it is being sent an answer too long to be kept. */
+    boolean passing() {
+        return passing != null;
+    }
+
+    /** How many bytes of that its node has still to give; negative where that is not known. */
+    long rest() {
+        return rest;
+    }
+
+    /**
+     * Lets the system hold so much for this client, and more than it would by itself, so that what it has not read yet
+     * outlives this process.
+     *
+     * @param bytes what to ask for; the system grants up to its own bound, and twice the number for its own records
+     */
+    void sendBuffer(int bytes) {
+        channel.config().setOption(ChannelOption.SO_SNDBUF, bytes);
+        if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe nio) {
+            nio.forceFlush(); // room that is made this way wakes nobody
+        }
+    }
+
     /** Whether it has earned less than others: it has said nothing whole so far, or was turned away last. */
     boolean dispensable(long now) {
         boolean asked = state == State.IDLE && !turnedAway;
--- a/src/main/java/anisebend/net/ProxyServer.java
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -8,6 +8,8 @@
 import gorsemast.lifecycle.Lifecycle.Phase;
 import gorsemast.observe.Counters;
 import gorsemast.retention.BodyBudget;
+import gorsemast.retention.Parting;
+import gorsemast.upgrade.Generations;
 import gorsemast.upgrade.Succession;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
@@ -27,7 +29,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -66,6 +70,9 @@
     private static final long CLOSING_MILLIS = 150;
     /** SIGKILL comes 0.7 s after the longest deadline, of which at most 3 s count; all must be over before it. */
     private static final long LONGEST_MILLIS = 3_000;
+    /** What the system is asked to hold for one client, and for all, when the process is about to end. */
+    private static final int PARTING_EACH = 4 << 20;
+    private static final long PARTING_MOST = 192L << 20;
     private static final long BEFORE_KILL_MILLIS = 130;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -77,6 +84,7 @@
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
     private BodyBudget<ClientConnection.Body> bodies =
         new BodyBudget<>((long) (Runtime.getRuntime().maxMemory() * BODY_PART));
+    private final Parting<ClientConnection> parting = new Parting<>(PARTING_MOST, PARTING_EACH);
     private final Map<String, Long> events = new TreeMap<>();
     private final Shedder shedder;
     private final SplittableRandom random;
@@ -91,9 +99,15 @@
     private long reloadsTurnedDown;
     /** Null where there is no second address. */
     private AdminListener admin;
-    /** Who else of this proxy's processes is there; null where no other can be. */
-    private Succession succession;
-    private boolean shared;
+    /**
+     * Who else of this proxy's processes is there; null where no other can be. It is known from the beginning, as SIGTERM
+     * may come before this one has begun.
+     */
+    private final Succession succession;
+    /** See {@link #sendBuffers}; negative until it is known. */
+    private int granted = -1;
+    /** How many processes share what this proxy may hold. */
+    private int processes = 1;
     /** There while the code is warmed up; until that is over it is not ready. */
     private Warmup warmup;
 
@@ -105,6 +119,7 @@
         this.random = new SplittableRandom(config.seed());
         this.shedder = new Shedder(new double[0],
             config.settings().tenants().stream().mapToDouble(Balancer.Tenant::share).toArray());
+        this.succession = succession();
         take(config);
     }
 
@@ -122,22 +137,36 @@
         return Math.max(1, (int) (sockets * part));
     }
 
-    /** While an old and a new process are there, both together may hold no more than one. */
+    /** While old and new processes are there, all together may hold no more than one. */
     private void bound() {
-        int mine = shared ? config.sockets() / 2 : config.sockets();
+        int mine = config.sockets() / processes;
         door.places(part(mine, CLIENT_PART));
         engine.limit(part(mine, UPSTREAM_PART));
     }
 
+    /** Looks who else is there, tells the others what this one does, and shares with them. */
     private void share() {
-        if (succession != null) {
-            succession.look();
-            boolean two = succession.hasPredecessor() || succession.hasSuccessor();
-            if (two != shared) {
-                shared = two;
-                bound();
-            }
+        if (succession == null) {
+            return;
+        }
+        succession.tell(switch (lifecycle.phase()) {
+            case STARTING -> Generations.Standing.STARTING;
+            case SERVING -> Generations.Standing.SERVING;
+            case EMPTYING -> Generations.Standing.EMPTIED;
+            case HANDING_OVER, STOPPING -> Generations.Standing.LEAVING;
+        });
+        succession.look();
+        Generations generations = succession.generations();
+        if (generations.processes() != processes) {
+            processes = generations.processes();
+            bound();
+        }
+        if (lifecycle.phase() == Phase.STOPPING && generations.succeeded()) {
+            lifecycle.succeeded(engine.now());
+            System.err.println("a successor takes clients: " + lifecycle.phase());
+            leave();
         }
+        checkDrained();
     }
 
     /** A proxy as the platform's variables say; throws what is wrong with them as one plain line. */
@@ -179,6 +208,7 @@
             loop.execute(() -> warmUp((InetSocketAddress) admin.address(), () -> listen().addListener(bound -> {
                 if (bound.isSuccess()) {
                     lifecycle.started();
+                    share();
                 } else {
                     System.err.println("anisebend: " + bound.cause().getMessage());
                     Runtime.getRuntime().halt(1); // nobody could ever reach it
@@ -196,9 +226,18 @@
         warmup.start();
     }
 
-    private Succession succession() throws IOException {
+    /** Null where no other process can be known; then the end of this one is a restart. */
+    private Succession succession() {
         String folder = env.get("TMPDIR");
-        return folder == null || folder.isEmpty() ? null : new Succession(Path.of(folder, "gorsemast-" + config.name()));
+        if (config.admin() == null || folder == null || folder.isEmpty()) {
+            return null;
+        }
+        try {
+            return new Succession(Path.of(folder, "gorsemast-" + config.name()));
+        } catch (IOException | RuntimeException e) {
+            System.err.println("knows of no other process: " + e);
+            return null;
+        }
     }
 
     /** Begins to serve, cold. */
@@ -214,7 +253,6 @@
     }
 
     private void begin(Supplier<ChannelFuture> listening) throws IOException {
-        succession = config.admin() == null ? null : succession();
         try {
             loop.submit(() -> {
                 engine.begin(config);
@@ -288,17 +326,6 @@
         return loop.submit(() -> clients.isEmpty() && engine.idle()).get();
     }
 
-    /**
-     * Lets SIGTERM drain the proxy: it goes on accepting for a while, finishes what it holds and exits with 0.
-     * A shutdown hook is the library's way to hear of the signal; it must halt for the exit code to be 0.
-     */
-    public void drainOnTermination() {
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            drain();
-            Runtime.getRuntime().halt(0);
-        }, "drain"));
-    }
-
     /** Lets SIGHUP take over a configuration that has been replaced. */
     public void reloadOnHangup() {
         Signals.onHangup(this::reload);
@@ -332,8 +359,11 @@
         reloadsTurnedDown++;
     }
 
-    /** Drains and returns when nothing is held, or just before a SIGKILL may come. */
-    void drain() {
+    /**
+     * Drains and returns when nothing is held, or just before a SIGKILL may come. It goes on accepting for a while where
+     * nobody else takes clients. Blocks; not to be called on the loop. Once.
+     */
+    public void drain() {
         loop.execute(this::beginDrain);
         try {
             drained.await(drainMillis + BEFORE_KILL_MILLIS / 2, TimeUnit.MILLISECONDS);
@@ -359,12 +389,16 @@
      */
     private void beginDrain() {
         long now = engine.now();
-        lifecycle.terminate(now, succession != null && succession.hasSuccessor(),
+        if (succession != null) {
+            succession.look();
+        }
+        lifecycle.terminate(now, succession != null && succession.generations().succeeded(),
             TimeUnit.MILLISECONDS.toMicros(drainMillis - CLOSING_MILLIS));
         System.err.println("drains for at most " + drainMillis + " ms: " + lifecycle.phase());
         if (lifecycle.phase() == Phase.STOPPING) {
             door.drain(now);
         }
+        share();
         loop.schedule(this::leave, Math.max(0, lifecycle.closesFrom() - now), TimeUnit.MICROSECONDS);
         loop.schedule(this::closeFree, drainMillis - CLOSING_MILLIS, TimeUnit.MILLISECONDS);
         loop.schedule(engine::giveUpAll, drainMillis, TimeUnit.MILLISECONDS);
@@ -378,9 +412,37 @@
         if (lifecycle.phase() == Phase.STOPPING) {
             closeFree();
         }
+        part();
         checkDrained();
     }
 
+    /** Hands to the system what is left of long answers, as their clients may need longer than this process has. */
+    private void part() {
+        Map<ClientConnection, Long> rests = new LinkedHashMap<>();
+        for (ClientConnection client : clients) {
+            if (client.passing()) {
+                rests.put(client, client.rest());
+            }
+        }
+        if (!rests.isEmpty() && sendBuffers() > 0) {
+            parting.next(rests).forEach(client -> client.sendBuffer(PARTING_EACH));
+        }
+    }
+
+    /** How much the system lets one socket hold when it is asked to; where that is less than by itself, it isn't asked. */
+    private int sendBuffers() {
+        if (granted < 0) {
+            try (SocketChannel probe = SocketChannel.open()) {
+                probe.setOption(StandardSocketOptions.SO_SNDBUF, PARTING_EACH);
+                int most = probe.getOption(StandardSocketOptions.SO_SNDBUF);
+                granted = most >= PARTING_EACH ? most : 0;
+            } catch (IOException e) {
+                return 0; // no descriptor just now
+            }
+        }
+        return granted;
+    }
+
     private void closeFree() {
         long now = engine.now();
         for (ClientConnection client : List.copyOf(clients)) {
@@ -397,8 +459,13 @@
         vacant.subList(0, left).forEach(ClientConnection::closeIfFree);
     }
 
+    /**
+     * A process that is stopped beside one that came before it ends after that: whoever started them may take the end of
+     * the latest for the end of the proxy, and kill the other while it has requests in hand.
+     */
     private void checkDrained() {
-        if (closing() && lifecycle.ending() && clients.isEmpty()) {
+        if (closing() && lifecycle.ending() && clients.isEmpty()
+            && (succession == null || !succession.generations().hasPredecessor())) {
             drained.countDown();
         }
     }
@@ -503,6 +570,7 @@
     @Override
     public void closed(ClientConnection connection) {
         clients.remove(connection);
+        parting.left(connection);
         door.left(connection);
         makeRoom();
         checkDrained();
@@ -522,6 +590,9 @@
 
     private void sweep() {
         long now = engine.now();
+        if (closing() && lifecycle.ending()) {
+            part();
+        }
         for (ClientConnection client : List.copyOf(clients)) {
             client.checkTime(now);
         }
--- a/src/main/java/gorsemast/lifecycle/Lifecycle.java
+++ b/src/main/java/gorsemast/lifecycle/Lifecycle.java
@@ -67,6 +67,14 @@
         phase = successor ? Phase.HANDING_OVER : Phase.STOPPING;
     }
 
+    /** Another process has come to take clients at the same address: whoever stops need not serve on. */
+    public void succeeded(long now) {
+        if (phase == Phase.STOPPING) {
+            phase = Phase.HANDING_OVER;
+            closesFrom = Math.min(closesFrom, now);
+        }
+    }
+
     /** What it is doing. */
     public Phase phase() {
         return phase;
--- a/src/test/java/anisebend/net/ServiceTest.java
+++ b/src/test/java/anisebend/net/ServiceTest.java
@@ -15,9 +15,13 @@
 import anisebend.net.Loopback.Client;
 import anisebend.net.Loopback.Message;
 import anisebend.net.Loopback.Server;
+import gorsemast.upgrade.Generations;
+import gorsemast.upgrade.Succession;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -28,6 +32,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Assumptions;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -244,4 +249,71 @@
             assertEquals(20, figure(next, "requests.read.served"), "all of them reached the new one");
         }
     }
+
+    /** A restart in the middle of an upgrade: nobody else takes clients yet, so the old one serves on until one does. */
+    @Test
+    void servesOnUntilItsSuccessorTakesClients() throws Exception {
+        ProxyServer old = start();
+        int port = old.address().getPort();
+        try (Succession warming = new Succession(folder.resolve("gorsemast-n0")); Client idle = new Client(port)) {
+            assertEquals("value", idle.ask(request("GET", "/api/k", "read", LONG, null)).body());
+            Thread leaving = new Thread(old::drain);
+            leaving.start();
+            while (call(old, "health").startsWith("200")) {
+                Thread.onSpinWait(); // the signal is heard on a thread of its own
+            }
+            assertEquals("value", idle.ask(request("GET", "/api/k", "read", LONG, null)).body());
+            try (Client late = new Client(port)) {
+                assertEquals("value", late.ask(request("GET", "/api/k", "read", LONG, null)).body());
+            }
+            warming.tell(Generations.Standing.SERVING);
+            assertNull(idle.answer(), "it leaves at once then");
+            leaving.join(TimeUnit.SECONDS.toMillis(PATIENCE_SECONDS));
+            assertTrue(old.idle());
+        }
+    }
+
+    /** Both are stopped by a restart while the later one still warms up: who came first may need all of its time. */
+    @Test
+    void endsAfterTheProcessThatCameBeforeIt() throws Exception {
+        Succession before = new Succession(folder.resolve("gorsemast-n0"));
+        ProxyServer next = ProxyServer.of(env);
+        proxies.add(next);
+        next.startWarm();
+        Thread leaving = new Thread(next::drain);
+        leaving.start();
+        for (int i = 0; i < 50; i++) {
+            call(next, "health");
+        }
+        assertTrue(leaving.isAlive(), "it has ended first");
+        before.close();
+        leaving.join(TimeUnit.SECONDS.toMillis(PATIENCE_SECONDS));
+        assertFalse(leaving.isAlive());
+    }
+
+    /** Its client reads nothing until the process has gone. */
+    @Test
+    void aLongAnswerOutlivesTheProcessThatHadItInHand() throws Exception {
+        try (SocketChannel probe = SocketChannel.open()) {
+            probe.setOption(StandardSocketOptions.SO_SNDBUF, 4 << 20);
+            Assumptions.assumeTrue(probe.getOption(StandardSocketOptions.SO_SNDBUF) >= 8 << 20);
+        }
+        ProxyServer old = start();
+        int length = 5_500_000;
+        node.script = (request, socket) -> {
+            write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n");
+            socket.getOutputStream().write(new byte[length]);
+        };
+        try (Succession next = new Succession(folder.resolve("gorsemast-n0")); Socket slow = new Socket()) {
+            next.tell(Generations.Standing.SERVING);
+            slow.setReceiveBufferSize(64 << 10);
+            slow.connect(old.address());
+            write(slow, request("GET", "/api/long", "read", LONG, null));
+            assertEquals('H', slow.getInputStream().read());
+            old.drain();
+            assertTrue(old.idle(), "it still has something in hand");
+            old.stop();
+            assertTrue(slow.getInputStream().readAllBytes().length > length);
+        }
+    }
 }
--- a/src/test/java/gorsemast/lifecycle/LifecycleTest.java
+++ b/src/test/java/gorsemast/lifecycle/LifecycleTest.java
@@ -79,4 +79,18 @@
         assertTrue(life.closing(2_000_000));
         assertFalse(life.resume());
     }
+
+    /** The successor was still warming up when the signal came. */
+    @Test
+    void leavesAsSoonAsSomebodyFollows() {
+        life.started();
+        life.succeeded(1);
+        assertEquals(Phase.SERVING, life.phase(), "only who is to end leaves");
+        life.terminate(2, false, SERVE_ON);
+        assertFalse(life.closing(3));
+        life.succeeded(3);
+        assertEquals(Phase.HANDING_OVER, life.phase());
+        assertTrue(life.closing(3));
+        assertTrue(life.addressReady());
+    }
 }
