--- a/src/main/java/anisebend/Balancer.java
+++ b/src/main/java/anisebend/Balancer.java
@@ -35,11 +35,17 @@
     /** How one attempt ended; each {@link Actions#send} gets exactly one. Unknown attempts are ignored. */
     void outcome(long now, Outcome outcome);
 
-    /** The answer to a {@link Actions#probe}; {@code report} may be null. */
-    void probed(long now, String server, boolean alive, Report report);
+    /**
+     * The answer to a {@link Actions#probe}; {@code report} may be null. The policy asks for none: paced trials by
+     * requests tell more than a sign of life.
+     */
+    default void probed(long now, String server, boolean alive, Report report) {
+    }
 
     /** A streamed answer has begun: the request is served, though its attempt is still out. */
-    void streaming(long now, String request);
+    default void streaming(long now, String request) {
+        abandoned(now, request);
+    }
 
     /** The client has gone: no answer is owed. Its attempt still gets an outcome. Unknown ids are ignored. */
     void abandoned(long now, String request);
@@ -135,6 +141,27 @@
                     boolean retryAfter, long maxRetryAfter, boolean listMustBeAsked,
                     long listAskWithin, double coldShare, long coldTime,
                     double freeResends, double resendShare, long resendSpan) {
+        /** Throws {@link IllegalArgumentException} that names what can't be worked with. */
+        void check(long shortestDeadline) {
+            check(!classes.isEmpty(), "classes");
+            check(balancers > 0, "balancers");
+            check(maxAttempts > 0, "maxAttempts");
+            check(coldShare > 0 && coldShare <= 1, "coldShare");
+            check(coldTime >= 0, "coldTime");
+            check(freeResends >= 0, "freeResends");
+            check(resendShare >= 0, "resendShare");
+            check(resendSpan > 0 || resendSpan == 0 && freeResends + resendShare == 0, "resendSpan");
+            check(listAskWithin > 0 || !listMustBeAsked, "listAskWithin");
+            for (RequestClass type : classes) {
+                check(type.deadline() >= shortestDeadline && type.aim() > 0, "deadline and aim of a class");
+            }
+        }
+
+        private static void check(boolean holds, String setting) {
+            if (!holds) {
+                throw new IllegalArgumentException("setting cannot be worked with: " + setting);
+            }
+        }
     }
 
     /** One entry of the server list; {@code startedAt} is 0 for long ago. */
--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -16,10 +16,10 @@
 import java.util.TreeSet;
 
 /**
- * The policy. Its events, actions and records are in {@code Balancer.java}; docs/design.md tells where it
- * comes from and where it departs. The key table (or, after a miss, the origin) gives a request its server;
- * it waits in that server's queue for the earliest free lane, and is sent; each lane's {@link Sleeper} grows
- * on failure and shrinks after counted successes. All times are the caller's, in microseconds.
+ * The policy. Events, actions and records are in {@code Balancer}; docs/design/module.md tells what each defence
+ * covers. The key table (or, after a miss, the origin) gives a request its server; it waits in that server's queue for
+ * the earliest free lane, and is sent; each lane's {@link Sleeper} grows on failure and shrinks after counted
+ * successes. All times are the caller's, in microseconds.
  */
 public final class Decide implements Balancer {
     /** The paper's multipliers and threshold: doubled on failure, halved after a few successes. */
@@ -42,32 +42,23 @@
     private static final double PATIENCE = 4;
     /**
      * What tells against a server that has not answered since, and from what sum on it is suspect. A refused
-     * connection is plain. One that broke is weak: servers close what is idle, restart or shed load, and to
-     * suspect them moves their keys to where they are misses; only a row of breaks with no answer tells.
-     * Could hurt where a server breaks many connections for long and answers just enough.
+     * connection is plain; one that broke is weak, as servers close what is idle, restart or shed load.
      */
     private static final int REFUSED = 4;
     private static final int SILENT = 2;
     private static final int BROKEN = 1;
     private static final int CONVICTED = 4;
     /**
-     * A server that goes on answering may still fail one class, or fail quickly and so draw work. What it
-     * does to a class counts apart: silence and errors add to a sum that each good answer halves, and from
-     * CONVICTED on the class goes elsewhere but for paced trials. Covers partial faults of any kind: a bad
-     * release, a full disk, a broken dependency. Where more than one in so many servers fail a class, that
-     * comes from behind them, and none is left out. Could hurt reads at a server that fails by chance: their
-     * keys are misses elsewhere.
+     * A server that goes on answering may still fail one class. Silence and errors add to a sum for each class
+     * that each good answer halves; from CONVICTED on the class goes elsewhere but for paced trials. Where more
+     * than one in so many servers fail a class, that comes from behind them, and none is left out.
      */
-    private static final int FAULT = 2;
-    /** A request that waited to its end: weak, as slow servers of a busy fleet do that to some. */
-    private static final int WAITED = 1;
-    private static final int WORST = 2 * CONVICTED;
     private static final int FAULTY_PART = 2;
     /**
-     * The part of the usual rate of fetches that the ledger's lanes still carry at the longest interval. Once
-     * it is behind it must be asked for far less, or it goes on with what nobody waits for any more.
+     * The part of the usual rate of fetches that the ledger's lanes still carry at the longest interval, as it
+     * goes on with what nobody waits for any more. How many are out has a bound of its own.
      */
-    private static final double LEDGER_LEAST = 0.2;
+    private static final double LEDGER_LEAST = 0.4;
     private static final double KEEPS_DOWN = 0.95;
     private static final double KEEPS_UP = 1.02;
     /** A fetch that took longer than this part of the aim tells that the ledger has no room. */
@@ -78,10 +69,7 @@
     private static final int SUSPECT_PART = 3;
     /** A server whose answers take this part of their aim has no room for work beyond a tenant's share. */
     private static final double PRESSED = 0.5;
-    /**
-     * Retries earned by each served request, and how many may be saved up: retries must not feed their own
-     * cause, whatever it is. Can cost requests when a large part of the fleet goes at once.
-     */
+    /** Retries earned by each served request, and how many may be saved up: they must not feed their own cause. */
     private static final double RETRY_SHARE = 0.2;
     private static final double RETRY_BURST = 10;
     /** Part of the requests that may try suspect servers, however many there are. */
@@ -93,15 +81,10 @@
     private static final double MICROS = 1e6;
     /** What a cold server may get over its part of a warm one's usual work. */
     private static final double COLD_ROOM = 1.5;
-    /**
-     * So many wanted times after its arrival a request that has only waited leaves no more: its answer would
-     * be of little use and take the place of one that still is. Could hurt where late answers are worth much.
-     */
+    /** So many wanted times after its arrival a request that has only waited leaves no more. */
     private static final double LATE = 1.7;
     /** Never more than this part of that is expected: what is only believed must go on being tried. */
     private static final double EXPECTED = 0.9;
-    /** Further successes that a fetch well within its wanted time counts for, as the ledger has room. */
-    private static final int QUICK = 2;
 
     private final Actions actions;
     private SplittableRandom random;
@@ -115,6 +98,7 @@
     private Target origin;
     /** Where servers fetch for themselves: lanes that pace what will probably be fetched, at any of them. */
     private Target ledger;
+    private final FetchLimit fetching = new FetchLimit();
     private final Map<String, Held> open = new HashMap<>();
     private final LinkedHashSet<Held> homeless = new LinkedHashSet<>();
     private final Map<String, Held> fetches = new HashMap<>();
@@ -135,12 +119,8 @@
     private double allWeights;
     private double unit;
     private boolean someSuspect;
-    /** Whether answers tell what was fetched. */
-    private boolean tells;
-    /**
-     * How long after its fetch a copy is taken for kept: copies end by age, and once all of them are old each
-     * read is a fetch. Learned from forecasts that failed, less from those that were too careful.
-     */
+    private boolean tells; // whether answers tell what was fetched
+    /** How long after its fetch a copy is taken for kept; learned from forecasts that failed. */
     private double keeps;
     private Shares shares;
     private final List<Estimate> cacheTimes = new ArrayList<>();
@@ -164,7 +144,6 @@
         final SplittableRandom random;
         final long initialInterval;
         final long maxInterval;
-        final long maxRandomization;
         long currentInterval;
         int currentSuccess;
 
@@ -172,7 +151,6 @@
             this.random = random;
             this.initialInterval = initialInterval;
             this.maxInterval = maxInterval;
-            this.maxRandomization = maxInterval / 2;
         }
 
         void goUp() {
@@ -193,7 +171,7 @@
         }
 
         private long draw(double interval) {
-            double delta = Math.min(RANDOMIZATION * interval, maxRandomization);
+            double delta = Math.min(RANDOMIZATION * interval, maxInterval / 2.0);
             return (long) (interval - delta + 2 * delta * random.nextDouble());
         }
     }
@@ -214,8 +192,7 @@
 
         /**
          * Steps down for each time in which a threshold of successes could have been earned and nothing was
-         * asked for: refusals ahead of a lane may leave nothing to succeed, and an interval that successes
-         * alone shorten would stay. From the longest to zero takes four of the shortest deadline.
+         * asked for: refusals ahead of a lane may leave nothing to succeed.
          */
         void rest(long now) {
             steppedAt = Math.max(steppedAt, restSince);
@@ -255,8 +232,7 @@
         boolean suspect;
         int doubts;
         double slowness;
-        /** What an answer usually takes. */
-        double answer;
+        double answer; // what one usually takes
         /** The quickest answer so far: the way there and back, which no restraint shortens. */
         long quickest = Long.MAX_VALUE;
 
@@ -297,6 +273,11 @@
             return best;
         }
 
+        boolean room() {
+            return this != ledger || originTime.samples < ENOUGH
+                || fetching.room(now, rate.peak, shortestAim, shortestDeadline);
+        }
+
         /** When a request with {@code ahead} others before it may leave. */
         long leaves(int ahead) {
             long sum = 0;
@@ -305,16 +286,15 @@
                 sum += lane.currentInterval + (lane.currentInterval > 0 ? (long) answer : 0);
                 first = Math.min(first, lane.restSince + lane.currentInterval);
             }
+            double full = room() ? 0 : ahead * MICROS / Math.max(1, rate.at(now));
             return Math.max(Math.max(now, first), coldWait())
-                + ahead * sum / lanes.size() / lanes.size();
+                + Math.max((long) full, ahead * sum / lanes.size() / lanes.size());
         }
 
         /**
-         * Keeps as many lanes as carry the usual rate of served work at the longest interval. That begins
-         * with the answer, so its time counts too: else the lanes fall short of the rate, and it sinks with
-         * them while the server idles. With a fixed number a busy balancer would be throttled by a few
-         * failures while a quiet one never notices. Could hurt in overload, where answers are slow and more
-         * is let in; so only what may be usual counts.
+         * Keeps as many lanes as carry the usual rate of served work at the longest interval, which begins
+         * with the answer, so its time counts too. With a fixed number a busy balancer would be throttled by
+         * a few failures while a quiet one never notices.
          */
         void servedOne(long elapsed) {
             rate.add(now);
@@ -345,11 +325,8 @@
 
         /**
          * Until when a cold server's allowance is used up. It earns its part of what warm ones carry from
-         * this balancer, by weight, of all requests where none is warm. Guards against pushing over whatever
-         * starts or comes back: its queue waits like a paced lane's. Holds summed over any number of
-         * balancers, as each earns from its own traffic, beginning at a chance point. Counts served work of
-         * all warm servers together: failures do not widen it and few answers still tell. Could hurt where a
-         * balancer has only just begun.
+         * this balancer, by weight, of all requests where none is warm; beginning at a chance point, so that
+         * it holds summed over any number of balancers. Its queue waits like a paced lane's.
          */
         long coldWait() {
             if (warmth() == 1) {
@@ -429,9 +406,7 @@
 
         /**
          * Notes a served request. A key served well over once in {@code part} seconds, a server's part of
-         * this balancer's requests, gets twice as many homes. Guards against hot keys that push their home
-         * over while no balancer holds enough to see it crowded. Clients' retries would look like heat, so
-         * only served ones count. Each copy costs a fetch, those of chance repeats too.
+         * this balancer's requests, gets twice as many homes. Each copy costs a fetch.
          */
         void servedOne(long now, double part) {
             interval = served == 0 ? 0 : interval == 0 ? now - served : (interval + now - served) / 2;
@@ -460,7 +435,6 @@
         int most;
         boolean answered;
         boolean missed;
-        boolean waited;
         /** Its last attempt was a miss, so that the next is outside the ration. */
         boolean unrationed;
         Target queuedAt;
@@ -468,6 +442,7 @@
         Lane lane;
         /** The ledger's lane that it holds, if it will probably be fetched. */
         Lane fetch;
+        FetchLimit.Fetch asked;
         long sentAt;
         /** Server and time of the first attempt that may have run, once there is one. */
         Server ranAt;
@@ -489,23 +464,8 @@
 
     // ---- events
 
-    private static void check(Settings given) {
-        check(!given.classes().isEmpty(), "classes");
-        check(given.balancers() > 0, "balancers");
-        check(given.maxAttempts() > 0, "maxAttempts");
-        check(given.coldShare() > 0 && given.coldShare() <= 1, "coldShare");
-        check(given.coldTime() >= 0, "coldTime");
-        check(given.freeResends() >= 0, "freeResends");
-        check(given.resendShare() >= 0, "resendShare");
-        check(given.resendSpan() > 0 || given.resendSpan() == 0
-            && given.freeResends() + given.resendShare() == 0, "resendSpan");
-        for (RequestClass type : given.classes()) {
-            check(type.deadline() >= INITIAL_PART && type.aim() > 0, "deadline and aim of a class");
-        }
-    }
-
     private void take(Settings given) {
-        check(given);
+        given.check(INITIAL_PART);
         settings = given;
         shortestDeadline = given.classes().stream().mapToLong(RequestClass::deadline).min().getAsLong();
         shortestAim = given.classes().stream().mapToLong(RequestClass::aim).min().getAsLong();
@@ -520,7 +480,6 @@
         boolean others = !given.tenants().equals(settings.tenants());
         take(given);
         shares = others ? new Shares(given.tenants(), given.balancers(), shares.span(), arrivals) : shares;
-        alarms.arm(actions);
     }
 
     @Override
@@ -539,20 +498,12 @@
             keeps = FORGOTTEN * given.coldTime();
         }
         if (given.listMustBeAsked()) {
-            check(given.listAskWithin() > 0, "listAskWithin");
-            long within = given.listAskWithin();
-            listSleeper = new Sleeper(random, within / INITIAL_PART, within / MAX_PART);
+            listSleeper = new Sleeper(random, given.listAskWithin() / INITIAL_PART, given.listAskWithin() / MAX_PART);
             actions.subscribe();
         }
         alarms.arm(actions);
     }
 
-    private static void check(boolean holds, String setting) {
-        if (!holds) {
-            throw new IllegalArgumentException("setting cannot be worked with: " + setting);
-        }
-    }
-
     @Override
     public void servers(long time, ListKind kind, List<Server> entries) {
         now = time;
@@ -592,10 +543,8 @@
 
     private void learn(Server entry) {
         boolean isOrigin = entry.kind() == settings.originKind();
-        Target target = targets.get(entry.id());
-        if (isOrigin && origin != null && origin.id.equals(entry.id())) {
-            target = origin;
-        }
+        boolean known = isOrigin && origin != null && origin.id.equals(entry.id());
+        Target target = known ? origin : targets.get(entry.id());
         if (target == null) {
             target = new Target(entry);
             if (isOrigin) {
@@ -611,10 +560,7 @@
         boolean restarted = entry.startedAt() > target.entry.startedAt();
         target.entry = entry;
         if (restarted && !isOrigin) {
-            for (Faults faults : target.faults) {
-                faults.sum = 0;
-                faults.leaveOut(false);
-            }
+            target.faults.clear();
             revive(target);
             target.cool(Math.max(entry.startedAt(), target.coldSince));
         }
@@ -657,7 +603,7 @@
         held.lane.out--;
         held.lane.restSince = now;
         feedback(held, target, o);
-        letGo(held, o.note() == Note.HIT);
+        letGo(held, o.note() == Note.HIT, o.code() != Code.CANCELLED && o.code() != Code.TIMEOUT);
         if (o.code().mayHaveRun && held.ranAt == null) {
             held.ranAt = target.entry;
             held.ranSince = held.sentAt;
@@ -674,26 +620,6 @@
         alarms.arm(actions);
     }
 
-    @Override
-    public void probed(long time, String server, boolean alive, Report report) {
-        now = time;
-        Target target = targets.get(server);
-        if (target != null && alive) {
-            heard(target);
-            reroute(homeless);
-        } else if (target != null && target.suspect) {
-            target.trials.goUp();
-        } else if (target != null && target.lastAnswer < target.trialAt - target.trials.initialInterval) {
-            suspect(target);
-        }
-        alarms.arm(actions);
-    }
-
-    @Override
-    public void streaming(long time, String request) {
-        abandoned(time, request);
-    }
-
     @Override
     public void abandoned(long time, String request) {
         now = time;
@@ -721,16 +647,10 @@
         List<Target> all = new ArrayList<>(targets.values());
         all.addAll(ledger == null ? List.of() : List.of(ledger));
         for (Target t : all) {
-            long sum = 0;
-            for (Lane lane : t.lanes) {
-                sum += lane.currentInterval;
-            }
-            int faulty = 0;
-            for (Faults faults : t.faults) {
-                faulty += faults.out ? 1 : 0;
-            }
+            long sum = t.lanes.stream().mapToLong(lane -> lane.currentInterval).sum();
             seen.add(new ServerView(t.id, t.entry.state(), t.suspect, t.warmth(), t.lanes.size(),
-                sum / t.lanes.size(), t.queue.size(), t.inFlight.size(), faulty, t.slowness));
+                sum / t.lanes.size(), t.queue.size(), t.inFlight.size(),
+                (int) t.faults.stream().filter(faults -> faults.out).count(), t.slowness));
         }
         return new View(seen, homeless.size(), open.size(), retries, given.clone());
     }
@@ -768,7 +688,7 @@
             if (follows(held)) {
                 return;
             }
-            if (ledger.queue.isEmpty() && ledger.earliest().readyAt() <= now) {
+            if (ledger.queue.isEmpty() && ledger.room() && ledger.earliest().readyAt() <= now) {
                 hold(held, ledger.earliest());
             } else if (held.over) {
                 conclude(held, Why.OVER_SHARE);
@@ -779,7 +699,7 @@
         }
         target.queue.add(held);
         held.queuedAt = target;
-        int ahead = target.earliest().readyAt() <= now ? 0 : target.queue.headSet(held).size();
+        int ahead = target.room() && target.earliest().readyAt() <= now ? 0 : target.queue.headSet(held).size();
         if (target.leaves(ahead) > held.until() - typical(held, target)) {
             conclude(held, Why.NO_ROOM);
             return;
@@ -809,10 +729,7 @@
             || now - home.keptAt > keeps);
     }
 
-    /**
-     * Waits for a fetch of its key that is out from here already, if one is: what is asked for by many at the
-     * moment at which it is kept nowhere would be fetched by each of them.
-     */
+    /** Waits for a fetch of its key that is out from here already, if one is. */
     private boolean follows(Held held) {
         Held leader = fetches.get(held.request.key());
         boolean out = leader != null && leader != held;
@@ -824,17 +741,24 @@
 
     private void hold(Held held, Lane lane) {
         held.fetch = lane;
+        held.asked = fetching.send(now);
         fetches.put(held.request.key(), held);
         lane.restSince = now;
         lane.out++;
     }
 
-    /** Gives its lane at the ledger back, rested where a hit shows that the ledger was asked for nothing. */
-    private void letGo(Held held, boolean unused) {
+    /**
+     * Gives its lane at the ledger back, rested where a hit shows that the ledger was asked for nothing. Unless it is
+     * {@code over} the ledger may work on it still.
+     */
+    private void letGo(Held held, boolean unused, boolean over) {
         if (held.fetch != null) {
             held.fetch.out--;
             held.fetch.restSince = now - (unused ? held.fetch.currentInterval : 0);
             held.fetch = null;
+            if (over) {
+                fetching.over(held.asked);
+            }
             release(held);
             if (!ledger.queue.isEmpty()) {
                 alarms.set(now, () -> pump(ledger));
@@ -852,6 +776,7 @@
         while (!target.queue.isEmpty() && target.ready()) {
             Lane lane = target.earliest();
             long ready = Math.max(lane.readyAt(), target.coldWait());
+            ready = target.room() ? ready : Math.max(ready, now + shortestAim);
             if (ready > now) {
                 if (ready < Long.MAX_VALUE && (ready < target.pumpAt || target.pumpAt <= now)) {
                     target.pumpAt = ready;
@@ -917,9 +842,8 @@
     private void feedback(Held held, Target target, Outcome o) {
         Code code = o.code();
         boolean fetch = o.note() == Note.MISS || o.note() == Note.MISS_FETCHING;
-        // Late answers count as failures: a long waiting room never says "full", so lateness is what tells of
-        // overload before work is wasted. Heavy single requests trip it too; a few successes undo that. What
-        // was fetched, or waited for that while the server answered others, tells of the ledger instead.
+        // Late answers count as failures: a long waiting room never says "full". What was fetched, or waited
+        // for that while the server answered others, tells of the ledger instead.
         boolean failed = code == Code.FULL || code == Code.CONNECT_FAILED
             || code == Code.ERROR && target == origin
             || code == Code.TIMEOUT && (held.fetch == null || target.lastAnswer < held.sentAt)
@@ -938,11 +862,13 @@
                 || fetch && o.elapsed() > FETCH_LATE * held.type.aim()) {
                 lane.goUp();
             } else if (fetch && code == Code.OK) {
-                lane.currentSuccess += o.elapsed() < PRESSED * held.type.aim() ? QUICK : 0;
                 lane.success();
             }
             if (fetch && code == Code.OK) {
                 ledger.servedOne(o.elapsed());
+                if (held.fetch != null) {
+                    fetching.answered(held.asked, originTime.deviation);
+                }
                 originTime.add(o.elapsed());
             }
         }
@@ -953,7 +879,7 @@
                 : code == Code.RESET ? BROKEN : SILENT);
         }
         if (code == Code.ERROR) {
-            fault(held, target, FAULT);
+            fault(held, target, SILENT);
         }
         if (code == Code.OK || code == Code.MISS) {
             Faults faults = target.faults(held.request.requestClass());
@@ -996,15 +922,7 @@
         }
         long wait = held.lane.currentInterval;
         if (o.code() == Code.MISS) {
-            held.missed = true;
-            held.unrationed = true;
-            boolean spare = held.attempts + 2 <= held.most;
-            if (o.note() == Note.MISS_FETCHING && !held.waited && spare) {
-                held.waited = true;
-                held.missed = false;
-                alarms.set(now + (long) originTime.mean, () -> route(held));
-                return;
-            }
+            held.missed = held.unrationed = true;
             route(held);
             return;
         }
@@ -1012,8 +930,7 @@
             release(held);
         }
         boolean late = now + wait + typical(held, target) > held.request.giveUp();
-        if (!o.code().calledOff && retries < 1 || late || !mayRepeat(held)
-            || !mayResend(held)) {
+        if (!o.code().calledOff && retries < 1 || late || !mayRepeat(held) || !mayResend(held)) {
             conclude(held, retries < 1 ? Why.NO_BUDGET : Why.SPENT);
         } else {
             retries -= o.code().calledOff ? 0 : 1;
@@ -1027,11 +944,7 @@
             || held.type.effect() == Effect.KEYED && now < held.ranSince + held.type.window();
     }
 
-    /**
-     * Rule: the ration of further attempts, checked at each send as several may wait for one place in it, and
-     * before the wait so that nobody waits for nothing. Guards against retries that add to what they answer;
-     * can cost requests where a few servers lose many answers.
-     */
+    /** Rule: the ration of further attempts, checked before the wait and at each send. */
     private boolean mayResend(Held held) {
         long since = now - settings.resendSpan();
         return settings.resendSpan() == 0 || held.attempts == 0 || held.unrationed
@@ -1057,7 +970,7 @@
         if (held.out != null && held.fetch != null) {
             held.fetch.goUp(); // waited to its end, most likely for the ledger
         } else if (held.out != null && held.out.lastAnswer >= held.sentAt) {
-            fault(held, held.out, WAITED); // to the end, while others got answers
+            fault(held, held.out, BROKEN); // waited to the end, while others got answers
         }
         boolean refusable = held.ranAt == null && held.out == null || held.type.effect() == Effect.SAFE
             || held.type.effect() == Effect.KEYED && held.type.group() == Group.ALL;
@@ -1080,7 +993,7 @@
         homeless.remove(held);
         release(held);
         if (held.out == null) {
-            letGo(held, false);
+            letGo(held, false, true);
             open.remove(held.request.id());
         }
     }
@@ -1132,23 +1045,15 @@
         }
         if (target.suspect) {
             target.trials.goUp();
-        } else if (settings.mayProbe()) {
-            if (now >= target.trialAt) {
-                target.trialAt = now + target.trials.initialInterval;
-                actions.probe(target.id);
-            }
-        } else {
-            target.doubts += weight;
-            if (target.doubts >= CONVICTED) {
-                suspect(target);
-            }
+        } else if ((target.doubts += weight) >= CONVICTED) {
+            suspect(target);
         }
     }
 
     private void fault(Held held, Target target, double weight) {
         if (target != origin) {
             int type = held.request.requestClass();
-            target.faults(type).sum = Math.min(WORST, target.faults(type).sum + weight);
+            target.faults(type).sum = Math.min(2 * CONVICTED, target.faults(type).sum + weight);
             long listed = targets.values().stream().filter(Target::ready).count();
             long bad = targets.values().stream().filter(t -> t.ready() && t.faults(type).failing()).count();
             boolean alike = FAULTY_PART * bad > listed;
@@ -1157,8 +1062,8 @@
     }
 
     /**
-     * A server that is silent well past what is usual counts as displaced until it answers a paced trial.
-     * What it holds and can be repeated is called back.
+     * A server that is silent well past what is usual counts as displaced until it answers a paced trial; what
+     * it holds and can be repeated is called back.
      */
     private void suspect(Target target) {
         long listed = targets.values().stream().filter(Target::ready).count();
@@ -1180,22 +1085,11 @@
             }
         }
         reroute(target.queue);
-        if (settings.mayProbe()) {
-            alarms.set(target.trialAt, () -> trial(target));
-        }
-    }
-
-    private void trial(Target target) {
-        if (target.suspect && target.entry.state() == State.READY) {
-            actions.probe(target.id);
-            alarms.set(now + target.trials.currentInterval, () -> trial(target));
-        }
     }
 
     private Target choose(Held held) {
         trials = Math.min(1, trials + (held.attempts == 0 ? TRIAL_SHARE : 0));
-        boolean trial = !settings.mayProbe() && held.type.effect() == Effect.SAFE && held.attempts == 0
-            && trials >= 1 && someSuspect;
+        boolean trial = held.type.effect() == Effect.SAFE && held.attempts == 0 && trials >= 1 && someSuspect;
         String key = held.request.key();
         Home home = key == null ? new Home(now) : table.computeIfAbsent(key, k -> new Home(now));
         if (now - home.used > settings.coldTime()) {
--- a/src/main/java/anisebend/Shares.java
+++ b/src/main/java/anisebend/Shares.java
@@ -7,22 +7,17 @@
  * Which tenants ask for more than their share. One is over it when it exceeds both its quota at this balancer, a
  * bucket of a second's worth, and its part of what this balancer gets: balancers get uneven parts, so a plain division
  * of the quota would blame a busy one's tenants.
- *
- * <p>Times in microseconds; O(tenants) memory, O(1) a request; owned by the decision module's thread.
+ * Times in microseconds; O(tenants) memory, O(1) a request; owned by the decision module's thread.
  */
 final class Shares {
     /** How far a tenant's part of the traffic here must exceed its fraction before it counts as over its share. */
     private static final double OVER = 1.25;
     private static final double MICROS = 1e6;
 
-    private static final class Use {
-        final Rate rate;
+    private final class Use {
+        final Rate rate = new Rate(span);
         double tokens;
         long last;
-
-        Use(Rate rate) {
-            this.rate = rate;
-        }
     }
 
     private final List<Balancer.Tenant> tenants;
@@ -39,7 +34,7 @@
         this.span = span;
         uses = new Use[tenants.size()];
         for (int i = 0; i < uses.length; i++) {
-            uses[i] = new Use(new Rate(span));
+            uses[i] = new Use();
         }
     }
 
--- a/src/main/java/anisebend/net/Upstream.java
+++ b/src/main/java/anisebend/net/Upstream.java
@@ -326,6 +326,8 @@
         private HttpResponse head;
         /** What is kept of its body; owned here. */
         private ByteBuf body;
+        /** Its bytes, -1 where they are not known ahead. */
+        private long length;
         private long received;
         private boolean complete;
         /** Who takes an answer that is too long to be kept. */
@@ -576,11 +578,9 @@
                 return;
             }
             head = start;
-            long length = HttpUtil.getContentLength(start, -1L);
+            length = HttpUtil.getContentLength(start, -1L);
             if (length > MAX_ANSWER) {
                 lost();
-            } else if (length > MAX_KEPT && !pass(length) && attempt == null) {
-                lost(); // nobody wants it any more
             }
         }
 
@@ -599,9 +599,11 @@
                 lost();
                 return;
             }
-            boolean framed = HttpUtil.isTransferEncodingChunked(head);
-            if (passage == null && received > MAX_KEPT && !(framed && pass(-1))) {
-                lost(); // no answer of ours, or one whose end could not be told from a cut
+            // Not before its first byte: until then the whole of it can be had elsewhere if this one breaks.
+            boolean tooLong = received > MAX_KEPT || length > MAX_KEPT && bytes.isReadable();
+            boolean framed = length >= 0 || HttpUtil.isTransferEncodingChunked(head);
+            if (passage == null && tooLong && !(framed && pass())) {
+                lost(); // no answer of ours, or one whose end could not be told from a cut, or nobody wants it any more
                 return;
             }
             if (passage != null) {
@@ -625,7 +627,7 @@
         }
 
         /** Passes the answer on from here, where it is one and somebody wants it. */
-        private boolean pass(long length) {
+        private boolean pass() {
             if (code(head) != Code.OK || attempt == null) {
                 return false;
             }
--- a/src/test/java/anisebend/net/LongAnswerTest.java
+++ b/src/test/java/anisebend/net/LongAnswerTest.java
@@ -188,6 +188,26 @@
         assertEquals(1, node.requests.size());
     }
 
+    /** Its head alone is no beginning that a client could see: it is asked for again, and nothing is cut. */
+    @Test
+    void asksAgainWhereNothingButTheHeadHasCome() throws Exception {
+        CountDownLatch once = new CountDownLatch(1);
+        script = (request, socket) -> {
+            write(socket, head("Content-Length: " + MEGA));
+            if (once.getCount() == 1) {
+                once.countDown();
+                socket.close();
+            } else {
+                socket.getOutputStream().write(new byte[MEGA]);
+            }
+        };
+        try (Client client = new Client(proxy.address().getPort())) {
+            write(client.socket, get());
+            assertEquals(MEGA, body(client.socket.getInputStream()).length);
+        }
+        assertEquals(2, node.requests.size());
+    }
+
     /** Within what is kept a cut answer is asked for again, as ever. */
     @Test
     void asksAgainForACutAnswerThatWasKept() throws Exception {
