--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -17,7 +17,7 @@
 PROXY_CONFIG=target/archive.json java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx64m -XX:-UsePerfData \
     -Xlog:disable -XX:ArchiveClassesAtExit=target/anisebend.jsa -jar target/anisebend.jar serve \
     > target/archive.log 2>&1 &
-sleep 3
+sleep 4
 kill -TERM $! || true
 wait $! || true
 [ -f target/anisebend.jsa ] || echo "no class archive was made; see target/archive.log" >&2
--- a/src/main/java/anisebend/net/ProxyConfig.java
+++ b/src/main/java/anisebend/net/ProxyConfig.java
@@ -111,6 +111,16 @@
             positive(allowed, "connect_timeout_ms"), root);
     }
 
+    /**
+     * Whether the service only begins: no cache node has started since the list that this proxy last had was begun, so
+     * this is no restart within service, and nobody waits for it. One that is restarted before any node has changed is
+     * taken for that too, and is back a second later.
+     */
+    boolean begins() {
+        return known.get("hosts") instanceof List<?> hosts && hosts.stream().allMatch(host ->
+            host instanceof Map<?, ?> entry && entry.get("born_ms") instanceof Number born && born.longValue() == 0);
+    }
+
     /** One whole JSON object, and nothing after it. */
     static Map<String, Object> parse(byte[] text) throws IOException {
         try (JsonParser in = new JsonFactory().createParser(new String(text, StandardCharsets.UTF_8))) {
--- a/src/main/java/anisebend/net/ProxyServer.java
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -219,7 +219,8 @@
     }
 
     private void warmUp(InetSocketAddress self, Runnable then) {
-        warmup = new Warmup(loop, config, self, () -> {
+        boolean hurried = !config.begins() && (succession == null || !succession.generations().hasPredecessor());
+        warmup = new Warmup(loop, config, self, hurried, () -> {
             warmup = null;
             then.run();
         });
--- a/src/main/java/anisebend/net/Warmup.java
+++ b/src/main/java/anisebend/net/Warmup.java
@@ -39,12 +39,15 @@
  */
 final class Warmup implements ClientConnection.Owner {
     /**
-     * After so many a request costs a tenth of what the first ones did, and little is gained by more; that takes some
-     * 0.5 s of half a core where the JVM compiles early ({@code CompileThresholdScaling} in deploy/balancer.toml).
+     * After so many a request costs a tenth of what the first ones did; that takes some 0.5 s of half a core where the
+     * JVM compiles early ({@code CompileThresholdScaling} in deploy/balancer.toml). A restarted proxy's clients wait for
+     * this, or crowd at another that may be about to stop too; on a slow day the first 40 to 150 must do for it.
      */
     private static final int REQUESTS = 256;
-    /** A restarted proxy's clients wait for this, or crowd at another that may be about to stop too. */
     private static final long LIMIT_MILLIS = 1_200;
+    /** Where nobody waits, as the service begins or a predecessor has the clients: then cold code would cost them. */
+    private static final int UNHURRIED_REQUESTS = 640;
+    private static final long UNHURRIED_MILLIS = 2_600;
     private static final int CLIENTS = 6;
     private static final int KEYS = 64;
     private static final int BODY_BYTES = 700;
@@ -52,6 +55,8 @@
     private static final String TOKEN = "X-Warm-Up";
     private static final String NODE = "self";
 
+    private final int requests;
+    private final long limitMillis;
     private final EventLoop loop;
     private final InetSocketAddress self;
     private final ProxyConfig config;
@@ -65,7 +70,10 @@
     private int answered;
     private boolean over;
 
-    Warmup(EventLoop loop, ProxyConfig real, InetSocketAddress self, Runnable done) {
+    /** Warms up at {@code self}, in haste where clients wait for that. */
+    Warmup(EventLoop loop, ProxyConfig real, InetSocketAddress self, boolean hurried, Runnable done) {
+        this.requests = hurried ? REQUESTS : UNHURRIED_REQUESTS;
+        this.limitMillis = hurried ? LIMIT_MILLIS : UNHURRIED_MILLIS;
         this.loop = loop;
         this.self = self;
         this.done = done;
@@ -80,7 +88,7 @@
 
     /** Begins; {@code done} runs when enough has been asked or it has taken too long. */
     void start() {
-        loop.schedule(this::finish, LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(this::finish, limitMillis, TimeUnit.MILLISECONDS);
         try {
             engine.begin(config);
         } catch (IOException | RuntimeException e) {
@@ -88,7 +96,7 @@
             return;
         }
         for (int i = 0; i < CLIENTS; i++) {
-            Upstream.client(loop, LIMIT_MILLIS).handler(new ChannelInitializer<Channel>() {
+            Upstream.client(loop, limitMillis).handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
                     channels.add(ch);
@@ -140,7 +148,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
-            if (++answered >= REQUESTS) {
+            if (++answered >= requests) {
                 finish();
             } else if (!over) {
                 ctx.writeAndFlush(next());
