Keep keys where their copies are: a third of all reads were fetched, most for keys that had moved

A slow ledger makes servers hold more, which moves keys; and a key whose home is left out for its class went to whichever server held least, anew each time.

Change: a key moves from a server that holds 8 and three times the mean (4 and twice); where its home is left out it goes where its copy is.

--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -32,8 +32,8 @@
     private static final int MAX_PART = 5;
     private static final int LANES = 2;
     /** A key moves when its server holds HIGH times the mean and another less than it; floors in requests. */
-    private static final double HIGH = 2;
-    private static final double HIGH_FLOOR = 4;
+    private static final double HIGH = 3;
+    private static final double HIGH_FLOOR = 8;
     private static final double LOW_FLOOR = 2;
     private static final int TABLE_SIZE = 1 << 13;
     /** A key unused for this many cold times is forgotten, one at each key that comes new. */
@@ -543,8 +543,7 @@
 
     private void learn(Server entry) {
         boolean isOrigin = entry.kind() == settings.originKind();
-        boolean known = isOrigin && origin != null && origin.id.equals(entry.id());
-        Target target = known ? origin : targets.get(entry.id());
+        Target target = isOrigin && origin != null && origin.id.equals(entry.id()) ? origin : targets.get(entry.id());
         if (target == null) {
             target = new Target(entry);
             if (isOrigin) {
@@ -638,8 +637,6 @@
         alarms.arm(actions);
     }
 
-    // ---- what it believes, for observers
-
     @Override
     public View view(long time) {
         now = time;
@@ -975,8 +972,8 @@
         boolean refusable = held.ranAt == null && held.out == null || held.type.effect() == Effect.SAFE
             || held.type.effect() == Effect.KEYED && held.type.group() == Group.ALL;
         if (refusable) {
-            Target target = held.queuedAt;
-            long wait = target == null ? 0 : Math.max(0, target.leaves(target.queue.size()) - now);
+            Target at = held.queuedAt;
+            long wait = at == null ? 0 : Math.max(0, at.leaves(at.queue.size()) - now);
             long longest = settings.retryAfter() ? settings.maxRetryAfter() : 0;
             actions.refuse(held.request.id(), Math.min(comeBack.refused(wait, random.nextDouble()), longest));
         } else {
@@ -1133,7 +1130,9 @@
             return home.target = fewest(held, home, usable, mean, null);
         }
         boolean crowded = target.load() > Math.max(HIGH * mean, HIGH_FLOOR / unit);
-        Target other = crowded || !fits(held, target) ? fewest(held, home, usable, mean, target) : null;
+        boolean kept = !crowded && usable.contains(home.kept) && fits(held, home.kept); // a copy saves a fetch
+        Target other = !crowded && fits(held, target) ? null : kept ? home.kept
+            : fewest(held, home, usable, mean, target);
         if (other == null) {
             return target;
         }
--- a/src/test/java/anisebend/DecideTest.java
+++ b/src/test/java/anisebend/DecideTest.java
@@ -233,6 +233,22 @@
         assertNotEquals(home, world.serverOf("b"));
     }
 
+    /** Elsewhere it would be a miss again each time, wherever just then least is held. */
+    @Test
+    void aKeyWhoseHomeIsLeftOutStaysWhereItsCopyIs() {
+        World one = new World(false).list(ListKind.FULL, "a1", "a2", "a3", "a4");
+        one.ask("a", READ, "k");
+        String home = one.serverOf("a");
+        one.answer("a", Code.ERROR).pass(100 * MS).answer("a", Code.ERROR).pass(100 * MS);
+        String copy = one.serverOf("a");
+        assertNotEquals(home, copy);
+        one.answer("a", Code.OK, 50 * MS, Note.MISS);
+        for (int i = 0; i < 5; i++) {
+            one.ask("b" + i, READ, "k");
+            assertEquals(copy, one.serverOf("b" + i), "request " + i);
+        }
+    }
+
     /** The ledger fails: what it has to be asked for is paced and refused, and what is kept is served as ever. */
     @Test
     void failingFetchesArePacedAndKeptOnesAreNot() {
