--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -120,6 +120,7 @@
     private double unit;
     private boolean someSuspect;
     private boolean tells; // whether answers tell what was fetched
+    private boolean alike; // whether most servers fail a class: that comes from behind them
     /** How long after its fetch a copy is taken for kept; learned from forecasts that failed. */
     private double keeps;
     private Shares shares;
@@ -852,8 +853,10 @@
         tells |= o.note() != Note.NONE;
         if (ledger != null && (held.fetch != null || fetch)) {
             Lane lane = held.fetch != null ? held.fetch : ledger.earliest();
-            // A client that left before its answer came has waited too long as well.
-            if (code == Code.ERROR || code == Code.TIMEOUT
+            // A client that left without an answer has waited too long as well. Where few servers fail a
+            // class, a second error in a row there is the server's own.
+            if (code == Code.ERROR && (alike || target.faults(held.request.requestClass()).sum < BROKEN)
+                || code == Code.TIMEOUT
                 || code == Code.CANCELLED && o.elapsed() > held.type.aim()
                 || fetch && o.elapsed() > FETCH_LATE * held.type.aim()) {
                 lane.goUp();
@@ -949,11 +952,9 @@
     }
 
     private boolean sameGroup(Held held, Target target) {
-        if (held.ranAt == null || held.type.effect() != Effect.KEYED || held.type.group() == Group.ALL) {
-            return true;
-        }
-        return held.type.group() == Group.ZONE ? held.ranAt.zone() == target.entry.zone()
-            : held.ranAt.cell() == target.entry.cell();
+        return held.ranAt == null || held.type.effect() != Effect.KEYED || held.type.group() == Group.ALL
+            || (held.type.group() == Group.ZONE ? held.ranAt.zone() == target.entry.zone()
+                : held.ranAt.cell() == target.entry.cell());
     }
 
     /** The final answer to a request that was not served: a refusal where that is true, else a failure. */
@@ -1050,9 +1051,8 @@
         if (target != origin) {
             int type = held.request.requestClass();
             target.faults(type).sum = Math.min(2 * CONVICTED, target.faults(type).sum + weight);
-            long listed = targets.values().stream().filter(Target::ready).count();
             long bad = targets.values().stream().filter(t -> t.ready() && t.faults(type).failing()).count();
-            boolean alike = FAULTY_PART * bad > listed;
+            alike = FAULTY_PART * bad > targets.values().stream().filter(Target::ready).count();
             targets.values().forEach(t -> t.faults(type).leaveOut(!alike && t.faults(type).failing()));
         }
     }
--- a/src/test/java/anisebend/DecideTest.java
+++ b/src/test/java/anisebend/DecideTest.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.stream.Stream;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class DecideTest {
@@ -277,6 +278,26 @@
         assertEquals(0, world.sends("i"), "a write has voided it");
     }
 
+    /**
+     * In a large fleet a few servers that fail a class meet each balancer seldom, so that it tries all of them for long:
+     * their errors are no news of the ledger, and what the other servers have to fetch is not paced for them.
+     */
+    @Test
+    void errorsOfFewServersLeaveFetchesAtTheOthersAlone() {
+        String[] ids = Stream.iterate(0, i -> i + 1).limit(20).map(i -> "a" + i).toArray(String[]::new);
+        World one = new World(false).list(ListKind.FULL, ids);
+        for (int i = 0, answered = 0; i < 1_000; i++) {
+            one.ask("r" + i, READ, "new" + i).pass(20 * MS);
+            for (; answered < one.recorder.sent.size() - 10; answered++) { // each takes some 200 ms
+                Recorder.Sent sent = one.recorder.sent.get(answered);
+                boolean bad = Set.of("a0", "a1", "a2").contains(sent.server());
+                one.answer(sent.request(), bad ? Code.ERROR : Code.OK, 200 * MS, bad ? Note.NONE : Note.MISS);
+            }
+        }
+        long refused = one.balancer.view(one.now).concluded()[Balancer.Why.NO_ROOM.ordinal()];
+        assertTrue(refused < 20, "refused of 1,000: " + refused);
+    }
+
     /** Paced trials find the way back when the ledger answers again, without anything having to succeed first. */
     @Test
     void fetchesComeBackByThemselves() {
