--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -120,7 +120,6 @@
     private double unit;
     private boolean someSuspect;
     private boolean tells; // whether answers tell what was fetched
-    private boolean alike; // whether most servers fail a class: that comes from behind them
     /** How long after its fetch a copy is taken for kept; learned from forecasts that failed. */
     private double keeps;
     private Shares shares;
@@ -729,11 +728,7 @@
     /** Waits for a fetch of its key that is out from here already, if one is. */
     private boolean follows(Held held) {
         Held leader = fetches.get(held.request.key());
-        boolean out = leader != null && leader != held;
-        if (out) {
-            leader.followers.add(held);
-        }
-        return out;
+        return leader != null && leader != held && leader.followers.add(held);
     }
 
     private void hold(Held held, Lane lane) {
@@ -854,8 +849,9 @@
         if (ledger != null && (held.fetch != null || fetch)) {
             Lane lane = held.fetch != null ? held.fetch : ledger.earliest();
             // A client that left without an answer has waited too long as well. Where few servers fail a
-            // class, a second error in a row there is the server's own.
-            if (code == Code.ERROR && (alike || target.faults(held.request.requestClass()).sum < BROKEN)
+            // class, an error is the server's own if no two good answers have come since the one before.
+            int type = held.request.requestClass();
+            if (code == Code.ERROR && (target.faults(type).sum < BROKEN || alike(type))
                 || code == Code.TIMEOUT
                 || code == Code.CANCELLED && o.elapsed() > held.type.aim()
                 || fetch && o.elapsed() > FETCH_LATE * held.type.aim()) {
@@ -1051,12 +1047,17 @@
         if (target != origin) {
             int type = held.request.requestClass();
             target.faults(type).sum = Math.min(2 * CONVICTED, target.faults(type).sum + weight);
-            long bad = targets.values().stream().filter(t -> t.ready() && t.faults(type).failing()).count();
-            alike = FAULTY_PART * bad > targets.values().stream().filter(Target::ready).count();
+            boolean alike = alike(type);
             targets.values().forEach(t -> t.faults(type).leaveOut(!alike && t.faults(type).failing()));
         }
     }
 
+    /** Whether so many servers fail a class that it comes from behind them. */
+    private boolean alike(int type) {
+        long bad = targets.values().stream().filter(t -> t.ready() && t.faults(type).failing()).count();
+        return FAULTY_PART * bad > targets.values().stream().filter(Target::ready).count();
+    }
+
     /**
      * A server that is silent well past what is usual counts as displaced until it answers a paced trial;
      * what it holds and can be repeated is called back.
--- a/src/test/java/anisebend/DecideTest.java
+++ b/src/test/java/anisebend/DecideTest.java
@@ -17,9 +17,12 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.stream.Stream;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.BiPredicate;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 class DecideTest {
@@ -279,23 +282,65 @@
     }
 
     /**
-     * In a large fleet a few servers that fail a class meet each balancer seldom, so that it tries all of them for long:
-     * their errors are no news of the ledger, and what the other servers have to fetch is not paced for them.
+     * In a large fleet a few servers that fail a class meet each balancer seldom, so that it goes on trying them for
+     * long: their errors are no news of the ledger, and what the others have to fetch is not paced for them.
      */
     @Test
     void errorsOfFewServersLeaveFetchesAtTheOthersAlone() {
-        String[] ids = Stream.iterate(0, i -> i + 1).limit(20).map(i -> "a" + i).toArray(String[]::new);
-        World one = new World(false).list(ListKind.FULL, ids);
-        for (int i = 0, answered = 0; i < 1_000; i++) {
-            one.ask("r" + i, READ, "new" + i).pass(20 * MS);
-            for (; answered < one.recorder.sent.size() - 10; answered++) { // each takes some 200 ms
+        Set<String> few = Set.of(ids(20));
+        long rest = meanRestOfTheLedger((server, hit) -> few.contains(server));
+        assertTrue(rest < 20 * MS, "the ledger's lanes rest in the mean, in us: " + rest);
+    }
+
+    /** The ledger fails half of what it is asked for behind a large fleet, and hits are good at all servers. */
+    @Test
+    void errorsOfFetchesAtAllServersAreTheLedgers() {
+        SplittableRandom chance = new SplittableRandom(1);
+        long rest = meanRestOfTheLedger((server, hit) -> !hit && chance.nextBoolean());
+        assertTrue(rest > 100 * MS, "the ledger's lanes rest in the mean, in us: " + rest);
+    }
+
+    private static String[] ids(int servers) {
+        return IntStream.range(0, servers).mapToObj(i -> "a" + i).toArray(String[]::new);
+    }
+
+    /** 40 s of 50 reads a second at 60 servers, a fourth of them fetches, each of 200 ms; some fail after 10 s. */
+    private static long meanRestOfTheLedger(BiPredicate<String, Boolean> fails) {
+        World one = new World(false).list(ListKind.FULL, ids(60));
+        List<Long> due = new ArrayList<>();
+        long rest = 0;
+        for (int i = 0, answered = 0; i < 2_000; i++) {
+            one.ask("r" + i, READ, i % 4 == 0 ? "new" + i : "k" + i % 50, i % 2).pass(20 * MS);
+            while (due.size() < one.recorder.sent.size()) {
+                due.add(one.now + 180 * MS);
+            }
+            for (; answered < due.size() && due.get(answered) <= one.now; answered++) {
                 Recorder.Sent sent = one.recorder.sent.get(answered);
-                boolean bad = Set.of("a0", "a1", "a2").contains(sent.server());
-                one.answer(sent.request(), bad ? Code.ERROR : Code.OK, 200 * MS, bad ? Note.NONE : Note.MISS);
+                boolean hit = i > 100 && Integer.parseInt(sent.request().substring(1)) % 4 > 0;
+                boolean bad = i > 500 && fails.test(sent.server(), hit);
+                one.answer(sent.request(), bad ? Code.ERROR : Code.OK, 200 * MS,
+                    bad ? Note.NONE : hit ? Note.HIT : Note.MISS);
+            }
+            List<Balancer.ServerView> all = one.balancer.view(one.now).servers();
+            rest += all.get(all.size() - 1).meanInterval();
+        }
+        return rest / 2_000;
+    }
+
+    /** A ledger that fails all for long is let go at no server in turn: each answers no good one in between. */
+    @Test
+    void errorsOfAllServersGoOnBeingTheLedgers() {
+        world.ask("w", READ, "kept").answer("w", Code.OK, 50 * MS, Note.MISS);
+        long rest = 0;
+        for (int i = 0, answered = 1; i < 400; i++) {
+            world.ask("f" + i, READ, "new" + i, i % 2).pass(150 * MS);
+            for (; answered < world.recorder.sent.size(); answered++) {
+                world.answer(world.recorder.sent.get(answered).request(), Code.ERROR, 150 * MS);
             }
+            List<Balancer.ServerView> all = world.balancer.view(world.now).servers();
+            rest += all.get(all.size() - 1).meanInterval();
         }
-        long refused = one.balancer.view(one.now).concluded()[Balancer.Why.NO_ROOM.ordinal()];
-        assertTrue(refused < 20, "refused of 1,000: " + refused);
+        assertTrue(rest / 400 > 250 * MS, "the ledger's lanes rest in the mean, in us: " + rest / 400);
     }
 
     /** Paced trials find the way back when the ledger answers again, without anything having to succeed first. */
