Give who waits the idle connection when the one coming up for him fails

Not the test's fault: a connection that falls idle while others are coming up is kept back from those that wait (keep, offer); where these connects then fail, failed() and grow() asked the pool for new ones only, and the pool, full at its learned bound, said to wait. So an attempt stood beside an idle connection to its node until tire() ended it after half of its time. grow() takes idle ones first now.

New test: the connect that is coming up is swallowed by a full listener queue and times out; without the change the attempt is out for 30 s of its 60.

whatComesOnAnIdleConnectionClosesIt failed once as Loopback.write asked the socket for its stream twice, and the proxy may close the connection at the first byte: the second asking throws. It asks once now.

--- a/src/main/java/anisebend/net/Upstream.java
+++ b/src/main/java/anisebend/net/Upstream.java
@@ -150,13 +150,8 @@
     Attempt send(Discovery.Node node, FullHttpRequest request, long waitMicros, boolean once, Ending ending) {
         Attempt attempt = new Attempt(node, request, once, ending);
         attempt.limit = loop.schedule(attempt::expire, Math.max(0, waitMicros), TimeUnit.MICROSECONDS);
-        Deque<Connection> kept = idle.get(node.host());
-        // The longest idle one: what a node sends behind an answer has had most time to come and close it.
-        Connection connection = kept == null ? null : kept.pollFirst();
+        Connection connection = takeIdle(node.host());
         if (connection != null) {
-            if (kept.isEmpty()) {
-                idle.remove(node.host());
-            }
             connection.carry(attempt);
         } else {
             waiting.computeIfAbsent(node.host(), host -> new ArrayDeque<>()).addLast(attempt);
@@ -166,8 +161,14 @@
         return attempt;
     }
 
-    /** Opens what the pool allows for those that wait; who can't have a connection is told so. */
+    /**
+     * Opens what the pool allows for those that wait; who can't have a connection is told so. One that fell idle as
+     * another was coming up is taken first: where that other one fails, nothing else would tell who waits of it.
+     */
     private void grow(Discovery.Node node) {
+        while (waits(node.host()) > pools.opening(node.host()) && idle.containsKey(node.host())) {
+            takeIdle(node.host()).carry(next(node.host()));
+        }
         for (int waits = waits(node.host()); waits > 0; waits = waits(node.host())) {
             Room room = pools.room(now(), node.host(), waits);
             if (room == Room.NONE && !closeOneIdle()) {
@@ -186,6 +187,16 @@
         }
     }
 
+    /** The longest idle one, null where none is: what a node sends behind an answer has had most time to close it. */
+    private Connection takeIdle(String host) {
+        Deque<Connection> kept = idle.get(host);
+        Connection connection = kept == null ? null : kept.pollFirst();
+        if (kept != null && kept.isEmpty()) {
+            idle.remove(host);
+        }
+        return connection;
+    }
+
     private int waits(String host) {
         Deque<Attempt> row = waiting.get(host);
         if (row == null) {
--- a/src/test/java/anisebend/net/Loopback.java
+++ b/src/test/java/anisebend/net/Loopback.java
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -70,9 +71,11 @@
         return line.toString();
     }
 
+    /** The socket is asked for its stream once: the other side may close it at the first byte. */
     static void write(Socket socket, String text) throws IOException {
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
-        socket.getOutputStream().flush();
+        OutputStream out = socket.getOutputStream();
+        out.write(text.getBytes(StandardCharsets.UTF_8));
+        out.flush();
     }
 
     static String answer(int status, String headers, String body) {
--- a/src/test/java/anisebend/net/UpstreamTest.java
+++ b/src/test/java/anisebend/net/UpstreamTest.java
@@ -112,18 +112,7 @@
     @CsvSource({"60000000", "300000"})
     void connectionThatNeverComesUpNeverRan(long waitMicros) throws Exception {
         try (ServerSocket full = new ServerSocket(0, 1, Loopback.HOST)) {
-            List<Socket> waiting = new ArrayList<>();
-            boolean silent = false;
-            while (!silent && waiting.size() < 20) { // until the queue of those not accepted is full
-                Socket socket = new Socket();
-                waiting.add(socket);
-                try {
-                    socket.connect(full.getLocalSocketAddress(), 1000);
-                } catch (SocketTimeoutException e) {
-                    silent = true;
-                }
-            }
-            assertTrue(silent);
+            List<Socket> waiting = fill(full);
             send(full.getLocalPort(), waitMicros);
             assertEquals(Code.CONNECT_FAILED, ended().code());
             for (Socket socket : waiting) {
@@ -132,6 +121,47 @@
         }
     }
 
+    /** Connects until the queue of those not accepted is full: from then on the listener says nothing to who comes. */
+    private static List<Socket> fill(ServerSocket listener) throws Exception {
+        List<Socket> waiting = new ArrayList<>();
+        boolean silent = false;
+        while (!silent && waiting.size() < 20) {
+            Socket socket = new Socket();
+            waiting.add(socket);
+            try {
+                socket.connect(listener.getLocalSocketAddress(), 1000);
+            } catch (SocketTimeoutException e) {
+                silent = true;
+            }
+        }
+        assertTrue(silent);
+        return waiting;
+    }
+
+    /**
+     * A connection falls idle while another is coming up for the attempt that waits; that other one then fails. Whoever
+     * waits has the idle one, and is not left beside it until half of its time is over.
+     */
+    @Test
+    void whoWaitsHasTheIdleConnectionWhenTheOtherFails() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 1, Loopback.HOST)) {
+            send(listener.getLocalPort(), LONG_MICROS);
+            try (Socket node = listener.accept()) {
+                assertNotNull(Loopback.read(node.getInputStream()));
+                List<Socket> waiting = fill(listener);
+                send(listener.getLocalPort(), LONG_MICROS);
+                write(node, answer(200, "", "x"));
+                assertEquals(Code.OK, ended().code());
+                assertNotNull(Loopback.read(node.getInputStream()));
+                write(node, answer(200, "", "x"));
+                assertEquals(Code.OK, ended().code());
+                for (Socket socket : waiting) {
+                    socket.close();
+                }
+            }
+        }
+    }
+
     @Test
     void breakAfterTheLastByteMayHaveRun() throws Exception {
         try (Server server = new Server((request, socket) -> socket.close())) {
