--- a/src/main/java/anisebend/net/Upstream.java
+++ b/src/main/java/anisebend/net/Upstream.java
@@ -171,12 +171,11 @@
         }
         for (int waits = waits(node.host()); waits > 0; waits = waits(node.host())) {
             Room room = pools.room(now(), node.host(), waits);
-            boolean full = (room == Room.NONE || room == Room.TAKEN) && !closeOneIdle();
-            if (full && room == Room.NONE) {
+            if (room == Room.NONE && !closeOneIdle()) {
                 Attempt next = next(node.host());
                 next.passed.noRoom++;
                 next.end(Code.NOT_SENT, Note.NONE, null); // our own bound says nothing of the node
-            } else if (full || room == Room.WAIT) {
+            } else if (room == Room.WAIT) {
                 long trial = pools.trialAt(node.host()) - now();
                 if (trial > 0) {
                     loop.schedule(() -> grow(node), trial, TimeUnit.MICROSECONDS);
--- a/src/main/java/gorsemast/pool/Pools.java
+++ b/src/main/java/gorsemast/pool/Pools.java
@@ -21,9 +21,7 @@
  * where a node closes connections often, the next request must not pay for it. Connections opened ahead are earned,
  * one for each {@link #USES_PER_SPARE} uses, so that nothing is dialled for a node that only fails.
  *
- * <p>When nearly all places are taken a node that holds more than twice its share gets no more while it has any. When
- * all are taken, who waits at one node has the place of a connection that nobody uses at another: else a pool keeps what
- * it once opened, and most of a proxy's connections stand idle at nodes that need few while attempts wait at others.
+ * <p>When nearly all places are taken a node that holds more than twice its share gets no more while it has any.
  *
  * <p><b>When it could hurt.</b> A node whose listener drops every second connect for another reason than a full
  * table is held to fewer connections than it could serve, and requests wait for these.
@@ -46,9 +44,7 @@
         OPEN,
         /** Wait for one that is coming up or in use. */
         WAIT,
-        /** All places are taken: open one if {@link #crowded} can give one up, else wait for one of this node's. */
-        TAKEN,
-        /** The same, and none of the places is this node's: without one from elsewhere there is nothing to wait for. */
+        /** All places are taken and none of them is this node's. */
         NONE
     }
 
@@ -94,14 +90,12 @@
             return Room.WAIT;
         }
         if (total >= atMost) {
-            return held == 0 ? Room.NONE : share(held) ? Room.TAKEN : Room.WAIT;
+            return held > 0 ? Room.WAIT : Room.NONE;
         }
-        return held == 0 || total < SCARCE * atMost || share(held) ? Room.OPEN : Room.WAIT;
-    }
-
-    /** Whether a node that holds so many has no more than twice its share of all places. */
-    private boolean share(int held) {
-        return held < Math.max(1, 2 * atMost / pools.size());
+        if (held > 0 && total >= SCARCE * atMost && held >= Math.max(1, 2 * atMost / pools.size())) {
+            return Room.WAIT;
+        }
+        return Room.OPEN;
     }
 
     /** When a node that lets no more in is to be tried again, in the caller's time; 0 where nothing is known. */
--- a/src/test/java/anisebend/net/UpstreamTest.java
+++ b/src/test/java/anisebend/net/UpstreamTest.java
@@ -64,21 +64,12 @@
     }
 
     private Upstream.Attempt send(int port, long waitMicros) throws Exception {
-        return send("s-1", port, waitMicros);
-    }
-
-    private Upstream.Attempt send(String host, int port, long waitMicros) throws Exception {
-        return send(new Discovery.Node(host, new InetSocketAddress(Loopback.HOST, port), 0, true), waitMicros,
-            new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/k", Unpooled.EMPTY_BUFFER), false);
+        return send(port, waitMicros, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/k",
+            Unpooled.EMPTY_BUFFER), false);
     }
 
     private Upstream.Attempt send(int port, long waitMicros, FullHttpRequest request, boolean once) throws Exception {
-        return send(node(port), waitMicros, request, once);
-    }
-
-    private Upstream.Attempt send(Discovery.Node node, long waitMicros, FullHttpRequest request, boolean once)
-        throws Exception {
-        return group.next().submit(() -> upstream.send(node, request, waitMicros, once,
+        return group.next().submit(() -> upstream.send(node(port), request, waitMicros, once,
             (code, note, got) -> endings.add(new Ended(code, note)))).get();
     }
 
@@ -171,45 +162,6 @@
         }
     }
 
-    /** All places are taken, and the other node uses none of its own: one of these goes, and nobody waits beside it. */
-    @Test
-    void whoWaitsHasThePlaceOfAnIdleConnectionElsewhere() throws Exception {
-        CountDownLatch go = new CountDownLatch(3);
-        Loopback.Script together = (request, socket) -> {
-            go.countDown();
-            try {
-                go.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            write(socket, answer(200, "", "x"));
-        };
-        CountDownLatch busy = new CountDownLatch(1);
-        try (Server idle = new Server(together); Server wanted = new Server((request, socket) -> {
-            try {
-                busy.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            write(socket, answer(200, "", "x"));
-        })) {
-            for (int i = 0; i < 3; i++) {
-                send(port(idle), LONG_MICROS);
-            }
-            for (int i = 0; i < 3; i++) {
-                assertEquals(Code.OK, ended().code());
-            }
-            send("s-2", port(wanted), LONG_MICROS);
-            assertNotNull(wanted.next());
-            send("s-2", port(wanted), LONG_MICROS);
-            assertNotNull(wanted.next(), "the first is not answered until the second has come");
-            busy.countDown();
-            assertEquals(Code.OK, ended().code());
-            assertEquals(Code.OK, ended().code());
-            assertEquals(2, wanted.connections.size());
-        }
-    }
-
     @Test
     void breakAfterTheLastByteMayHaveRun() throws Exception {
         try (Server server = new Server((request, socket) -> socket.close())) {
--- a/src/test/java/gorsemast/pool/PoolsTest.java
+++ b/src/test/java/gorsemast/pool/PoolsTest.java
@@ -102,7 +102,7 @@
     void atTheBoundWhoHasNoneGetsNone() {
         open("a", 40);
         assertEquals(Room.NONE, pools.room(now, NODE, 1));
-        assertEquals(Room.WAIT, pools.room(now, "a", 1), "a has more than twice its share");
+        assertEquals(Room.WAIT, pools.room(now, "a", 1));
         assertEquals("a", pools.crowded());
         for (int i = 0; i < 40; i++) {
             pools.taken(now, "a");
@@ -110,19 +110,6 @@
         assertNull(pools.crowded());
     }
 
-    /** All of b's are in use and one of a's: who waits at b may have the place of an idle one. */
-    @Test
-    void atTheBoundWhoWaitsMayHaveAnIdlePlaceElsewhere() {
-        open("a", 30);
-        open("b", 10);
-        pools.taken(now, "a");
-        for (int i = 0; i < 10; i++) {
-            pools.taken(now, "b");
-        }
-        assertEquals(Room.TAKEN, pools.room(now, "b", 1));
-        assertEquals("a", pools.crowded());
-    }
-
     @Test
     void descriptorsAreSharedOutWhenTheyRunShort() {
         open("a", 30);
