Hold that hits do not hide a failing ledger; no walk of who waits where none is idle

Upstream.grow walked the row of those that wait once more at each send without a free connection, also where no connection was idle; it looks for an idle one first now.

--- a/src/main/java/anisebend/net/Upstream.java
+++ b/src/main/java/anisebend/net/Upstream.java
@@ -166,7 +166,7 @@
      * another was coming up is taken first: where that other one fails, nothing else would tell who waits of it.
      */
     private void grow(Discovery.Node node) {
-        while (waits(node.host()) > pools.opening(node.host()) && idle.containsKey(node.host())) {
+        while (idle.containsKey(node.host()) && waits(node.host()) > pools.opening(node.host())) {
             takeIdle(node.host()).carry(next(node.host()));
         }
         for (int waits = waits(node.host()); waits > 0; waits = waits(node.host())) {
--- a/src/test/java/anisebend/DecideTest.java
+++ b/src/test/java/anisebend/DecideTest.java
@@ -313,18 +313,36 @@
         for (int i = 0; i < 6; i++) {
             world.answer("e" + i, Code.ERROR);
         }
-        assertTrue(restOfTheLedger() > 0);
+        assertTrue(restOfTheLedger(world) > 0);
         for (int i = 0, met = world.recorder.sent.size(); i < 300; i++) {
             world.ask("f" + i, READ, "new" + i, i % 2).pass(15 * MS);
             for (; met < world.recorder.sent.size(); met++) {
                 world.answer(world.recorder.sent.get(met).request(), Code.OK, 15 * MS, Note.HIT);
             }
         }
-        assertEquals(0, restOfTheLedger());
+        assertEquals(0, restOfTheLedger(world));
     }
 
-    private long restOfTheLedger() {
-        List<Balancer.ServerView> all = world.balancer.view(world.now).servers();
+    /** Two in three forecasts are hits and every fetch fails: the hits do not hide that from the lanes. */
+    @Test
+    void hitsAmongForecastsDoNotHideALedgerThatFails() {
+        world.ask("w", READ, "kept").answer("w", Code.OK, 50 * MS, Note.MISS);
+        long rest = 0;
+        for (int i = 0, met = 1; i < 600; i++) {
+            world.ask("f" + i, READ, "new" + i, i % 2).pass(100 * MS);
+            for (; met < world.recorder.sent.size(); met++) {
+                boolean hit = met % 3 > 0;
+                world.answer(world.recorder.sent.get(met).request(), hit ? Code.OK : Code.ERROR, 50 * MS,
+                    hit ? Note.HIT : Note.NONE);
+            }
+            rest += restOfTheLedger(world);
+        }
+        assertTrue(rest / 600 > 50 * MS, "the ledger's lanes rest in the mean, in us: " + rest / 600);
+    }
+
+    /** The ledger is the last of a view. */
+    private static long restOfTheLedger(World one) {
+        List<Balancer.ServerView> all = one.balancer.view(one.now).servers();
         return all.get(all.size() - 1).meanInterval();
     }
 
@@ -349,8 +367,7 @@
                 one.answer(sent.request(), bad ? Code.ERROR : Code.OK, 200 * MS,
                     bad ? Note.NONE : hit ? Note.HIT : Note.MISS);
             }
-            List<Balancer.ServerView> all = one.balancer.view(one.now).servers();
-            rest += all.get(all.size() - 1).meanInterval();
+            rest += restOfTheLedger(one);
         }
         return rest / 2_000;
     }
@@ -365,8 +382,7 @@
             for (; answered < world.recorder.sent.size(); answered++) {
                 world.answer(world.recorder.sent.get(answered).request(), Code.ERROR, 150 * MS);
             }
-            List<Balancer.ServerView> all = world.balancer.view(world.now).servers();
-            rest += all.get(all.size() - 1).meanInterval();
+            rest += restOfTheLedger(world);
         }
         assertTrue(rest / 400 > 250 * MS, "the ledger's lanes rest in the mean, in us: " + rest / 400);
     }
