A view of the fleet: SWIM with Lifeguard as a state machine, in virtual time

Need: a proxy knows nothing of the others but their number in the settings. Change: gorsemast.fleet keeps who lives, by events with the time in and datagrams out; gorsemast.lab plays any number of them on a network that loses, delays, doubles and cuts. A first try passed an answer on under the name of him who gave it, and so ended the one that passed it on; the one-way cut found that.

--- /dev/null
+++ b/src/main/java/gorsemast/lab/VirtualFleet.java
@@ -0,0 +1,368 @@
+package gorsemast.lab;
+
+import gorsemast.fleet.Claim;
+import gorsemast.fleet.Fleet;
+import gorsemast.fleet.FleetSettings;
+import gorsemast.fleet.FleetView;
+import gorsemast.fleet.Message;
+import gorsemast.fleet.ProcessId;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
+
+/**
+ * Any number of {@link Fleet}s in virtual time, on a network that loses, delays, doubles, reorders and cuts.
+ *
+ * <p><b>Idea.</b> Deterministic simulation from one seed: the same seed gives the same run, to the message. Each machine
+ * has one address; a process on it can be killed (its machine then refuses), stopped and continued, restarted under a
+ * higher generation, or made slow as a whole, so that all that it does comes late.
+ *
+ * <p>Times in microseconds. One thread. O(messages under way) memory.
+ */
+public final class VirtualFleet {
+    private record Event(long at, long order, Runnable run) {
+    }
+
+    /** One machine with the process that runs there, if any does. */
+    public final class Machine {
+        private final int number;
+        private Fleet fleet;
+        private boolean running;
+        private boolean stopped;
+        private boolean dark;
+        private int starts;
+        private long slow;
+        private long life;
+
+        private Machine(int number) {
+            this.number = number;
+        }
+
+        private String address() {
+            return "10.0.0." + number + ":1";
+        }
+
+        public boolean running() {
+            return running;
+        }
+
+        /** Starts a process here that knows these machines' addresses. */
+        public void start(int... seeds) {
+            running = true;
+            stopped = false;
+            long mine = ++life;
+            ProcessId id = new ProcessId("p" + number, ProcessId.generation(now / 1_000 + clockStep, ++starts));
+            fleet = new Fleet(settings, id, address(), random.nextLong(), new Fleet.Actions() {
+                @Override
+                public void send(String address, Message message) {
+                    if (life == mine) {
+                        post(Machine.this, address, message);
+                    }
+                }
+
+                @Override
+                public void inquire(String address) {
+                    Machine asked = at(address);
+                    if (asked != null && !asked.running && !asked.dark && !cut(Machine.this, asked)
+                        && !cut(asked, Machine.this)) {
+                        after(delay() * 2, () -> ifRunning(mine, () -> fleet.refused(now, address)));
+                    }
+                }
+
+                @Override
+                public void changed() {
+                }
+
+                @Override
+                public void log(String text) {
+                    lines.add(now / 1_000 + " " + number + ": " + text);
+                }
+            });
+            List<String> addresses = new ArrayList<>();
+            for (int seed : seeds) {
+                addresses.add(machines.get(seed).address());
+            }
+            fleet.start(now, addresses);
+            after(random.nextLong(settings.step()), () -> step(mine));
+        }
+
+        /** The clock that the next start takes its generation from, set back or forward by so many milliseconds. */
+        public void clock(long millis) {
+            clockStep = millis;
+        }
+
+        private long clockStep;
+
+        private void step(long mine) {
+            if (life != mine || !running) {
+                return;
+            }
+            if (!stopped) {
+                fleet.step(now);
+            }
+            after(settings.step() + slow, () -> step(mine));
+        }
+
+        private void ifRunning(long mine, Runnable what) {
+            if (life == mine && running && !stopped) {
+                what.run();
+            }
+        }
+
+        /** Ends it with no word; its machine refuses from now on unless it is {@code dark}, gone with it. */
+        public void kill(boolean alsoMachine) {
+            running = false;
+            dark = alsoMachine;
+            life++;
+        }
+
+        /** Ends it in good order. */
+        public void leave() {
+            fleet.leave(now);
+            kill(false);
+        }
+
+        public void stop(boolean stop) {
+            stopped = stop;
+        }
+
+        /** Each step and each datagram takes so much longer. */
+        public void slow(long micros) {
+            slow = micros;
+        }
+
+        public Fleet fleet() {
+            return fleet;
+        }
+
+        public FleetView view() {
+            return fleet.view(now);
+        }
+    }
+
+    private final FleetSettings settings;
+    private final SplittableRandom random;
+    private final PriorityQueue<Event> queue =
+        new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+    private final List<Machine> machines = new ArrayList<>();
+    private final List<String> lines = new ArrayList<>();
+    private final ToIntFunction<Message> sizes;
+    private long now = 1_000_000_000L;
+    private long order;
+    private double loss;
+    private double doubled;
+    private long latency = 500;
+    private long spread = 500;
+    private java.util.function.BiPredicate<Integer, Integer> cut = (from, to) -> false;
+    private long messages;
+    private long bytes;
+    private long largest;
+
+    /** So many machines with nothing on them; {@code sizes} tells what a message takes, in bytes. */
+    public VirtualFleet(int many, FleetSettings settings, long seed, ToIntFunction<Message> sizes) {
+        this.settings = settings;
+        this.random = new SplittableRandom(seed);
+        this.sizes = sizes;
+        for (int i = 0; i < many; i++) {
+            machines.add(new Machine(i));
+        }
+    }
+
+    /** Starts a process on each, with the first three as seeds. */
+    public VirtualFleet startAll() {
+        for (Machine machine : machines) {
+            machine.start(0, Math.min(1, machines.size() - 1), Math.min(2, machines.size() - 1));
+        }
+        return this;
+    }
+
+    public Machine machine(int number) {
+        return machines.get(number);
+    }
+
+    public List<Machine> machines() {
+        return machines;
+    }
+
+    public long now() {
+        return now;
+    }
+
+    /** What the processes have logged. */
+    public List<String> lines() {
+        return lines;
+    }
+
+    /** The part of all datagrams that is lost, and that comes twice, from now on. */
+    public void lose(double lost, double twice) {
+        loss = lost;
+        doubled = twice;
+    }
+
+    /** The least a datagram takes one way, and what is drawn on top of that. */
+    public void delays(long least, long drawn) {
+        latency = least;
+        spread = Math.max(1, drawn);
+    }
+
+    /** Nothing passes from one machine to another where this says so. */
+    public void cut(java.util.function.BiPredicate<Integer, Integer> fromTo) {
+        cut = fromTo;
+    }
+
+    /** Cuts the fleet into groups: a machine reaches those of its own. */
+    public void split(ToIntFunction<Integer> group) {
+        cut = (from, to) -> group.applyAsInt(from) != group.applyAsInt(to);
+    }
+
+    public void heal() {
+        cut = (from, to) -> false;
+    }
+
+    private boolean cut(Machine from, Machine to) {
+        return cut.test(from.number, to.number);
+    }
+
+    private long delay() {
+        return latency + random.nextLong(spread);
+    }
+
+    private Machine at(String address) {
+        int number = Integer.parseInt(address.substring(address.lastIndexOf('.') + 1, address.indexOf(':')));
+        return number < machines.size() ? machines.get(number) : null;
+    }
+
+    private void after(long micros, Runnable run) {
+        queue.add(new Event(now + Math.max(0, micros), order++, run));
+    }
+
+    private void post(Machine from, String address, Message message) {
+        messages++;
+        int size = sizes.applyAsInt(message);
+        bytes += size;
+        largest = Math.max(largest, size);
+        Machine to = at(address);
+        int copies = random.nextDouble() < loss ? 0 : random.nextDouble() < doubled ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            after(delay() + from.slow, () -> {
+                if (to != null && !cut(from, to)) {
+                    arrive(to, from.address(), message);
+                }
+            });
+        }
+    }
+
+    private void arrive(Machine to, String from, Message message) {
+        if (!to.running) {
+            return;
+        }
+        if (to.stopped || to.slow > 0 && random.nextInt(2) == 0) {
+            // The system keeps it for the process, which reads it when it runs again.
+            long life = to.life;
+            after(Math.max(settings.step(), to.slow), () -> {
+                if (to.life == life) {
+                    arrive(to, from, message);
+                }
+            });
+            return;
+        }
+        to.fleet.received(now, from, message);
+    }
+
+    /** Runs for so long. */
+    public void run(long micros) {
+        until(now + micros, all -> false);
+    }
+
+    /** Runs until that holds, at most for so long; returns how long it took, or -1 where it never held. */
+    public long await(long atMost, Predicate<VirtualFleet> holds) {
+        long begun = now;
+        return until(now + atMost, holds) ? now - begun : -1;
+    }
+
+    private boolean until(long end, Predicate<VirtualFleet> holds) {
+        long looked = now;
+        while (!queue.isEmpty() && queue.peek().at() <= end) {
+            Event next = queue.poll();
+            now = Math.max(now, next.at());
+            next.run().run();
+            if (now - looked >= settings.step()) {
+                looked = now;
+                if (holds.test(this)) {
+                    return true;
+                }
+            }
+        }
+        now = end;
+        return holds.test(this);
+    }
+
+    /** Whether all running machines of {@code group} hold exactly each other to be live. */
+    public boolean agree(Predicate<Integer> group) {
+        long digest = 0;
+        int live = -1;
+        int running = 0;
+        for (Machine machine : machines) {
+            if (machine.running && group.test(machine.number)) {
+                running++;
+                FleetView view = machine.view();
+                if (live >= 0 && view.digest() != digest) {
+                    return false;
+                }
+                digest = view.digest();
+                live = view.live();
+            }
+        }
+        return live == running;
+    }
+
+    public boolean agree() {
+        return agree(number -> true);
+    }
+
+    /** How often a running process held another running one dead, over all views now. */
+    public int falselyDead() {
+        int sum = 0;
+        for (Machine machine : machines) {
+            if (!machine.running) {
+                continue;
+            }
+            for (FleetView.MemberView member : machine.view().members()) {
+                Machine other = at(member.address());
+                sum += !member.state().live() && other.running && other.fleet.self().equals(member.id()) ? 1 : 0;
+            }
+        }
+        return sum;
+    }
+
+    /** How many suspicions there are now, over all views. */
+    public int suspicions() {
+        int sum = 0;
+        for (Machine machine : machines) {
+            if (machine.running) {
+                sum += (int) machine.view().members().stream()
+                    .filter(member -> member.state() == Claim.State.SUSPECT).count();
+            }
+        }
+        return sum;
+    }
+
+    /** Datagrams sent since the start. */
+    public long messages() {
+        return messages;
+    }
+
+    /** Their bytes. */
+    public long bytes() {
+        return bytes;
+    }
+
+    /** The largest of them, in bytes. */
+    public long largest() {
+        return largest;
+    }
+}
