--- a/src/main/java/anisebend/net/Discovery.java
+++ b/src/main/java/anisebend/net/Discovery.java
@@ -87,6 +87,11 @@
         this.bootstrap = Upstream.client(loop, Math.max(connectMillis, GRACE_MILLIS));
     }
 
+    /** The version of the list that is known. */
+    long version() {
+        return version;
+    }
+
     /** How many cache nodes are listed. */
     int size() {
         return nodes.size();
--- a/src/main/java/anisebend/net/Engine.java
+++ b/src/main/java/anisebend/net/Engine.java
@@ -96,6 +96,9 @@
 
     private final EventLoop loop;
     private List<Balancer.RequestClass> classes;
+    private Balancer.Settings settings;
+    /** How many proxies share what is bounded over all; 0 for as many as the settings say. */
+    private int sharedBy;
     private final Consumer<String> operator;
     private final Balancer module = new Decide(this);
     private final Upstream upstream;
@@ -117,7 +120,8 @@
 
     Engine(EventLoop loop, ProxyConfig config, int maxConnections, Consumer<String> operator) {
         this.loop = loop;
-        this.classes = config.settings().classes();
+        this.settings = config.settings();
+        this.classes = settings.classes();
         this.operator = operator;
         this.discovery = new Discovery(loop, config.discovery(), config.names(),
             config.settings().listAskWithin(), config.connectTimeoutMillis(), new Discovery.Listener() {
@@ -170,11 +174,34 @@
 
     /** Takes over what a new configuration may change in service; throws, and changes nothing, what can't be worked with. */
     void reconfigure(ProxyConfig config) {
-        attempt(() -> module.retune(now(), config.settings()));
-        classes = config.settings().classes();
+        Balancer.Settings next = shared(config.settings());
+        attempt(() -> module.retune(now(), next));
+        settings = config.settings();
+        classes = settings.classes();
         discovery.redirect(config.discovery());
     }
 
+    /** So many proxies share what is bounded over all of them; the settings' number is what holds until this is told. */
+    void sharedBy(int proxies) {
+        if (proxies != sharedBy) {
+            sharedBy = proxies;
+            Balancer.Settings next = shared(settings);
+            attempt(() -> module.retune(now(), next));
+        }
+    }
+
+    private Balancer.Settings shared(Balancer.Settings s) {
+        return sharedBy == 0 || sharedBy == s.balancers() ? s : new Balancer.Settings(sharedBy, s.zone(), s.originKind(),
+            s.classes(), s.tenants(), s.overShareWorth(), s.maxAttempts(), s.mayCancel(), s.mayProbe(), s.retryAfter(),
+            s.maxRetryAfter(), s.listMustBeAsked(), s.listAskWithin(), s.coldShare(), s.coldTime(), s.freeResends(),
+            s.resendShare(), s.resendSpan());
+    }
+
+    /** The version of the newest list that is known, -1 for none. */
+    long listVersion() {
+        return discovery.version();
+    }
+
     /** Whether no request is held, nor anything kept for one. */
     boolean idle() {
         return open.isEmpty() && ids.isEmpty() && events.isEmpty() && actions.isEmpty();
--- /dev/null
+++ b/src/main/java/anisebend/net/Part.java
@@ -0,0 +1,46 @@
+package anisebend.net;
+
+import gorsemast.lifecycle.Lifecycle.Phase;
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.util.function.LongSupplier;
+
+/**
+ * A part of the product that runs beside the proxy in one process, on the same event loop. The platform's {@code run}
+ * has none, and loads none.
+ */
+public interface Part {
+    /** What a part may use of the proxy. */
+    interface Host {
+        /** The one thread that does everything here. */
+        EventLoop loop();
+
+        /** Microseconds of the proxy's own clock, which never goes back. */
+        LongSupplier clock();
+
+        /** A line for the operator. */
+        void log(String text);
+
+        /**
+         * How many proxies share whatever is bounded over all of them, from now on; on the loop.
+         *
+         * @param proxies 1 or more; what the settings say is never exceeded downwards by less than one
+         */
+        void sharedBy(int proxies);
+    }
+
+    /** Begins, before the proxy is ready; not on the loop. Throws where it can't, and the proxy does not start. */
+    void start(Host host) throws IOException;
+
+    /** Ten times a second, on the loop. */
+    void sweep(Phase phase, long listVersion);
+
+    /** What it answers to a call at the second address, behind {@code 200}; null where the call is not its own. */
+    String call(String line);
+
+    /** Further lines of the counters. */
+    void figures(StringBuilder to);
+
+    /** The process ends soon; on the loop. */
+    void leave();
+}
--- a/src/main/java/anisebend/net/ProxyServer.java
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -31,6 +31,7 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.SocketChannel;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -41,6 +42,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -78,6 +81,7 @@
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private ProxyConfig config;
+    private final Consumer<String> operator;
     private final Engine engine;
     private final Map<String, String> env;
     private final Door<ClientConnection> door;
@@ -110,12 +114,15 @@
     private int processes = 1;
     /** There while the code is warmed up; until that is over it is not ready. */
     private Warmup warmup;
+    /** None on the platform. */
+    private final List<Part> parts = new ArrayList<>(0);
 
-    private ProxyServer(ProxyConfig config, Map<String, String> env) {
+    private ProxyServer(ProxyConfig config, Map<String, String> env, Consumer<String> operator) {
         this.config = config;
+        this.operator = operator;
         this.env = env;
         this.door = new Door<>(part(config.sockets(), CLIENT_PART));
-        this.engine = new Engine(loop, config, part(config.sockets(), UPSTREAM_PART), System.err::println);
+        this.engine = new Engine(loop, config, part(config.sockets(), UPSTREAM_PART), operator);
         this.random = new SplittableRandom(config.seed());
         this.shedder = new Shedder(new double[0],
             config.settings().tenants().stream().mapToDouble(Balancer.Tenant::share).toArray());
@@ -163,7 +170,7 @@
         }
         if (lifecycle.phase() == Phase.STOPPING && generations.succeeded()) {
             lifecycle.succeeded(engine.now());
-            System.err.println("a successor takes clients: " + lifecycle.phase());
+            operator.accept("a successor takes clients: " + lifecycle.phase());
             leave();
         }
         checkDrained();
@@ -172,7 +179,17 @@
     /** A proxy as the platform's variables say; throws what is wrong with them as one plain line. */
     public static ProxyServer of(Map<String, String> env) throws IOException {
         NettyLog.install();
-        return new ProxyServer(ProxyConfig.load(env), env);
+        return of(env, System.err::println);
+    }
+
+    /** The same, with lines for the operator going there; Netty's own log is the caller's to set up. */
+    public static ProxyServer of(Map<String, String> env, Consumer<String> operator) throws IOException {
+        return new ProxyServer(ProxyConfig.load(env), env, operator);
+    }
+
+    /** The proxy's name, as the platform tells it. */
+    public String name() {
+        return config.name();
     }
 
     /** Room for long bodies in bytes, where it is not to follow the heap; asked for before it starts. */
@@ -184,7 +201,7 @@
     /** Writes what it does and believes each period, for whoever looks for a cause; asked for before it starts. */
     public ProxyServer trace(long periodMillis) {
         tracing = true;
-        Trace trace = new Trace(engine, System.err::println);
+        Trace trace = new Trace(engine, operator);
         loop.scheduleAtFixedRate(() -> {
             clients.forEach(c -> counted("now:" + c.state()));
             trace.line(worstLate, clients.size() + " " + events + " accepts=" + door.open()
@@ -195,11 +212,51 @@
         return this;
     }
 
+    /** How many proxies share the service, as the platform's settings say. */
+    public int proxies() {
+        return config.settings().balancers();
+    }
+
+    /** Lets a part of the product run beside it, from its start on; asked for before it starts. */
+    public ProxyServer with(Part part) {
+        parts.add(part);
+        return this;
+    }
+
+    private final class Hosting implements Part.Host {
+        @Override
+        public EventLoop loop() {
+            return loop;
+        }
+
+        @Override
+        public LongSupplier clock() {
+            return engine::now;
+        }
+
+        @Override
+        public void log(String text) {
+            operator.accept(text);
+        }
+
+        @Override
+        public void sharedBy(int proxies) {
+            engine.sharedBy(proxies);
+        }
+    }
+
+    private void startParts() throws IOException {
+        for (Part part : parts) {
+            part.start(new Hosting());
+        }
+    }
+
     /**
      * Begins to serve, and says that it is ready when its code is warm. With a second address it warms up there and
      * listens for clients only then: during an upgrade another process has them.
      */
     public ProxyServer startWarm() throws IOException {
+        startParts();
         if (config.admin() == null) {
             begin(this::listen);
             loop.execute(() -> warmUp(address(), lifecycle::started));
@@ -210,7 +267,7 @@
                     lifecycle.started();
                     share();
                 } else {
-                    System.err.println("anisebend: " + bound.cause().getMessage());
+                    operator.accept("anisebend: " + bound.cause().getMessage());
                     Runtime.getRuntime().halt(1); // nobody could ever reach it
                 }
             })));
@@ -236,13 +293,14 @@
         try {
             return new Succession(Path.of(folder, "gorsemast-" + config.name()));
         } catch (IOException | RuntimeException e) {
-            System.err.println("knows of no other process: " + e);
+            operator.accept("knows of no other process: " + e);
             return null;
         }
     }
 
     /** Begins to serve, cold. */
     public ProxyServer start() throws IOException {
+        startParts();
         begin(() -> {
             if (config.admin() != null) {
                 listenForCalls();
@@ -361,7 +419,7 @@
     }
 
     private void turnDown(Exception e) {
-        System.err.println("configuration kept as it was: " + e.getMessage());
+        operator.accept("configuration kept as it was: " + e.getMessage());
         reloadsTurnedDown++;
     }
 
@@ -400,11 +458,12 @@
         }
         lifecycle.terminate(now, succession != null && succession.generations().succeeded(),
             TimeUnit.MILLISECONDS.toMicros(drainMillis - CLOSING_MILLIS));
-        System.err.println("drains for at most " + drainMillis + " ms: " + lifecycle.phase());
+        operator.accept("drains for at most " + drainMillis + " ms: " + lifecycle.phase());
         if (lifecycle.phase() == Phase.STOPPING) {
             door.drain(now);
         }
         share();
+        parts.forEach(Part::leave);
         loop.schedule(this::leave, Math.max(0, lifecycle.closesFrom() - now), TimeUnit.MICROSECONDS);
         loop.schedule(this::closeFree, drainMillis - CLOSING_MILLIS, TimeUnit.MILLISECONDS);
         loop.schedule(engine::giveUpAll, drainMillis, TimeUnit.MILLISECONDS);
@@ -488,11 +547,23 @@
         StringBuilder figures = new StringBuilder(1024);
         counters.write(figures);
         engine.figures(figures);
+        parts.forEach(part -> part.figures(figures));
         Counters.counter(figures, "reloads_ok", reloadsTaken);
         Counters.counter(figures, "reloads_failed", reloadsTurnedDown);
         return figures.toString();
     }
 
+    @Override
+    public String other(String call) {
+        for (Part part : parts) {
+            String answer = part.call(call);
+            if (answer != null) {
+                return answer;
+            }
+        }
+        return null;
+    }
+
     @Override
     public boolean quiesce() {
         boolean does = lifecycle.quiesce(engine.now());
@@ -614,6 +685,7 @@
             }
         }
         share();
+        parts.forEach(part -> part.sweep(lifecycle.phase(), engine.listVersion()));
         if (listener != null && !listener.config().isAutoRead()) {
             makeRoom();
         }
--- a/src/main/java/gorsemast/admin/AdminListener.java
+++ b/src/main/java/gorsemast/admin/AdminListener.java
@@ -54,6 +54,11 @@
 
         /** Takes clients again; whether it does. */
         boolean resume();
+
+        /** What a part that is on answers, behind the status, with its line feed; null where none knows the call. */
+        default String other(String call) {
+            return null;
+        }
     }
 
     private final Calls calls;
@@ -106,7 +111,10 @@
             case "counters" -> "200 figures\n" + calls.counters() + "EOF\n";
             case "quiesce" -> said(calls.quiesce(), "emptying", "not in service");
             case "resume" -> said(calls.resume(), "serving", "not in service");
-            default -> "400 unknown call; there are health, counters, quiesce, resume\n";
+            default -> {
+                String other = calls.other(call);
+                yield other == null ? "400 unknown call; there are health, counters, quiesce, resume\n" : "200 " + other;
+            }
         };
     }
 
--- a/src/main/java/gorsemast/fleet/Claim.java
+++ b/src/main/java/gorsemast/fleet/Claim.java
@@ -119,8 +119,17 @@
     int size() {
         int size = OVERHEAD + id.name().length() + address.length();
         for (Map.Entry<String, String> fact : facts.entrySet()) {
-            size += 4 + 3 * (fact.getKey().length() + fact.getValue().length());
+            size += 4 + utf8(fact.getKey()) + utf8(fact.getValue());
         }
         return size;
     }
+
+    private static int utf8(String text) {
+        int bytes = 0;
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            bytes += c < 0x80 ? 1 : c < 0x800 ? 2 : 3; // a surrogate pair counts as six, and takes four
+        }
+        return bytes;
+    }
 }
--- /dev/null
+++ b/src/main/java/gorsemast/rig/Proxies.java
@@ -0,0 +1,212 @@
+package gorsemast.rig;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import gorsemast.admin.AdminCall;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/** The processes of the rig: how each is started, stopped, killed and asked. */
+final class Proxies implements AutoCloseable {
+    /** Below where systems hand out ports by themselves, so that a port that is free stays so until it is bound. */
+    private static final int LEAST_PORT = 15_000;
+    private static final int PORTS = 16_000;
+    private static final int PERIOD_MILLIS = 200;
+
+    /** One process and the machine that it runs on, so to speak. */
+    final class Proxy {
+        final int number;
+        final String name;
+        final int clients = port();
+        final int admin = port();
+        final int datagrams = port();
+        volatile Process process;
+        volatile boolean stopped;
+        /** The machine has gone with it, and refuses nothing. */
+        volatile boolean dark;
+        /** When it last began or ceased to run, in nanoseconds. */
+        volatile long changedAt = System.nanoTime();
+        private int starts;
+
+        Proxy(int number) throws IOException {
+            this.number = number;
+            this.name = "p" + number;
+        }
+
+        /** Whether there is a process that runs, or stands still. */
+        boolean exists() {
+            return process != null && process.isAlive();
+        }
+
+        boolean running() {
+            return exists() && !stopped;
+        }
+
+        void start() throws IOException {
+            Path folder = Files.createDirectories(home.resolve(name + "-" + starts++));
+            InetSocketAddress front = relay.open(name, new InetSocketAddress(InetAddress.getLoopbackAddress(), datagrams));
+            Files.writeString(folder.resolve("config.json"), config());
+            Files.writeString(folder.resolve("gorsemast.json5"), settings(front));
+            List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-Xmx80m", "-XX:-UsePerfData", "-cp",
+                System.getProperty("java.class.path"), "gorsemast.command.Gorsemast", "serve", "--settings",
+                folder.resolve("gorsemast.json5").toString()));
+            ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
+            builder.environment().put("PROXY_CONFIG", folder.resolve("config.json").toString());
+            builder.environment().put("TMPDIR", folder.toString());
+            stopped = false;
+            dark = false;
+            changedAt = System.nanoTime();
+            process = builder.start();
+        }
+
+        Path log() {
+            return home.resolve(name + ".log");
+        }
+
+        /** SIGKILL; returns when it is over. */
+        void kill(boolean machine) throws IOException, InterruptedException {
+            dark = machine;
+            changedAt = System.nanoTime();
+            if (!machine) {
+                relay.refuse(name);
+            }
+            process.destroyForcibly().waitFor();
+            stopped = false;
+        }
+
+        /** SIGTERM; returns when it is over. */
+        void leave() throws IOException, InterruptedException {
+            changedAt = System.nanoTime();
+            process.destroy();
+            if (!process.waitFor(20, TimeUnit.SECONDS)) {
+                throw new IOException(name + " does not end");
+            }
+            relay.refuse(name);
+        }
+
+        void signal(String signal) throws IOException, InterruptedException {
+            changedAt = System.nanoTime();
+            stopped = signal.equals("STOP");
+            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+        }
+
+        /** What it believes; null where it does not answer. */
+        JsonNode view() {
+            try {
+                String answer = AdminCall.ask(new InetSocketAddress(InetAddress.getLoopbackAddress(), admin), "fleet");
+                return answer.startsWith("200 ") ? JSON.readTree(answer.substring(4)) : null;
+            } catch (IOException e) {
+                return null;
+            }
+        }
+
+        boolean ready() {
+            try {
+                return AdminCall.ask(new InetSocketAddress(InetAddress.getLoopbackAddress(), admin), "health").startsWith("200");
+            } catch (IOException e) {
+                return false;
+            }
+        }
+
+        private String config() {
+            return """
+                {"name":"%s","listen":"127.0.0.1:%d","admin":"127.0.0.1:%d","discovery":"%s","seed":"%x",
+                 "limits":{"cores":1.0,"memory_mb":192,"sockets":512},"known":%s,
+                 "settings":{"fleet_size":%d,"locality":0,"failure_domains":["a"],"shapes":["m"],"discovery":"ask",
+                  "allowed":{"conn_idle_ms":4000,"connect_timeout_ms":1000.0,"may_cancel":true,"retry_after":true,
+                   "max_retry_after_ms":500.0,"send_cap":4},
+                  "lanes":[
+                   {"name":"read","repeat":"read_like","aim_ms":1000.0,"hard_limit_ms":%d.0,"credit":1.0},
+                   {"name":"topup","repeat":"non_idempotent","aim_ms":1000.0,"hard_limit_ms":%d.0,"credit":10.0}],
+                  "realms":[{"name":"acme","fraction":1.0,"quota_rps":100000.0}],
+                  "rules":{"ask_within_ms":5000.0,"cold_from":0.32,"cold_ms":100.0}}}
+                """.formatted(name, clients, admin, stands.register(), number * 7919L + starts, stands.list(), all.size(),
+                    Clients.DEADLINE_MILLIS, Clients.DEADLINE_MILLIS);
+        }
+
+        private String settings(InetSocketAddress front) {
+            StringBuilder seeds = new StringBuilder();
+            for (int i = 0; i < Math.min(3, all.size()); i++) {
+                InetSocketAddress seed = fronts.get("p" + i);
+                if (seed != null) {
+                    seeds.append('"').append("127.0.0.1:").append(seed.getPort()).append("\", ");
+                }
+            }
+            return """
+                // one process of the rig
+                {
+                  log: {form: 'json'},
+                  peers: {
+                    listen: '127.0.0.1:%d',
+                    advertise: '127.0.0.1:%d',
+                    seeds: [%s],
+                    cluster: 'rig', secret: 'of this day',
+                    period_ms: %d, settle_ms: 1000,
+                  },
+                }
+                """.formatted(datagrams, front.getPort(), seeds, PERIOD_MILLIS);
+        }
+    }
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private final Path home;
+    private final Relay relay;
+    private final StandIns stands;
+    private final SplittableRandom random = new SplittableRandom(System.nanoTime());
+    private final Map<String, InetSocketAddress> fronts = new java.util.concurrent.ConcurrentHashMap<>();
+    final List<Proxy> all = new ArrayList<>();
+
+    Proxies(int many, Path home, Relay relay, StandIns stands) throws IOException {
+        this.home = home;
+        this.relay = relay;
+        this.stands = stands;
+        for (int i = 0; i < many; i++) {
+            all.add(new Proxy(i));
+        }
+        for (Proxy proxy : all) { // all fronts first: each process is told of the seeds' ones
+            fronts.put(proxy.name, relay.open(proxy.name, new InetSocketAddress(InetAddress.getLoopbackAddress(), proxy.datagrams)));
+        }
+    }
+
+    private int port() throws IOException {
+        for (int i = 0; i < 200; i++) {
+            int port = LEAST_PORT + random.nextInt(PORTS);
+            if (taken.add(port)) {
+                try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                    return free.getLocalPort();
+                } catch (IOException e) {
+                    continue; // somebody has it
+                }
+            }
+        }
+        throw new IOException("no free port between " + LEAST_PORT + " and " + (LEAST_PORT + PORTS));
+    }
+
+    private final java.util.Set<Integer> taken = new java.util.HashSet<>();
+
+    /** All their logs, for whoever looks for a cause. */
+    File home() {
+        return home.toFile();
+    }
+
+    @Override
+    public void close() {
+        for (Proxy proxy : all) {
+            if (proxy.process != null) {
+                proxy.process.destroyForcibly();
+            }
+        }
+    }
+}
