Wait for sockets by Netty's epoll: the JDK's timed wait stood still, and answers were lost

It comes more often the more else the machine does. Who is turned away gets the end of the stream before the close, as the selector's deferred close had given it.

--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -15,7 +15,7 @@
 JSON
 rm -f target/anisebend.jsa
 PROXY_CONFIG=target/archive.json java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx64m -XX:-UsePerfData \
-    -Xlog:disable -XX:ArchiveClassesAtExit=target/anisebend.jsa -jar target/anisebend.jar serve \
+    -Djava.library.path=target/native -Xlog:disable -XX:ArchiveClassesAtExit=target/anisebend.jsa -jar target/anisebend.jar serve \
     > target/archive.log 2>&1 &
 sleep 4
 kill -TERM $! || true
--- a/src/main/java/anisebend/net/ClientConnection.java
+++ b/src/main/java/anisebend/net/ClientConnection.java
@@ -9,7 +9,12 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.IoHandle;
+import io.netty.channel.epoll.EpollIoEvent;
+import io.netty.channel.epoll.EpollIoOps;
+import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -46,6 +51,18 @@
     /** A client that was turned away is not listened to for this long, however fast it asks again. */
     private static final long PAUSE_MILLIS = 250;
 
+    /**
+     * Says that nothing more comes before it closes: who has sent more than was read would else have a reset at once,
+     * and may lose the answer with it.
+     */
+    private static final ChannelFutureListener PART = written -> {
+        if (written.isSuccess() && written.channel() instanceof DuplexChannel duplex) {
+            duplex.shutdownOutput().addListener(done -> duplex.eventLoop().execute(duplex::close));
+        } else {
+            written.channel().close();
+        }
+    };
+
     /** What the server does for all connections. */
     interface Owner {
         ProxyConfig config();
@@ -515,7 +532,7 @@
     private void end(Object last) {
         enter(keepAlive ? State.IDLE : State.CLOSING);
         channel.writeAndFlush(last).addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE
-            : ChannelFutureListener.CLOSE);
+            : turnedAway ? PART : ChannelFutureListener.CLOSE);
         owner.idle(this, turnedAway);
     }
 
@@ -579,8 +596,12 @@
      */
     void sendBuffer(int bytes) {
         channel.config().setOption(ChannelOption.SO_SNDBUF, bytes);
+        // Room that is made this way wakes nobody.
         if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe nio) {
-            nio.forceFlush(); // room that is made this way wakes nobody
+            nio.forceFlush();
+        } else if (channel instanceof EpollSocketChannel && channel.unsafe() instanceof IoHandle epoll) {
+            EpollIoEvent writable = () -> EpollIoOps.EPOLLOUT;
+            epoll.handle(null, writable);
         }
     }
 
--- a/src/main/java/anisebend/net/Engine.java
+++ b/src/main/java/anisebend/net/Engine.java
@@ -47,7 +47,7 @@
     private static final long BACKSTOP_MICROS = 5_000;
 
     /** How often the loop's lateness is looked at. */
-    private static final long TICK_MICROS = 10_000;
+    private static final long TICK_MICROS = 40_000;
 
     /** Where one request's single final answer goes. */
     interface Client {
--- a/src/main/java/anisebend/net/ProxyServer.java
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -11,6 +11,7 @@
 import gorsemast.retention.Parting;
 import gorsemast.upgrade.Generations;
 import gorsemast.upgrade.Succession;
+import gorsemast.transport.Transport;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -21,9 +22,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
@@ -78,7 +76,7 @@
     private static final long PARTING_MOST = 192L << 20;
     private static final long BEFORE_KILL_MILLIS = 130;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.handlers());
     private final EventLoop loop = group.next();
     private ProxyConfig config;
     private final Consumer<String> operator;
@@ -346,9 +344,9 @@
 
     @SuppressWarnings("deprecation") // of the option's name alone
     private ChannelFuture listen() {
-        ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap().group(group).channel(Transport.listener(loop))
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), config.admin() != null)
+            .option(Transport.reusePort(loop), config.admin() != null)
             .option(ChannelOption.RCVBUF_ALLOCATOR,
                 new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTED_AT_ONCE))
             .childOption(ChannelOption.RCVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 1024, MAX_READ))
--- a/src/main/java/anisebend/net/ServerBacklog.java
+++ b/src/main/java/anisebend/net/ServerBacklog.java
@@ -1,6 +1,10 @@
 package anisebend.net;
 
 import io.netty.channel.Channel;
+import io.netty.channel.IoHandle;
+import io.netty.channel.epoll.EpollIoEvent;
+import io.netty.channel.epoll.EpollIoOps;
+import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.nio.AbstractNioChannel;
 
 /**
@@ -17,12 +21,22 @@
     }
 
     static void close(Channel listener) {
-        if (listener instanceof AbstractNioChannel nio && listener.isActive()) {
+        if (listener.isActive()) {
             listener.config().setAutoRead(true); // else one a read
             for (int i = 0; i < READS; i++) {
-                nio.unsafe().read();
+                accept(listener);
             }
         }
         listener.close();
     }
+
+    /** Takes in who waits, as if the system had just told of it. */
+    private static void accept(Channel listener) {
+        if (listener instanceof AbstractNioChannel nio) {
+            nio.unsafe().read();
+        } else if (listener instanceof EpollServerSocketChannel && listener.unsafe() instanceof IoHandle epoll) {
+            EpollIoEvent readable = () -> EpollIoOps.EPOLLIN;
+            epoll.handle(null, readable);
+        }
+    }
 }
--- a/src/main/java/anisebend/net/Upstream.java
+++ b/src/main/java/anisebend/net/Upstream.java
@@ -4,6 +4,7 @@
 import anisebend.Balancer.Note;
 import gorsemast.pool.Pools;
 import gorsemast.pool.Pools.Room;
+import gorsemast.transport.Transport;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -15,7 +16,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -137,7 +137,7 @@
 
     /** What all outgoing connections have in common. */
     static Bootstrap client(EventLoop loop, long connectMillis) {
-        return new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        return new Bootstrap().group(loop).channel(Transport.stream(loop))
             .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectMillis);
--- a/src/main/java/gorsemast/admin/AdminListener.java
+++ b/src/main/java/gorsemast/admin/AdminListener.java
@@ -1,5 +1,6 @@
 package gorsemast.admin;
 
+import gorsemast.transport.Transport;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -13,7 +14,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -79,7 +79,7 @@
 
     /** Binds it; on {@code loop}, which then does all of the work. */
     public ChannelFuture listen(MultiThreadIoEventLoopGroup group, EventLoop loop, SocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap().group(group).channel(Transport.listener(loop))
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
             .childOption(ChannelOption.TCP_NODELAY, true)
--- a/src/main/java/gorsemast/peers/Peers.java
+++ b/src/main/java/gorsemast/peers/Peers.java
@@ -5,6 +5,7 @@
 import gorsemast.fleet.FleetView;
 import gorsemast.fleet.Message;
 import gorsemast.fleet.ProcessId;
+import gorsemast.transport.Transport;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -17,7 +18,6 @@
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -101,7 +101,7 @@
     @SuppressWarnings("deprecation") // of the option's name alone
     public void start(InetSocketAddress bind, Collection<String> seeds) throws IOException {
         try {
-            channel = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+            channel = new Bootstrap().group(loop).channel(Transport.datagrams(loop))
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES))
                 .handler(new Receiver()).bind(bind).sync().channel();
             loop.submit(() -> {
@@ -186,7 +186,7 @@
             if (to == null || inquiries.size() >= MOST_INQUIRIES || !inquiries.add(address)) {
                 return;
             }
-            new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(new Inquiry(address)).connect(to)
+            new Bootstrap().group(loop).channel(Transport.datagrams(loop)).handler(new Inquiry(address)).connect(to)
                 .addListener(done -> {
                     if (!done.isSuccess()) {
                         inquiries.remove(address);
--- /dev/null
+++ b/src/main/java/gorsemast/transport/Transport.java
@@ -0,0 +1,66 @@
+package gorsemast.transport;
+
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.IoEventLoop;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollChannelOption;
+import io.netty.channel.epoll.EpollDatagramChannel;
+import io.netty.channel.epoll.EpollIoHandler;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramChannel;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.StandardSocketOptions;
+
+/**
+ * Epoll by Netty's own native code where it can be had, else the JDK's selector.
+ *
+ * <p><b>Why.</b> The JDK's selector waits by a time-out that it counts down itself, in whole milliseconds, and begins
+ * anew whenever the system ends a wait early: a timed wait that is disturbed more than once a millisecond never comes to
+ * its end before a socket has something (EPollSelectorImpl and PollSelectorImpl of JDK 17). A loop that should have woken
+ * for a timer was seen to stay in one wait for 0.2 to 1.7 s, and whoever's time was over meanwhile got no answer. Netty's
+ * waits end by a timer of the system, a descriptor among the others, whatever else happens.
+ *
+ * <p>No state; any thread. What a loop is asked to carry must be of its own kind, so it is asked for by the loop.
+ */
+public final class Transport {
+    private Transport() {
+    }
+
+    /** What an event loop that carries sockets is made with. */
+    public static IoHandlerFactory handlers() {
+        return Epoll.isAvailable() ? EpollIoHandler.newFactory() : NioIoHandler.newFactory();
+    }
+
+    private static boolean epoll(EventLoop loop) {
+        return loop instanceof IoEventLoop io && io.isIoType(EpollIoHandler.class);
+    }
+
+    /** What listens on such a loop. */
+    public static Class<? extends ServerChannel> listener(EventLoop loop) {
+        return epoll(loop) ? EpollServerSocketChannel.class : NioServerSocketChannel.class;
+    }
+
+    /** What connects on such a loop. */
+    public static Class<? extends SocketChannel> stream(EventLoop loop) {
+        return epoll(loop) ? EpollSocketChannel.class : NioSocketChannel.class;
+    }
+
+    /** What carries datagrams on such a loop. */
+    public static Class<? extends DatagramChannel> datagrams(EventLoop loop) {
+        return epoll(loop) ? EpollDatagramChannel.class : NioDatagramChannel.class;
+    }
+
+    /** Lets several processes listen at one address. */
+    public static ChannelOption<Boolean> reusePort(EventLoop loop) {
+        return epoll(loop) ? EpollChannelOption.SO_REUSEPORT : NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT);
+    }
+}
--- a/src/test/java/anisebend/net/ProcessTest.java
+++ b/src/test/java/anisebend/net/ProcessTest.java
@@ -115,7 +115,7 @@
             Map<String, String> environment = new HashMap<>(Loopback.environment(folder, discovery.address(), 100,
                 60_000, Loopback.list(1, true)));
             environment.put("PROXY_LISTEN", "127.0.0.1:" + port);
-            environment.put("JDK_JAVA_OPTIONS", "-Xlog:class+load:file=" + loaded);
+            environment.put("JDK_JAVA_OPTIONS", "-Djava.library.path=target/native -Xlog:class+load:file=" + loaded);
             Process process = serve(environment);
             try {
                 awaitReady(process, port);
@@ -126,6 +126,7 @@
         }
         String classes = Files.readString(loaded);
         assertTrue(classes.contains("anisebend.net.Warmup "), "it did not get ready");
+        assertTrue(classes.contains("io.netty.channel.epoll.EpollSocketChannel "), "it waits by the JDK's selector");
         for (String slow : List.of("java.util.logging.LogManager", "java.util.Formatter",
             "java.security.SecureRandom", "java.lang.runtime.ObjectMethods")) {
             assertFalse(classes.contains(slow + " "), slow + " is loaded at the start");
