A restarted proxy has its list of nodes from the others while the register is down

Need: a restarted process waits for an overbooked register although the one beside it has the list. FleetStudy measures the view from 3 to 1000 members in virtual time. Result: LearnListTest, four real processes, the register down, one restarted with a list that names a dead node alone: it routes to all four nodes.

--- a/src/main/java/anisebend/net/Discovery.java
+++ b/src/main/java/anisebend/net/Discovery.java
@@ -30,6 +30,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -72,6 +73,10 @@
     private final Bootstrap bootstrap;
     private final Map<String, Node> nodes = new HashMap<>();
     private long version;
+    /** Each entry as it was told, in discovery's form; null where nobody asks for that. */
+    private Map<String, Map<String, Object>> told;
+    /** When discovery itself last told or confirmed the list. */
+    private long confirmedNanos;
     /** Whether this process has had a whole list from discovery itself. */
     private boolean listed;
     private Channel channel;
@@ -87,6 +92,49 @@
         this.bootstrap = Upstream.client(loop, Math.max(connectMillis, GRACE_MILLIS));
     }
 
+    /** Keeps what is told so that others can be told the same; asked for before it begins. */
+    void retain() {
+        told = new TreeMap<>();
+    }
+
+    /** Whether discovery itself has told a whole list. */
+    boolean listed() {
+        return listed;
+    }
+
+    /** How long ago discovery last told or confirmed the list, in microseconds; negative for never. */
+    long age() {
+        return listed ? TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - confirmedNanos) : -1;
+    }
+
+    /** The entries as they were told, by their hosts; empty unless they are retained. */
+    Map<String, Map<String, Object>> told() {
+        return told == null ? Map.of() : told;
+    }
+
+    /**
+     * Takes over a list that another proxy has, unless discovery itself has told one. What is known here to drain goes on
+     * draining, as long as it is the same start of the same node.
+     */
+    void learn(Map<String, Object> list) throws IOException {
+        if (listed) {
+            return;
+        }
+        List<Object> hosts = new ArrayList<>();
+        for (Object item : ProxyConfig.list(list, "hosts")) {
+            Map<String, Object> entry = new HashMap<>(ProxyConfig.asMap(item, "hosts"));
+            Node known = nodes.get(ProxyConfig.string(entry, "host"));
+            double born = entry.get("born_ms") == null ? 0 : ProxyConfig.number(entry, "born_ms");
+            if (known != null && !known.ready() && known.bornMillis() == born && "Ready".equals(entry.get("health"))) {
+                entry.put("health", "Terminating");
+            }
+            hosts.add(entry);
+        }
+        Map<String, Object> kept = new HashMap<>(list);
+        kept.put("hosts", hosts);
+        apply(kept, ListKind.CACHED);
+    }
+
     /** The version of the list that is known. */
     long version() {
         return version;
@@ -163,6 +211,7 @@
             }
             apply(list, kind);
             listed = true;
+            confirmedNanos = System.nanoTime();
         } catch (IOException | RuntimeException e) {
             failed(); // whatever is odd about it, the watch must go on
             return;
@@ -194,6 +243,9 @@
             double share = entry.get("share") == null ? 1 : ProxyConfig.number(entry, "share");
             int cell = entry.get("block") == null ? 0 : (int) ProxyConfig.number(entry, "block");
             present.add(host);
+            if (told != null) {
+                told.put(host, entry);
+            }
             if (state == State.GONE) {
                 changed.add(new Node(host, null, born, false));
             } else {
@@ -207,6 +259,9 @@
         if (kind != ListKind.CHANGES) {
             List<String> gone = nodes.keySet().stream().filter(host -> !present.contains(host)).toList();
             gone.forEach(this::forget);
+            if (told != null) {
+                told.keySet().retainAll(present);
+            }
         }
         for (Node node : changed) {
             if (node.dial() == null) {
@@ -223,6 +278,9 @@
 
     private void forget(String host) {
         nodes.remove(host);
+        if (told != null) {
+            told.remove(host);
+        }
         listener.unusable(host);
         listener.forgotten(host);
     }
--- a/src/main/java/anisebend/net/Engine.java
+++ b/src/main/java/anisebend/net/Engine.java
@@ -197,6 +197,11 @@
             s.resendShare(), s.resendSpan());
     }
 
+    /** The list and the calls for it. */
+    Discovery discovery() {
+        return discovery;
+    }
+
     /** The version of the newest list that is known, -1 for none. */
     long listVersion() {
         return discovery.version();
--- a/src/main/java/anisebend/net/Part.java
+++ b/src/main/java/anisebend/net/Part.java
@@ -3,6 +3,8 @@
 import gorsemast.lifecycle.Lifecycle.Phase;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.function.LongSupplier;
 
 /**
@@ -21,6 +23,27 @@
         /** A line for the operator. */
         void log(String text);
 
+        /** The version of the list of nodes that is known; on the loop. */
+        long listVersion();
+
+        /** Whether the register itself has told this process a list; on the loop. */
+        boolean listed();
+
+        /** How long ago the register told or confirmed the list, in microseconds, negative for never; on the loop. */
+        long listAge();
+
+        /** The list's entries as they were told, by their hosts; on the loop, and only to be read. */
+        Map<String, Map<String, Object>> list();
+
+        /**
+         * Takes over another proxy's list, a whole one in the register's form, unless the register has told one; on the
+         * loop. Throws where it can't be read, and then nothing has changed.
+         */
+        void learn(byte[] list) throws IOException;
+
+        /** Where this process is asked and told what to do; null where there is no second address. */
+        InetSocketAddress admin();
+
         /**
          * How many proxies share whatever is bounded over all of them, from now on; on the loop.
          *
--- a/src/main/java/anisebend/net/ProxyServer.java
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -237,6 +237,36 @@
             operator.accept(text);
         }
 
+        @Override
+        public long listVersion() {
+            return engine.listVersion();
+        }
+
+        @Override
+        public boolean listed() {
+            return engine.discovery().listed();
+        }
+
+        @Override
+        public long listAge() {
+            return engine.discovery().age();
+        }
+
+        @Override
+        public Map<String, Map<String, Object>> list() {
+            return engine.discovery().told();
+        }
+
+        @Override
+        public void learn(byte[] list) throws IOException {
+            engine.discovery().learn(ProxyConfig.parse(list));
+        }
+
+        @Override
+        public InetSocketAddress admin() {
+            return config.admin();
+        }
+
         @Override
         public void sharedBy(int proxies) {
             engine.sharedBy(proxies);
@@ -244,6 +274,9 @@
     }
 
     private void startParts() throws IOException {
+        if (!parts.isEmpty()) {
+            engine.discovery().retain();
+        }
         for (Part part : parts) {
             part.start(new Hosting());
         }
--- /dev/null
+++ b/src/main/java/gorsemast/lab/FleetStudy.java
@@ -0,0 +1,121 @@
+package gorsemast.lab;
+
+import gorsemast.fleet.FleetSettings;
+import gorsemast.fleet.FleetView;
+import gorsemast.fleet.Message;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.ToIntFunction;
+
+/**
+ * What the fleet's view costs and how soon it is right, from a few members to a thousand, with Lifeguard and without.
+ *
+ * <p>Each figure is from virtual time and one seed, so it comes out the same again; medians are over {@value #REPEATS}
+ * seeds. Times in periods of the protocol.
+ */
+public final class FleetStudy {
+    private static final long PERIOD = 1_000_000;
+    private static final int REPEATS = 5;
+    private static final long PATIENCE = 400 * PERIOD;
+
+    /**
+     * @param firstSuspicion periods from a crash that nobody proves to the first suspicion
+     * @param agreed periods until all agree on it
+     * @param joined periods until all know one that has joined
+     * @param messages datagrams a member sends in a quiet period
+     * @param bytes their bytes
+     * @param falselyDead live members held dead, summed over views, in a minute with a fifth of all datagrams lost and one
+     *     member in ten slow as a whole
+     * @param suspicions suspicions seen at the end of each second of that minute, summed over views
+     */
+    public record Row(int members, boolean lifeguard, double firstSuspicion, double agreed, double joined, double messages,
+                      double bytes, double falselyDead, double suspicions) {
+    }
+
+    private final ToIntFunction<Message> sizes;
+
+    /** {@code sizes} tells what a message takes on the wire, in bytes. */
+    public FleetStudy(ToIntFunction<Message> sizes) {
+        this.sizes = sizes;
+    }
+
+    /** One row for a fleet of that size. */
+    public Row row(int members, boolean lifeguard) {
+        FleetSettings settings = lifeguard ? FleetSettings.of(PERIOD) : FleetSettings.of(PERIOD).plain();
+        double[][] figures = new double[7][REPEATS];
+        int repeats = members > 300 ? 1 : REPEATS;
+        for (int seed = 0; seed < repeats; seed++) {
+            VirtualFleet fleet = new VirtualFleet(members + 1, settings, 1_000L * members + seed, sizes);
+            for (int i = 0; i < members; i++) {
+                fleet.machine(i).start(0, 1, 2);
+            }
+            fleet.await(PATIENCE, VirtualFleet::agree);
+            fleet.run(40 * PERIOD);
+            long messages = fleet.messages();
+            long bytes = fleet.bytes();
+            fleet.run(20 * PERIOD);
+            figures[3][seed] = (fleet.messages() - messages) / 20.0 / members;
+            figures[4][seed] = (fleet.bytes() - bytes) / 20.0 / members;
+            fleet.machine(members).start(0, 1, 2);
+            figures[2][seed] = periods(fleet.await(PATIENCE, VirtualFleet::agree));
+            fleet.machine(members).kill(true);
+            figures[0][seed] = periods(fleet.await(PATIENCE, f -> f.suspicions() > 0));
+            figures[1][seed] = figures[0][seed] + periods(fleet.await(PATIENCE, VirtualFleet::agree));
+            if (members <= 300) {
+                disturbed(fleet, figures, seed);
+            }
+        }
+        double[] medians = Arrays.stream(figures).mapToDouble(f -> median(Arrays.copyOf(f, repeats))).toArray();
+        return new Row(members, lifeguard, medians[0], medians[1], medians[2], medians[3], medians[4], medians[5], medians[6]);
+    }
+
+    private static void disturbed(VirtualFleet fleet, double[][] figures, int seed) {
+        fleet.lose(0.2, 0.05);
+        for (int i = 0; i < fleet.machines().size() - 1; i += 10) {
+            fleet.machine(i).slow(700_000);
+        }
+        for (int second = 0; second < 60; second++) {
+            fleet.run(PERIOD);
+            figures[5][seed] += fleet.falselyDead();
+            figures[6][seed] += fleet.suspicions();
+        }
+    }
+
+    private static double periods(long micros) {
+        return micros < 0 ? Double.NaN : (double) micros / PERIOD;
+    }
+
+    private static double median(double[] of) {
+        Arrays.sort(of);
+        return of[of.length / 2];
+    }
+
+    /** The table, as Markdown, with how each figure grows with the fleet at its end. */
+    public String table(List<Integer> sizes) {
+        StringBuilder s = new StringBuilder("| members | | first suspicion | agreed | join known | datagrams | bytes | "
+            + "falsely dead | suspicions |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+        List<Row> rows = new ArrayList<>();
+        for (int size : sizes) {
+            for (boolean lifeguard : new boolean[] {true, false}) {
+                Row row = row(size, lifeguard);
+                rows.add(row);
+                s.append(String.format(Locale.ROOT, "| %d | %s | %.1f | %.1f | %.1f | %.2f | %.0f | %.0f | %.0f |%n", size,
+                    lifeguard ? "with" : "without", row.firstSuspicion, row.agreed, row.joined, row.messages, row.bytes,
+                    row.falselyDead, row.suspicions));
+            }
+        }
+        Row first = rows.get(0);
+        Row last = rows.get(rows.size() - 2);
+        s.append(String.format(Locale.ROOT, "exponents with Lifeguard, from %d to %d members: agreed %.2f, join %.2f, "
+                + "datagrams %.2f, bytes %.2f%n", first.members, last.members, exponent(first, last, first.agreed, last.agreed),
+            exponent(first, last, first.joined, last.joined), exponent(first, last, first.messages, last.messages),
+            exponent(first, last, first.bytes, last.bytes)));
+        return s.toString();
+    }
+
+    private static double exponent(Row first, Row last, double from, double to) {
+        return Math.log(to / from) / Math.log((double) last.members / first.members);
+    }
+}
--- a/src/main/java/gorsemast/peers/FleetPart.java
+++ b/src/main/java/gorsemast/peers/FleetPart.java
@@ -6,6 +6,7 @@
 import gorsemast.fleet.Claim;
 import gorsemast.fleet.FleetView;
 import gorsemast.fleet.FleetView.MemberView;
+import gorsemast.fleet.Learning;
 import gorsemast.fleet.Portion;
 import gorsemast.fleet.ProcessId;
 import gorsemast.lifecycle.Lifecycle.Phase;
@@ -30,7 +31,7 @@
 public final class FleetPart implements Part {
     /** What it tells of itself. */
     public static final String PHASE = "phase";
-    public static final String LIST = "list";
+    public static final String LIST = Learning.LIST;
 
     private final GorsemastSettings.Peers settings;
     private final String name;
@@ -38,8 +39,10 @@
     private final Portion portion;
     private Host host;
     private Peers peers;
+    private ListExchange lists;
     private String told = "";
     private long toldVersion = -1;
+    private boolean toldListed;
 
     /**
      * @param name the proxy's, as the others know it
@@ -61,13 +64,19 @@
         String address = settings.advertise() != null ? settings.advertise()
             : NetUtil.toSocketAddressString(settings.listen());
         peers = new Peers(host.loop(), settings.fleet(), new FleetCodec(settings.cluster(), settings.secret()), id,
-            address, random.nextLong(), host.clock(), host::log, Map.of(PHASE, "starting"));
+            address, random.nextLong(), host.clock(), host::log, facts());
         peers.listen(this::changed);
+        lists = new ListExchange(host);
         peers.start(settings.listen(), settings.seeds());
         host.log("fleet: " + id + " takes datagrams at " + NetUtil.toSocketAddressString(peers.address()) + ", told as "
             + address);
     }
 
+    private Map<String, String> facts() {
+        return host.admin() == null || host.admin().getPort() == 0 ? Map.of(PHASE, "starting")
+            : Map.of(PHASE, "starting", Learning.ADMIN, NetUtil.toSocketAddressString(host.admin()));
+    }
+
     private void changed() {
         if (settings.share()) {
             host.sharedBy(portion.of(host.clock().getAsLong(), peers.view()));
@@ -77,16 +86,25 @@
     @Override
     public void sweep(Phase phase, long listVersion) {
         String now = phase.name().toLowerCase(Locale.ROOT);
-        if (!now.equals(told) || listVersion != toldVersion) {
+        if (!now.equals(told) || listVersion != toldVersion || host.listed() != toldListed) {
             told = now;
+            toldListed = host.listed();
             toldVersion = listVersion;
-            peers.tell(Map.of(PHASE, now, LIST, Long.toString(listVersion)));
+            // What the register has not told this process itself is not offered to others as news.
+            peers.tell(Map.of(PHASE, now, LIST, host.listed() ? Long.toString(listVersion) : ""));
         }
         changed();
+        if (settings.learn()) {
+            lists.sweep(peers.view());
+        }
     }
 
     @Override
     public String call(String line) {
+        if (line.equals("list")) {
+            String list = lists.answer();
+            return list == null ? "none\n" : list + "\n";
+        }
         return line.equals("fleet") ? json() + "\n" : null;
     }
 
--- a/src/main/java/gorsemast/rig/Proxies.java
+++ b/src/main/java/gorsemast/rig/Proxies.java
@@ -36,6 +36,8 @@
         volatile boolean dark;
         /** When it last began or ceased to run, in nanoseconds. */
         volatile long changedAt = System.nanoTime();
+        /** The list that it is started with, in the register's form; null for the present one. */
+        volatile String known;
         private int starts;
 
         Proxy(int number) throws IOException {
@@ -112,6 +114,15 @@
             }
         }
 
+        /** What it answers to a call at its second address; empty where it does not answer. */
+        String call(String line) {
+            try {
+                return AdminCall.ask(new InetSocketAddress(InetAddress.getLoopbackAddress(), admin), line);
+            } catch (IOException e) {
+                return "";
+            }
+        }
+
         boolean ready() {
             try {
                 return AdminCall.ask(new InetSocketAddress(InetAddress.getLoopbackAddress(), admin), "health").startsWith("200");
@@ -132,7 +143,8 @@
                    {"name":"topup","repeat":"non_idempotent","aim_ms":1000.0,"hard_limit_ms":%d.0,"credit":10.0}],
                   "realms":[{"name":"acme","fraction":1.0,"quota_rps":100000.0}],
                   "rules":{"ask_within_ms":5000.0,"cold_from":0.32,"cold_ms":100.0}}}
-                """.formatted(name, clients, admin, stands.register(), number * 7919L + starts, stands.list(), all.size(),
+                """.formatted(name, clients, admin, stands.register(), number * 7919L + starts,
+                    known == null ? stands.list() : known, all.size(),
                     Clients.DEADLINE_MILLIS, Clients.DEADLINE_MILLIS);
         }
 
--- a/src/main/java/gorsemast/rig/StandIns.java
+++ b/src/main/java/gorsemast/rig/StandIns.java
@@ -32,6 +32,8 @@
     final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     final AtomicInteger reads = new AtomicInteger();
     private volatile boolean closed;
+    /** The register turns every call away. */
+    volatile boolean registerDown;
 
     StandIns(int many) throws IOException {
         InetAddress host = InetAddress.getLoopbackAddress();
@@ -84,6 +86,10 @@
 
     private void list(HttpExchange exchange) throws IOException {
         try (exchange) {
+            if (registerDown) {
+                exchange.sendResponseHeaders(503, -1);
+                return;
+            }
             String query = exchange.getRequestURI().getQuery();
             if (query != null && query.contains("after=1")) {
                 synchronized (this) {
--- a/src/main/java/gorsemast/settings/GorsemastSettings.java
+++ b/src/main/java/gorsemast/settings/GorsemastSettings.java
@@ -33,10 +33,11 @@
      * @param listen where this process takes datagrams; port 0 for any
      * @param advertise where the others reach it; null for {@code listen} itself
      * @param seeds where others may be, as {@code host:port}
+     * @param learn whether a restarted process takes its list of nodes from the others until the register answers
      * @param share whether what is a hundredth of the whole goes by those that live
      */
     public record Peers(InetSocketAddress listen, String advertise, List<String> seeds, String cluster, String secret,
-                        FleetSettings fleet, boolean share) {
+                        FleetSettings fleet, boolean share, boolean learn) {
     }
 
     /** A settings file that can't be worked with, with all that is wrong with it. */
@@ -133,8 +134,9 @@
             (int) s.integer("remembered", usual.remembered(), 0, 100_000),
             s.integer("forget_s", usual.forget() / MICROS / MICROS, 1, 30 * DAY_SECONDS) * MICROS * MICROS);
         boolean share = s.flag("share", true);
+        boolean learn = s.flag("learn", true);
         s.end();
-        return new Peers(listen, advertise, seeds, cluster, secret, fleet, share);
+        return new Peers(listen, advertise, seeds, cluster, secret, fleet, share, learn);
     }
 
     /** An address in numbers, as there may be no DNS and a look-up would block. */
--- /dev/null
+++ b/src/test/java/gorsemast/rig/LearnListTest.java
@@ -0,0 +1,60 @@
+package gorsemast.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A proxy that is restarted with an old list while the register is down has the list from the others. */
+class LearnListTest {
+    private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(60);
+    /** A node that went long ago, and one that has drained since. */
+    private static final String OLD = "{\"seq\":0,\"whole\":true,\"hosts\":[{\"host\":\"gone\",\"dial\":\"127.0.0.1:9\","
+        + "\"site\":\"a\",\"class\":\"m\",\"block\":0,\"health\":\"Ready\",\"share\":1.0,\"born_ms\":0}]}";
+
+    @TempDir
+    Path folder;
+
+    private static boolean await(BooleanSupplier holds) {
+        for (long end = System.nanoTime() + PATIENCE_NANOS; System.nanoTime() < end;) {
+            if (holds.getAsBoolean()) {
+                return true;
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(20));
+        }
+        return holds.getAsBoolean();
+    }
+
+    private static boolean listed(Proxies.Proxy proxy) {
+        return proxy.call("list").startsWith("200 {");
+    }
+
+    @Test
+    void theListComesFromTheOthersWhileTheRegisterIsDown() throws Exception {
+        try (Relay relay = new Relay(1); StandIns stands = new StandIns(4);
+             Proxies proxies = new Proxies(4, folder, relay, stands)) {
+            for (Proxies.Proxy proxy : proxies.all) {
+                proxy.start();
+            }
+            assertTrue(await(() -> proxies.all.stream().allMatch(LearnListTest::listed)), "the register tells nobody");
+            Proxies.Proxy last = proxies.all.get(3);
+            stands.registerDown = true;
+            last.kill(false);
+            last.known = OLD;
+            last.start();
+            assertTrue(await(() -> last.call("counters").contains("cache_nodes_known:4|g")),
+                () -> "it knows " + last.call("counters"));
+            assertEquals("200 none\n", last.call("list"), "it passes on what it has not from the register");
+            assertTrue(Files.readString(last.log()).contains("list 1 learned from "));
+            Clients clients = new Clients(proxies, 4, 1);
+            assertTrue(await(() -> clients.asked.stream().anyMatch(a -> a.proxy() == 3 && a.end() == Clients.End.SERVED)));
+            clients.end();
+        }
+    }
+}
--- a/src/test/java/gorsemast/settings/GorsemastSettingsTest.java
+++ b/src/test/java/gorsemast/settings/GorsemastSettingsTest.java
@@ -43,7 +43,7 @@
             "2:41: peers.seeds[1]: is \"x\"; an address and port in numbers, like 127.0.0.1:7946",
             "3:14: peers.period_ms: is 5; between 10 and 60000",
             "3:29: peers.timeout_ms: is 2000; less than period_ms, which is 1000",
-            "4:13: peers.perriod: is not a setting; one of advertise, cluster, fanout, forget_s, indirect, listen, period_ms, "
+            "4:13: peers.perriod: is not a setting; one of advertise, cluster, fanout, forget_s, indirect, learn, listen, period_ms, "
                 + "remembered, secret, seeds, settle_ms, share, suspicion_least, suspicion_most, sync_periods, timeout_ms",
             "5:8: peer: is not a setting; one of log, peers"),
             faults("{ log: 'loud', peers: {\n  listen: 'localhost:7946', seeds: [ 7, 'x'],\n  period_ms: 5, timeout_ms: 2000,\n"
