--- a/src/main/java/gorsemast/fleet/Fleet.java
+++ b/src/main/java/gorsemast/fleet/Fleet.java
@@ -10,7 +10,6 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -53,7 +52,7 @@
     /** The digests of all buckets. */
     private static final int DIGESTS_BYTES = 9 * Roster.BUCKETS;
     /** So many datagrams at most answer one comparison; what is left comes with the next, as views still differ. */
-    private static final int SYNC_DATAGRAMS = 8;
+    private static final int SYNC_DATAGRAMS = 16;
     /** How long a question asked for another is remembered, in periods. */
     private static final int RELAY_PERIODS = 4;
     /** The dead and unanswered seeds are tried after so many periods at first, twice as many each time, up to these. */
@@ -119,8 +118,8 @@
     private final Map<Long, Relayed> relayed = new LinkedHashMap<>();
     private final Map<String, Seed> seeds = new LinkedHashMap<>();
     private final Set<String> sharedNames = new HashSet<>();
-    /** Since when a process's answers have shown another view than ours; gone when they agree. */
-    private final Map<ProcessId, Long> differs = new HashMap<>();
+    /** Since when all answers have shown other views than ours; {@link Long#MIN_VALUE} where the last one agreed. */
+    private long differsSince = Long.MIN_VALUE;
     private ProcessId self;
     private Probe probe;
     private long now;
@@ -562,6 +561,11 @@
                 order.addFirst(old.id());
             }
         }
+        // Not behind all others: who dies as soon as it has come would be asked a whole round later.
+        List<ProcessId> row = new ArrayList<>(order);
+        row.add(random.nextInt(row.size() + 1), claim.id());
+        order.clear();
+        order.addAll(row);
         actions.log("member " + claim.id() + " at " + claim.address());
     }
 
@@ -569,7 +573,6 @@
         member.suspicion = null;
         member.pause = FIRST_TRY * settings.period();
         member.tryAt = now + jittered(member.pause);
-        differs.remove(member.claim.id());
         actions.log("member " + member.claim.id() + " " + member.claim.state() + ": " + member.why);
     }
 
@@ -651,12 +654,11 @@
             return;
         }
         if (view == roster.digest()) {
-            differs.remove(with.claim.id());
-            return;
-        }
-        long since = differs.computeIfAbsent(with.claim.id(), id -> now);
-        if (now - since >= DIFFER_PERIODS * settings.period()) {
-            differs.put(with.claim.id(), now);
+            differsSince = Long.MIN_VALUE;
+        } else if (differsSince == Long.MIN_VALUE) {
+            differsSince = now;
+        } else if (now - differsSince >= DIFFER_PERIODS * settings.period()) {
+            differsSince = now;
             sync(with);
         }
     }
