--- a/src/main/java/gorsemast/lab/VirtualFleet.java
+++ b/src/main/java/gorsemast/lab/VirtualFleet.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
+import java.util.function.BiPredicate;
+import java.util.function.LongFunction;
 import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 
@@ -24,6 +26,9 @@
  * <p>Times in microseconds. One thread. O(messages under way) memory.
  */
 public final class VirtualFleet {
+    /** What becomes of one datagram. */
+    public enum Fate { ARRIVES, LOST, TWICE, LATE }
+
     private record Event(long at, long order, Runnable run) {
     }
 
@@ -144,6 +149,8 @@
         }
     }
 
+    private static final int LATE_PERIODS = 3;
+
     private final FleetSettings settings;
     private final SplittableRandom random;
     private final PriorityQueue<Event> queue =
@@ -157,7 +164,8 @@
     private double doubled;
     private long latency = 500;
     private long spread = 500;
-    private java.util.function.BiPredicate<Integer, Integer> cut = (from, to) -> false;
+    private BiPredicate<Integer, Integer> cut = (from, to) -> false;
+    private LongFunction<Fate> fates;
     private long messages;
     private long bytes;
     private long largest;
@@ -209,8 +217,16 @@
         spread = Math.max(1, drawn);
     }
 
+    /**
+     * From now on what becomes of each datagram is chosen by its number since the start, in place of chance: for a walk
+     * through all that may happen. Late is three periods late.
+     */
+    public void fates(LongFunction<Fate> chosen) {
+        fates = chosen;
+    }
+
     /** Nothing passes from one machine to another where this says so. */
-    public void cut(java.util.function.BiPredicate<Integer, Integer> fromTo) {
+    public void cut(BiPredicate<Integer, Integer> fromTo) {
         cut = fromTo;
     }
 
@@ -246,9 +262,11 @@
         bytes += size;
         largest = Math.max(largest, size);
         Machine to = at(address);
-        int copies = random.nextDouble() < loss ? 0 : random.nextDouble() < doubled ? 2 : 1;
+        Fate fate = fates != null ? fates.apply(messages - 1) : random.nextDouble() < loss ? Fate.LOST
+            : random.nextDouble() < doubled ? Fate.TWICE : Fate.ARRIVES;
+        int copies = fate == Fate.LOST ? 0 : fate == Fate.TWICE ? 2 : 1;
         for (int i = 0; i < copies; i++) {
-            after(delay() + from.slow, () -> {
+            after(delay() + from.slow + (fate == Fate.LATE ? LATE_PERIODS * settings.period() : 0), () -> {
                 if (to != null && !cut(from, to)) {
                     arrive(to, from.address(), message);
                 }
--- a/src/test/java/gorsemast/fleet/FleetTest.java
+++ b/src/test/java/gorsemast/fleet/FleetTest.java
@@ -78,6 +78,23 @@
         assertTrue(fleet.agree(), "did not stay so");
     }
 
+    /** So many at once that news and one comparison can't hold them all. */
+    @Test
+    void mostAreGoneForAMinuteAndBackAtOnce() {
+        VirtualFleet fleet = fleet(90, 22);
+        for (int i = 3; i < 90; i++) {
+            fleet.machine(i).kill(false);
+        }
+        fleet.run(60 * SECOND);
+        fleet.lose(0.3, 0);
+        for (int i = 3; i < 90; i++) {
+            fleet.machine(i).start(0);
+        }
+        fleet.run(3 * SECOND);
+        fleet.lose(0, 0);
+        within(fleet, 12, "back");
+    }
+
     @Test
     void allSeedsDeadAndTheRestStillHeals() {
         VirtualFleet fleet = fleet(12, 7);
@@ -110,6 +127,7 @@
         for (int i = 0; i < 120; i++) {
             fleet.run(SECOND);
             assertEquals(0, fleet.falselyDead(), "after " + i + " s");
+            assertEquals(0, fleet.suspicions(), "suspected after " + i + " s, though others reach it");
         }
         assertTrue(fleet.agree(), "views differ");
     }
@@ -196,6 +214,20 @@
         assertTrue(fleet.lines().stream().anyMatch(line -> line.contains("name p1 is used at")), "not reported");
     }
 
+    @Test
+    void aLaterGenerationAtAnAddressEndsTheEarlierByHearsay() {
+        Fleet one = new Fleet(SETTINGS, new ProcessId("me", 1), "10.0.0.0:1", 1, new Recorded());
+        one.start(0, java.util.List.of());
+        for (long generation : new long[] {5, 7, 6}) {
+            Claim claim = Claim.first(new ProcessId("p", generation), "10.0.0.7:1");
+            one.received(generation, "10.0.0.8:1", new Message(Message.Kind.GOSSIP, new ProcessId("q", 1), null, 0, "", null, 0,
+                java.util.List.of(), java.util.List.of(new Message.Rumor(claim, "p"))));
+        }
+        FleetView view = one.view(9);
+        assertEquals(2, view.live());
+        assertTrue(view.members().stream().anyMatch(m -> m.id().generation() == 7 && m.state().live()), view.toString());
+    }
+
     @Test
     void threeHundredNamesAreNotRemembered() {
         FleetSettings few = new FleetSettings(SECOND, SECOND / 2, 3, 4, 6, true, 3, 30, 5 * SECOND, 40, 3_600 * SECOND);
