Who should doubt itself is slower to call others dead; a front is told of a leave

Tried: nine times as late, as for questions; one that is cut off alone then does not come to a view within a minute (FleetWalkTest found it).

--- a/src/main/java/gorsemast/fleet/Fleet.java
+++ b/src/main/java/gorsemast/fleet/Fleet.java
@@ -585,7 +585,7 @@
 
     private void endSuspicions() {
         for (Member member : List.copyOf(roster.all())) {
-            if (member.suspicion != null && now >= member.suspicion.endsAt()) {
+            if (member.suspicion != null && now >= member.suspicion.endsAt(health)) {
                 learn(member.claim.in(State.SILENT), self.name(), "it has not refuted in time");
             }
         }
--- a/src/main/java/gorsemast/fleet/LocalHealth.java
+++ b/src/main/java/gorsemast/fleet/LocalHealth.java
@@ -37,6 +37,11 @@
         return score;
     }
 
+    /** A time that others have to speak for themselves: up to twice as long, as one that is cut off must come to an end too. */
+    long lenient(long usual) {
+        return usual + usual * score / MOST;
+    }
+
     /** A time that is usual, as long as this process needs just now. */
     long scaled(long usual) {
         return usual * (1 + score);
--- a/src/main/java/gorsemast/fleet/Suspicion.java
+++ b/src/main/java/gorsemast/fleet/Suspicion.java
@@ -43,11 +43,9 @@
         begun += micros;
     }
 
-    long endsAt() {
-        if (wanted == 0) {
-            return begun + least;
-        }
-        double part = Math.log(witnesses.size()) / Math.log(wanted + 1);
-        return begun + Math.max(least, (long) (most - (most - least) * part));
+    /** When it ends for a process in this health: who should doubt itself leaves it to others to call anybody dead. */
+    long endsAt(LocalHealth health) {
+        double part = wanted == 0 ? 1 : Math.log(witnesses.size()) / Math.log(wanted + 1);
+        return begun + health.lenient(Math.max(least, (long) (most - (most - least) * part)));
     }
 }
--- a/src/main/java/gorsemast/rig/Clients.java
+++ b/src/main/java/gorsemast/rig/Clients.java
@@ -56,7 +56,7 @@
 
     private void run(String prefix, SplittableRandom random) {
         for (int i = 0; !over; i++) {
-            List<Proxies.Proxy> running = proxies.all.stream().filter(Proxies.Proxy::running).toList();
+            List<Proxies.Proxy> running = proxies.all.stream().filter(Proxies.Proxy::takes).toList();
             if (!running.isEmpty()) {
                 Proxies.Proxy proxy = running.get(random.nextInt(running.size()));
                 boolean write = i % TOPUP_EACH == 0;
