--- a/src/main/java/anisebend/net/Discovery.java
+++ b/src/main/java/anisebend/net/Discovery.java
@@ -3,6 +3,7 @@
 import anisebend.Balancer.ListKind;
 import anisebend.Balancer.Server;
 import anisebend.Balancer.State;
+import gorsemast.register.ListWatch;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -41,10 +42,6 @@
 final class Discovery {
     static final String LIST = "/registry/instances";
     private static final int MAX_ANSWER = 4 << 20;
-    /** A silent call counts as told this long after its wait at the latest, so it has failed by then. */
-    private static final long GRACE_MILLIS = 2_000;
-    private static final long WHOLE_LIST_MILLIS = 6_000;
-    private static final long MAX_WAIT_MILLIS = 60_000;
 
     /** A cache node: where to dial it, and when it last started, in Unix milliseconds, 0 for long ago. */
     record Node(String host, InetSocketAddress dial, double bornMillis, boolean ready) {
@@ -68,17 +65,12 @@
     private final EventLoop loop;
     private InetSocketAddress address;
     private final ProxyConfig.Names names;
-    private final long waitMillis;
+    private final ListWatch watch;
     private final Listener listener;
     private final Bootstrap bootstrap;
     private final Map<String, Node> nodes = new HashMap<>();
-    private long version;
     /** Each entry as it was told, in discovery's form; null where nobody asks for that. */
     private Map<String, Map<String, Object>> told;
-    /** When discovery itself last told or confirmed the list. */
-    private long confirmedNanos;
-    /** Whether this process has had a whole list from discovery itself. */
-    private boolean listed;
     private Channel channel;
     private Call call;
 
@@ -87,9 +79,9 @@
         this.loop = loop;
         this.address = address;
         this.names = names;
-        this.waitMillis = Math.max(1, Math.min(MAX_WAIT_MILLIS, askWithinMicros / 1000));
+        this.watch = new ListWatch(askWithinMicros);
         this.listener = listener;
-        this.bootstrap = Upstream.client(loop, Math.max(connectMillis, GRACE_MILLIS));
+        this.bootstrap = Upstream.client(loop, Math.max(connectMillis, ListWatch.GRACE_MICROS / 1000));
     }
 
     /** Keeps what is told so that others can be told the same; asked for before it begins. */
@@ -99,12 +91,12 @@
 
     /** Whether discovery itself has told a whole list. */
     boolean listed() {
-        return listed;
+        return watch.listed();
     }
 
     /** How long ago discovery last told or confirmed the list, in microseconds; negative for never. */
     long age() {
-        return listed ? TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - confirmedNanos) : -1;
+        return watch.age(now());
     }
 
     /** The entries as they were told, by their hosts; empty unless they are retained. */
@@ -117,7 +109,7 @@
      * draining, as long as it is the same start of the same node.
      */
     void learn(Map<String, Object> list) throws IOException {
-        if (listed) {
+        if (watch.listed()) {
             return;
         }
         List<Object> hosts = new ArrayList<>();
@@ -132,12 +124,12 @@
         }
         Map<String, Object> kept = new HashMap<>(list);
         kept.put("hosts", hosts);
-        apply(kept, ListKind.CACHED);
+        watch.told(apply(kept, ListKind.CACHED));
     }
 
     /** The version of the list that is known. */
     long version() {
-        return version;
+        return watch.version();
     }
 
     /** How many cache nodes are listed. */
@@ -157,13 +149,14 @@
 
     /** Starts from the list that the configuration brought. */
     void begin(Map<String, Object> known) throws IOException {
-        apply(known, ListKind.CACHED);
+        watch.told(apply(known, ListKind.CACHED));
     }
 
     /** Asks for the list and for what changes from now on; a watch that is out already goes on. */
     void subscribe() {
-        if (call == null) {
-            next();
+        ListWatch.Call wanted = watch.subscribe();
+        if (wanted != null) {
+            start(wanted);
         }
     }
 
@@ -176,9 +169,8 @@
             return;
         }
         address = other;
-        listed = false;
         hangUp();
-        next();
+        start(watch.redirected());
     }
 
     /** Ends whatever call is out and tells nobody. */
@@ -193,39 +185,45 @@
         }
     }
 
-    private void next() {
-        String uri = listed ? LIST + "?after=" + version + "&wait_ms=" + waitMillis : LIST;
-        call = new Call(listed ? waitMillis + GRACE_MILLIS : WHOLE_LIST_MILLIS);
-        call.start(uri);
+    private static long now() {
+        return TimeUnit.NANOSECONDS.toMicros(System.nanoTime());
+    }
+
+    private void start(ListWatch.Call wanted) {
+        call = new Call(wanted.limitMicros());
+        call.start(wanted.whole() ? LIST : LIST + "?after=" + wanted.after() + "&wait_ms=" + wanted.waitMicros() / 1000);
     }
 
     private void answered(FullHttpResponse answer) {
+        ListWatch.Call following;
         try {
             if (answer.decoderResult().isFailure() || answer.status().code() != 200) {
                 throw new IOException("discovery answers " + answer.status().code());
             }
             Map<String, Object> list = ProxyConfig.parse(ByteBufUtil.getBytes(answer.content()));
             ListKind kind = Boolean.TRUE.equals(list.get("whole")) ? ListKind.FULL : ListKind.CHANGES;
-            if (kind == ListKind.CHANGES && !listed) {
+            if (!watch.answers(kind == ListKind.CHANGES)) {
                 throw new IOException("discovery answers a call for the whole list with changes");
             }
-            apply(list, kind);
-            listed = true;
-            confirmedNanos = System.nanoTime();
+            following = watch.taken(now(), apply(list, kind));
         } catch (IOException | RuntimeException e) {
             failed(); // whatever is odd about it, the watch must go on
             return;
         }
-        next();
+        start(following);
     }
 
     private void failed() {
         hangUp();
+        watch.failed();
         listener.news(ListKind.FAILED, List.of());
     }
 
-    /** Reads the whole answer before any of it counts, so that a malformed one leaves the list as it was. */
-    private void apply(Map<String, Object> list, ListKind kind) throws IOException {
+    /**
+     * Reads the whole answer before any of it counts, so that a malformed one leaves the list as it was. Returns its
+     * version.
+     */
+    private long apply(Map<String, Object> list, ListKind kind) throws IOException {
         long seq = (long) ProxyConfig.number(list, "seq");
         List<Server> servers = new ArrayList<>();
         List<Node> changed = new ArrayList<>();
@@ -256,7 +254,6 @@
             servers.add(new Server(host, index(names.zones(), entry.get("site")),
                 index(names.kinds(), entry.get("class")), cell, state, share, (long) (born * 1000)));
         }
-        version = seq;
         if (kind != ListKind.CHANGES) {
             List<String> gone = nodes.keySet().stream().filter(host -> !present.contains(host)).toList();
             gone.forEach(this::forget);
@@ -275,6 +272,7 @@
             }
         }
         listener.news(kind, servers);
+        return seq;
     }
 
     private void forget(String host) {
@@ -302,8 +300,8 @@
     private final class Call {
         private final ScheduledFuture<?> limit;
 
-        Call(long limitMillis) {
-            limit = loop.schedule(this::fail, limitMillis, TimeUnit.MILLISECONDS);
+        Call(long limitMicros) {
+            limit = loop.schedule(this::fail, limitMicros, TimeUnit.MICROSECONDS);
         }
 
         void start(String uri) {
--- a/src/main/java/gorsemast/command/LabCommand.java
+++ b/src/main/java/gorsemast/command/LabCommand.java
@@ -1,13 +1,22 @@
 package gorsemast.command;
 
+import gorsemast.emulator.Cluster;
+import gorsemast.emulator.ClusterSettings;
+import gorsemast.emulator.Day;
+import gorsemast.emulator.Growth;
 import gorsemast.lab.FleetStudy;
 import gorsemast.peers.FleetCodec;
 import java.util.List;
+import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
 
 /** Experiments in virtual time. */
-@Command(name = "lab", description = "Experiments with the real decision modules in virtual time; prints a table.")
+@Command(name = "lab", description = "Experiments with the real decision modules in virtual time; prints a table.",
+    subcommands = {LabCommand.DayCommand.class, LabCommand.GrowthCommand.class})
 final class LabCommand implements Runnable {
     @Option(names = "--members", split = ",", defaultValue = "3,10,30,100,300,1000", paramLabel = "N,N,…",
         description = "Sizes of the fleet, 3 to 1000.")
@@ -18,4 +27,67 @@
         FleetCodec codec = new FleetCodec("lab", "");
         System.out.print(new FleetStudy(message -> codec.encode(message).length).table(members));
     }
+
+    /** One day of a whole tier. */
+    @Command(name = "day", description = "Plays one day of a whole tier: proxies, nodes, a ledger, a register. Exits with 1 "
+        + "where one of the four rules is broken.")
+    static final class DayCommand implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Option(names = "--kind", defaultValue = "CALM", paramLabel = "KIND", description = "One of ${COMPLETION-CANDIDATES}.")
+        private Day kind;
+        @Option(names = "--proxies", defaultValue = "100", paramLabel = "N")
+        private int proxies;
+        @Option(names = "--nodes", defaultValue = "200", paramLabel = "N")
+        private int nodes;
+        @Option(names = "--seed", defaultValue = "1", paramLabel = "N")
+        private long seed;
+        @Option(names = "--load", defaultValue = "0.45", paramLabel = "PART", description = "Of the nodes' warm capacity.")
+        private double load;
+        @Option(names = "--by-second", description = "Prints the sums of each second.")
+        private boolean bySecond;
+
+        @Override
+        public Integer call() {
+            Cluster.Result result = new Cluster(sizes(spec, proxies, nodes, seed).load(load)).play(kind);
+            if (bySecond) {
+                System.out.print(result.tally().table());
+            }
+            result.referee().findings().forEach(System.out::println);
+            System.out.println(result.line());
+            return result.referee().holds() ? 0 : 1;
+        }
+    }
+
+    /** How its sums grow. */
+    @Command(name = "growth", description = "Plays one day at several sizes and prints how each sum grows.")
+    static final class GrowthCommand implements Runnable {
+        @Spec
+        private CommandSpec spec;
+        @Option(names = "--kind", defaultValue = "CALM", paramLabel = "KIND", description = "One of ${COMPLETION-CANDIDATES}.")
+        private Day kind;
+        @Option(names = "--proxies", split = ",", defaultValue = "3,10,30,100", paramLabel = "N,N,…")
+        private List<Integer> proxies;
+        @Option(names = "--nodes", split = ",", defaultValue = "9,20,60,200", paramLabel = "N,N,…")
+        private List<Integer> nodes;
+        @Option(names = "--seed", defaultValue = "1", paramLabel = "N")
+        private long seed;
+
+        @Override
+        public void run() {
+            try {
+                System.out.print(Growth.table(kind, proxies, nodes, seed));
+            } catch (IllegalArgumentException e) {
+                throw new ParameterException(spec.commandLine(), e.getMessage(), e);
+            }
+        }
+    }
+
+    private static ClusterSettings sizes(CommandSpec spec, int proxies, int nodes, long seed) {
+        try {
+            return ClusterSettings.of(proxies, nodes, seed);
+        } catch (IllegalArgumentException e) {
+            throw new ParameterException(spec.commandLine(), e.getMessage(), e);
+        }
+    }
 }
--- a/src/main/java/gorsemast/lab/VirtualFleet.java
+++ b/src/main/java/gorsemast/lab/VirtualFleet.java
@@ -1,5 +1,6 @@
 package gorsemast.lab;
 
+import gorsemast.emulator.VirtualTime;
 import gorsemast.fleet.Claim;
 import gorsemast.fleet.Fleet;
 import gorsemast.fleet.FleetSettings;
@@ -7,9 +8,7 @@
 import gorsemast.fleet.Message;
 import gorsemast.fleet.ProcessId;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.function.BiPredicate;
 import java.util.function.LongFunction;
@@ -29,9 +28,6 @@
     /** What becomes of one datagram. */
     public enum Fate { ARRIVES, LOST, TWICE, LATE }
 
-    private record Event(long at, long order, Runnable run) {
-    }
-
     /** One machine with the process that runs there, if any does. */
     public final class Machine {
         private final int number;
@@ -60,7 +56,7 @@
             running = true;
             stopped = false;
             long mine = ++life;
-            ProcessId id = new ProcessId("p" + number, ProcessId.generation(now / 1_000 + clockStep, ++starts));
+            ProcessId id = new ProcessId("p" + number, ProcessId.generation(now() / 1_000 + clockStep, ++starts));
             fleet = new Fleet(settings, id, address(), random.nextLong(), new Fleet.Actions() {
                 @Override
                 public void send(String address, Message message) {
@@ -74,7 +70,7 @@
                     Machine asked = at(address);
                     if (asked != null && !asked.running && !asked.dark && !cut(Machine.this, asked)
                         && !cut(asked, Machine.this)) {
-                        after(delay() * 2, () -> ifRunning(mine, () -> fleet.refused(now, address)));
+                        after(delay() * 2, () -> ifRunning(mine, () -> fleet.refused(now(), address)));
                     }
                 }
 
@@ -84,14 +80,14 @@
 
                 @Override
                 public void log(String text) {
-                    lines.add(now / 1_000 + " " + number + ": " + text);
+                    lines.add(now() / 1_000 + " " + number + ": " + text);
                 }
             });
             List<String> addresses = new ArrayList<>();
             for (int seed : seeds) {
                 addresses.add(machines.get(seed).address());
             }
-            fleet.start(now, addresses);
+            fleet.start(now(), addresses);
             after(random.nextLong(settings.step()), () -> step(mine));
         }
 
@@ -107,7 +103,7 @@
                 return;
             }
             if (!stopped) {
-                fleet.step(now);
+                fleet.step(now());
             }
             after(settings.step() + slow, () -> step(mine));
         }
@@ -127,7 +123,7 @@
 
         /** Ends it in good order. */
         public void leave() {
-            fleet.leave(now);
+            fleet.leave(now());
             kill(false);
         }
 
@@ -145,7 +141,7 @@
         }
 
         public FleetView view() {
-            return fleet.view(now);
+            return fleet.view(now());
         }
     }
 
@@ -153,13 +149,10 @@
 
     private final FleetSettings settings;
     private final SplittableRandom random;
-    private final PriorityQueue<Event> queue =
-        new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+    private final VirtualTime time = new VirtualTime(1_000_000_000L);
     private final List<Machine> machines = new ArrayList<>();
     private final List<String> lines = new ArrayList<>();
     private final ToIntFunction<Message> sizes;
-    private long now = 1_000_000_000L;
-    private long order;
     private double loss;
     private double doubled;
     private long latency = 500;
@@ -197,7 +190,7 @@
     }
 
     public long now() {
-        return now;
+        return time.now();
     }
 
     /** What the processes have logged. */
@@ -253,7 +246,7 @@
     }
 
     private void after(long micros, Runnable run) {
-        queue.add(new Event(now + Math.max(0, micros), order++, run));
+        time.after(micros, run);
     }
 
     private void post(Machine from, String address, Message message) {
@@ -288,35 +281,22 @@
             });
             return;
         }
-        to.fleet.received(now, from, message);
+        to.fleet.received(now(), from, message);
     }
 
     /** Runs for so long. */
     public void run(long micros) {
-        until(now + micros, all -> false);
+        until(now() + micros, all -> false);
     }
 
     /** Runs until that holds, at most for so long; returns how long it took, or -1 where it never held. */
     public long await(long atMost, Predicate<VirtualFleet> holds) {
-        long begun = now;
-        return until(now + atMost, holds) ? now - begun : -1;
+        long begun = now();
+        return until(begun + atMost, holds) ? now() - begun : -1;
     }
 
     private boolean until(long end, Predicate<VirtualFleet> holds) {
-        long looked = now;
-        while (!queue.isEmpty() && queue.peek().at() <= end) {
-            Event next = queue.poll();
-            now = Math.max(now, next.at());
-            next.run().run();
-            if (now - looked >= settings.step()) {
-                looked = now;
-                if (holds.test(this)) {
-                    return true;
-                }
-            }
-        }
-        now = end;
-        return holds.test(this);
+        return time.run(end, settings.step(), () -> holds.test(this));
     }
 
     /** Whether all running machines of {@code group} hold exactly each other to be live. */
