Leave a zone that falls silent as a whole, and bring it back little by little

Seen in the emulator (100 proxies, 200 nodes, a third of them cut off): each proxy asks a node once in 8 s, so each of 100 learns of each silent node by itself, a request of a node at a time; 26 of 200 nodes are still suspect at each proxy ten seconds after the cut has healed.

A zone is one more target that hears and doubts: nothing has come from it since, while others answer, summed up to 12 (six silences or three refused connects). It comes back by one answer to a paced trial, its nodes cold, as they may be.

--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -40,24 +40,16 @@
     private static final long FORGOTTEN = 4;
     /** Deviations past the mean after which an unanswered request makes its server suspect. */
     private static final double PATIENCE = 4;
-    /**
-     * What tells against a server that has not answered since, and from what sum on it is suspect. A refused
-     * connection is plain; one that broke is weak, as servers close what is idle, restart or shed load.
-     */
+    /** What tells against a server that has not answered since, and from what sum on it is suspect. */
     private static final int REFUSED = 4;
     private static final int SILENT = 2;
     private static final int BROKEN = 1;
     private static final int CONVICTED = 4;
-    /**
-     * A server that goes on answering may still fail one class. Silence and errors (SILENT), and what waited
-     * to its end (BROKEN), add to a sum that each good answer halves; from CONVICTED on the class goes
-     * elsewhere but for paced trials. Where more than one in so many fail a class, none is left out.
-     */
+    /** The same for a zone from which nothing has come since, while others answer. */
+    private static final int ZONE_CONVICTED = 12;
+    /** From CONVICTED on a class goes elsewhere, unless more than one server in so many fail it. */
     private static final int FAULTY_PART = 2;
-    /**
-     * The part of the usual rate of fetches that the ledger's lanes still carry at the longest interval, as
-     * it goes on with what nobody waits for any more. How many are out has a bound of its own.
-     */
+    /** The part of the usual rate of fetches that the ledger's lanes still carry at the longest interval. */
     private static final double LEDGER_LEAST = 0.4;
     private static final double KEEPS_DOWN = 0.95;
     private static final double KEEPS_UP = 1.02;
@@ -96,6 +88,8 @@
     private long sequence;
     private final Map<String, Target> targets = new LinkedHashMap<>();
     private Target origin;
+    /** The servers of each zone as one: thin traffic tells of a zone long before it tells of each of them. */
+    private final Map<Integer, Target> zones = new HashMap<>();
     /** Where servers fetch for themselves: lanes that pace what will probably be fetched, at any of them. */
     private Target ledger;
     private final FetchLimit fetching = new FetchLimit();
@@ -174,10 +168,7 @@
         }
     }
 
-    /**
-     * One of a target's paced ways out. While paced it carries one request, as the paper's workers do, which
-     * bounds what is out at a slow server, however much its queue would take.
-     */
+    /** One of a target's paced ways out. While paced it carries one request, as the paper's workers do. */
     private static final class Lane extends Sleeper {
         /** Since when it rests: its last send or, like the paper's sleep after a call, the answer to it. */
         long restSince;
@@ -188,10 +179,7 @@
             super(random, deadline / INITIAL_PART, deadline / MAX_PART);
         }
 
-        /**
-         * Steps down for each time in which a threshold of successes could have been earned and nothing was
-         * asked for: refusals ahead of a lane may leave nothing to succeed.
-         */
+        /** Steps down for each time in which a threshold of successes could have been earned, unused. */
         void rest(long now) {
             steppedAt = Math.max(steppedAt, restSince);
             while (out == 0 && currentInterval > 0) {
@@ -220,6 +208,7 @@
         final LinkedHashSet<Held> inFlight = new LinkedHashSet<>();
         final List<Faults> faults = new ArrayList<>();
         Server entry;
+        Target zone; // null for a zone, the origin and the ledger
         long lastAnswer;
         long coldSince = Long.MIN_VALUE;
         /** What a cold server may be sent, earned over time; a send takes 1. */
@@ -255,6 +244,22 @@
             return entry.state() == State.READY;
         }
 
+        ServerView view() {
+            long sum = lanes.stream().mapToLong(lane -> lane.currentInterval).sum();
+            int out = (int) faults.stream().filter(fault -> fault.out).count();
+            return new ServerView(id, entry.state(), suspect || zone != null && zone.suspect, warmth(),
+                lanes.size(), sum / lanes.size(), queue.size(), inFlight.size(), out, slowness);
+        }
+
+        boolean silent() {
+            return suspect || zone.suspect;
+        }
+
+        /** Whether that is this server, or one of this zone. */
+        boolean covers(Target other) {
+            return other == this || other.zone == this;
+        }
+
         double load() {
             return (queue.size() + inFlight.size()) / entry.weight();
         }
@@ -289,11 +294,7 @@
                 + Math.max((long) full, ahead * sum / lanes.size() / lanes.size());
         }
 
-        /**
-         * Keeps as many lanes as carry the usual rate of served work at the longest interval, which begins
-         * with the answer, so its time counts too. With a fixed number a busy balancer would be throttled by
-         * a few failures while a quiet one never notices.
-         */
+        /** Keeps as many lanes as carry the usual rate at the longest interval and the time of an answer. */
         void servedOne(long elapsed) {
             rate.add(now);
             answer = answer == 0 ? elapsed : Measures.smooth(answer, elapsed);
@@ -402,10 +403,7 @@
             used = now;
         }
 
-        /**
-         * Notes a served request. A key served well over once in {@code part} seconds, a server's part of
-         * this balancer's requests, gets twice as many homes. Each copy costs a fetch.
-         */
+        /** A key served well over once in {@code part} seconds, a server's part, gets twice as many homes. */
         void servedOne(long now, double part) {
             interval = served == 0 ? 0 : interval == 0 ? now - served : (interval + now - served) / 2;
             served = now;
@@ -551,6 +549,8 @@
                 origin = target;
             } else {
                 targets.put(entry.id(), target);
+                target.zone = zones.computeIfAbsent(entry.zone(),
+                    zone -> new Target(new Server("zone " + zone, zone, 0, 0, State.READY, 1, 0)));
                 if (entry.startedAt() > 0) {
                     target.cool(entry.startedAt());
                 }
@@ -639,16 +639,10 @@
     @Override
     public View view(long time) {
         now = time;
-        List<ServerView> seen = new ArrayList<>(targets.size() + 1);
         List<Target> all = new ArrayList<>(targets.values());
         all.addAll(ledger == null ? List.of() : List.of(ledger));
-        for (Target t : all) {
-            long sum = t.lanes.stream().mapToLong(lane -> lane.currentInterval).sum();
-            seen.add(new ServerView(t.id, t.entry.state(), t.suspect, t.warmth(), t.lanes.size(),
-                sum / t.lanes.size(), t.queue.size(), t.inFlight.size(),
-                (int) t.faults.stream().filter(faults -> faults.out).count(), t.slowness));
-        }
-        return new View(seen, homeless.size(), open.size(), retries, given.clone());
+        return new View(all.stream().map(Target::view).toList(), homeless.size(), open.size(), retries,
+            given.clone());
     }
 
     // ---- the way of a request
@@ -740,10 +734,7 @@
         lane.out++;
     }
 
-    /**
-     * Gives its lane at the ledger back, rested where a hit shows that the ledger was asked for nothing.
-     * Unless it is {@code over} the ledger may work on it still.
-     */
+    /** Gives its lane at the ledger back, rested where a hit shows that the ledger was asked for nothing. */
     private void letGo(Held held, boolean unused, boolean over) {
         if (held.fetch != null) {
             held.fetch.out--;
@@ -1014,12 +1005,18 @@
     }
 
     private void heard(Target target) {
-        if (target.suspect) {
-            if (now - target.lastAnswer > shortestDeadline) {
-                target.cool(now);
+        if (target.zone != null) {
+            heard(target.zone);
+        }
+        for (Target t : target.suspect ? targets.values() : List.<Target>of()) {
+            if (target.covers(t) && now - t.lastAnswer > shortestDeadline) {
+                t.cool(now);
+            }
+            if (target.covers(t)) {
+                revive(t); // a zone's silence explains that of its servers
             }
-            revive(target);
         }
+        revive(target);
         target.lastAnswer = now;
         target.doubts = 0;
     }
@@ -1039,9 +1036,12 @@
         }
         if (target.suspect) {
             target.trials.goUp();
-        } else if ((target.doubts += weight) >= CONVICTED) {
+        } else if ((target.doubts += weight) >= (target.zone == null ? ZONE_CONVICTED : CONVICTED)) {
             suspect(target);
         }
+        if (target.zone != null && zones.values().stream().anyMatch(zone -> zone.lastAnswer >= since)) {
+            doubt(target.zone, since, weight);
+        }
     }
 
     private void fault(Held held, Target target, double weight) {
@@ -1059,14 +1059,11 @@
         return FAULTY_PART * bad > targets.values().stream().filter(Target::ready).count();
     }
 
-    /**
-     * A server that is silent well past what is usual counts as displaced until it answers a paced trial;
-     * what it holds and can be repeated is called back.
-     */
+    /** A silent server or zone counts as displaced until a trial is answered; its work is called back. */
     private void suspect(Target target) {
         long listed = targets.values().stream().filter(Target::ready).count();
         long suspects = targets.values().stream().filter(t -> t.ready() && t.suspect).count();
-        if (SUSPECT_PART * (suspects + 1) > Math.max(listed, SUSPECT_PART)) {
+        if (target.zone != null && SUSPECT_PART * (suspects + 1) > Math.max(listed, SUSPECT_PART)) {
             return; // Silence on many sides is overload or our own pause; moving their keys would add to it.
         }
         actions.log("server silent: " + target.id);
@@ -1074,12 +1071,19 @@
         someSuspect = true;
         target.trials.goUp();
         target.trialAt = now + target.trials.currentInterval;
+        for (Target t : targets.values()) {
+            if (target.covers(t)) {
+                callBack(t);
+            }
+        }
+    }
+
+    private void callBack(Target target) {
         actions.closeIdle(target.id);
-        if (settings.mayCancel() && settings.resendSpan() == 0) { // rations are not for moving work
-            for (Held h : target.inFlight) {
-                if (!h.answered && h.type.effect() == Effect.SAFE && h.attempts < h.most) {
-                    actions.cancel(h.request.id(), h.attempts - 1);
-                }
+        boolean may = settings.mayCancel() && settings.resendSpan() == 0; // rations are not for moving work
+        for (Held h : target.inFlight) {
+            if (may && !h.answered && h.type.effect() == Effect.SAFE && h.attempts < h.most) {
+                actions.cancel(h.request.id(), h.attempts - 1);
             }
         }
         reroute(target.queue);
@@ -1108,16 +1112,17 @@
             allWeights += t.ready() ? t.entry.weight() : 0;
             warmWeights += t.ready() && t.warmth() == 1 ? t.entry.weight() : 0;
             if (t.ready() && sameGroup(held, t)) {
-                (t.suspect ? doubtful : usable).add(t);
+                (t.silent() ? doubtful : usable).add(t);
                 weights += t.entry.weight();
                 counts += t.queue.size() + t.inFlight.size();
             }
         }
         someSuspect = !doubtful.isEmpty();
         for (Target t : doubtful) {
-            if (trial && now >= t.trialAt) {
+            if (trial && now >= Math.max(t.trialAt, t.zone.suspect ? t.zone.trialAt : 0)) {
                 trials = 0;
-                t.trialAt = now + t.trials.currentInterval;
+                t.trialAt = now + (t.zone.suspect ? 2 * shortestDeadline : t.trials.currentInterval);
+                t.zone.trialAt = now + t.zone.trials.currentInterval;
                 return t;
             }
         }
@@ -1144,7 +1149,7 @@
     }
 
     private boolean fits(Held held, Target target) {
-        return target.ready() && !target.suspect && sameGroup(held, target) && target.coldWait() <= now
+        return target.ready() && !target.silent() && sameGroup(held, target) && target.coldWait() <= now
             && !target.faults(held.request.requestClass()).shut() && !held.failedAt.contains(target);
     }
 
--- a/src/test/java/anisebend/DecideTest.java
+++ b/src/test/java/anisebend/DecideTest.java
@@ -560,6 +560,85 @@
         assertEquals(3, world.recorder.count("log server silent"));
     }
 
+    /** Sixty servers in each of two zones; one zone falls silent after so many requests. Returns the world then. */
+    private static World zoneLost(List<String> lost, List<String> kept) {
+        for (int i = 0; i < 60; i++) {
+            lost.add("a" + i);
+            kept.add("b" + i);
+        }
+        List<String> all = new ArrayList<>(lost);
+        all.addAll(kept);
+        World world = new World(false).list(ListKind.FULL, all.toArray(String[]::new)).pass(MS);
+        for (int i = 0; i < 200; i++) {
+            world.ask("w" + i, READ, "warm" + i).answer("w" + i, Code.OK).pass(5 * MS);
+        }
+        for (int i = 0; i < 80; i++) {
+            world.ask("r" + i, READ, "k" + i);
+            if (kept.contains(world.serverOf("r" + i))) {
+                world.answer("r" + i, Code.OK);
+            }
+            world.pass(20 * MS);
+        }
+        return world;
+    }
+
+    /** No server of it is asked twice: what is known of it is known of the zone. */
+    @Test
+    void aSilentZoneIsLeftThoughEachOfItsServersWasAskedOnceAtMost() {
+        List<String> lost = new ArrayList<>();
+        List<String> kept = new ArrayList<>();
+        World world = zoneLost(lost, kept);
+        assertTrue(world.recorder.has("log server silent: zone " + World.server("a0", State.READY, 0).zone()));
+        assertTrue(world.recorder.has("cancel r79 0") || kept.contains(world.serverOf("r79")));
+        int there = 0;
+        for (int i = 0; i < 60; i++) {
+            world.ask("s" + i, READ, "new" + i);
+            there += lost.contains(world.serverOf("s" + i)) ? 1 : 0;
+            world.answer("s" + i, lost.contains(world.serverOf("s" + i)) ? Code.CONNECT_FAILED : Code.OK).pass(20 * MS);
+        }
+        assertTrue(there >= 1 && there <= 5, "paced trials only, not " + there + " of 60");
+    }
+
+    /** One answer to a trial brings the whole zone back, as cold as it may be. */
+    @Test
+    void aZoneThatAnswersAgainIsUsedAgainLittleByLittle() {
+        List<String> lost = new ArrayList<>();
+        List<String> kept = new ArrayList<>();
+        World world = zoneLost(lost, kept);
+        int there = 0;
+        int first = -1;
+        for (int i = 0; i < 900; i++) {
+            world.ask("s" + i, READ, "new" + i);
+            if (lost.contains(world.serverOf("s" + i))) {
+                there++;
+                first = first < 0 ? i : first;
+            }
+            world.answer("s" + i, Code.OK).pass(20 * MS);
+            if (i == first + 50 && first >= 0) {
+                assertTrue(there <= 20, "cold at first: " + there + " of 50");
+            }
+        }
+        assertTrue(first >= 0 && there >= 300, "half of the servers are there again: " + there + " of 900");
+    }
+
+    /** An answer from the zone, or silence on all sides, says that it is not the zone. */
+    @Test
+    void aZoneIsNotLeftForSilenceOfSomeOfItsServersOrOnAllSides() {
+        World world = new World(false).list(ListKind.FULL, "a1", "a2", "a3", "a4", "a5", "b1", "b2", "b3", "b4", "b5").pass(MS);
+        for (int i = 0; i < 200; i++) {
+            world.ask("r" + i, READ, "k" + i);
+            if (world.serverOf("r" + i) != null && !world.serverOf("r" + i).matches("a[123]")) {
+                world.answer("r" + i, Code.OK);
+            }
+            world.pass(20 * MS);
+        }
+        for (int i = 0; i < 50; i++) {
+            world.ask("q" + i, READ, "x" + i);
+        }
+        world.pass(3000 * MS);
+        assertEquals(0, world.recorder.count("log server silent: zone"));
+    }
+
     /** Far servers answer late by the way there and back alone, which sending less does not shorten. */
     @Test
     void theWayToAServerDoesNotCountAsLateness() {
