--- a/src/main/java/gorsemast/command/LabCommand.java
+++ b/src/main/java/gorsemast/command/LabCommand.java
@@ -5,7 +5,10 @@
 import gorsemast.emulator.Day;
 import gorsemast.emulator.Growth;
 import gorsemast.lab.FleetStudy;
+import gorsemast.lab.PlanStudy;
 import gorsemast.peers.FleetCodec;
+import java.io.IOException;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -16,16 +19,24 @@
 
 /** Experiments in virtual time. */
 @Command(name = "lab", description = "Experiments with the real decision modules in virtual time; prints a table.",
-    subcommands = {LabCommand.DayCommand.class, LabCommand.GrowthCommand.class})
-final class LabCommand implements Runnable {
+    subcommands = {LabCommand.DayCommand.class, LabCommand.GrowthCommand.class, LabCommand.PlanCommand.class})
+final class LabCommand implements Callable<Integer> {
     @Option(names = "--members", split = ",", defaultValue = "3,10,30,100,300,1000", paramLabel = "N,N,…",
         description = "Sizes of the fleet, 3 to 1000.")
     private List<Integer> members;
 
+    @Option(names = "--plot", paramLabel = "FILE", description = "Draws it as SVG too.")
+    private Path plot;
+
     @Override
-    public void run() {
+    public Integer call() throws IOException {
         FleetCodec codec = new FleetCodec("lab", "");
-        System.out.print(new FleetStudy(message -> codec.encode(message).length).table(members));
+        List<FleetStudy.Row> rows = new FleetStudy(message -> codec.encode(message).length).rows(members);
+        System.out.print(FleetStudy.table(rows));
+        if (plot != null) {
+            FleetStudy.plot(rows).svg(plot);
+        }
+        return Gorsemast.DONE;
     }
 
     /** One day of a whole tier. */
@@ -83,6 +94,20 @@
         }
     }
 
+    /** The planner of works. */
+    @Command(name = "plan", description = "Plans works for a whole fleet and prints how orders compare.")
+    static final class PlanCommand implements Runnable {
+        @Option(names = "--nodes", split = ",", defaultValue = "12,60,200", paramLabel = "N,N,…")
+        private List<Integer> nodes;
+        @Option(names = "--seed", defaultValue = "1", paramLabel = "N")
+        private long seed;
+
+        @Override
+        public void run() {
+            System.out.print(PlanStudy.table(nodes, seed));
+        }
+    }
+
     private static ClusterSettings sizes(CommandSpec spec, int proxies, int nodes, long seed) {
         try {
             return ClusterSettings.of(proxies, nodes, seed);
--- a/src/main/java/gorsemast/command/RigCommand.java
+++ b/src/main/java/gorsemast/command/RigCommand.java
@@ -3,6 +3,7 @@
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import gorsemast.rig.Day;
+import gorsemast.rig.Herd;
 import gorsemast.rig.Rig;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -21,7 +22,8 @@
 final class RigCommand implements Callable<Integer> {
     private static final List<String> PLANTS = List.of("", "twice", "lost", "unsettled");
 
-    @Option(names = "--kind", defaultValue = "view", paramLabel = "KIND", description = "What is proven: view.")
+    @Option(names = "--kind", defaultValue = "view", paramLabel = "KIND", description = "What is proven: view, or herd "
+        + "(seven in ten killed under load, with the view and without).")
     private String kind;
 
     @Option(names = "--processes", defaultValue = "5", paramLabel = "N", description = "How many, 2 to " + Day.MOST + ".")
@@ -44,6 +46,10 @@
         + "twice, lost or unsettled.")
     private String plant;
 
+    @Option(names = "--register-ms", defaultValue = "1500", paramLabel = "MS", description = "What the register takes for a "
+        + "list in a herd.")
+    private long registerMillis;
+
     @Option(names = "--logs", paramLabel = "FOLDER", description = "Where the processes' files and logs go; else a temporary "
         + "folder that is named.")
     private Path logs;
@@ -53,8 +59,8 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        if (!kind.equals("view")) {
-            throw Gorsemast.usage(spec, "--kind " + kind + " is not known; there is view");
+        if (!kind.equals("view") && !kind.equals("herd")) {
+            throw Gorsemast.usage(spec, "--kind " + kind + " is not known; there are view, herd");
         }
         if (!PLANTS.contains(plant)) {
             throw Gorsemast.usage(spec, "--plant " + plant + " is not known; there are twice, lost, unsettled");
@@ -63,6 +69,9 @@
             throw Gorsemast.usage(spec, "--processes is 2 to " + Day.MOST + ", --seconds 1 to 3600");
         }
         ((Logger) LoggerFactory.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME)).setLevel(Level.WARN);
+        if (kind.equals("herd")) {
+            return herd();
+        }
         Day day;
         if (file != null && Files.exists(file)) {
             try {
@@ -91,4 +100,19 @@
             return result.holds() ? Gorsemast.DONE : Gorsemast.FAILED;
         }
     }
+
+    /** The same herd twice, side by side in one run: what the view is worth is the difference. */
+    private int herd() throws IOException, InterruptedException {
+        Path home = logs != null ? Files.createDirectories(logs) : Files.createTempDirectory("gorsemast-rig");
+        System.out.println("seed " + seed + ", " + processes + " processes, logs in " + home);
+        Herd herd = new Herd(processes, seed, seconds, registerMillis, home, System.out::println);
+        boolean holds = true;
+        for (boolean peers : new boolean[] {false, true}) {
+            Herd.Result result = herd.play(peers);
+            result.findings().forEach(System.out::println);
+            System.out.println(result.line());
+            holds &= result.lost() + result.twice() == 0;
+        }
+        return holds ? Gorsemast.DONE : Gorsemast.FAILED;
+    }
 }
--- a/src/main/java/gorsemast/lab/FleetStudy.java
+++ b/src/main/java/gorsemast/lab/FleetStudy.java
@@ -92,19 +92,24 @@
         return of[of.length / 2];
     }
 
+    /** The rows for these sizes, with Lifeguard and without. */
+    public List<Row> rows(List<Integer> sizes) {
+        List<Row> rows = new ArrayList<>();
+        for (int size : sizes) {
+            rows.add(row(size, true));
+            rows.add(row(size, false));
+        }
+        return rows;
+    }
+
     /** The table, as Markdown, with how each figure grows with the fleet at its end. */
-    public String table(List<Integer> sizes) {
+    public static String table(List<Row> rows) {
         StringBuilder s = new StringBuilder("| members | | first suspicion | agreed | join known | datagrams | bytes | "
             + "falsely dead | suspicions |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
-        List<Row> rows = new ArrayList<>();
-        for (int size : sizes) {
-            for (boolean lifeguard : new boolean[] {true, false}) {
-                Row row = row(size, lifeguard);
-                rows.add(row);
-                s.append(String.format(Locale.ROOT, "| %d | %s | %.1f | %.1f | %.1f | %.2f | %.0f | %.0f | %.0f |%n", size,
-                    lifeguard ? "with" : "without", row.firstSuspicion, row.agreed, row.joined, row.messages, row.bytes,
-                    row.falselyDead, row.suspicions));
-            }
+        for (Row row : rows) {
+            s.append(String.format(Locale.ROOT, "| %d | %s | %.1f | %.1f | %.1f | %.2f | %.0f | %.0f | %.0f |%n", row.members,
+                row.lifeguard ? "with" : "without", row.firstSuspicion, row.agreed, row.joined, row.messages, row.bytes,
+                row.falselyDead, row.suspicions));
         }
         Row first = rows.get(0);
         Row last = rows.get(rows.size() - 2);
@@ -115,6 +120,17 @@
         return s.toString();
     }
 
+    /** How the times and the traffic grow with the fleet, both axes logarithmic. */
+    public static Plot plot(List<Row> rows) {
+        List<Row> with = rows.stream().filter(Row::lifeguard).toList();
+        double[] sizes = with.stream().mapToDouble(Row::members).toArray();
+        return new Plot("The fleet's view in virtual time", "members", "periods, or datagrams a period", sizes)
+            .line("all agree on a crash that nobody proves", with.stream().mapToDouble(Row::agreed).toArray())
+            .line("first suspicion", with.stream().mapToDouble(Row::firstSuspicion).toArray())
+            .line("a join is known to all", with.stream().mapToDouble(Row::joined).toArray())
+            .line("datagrams a member and period", with.stream().mapToDouble(Row::messages).toArray());
+    }
+
     private static double exponent(Row first, Row last, double from, double to) {
         return Math.log(to / from) / Math.log((double) last.members / first.members);
     }
--- a/src/main/java/gorsemast/rig/Proxies.java
+++ b/src/main/java/gorsemast/rig/Proxies.java
@@ -38,6 +38,8 @@
         volatile boolean dark;
         /** It has been told to end, long enough ago for a front to have seen it. */
         volatile boolean leaving;
+        /** Whether it sees the others. */
+        volatile boolean peers = true;
         /** The list that it is started with, in the register's form; null for the present one. */
         volatile String known;
         private int starts;
@@ -155,6 +157,9 @@
         }
 
         private String settings(InetSocketAddress front) {
+            if (!peers) {
+                return "{log: {form: 'json'}}\n";
+            }
             StringBuilder seeds = new StringBuilder();
             for (int i = 0; i < Math.min(3, all.size()); i++) {
                 InetSocketAddress seed = fronts.get("p" + i);
--- a/src/main/java/gorsemast/rig/StandIns.java
+++ b/src/main/java/gorsemast/rig/StandIns.java
@@ -9,7 +9,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -21,7 +24,24 @@
 final class StandIns implements AutoCloseable {
     private static final String LIST = "/registry/instances";
 
-    private final List<HttpServer> nodes = new ArrayList<>();
+    /** One cache node: its name, and when each request came to it. */
+    private static final class Node {
+        final String name;
+        final HttpServer server;
+        final long bornMillis;
+        final Queue<Long> requests = new ConcurrentLinkedQueue<>();
+
+        Node(String name, HttpServer server, long bornMillis) {
+            this.name = name;
+            this.server = server;
+            this.bornMillis = bornMillis;
+        }
+    }
+
+    /** The nodes in service; changed under this object's monitor together with {@link #version}. */
+    private final List<Node> nodes = new CopyOnWriteArrayList<>();
+    private int named;
+    private long version = 1;
     private final HttpServer register;
     private final ExecutorService threads = Executors.newCachedThreadPool(task -> {
         Thread thread = new Thread(task, "stand-in");
@@ -33,15 +53,16 @@
     private volatile boolean closed;
     /** The register turns every call away. */
     volatile boolean registerDown;
+    /** The register takes so long for each list, one call after another. */
+    volatile long registerMillis;
+    private final Object desk = new Object();
+    /** How many calls the register has had. */
+    final AtomicInteger listCalls = new AtomicInteger();
 
     StandIns(int many) throws IOException {
         InetAddress host = InetAddress.getLoopbackAddress();
         for (int i = 0; i < many; i++) {
-            HttpServer node = HttpServer.create(new InetSocketAddress(host, 0), 256);
-            node.createContext("/", this::node);
-            node.setExecutor(threads);
-            node.start();
-            nodes.add(node);
+            add(0);
         }
         register = HttpServer.create(new InetSocketAddress(host, 0), 256);
         register.createContext(LIST, this::list);
@@ -53,24 +74,74 @@
         return "127.0.0.1:" + register.getAddress().getPort();
     }
 
+    private void add(long bornMillis) throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 256);
+        Node node = new Node("c" + named++, server, bornMillis);
+        server.createContext("/", exchange -> node(node, exchange));
+        server.setExecutor(threads);
+        server.start();
+        nodes.add(node);
+    }
+
+    /** So many nodes die at once and so many new ones come; the register knows it at once. */
+    synchronized void replace(int dead, int fresh) throws IOException {
+        for (int i = 0; i < dead; i++) {
+            Node node = nodes.remove(0);
+            node.server.stop(0);
+        }
+        for (int i = 0; i < fresh; i++) {
+            add(System.currentTimeMillis());
+        }
+        version++;
+        notifyAll();
+    }
+
+    /** The most requests that a node which has started since then had within a second, of all such nodes. */
+    long mostAtFreshInASecond() {
+        long most = 0;
+        for (Node node : nodes) {
+            List<Long> at = node.bornMillis == 0 ? List.of() : new ArrayList<>(node.requests);
+            for (int from = 0, to = 0; to < at.size(); to++) {
+                while (at.get(to) - at.get(from) > 1_000_000_000L) {
+                    from++;
+                }
+                most = Math.max(most, to - from + 1);
+            }
+        }
+        return most;
+    }
+
+    /** How many nodes are in service. */
+    int size() {
+        return nodes.size();
+    }
+
     /** The address of one cache node. */
     String node() {
-        return "127.0.0.1:" + nodes.get(0).getAddress().getPort();
+        return "127.0.0.1:" + nodes.get(0).server.getAddress().getPort();
     }
 
     /** The list as the register tells it. */
-    String list() {
-        StringBuilder s = new StringBuilder("{\"seq\":1,\"whole\":true,\"hosts\":[");
-        for (int i = 0; i < nodes.size(); i++) {
-            s.append(i == 0 ? "" : ",").append("{\"host\":\"c").append(i).append("\",\"dial\":\"127.0.0.1:")
-                .append(nodes.get(i).getAddress().getPort())
-                .append("\",\"site\":\"a\",\"class\":\"m\",\"block\":0,\"health\":\"Ready\",\"share\":1.0,\"born_ms\":0}");
+    synchronized String list() {
+        return list(true, nodes, "Ready");
+    }
+
+    private String list(boolean whole, List<Node> told, String health) {
+        StringBuilder s = new StringBuilder("{\"seq\":").append(version).append(",\"whole\":").append(whole).append(",\"hosts\":[");
+        String comma = "";
+        for (Node node : told) {
+            s.append(comma).append("{\"host\":\"").append(node.name).append("\",\"dial\":\"127.0.0.1:")
+                .append(node.server.getAddress().getPort())
+                .append("\",\"site\":\"a\",\"class\":\"m\",\"block\":0,\"health\":\"").append(health)
+                .append("\",\"share\":1.0,\"born_ms\":").append(node.bornMillis).append('}');
+            comma = ",";
         }
         return s.append("]}").toString();
     }
 
-    private void node(HttpExchange exchange) throws IOException {
+    private void node(Node node, HttpExchange exchange) throws IOException {
         try (exchange) {
+            node.requests.add(System.nanoTime());
             exchange.getRequestBody().readAllBytes();
             String id = exchange.getRequestHeaders().getFirst("X-Correlation-Id");
             if (exchange.getRequestMethod().equals("PUT")) {
@@ -83,21 +154,34 @@
 
     private void list(HttpExchange exchange) throws IOException {
         try (exchange) {
+            listCalls.incrementAndGet();
             if (registerDown) {
                 exchange.sendResponseHeaders(503, -1);
                 return;
             }
             String query = exchange.getRequestURI().getQuery();
-            if (query != null && query.contains("after=1")) {
+            int after = query == null ? -1 : query.indexOf("after=");
+            if (after >= 0) {
+                long known = Long.parseLong(query.substring(after + 6).split("&")[0]);
                 synchronized (this) {
-                    for (long end = System.nanoTime() + 5_000_000_000L; !closed && System.nanoTime() < end;) {
-                        wait(1_000); // nothing changes here: a watch stands until its time is up
+                    for (long end = System.nanoTime() + 5_000_000_000L; !closed && version <= known
+                        && System.nanoTime() < end;) {
+                        wait(1_000);
                     }
                 }
-                answer(exchange, "{\"seq\":1,\"whole\":false,\"hosts\":[]}");
-            } else {
-                answer(exchange, list());
+                String unchanged;
+                synchronized (this) {
+                    unchanged = version <= known ? list(false, List.of(), "Ready") : null;
+                }
+                if (unchanged != null) {
+                    answer(exchange, unchanged);
+                    return;
+                }
+            }
+            synchronized (desk) {
+                Thread.sleep(registerMillis); // its work: one call after another
             }
+            answer(exchange, list());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -115,7 +199,7 @@
         synchronized (this) {
             notifyAll();
         }
-        nodes.forEach(node -> node.stop(0));
+        nodes.forEach(node -> node.server.stop(0));
         register.stop(0);
         threads.shutdownNow();
     }
