Leave a silent zone after three silences in a row, however little is asked of it

The sum of 12 asked for six silences.

Now 6, and a refused connect counts as one silence, as its machine has answered.

--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -45,8 +45,8 @@
     private static final int SILENT = 2;
     private static final int BROKEN = 1;
     private static final int CONVICTED = 4;
-    /** The same for a zone from which nothing has come since, while others answer. */
-    private static final int ZONE_CONVICTED = 12;
+    /** The same for a zone that is silent while others answer: three in a row, a refused connect as one. */
+    private static final int ZONE_CONVICTED = 6;
     /** From CONVICTED on a class goes elsewhere, unless more than one server in so many fail it. */
     private static final int FAULTY_PART = 2;
     /** The part of the usual rate of fetches that the ledger's lanes still carry at the longest interval. */
@@ -1040,7 +1040,7 @@
             suspect(target);
         }
         if (target.zone != null && zones.values().stream().anyMatch(zone -> zone.lastAnswer >= since)) {
-            doubt(target.zone, since, weight);
+            doubt(target.zone, since, Math.min(weight, SILENT));
         }
     }
 
