--- a/src/main/java/gorsemast/command/LabCommand.java
+++ b/src/main/java/gorsemast/command/LabCommand.java
@@ -55,12 +55,15 @@
         private long seed;
         @Option(names = "--load", defaultValue = "0.45", paramLabel = "PART", description = "Of the nodes' warm capacity.")
         private double load;
+        @Option(names = "--misses-hold", description = "A read that waits for the ledger keeps its node's hand.")
+        private boolean missesHold;
         @Option(names = "--by-second", description = "Prints the sums of each second.")
         private boolean bySecond;
 
         @Override
         public Integer call() {
-            Cluster.Result result = new Cluster(sizes(spec, proxies, nodes, seed).load(load)).play(kind);
+            ClusterSettings settings = sizes(spec, proxies, nodes, seed).load(load);
+            Cluster.Result result = new Cluster(missesHold ? settings.holdingMisses() : settings).play(kind);
             if (bySecond) {
                 System.out.print(result.tally().table());
             }
--- a/src/main/java/gorsemast/emulator/CacheNode.java
+++ b/src/main/java/gorsemast/emulator/CacheNode.java
@@ -7,12 +7,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 
 /**
  * One modelled cache node: hands, a short row before them, places for connections, copies that age, and what goes wrong.
  *
  * <p><b>Model.</b> A read of a key that is kept takes a hand; one that is not waits for the ledger first, together with
- * all others of that key. A write goes to the ledger and drops every copy. What finds no place in the row is turned away
+ * all others of that key, and at some installations keeps its hand meanwhile. A write goes to the ledger and drops every copy. What finds no place in the row is turned away
  * and has not run. A node that has just started does only a part of its work, growing with time, and one that is sent
  * more than {@value #FALL_MULTIPLE} times what it can do in a second while it is cold falls over: it refuses for
  * {@value #FALL_MICROS} microseconds and is cold again.
@@ -209,14 +210,18 @@
                     queue(work);
                 }
             });
-        } else if (copies.getOrDefault(key, 0L) > time.now()) {
+        } else if (settings.missHolds() || kept(key)) {
             queue(work);
         } else {
-            fetch(work);
+            fetch(work, this::queue);
         }
         return work;
     }
 
+    private boolean kept(String key) {
+        return copies.getOrDefault(key, 0L) > time.now();
+    }
+
     private boolean overrun() {
         if (warmth() == 1) {
             return false;
@@ -244,7 +249,8 @@
         return settings.nodeHands() * speed * SECOND / settings.workMicros();
     }
 
-    private void fetch(Work work) {
+    /** Has the key fetched, or waits with whoever does; {@code then} goes on with each of them. */
+    private void fetch(Work work, Consumer<Work> then) {
         List<Work> waiting = fetching.get(work.key);
         work.note = waiting == null ? Note.MISS : Note.MISS_FETCHING;
         if (waiting != null) {
@@ -257,7 +263,7 @@
         ledger.fetch(work.key, () -> {
             if (mine == life) {
                 copies.put(work.key, time.now() + settings.keepMicros());
-                fetching.remove(work.key).forEach(this::queue);
+                fetching.remove(work.key).forEach(then);
             }
         });
     }
@@ -286,17 +292,25 @@
                 continue;
             }
             busy++;
-            int mine = life;
-            time.after((long) (work.took * slower / speed / warmth()), () -> {
-                if (mine == life) {
-                    busy--;
-                    end(work, mine, () -> work.reply.served(work.note));
-                    pump();
-                }
-            });
-            if (!work.write) {
-                work.ran.run();
+            if (!work.write && settings.missHolds() && !kept(work.key)) {
+                fetch(work, this::carry); // its hand waits for the ledger with it
+            } else {
+                carry(work);
+            }
+        }
+    }
+
+    private void carry(Work work) {
+        int mine = life;
+        time.after((long) (work.took * slower / speed / warmth()), () -> {
+            if (mine == life) {
+                busy--;
+                end(work, mine, () -> work.reply.served(work.note));
+                pump();
             }
+        });
+        if (!work.write) {
+            work.ran.run();
         }
     }
 
--- a/src/main/java/gorsemast/emulator/ClusterSettings.java
+++ b/src/main/java/gorsemast/emulator/ClusterSettings.java
@@ -15,13 +15,14 @@
  * @param registerCalls answers that the register gives a second; a whole list counts {@code wholeListCalls} of them
  * @param noticeMicros how long the register takes to notice that a node has died
  * @param skew how unevenly the traffic falls on the proxies: the standard deviation of the logarithm
+ * @param missHolds whether a read that waits for the ledger keeps its node's hand
  * @param seed from which everything is drawn
  */
 public record ClusterSettings(int proxies, int nodes, int zones, double load, long workMicros, long nearMicros,
                               long crossMicros, long handshakeMicros, int nodeHands, int nodeRow, int nodeConnections,
                               int proxyConnections, int proxyPlaces, double hits, long keepMicros, double coldShare,
                               long coldMicros, double registerCalls, double wholeListCalls, long noticeMicros,
-                              int keys, double zipf, double skew, long seed) {
+                              int keys, double zipf, double skew, boolean missHolds, long seed) {
     private static final long MILLI = 1_000;
     /** Classes as an installation of card readers has them: balance, history, top-up, transfer. */
     static final List<Balancer.RequestClass> CLASSES = List.of(
@@ -43,14 +44,21 @@
             throw new IllegalArgumentException("at least 1 proxy and 3 nodes, not " + proxies + " and " + nodes);
         }
         return new ClusterSettings(proxies, nodes, 3, 0.45, 110 * MILLI, 200, 15 * MILLI, 2 * MILLI, 3, 9, 40 + 4 * proxies / 3,
-            256, 128, 0.85, 9_000 * MILLI, 0.45, 6_000 * MILLI, 0.6 * proxies, 3, 3_000 * MILLI, 7 * nodes, 1.05, 0.7, seed);
+            256, 128, 0.85, 9_000 * MILLI, 0.45, 6_000 * MILLI, 0.6 * proxies, 3, 3_000 * MILLI, 7 * nodes, 1.05, 0.7, false, seed);
     }
 
     /** The same with another share of the capacity asked for. */
     public ClusterSettings load(double part) {
         return new ClusterSettings(proxies, nodes, zones, part, workMicros, nearMicros, crossMicros, handshakeMicros, nodeHands,
             nodeRow, nodeConnections, proxyConnections, proxyPlaces, hits, keepMicros, coldShare, coldMicros, registerCalls,
-            wholeListCalls, noticeMicros, keys, zipf, skew, seed);
+            wholeListCalls, noticeMicros, keys, zipf, skew, missHolds, seed);
+    }
+
+    /** The same, where a read that waits for the ledger keeps its node's hand. */
+    public ClusterSettings holdingMisses() {
+        return new ClusterSettings(proxies, nodes, zones, load, workMicros, nearMicros, crossMicros, handshakeMicros, nodeHands,
+            nodeRow, nodeConnections, proxyConnections, proxyPlaces, hits, keepMicros, coldShare, coldMicros, registerCalls,
+            wholeListCalls, noticeMicros, keys, zipf, skew, true, seed);
     }
 
     /** Requests a second over all proxies. */
