--- a/src/main/java/anisebend/net/ClientConnection.java
+++ b/src/main/java/anisebend/net/ClientConnection.java
@@ -1,5 +1,8 @@
 package anisebend.net;
 
+import gorsemast.exchange.BodyBuffer;
+import gorsemast.exchange.Passage;
+import gorsemast.exchange.StrictHttp;
 import gorsemast.retention.BodyBudget;
 import gorsemast.transport.Transport;
 import io.netty.buffer.ByteBuf;
--- a/src/main/java/anisebend/net/Discovery.java
+++ b/src/main/java/anisebend/net/Discovery.java
@@ -3,6 +3,7 @@
 import anisebend.Balancer.ListKind;
 import anisebend.Balancer.Server;
 import anisebend.Balancer.State;
+import gorsemast.exchange.Upstream;
 import gorsemast.register.ListWatch;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -44,7 +45,7 @@
     private static final int MAX_ANSWER = 4 << 20;
 
     /** A cache node: where to dial it, and when it last started, in Unix milliseconds, 0 for long ago. */
-    record Node(String host, InetSocketAddress dial, double bornMillis, boolean ready) {
+    record Node(String host, InetSocketAddress dial, double bornMillis, boolean ready) implements Upstream.Peer {
         /** Whether this is the same process at the same address; a record's own equals is slow to be made up. */
         boolean same(Node other) {
             return bornMillis == other.bornMillis && dial.equals(other.dial);
--- a/src/main/java/anisebend/net/Engine.java
+++ b/src/main/java/anisebend/net/Engine.java
@@ -6,6 +6,9 @@
 import anisebend.Balancer.Note;
 import anisebend.Decide;
 import gorsemast.admission.Lateness;
+import gorsemast.exchange.Passage;
+import gorsemast.exchange.Traffic;
+import gorsemast.exchange.Upstream;
 import gorsemast.observe.Counters;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -144,7 +147,7 @@
                     upstream.forget(host);
                 }
             });
-        this.upstream = new Upstream(loop, discovery::ready, maxConnections, config.connIdleMillis(),
+        this.upstream = new Upstream(loop, Upstream.IN_SERVICE, node -> discovery.ready((Discovery.Node) node), maxConnections, config.connIdleMillis(),
             config.connectTimeoutMillis(), config.seed());
     }
 
--- a/src/main/java/anisebend/net/ProxyServer.java
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -1,6 +1,9 @@
 package anisebend.net;
 
 import anisebend.Balancer;
+import gorsemast.exchange.NettyLog;
+import gorsemast.exchange.Signals;
+import gorsemast.exchange.StrictHttp;
 import gorsemast.admin.AdminListener;
 import gorsemast.admission.Door;
 import gorsemast.admission.Shedder;
--- a/src/main/java/anisebend/net/Trace.java
+++ b/src/main/java/anisebend/net/Trace.java
@@ -1,5 +1,6 @@
 package anisebend.net;
 
+import gorsemast.exchange.Traffic;
 import anisebend.Balancer;
 import anisebend.Balancer.Code;
 import anisebend.Balancer.ServerView;
--- a/src/main/java/anisebend/net/Warmup.java
+++ b/src/main/java/anisebend/net/Warmup.java
@@ -1,5 +1,8 @@
 package anisebend.net;
 
+import gorsemast.exchange.Passage;
+import gorsemast.exchange.StrictHttp;
+import gorsemast.exchange.Upstream;
 import gorsemast.retention.BodyBudget;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
--- /dev/null
+++ b/src/main/java/gorsemast/arcen/Main.java
@@ -0,0 +1,67 @@
+package gorsemast.arcen;
+
+import gorsemast.cabauw.Cabauw;
+import gorsemast.debilt.Debilt;
+import gorsemast.exchange.NettyLog;
+import gorsemast.exchange.Signals;
+import gorsemast.marknesse.Daemon;
+import gorsemast.marknesse.Log;
+import gorsemast.marknesse.Settings;
+import gorsemast.marknesse.SettingsException;
+import gorsemast.vlissingen.Vlissingen;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+
+/** Starts {@code cabauw}, {@code debilt} or {@code vlissingen} by the settings at {@value Settings#VARIABLE}. */
+public final class Main {
+    private Main() {
+    }
+
+    /** Runs the named program; any other argument is a usage error. */
+    public static void main(String[] args) {
+        NettyLog.install();
+        String word = args.length == 1 ? args[0] : "";
+        Log log = new Log(word.isEmpty() ? "arcen" : word);
+        String file = System.getenv(Settings.VARIABLE);
+        if (file == null || !word.equals("cabauw") && !word.equals("debilt") && !word.equals("vlissingen")) {
+            log.warn("usage: " + Settings.VARIABLE + "=FILE gorsemast cabauw|debilt|vlissingen");
+            System.exit(2);
+        }
+        CompletableFuture<Daemon> started = new CompletableFuture<>();
+        Runtime.getRuntime().addShutdownHook(new Thread() {
+            @Override
+            public void run() {
+                Daemon program = started.join();
+                if (program != null) {
+                    program.stop();
+                    Runtime.getRuntime().halt(0); // else the signal would be the exit code
+                }
+            }
+        });
+        try {
+            Settings settings = Settings.read(Path.of(file));
+            Daemon program = switch (word) {
+                case "cabauw" -> new Cabauw(settings);
+                case "debilt" -> new Debilt(settings);
+                default -> new Vlissingen(settings);
+            };
+            Signals.onHangup(() -> {
+                try {
+                    program.reload(Settings.read(Path.of(file)));
+                } catch (SettingsException e) {
+                    log.warn("keeps its settings: " + e.getMessage());
+                }
+            });
+            program.start();
+            log.info("runs on " + settings.name() + " in " + settings.zone());
+            started.complete(program);
+        } catch (IOException | RuntimeException e) {
+            log.warn("can't start: " + e.getMessage());
+            started.complete(null);
+            System.exit(1);
+        } finally {
+            started.complete(null); // without effect where it has started
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/cabauw/Front.java
@@ -0,0 +1,295 @@
+package gorsemast.cabauw;
+
+import gorsemast.exchange.Passage;
+import gorsemast.exchange.StrictHttp;
+import gorsemast.hupsel.Call;
+import gorsemast.hupsel.Client;
+import gorsemast.hupsel.Hops;
+import gorsemast.hupsel.Network;
+import gorsemast.hupsel.Sender;
+import gorsemast.schiphol.Configuration;
+import gorsemast.schiphol.Route;
+import gorsemast.transport.Transport;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/**
+ * Where clients come in: finds each request's route in the newest configuration and hands it to whoever serves it. All
+ * on one event loop.
+ */
+final class Front implements Visitor.Owner {
+    /** When to come back where nothing better is known. */
+    static final long LATER_MICROS = 300_000;
+    /** Before the client's own time is over, by as much as an answer takes to it. */
+    private static final long WAY_MICROS = 8_000;
+    private static final long MOST_BODIES = 24L << 20;
+    private static final long MICROS = 1_000_000L;
+    private static final int KEPT = 64 << 10;
+    private static final int NOT_FOUND = 404;
+    private static final int BAD = 400;
+    private static final int FAILED = 502;
+    private static final int TIME_OUT = 504;
+    private static final int UNAVAILABLE = 503;
+
+    private final EventLoop loop;
+    private final LongSupplier clock;
+    private final Supplier<Configuration> configuration;
+    private final Function<String, Sender> senders;
+    private final ObjectDesk desk;
+    private final SplittableRandom random;
+    private final Set<Visitor> visitors = new LinkedHashSet<>();
+    private boolean closing;
+    private long bodies;
+    private int open;
+    /** Requests taken, and answered by status class. */
+    final long[] counts = new long[7];
+
+    Front(EventLoop loop, LongSupplier clock, Supplier<Configuration> configuration, Function<String, Sender> senders,
+          ObjectDesk desk, long seed) {
+        this.loop = loop;
+        this.clock = clock;
+        this.configuration = configuration;
+        this.senders = senders;
+        this.desk = desk;
+        this.random = new SplittableRandom(seed);
+    }
+
+    Channel listen(InetSocketAddress at, int headBytes) throws IOException {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(Transport.listener(loop))
+            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
+            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    ch.pipeline().addLast(new StrictHttp.Requests(headBytes), new HttpResponseEncoder(),
+                        new Visitor(ch, Front.this));
+                }
+            }).bind(at).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("can't listen at " + at, bound.cause());
+        }
+        return bound.channel();
+    }
+
+    /** From now on connections end with their answers. */
+    void closing() {
+        closing = true;
+    }
+
+    /** Ends what nobody asks anything on. Returns how many connections are left. */
+    int closeIdle() {
+        for (Visitor visitor : List.copyOf(visitors)) {
+            if (visitor.idle()) {
+                visitor.close();
+            }
+        }
+        return visitors.size();
+    }
+
+    /** Requests that are held. */
+    int held() {
+        return open;
+    }
+
+    // ---- what the connections want
+
+    @Override
+    public long now() {
+        return clock.getAsLong();
+    }
+
+    @Override
+    public long bodyBytes() {
+        Configuration now = configuration.get();
+        return now == null ? MOST_BODIES : Math.min(MOST_BODIES, now.limits().bodyBytes());
+    }
+
+    @Override
+    public long headMicros() {
+        Configuration now = configuration.get();
+        return now == null ? 3 * MICROS : now.limits().headerMicros();
+    }
+
+    @Override
+    public long idleMicros() {
+        Configuration now = configuration.get();
+        return now == null ? 15 * MICROS : now.limits().idleMicros();
+    }
+
+    @Override
+    public boolean isClosing() {
+        return closing;
+    }
+
+    @Override
+    public boolean repeatable(HttpRequest head) {
+        Route route = route(head.headers(), head.uri());
+        return route == null || route.repeatable();
+    }
+
+    @Override
+    public boolean room(long bytes) {
+        if (bytes > 0 && bodies + bytes > MOST_BODIES) {
+            return false;
+        }
+        bodies += bytes;
+        return true;
+    }
+
+    @Override
+    public void opened(Visitor visitor) {
+        visitors.add(visitor);
+    }
+
+    @Override
+    public void closed(Visitor visitor) {
+        visitors.remove(visitor);
+    }
+
+    private Route route(HttpHeaders headers, String uri) {
+        Configuration now = configuration.get();
+        String host = headers.get(HttpHeaderNames.HOST);
+        if (now == null || host == null) {
+            return null;
+        }
+        int query = uri.indexOf('?');
+        return now.route(Configuration.host(host), query < 0 ? uri : uri.substring(0, query));
+    }
+
+    @Override
+    public void take(Turn turn) {
+        counts[0]++;
+        Route route = route(turn.headers(), turn.uri());
+        if (route == null) {
+            turn.takeBody().release();
+            if (configuration.get() == null) {
+                refuse(turn, LATER_MICROS);
+            } else {
+                turn.answer(NOT_FOUND, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+            }
+            return;
+        }
+        String id = turn.headers().get(Network.ATTEMPT);
+        long budget = budget(turn.headers().get(Network.BUDGET));
+        if (budget == 0 || id == null && !route.repeatable()) {
+            turn.takeBody().release();
+            turn.answer(BAD, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+            return;
+        }
+        long wait = Math.min(route.timeoutMicros(), budget < 0 ? Long.MAX_VALUE : Math.max(1_000, budget - WAY_MICROS));
+        long giveUp = turn.arrival() + wait;
+        if (route.kind() == Route.Kind.CACHEABLE && turn.method().equals(HttpMethod.GET)) {
+            desk.serve(turn, route, route.host(), id, giveUp);
+            return;
+        }
+        Sender sender = senders.apply(route.service(random.nextDouble()));
+        if (sender == null) {
+            turn.takeBody().release();
+            refuse(turn, LATER_MICROS);
+            return;
+        }
+        open++;
+        Runnable leave = sender.take(new Call(route, turn.method(), turn.uri(), turn.headers(),
+            id == null ? "n" + Long.toHexString(random.nextLong()) : id, turn.takeBody(), null, turn.arrival(), giveUp, KEPT),
+            new Answering(turn));
+        turn.onLeave(() -> {
+            open--;
+            leave.run();
+        });
+    }
+
+    /** In microseconds; -1 where nothing is said, 0 for what can't be read. */
+    private static long budget(String told) {
+        if (told == null) {
+            return -1;
+        }
+        try {
+            double millis = Double.parseDouble(told);
+            return millis > 0 && millis < 1e9 ? (long) (millis * 1_000) : 0;
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    /** Passes a service's answer on to its client. */
+    private final class Answering implements Client {
+        private final Turn turn;
+
+        Answering(Turn turn) {
+            this.turn = turn;
+        }
+
+        private HttpHeaders headers(HttpResponse answer) {
+            HttpHeaders headers = new DefaultHttpHeaders();
+            Hops.copy(answer.headers(), headers);
+            return headers;
+        }
+
+        @Override
+        public void answered(FullHttpResponse answer) {
+            open--;
+            turn.answer(answer.status().code(), headers(answer), answer.content().retainedDuplicate());
+        }
+
+        @Override
+        public Passage begins(HttpResponse head, long length, Passage.Flow flow) {
+            open--;
+            return turn.begin(head, headers(head), length, flow);
+        }
+
+        @Override
+        public void refused(long retryAfter) {
+            open--;
+            refuse(turn, retryAfter);
+        }
+
+        @Override
+        public void failed(boolean timeUp) {
+            open--;
+            turn.answer(timeUp ? TIME_OUT : FAILED, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+        }
+    }
+
+    /** A promise that it has not run, with when to come back. */
+    static void refuse(Turn turn, long retryAfterMicros) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f",
+            Math.max(1_000, retryAfterMicros) / (double) MICROS));
+        turn.answer(UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER);
+    }
+
+    /** Seconds with fractions as microseconds. */
+    static long micros(String seconds) {
+        try {
+            return (long) (Double.parseDouble(seconds) * MICROS);
+        } catch (NumberFormatException e) {
+            return LATER_MICROS;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/cabauw/ObjectsServer.java
@@ -0,0 +1,144 @@
+package gorsemast.cabauw;
+
+import gorsemast.eelde.Copy;
+import gorsemast.eelde.Shelf;
+import gorsemast.exchange.StrictHttp;
+import gorsemast.hupsel.Hops;
+import gorsemast.schiphol.Configuration;
+import gorsemast.schiphol.Route;
+import gorsemast.terschelling.Board;
+import gorsemast.transport.Transport;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Locale;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/** Where other edges ask for the objects whose home this edge is. One request a connection at a time; one event loop. */
+final class ObjectsServer {
+    private static final int MOST = 4_096;
+
+    private final EventLoop loop;
+    private final LongSupplier clock;
+    private final Supplier<Configuration> configuration;
+    private final ObjectDesk desk;
+    private final Board board;
+
+    ObjectsServer(EventLoop loop, LongSupplier clock, Supplier<Configuration> configuration, ObjectDesk desk, Board board) {
+        this.loop = loop;
+        this.clock = clock;
+        this.configuration = configuration;
+        this.desk = desk;
+        this.board = board;
+    }
+
+    void listen(InetSocketAddress at) throws IOException {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(Transport.listener(loop))
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    ch.pipeline().addLast(new StrictHttp.Requests(), new HttpResponseEncoder(),
+                        new HttpObjectAggregator(MOST, true), new Asker());
+                }
+            }).bind(at).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("can't listen at " + at, bound.cause());
+        }
+    }
+
+    /** One connection of another edge. */
+    private final class Asker extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private String inStep() {
+            return Long.toHexString(board.purgeDigest());
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            String host = request.headers().get(HttpHeaderNames.HOST);
+            String step = request.headers().get(ObjectDesk.STEP);
+            String left = request.headers().get(ObjectDesk.LEFT);
+            if (!request.decoderResult().isSuccess() || host == null || step == null || left == null) {
+                ctx.close();
+                return;
+            }
+            Configuration now = configuration.get();
+            String uri = request.uri();
+            int query = uri.indexOf('?');
+            Route route = now == null ? null : now.route(Configuration.host(host), query < 0 ? uri : uri.substring(0, query));
+            if (route == null || route.kind() != Route.Kind.CACHEABLE) {
+                write(ctx, ObjectDesk.OUT_OF_STEP, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+                return;
+            }
+            long wait = Long.parseLong(left) * 1_000;
+            desk.ask(Shelf.key(route.host(), uri), route, route.host(), uri, false, clock.getAsLong() + wait,
+                new ObjectDesk.Waiter() {
+                    @Override
+                    public void here(Copy copy, boolean once) {
+                        if (once || !inStep().equals(step)) {
+                            write(ctx, ObjectDesk.OUT_OF_STEP, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+                            return;
+                        }
+                        HttpHeaders headers = new DefaultHttpHeaders();
+                        copy.headers().forEach(header -> headers.add(header.getKey(), header.getValue()));
+                        headers.set(ObjectDesk.AGE, clock.getAsLong() - copy.asked()).set(ObjectDesk.LIFE, copy.ttl());
+                        write(ctx, copy.status(), headers, Unpooled.wrappedBuffer(copy.body()));
+                    }
+
+                    @Override
+                    public void other(FullHttpResponse answer) {
+                        HttpHeaders headers = new DefaultHttpHeaders();
+                        Hops.copy(answer.headers(), headers);
+                        write(ctx, answer.status().code(), headers, answer.content().retainedDuplicate());
+                    }
+
+                    @Override
+                    public void refused(long retryAfter) {
+                        HttpHeaders headers = new DefaultHttpHeaders();
+                        headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfter / 1e6));
+                        write(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE.code(), headers, Unpooled.EMPTY_BUFFER);
+                    }
+
+                    @Override
+                    public void failed() {
+                        write(ctx, HttpResponseStatus.GATEWAY_TIMEOUT.code(), new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+                    }
+                });
+        }
+
+        private void write(ChannelHandlerContext ctx, int status, HttpHeaders headers, ByteBuf body) {
+            FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status),
+                body);
+            answer.headers().add(headers).set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            ctx.writeAndFlush(answer);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/cabauw/Turn.java
@@ -0,0 +1,37 @@
+package gorsemast.cabauw;
+
+import gorsemast.exchange.Passage;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+
+/** One request of a client, whole, and its one answer. On the event loop. */
+interface Turn {
+    HttpMethod method();
+
+    /** Path and query as they came. */
+    String uri();
+
+    HttpHeaders headers();
+
+    /** Takes the body over; the taker owns it. */
+    ByteBuf takeBody();
+
+    /** When its last byte came, in the loop's microseconds. */
+    long arrival();
+
+    /** What is to be done when the client leaves before it has its answer. */
+    void onLeave(Runnable task);
+
+    /**
+     * Answers; a second answer is let be.
+     *
+     * @param headers without lengths, which are set here; owned by the caller
+     * @param body one reference, taken over
+     */
+    void answer(int status, HttpHeaders headers, ByteBuf body);
+
+    /** Answers with an answer that is passed on as it comes. */
+    Passage begin(HttpResponse head, HttpHeaders headers, long length, Passage.Flow flow);
+}
--- /dev/null
+++ b/src/main/java/gorsemast/cabauw/Visitor.java
@@ -0,0 +1,483 @@
+package gorsemast.cabauw;
+
+import gorsemast.exchange.BodyBuffer;
+import gorsemast.exchange.Passage;
+import gorsemast.marknesse.Log;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One client's connection. Requests may be sent ahead; the answers go back in their order. What may be repeated is begun
+ * as it comes, up to {@link #AHEAD} at a time; what may not is begun only when nothing is before it, since what stands
+ * behind an answer that closes the connection is sent again. All on the event loop.
+ */
+final class Visitor extends ChannelInboundHandlerAdapter {
+    /** So many requests of one connection are in hand at a time; of more, nothing is read. */
+    private static final int AHEAD = 16;
+    /** A body may take so much longer as this many bytes a second would. */
+    private static final long SLOWEST_BYTES = 64_000;
+    private static final long SWEEP_MICROS = 250_000;
+    private static final long STALLED_MICROS = 10_000_000;
+    private static final Log LOG = new Log("cabauw");
+
+    /** What the listener does for all connections. */
+    interface Owner {
+        long now();
+
+        /** Longest body that is taken, in bytes. */
+        long bodyBytes();
+
+        /** From its first byte to the end of its head, in microseconds. */
+        long headMicros();
+
+        long idleMicros();
+
+        /** Whether connections are to end with their answers. */
+        boolean isClosing();
+
+        /** Whether the request may be begun beside others of its connection. */
+        boolean repeatable(HttpRequest head);
+
+        /** Room for so many bytes of bodies; given back with a negative number. */
+        boolean room(long bytes);
+
+        void take(Turn turn);
+
+        void opened(Visitor visitor);
+
+        void closed(Visitor visitor);
+    }
+
+    private final Channel channel;
+    private final Owner owner;
+    private final Deque<Request> requests = new ArrayDeque<>();
+    private Request reading;
+    /** When the first byte of what is not a whole head yet came; 0 where nothing has. */
+    private long begun;
+    private long since;
+    private boolean closing;
+    private boolean broken;
+
+    Visitor(Channel channel, Owner owner) {
+        this.channel = channel;
+        this.owner = owner;
+    }
+
+    /** A request on this connection. */
+    private final class Request implements Turn, Passage {
+        private final HttpRequest head;
+        private final BodyBuffer body = new BodyBuffer(channel.alloc());
+        private final boolean keepAlive;
+        private final boolean repeatable;
+        private long bytes;
+        private long headAt;
+        private long arrival;
+        private boolean whole;
+        private boolean started;
+        private boolean taken;
+        private boolean answered;
+        private boolean streaming;
+        private boolean streamed;
+        private boolean cut;
+        private long rest;
+        private HttpResponse ready;
+        private ByteBuf content = Unpooled.EMPTY_BUFFER;
+        private Flow flow;
+        private Runnable leave = () -> { };
+
+        Request(HttpRequest head) {
+            this.head = head;
+            this.keepAlive = HttpUtil.isKeepAlive(head);
+            this.repeatable = owner.repeatable(head);
+            this.headAt = owner.now();
+        }
+
+        @Override
+        public HttpMethod method() {
+            return head.method();
+        }
+
+        @Override
+        public String uri() {
+            return head.uri();
+        }
+
+        @Override
+        public HttpHeaders headers() {
+            return head.headers();
+        }
+
+        @Override
+        public ByteBuf takeBody() {
+            taken = true;
+            return body.take();
+        }
+
+        @Override
+        public long arrival() {
+            return arrival;
+        }
+
+        @Override
+        public void onLeave(Runnable task) {
+            leave = task;
+        }
+
+        @Override
+        public void answer(int status, HttpHeaders headers, ByteBuf bytesToSend) {
+            if (answered || broken) {
+                bytesToSend.release();
+                return;
+            }
+            answered = true;
+            drop();
+            content = bytesToSend;
+            ready = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
+            if (status != HttpResponseStatus.NOT_MODIFIED.code()) {
+                headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+            }
+            flush();
+        }
+
+        @Override
+        public Passage begin(HttpResponse start, HttpHeaders headers, long length, Flow source) {
+            if (answered || broken) {
+                return null;
+            }
+            answered = true;
+            streaming = true;
+            flow = source;
+            rest = length;
+            drop();
+            ready = new DefaultHttpResponse(HttpVersion.HTTP_1_1, start.status(), headers);
+            if (length >= 0) {
+                headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
+            } else {
+                headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            }
+            content = channel.alloc().heapBuffer();
+            flush();
+            return this;
+        }
+
+        @Override
+        public void part(ByteBuf part) {
+            rest -= part.readableBytes();
+            if (requests.peek() == this && ready == null) {
+                channel.writeAndFlush(new DefaultHttpContent(part.retainedDuplicate()));
+            } else {
+                content.writeBytes(part);
+            }
+            flow.pause(!channel.isWritable() || content.readableBytes() > BodyBuffer.BLOCK);
+        }
+
+        @Override
+        public void ended() {
+            streamed = true;
+            flush();
+        }
+
+        @Override
+        public void broken() {
+            cut = true;
+            flush();
+        }
+
+        /** Of its body nothing is kept any more. */
+        private void drop() {
+            if (!taken) {
+                body.drop();
+                taken = true;
+            }
+            owner.room(-bytes);
+            bytes = 0;
+        }
+    }
+
+    // ---- what comes
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        since = owner.now();
+        owner.opened(this);
+        sweep();
+    }
+
+    private void sweep() {
+        if (broken) {
+            return;
+        }
+        long now = owner.now();
+        Request late = reading;
+        if (late != null && now - late.headAt > owner.headMicros() + late.bytes * 1_000_000L / SLOWEST_BYTES) {
+            refuse(late, HttpResponseStatus.REQUEST_TIMEOUT);
+        } else if (requests.isEmpty() && begun != 0 && now - begun > owner.headMicros()) {
+            close();
+        } else if (requests.isEmpty() && begun == 0 && now - since > owner.idleMicros()) {
+            close();
+        } else if (!requests.isEmpty() && requests.peek().streaming && !channel.isWritable() && now - since > STALLED_MICROS) {
+            close();
+        }
+        channel.eventLoop().schedule(this::sweep, SWEEP_MICROS, TimeUnit.MICROSECONDS);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        try {
+            if (!closing && !broken) {
+                read(message);
+            }
+        } catch (RuntimeException e) {
+            LOG.fault(e);
+            close();
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void read(Object message) {
+        since = owner.now();
+        if (message instanceof HttpRequest head) {
+            begun = 0;
+            reading = new Request(head);
+            requests.add(reading);
+            HttpResponseStatus problem = problem(head);
+            if (problem != null) {
+                refuse(reading, problem);
+                return;
+            }
+            if (HttpUtil.is100ContinueExpected(head) && requests.size() == 1) {
+                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+                    Unpooled.EMPTY_BUFFER));
+            }
+        }
+        if (message instanceof HttpContent part && reading != null) {
+            Request request = reading;
+            if (part.decoderResult().isFailure()) {
+                refuse(request, HttpResponseStatus.BAD_REQUEST);
+                return;
+            }
+            int more = part.content().readableBytes();
+            if (request.bytes + more > owner.bodyBytes()) {
+                refuse(request, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+                return;
+            }
+            if (more > 0) {
+                if (!owner.room(more)) {
+                    refuse(request, HttpResponseStatus.SERVICE_UNAVAILABLE);
+                    return;
+                }
+                request.bytes += more;
+                request.body.add(part.content());
+            }
+            if (part instanceof LastHttpContent) {
+                request.whole = true;
+                request.arrival = owner.now();
+                reading = null;
+                start();
+            }
+        }
+    }
+
+    private static HttpResponseStatus problem(HttpRequest head) {
+        if (head.decoderResult().isFailure()) {
+            return head.decoderResult().cause() instanceof io.netty.handler.codec.http.TooLongHttpHeaderException
+                || head.decoderResult().cause() instanceof io.netty.handler.codec.http.TooLongHttpLineException
+                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST;
+        }
+        boolean oneHost = head.headers().getAll(HttpHeaderNames.HOST).size() == 1;
+        boolean path = head.uri().startsWith("/");
+        return oneHost && path && head.protocolVersion().majorVersion() == 1 ? null : HttpResponseStatus.BAD_REQUEST;
+    }
+
+    /** An error for what can't be read on; the connection ends with it. */
+    private void refuse(Request request, HttpResponseStatus status) {
+        closing = true;
+        reading = null;
+        request.whole = true;
+        request.started = true;
+        HttpHeaders headers = new DefaultHttpHeaders();
+        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            headers.set(HttpHeaderNames.RETRY_AFTER, "0.5");
+        }
+        request.answer(status.code(), headers, Unpooled.EMPTY_BUFFER);
+    }
+
+    private void start() {
+        boolean first = true;
+        boolean alone = true;
+        for (Request request : requests.toArray(new Request[0])) {
+            if (!request.whole || broken) {
+                break;
+            }
+            if (!request.started && (first || request.repeatable && alone)) {
+                request.started = true;
+                owner.take(request);
+            }
+            // Behind one that may close the connection, or that waits to be alone, nothing else is begun.
+            alone &= request.repeatable && request.keepAlive;
+            first = false;
+        }
+        channel.config().setAutoRead(requests.size() < AHEAD);
+    }
+
+    // ---- what goes
+
+    private void flush() {
+        boolean wrote = false;
+        while (!requests.isEmpty() && requests.peek().answered && !broken) {
+            Request request = requests.peek();
+            boolean last = false;
+            if (request.ready != null) {
+                last = (closing || !request.keepAlive || owner.isClosing()) && noneStartedBehind();
+                if (last) {
+                    request.ready.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                    closing = true;
+                } else {
+                    request.ready.headers().remove(HttpHeaderNames.CONNECTION);
+                }
+                channel.write(request.ready);
+                request.ready = null;
+                if (request.content.isReadable()) {
+                    channel.write(new DefaultHttpContent(request.content));
+                } else {
+                    request.content.release();
+                }
+                request.content = request.streaming ? channel.alloc().heapBuffer() : Unpooled.EMPTY_BUFFER;
+                wrote = true;
+            } else if (request.content.isReadable()) {
+                channel.write(new DefaultHttpContent(request.content));
+                request.content = channel.alloc().heapBuffer();
+            }
+            if (request.streaming && request.cut) {
+                request.content.release();
+                channel.flush();
+                channel.close(); // it must not look complete
+                return;
+            }
+            if (request.streaming && !request.streamed) {
+                channel.flush();
+                return;
+            }
+            if (request.streaming) {
+                request.content.release();
+            }
+            requests.poll();
+            since = owner.now();
+            ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+            wrote = false;
+            if (closing && requests.stream().noneMatch(one -> one.started)) {
+                written.addListener((ChannelFutureListener) done -> part());
+                return;
+            }
+        }
+        if (wrote) {
+            channel.flush();
+        }
+        if (!closing && !broken) {
+            start();
+        }
+    }
+
+    private boolean noneStartedBehind() {
+        boolean first = true;
+        for (Request request : requests) {
+            if (!first && request.started) {
+                return false;
+            }
+            first = false;
+        }
+        return true;
+    }
+
+    /** Says that nothing more comes before it closes: unread bytes would else reset the connection and lose the answer. */
+    private void part() {
+        if (channel instanceof DuplexChannel duplex && channel.isActive()) {
+            duplex.shutdownOutput().addListener(done ->
+                channel.eventLoop().schedule(() -> { channel.close(); }, SWEEP_MICROS, TimeUnit.MICROSECONDS));
+        } else {
+            channel.close();
+        }
+    }
+
+    /** Whether nothing is asked on it, nor begun to be. */
+    boolean idle() {
+        return requests.isEmpty() && begun == 0;
+    }
+
+    /** Ends it. */
+    void close() {
+        channel.close();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        Request first = requests.peek();
+        if (first != null && first.streaming && !first.streamed && channel.isWritable()) {
+            since = owner.now();
+            first.flow.pause(false);
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (reading == null && requests.isEmpty() && begun == 0 && !closing) {
+            begun = decoderHasBytes(ctx) ? owner.now() : 0;
+        }
+    }
+
+    private static boolean decoderHasBytes(ChannelHandlerContext ctx) {
+        return !ctx.pipeline().get(gorsemast.exchange.StrictHttp.Requests.class).empty();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        broken = true;
+        owner.closed(this);
+        for (Request request : requests) {
+            if (!request.answered) {
+                request.answered = true;
+                if (request.started) {
+                    request.leave.run();
+                }
+                request.drop();
+            } else if (request.streaming && !request.streamed && !request.cut) {
+                request.flow.cancel();
+            }
+            if (request.content.refCnt() > 0) {
+                request.content.release();
+            }
+        }
+        requests.clear();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/debilt/Registry.java
@@ -0,0 +1,161 @@
+package gorsemast.debilt;
+
+import gorsemast.terschelling.Board;
+import gorsemast.terschelling.Item;
+import gorsemast.terschelling.Item.Kind;
+import gorsemast.terschelling.MachineNews;
+import gorsemast.terschelling.ServerNews;
+import gorsemast.terschelling.ServerNews.State;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What a registry makes of beats and of silence. Keeps nothing on disk: what it has lost is told again, by the servers
+ * with their next beats and by whoever it has told before.
+ *
+ * <p><b>Idea.</b> The count of calls orders what a server tells, whichever registry it reaches; a state becomes news
+ * when it changes, a beat alone does not. Who is not heard by any registry for some beats is taken for silent, not for
+ * gone: its next beat brings it back. O(1) a beat. Times in microseconds; one thread.
+ */
+public final class Registry {
+    /** After so many beats that did not come a server is taken for silent. */
+    private static final double MISSED = 3.5;
+    /** After so long without a link an edge or a core machine is taken for down. */
+    static final long DOWN_MICROS = 3_000_000;
+    /** A draining server that is not heard of any more has gone. */
+    private static final long DRAINED_MICROS = 30_000_000;
+
+    private final Board board;
+    private final long beatMicros;
+    private final Map<String, Long> heard = new HashMap<>();
+    private final Map<String, Long> told = new HashMap<>();
+    private final Map<String, Long> sinceTold = new HashMap<>();
+    private final Set<String> safe = new HashSet<>();
+
+    /** Over a board that it only reads. */
+    public Registry(Board board, long beatMicros) {
+        this.board = board;
+        this.beatMicros = beatMicros;
+    }
+
+    /** What is to be published for a beat, and whether others must hold it first. */
+    public record Outcome(Item item, boolean waits) {
+    }
+
+    /** A server's own beat. Null where it is no news. */
+    public Outcome beat(long now, ServerNews server) {
+        heard.put(server.id(), now);
+        told.merge(server.id(), server.seq(), Math::max);
+        sinceTold.put(server.id(), told.get(server.id()));
+        Item held = board.get(Kind.SERVER, server.id());
+        ServerNews known = held == null ? null : ServerNews.of(held);
+        if (known != null && known.state() == State.GONE) {
+            return null; // it has left; this came late
+        }
+        Item item = server.item(now);
+        if (known != null && (held.stamp() >= item.stamp() || known.state() == server.state()
+            && known.address().equals(server.address()) && known.service().equals(server.service()))) {
+            boolean unsafe = known.state() == State.DRAINING && server.state() == State.DRAINING && !safe(held);
+            return unsafe ? new Outcome(held, true) : null;
+        }
+        return new Outcome(item, server.state() == State.DRAINING);
+    }
+
+    /** A server has left. Null where all know. */
+    public Outcome deregister(long now, String id) {
+        Item held = board.get(Kind.SERVER, id);
+        ServerNews known = held == null ? null : ServerNews.of(held);
+        ServerNews gone = known == null ? new ServerNews(id, "", "", "", 1, State.GONE, 0, 0) : known.in(State.GONE,
+            known.seq());
+        if (known != null && known.state() == State.GONE) {
+            return safe(held) ? null : new Outcome(held, true);
+        }
+        return new Outcome(gone.item(now), true);
+    }
+
+    private boolean safe(Item item) {
+        return safe.contains(item.key() + item.stamp());
+    }
+
+    /** Others hold this. */
+    public void safe(String key, long stamp) {
+        safe.add(key + stamp);
+    }
+
+    /** Another registry has heard this one of late. */
+    public void heardElsewhere(long now, String id, long seq) {
+        Long known = told.get(id);
+        if (known == null || seq > known || seq == 0) {
+            told.put(id, seq);
+            heard.put(id, now);
+        }
+    }
+
+    /** What was heard here since this was last asked. */
+    public Map<String, Long> heardHere() {
+        Map<String, Long> all = new HashMap<>(sinceTold);
+        sinceTold.clear();
+        return all;
+    }
+
+    /** A machine that has a link to this registry now. Returns what is to be published, null for nothing. */
+    public Item linked(long now, Kind kind, String ip, String zone, String control, long life) {
+        String key = kind + ip;
+        heard.put(key, now);
+        sinceTold.put(key, 0L);
+        Item held = board.get(kind, ip);
+        MachineNews known = held == null ? null : MachineNews.of(held);
+        if (known != null && known.up() && known.life() >= life) {
+            return null;
+        }
+        long next = known == null ? life : Math.max(life, known.life() + 1);
+        return new MachineNews(ip, zone, control, true, next).item(kind, now);
+    }
+
+    /** What has been silent for too long; only for who can tell that, as it reaches most of the others. */
+    public List<Item> silent(long now) {
+        List<Item> found = new ArrayList<>();
+        for (Item item : board.all(Kind.SERVER)) {
+            ServerNews server = ServerNews.of(item);
+            long quiet = now - heard.computeIfAbsent(item.key(), key -> now);
+            if (server == null) {
+                continue;
+            }
+            long seq = Math.max(server.seq(), told.getOrDefault(item.key(), 0L));
+            if (server.state() == State.READY && quiet > MISSED * beatMicros) {
+                found.add(server.in(State.SILENT, seq).item(now));
+            } else if (server.state() == State.DRAINING && quiet > DRAINED_MICROS) {
+                found.add(server.in(State.GONE, seq).item(now));
+            }
+        }
+        for (Kind kind : List.of(Kind.EDGE, Kind.CORE)) {
+            for (Item item : board.all(kind)) {
+                MachineNews machine = MachineNews.of(item);
+                if (machine != null && machine.up() && now - heard.computeIfAbsent(kind + item.key(), key -> now)
+                    > DOWN_MICROS) {
+                    found.add(new MachineNews(machine.ip(), machine.zone(), machine.control(), false, machine.life())
+                        .item(kind, now));
+                }
+            }
+        }
+        return found;
+    }
+
+    /** Forgets what the board has forgotten. */
+    public void forget() {
+        Set<String> known = new HashSet<>();
+        board.all(Kind.SERVER).forEach(item -> known.add(item.key()));
+        for (Kind kind : List.of(Kind.EDGE, Kind.CORE)) {
+            board.all(kind).forEach(item -> known.add(kind + item.key()));
+        }
+        heard.keySet().retainAll(known);
+        told.keySet().retainAll(known);
+        Set<String> held = new HashSet<>();
+        board.all(Kind.SERVER).forEach(item -> held.add(item.key() + item.stamp()));
+        safe.retainAll(held);
+    }
+}
--- a/src/main/java/anisebend/net/BodyBuffer.java
+++ b/src/main/java/gorsemast/exchange/BodyBuffer.java
@@ -1,4 +1,4 @@
-package anisebend.net;
+package gorsemast.exchange;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -10,21 +10,21 @@
  * growing would copy and for a moment hold it twice. The parts themselves are never kept, as each may be a small slice
  * of a large buffer.
  */
-final class BodyBuffer {
+public final class BodyBuffer {
     /** As much as one part that is written to a node. */
-    static final int BLOCK = 64 << 10;
+    public static final int BLOCK = 64 << 10;
 
     private final ByteBufAllocator allocator;
     private CompositeByteBuf blocks;
     /** The last block, not in the row yet; owned here. */
     private ByteBuf last;
 
-    BodyBuffer(ByteBufAllocator allocator) {
+    public BodyBuffer(ByteBufAllocator allocator) {
         this.allocator = allocator;
     }
 
     /** Copies what is readable; the part stays the caller's. */
-    void add(ByteBuf part) {
+    public void add(ByteBuf part) {
         while (part.isReadable()) {
             if (last != null && last.readableBytes() == BLOCK) {
                 blocks = blocks == null ? allocator.compositeHeapBuffer(Integer.MAX_VALUE) : blocks;
@@ -38,7 +38,7 @@
     }
 
     /** All of it; whoever takes it owns it, and nothing is left here. */
-    ByteBuf take() {
+    public ByteBuf take() {
         ByteBuf all;
         if (blocks == null) {
             all = last == null ? Unpooled.EMPTY_BUFFER : last;
@@ -51,7 +51,7 @@
     }
 
     /** Lets go of what has come so far. */
-    void drop() {
+    public void drop() {
         take().release(); // the empty buffer takes no notice
     }
 }
--- a/src/main/java/anisebend/net/NettyLog.java
+++ b/src/main/java/gorsemast/exchange/NettyLog.java
@@ -1,4 +1,4 @@
-package anisebend.net;
+package gorsemast.exchange;
 
 import io.netty.util.internal.logging.AbstractInternalLogger;
 import io.netty.util.internal.logging.InternalLogger;
@@ -8,7 +8,7 @@
  * Netty's warnings and errors, a line each on standard error. Left to itself Netty looks for four logging libraries
  * and sets up the JDK's, a tenth of the CPU time from {@code main} to the first request, for a log that is silent.
  */
-final class NettyLog extends AbstractInternalLogger {
+public final class NettyLog extends AbstractInternalLogger {
     private static final long serialVersionUID = 1L;
 
     private NettyLog(String name) {
@@ -16,7 +16,7 @@
     }
 
     /** To be called before any class of Netty is touched. */
-    static void install() {
+    public static void install() {
         InternalLoggerFactory.setDefaultFactory(new InternalLoggerFactory() {
             @Override
             protected InternalLogger newInstance(String name) {
--- a/src/main/java/anisebend/net/Passage.java
+++ b/src/main/java/gorsemast/exchange/Passage.java
@@ -1,4 +1,4 @@
-package anisebend.net;
+package gorsemast.exchange;
 
 import io.netty.buffer.ByteBuf;
 
@@ -6,7 +6,7 @@
  * Where an answer goes that is too long to be kept: its parts, as they come, and exactly one of {@link #ended} and
  * {@link #broken} behind them, unless its taker has called it off. On the event loop.
  */
-interface Passage {
+public interface Passage {
     /** The next bytes; only lent. */
     void part(ByteBuf bytes);
 
--- a/src/main/java/anisebend/net/Signals.java
+++ b/src/main/java/gorsemast/exchange/Signals.java
@@ -1,4 +1,4 @@
-package anisebend.net;
+package gorsemast.exchange;
 
 import java.lang.reflect.Proxy;
 
@@ -7,12 +7,12 @@
  * {@code sun.misc.Signal} of the supported module jdk.unsupported. It is reached by reflection, as javac warns of
  * each direct use, no annotation can allow one, and warnings are errors here.
  */
-final class Signals {
+public final class Signals {
     private Signals() {
     }
 
     /** Runs {@code task} at each SIGHUP, on a thread of its own; without this a JVM ends on the first. */
-    static void onHangup(Runnable task) {
+    public static void onHangup(Runnable task) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
--- a/src/main/java/anisebend/net/StrictHttp.java
+++ b/src/main/java/gorsemast/exchange/StrictHttp.java
@@ -1,4 +1,4 @@
-package anisebend.net;
+package gorsemast.exchange;
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
@@ -10,7 +10,7 @@
  * Netty's decoders without their leniency: a message that gives both a length and chunks may hide another one
  * in its body, and the two sides of a connection must never disagree on where a message ends.
  */
-final class StrictHttp {
+public final class StrictHttp {
     private static final int MAX_LINE = 4096;
     private static final int MAX_HEAD = 8192;
     /** Bodies come in parts of this size at most; each costs a pass through the pipeline. */
@@ -28,9 +28,15 @@
         throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
     }
 
-    static final class Requests extends HttpRequestDecoder {
-        Requests() {
-            super(config());
+    public static final class Requests extends HttpRequestDecoder {
+        /** Heads of {@code MAX_HEAD} bytes at most. */
+        public Requests() {
+            this(MAX_HEAD);
+        }
+
+        /** @param maxHead bytes that a head may have, its first line half of them */
+        public Requests(int maxHead) {
+            super(config().setMaxHeaderSize(maxHead).setMaxInitialLineLength(Math.max(MAX_LINE, maxHead / 2)));
         }
 
         @Override
@@ -39,13 +45,14 @@
         }
 
         /** Whether all that has come belongs to the messages passed on so far. */
-        boolean empty() {
+        public boolean empty() {
             return actualReadableBytes() == 0;
         }
     }
 
-    static final class Responses extends HttpResponseDecoder {
-        Responses() {
+    public static final class Responses extends HttpResponseDecoder {
+        /** For one connection. */
+        public Responses() {
             super(config());
         }
 
@@ -64,7 +71,7 @@
         }
 
         /** Whether all that has come belongs to the messages passed on so far. */
-        boolean empty() {
+        public boolean empty() {
             return actualReadableBytes() == 0;
         }
     }
--- a/src/main/java/anisebend/net/Upstream.java
+++ b/src/main/java/gorsemast/exchange/Upstream.java
@@ -1,4 +1,4 @@
-package anisebend.net;
+package gorsemast.exchange;
 
 import anisebend.Balancer.Code;
 import anisebend.Balancer.Note;
@@ -25,12 +25,14 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -44,9 +46,9 @@
  * Connections to the cache nodes and the attempts on them: one request a connection at a time, written at
  * most once, and exactly one ending for each attempt. It never sends anything again by itself.
  */
-final class Upstream {
+public final class Upstream {
     /** An answer is kept whole up to here, so that it can be had elsewhere if it breaks; a longer one is passed on. */
-    static final int MAX_KEPT = 64 << 10;
+    public static final int MAX_KEPT = 64 << 10;
     /** A longer answer breaks the protocol and ends the connection. */
     static final long MAX_ANSWER = 64L << 20;
     /** A node that sends nothing more of an answer that is being passed on, for this long, has broken it off. */
@@ -66,8 +68,55 @@
     /** So many 1xx may come ahead of an answer; an endless row of them is none. */
     private static final int MAX_INTERIM = 16;
 
-    /** Told once how an attempt ended; {@code answer} is there for OK only and is released afterwards. */
-    interface Ending {
+    /** Whom an attempt goes to. */
+    public interface Peer {
+        /** What its connections are kept under; another life of a server has another. */
+        String host();
+
+        /** Where it is dialled. */
+        InetSocketAddress dial();
+    }
+
+    /** What the two sides say to each other above HTTP. */
+    public interface Dialect {
+        /** What an answer says of its attempt. */
+        Code code(HttpResponse answer);
+
+        /** What it says of other fetches. */
+        default Note note(HttpResponse answer) {
+            return Note.NONE;
+        }
+
+        /** Whether it answers this request, and not one that was asked on the connection before. */
+        default boolean answers(HttpRequest request, HttpResponse answer) {
+            return true;
+        }
+    }
+
+    /** What cache nodes in service speak. */
+    public static final Dialect IN_SERVICE = new Dialect() {
+        @Override
+        public Code code(HttpResponse answer) {
+            int status = answer.status().code();
+            boolean turnedAway = (status == 503 || status == 504)
+                && "1".equals(answer.headers().get("X-Unprocessed"));
+            return status == 200 ? Code.OK : turnedAway ? Code.FULL : Code.ERROR;
+        }
+
+        @Override
+        public Note note(HttpResponse answer) {
+            String word = answer.headers().get("X-Lookup");
+            return word == null ? Note.NONE : switch (word) {
+                case "hit" -> Note.HIT;
+                case "miss" -> Note.MISS;
+                case "pending" -> Note.MISS_FETCHING;
+                default -> Note.NONE;
+            };
+        }
+    };
+
+    /** Told once how an attempt ended; {@code answer} is there where one came whole, and is released afterwards. */
+    public interface Ending {
         void ended(Code code, Note note, FullHttpResponse answer);
 
         /**
@@ -81,13 +130,14 @@
     }
 
     /** Whether a cache node, as last started, may be sent anything new. */
-    interface Readiness {
-        boolean ready(Discovery.Node node);
+    public interface Readiness {
+        boolean ready(Peer node);
     }
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final Readiness readiness;
+    private final Dialect dialect;
     private final Pools pools;
     private final long idleMillis;
     private final long connectMillis;
@@ -99,9 +149,17 @@
     /** Attempts whose last byte the system has taken, since the start. */
     private long attemptsWritten;
 
-    Upstream(EventLoop loop, Readiness readiness, int maxConnections, long idleMillis, long connectMillis,
-             long seed) {
+    /**
+     * Connections to peers, for one event loop.
+     *
+     * @param readiness whether a peer may be sent anything new
+     * @param maxConnections open or coming up at a time
+     * @param idleMillis after how long the peers close what is idle
+     */
+    public Upstream(EventLoop loop, Dialect dialect, Readiness readiness, int maxConnections, long idleMillis,
+                    long connectMillis, long seed) {
         this.loop = loop;
+        this.dialect = dialect;
         this.readiness = readiness;
         this.pools = new Pools(maxConnections, new SplittableRandom(seed));
         this.idleMillis = idleMillis / IDLE_PART;
@@ -110,33 +168,33 @@
     }
 
     /** After how long a node has broken off an answer that is being passed on; asked for before anything is sent. */
-    Upstream stalledAfter(long micros) {
+    public Upstream stalledAfter(long micros) {
         stalledMicros = micros;
         return this;
     }
 
-    long attemptsWritten() {
+    public long attemptsWritten() {
         return attemptsWritten;
     }
 
     /** What passed on the sockets to a node; null where nothing did. */
-    Traffic traffic(String host) {
+    public Traffic traffic(String host) {
         return traffic.get(host);
     }
 
     /** Drops the counts of a node that has gone. */
-    void forget(String host) {
+    public void forget(String host) {
         traffic.remove(host);
         pools.forget(host);
     }
 
     /** Changes the bound on connections; those above it go as they fall idle. */
-    void limit(int connectionsAtMost) {
+    public void limit(int connectionsAtMost) {
         pools.limit(connectionsAtMost);
     }
 
     /** What all outgoing connections have in common. */
-    static Bootstrap client(EventLoop loop, long connectMillis) {
+    public static Bootstrap client(EventLoop loop, long connectMillis) {
         return new Bootstrap().group(loop).channel(Transport.stream(loop))
             .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
             .option(ChannelOption.TCP_NODELAY, true)
@@ -147,8 +205,13 @@
      * Starts an attempt that is given up {@code waitMicros} from now; takes over the request's reference. One that
      * runs {@code once} at most is written with care, so that a dead connection seldom leaves open whether it ran.
      */
-    Attempt send(Discovery.Node node, FullHttpRequest request, long waitMicros, boolean once, Ending ending) {
-        Attempt attempt = new Attempt(node, request, once, ending);
+    public Attempt send(Peer node, FullHttpRequest request, long waitMicros, boolean once, Ending ending) {
+        return send(node, request, waitMicros, once, MAX_KEPT, ending);
+    }
+
+    /** The same, with an answer of up to {@code kept} bytes kept whole. */
+    public Attempt send(Peer node, FullHttpRequest request, long waitMicros, boolean once, int kept, Ending ending) {
+        Attempt attempt = new Attempt(node, request, once, kept, ending);
         attempt.limit = loop.schedule(attempt::expire, Math.max(0, waitMicros), TimeUnit.MICROSECONDS);
         Connection connection = takeIdle(node.host());
         if (connection != null) {
@@ -165,7 +228,7 @@
      * Opens what the pool allows for those that wait; who can't have a connection is told so. One that fell idle as
      * another was coming up is taken first: where that other one fails, nothing else would tell who waits of it.
      */
-    private void grow(Discovery.Node node) {
+    private void grow(Peer node) {
         while (idle.containsKey(node.host()) && waits(node.host()) > pools.opening(node.host())) {
             takeIdle(node.host()).carry(next(node.host()));
         }
@@ -219,7 +282,7 @@
     }
 
     /** Closes the kept connections to a cache node; attempts that are out go on, those that wait in vain end. */
-    void closeIdle(String host) {
+    public void closeIdle(String host) {
         Deque<Connection> kept = idle.remove(host);
         if (kept != null) {
             kept.forEach(Connection::close);
@@ -230,7 +293,7 @@
         }
     }
 
-    void closeAllIdle() {
+    public void closeAllIdle() {
         List.copyOf(idle.keySet()).forEach(this::closeIdle);
     }
 
@@ -246,10 +309,12 @@
     }
 
     /** One attempt: not written yet, written, or ended. */
-    final class Attempt {
-        private final Discovery.Node node;
+    public final class Attempt {
+        private final Peer node;
         private final FullHttpRequest request;
         private final boolean once;
+        /** Up to how many bytes its answer is kept whole. */
+        private final int most;
         private final Ending ending;
         private ScheduledFuture<?> limit;
         private Connection connection;
@@ -261,8 +326,9 @@
         private final Traffic passed;
         private final long begunNanos = System.nanoTime();
 
-        Attempt(Discovery.Node node, FullHttpRequest request, boolean once, Ending ending) {
+        Attempt(Peer node, FullHttpRequest request, boolean once, int most, Ending ending) {
             this.node = node;
+            this.most = most;
             this.passed = traffic.computeIfAbsent(node.host(), host -> new Traffic());
             this.request = request;
             this.once = once;
@@ -270,7 +336,7 @@
         }
 
         /** Gives it up. What was never written has never run, so it can be told apart from what might have. */
-        void cancel() {
+        public void cancel() {
             end(written ? Code.CANCELLED : Code.NOT_SENT, Note.NONE, null);
         }
 
@@ -319,13 +385,13 @@
             if (!handedOver) {
                 request.release();
             }
-            ending.ended(code, note, code == Code.OK ? answer : null);
+            ending.ended(code, note, answer);
         }
     }
 
     /** One connection; at most one attempt is on it. */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Passage.Flow {
-        private final Discovery.Node node;
+        private final Peer node;
         private Channel channel;
         private Attempt attempt;
         private ScheduledFuture<?> idleLimit;
@@ -345,11 +411,13 @@
         private Passage passage;
         private long lastPart;
         private boolean inInterim;
+        /** Within an answer to another request, which is dropped. */
+        private boolean surplus;
         private boolean excess;
         private int interim;
         private final Traffic passed;
 
-        Connection(Discovery.Node node) {
+        Connection(Peer node) {
             this.node = node;
             this.passed = traffic.computeIfAbsent(node.host(), host -> new Traffic());
         }
@@ -574,13 +642,19 @@
             }
             // An answer to nothing, or no HTTP. One that only the connection's end would mark as whole comes to its
             // end after closeFuture, when its attempt has ended as a reset: it might have been cut anywhere.
-            boolean early = attempt != null && !attempt.written && code(start) != Code.OK;
+            boolean early = attempt != null && !attempt.written && dialect.code(start) != Code.OK;
             excess |= early; // turned away before all of it was read: the rest of it can't be called back
             if (attempt == null || !attempt.written && !early || start.decoderResult().isFailure()
                 || start.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
                 lost();
                 return;
             }
+            if (!dialect.answers(attempt.request, start)) {
+                // A late second answer to what was asked before: ours is still to come, and nothing follows it here.
+                surplus = true;
+                excess = true;
+                return;
+            }
             inInterim = start.status().codeClass() == HttpStatusClass.INFORMATIONAL;
             if (inInterim) {
                 if (++interim > MAX_INTERIM) {
@@ -600,6 +674,13 @@
                 inInterim = !(part instanceof LastHttpContent);
                 return;
             }
+            if (surplus) {
+                surplus = !(part instanceof LastHttpContent);
+                if (part.decoderResult().isFailure()) {
+                    lost();
+                }
+                return;
+            }
             if (head == null || complete) {
                 excess = true;
                 return;
@@ -611,7 +692,8 @@
                 return;
             }
             // Not before its first byte: until then the whole of it can be had elsewhere if this one breaks.
-            boolean tooLong = received > MAX_KEPT || length > MAX_KEPT && bytes.isReadable();
+            int most = attempt == null ? MAX_KEPT : attempt.most;
+            boolean tooLong = received > most || length > most && bytes.isReadable();
             boolean framed = length >= 0 || HttpUtil.isTransferEncodingChunked(head);
             if (passage == null && tooLong && !(framed && pass())) {
                 lost(); // no answer of ours, or one whose end could not be told from a cut, or nobody wants it any more
@@ -639,10 +721,10 @@
 
         /** Passes the answer on from here, where it is one and somebody wants it. */
         private boolean pass() {
-            if (code(head) != Code.OK || attempt == null) {
+            if (dialect.code(head) != Code.OK || attempt == null) {
                 return false;
             }
-            passage = attempt.begin(note(head.headers().get("X-Lookup")), head, length, this);
+            passage = attempt.begin(dialect.note(head), head, length, this);
             if (passage == null) {
                 pools.given(node.host());
                 return false;
@@ -699,7 +781,7 @@
             clear();
             try {
                 if (attempt != null) {
-                    attempt.end(code(answer), note(answer.headers().get("X-Lookup")), answer);
+                    attempt.end(dialect.code(answer), dialect.note(answer), answer);
                 } else if (excess || !HttpUtil.isKeepAlive(answer)) {
                     close(); // it was passed on
                 } else {
@@ -711,25 +793,9 @@
             }
         }
 
-        private static Code code(HttpResponse answer) {
-            int status = answer.status().code();
-            boolean turnedAway = (status == 503 || status == 504)
-                && "1".equals(answer.headers().get("X-Unprocessed"));
-            return status == 200 ? Code.OK : turnedAway ? Code.FULL : Code.ERROR;
-        }
-
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             lost();
         }
     }
-
-    private static Note note(String word) {
-        return word == null ? Note.NONE : switch (word) {
-            case "hit" -> Note.HIT;
-            case "miss" -> Note.MISS;
-            case "pending" -> Note.MISS_FETCHING;
-            default -> Note.NONE;
-        };
-    }
 }
--- /dev/null
+++ b/src/main/java/gorsemast/hupsel/Network.java
@@ -0,0 +1,43 @@
+package gorsemast.hupsel;
+
+import anisebend.Balancer.Code;
+import gorsemast.exchange.Upstream;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+
+/**
+ * What the delivery network and its servers say to each other above HTTP: whether a request has run is told by
+ * {@code Not-Executed}, and whose an answer is by {@code Attempt-Id}.
+ */
+public final class Network implements Upstream.Dialect {
+    /** The id of a client's try. */
+    public static final String ATTEMPT = "Attempt-Id";
+    /** Milliseconds that are left. */
+    public static final String BUDGET = "Time-Budget";
+    /** The life of a server that alone may run it. */
+    public static final String TARGET = "Target-Instance";
+    /** What a server's answer carries. */
+    public static final String SEAL = "Edge-Seal";
+    private static final String NOT_RUN = "Not-Executed";
+    private static final int MISDIRECTED = 421;
+    private static final int FAILED = 500;
+
+    @Override
+    public Code code(HttpResponse answer) {
+        int status = answer.status().code();
+        if (status == MISDIRECTED) {
+            return Code.CONNECT_FAILED; // another life has the address; this one is not there
+        }
+        if (answer.headers().contains(NOT_RUN)) {
+            return Code.FULL;
+        }
+        return status >= FAILED ? Code.ERROR : Code.OK;
+    }
+
+    @Override
+    public boolean answers(HttpRequest request, HttpResponse answer) {
+        String asked = request.headers().get(ATTEMPT);
+        String told = answer.headers().get(ATTEMPT);
+        return asked == null || told == null || asked.equals(told);
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/hupsel/Turns.java
@@ -0,0 +1,52 @@
+package gorsemast.hupsel;
+
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.function.Consumer;
+
+/**
+ * Keeps a module from being entered while it is running: what its actions bring about waits until the event before it is
+ * done. One faulty step does not take the others with it. One thread.
+ */
+final class Turns {
+    private final Queue<Runnable> events = new ArrayDeque<>();
+    private final Queue<Runnable> actions = new ArrayDeque<>();
+    private final Consumer<RuntimeException> faults;
+    private boolean busy;
+
+    Turns(Consumer<RuntimeException> faults) {
+        this.faults = faults;
+    }
+
+    /** Something for the module. */
+    void event(Runnable event) {
+        events.add(event);
+        if (busy) {
+            return;
+        }
+        busy = true;
+        try {
+            while (!events.isEmpty()) {
+                step(events.poll());
+                while (!actions.isEmpty()) {
+                    step(actions.poll());
+                }
+            }
+        } finally {
+            busy = false;
+        }
+    }
+
+    /** Something that the module wants done, after the event in which it said so. */
+    void action(Runnable action) {
+        actions.add(action);
+    }
+
+    private void step(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            faults.accept(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/lauwersoog/Gossip.java
@@ -0,0 +1,189 @@
+package gorsemast.lauwersoog;
+
+import gorsemast.lauwersoog.Record.Digest;
+import gorsemast.lauwersoog.Record.Held;
+import gorsemast.lauwersoog.Record.News;
+import gorsemast.lauwersoog.Record.Program;
+import gorsemast.lauwersoog.Record.Summary;
+import gorsemast.terschelling.Board;
+import gorsemast.terschelling.Item;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+/**
+ * Passes news on over the links of one process and mends gaps.
+ *
+ * <p><b>Idea.</b> What is new is passed on at once to whoever may not have it: a registry tells the other registries
+ * what it did not have from one of them, and its proxies everything; a proxy tells the few others that it keeps links
+ * to. Digests go over each link when it comes up and to one more link at each tick; parts that differ are mended both
+ * ways. So a lost record, a cut or a freeze costs a tick and a way. One thread.
+ */
+public final class Gossip {
+    private final Board board;
+    private final Links links;
+    private final Program program;
+    private final LongSupplier clock;
+    private final BooleanSupplier synced;
+    private final Consumer<Item> changed;
+    /** The last digest of each link, of those that were not still catching up themselves. */
+    private final Map<Link, long[]> digests = new HashMap<>();
+    private final Map<Long, Order> orders = new HashMap<>();
+    private long lastOrder;
+    private int turn;
+
+    /** News that others must hold before somebody is answered. */
+    private static final class Order {
+        private final int needed;
+        private final Set<String> holders = new HashSet<>();
+        private final Runnable done;
+
+        Order(int needed, Runnable done) {
+            this.needed = needed;
+            this.done = done;
+        }
+    }
+
+    /**
+     * For one process.
+     *
+     * @param synced whether this process is not catching up itself
+     * @param changed told of each item that is new here, after it was merged
+     */
+    public Gossip(Program program, Board board, Links links, LongSupplier clock, BooleanSupplier synced,
+                  Consumer<Item> changed) {
+        this.program = program;
+        this.board = board;
+        this.links = links;
+        this.clock = clock;
+        this.synced = synced;
+        this.changed = changed;
+    }
+
+    /** A link is up. */
+    public void up(Link link) {
+        link.send(new Digest(synced.getAsBoolean(), board.digest()));
+    }
+
+    /** It is over. */
+    public void down(Link link) {
+        digests.remove(link);
+    }
+
+    /** Something of this process's own, to be known by all. Returns whether it was news. */
+    public boolean publish(Item item) {
+        return publish(item, 0, () -> { });
+    }
+
+    /** The same; {@code done} runs once so many registries on other machines hold it, or never. */
+    public boolean publish(Item item, int holders, Runnable done) {
+        boolean fresh = board.merge(clock.getAsLong(), item);
+        long order = 0;
+        if (holders > 0) {
+            order = ++lastOrder;
+            orders.put(order, new Order(holders, done));
+        }
+        if (fresh || holders > 0) {
+            News news = new News(order, List.of(item));
+            for (Link link : links.up()) {
+                link.send(news);
+            }
+        }
+        if (fresh) {
+            changed.accept(item);
+        }
+        if (holders <= 0) {
+            done.run();
+        }
+        return fresh;
+    }
+
+    /** Orders older than some hundreds will not be answered any more. */
+    private void forgetOrders() {
+        orders.keySet().removeIf(order -> order < lastOrder - 500);
+    }
+
+    /** Takes what is about news; returns whether it was. */
+    public boolean received(Link link, Record record) {
+        if (record instanceof Digest digest) {
+            int parts = board.differing(digest.buckets());
+            if (digest.synced()) {
+                digests.put(link, digest.buckets());
+            }
+            if (parts != 0) {
+                link.send(new Summary(parts, true, board.stamps(parts)));
+            }
+        } else if (record instanceof Summary summary) {
+            List<Item> newer = board.newerThan(summary.parts(), summary.stamps());
+            if (!newer.isEmpty()) {
+                link.send(new News(0, newer));
+            }
+            if (summary.asks() && !board.wanted(summary.stamps()).isEmpty()) {
+                link.send(new Summary(summary.parts(), false, board.stamps(summary.parts())));
+            }
+        } else if (record instanceof News news) {
+            take(link, news);
+        } else if (record instanceof Held held) {
+            Order order = orders.get(held.order());
+            if (order != null && order.holders.add(link.peer().ip()) && order.holders.size() >= order.needed) {
+                orders.remove(held.order());
+                order.done.run();
+            }
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void take(Link from, News news) {
+        long now = clock.getAsLong();
+        List<Item> fresh = new ArrayList<>();
+        for (Item item : news.items()) {
+            if (board.merge(now, item)) {
+                fresh.add(item);
+            }
+        }
+        if (news.order() != 0 && program == Program.REGISTRY) {
+            from.send(new Held(news.order()));
+        }
+        if (fresh.isEmpty()) {
+            return;
+        }
+        News on = new News(0, fresh);
+        boolean fromRegistry = from.peer().program() == Program.REGISTRY;
+        for (Link link : links.up()) {
+            boolean toRegistry = link.peer().program() == Program.REGISTRY;
+            if (link != from && !link.peer().ip().equals(from.peer().ip()) && !(fromRegistry && toRegistry)) {
+                link.send(on);
+            }
+        }
+        fresh.forEach(changed);
+    }
+
+    /** Tells one link after the other what is known here. */
+    public void tick() {
+        forgetOrders();
+        Collection<Link> up = links.up();
+        if (!up.isEmpty()) {
+            List<Link> all = new ArrayList<>(up);
+            all.get(Math.floorMod(turn++, all.size())).send(new Digest(synced.getAsBoolean(), board.digest()));
+        }
+    }
+
+    /** Whether this process holds what some synced registry held at its last digest. */
+    public boolean caughtUp() {
+        for (Map.Entry<Link, long[]> entry : digests.entrySet()) {
+            if (entry.getKey().peer().program() == Program.REGISTRY && board.differing(entry.getValue()) == 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/lauwersoog/Links.java
@@ -0,0 +1,174 @@
+package gorsemast.lauwersoog;
+
+import gorsemast.transport.Transport;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/**
+ * All links of one process: those that others dial, and those that it keeps itself to a set of addresses, dialled anew
+ * when they end. All of it runs on one event loop.
+ */
+public final class Links {
+    private static final int CONNECT_MILLIS = 700;
+    /** How long after a failure the same address is dialled again. */
+    private static final long AGAIN_MICROS = 300_000;
+    private static final int LENGTH_BYTES = 4;
+
+    private final EventLoop loop;
+    private final Supplier<Record.Hello> hello;
+    private final LongSupplier clock;
+    private final Link.Receiver receiver;
+    private final Set<Link> up = new LinkedHashSet<>();
+    private final Map<InetSocketAddress, Link> dialled = new HashMap<>();
+    private Set<InetSocketAddress> wanted = Set.of();
+    private Channel listener;
+
+    /** Links of the process that {@code hello} names; {@code clock} in microseconds. */
+    public Links(EventLoop loop, LongSupplier clock, Supplier<Record.Hello> hello, Link.Receiver receiver) {
+        this.loop = loop;
+        this.clock = clock;
+        this.hello = hello;
+        this.receiver = receiver;
+    }
+
+    /** Listens for others; not on the loop. */
+    public void listen(InetSocketAddress at) throws IOException {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(Transport.listener(loop))
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    fill(ch, new Link(Links.this, null));
+                }
+            }).bind(at).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("can't listen at " + at, bound.cause());
+        }
+        listener = bound.channel();
+    }
+
+    private static void fill(Channel ch, Link link) {
+        ch.pipeline().addLast(new LengthFieldBasedFrameDecoder(Record.LONGEST, 0, LENGTH_BYTES, 0, LENGTH_BYTES), link);
+    }
+
+    /** Keeps links to these addresses from now on, and ends those that it has dialled to others; on the loop. */
+    public void keep(Collection<InetSocketAddress> addresses) {
+        wanted = Set.copyOf(addresses);
+        for (InetSocketAddress address : List.copyOf(dialled.keySet())) {
+            if (!wanted.contains(address)) {
+                Link link = dialled.remove(address);
+                link.close();
+            }
+        }
+        for (InetSocketAddress address : wanted) {
+            if (!dialled.containsKey(address)) {
+                dial(address);
+            }
+        }
+    }
+
+    private void dial(InetSocketAddress address) {
+        Link link = new Link(this, address);
+        dialled.put(address, link);
+        new Bootstrap().group(loop).channel(Transport.stream(loop))
+            .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+            .handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    fill(ch, link);
+                }
+            }).connect(address).addListener(done -> {
+                if (!done.isSuccess()) {
+                    ended(link);
+                } else if (dialled.get(address) != link) {
+                    link.close();
+                }
+            });
+    }
+
+    void up(Link link) {
+        up.add(link);
+        receiver.up(link);
+    }
+
+    void ended(Link link) {
+        if (up.remove(link)) {
+            receiver.down(link);
+        }
+        InetSocketAddress address = link.dialled();
+        if (address != null && dialled.get(address) == link) {
+            loop.schedule(() -> {
+                if (dialled.get(address) == link) {
+                    dialled.remove(address);
+                    if (wanted.contains(address)) {
+                        dial(address);
+                    }
+                }
+            }, AGAIN_MICROS, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    Record.Hello hello() {
+        return hello.get();
+    }
+
+    Link.Receiver receiver() {
+        return receiver;
+    }
+
+    long now() {
+        return clock.getAsLong();
+    }
+
+    /** All that are up, the eldest first. */
+    public Collection<Link> up() {
+        return new ArrayList<>(up);
+    }
+
+    /** Those that are up to this program. */
+    public List<Link> up(Record.Program program) {
+        return up.stream().filter(link -> link.peer().program() == program).toList();
+    }
+
+    /** Sends a record to all that are up but one, which may be null. */
+    public void tell(Record record, Link but) {
+        for (Link link : up()) {
+            if (link != but) {
+                link.send(record);
+            }
+        }
+    }
+
+    /** Ends all. */
+    public void close() {
+        wanted = Set.of();
+        if (listener != null) {
+            listener.close();
+        }
+        dialled.clear();
+        up().forEach(Link::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/marknesse/Settings.java
@@ -0,0 +1,191 @@
+package gorsemast.marknesse;
+
+import gorsemast.marknesse.SettingsException.Code;
+import gorsemast.transport.Address;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.yaml.snakeyaml.LoaderOptions;
+import org.yaml.snakeyaml.Yaml;
+import org.yaml.snakeyaml.constructor.SafeConstructor;
+import org.yaml.snakeyaml.error.MarkedYAMLException;
+import org.yaml.snakeyaml.error.YAMLException;
+
+/**
+ * What one process is told at its start: who it is, where it listens, whom it may ask first, and the figures of the
+ * rules. Fields that are not known are let be, as the platform adds some; those that are known are checked.
+ *
+ * @param name the machine's name
+ * @param ip the machine's address, in numbers
+ * @param zone where it stands
+ * @param zones all zones, in the file's order, with their regions
+ * @param listens where what it serves is asked for, by word ({@code front}, {@code ready}, {@code control})
+ * @param firstPort the first of the ports between processes
+ * @param lastPort the last of them
+ * @param seeds addresses of core machines as the operator's list had them
+ * @param firstBoot whether the whole system starts for the first time, with empty disks
+ * @param dataDir where it may keep files; null where it has no disk
+ * @param beatMicros how often servers tell of themselves
+ * @param losses how many counted machines may be lost at the same time
+ * @param descriptors how many it may have open
+ * @param bounds figures of the rules: times in microseconds, numbers as they are
+ */
+public record Settings(String name, String ip, String zone, Map<String, String> zones,
+                       Map<String, InetSocketAddress> listens, int firstPort, int lastPort, List<InetSocketAddress> seeds,
+                       boolean firstBoot, Path dataDir, long beatMicros, int losses, int descriptors,
+                       Map<String, Double> bounds) {
+    /** Where the path of the file stands. */
+    public static final String VARIABLE = "GORSEMAST_CONFIG";
+    private static final double MICROS = 1e6;
+
+    /** Reads the file; throws {@link SettingsException} naming what can't be worked with. */
+    public static Settings read(Path file) {
+        try {
+            return parse(Files.readString(file, StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            throw new SettingsException(Code.UNREADABLE, file.toString(), "can't be read: " + e.getMessage());
+        }
+    }
+
+    /** Reads settings from their text. */
+    public static Settings parse(String text) {
+        Object whole;
+        try {
+            whole = new Yaml(new SafeConstructor(new LoaderOptions())).load(text);
+        } catch (MarkedYAMLException e) {
+            String at = e.getProblemMark() == null ? "?" : "line " + (e.getProblemMark().getLine() + 1) + ", column "
+                + (e.getProblemMark().getColumn() + 1);
+            throw new SettingsException(Code.UNREADABLE, at, e.getProblem());
+        } catch (YAMLException e) {
+            throw new SettingsException(Code.UNREADABLE, "file", e.getMessage());
+        }
+        if (!(whole instanceof Map<?, ?> map)) {
+            throw new SettingsException(Code.WRONG_TYPE, "file", "is no mapping");
+        }
+        Section root = new Section("", map);
+        List<Object> ports = root.list("internalPorts");
+        if (ports.size() != 2 || !(ports.get(0) instanceof Integer first) || !(ports.get(1) instanceof Integer last)
+            || first < 1 || last > 65_535 || first > last) {
+            throw new SettingsException(Code.OUT_OF_RANGE, "internalPorts", "wants two ports, the first not above the second");
+        }
+        Map<String, String> zones = new LinkedHashMap<>();
+        root.section("zones").map.forEach((zone, region) -> zones.put(String.valueOf(zone), String.valueOf(region)));
+        Map<String, InetSocketAddress> listens = new TreeMap<>();
+        Section listen = root.section("listenAddrs");
+        listen.map.forEach((word, address) -> listens.put(String.valueOf(word), listen.address(String.valueOf(word), address)));
+        List<InetSocketAddress> seeds = new ArrayList<>();
+        for (Object seed : root.list("seedNodes")) {
+            seeds.add(root.address("seedNodes", seed));
+        }
+        Section limits = root.section("limits");
+        Map<String, Double> bounds = new TreeMap<>();
+        Section given = root.section("timingBounds");
+        given.map.keySet().forEach(key -> bounds.put(String.valueOf(key), given.figure(String.valueOf(key))));
+        Object dir = map.get("dataDir");
+        return new Settings(root.text("nodeName"), root.text("ip"), root.text("zone"), zones, listens, first, last, seeds,
+            Boolean.TRUE.equals(map.get("initialBoot")), dir == null ? null : Path.of(String.valueOf(dir)),
+            micros("heartbeat", root.text("heartbeat")), (int) root.section("faultTolerance").figure("machineLosses", 1),
+            (int) limits.figure("fileDescriptors", 4096), bounds);
+    }
+
+    /** A time of the rules in microseconds, or what holds where the file has none. */
+    public long time(String bound, long otherwise) {
+        Double given = bounds.get(bound);
+        return given == null ? otherwise : given.longValue();
+    }
+
+    /** A number of the rules, or what holds where the file has none. */
+    public double number(String bound, double otherwise) {
+        return bounds.getOrDefault(bound, otherwise);
+    }
+
+    /** The number of the own zone among all. */
+    public int zoneNumber(String of) {
+        return Math.max(0, new ArrayList<>(zones.keySet()).indexOf(of));
+    }
+
+    /** A time such as {@code 1500ms} or {@code 2.5s} in microseconds. */
+    public static long micros(String key, String text) {
+        int unit = 0;
+        while (unit < text.length() && (Character.isDigit(text.charAt(unit)) || text.charAt(unit) == '.')) {
+            unit++;
+        }
+        double scale = switch (text.substring(unit)) {
+            case "ms" -> MICROS / 1_000;
+            case "s" -> MICROS;
+            default -> 0;
+        };
+        try {
+            double number = Double.parseDouble(text.substring(0, unit));
+            if (scale > 0 && number * scale < Long.MAX_VALUE / 4.0) {
+                return Math.round(number * scale);
+            }
+        } catch (NumberFormatException e) {
+            // told below, as any other text that is no time
+        }
+        throw new SettingsException(Code.WRONG_TYPE, key, "wants a time such as 1500ms or 2.5s, not \"" + text + '"');
+    }
+
+    /** One mapping of the file and the path to it. */
+    private record Section(String path, Map<?, ?> map) {
+        private String at(String key) {
+            return path.isEmpty() ? key : path + '.' + key;
+        }
+
+        String text(String key) {
+            Object value = map.get(key);
+            if (value == null) {
+                throw new SettingsException(Code.MISSING, at(key), "is missing");
+            }
+            return String.valueOf(value);
+        }
+
+        List<Object> list(String key) {
+            if (map.get(key) instanceof List<?> list) {
+                return new ArrayList<>(list);
+            }
+            throw new SettingsException(map.containsKey(key) ? Code.WRONG_TYPE : Code.MISSING, at(key), "wants a list");
+        }
+
+        Section section(String key) {
+            Object value = map.get(key);
+            if (value == null) {
+                return new Section(at(key), Map.of());
+            }
+            if (value instanceof Map<?, ?> inner) {
+                return new Section(at(key), inner);
+            }
+            throw new SettingsException(Code.WRONG_TYPE, at(key), "wants a mapping");
+        }
+
+        InetSocketAddress address(String key, Object value) {
+            InetSocketAddress address = Address.parse(String.valueOf(value));
+            if (address == null) {
+                throw new SettingsException(Code.WRONG_TYPE, at(key), "wants ip:port, not \"" + value + '"');
+            }
+            return address;
+        }
+
+        double figure(String key, double otherwise) {
+            return map.get(key) == null ? otherwise : figure(key);
+        }
+
+        double figure(String key) {
+            Object value = map.get(key);
+            if (value instanceof Number number) {
+                return number.doubleValue();
+            }
+            if (value instanceof Boolean yes) {
+                return yes ? 1 : 0;
+            }
+            return micros(at(key), String.valueOf(value));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/terschelling/Board.java
@@ -0,0 +1,173 @@
+package gorsemast.terschelling;
+
+import gorsemast.terschelling.Item.Kind;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * All news that one process holds.
+ *
+ * <p><b>Idea.</b> Merging is idempotent, commutative and associative: the higher stamp of a key holds. So news may be
+ * passed on by anybody to anybody, in any order and more than once, and all come to hold the same (state-based CRDTs,
+ * Shapiro et al. 2011). Gaps are found by comparing digests, one for each of {@link #BUCKETS} parts of the keys, and
+ * mended by telling the stamps of a part that differs (anti-entropy, Demers et al. 1987).
+ *
+ * <p><b>Bounds.</b> A purge or a server's state is forgotten {@link #HORIZON_MICROS} after it was first told; no copy
+ * lives longer than {@link #LONGEST_COPY_MICROS}, which is well before that. {@link #MOST_PURGES} purges are kept at
+ * most. O(1) a merge; digests are kept up as items come. One thread.
+ */
+public final class Board {
+    /** Parts of the keys that digests are kept for. */
+    public static final int BUCKETS = 16;
+    /** After so long, what passes is forgotten and not taken in again. */
+    public static final long HORIZON_MICROS = 360_000_000;
+    /** No copy may be served that is older. */
+    public static final long LONGEST_COPY_MICROS = 300_000_000;
+    private static final int MOST_PURGES = 20_000;
+    /** In this last part of its time an item counts in no digest, as clocks that differ by little forget it in turn. */
+    private static final long FADING_MICROS = 30_000_000;
+
+    /** A key and its stamp, which is what digests and summaries are of. */
+    public record Stamp(Kind kind, String key, long stamp) {
+    }
+
+    private final Map<Kind, Map<String, Item>> items = new EnumMap<>(Kind.class);
+    private final long[] digests = new long[BUCKETS];
+    private long purges;
+
+    /** An empty one. */
+    public Board() {
+        for (Kind kind : Kind.values()) {
+            items.put(kind, new LinkedHashMap<>());
+        }
+    }
+
+    /** Takes an item in. Returns whether it was news. */
+    public boolean merge(long now, Item item) {
+        if (item.kind().passes() && now - item.born() > HORIZON_MICROS - FADING_MICROS) {
+            return false;
+        }
+        Map<String, Item> of = items.get(item.kind());
+        Item held = of.get(item.key());
+        if (held != null && held.stamp() >= item.stamp()) {
+            return false;
+        }
+        if (held != null) {
+            toggle(held);
+        }
+        of.put(item.key(), item);
+        toggle(item);
+        if (item.kind() == Kind.PURGE && of.size() > MOST_PURGES) {
+            Item oldest = of.values().iterator().next();
+            toggle(oldest);
+            of.remove(oldest.key());
+        }
+        return true;
+    }
+
+    /** Forgets what has passed; to be called every second or so. */
+    public void forget(long now) {
+        for (Kind kind : Kind.values()) {
+            if (kind.passes()) {
+                items.get(kind).values().removeIf(item -> {
+                    boolean passed = now - item.born() > HORIZON_MICROS - FADING_MICROS;
+                    if (passed) {
+                        toggle(item);
+                    }
+                    return passed;
+                });
+            }
+        }
+    }
+
+    private void toggle(Item item) {
+        long hash = hash(item.kind(), item.key(), item.stamp());
+        digests[bucket(item.kind(), item.key())] ^= hash;
+        if (item.kind() == Kind.PURGE) {
+            purges ^= hash;
+        }
+    }
+
+    /** What is held of a key; null for nothing. */
+    public Item get(Kind kind, String key) {
+        return items.get(kind).get(key);
+    }
+
+    /** All of a kind, oldest first; not to be changed. */
+    public Collection<Item> all(Kind kind) {
+        return items.get(kind).values();
+    }
+
+    /** How many items there are. */
+    public int size() {
+        return items.values().stream().mapToInt(Map::size).sum();
+    }
+
+    /** One number for each part; equal numbers stand for equal news. */
+    public long[] digest() {
+        return digests.clone();
+    }
+
+    /** One number for all purges that are known: who has the same knows of the same. */
+    public long purgeDigest() {
+        return purges;
+    }
+
+    /** Whether the parts differ, a bit for each. */
+    public int differing(long[] others) {
+        int bits = 0;
+        for (int i = 0; i < BUCKETS; i++) {
+            bits |= others[i] == digests[i] ? 0 : 1 << i;
+        }
+        return bits;
+    }
+
+    /** The stamps of all items in these parts. */
+    public List<Stamp> stamps(int parts) {
+        List<Stamp> found = new ArrayList<>();
+        items.values().forEach(of -> of.values().forEach(item -> {
+            if ((parts >> bucket(item.kind(), item.key()) & 1) == 1) {
+                found.add(new Stamp(item.kind(), item.key(), item.stamp()));
+            }
+        }));
+        return found;
+    }
+
+    /** What is held here and newer than, or lacking in, the other's stamps of these parts. */
+    public List<Item> newerThan(int parts, List<Stamp> others) {
+        Map<String, Long> known = new LinkedHashMap<>();
+        others.forEach(stamp -> known.put(stamp.kind().ordinal() + stamp.key(), stamp.stamp()));
+        List<Item> found = new ArrayList<>();
+        items.values().forEach(of -> of.values().forEach(item -> {
+            Long theirs = known.get(item.kind().ordinal() + item.key());
+            if ((parts >> bucket(item.kind(), item.key()) & 1) == 1 && (theirs == null || theirs < item.stamp())) {
+                found.add(item);
+            }
+        }));
+        return found;
+    }
+
+    /** What the other has newer than this one. */
+    public List<Stamp> wanted(List<Stamp> others) {
+        List<Stamp> found = new ArrayList<>();
+        for (Stamp stamp : others) {
+            Item held = get(stamp.kind(), stamp.key());
+            if (held == null || held.stamp() < stamp.stamp()) {
+                found.add(stamp);
+            }
+        }
+        return found;
+    }
+
+    static int bucket(Kind kind, String key) {
+        return (int) (hash(kind, key, 0) >>> 60);
+    }
+
+    private static long hash(Kind kind, String key, long stamp) {
+        return Hash.mix(Hash.of(key) * 31 + kind.ordinal() + Hash.mix(stamp));
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/terschelling/PurgeNews.java
@@ -0,0 +1,38 @@
+package gorsemast.terschelling;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+
+/**
+ * An order that copies made before it are not to be served: of one path, or of all that carry a tag.
+ *
+ * @param host in lower case; empty where a tag is named
+ * @param path empty where a tag is named
+ * @param tag empty where a path is named
+ */
+public record PurgeNews(String id, String host, String path, String tag) {
+    /** As a piece of news. */
+    public Item item(long now) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeUTF(host);
+            out.writeUTF(path);
+            out.writeUTF(tag);
+        } catch (IOException e) {
+            throw new IllegalStateException(e); // memory does not fail
+        }
+        return new Item(Item.Kind.PURGE, id, 1, bytes.toByteArray(), now);
+    }
+
+    /** What {@link #item} made; null where it can't be read. */
+    public static PurgeNews of(Item item) {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(item.body()))) {
+            return new PurgeNews(item.key(), in.readUTF(), in.readUTF(), in.readUTF());
+        } catch (IOException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/vlissingen/Keeper.java
@@ -0,0 +1,593 @@
+package gorsemast.vlissingen;
+
+import gorsemast.vlissingen.Message.Kind;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * The decisions of one member of the store.
+ *
+ * <p><b>Idea.</b> One primary writes to its backups before it answers; the other members are witnesses that keep
+ * epochs only. A new epoch is granted by more than half of the members, each of which has its promise on disk before it
+ * votes; a voter hands over what it holds, and the elected installs the newest of that at its backups before it
+ * acknowledges anything. There are as many backups as losses are to be borne, so of {@code 2f + 1} members any majority
+ * meets primary or backups. This is Viewstamped Replication's change of views (Oki and Liskov 1988, Liskov and Cowling
+ * 2012) over one register whose highest version holds, with witnesses as in Harp (Liskov et al. 1991); there is no log.
+ * Members are exchanged one at a time through a view in which both lists must grant (joint consensus, Ongaro and
+ * Ousterhout 2014).
+ *
+ * <p><b>Why two never acknowledge at once.</b> A primary answers only after all its backups have said, in its epoch,
+ * that they hold it. Who wins a later epoch has the promise of a majority, and so of the primary or of a backup; that
+ * one takes no part in the older epoch any more. What was acknowledged is held by all of primary and backups, so that
+ * voter hands it over, or something newer.
+ *
+ * <p><b>Threading and time.</b> One caller; times in microseconds of a clock that never goes back. Nothing here does
+ * I/O: {@link Out} is told what to send, save and answer, and calls {@link #saved} when a save is on disk, in order.
+ */
+public final class Keeper {
+    /** How often members say that they live. */
+    static final long PING_MICROS = 150_000;
+    /** A primary that was not heard for this long is followed by another: four signs of life. */
+    static final long SILENT_MICROS = 650_000;
+    /** What an election or an installation may take before it is begun anew; a disk of 5 ms and two ways are 15. */
+    static final long ROUND_MICROS = 400_000;
+    /** Candidates stand back by up to this, so that they seldom meet. */
+    static final long STAND_BACK_MICROS = 250_000;
+    /** A member that was not heard for this long may be replaced by a machine that asks to be one. */
+    static final long GONE_MICROS = 2_500_000;
+    /** What is asked and can't be done by then is given up; whoever asked asks somebody else. */
+    static final long CALL_MICROS = 2_500_000;
+
+    /** What it wants done. */
+    public interface Out {
+        /** Sends a message; it may be lost. */
+        void send(Member to, Message message);
+
+        /** Puts this on disk, synced; {@link Keeper#saved} is to be called with the token then, in the order of saves. */
+        void save(Saved state, boolean keptToo, long token);
+
+        /** The end of a call: done, with the version that holds; or unknown. */
+        void answer(long call, boolean done, Kept kept);
+
+        /** A configuration that is acknowledged from now on, here as primary. */
+        void committed(Kept kept);
+
+        /** A call that only the primary can do, and this is not it. */
+        void forward(long call, Member primary);
+
+        /** A sentence for the operator. */
+        void log(String sentence);
+    }
+
+    private enum Role { FOLLOWER, CANDIDATE, INSTALLING, PRIMARY }
+
+    private record Call(long id, boolean put, long version, byte[] body, long until) {
+    }
+
+    private final Out out;
+    private final SplittableRandom random;
+    private final int losses;
+    private Member me;
+    private long promised;
+    private View view;
+    private Kept kept;
+    private Role role = Role.FOLLOWER;
+    private long now;
+    private long roundUntil;
+    private long standBackUntil;
+    private long pingAt;
+    private View proposed;
+    private Kept best;
+    private final Set<String> granted = new HashSet<>();
+    private final Set<String> installed = new HashSet<>();
+    /** When each was last heard, by id, and what it said of itself. */
+    private final Map<String, Long> heard = new HashMap<>();
+    private final Map<String, Member> known = new HashMap<>();
+    private String activePrimary = "";
+    private long activeAt = Long.MIN_VALUE / 2;
+    private final Deque<Call> calls = new ArrayDeque<>();
+    private Call working;
+    private final Set<String> told = new HashSet<>();
+    private long round;
+    private boolean onDisk;
+    /** What all backups of this epoch hold. */
+    private Kept agreed = Kept.NONE;
+    private boolean copies;
+    private boolean begun;
+    private long token;
+    private final Map<Long, Runnable> saving = new HashMap<>();
+
+    /**
+     * A member as its disk has it.
+     *
+     * @param losses how many disks may be lost at the same time: so many backups
+     */
+    public Keeper(Saved saved, int losses, long seed, Out out) {
+        this.me = saved.me();
+        this.promised = saved.promised();
+        this.view = saved.view();
+        this.kept = saved.kept();
+        this.losses = losses;
+        this.random = new SplittableRandom(seed);
+        this.out = out;
+    }
+
+    /** The first view, before any election. */
+    public static View first(List<Member> members) {
+        return new View(0, "", List.of(), List.copyOf(members), List.of());
+    }
+
+    /** Whether it acknowledges now. */
+    public boolean primary() {
+        return role == Role.PRIMARY;
+    }
+
+    /** The view as it knows it. */
+    public View view() {
+        return view;
+    }
+
+    /** All that it knows of, for whoever keeps links to them. */
+    public List<Member> known() {
+        List<Member> all = new ArrayList<>(view.all());
+        known.values().stream().filter(member -> !all.contains(member)).forEach(all::add);
+        return all;
+    }
+
+    /** What it keeps now. */
+    public Kept kept() {
+        return kept;
+    }
+
+    // ---- events
+
+    /** To be called every few tens of milliseconds. */
+    public void tick(long time) {
+        now = time;
+        if (!begun) {
+            begun = true;
+            standBack();
+        }
+        if (now >= pingAt) {
+            pingAt = now + PING_MICROS;
+            for (Member other : known()) {
+                send(other, greeting());
+            }
+        }
+        calls.removeIf(call -> {
+            if (now > call.until) {
+                out.answer(call.id, false, Kept.NONE);
+            }
+            return now > call.until;
+        });
+        if (working != null && now > working.until) {
+            Call over = working;
+            working = null;
+            out.answer(over.id, false, Kept.NONE);
+            next();
+        }
+        if (!view.has(me.id())) {
+            return;
+        }
+        switch (role) {
+            case FOLLOWER -> {
+                boolean quiet = now - activeAt > SILENT_MICROS;
+                if (quiet && now >= standBackUntil && reachesMost()) {
+                    stand(null);
+                }
+            }
+            case CANDIDATE, INSTALLING -> {
+                if (now > roundUntil) {
+                    role = Role.FOLLOWER;
+                    standBack();
+                }
+            }
+            case PRIMARY -> lead();
+        }
+    }
+
+    /** A sign of life, for whoever has just come. */
+    public Message greeting() {
+        return new Message(Kind.PING, me, promised, view.epoch(), role == Role.PRIMARY, null, null);
+    }
+
+    private void lead() {
+        boolean lacking = view.backups().stream().anyMatch(id -> now - lastHeard(id) > SILENT_MICROS);
+        Member joining = known.values().stream().filter(member -> !view.has(member.id())
+            && now - lastHeard(member.id()) < SILENT_MICROS && replaceable(member) != null).findFirst().orElse(null);
+        if ((lacking || joining != null) && view.before().isEmpty() && reachesMost()) {
+            if (joining != null) {
+                Member gone = replaceable(joining);
+                List<Member> members = new ArrayList<>(view.members());
+                members.set(members.indexOf(gone), joining);
+                out.log("takes in " + joining.id() + " for " + gone.id());
+                stand(members);
+            } else {
+                out.log("has lost a backup of epoch " + view.epoch());
+                stand(null);
+            }
+        }
+    }
+
+    /** Whose place a machine that asks may have: that of its own lost disk, or of one that has been away for long. */
+    private Member replaceable(Member joining) {
+        for (Member member : view.members()) {
+            if (member.ip().equals(joining.ip())) {
+                return member;
+            }
+        }
+        Member longest = null;
+        for (Member member : view.members()) {
+            if (!member.equals(me) && now - lastHeard(member.id()) > GONE_MICROS
+                && (longest == null || lastHeard(member.id()) < lastHeard(longest.id()))) {
+                longest = member;
+            }
+        }
+        return longest;
+    }
+
+    private long lastHeard(String id) {
+        return heard.computeIfAbsent(id, one -> now); // given its time from when it is first missed
+    }
+
+    private boolean reachesMost() {
+        Set<String> alive = new HashSet<>(Set.of(me.id()));
+        heard.forEach((id, at) -> {
+            if (now - at < SILENT_MICROS) {
+                alive.add(id);
+            }
+        });
+        return view.majority(alive);
+    }
+
+    private void standBack() {
+        boolean first = me.id().equals(view.primary())
+            || view.epoch() == 0 && !view.members().isEmpty() && view.members().get(0).equals(me);
+        standBackUntil = now + (first ? 0 : STAND_BACK_MICROS / 5) + random.nextLong(STAND_BACK_MICROS);
+    }
+
+    /** Asks for the next epoch, with other members where they are given. */
+    private void stand(List<Member> members) {
+        role = Role.CANDIDATE;
+        roundUntil = now + ROUND_MICROS;
+        promised = promised + 1;
+        long epoch = promised;
+        granted.clear();
+        best = kept;
+        proposed = members == null ? view : new View(view.epoch(), view.primary(), view.backups(), List.copyOf(members),
+            view.members());
+        save(false, () -> {
+            if (role == Role.CANDIDATE && promised == epoch) {
+                granted.add(me.id());
+                for (Member member : view.all()) {
+                    if (!member.equals(me)) {
+                        send(member, new Message(Kind.ASK, me, epoch, view.epoch(), false, null,
+                            new Kept(kept.version(), kept.epoch(), new byte[0])));
+                    }
+                }
+                elect(epoch);
+            }
+        });
+    }
+
+    /** Something from another member, or from one that wants to be one. */
+    public void message(long time, Message m) {
+        now = time;
+        String from = m.from().id();
+        heard.put(from, now);
+        known.put(from, m.from());
+        switch (m.kind()) {
+            case PING -> ping(m);
+            case ASK -> ask(m);
+            case VOTE -> {
+                if (role == Role.CANDIDATE && m.epoch() == promised) {
+                    granted.add(from);
+                    best = m.kept() != null && m.kept().compareTo(best) > 0 ? m.kept() : best;
+                    elect(promised);
+                }
+            }
+            case NO -> {
+                if (role == Role.CANDIDATE) {
+                    role = Role.FOLLOWER;
+                    standBack();
+                    adopt(m.view());
+                    if (m.epoch() > promised) {
+                        promised = m.epoch();
+                        save(false, () -> { });
+                    }
+                }
+            }
+            case INSTALL -> install(m);
+            case INSTALLED -> {
+                if (role == Role.INSTALLING && m.epoch() == view.epoch()) {
+                    installed.add(from);
+                    begin();
+                }
+            }
+            case VIEW -> adopt(m.view());
+            case COPY -> {
+                if (promised == m.epoch() && view.epoch() == m.epoch() && role == Role.FOLLOWER) {
+                    boolean newer = m.kept().compareTo(kept) > 0;
+                    kept = newer ? m.kept() : kept;
+                    save(newer, () -> {
+                        if (promised == m.epoch()) {
+                            send(m.from(), new Message(Kind.COPIED, me, m.epoch(), m.number(), false, null, null));
+                        }
+                    });
+                }
+            }
+            case CONFIRM -> {
+                if (promised == m.epoch() && view.epoch() == m.epoch()) {
+                    send(m.from(), new Message(Kind.CONFIRMED, me, m.epoch(), m.number(), false, null, null));
+                }
+            }
+            case COPIED, CONFIRMED -> {
+                if (role == Role.PRIMARY && m.epoch() == view.epoch() && m.number() == round) {
+                    told.add(from);
+                    finish();
+                }
+            }
+        }
+    }
+
+    private void ping(Message m) {
+        if (role == Role.PRIMARY && m.number() > view.epoch()) {
+            yieldTo(Math.max(promised, m.number())); // a later epoch has begun while this one was not heard
+        }
+        if (m.flag() && m.number() >= view.epoch() && role != Role.PRIMARY) {
+            activePrimary = m.from().id();
+            activeAt = now;
+            next();
+        }
+        if (role == Role.PRIMARY && m.number() < view.epoch() && !view.backups().contains(m.from().id())) {
+            send(m.from(), new Message(Kind.VIEW, me, view.epoch(), 0, false, view, null));
+        }
+    }
+
+    private void ask(Message m) {
+        boolean leads = role == Role.PRIMARY && !m.from().equals(me)
+            && view.backups().stream().allMatch(id -> now - lastHeard(id) < SILENT_MICROS);
+        boolean led = !activePrimary.equals(m.from().id()) && now - activeAt < SILENT_MICROS;
+        boolean no = !view.has(m.from().id()) || m.number() < view.epoch() || m.epoch() <= promised || leads || led;
+        if (no) {
+            send(m.from(), new Message(Kind.NO, me, promised, 0, false, view, null));
+            return;
+        }
+        yieldTo(m.epoch());
+        Kept mine = kept.compareTo(m.kept()) > 0 ? kept : null;
+        save(false, () -> {
+            if (promised == m.epoch()) {
+                send(m.from(), new Message(Kind.VOTE, me, m.epoch(), 0, false, null, mine));
+            }
+        });
+    }
+
+    /** Promises a later epoch, which ends whatever this one was about. */
+    private void yieldTo(long epoch) {
+        promised = epoch;
+        if (role == Role.PRIMARY) {
+            out.log("is primary no more, for epoch " + epoch);
+        }
+        if (role != Role.FOLLOWER) {
+            standBack();
+        }
+        role = Role.FOLLOWER;
+        fail();
+    }
+
+    private void elect(long epoch) {
+        if (!view.majority(granted)) {
+            return;
+        }
+        // The nearest thing to a free choice: whoever was backup stays, as it has most of what is to be held.
+        List<String> backups = new ArrayList<>();
+        for (String id : view.backups()) {
+            pick(backups, id);
+        }
+        for (Member member : view.all()) {
+            pick(backups, member.id());
+        }
+        int wanted = Math.min(losses, view.members().size() - 1);
+        if (backups.size() < wanted) {
+            return; // nobody to hold it beside this one
+        }
+        View next = new View(epoch, me.id(), List.copyOf(backups.subList(0, wanted)), proposed.members(),
+            proposed == view ? view.before() : proposed.before());
+        role = Role.INSTALLING;
+        roundUntil = now + ROUND_MICROS;
+        installed.clear();
+        view = next;
+        boolean newer = best.compareTo(kept) > 0;
+        kept = best;
+        save(newer, () -> {
+            if (role == Role.INSTALLING && view == next && promised == epoch) {
+                installed.add(me.id());
+                for (Member member : next.all()) {
+                    if (!member.equals(me)) {
+                        boolean backup = next.backups().contains(member.id());
+                        send(member, new Message(backup ? Kind.INSTALL : Kind.VIEW, me, epoch, 0, false, next,
+                            backup ? kept : null));
+                    }
+                }
+                begin();
+            }
+        });
+    }
+
+    private void pick(List<String> backups, String id) {
+        if (granted.contains(id) && !id.equals(me.id()) && !backups.contains(id)
+            && proposed.members().stream().anyMatch(member -> member.id().equals(id))) {
+            backups.add(id);
+        }
+    }
+
+    private void install(Message m) {
+        if (m.epoch() < promised || m.view() == null || m.kept() == null || m.epoch() < view.epoch()) {
+            return;
+        }
+        if (m.epoch() > promised || role != Role.FOLLOWER) {
+            yieldTo(m.epoch());
+        }
+        view = m.view();
+        boolean newer = m.kept().compareTo(kept) > 0;
+        kept = newer ? m.kept() : kept;
+        activePrimary = m.from().id();
+        activeAt = now;
+        save(newer, () -> {
+            if (promised == m.epoch()) {
+                send(m.from(), new Message(Kind.INSTALLED, me, m.epoch(), 0, false, null, null));
+            }
+        });
+    }
+
+    /** A witness, or one that was away, learns who is who. */
+    private void adopt(View newer) {
+        if (newer != null && role != Role.PRIMARY && role != Role.INSTALLING && (newer.epoch() > view.epoch()
+            || newer.epoch() == view.epoch() && newer.before().isEmpty() && !view.before().isEmpty())) {
+            view = newer;
+            promised = Math.max(promised, newer.epoch());
+            save(false, () -> { });
+        }
+    }
+
+    /** The epoch begins once all backups hold what it begins with. */
+    private void begin() {
+        Set<String> needed = new HashSet<>(view.backups());
+        needed.add(me.id());
+        if (role != Role.INSTALLING || !installed.containsAll(needed)) {
+            return;
+        }
+        role = Role.PRIMARY;
+        agreed = kept;
+        if (working != null) {
+            calls.addFirst(working); // what this epoch began with may hold it already
+            working = null;
+        }
+        out.log("is primary of epoch " + view.epoch() + " with " + view.backups());
+        if (!view.before().isEmpty()) {
+            // Backups and primary have both lists on disk: no majority of the old one alone is left.
+            view = new View(view.epoch(), view.primary(), view.backups(), view.members(), List.of());
+            save(false, () -> { });
+        }
+        for (Member member : view.members()) {
+            if (!member.equals(me)) {
+                send(member, new Message(Kind.VIEW, me, view.epoch(), 0, false, view, null));
+            }
+        }
+        pingAt = now;
+        out.committed(kept);
+        next();
+    }
+
+    // ---- calls
+
+    /** Keep this version; answered once. */
+    public void put(long time, long call, long version, byte[] body) {
+        now = time;
+        take(new Call(call, true, version, body, now + CALL_MICROS));
+    }
+
+    /** The newest version that is acknowledged; answered once. */
+    public void get(long time, long call) {
+        now = time;
+        take(new Call(call, false, 0, null, now + CALL_MICROS));
+    }
+
+    private void take(Call call) {
+        if (role == Role.FOLLOWER && !activePrimary.equals(me.id()) && now - activeAt < SILENT_MICROS) {
+            out.forward(call.id, known.getOrDefault(activePrimary, new Member(activePrimary, "")));
+            return;
+        }
+        calls.add(call); // also where nobody leads: an election is a matter of a moment
+        next();
+    }
+
+    private void next() {
+        if (role == Role.FOLLOWER && now - activeAt < SILENT_MICROS && !activePrimary.equals(me.id())) {
+            Member to = known.get(activePrimary);
+            while (to != null && !calls.isEmpty()) {
+                out.forward(calls.poll().id, to);
+            }
+            return;
+        }
+        if (role != Role.PRIMARY || working != null || calls.isEmpty()) {
+            return;
+        }
+        working = calls.poll();
+        told.clear();
+        round++;
+        long mine = round;
+        boolean writes = working.put && working.version > kept.version();
+        if (writes) {
+            kept = new Kept(working.version, view.epoch(), working.body);
+        }
+        copies = kept != agreed; // also what an earlier call that was given up has left half told
+        if (copies) {
+            onDisk = false;
+            save(true, () -> {
+                if (role == Role.PRIMARY && round == mine) {
+                    onDisk = true;
+                    finish();
+                }
+            });
+        } else {
+            onDisk = true;
+        }
+        for (Member member : view.members()) {
+            if (view.backups().contains(member.id())) {
+                send(member, new Message(copies ? Kind.COPY : Kind.CONFIRM, me, view.epoch(), mine, false, null,
+                    copies ? kept : null));
+            }
+        }
+        finish();
+    }
+
+    /** A call is done when all that hold what is acknowledged have told so in this epoch. */
+    private void finish() {
+        if (working != null && onDisk && told.containsAll(view.backups())) {
+            Call done = working;
+            working = null;
+            agreed = kept;
+            if (copies) {
+                out.committed(kept);
+            }
+            out.answer(done.id, true, kept);
+            next();
+        }
+    }
+
+    private void fail() {
+        if (working != null) {
+            out.answer(working.id, false, Kept.NONE);
+            working = null;
+        }
+    }
+
+    // ---- disk and links
+
+    private void save(boolean keptToo, Runnable then) {
+        long mine = ++token;
+        saving.put(mine, then);
+        out.save(new Saved(me, promised, view, kept), keptToo, mine);
+    }
+
+    /** This and all earlier saves are on disk. */
+    public void saved(long time, long which) {
+        now = time;
+        Runnable then = saving.remove(which);
+        if (then != null) {
+            then.run();
+        }
+    }
+
+    private void send(Member to, Message message) {
+        out.send(to, message);
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/vlissingen/Kept.java
@@ -0,0 +1,42 @@
+package gorsemast.vlissingen;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+
+/**
+ * A configuration as a member keeps it.
+ *
+ * @param version 0 for none
+ * @param epoch in which it was taken; of two with the same version the later one holds, as the earlier was never
+ *              acknowledged
+ * @param body not to be written to
+ */
+public record Kept(long version, long epoch, byte[] body) implements Comparable<Kept> {
+    /** Nothing yet. */
+    public static final Kept NONE = new Kept(0, 0, new byte[0]);
+
+    @Override
+    public int compareTo(Kept other) {
+        return version != other.version ? Long.compare(version, other.version) : Long.compare(epoch, other.epoch);
+    }
+
+    void write(DataOutputStream out) throws IOException {
+        out.writeLong(version);
+        out.writeLong(epoch);
+        out.writeInt(body.length);
+        out.write(body);
+    }
+
+    static Kept read(DataInputStream in) throws IOException {
+        long version = in.readLong();
+        long epoch = in.readLong();
+        int length = in.readInt();
+        if (length < 0 || length > in.available()) {
+            throw new IOException("a configuration of " + length + " bytes");
+        }
+        byte[] body = new byte[length];
+        in.readFully(body);
+        return new Kept(version, epoch, body);
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/vlissingen/Saved.java
@@ -0,0 +1,51 @@
+package gorsemast.vlissingen;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+
+/**
+ * All that a member has on its disk.
+ *
+ * @param promised no epoch below this, nor this one for anybody else, has its word any more
+ */
+public record Saved(Member me, long promised, View view, Kept kept) {
+    /** As a record, without what is kept. */
+    public byte[] state() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeByte(1);
+            out.writeUTF(me.id());
+            out.writeUTF(me.ip());
+            out.writeLong(promised);
+            view.write(out);
+        } catch (IOException e) {
+            throw new IllegalStateException(e); // memory does not fail
+        }
+        return bytes.toByteArray();
+    }
+
+    /** What is kept, as a record. */
+    public byte[] configuration() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            kept.write(out);
+        } catch (IOException e) {
+            throw new IllegalStateException(e); // memory does not fail
+        }
+        return bytes.toByteArray();
+    }
+
+    /** What both records say; throws where they are none. */
+    public static Saved of(byte[] state, byte[] configuration) throws IOException {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(state));
+             DataInputStream more = new DataInputStream(new ByteArrayInputStream(configuration))) {
+            if (in.readUnsignedByte() != 1) {
+                throw new IOException("another form of state");
+            }
+            return new Saved(new Member(in.readUTF(), in.readUTF()), in.readLong(), View.read(in), Kept.read(more));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/wilhelminadorp/DiskException.java
@@ -0,0 +1,21 @@
+package gorsemast.wilhelminadorp;
+
+/** The disk could not be read or written. */
+public final class DiskException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    /** What failed. */
+    public enum Code { OPEN, READ, WRITE }
+
+    private final Code code;
+
+    DiskException(Code code, Throwable cause) {
+        super(code + ": " + cause, cause);
+        this.code = code;
+    }
+
+    /** What failed. */
+    public Code code() {
+        return code;
+    }
+}
--- a/src/test/java/anisebend/net/UpstreamTest.java
+++ b/src/test/java/anisebend/net/UpstreamTest.java
@@ -11,6 +11,7 @@
 import anisebend.Balancer.Code;
 import anisebend.Balancer.Note;
 import anisebend.net.Loopback.Server;
+import gorsemast.exchange.Upstream;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -48,7 +49,7 @@
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final BlockingQueue<Ended> endings = new LinkedBlockingQueue<>();
     private volatile boolean ready = true;
-    private final Upstream upstream = new Upstream(group.next(), node -> ready, 4, 60_000, 2_000, 1);
+    private final Upstream upstream = new Upstream(group.next(), Upstream.IN_SERVICE, node -> ready, 4, 60_000, 2_000, 1);
 
     @AfterEach
     void stop() {
