Let a lost disk's address refuse nothing for the member that stood there

Ruled out: the disk (all three read back what they had), the joint view (its final form was on disk).

Change: who is no member does not answer; a refusal ends a round only where it tells of a later epoch or view.

--- a/src/main/java/gorsemast/vlissingen/Keeper.java
+++ b/src/main/java/gorsemast/vlissingen/Keeper.java
@@ -259,6 +259,7 @@
         roundUntil = now + ROUND_MICROS;
         promised = promised + 1;
         long epoch = promised;
+        out.log("stands for epoch " + epoch);
         granted.clear();
         best = kept;
         proposed = members == null ? view : new View(view.epoch(), view.primary(), view.backups(), List.copyOf(members),
@@ -294,14 +295,13 @@
                 }
             }
             case NO -> {
-                if (role == Role.CANDIDATE) {
+                // One refusal is none of the others': the round goes on until its time is over, unless it can't be won.
+                if (role == Role.CANDIDATE && (m.epoch() > promised || m.view().epoch() > view.epoch())) {
                     role = Role.FOLLOWER;
                     standBack();
                     adopt(m.view());
-                    if (m.epoch() > promised) {
-                        promised = m.epoch();
-                        save(false, () -> { });
-                    }
+                    promised = Math.max(promised, m.epoch());
+                    save(false, () -> { });
                 }
             }
             case INSTALL -> install(m);
@@ -352,11 +352,17 @@
     }
 
     private void ask(Message m) {
+        if (!view.has(me.id())) {
+            return; // a life that nobody has taken in yet: what stood here before had a vote, this has none
+        }
         boolean leads = role == Role.PRIMARY && !m.from().equals(me)
             && view.backups().stream().allMatch(id -> now - lastHeard(id) < SILENT_MICROS);
         boolean led = !activePrimary.equals(m.from().id()) && now - activeAt < SILENT_MICROS;
         boolean no = !view.has(m.from().id()) || m.number() < view.epoch() || m.epoch() <= promised || leads || led;
         if (no) {
+            out.log("grants " + m.from().id() + " no epoch " + m.epoch() + ": " + (!view.has(m.from().id()) ? "no member"
+                : m.number() < view.epoch() ? "an old view" : m.epoch() <= promised ? "promised " + promised
+                : "epoch " + view.epoch() + " is led"));
             send(m.from(), new Message(Kind.NO, me, promised, 0, false, view, null));
             return;
         }
--- a/src/main/java/gorsemast/vlissingen/Vlissingen.java
+++ b/src/main/java/gorsemast/vlissingen/Vlissingen.java
@@ -204,6 +204,9 @@
                 } catch (DiskException e) {
                     LOG.warn("can't write, tries again: " + e.getMessage());
                     pause();
+                } catch (Error e) {
+                    LOG.fault(e);
+                    throw e;
                 }
             }
             loop.execute(() -> keeper.saved(now(), token));
--- a/src/test/java/anisebend/net/UpstreamTest.java
+++ b/src/test/java/anisebend/net/UpstreamTest.java
@@ -11,6 +11,7 @@
 import anisebend.Balancer.Code;
 import anisebend.Balancer.Note;
 import anisebend.net.Loopback.Server;
+import gorsemast.exchange.Passage;
 import gorsemast.exchange.Upstream;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
