--- a/src/main/java/gorsemast/cabauw/Cabauw.java
+++ b/src/main/java/gorsemast/cabauw/Cabauw.java
@@ -105,7 +105,7 @@
     public Cabauw(Settings settings) {
         this.settings = settings;
         this.loop = new MultiThreadIoEventLoopGroup(1, Transport.handlers()).next();
-        this.homes = new Homes(settings.ip());
+        this.homes = new Homes(settings.ip(), settings.zone());
         this.links = new Links(loop, this::now, () -> new Record.Hello(Program.PROXY, settings.ip(), settings.zone(), "",
             life), this);
         this.gossip = new Gossip(Program.PROXY, board, links, this::now, () -> ready, this::changed);
@@ -115,7 +115,8 @@
         this.between = new Upstream(loop, new Network(), peer -> !stopping || homes.count() > 0, sockets / 6, 20_000,
             CONNECT_MILLIS, random.nextLong());
         this.desk = new ObjectDesk(loop, this::now, shelf, homes, board, between, senders::get,
-            ip -> Ports.OBJECTS.at(settings, ip), settings.ip(), random.nextLong());
+            ip -> Ports.OBJECTS.at(settings, ip), settings.ip(), () -> configuration,
+            settings.time("originWindow", 5_000_000), random.nextLong());
         this.front = new Front(loop, this::now, () -> configuration, senders::get, desk, random.nextLong());
         settings.seeds().forEach(seed -> seeds.add(seed.getAddress().getHostAddress()));
     }
@@ -241,20 +242,14 @@
 
     private void dial() {
         Set<String> cores = new LinkedHashSet<>();
-        List<String> edges = new ArrayList<>();
         for (Item item : board.all(Kind.CORE)) {
             MachineNews machine = MachineNews.of(item);
             if (machine != null && machine.up()) {
                 cores.add(machine.ip());
             }
         }
-        for (Item item : board.all(Kind.EDGE)) {
-            MachineNews machine = MachineNews.of(item);
-            if (machine != null && machine.up()) {
-                edges.add(machine.ip());
-            }
-        }
-        homes.edges(edges);
+        homes.edges(edgesUp());
+        Set<String> edges = new LinkedHashSet<>(edgesUp().keySet());
         Set<InetSocketAddress> wanted = new LinkedHashSet<>();
         Set<String> linked = new LinkedHashSet<>();
         links.up(Program.REGISTRY).forEach(link -> linked.add(link.peer().ip()));
@@ -339,12 +334,12 @@
         });
     }
 
-    private List<String> edgesUp() {
-        List<String> up = new ArrayList<>();
+    private Map<String, String> edgesUp() {
+        Map<String, String> up = new HashMap<>();
         for (Item item : board.all(Kind.EDGE)) {
             MachineNews machine = MachineNews.of(item);
             if (machine != null && machine.up()) {
-                up.add(machine.ip());
+                up.put(machine.ip(), machine.zone());
             }
         }
         return up;
--- a/src/main/java/gorsemast/cabauw/ObjectDesk.java
+++ b/src/main/java/gorsemast/cabauw/ObjectDesk.java
@@ -1,6 +1,8 @@
 package gorsemast.cabauw;
 
+import gorsemast.eelde.Ceiling;
 import gorsemast.eelde.Copy;
+import gorsemast.eelde.Demand;
 import gorsemast.eelde.Homes;
 import gorsemast.eelde.Shelf;
 import gorsemast.exchange.Passage;
@@ -10,6 +12,7 @@
 import gorsemast.hupsel.Hops;
 import gorsemast.hupsel.Network;
 import gorsemast.hupsel.Sender;
+import gorsemast.schiphol.Configuration;
 import gorsemast.schiphol.Route;
 import gorsemast.terschelling.Board;
 import gorsemast.terschelling.Item;
@@ -40,6 +43,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * Serves objects: from a copy where one may be served, else by one fetch for all who ask meanwhile, from the object's
@@ -141,13 +145,17 @@
     private final Function<String, Sender> senders;
     private final Function<String, InetSocketAddress> objects;
     private final String self;
+    private final Supplier<Configuration> configuration;
+    private final long window;
     private final SplittableRandom random;
+    private final Map<String, Ceiling> ceilings = new HashMap<>();
+    private final Map<String, Demand> demands = new HashMap<>();
     private final Map<String, Fetch> fetches = new HashMap<>();
     /** Counts: served from copies, fetched from homes, fetched from servers. */
     final long[] counts = new long[3];
 
     ObjectDesk(EventLoop loop, LongSupplier clock, Shelf shelf, Homes homes, Board board, Upstream between,
-               Function<String, Sender> senders, Function<String, InetSocketAddress> objects, String self, long seed) {
+               Function<String, Sender> senders, Function<String, InetSocketAddress> objects, String self, Supplier<Configuration> configuration, long window, long seed) {
         this.loop = loop;
         this.clock = clock;
         this.shelf = shelf;
@@ -157,6 +165,8 @@
         this.senders = senders;
         this.objects = objects;
         this.self = self;
+        this.configuration = configuration;
+        this.window = window;
         this.random = new SplittableRandom(seed);
     }
 
@@ -176,6 +186,7 @@
         long now = clock.getAsLong();
         String key = Shelf.key(host, turn.uri());
         Copy copy = shelf.get(now, key, route.ttlMicros());
+        demands.computeIfAbsent(route.services().get(0).service(), name -> new Demand()).asked(now);
         turn.takeBody().release();
         if (copy != null) {
             counts[0]++;
@@ -254,10 +265,10 @@
 
     private void begin(Fetch fetch, boolean homeToo, long giveUp) {
         long now = clock.getAsLong();
-        String home = homeToo ? homes.of(now, fetch.key) : self;
+        String home = homeToo ? homes.of(now, fetch.key, zoned(fetch.route.services().get(0).service())) : self;
         InetSocketAddress at = home.equals(self) ? null : objects.apply(home);
         if (at == null || giveUp - now < LEAST_LEFT) {
-            origin(fetch, now + fetch.route.timeoutMicros());
+            origin(fetch, now + fetch.route.timeoutMicros(), fetch.waiters.isEmpty());
         } else {
             home(fetch, home, at, giveUp);
         }
@@ -297,7 +308,7 @@
             } else if (inStep && answer.status().code() < 500) {
                 fetch.other(answer);
             } else {
-                origin(fetch, clock.getAsLong() + fetch.route.timeoutMicros());
+                origin(fetch, clock.getAsLong() + fetch.route.timeoutMicros(), false);
             }
         };
         between.send(new Home(home, at), request, wait, false, LARGEST + (1 << 16), ending);
@@ -319,14 +330,34 @@
 
     // ---- from the servers
 
-    private void origin(Fetch fetch, long giveUp) {
-        Sender sender = senders.apply(fetch.route.service(random.nextDouble()));
+    private double perSecond(String service) {
+        Configuration.Service known = configuration.get() == null ? null : configuration.get().services().get(service);
+        return known == null ? Double.POSITIVE_INFINITY : known.ratePerSecond();
+    }
+
+    /**
+     * Whether each zone has a home for itself: while all that is asked for is well below what the servers bear, so that
+     * they would bear it even if nothing were held.
+     */
+    private boolean zoned(String service) {
+        return demands.computeIfAbsent(service, name -> new Demand()).zoned(clock.getAsLong(), perSecond(service),
+            homes.count());
+    }
+
+    private void origin(Fetch fetch, long giveUp, boolean ahead) {
+        long asked = clock.getAsLong();
+        String service = fetch.route.service(random.nextDouble());
+        Sender sender = senders.apply(service);
         if (sender == null) {
             fetch.refused(Front.LATER_MICROS);
             return;
         }
+        Ceiling ceiling = ceilings.computeIfAbsent(service, name -> new Ceiling(window));
+        if (!ceiling.take(asked, perSecond(service), homes.count(), ahead)) {
+            fetch.refused(ceiling.roomIn(asked));
+            return;
+        }
         counts[2]++;
-        long asked = clock.getAsLong();
         String id = "o" + Long.toHexString(random.nextLong());
         sender.take(new Call(fetch.route, HttpMethod.GET, fetch.uri, new DefaultHttpHeaders(), id, Unpooled.EMPTY_BUFFER,
             fetch.key, asked, giveUp, LARGEST), new Client() {
--- a/src/main/java/gorsemast/debilt/Debilt.java
+++ b/src/main/java/gorsemast/debilt/Debilt.java
@@ -16,10 +16,17 @@
 import gorsemast.terschelling.MachineNews;
 import gorsemast.terschelling.PurgeNews;
 import gorsemast.transport.Transport;
+import gorsemast.wilhelminadorp.DiskException;
+import gorsemast.wilhelminadorp.Snapshot;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -27,6 +34,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -42,6 +51,8 @@
     private static final int LARGE = 256 << 10;
     /** The store is asked for the newest version this often, in case its word was lost on the way. */
     private static final long ASK_MICROS = 1_000_000;
+    /** What it knows is written down this often, where it has changed. */
+    private static final long WRITE_MICROS = 500_000;
     private static final Log LOG = new Log("debilt");
 
     /** A call that waits for the store. */
@@ -59,6 +70,15 @@
     private final SecureRandom random = new SecureRandom();
     private final long origin = System.nanoTime();
     private final long life = System.currentTimeMillis();
+    private final ExecutorService writer = Executors.newSingleThreadExecutor(task -> {
+        Thread thread = new Thread(task, "disk");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private Snapshot snapshot;
+    private boolean writing;
+    private long writeAt;
+    private boolean changed;
     private ControlServer server;
     private long lastCall;
     private long askAt;
@@ -72,7 +92,7 @@
         this.registry = new Registry(board, settings.beatMicros());
         this.links = new Links(loop, this::now, () -> new Record.Hello(Program.REGISTRY, settings.ip(), settings.zone(),
             control(), life), this);
-        this.gossip = new Gossip(Program.REGISTRY, board, links, this::now, this::synced, item -> { });
+        this.gossip = new Gossip(Program.REGISTRY, board, links, this::now, this::synced, item -> changed = true);
         settings.seeds().forEach(seed -> seeds.add(seed.getAddress().getHostAddress()));
     }
 
@@ -99,6 +119,11 @@
         if (control == null) {
             throw new IOException("listenAddrs.control: is missing");
         }
+        if (settings.dataDir() != null) {
+            Files.createDirectories(settings.dataDir());
+            snapshot = new Snapshot(settings.dataDir());
+            recall(snapshot.read());
+        }
         links.listen(Ports.REGISTRY.at(settings, settings.ip()));
         server = new ControlServer(loop, this);
         server.listen(control);
@@ -106,6 +131,48 @@
         loop.scheduleWithFixedDelay(this::tick, TICK_MICROS, TICK_MICROS, TimeUnit.MICROSECONDS);
     }
 
+    /** What it knew before it ended: not all of it may hold any more, but it is told to others as what it is, old news. */
+    private void recall(byte[] record) {
+        if (record == null) {
+            return;
+        }
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(record))) {
+            if (Record.read(in, now()) instanceof Record.News news) {
+                news.items().forEach(item -> board.merge(now(), item));
+                LOG.info("recalls " + board.size() + " pieces of news");
+            }
+        } catch (IOException e) {
+            LOG.warn("can't recall what it knew: " + e.getMessage());
+        }
+    }
+
+    private void remember(long now) {
+        if (snapshot == null || writing || !changed || now < writeAt) {
+            return;
+        }
+        changed = false;
+        writing = true;
+        writeAt = now + WRITE_MICROS;
+        List<Item> items = new ArrayList<>();
+        for (Kind kind : Kind.values()) {
+            items.addAll(board.all(kind));
+        }
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            new Record.News(0, items).write(out, now);
+        } catch (IOException e) {
+            throw new IllegalStateException(e); // memory does not fail
+        }
+        writer.execute(() -> {
+            try {
+                snapshot.write(bytes.toByteArray());
+            } catch (DiskException e) {
+                LOG.warn("can't write down what it knows: " + e.getMessage());
+            }
+            loop.execute(() -> writing = false);
+        });
+    }
+
     @Override
     public void reload(Settings changed) {
         loop.execute(() -> changed.seeds().forEach(seed -> seeds.add(seed.getAddress().getHostAddress())));
@@ -132,6 +199,7 @@
             gossip.tick();
             board.forget(now);
             registry.forget();
+            remember(now);
             if (now >= askAt) {
                 askAt = now + ASK_MICROS;
                 ask(null);
@@ -292,6 +360,11 @@
     }
 
     private void answered(Record.Answer answer) {
+        if (answer.call() == 0 && answer.body() != null && answer.version() > 0) {
+            // What the store holds, acknowledged or not: it was valid, so it may be in force.
+            publish(new Item(Kind.CONFIGURATION, "", answer.version(), answer.body(), now()));
+            return;
+        }
         Waiting call = waiting.remove(answer.call());
         boolean read = call != null && call.put == null && call.reply != null;
         if (!answer.done()) {
--- a/src/main/java/gorsemast/eelde/Homes.java
+++ b/src/main/java/gorsemast/eelde/Homes.java
@@ -2,7 +2,6 @@
 
 import gorsemast.terschelling.Hash;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 
 /**
@@ -20,33 +19,40 @@
     }
 
     private final String self;
-    private List<String> edges = List.of();
+    private final String zone;
+    private Map<String, String> edges = Map.of();
     private final Map<String, Away> away = new HashMap<>();
 
     /** Of the edge with this address. */
-    public Homes(String self) {
+    public Homes(String self, String zone) {
         this.self = self;
+        this.zone = zone;
     }
 
-    /** All edges that are up. */
-    public void edges(List<String> ips) {
-        edges = List.copyOf(ips);
-        away.keySet().retainAll(ips);
+    /** All edges that are up, with their zones. */
+    public void edges(Map<String, String> zones) {
+        edges = Map.copyOf(zones);
+        away.keySet().retainAll(edges.keySet());
     }
 
     /** How many there are, this one among them. */
     public int count() {
-        return Math.max(1, edges.contains(self) ? edges.size() : edges.size() + 1);
+        return Math.max(1, edges.containsKey(self) ? edges.size() : edges.size() + 1);
     }
 
-    /** The home of a key: an address, this edge's own where it is its home or nobody else is up. */
-    public String of(long now, String key) {
+    /**
+     * The home of a key: an address, this edge's own where it is its home or nobody else is up.
+     *
+     * @param zoned whether each zone has a home of its own: fewer bytes between zones, more fetches
+     */
+    public String of(long now, String key, boolean zoned) {
         long name = Hash.of(key);
         String best = self;
         long rank = Hash.rank(name, self);
-        for (String edge : edges) {
+        for (Map.Entry<String, String> entry : edges.entrySet()) {
+            String edge = entry.getKey();
             long other = Hash.rank(name, edge);
-            if (other > rank && !edge.equals(self) && !passed(now, edge)) {
+            if (other > rank && (!zoned || zone.equals(entry.getValue())) && !edge.equals(self) && !passed(now, edge)) {
                 best = edge;
                 rank = other;
             }
--- a/src/main/java/gorsemast/hupsel/Sender.java
+++ b/src/main/java/gorsemast/hupsel/Sender.java
@@ -23,6 +23,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ScheduledFuture;
@@ -47,6 +48,18 @@
     private static final long COLD_MICROS = 3_000_000;
     private static final long MOST_RETRY_AFTER = 1_000_000;
     private static final long LEAST_DEADLINE = 50_000;
+    /** How much less a server gets that is slower than the others: this power of how many times it takes as long. */
+    private static final double SPEED_POWER = 3;
+    /** A server's speed as it is known moves by this part towards each answer's. */
+    private static final double SPEED_STEP = 0.1;
+    /** Bounds of how much faster or slower than usual one is taken to be. */
+    private static final double SPEED_LEAST = 0.33;
+    private static final double SPEED_MOST = 4;
+    /** The module is told of speeds when one has changed by this factor, and not more often than this. */
+    private static final double SPEED_CHANGED = 1.1;
+    private static final long SPEED_MICROS = 400_000;
+    /** So many times as much goes to servers of the own zone, for objects, whose bytes are dear between zones. */
+    private static final double NEAR = 4;
     private static final Log LOG = new Log("hupsel");
 
     /** What bounds further attempts over all edges. */
@@ -80,9 +93,17 @@
     private final Turns turns = new Turns(LOG::fault);
     private final List<Balancer.RequestClass> classes = new ArrayList<>();
     private final Map<String, Exchange> open = new HashMap<>();
+    /** How long each server takes, in parts of what all take for the same class; and as the module was told. */
+    private final Map<String, Double> slowness = new HashMap<>();
+    private final Map<String, Double> slownessTold = new HashMap<>();
+    /** What an answer takes by class, over all servers. */
+    private final Map<Integer, Double> usual = new HashMap<>();
+    private final Map<String, Balancer.Server> entries = new LinkedHashMap<>();
+    private long speedsAt;
     private Map<String, Server> servers = Map.of();
     private int edges = 1;
     private int attempts = 1;
+    private boolean objects;
     private long sequence;
 
     /** Of the service with this name, for an edge in the zone with this number. */
@@ -124,6 +145,7 @@
                 classes.add(type(route));
             }
         }
+        objects = routes.stream().anyMatch(route -> route.kind() == Route.Kind.CACHEABLE);
         int least = Math.max(1, routes.stream().mapToInt(Route::maxAttempts).min().orElse(1));
         boolean changed = classes.size() != before || least != attempts;
         attempts = least;
@@ -143,7 +165,7 @@
     public void servers(Collection<ServerNews> news, Map<String, Long> coldUntil, java.util.function.ToIntFunction<String> zones) {
         boolean someReady = news.stream().anyMatch(one -> one.state() == ServerNews.State.READY);
         Map<String, Server> next = new HashMap<>();
-        List<Balancer.Server> entries = new ArrayList<>();
+        entries.clear();
         for (ServerNews one : news) {
             boolean usable = one.state() == ServerNews.State.READY || !someReady && one.state() == ServerNews.State.SILENT;
             Balancer.State state = usable ? Balancer.State.READY
@@ -154,12 +176,13 @@
             next.put(one.id(), new Server(one.id(), one.dial(), usable ? ServerNews.State.READY : ServerNews.State.DRAINING));
             Long cold = coldUntil.get(one.id());
             long started = cold == null || cold <= now() ? 0 : cold - COLD_MICROS;
-            entries.add(new Balancer.Server(one.id(), zones.applyAsInt(one.zone()), 0, 0, state, Math.max(1e-3, one.capacity()),
-                Math.max(0, started)));
+            entries.put(one.id(), new Balancer.Server(one.id(), zones.applyAsInt(one.zone()), 0, 0, state,
+                Math.max(1e-3, one.capacity()), Math.max(0, started)));
         }
         Map<String, Server> before = servers;
         servers = next;
-        turns.event(() -> module.servers(now(), ListKind.FULL, entries));
+        slowness.keySet().retainAll(next.keySet());
+        tell();
         before.forEach((id, server) -> {
             Server later = next.get(id);
             if (later == null || later.state() != ServerNews.State.READY) {
@@ -171,6 +194,32 @@
         });
     }
 
+    /** Tells the module who there is, each with a weight by its room and its speed. */
+    private void tell() {
+        speedsAt = now();
+        slownessTold.clear();
+        slownessTold.putAll(slowness);
+        List<Balancer.Server> list = new ArrayList<>();
+        entries.values().forEach(e -> list.add(new Balancer.Server(e.id(), e.zone(), e.kind(), e.cell(), e.state(),
+            e.weight() * Math.pow(slowness.getOrDefault(e.id(), 1.0), -SPEED_POWER) * (objects && e.zone() == zone ? NEAR : 1),
+            e.startedAt())));
+        turns.event(() -> module.servers(now(), ListKind.FULL, list));
+    }
+
+    /** An answer came: how long its server takes is known better. What waits in its queue counts too, as it should. */
+    private void timed(String server, int number, long elapsed) {
+        double before = usual.getOrDefault(number, (double) elapsed);
+        usual.put(number, before + SPEED_STEP / 2 * (elapsed - before));
+        double ratio = Math.max(SPEED_LEAST, Math.min(SPEED_MOST, elapsed / Math.max(1, before)));
+        double slow = slowness.getOrDefault(server, 1.0);
+        slow += SPEED_STEP * (ratio - slow);
+        slowness.put(server, slow);
+        double told = slownessTold.getOrDefault(server, 1.0);
+        if (now() - speedsAt > SPEED_MICROS && (slow > told * SPEED_CHANGED || told > slow * SPEED_CHANGED)) {
+            tell();
+        }
+    }
+
     /** Whether a server may be sent anything new. */
     public boolean ready(Upstream.Peer peer) {
         Server server = servers.get(peer.host());
@@ -205,7 +254,7 @@
             TimeUnit.MICROSECONDS);
         int number = classes.indexOf(type(call.route()));
         if (number < 0) {
-            learn(List.of(call.route())); // of a version that has only just been replaced
+            classes.add(type(call.route())); // of a version that has only just been replaced
             turns.event(() -> module.retune(now(), settings()));
             number = classes.indexOf(type(call.route()));
         }
@@ -293,6 +342,9 @@
                     if (x.out == mine[0]) {
                         x.out = null;
                     }
+                    if (code == Code.OK) {
+                        timed(id, classes.indexOf(type(x.call.route())), now() - sentAt);
+                    }
                     Sender.this.ended(x, attempt, sentAt, code, answer);
                 }
 
--- /dev/null
+++ b/src/main/java/gorsemast/stavoren/Plant.java
@@ -0,0 +1,31 @@
+package gorsemast.stavoren;
+
+/** Defects that can be planted between the members' decisions and the world, to see that the referee finds each. */
+public enum Plant {
+    /** None. */
+    NONE,
+    /** A save counts before it is on disk. */
+    SAVED_TOO_EARLY,
+    /** A lost disk comes back with the old member's name. */
+    WIPED_KEEPS_ITS_NAME,
+    /** A voter does not hand over what it holds. */
+    VOTE_WITHOUT_KEPT,
+    /** A backup is installed without what the epoch begins with. */
+    INSTALL_WITHOUT_KEPT,
+    /** The primary acknowledges with no backup. */
+    NO_BACKUP,
+    /** Every refusal reaches the candidate as a vote. */
+    REFUSAL_COUNTS_AS_VOTE,
+    /** A backup's word that it holds a version comes although the version was lost on the way. */
+    COPIED_WITHOUT_COPY,
+    /** A backup's word that the epoch still stands comes from nobody. */
+    CONFIRMED_BY_NOBODY,
+    /** Half of the members is enough. */
+    VIEW_OF_ONE,
+    /** A disk that lost power has what it held one save earlier. */
+    DISK_FORGETS_THE_LAST,
+    /** A backup answers the primary of an epoch that it has given up. */
+    ANSWERS_ANY_EPOCH,
+    /** What is asked for by epoch is taken in any epoch. */
+    EPOCHS_IGNORED
+}
--- /dev/null
+++ b/src/main/java/gorsemast/stavoren/StoreCheck.java
@@ -0,0 +1,97 @@
+package gorsemast.stavoren;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * Courses of a {@link World}: drawn ones from a seed, and all orders of a few events up to a depth.
+ *
+ * <p>All orders are played from a state in which a version is acknowledged, by playing each row of events from its
+ * beginning (stateless search, Godefroid 1997); what a row leaves undone is brought to its end and judged.
+ */
+public final class StoreCheck {
+    /** What was found: null for nothing, else what was broken, and how. */
+    public record Result(long courses, long answered, String broken, List<String> story) {
+    }
+
+    private StoreCheck() {
+    }
+
+    /** Drawn courses of so many events each. */
+    public static Result drawn(int members, int spares, long seed, int courses, int events, Plant plant) {
+        long answered = 0;
+        SplittableRandom seeds = new SplittableRandom(seed);
+        for (int c = 0; c < courses; c++) {
+            World world = new World(members, spares, seeds.nextLong(), plant).telling();
+            try {
+                world.calm(1_500_000);
+                for (int e = 0; e < events; e++) {
+                    world.drawn();
+                    if (e % 400 == 399) {
+                        world.strike();
+                    } else if (e % 400 == 199) {
+                        world.sleep();
+                    }
+                }
+                world.heal();
+            } catch (World.Broken e) {
+                return new Result(c + 1, answered, e.getMessage(), world.story());
+            }
+            answered += world.answered();
+        }
+        return new Result(courses, answered, null, List.of());
+    }
+
+    private interface Event {
+        void happen(World world);
+    }
+
+    /** All orders of these events, so many in a row. */
+    public static Result all(int members, int depth, Plant plant) {
+        List<Event> events = new ArrayList<>();
+        for (int i = 1; i <= members; i++) {
+            String a = "m" + i;
+            events.add(world -> world.kill(a, false));
+            events.add(world -> world.kill(a, true));
+            events.add(world -> world.start(a));
+            events.add(world -> world.put(a, false));
+            events.add(world -> world.freeze(a, true));
+            events.add(world -> world.freeze(a, false));
+        }
+        events.add(world -> world.cut("m1", "m2", true));
+        events.add(world -> world.cut("m2", "m1", true));
+        events.add(world -> world.cut("m1", "m2", false));
+        events.add(world -> world.wipe("m1"));
+        events.add(world -> world.wipe("m2"));
+        events.add(world -> world.calm(100_000));
+        events.add(world -> world.calm(1_000_000));
+        int[] row = new int[depth];
+        long courses = 0;
+        long answered = 0;
+        while (true) {
+            World world = new World(members, 0, 7, plant).telling();
+            try {
+                world.calm(6_000_000);
+                world.put("m1", false);
+                world.calm(100_000);
+                for (int event : row) {
+                    events.get(event).happen(world);
+                    world.calm(25_000);
+                }
+                world.heal();
+            } catch (World.Broken e) {
+                return new Result(courses + 1, answered, e.getMessage(), world.story());
+            }
+            courses++;
+            answered += world.answered();
+            int at = depth - 1;
+            while (at >= 0 && ++row[at] == events.size()) {
+                row[at--] = 0;
+            }
+            if (at < 0) {
+                return new Result(courses, answered, null, List.of());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/stavoren/World.java
@@ -0,0 +1,568 @@
+package gorsemast.stavoren;
+
+import gorsemast.vlissingen.Keeper;
+import gorsemast.vlissingen.Kept;
+import gorsemast.vlissingen.Member;
+import gorsemast.vlissingen.Message;
+import gorsemast.vlissingen.Message.Kind;
+import gorsemast.vlissingen.Saved;
+import gorsemast.vlissingen.View;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * Members of a store with their disks and the messages between them, in virtual time. Messages of one pair keep their
+ * order, as on a link, but a link may break and lose what was on it. What is on its way to a disk when power is lost is
+ * there or not; a process that dies leaves its writes behind.
+ *
+ * <p>The referee: what was acknowledged under a version is never answered with other content, a read never answers with
+ * less than was acknowledged before it was asked for, and when all is well again a read answers, with at least the newest
+ * that was acknowledged. Deterministic by its seed.
+ */
+public final class World {
+    /** A rule was broken. */
+    public static final class Broken extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        Broken(String text) {
+            super(text);
+        }
+    }
+
+    private static final long STEP_MICROS = 25_000;
+    private static final long LONG_MICROS = 20_000_000;
+
+    private record Save(Saved state, long token, Keeper of) {
+    }
+
+    private record Asked(boolean put, long version, long floor) {
+    }
+
+    /** One machine. */
+    private final class Machine implements Keeper.Out {
+        private final String ip;
+        private Saved disk;
+        private Saved earlier;
+        private final Deque<Save> saves = new ArrayDeque<>();
+        private Keeper keeper;
+        private boolean frozen;
+
+        Machine(String ip) {
+            this.ip = ip;
+        }
+
+        void start() {
+            if (disk == null) {
+                disk = new Saved(new Member(ip + "#" + (plant == Plant.WIPED_KEEPS_ITS_NAME ? 0 : ++lives), ip), 0,
+                    plant == Plant.WIPED_KEEPS_ITS_NAME ? Keeper.first(firstMembers) : Keeper.first(List.of()), Kept.NONE);
+            }
+            keeper = new Keeper(disk, plant == Plant.NO_BACKUP ? 0 : 1, random.nextLong(), this);
+            if (plant == Plant.WIPED_KEEPS_ITS_NAME && disk.me().id().endsWith("#0")) {
+                lives++;
+            }
+        }
+
+        void kill(boolean power) {
+            // A process's writes are in the system's hands; power may take those that were not synced.
+            while (!saves.isEmpty()) {
+                Save next = saves.poll();
+                if (power && random.nextBoolean()) {
+                    break;
+                }
+                write(next);
+            }
+            saves.clear();
+            keeper = null;
+            frozen = false;
+            if (power && plant == Plant.DISK_FORGETS_THE_LAST && earlier != null) {
+                disk = earlier;
+            }
+            links.keySet().removeIf(pair -> pair.startsWith(ip + ">") || pair.endsWith(">" + ip));
+        }
+
+        private void write(Save save) {
+            earlier = disk;
+            disk = save.state;
+        }
+
+        /** The disk finishes one write. */
+        boolean sync() {
+            if (saves.isEmpty()) {
+                return false;
+            }
+            Save done = saves.poll();
+            write(done);
+            if (keeper == done.of && plant != Plant.SAVED_TOO_EARLY) {
+                keeper.saved(now, done.token);
+            }
+            return true;
+        }
+
+        @Override
+        public void send(Member to, Message message) {
+            if (to.ip().equals(ip)) {
+                return;
+            }
+            Message sent = spoiled(message);
+            if (sent != null) {
+                links.computeIfAbsent(ip + ">" + to.ip(), pair -> new ArrayDeque<>()).add(sent);
+            }
+            if (message.kind() == Kind.COPY && plant == Plant.COPIED_WITHOUT_COPY) {
+                forge(to, Kind.COPIED, message);
+            }
+            if (message.kind() == Kind.CONFIRM && plant == Plant.CONFIRMED_BY_NOBODY) {
+                forge(to, Kind.CONFIRMED, message);
+            }
+        }
+
+        private void forge(Member to, Kind kind, Message of) {
+            Keeper mine = keeper;
+            Message forged = new Message(kind, to, of.epoch(), of.number(), false, null, null);
+            later.add(() -> {
+                if (keeper == mine) {
+                    mine.message(now, forged);
+                }
+            });
+        }
+
+        private Message spoiled(Message m) {
+            return switch (plant) {
+                case VOTE_WITHOUT_KEPT -> m.kind() == Kind.VOTE
+                    ? new Message(m.kind(), m.from(), m.epoch(), m.number(), m.flag(), m.view(), null) : m;
+                case INSTALL_WITHOUT_KEPT -> m.kind() == Kind.INSTALL
+                    ? new Message(m.kind(), m.from(), m.epoch(), m.number(), m.flag(), m.view(), Kept.NONE) : m;
+                case REFUSAL_COUNTS_AS_VOTE -> m.kind() == Kind.NO
+                    ? new Message(Kind.VOTE, m.from(), lastAsked, 0, false, null, null) : m;
+                case COPIED_WITHOUT_COPY -> m.kind() == Kind.COPY ? null : m;
+                case VIEW_OF_ONE -> m.kind() == Kind.VIEW || m.kind() == Kind.INSTALL
+                    ? new Message(m.kind(), m.from(), m.epoch(), m.number(), m.flag(), new View(m.view().epoch(),
+                        m.view().primary(), m.view().backups(), m.view().members().subList(0, 1), List.of()), m.kept()) : m;
+                case EPOCHS_IGNORED -> {
+                    Keeper keeperNow = keeper;
+                    yield (m.kind() == Kind.COPIED || m.kind() == Kind.CONFIRMED || m.kind() == Kind.INSTALLED)
+                        && keeperNow != null ? new Message(m.kind(), m.from(), m.epoch(), m.number(), m.flag(), null, null)
+                        : m.kind() == Kind.ASK ? new Message(m.kind(), m.from(), m.epoch() + 1_000, Long.MAX_VALUE / 4,
+                            m.flag(), m.view(), new Kept(Long.MAX_VALUE / 4, 0, new byte[0])) : m;
+                }
+                default -> m;
+            };
+        }
+
+        @Override
+        public void save(Saved state, boolean keptToo, long token) {
+            saves.add(new Save(state, token, keeper));
+            if (plant == Plant.SAVED_TOO_EARLY && keeper != null) {
+                Keeper mine = keeper;
+                later.add(() -> {
+                    if (keeper == mine) {
+                        mine.saved(now, token);
+                    }
+                });
+            }
+        }
+
+        @Override
+        public void answer(long call, boolean done, Kept kept) {
+            Asked asked = calls.remove(call);
+            if (asked == null || !done) {
+                return;
+            }
+            answered++;
+            if (asked.put && kept.version() < asked.version) {
+                throw new Broken("version " + asked.version + " is acknowledged where " + kept.version() + " holds");
+            }
+            if (kept.version() < asked.floor) {
+                throw new Broken(ip + " answers with version " + kept.version() + " after " + asked.floor
+                    + " was acknowledged");
+            }
+            String text = new String(kept.body(), StandardCharsets.UTF_8);
+            String before = acknowledged.putIfAbsent(kept.version(), text);
+            if (before != null && !before.equals(text)) {
+                throw new Broken("version " + kept.version() + " was acknowledged as " + before + " and as " + text);
+            }
+            newest = Math.max(newest, kept.version());
+        }
+
+        @Override
+        public void committed(Kept kept) {
+            // told to registries; what holds for answers holds for these
+        }
+
+        @Override
+        public void forward(long call, Member primary) {
+            Asked asked = calls.get(call);
+            Machine to = machines.get(primary.ip());
+            if (asked != null && to != null && to.keeper != null && !to.frozen && hops.merge(call, 1, Integer::sum) < 4
+                && !cut(ip, to.ip) && !cut(to.ip, ip)) {
+                later.add(() -> {
+                    if (to.keeper != null) {
+                        enter(to, call, asked);
+                    }
+                });
+            } else {
+                calls.remove(call);
+            }
+        }
+
+        @Override
+        public void log(String sentence) {
+            if (story != null) {
+                story.add(now / 1_000 + " " + ip + " " + sentence);
+            }
+        }
+    }
+
+    private final SplittableRandom random;
+    private final Plant plant;
+    private final List<Member> firstMembers = new ArrayList<>();
+    private final Map<String, Machine> machines = new HashMap<>();
+    private final List<String> ips = new ArrayList<>();
+    private final Map<String, Deque<Message>> links = new HashMap<>();
+    private final Set<String> cuts = new HashSet<>();
+    private final Map<Long, Asked> calls = new HashMap<>();
+    private final Map<Long, Integer> hops = new HashMap<>();
+    private final Map<Long, String> acknowledged = new HashMap<>();
+    private final Deque<Runnable> later = new ArrayDeque<>();
+    private List<String> story;
+    private long now = 1_000_000;
+    private long newest;
+    private long versions;
+    private long lastCall;
+    private long lastAsked;
+    private int lives;
+    private int answered;
+    private String lost;
+
+    /** So many members on empty disks, at the system's first start, and further machines that are none. */
+    public World(int members, int spares, long seed, Plant plant) {
+        this.random = new SplittableRandom(seed);
+        this.plant = plant;
+        for (int i = 1; i <= members + spares; i++) {
+            String ip = "m" + i;
+            ips.add(ip);
+            machines.put(ip, new Machine(ip));
+            if (i <= members) {
+                firstMembers.add(new Member(ip + "#0", ip));
+            }
+        }
+        for (int i = 0; i < members; i++) {
+            Machine machine = machines.get(ips.get(i));
+            machine.disk = new Saved(firstMembers.get(i), 0, Keeper.first(firstMembers), Kept.NONE);
+        }
+        for (int i = 0; i < members; i++) {
+            machines.get(ips.get(i)).start();
+        }
+        acknowledged.put(0L, "");
+    }
+
+    /** Keeps what members say of themselves from now on. */
+    public World telling() {
+        story = new ArrayList<>();
+        return this;
+    }
+
+    /** That. */
+    public List<String> story() {
+        return story;
+    }
+
+    /** Calls that were answered for certain. */
+    public int answered() {
+        return answered;
+    }
+
+    private boolean cut(String from, String to) {
+        return cuts.contains(from + ">" + to);
+    }
+
+    private void enter(Machine at, long call, Asked asked) {
+        if (asked.put) {
+            at.keeper.put(now, call, asked.version, ("content of " + asked.version + " by call " + call)
+                .getBytes(StandardCharsets.UTF_8));
+        } else {
+            at.keeper.get(now, call);
+        }
+        settle();
+    }
+
+    private void settle() {
+        while (!later.isEmpty()) {
+            later.poll().run();
+        }
+    }
+
+    // ---- what may happen
+
+    /** An operator sends the next version, or sends one again, to a machine. */
+    void put(String ip, boolean same) {
+        Machine at = machines.get(ip);
+        if (at.keeper != null && !at.frozen) {
+            long call = ++lastCall;
+            versions += same ? 0 : 1;
+            Asked asked = new Asked(true, versions, newest);
+            calls.put(call, asked);
+            enter(at, call, asked);
+        }
+    }
+
+    /** An operator reads. */
+    void get(String ip) {
+        Machine at = machines.get(ip);
+        if (at.keeper != null && !at.frozen) {
+            long call = ++lastCall;
+            Asked asked = new Asked(false, 0, newest);
+            calls.put(call, asked);
+            enter(at, call, asked);
+        }
+    }
+
+    /** One message of a pair arrives. */
+    boolean deliver(String from, String to) {
+        Deque<Message> row = links.get(from + ">" + to);
+        Machine at = machines.get(to);
+        if (row == null || row.isEmpty() || at.keeper == null || at.frozen || cut(from, to)) {
+            return false;
+        }
+        Message message = row.poll();
+        if (message.kind() == Kind.ASK) {
+            lastAsked = message.epoch();
+        }
+        at.keeper.message(now, message);
+        if (plant == Plant.ANSWERS_ANY_EPOCH && (message.kind() == Kind.COPY || message.kind() == Kind.CONFIRM)) {
+            Machine asker = machines.get(from);
+            Message answer = new Message(message.kind() == Kind.COPY ? Kind.COPIED : Kind.CONFIRMED, at.disk.me(),
+                message.epoch(), message.number(), false, null, null);
+            later.add(() -> {
+                if (asker.keeper != null && !asker.frozen) {
+                    asker.keeper.message(now, answer);
+                }
+            });
+        }
+        settle();
+        return true;
+    }
+
+    /** A disk finishes one write. */
+    boolean sync(String ip) {
+        boolean did = machines.get(ip).sync();
+        settle();
+        return did;
+    }
+
+    /** Time passes, and everybody who runs looks at the clock. */
+    void tick() {
+        now += STEP_MICROS;
+        for (String ip : ips) {
+            Machine machine = machines.get(ip);
+            if (machine.keeper != null && !machine.frozen) {
+                machine.keeper.tick(now);
+                settle();
+            }
+        }
+    }
+
+    void kill(String ip, boolean power) {
+        if (machines.get(ip).keeper != null) {
+            tell(ip + (power ? " loses power" : " is killed"));
+            machines.get(ip).kill(power);
+        }
+    }
+
+    /** Starts what is down. */
+    void start(String ip) {
+        Machine machine = machines.get(ip);
+        if (machine.keeper == null) {
+            tell(ip + " starts");
+            machine.start();
+            if (ip.equals(lost)) {
+                lostSince = now;
+            }
+        }
+    }
+
+    private long lostSince;
+
+    /** A disk is lost, where no other one is lost or has only just come back: one at a time may be. */
+    void wipe(String ip) {
+        Machine machine = machines.get(ip);
+        boolean whole = lost == null || machines.get(lost).keeper != null && now - lostSince > 4_000_000;
+        if (whole && allUp(ip)) {
+            tell(ip + " loses its disk");
+            machine.kill(true);
+            machine.disk = null;
+            machine.earlier = null;
+            lost = ip;
+            lostSince = now;
+        }
+    }
+
+    private boolean allUp(String but) {
+        return ips.stream().allMatch(ip -> ip.equals(but) || machines.get(ip).disk == null || machines.get(ip).keeper != null
+            && !machines.get(ip).frozen) && cuts.isEmpty() && machines.get(but).disk != null && steadySince < now - 4_000_000;
+    }
+
+    private long steadySince;
+
+    void freeze(String ip, boolean does) {
+        machines.get(ip).frozen = does && machines.get(ip).keeper != null;
+        tell(ip + (does ? " freezes" : " wakes"));
+    }
+
+    void cut(String from, String to, boolean does) {
+        if (does) {
+            cuts.add(from + ">" + to);
+            tell(from + " does not reach " + to);
+        } else {
+            cuts.remove(from + ">" + to);
+        }
+    }
+
+    private void tell(String what) {
+        steadySince = now;
+        if (story != null) {
+            story.add(now / 1_000 + " " + what);
+        }
+    }
+
+    /** A link breaks and loses what was on it. */
+    void breakLink(String from, String to) {
+        links.remove(from + ">" + to);
+    }
+
+    // ---- courses
+
+    /** One drawn event; times and deliveries come most often. */
+    void drawn() {
+        String a = ips.get(random.nextInt(ips.size()));
+        String b = ips.get(random.nextInt(ips.size()));
+        int what = random.nextInt(1_000);
+        if (what < 450) {
+            deliver(a, b);
+        } else if (what < 700) {
+            sync(a);
+        } else if (what < 860) {
+            tick();
+        } else if (what < 910) {
+            put(a, random.nextInt(4) == 0);
+        } else if (what < 945) {
+            get(a);
+        } else if (what < 955) {
+            kill(a, random.nextBoolean());
+        } else if (what < 972) {
+            start(a);
+        } else if (what < 976) {
+            wipe(a);
+        } else if (what < 982) {
+            freeze(a, !machines.get(a).frozen);
+        } else if (what < 988) {
+            cut(a, b, true);
+        } else if (what < 997) {
+            cut(a, b, false);
+        } else if (what < 999) {
+            breakLink(a, b);
+        } else {
+            for (String ip : ips) {
+                kill(ip, true);
+            }
+        }
+    }
+
+    /** All work, a version is acknowledged somewhere, and a disk is lost at once; others lose power with it. */
+    void strike() {
+        cuts.clear();
+        for (String ip : ips) {
+            machines.get(ip).frozen = false;
+            start(ip);
+        }
+        calm(6_000_000);
+        put(ips.get(random.nextInt(ips.size())), false);
+        calm(random.nextInt(4) * 25_000L);
+        String struck = ips.get(random.nextInt(ips.size()));
+        wipe(struck);
+        for (String ip : ips) {
+            if (!ip.equals(struck) && random.nextInt(3) == 0) {
+                kill(ip, true);
+            }
+        }
+        get(ips.get(random.nextInt(ips.size())));
+    }
+
+    /** One stands still while another takes over and acknowledges, wakes, and is asked before it has heard of that. */
+    void sleep() {
+        String sleeper = ips.get(random.nextInt(ips.size()));
+        String other = ips.get(random.nextInt(ips.size()));
+        freeze(sleeper, true);
+        calm(3_000_000);
+        put(other, false);
+        calm(100_000);
+        freeze(sleeper, false);
+        get(sleeper);
+        put(sleeper, true);
+        for (String ip : ips) {
+            deliver(sleeper, ip); // what it says is heard before it hears anything
+        }
+    }
+
+    /** Everything works again, for so long that what is slow has come to its end; then a read must answer. */
+    public void heal() {
+        cuts.clear();
+        for (String ip : ips) {
+            machines.get(ip).frozen = false;
+            start(ip);
+        }
+        long until = now + LONG_MICROS;
+        while (now < until) {
+            quiet();
+            tick();
+        }
+        int before = answered;
+        get(ips.get(0));
+        for (int i = 0; i < 200 && answered == before; i++) {
+            quiet();
+            tick();
+        }
+        if (answered == before) {
+            throw new Broken("nobody answers though all is well");
+        }
+    }
+
+    /** Everything that is on its way arrives. */
+    public void quiet() {
+        boolean moved = true;
+        for (int round = 0; moved && round < 1_000; round++) {
+            moved = false;
+            for (String a : ips) {
+                while (sync(a)) {
+                    moved = true;
+                }
+                for (String b : ips) {
+                    while (deliver(a, b)) {
+                        moved = true;
+                    }
+                }
+            }
+        }
+    }
+
+    /** A calm while, as between troubles. */
+    public void calm(long micros) {
+        long until = now + micros;
+        while (now < until) {
+            quiet();
+            tick();
+        }
+    }
+
+    /** The machines' names. */
+    public List<String> machines() {
+        return ips;
+    }
+}
--- a/src/main/java/gorsemast/vlissingen/Keeper.java
+++ b/src/main/java/gorsemast/vlissingen/Keeper.java
@@ -341,6 +341,12 @@
         if (role == Role.PRIMARY && m.number() > view.epoch()) {
             yieldTo(Math.max(promised, m.number())); // a later epoch has begun while this one was not heard
         }
+        if (role == Role.PRIMARY && m.epoch() > view.epoch() && view.backups().contains(m.from().id())) {
+            // It has promised more than this epoch and holds nothing in it any more: a later one brings it back.
+            promised = Math.max(promised, m.epoch());
+            stand(null);
+            return;
+        }
         if (m.flag() && m.number() >= view.epoch() && role != Role.PRIMARY) {
             activePrimary = m.from().id();
             activeAt = now;
--- a/src/main/java/gorsemast/vlissingen/Vlissingen.java
+++ b/src/main/java/gorsemast/vlissingen/Vlissingen.java
@@ -145,6 +145,8 @@
     public void up(Link link) {
         if (link.peer().program() == Program.STORE) {
             link.send(new Record.Between(keeper.greeting()));
+        } else if (link.peer().ip().equals(settings.ip())) {
+            committed(keeper.kept()); // so that edges that start have something at once, whatever an election takes
         }
     }
 
