--- a/deploy/system-archive.sh
+++ b/deploy/system-archive.sh
@@ -6,14 +6,14 @@
 cd "$(dirname "$0")/.."
 lib=target/lib
 path=target/anisebend.jar
-for jar in snakeyaml-2.4 dsl-json-1.10.0 log4j-api-2.24.3 xodus-environment-2.0.1 xodus-openAPI-2.0.1 xodus-utils-2.0.1 \
+for jar in snakeyaml-engine-2.9 dsl-json-1.10.0 log4j-api-2.24.3 xodus-environment-2.0.1 xodus-openAPI-2.0.1 xodus-utils-2.0.1 \
     xodus-compress-2.0.1 xodus-crypto-2.0.1 kotlin-stdlib-1.6.10 kotlin-logging-1.7.9 slf4j-api-2.0.17; do
     path=$path:$lib/$jar.jar
 done
 rm -f target/system.jsa
 java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx128m -XX:-UsePerfData -Djava.library.path=target/native \
     -Dio.netty.allocator.type=unpooled -Dio.netty.noPreferDirect=true -Dio.netty.machineId=00:00:00:00:00:01 \
-    -Dio.netty.processId=1 -Dslf4j.internal.verbosity=ERROR \
+    -Dio.netty.processId=1 -Dio.netty.initialSeedUniquifier=1 -Dslf4j.internal.verbosity=ERROR \
     -Dlog4j2.loggerContextFactory=org.apache.logging.log4j.simple.SimpleLoggerContextFactory -Xlog:disable \
     -XX:ArchiveClassesAtExit=target/system.jsa -cp "$path" gorsemast.deelen.Training target > target/system-archive.log 2>&1 || true
 rm -rf target/training*
--- a/src/main/java/gorsemast/arcen/Main.java
+++ b/src/main/java/gorsemast/arcen/Main.java
@@ -46,6 +46,8 @@
                 case "debilt" -> new Debilt(settings);
                 default -> new Vlissingen(settings);
             };
+            program.start();
+            // Behind the start, which somebody may be waiting for; heard of by reflection, it takes a tenth of that.
             Signals.onHangup(() -> {
                 try {
                     program.reload(Settings.read(Path.of(file)));
@@ -53,7 +55,6 @@
                     log.warn("keeps its settings: " + e.getMessage());
                 }
             });
-            program.start();
             log.info("runs on " + settings.name() + " in " + settings.zone());
             started.complete(program);
         } catch (IOException | RuntimeException e) {
--- a/src/main/java/gorsemast/cabauw/Front.java
+++ b/src/main/java/gorsemast/cabauw/Front.java
@@ -31,7 +31,6 @@
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Function;
@@ -279,11 +278,16 @@
     /** A promise that it has not run, with when to come back. */
     static void refuse(Turn turn, long retryAfterMicros) {
         HttpHeaders headers = new DefaultHttpHeaders();
-        headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f",
-            Math.max(1_000, retryAfterMicros) / (double) MICROS));
+        headers.set(HttpHeaderNames.RETRY_AFTER, seconds(retryAfterMicros));
         turn.answer(UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER);
     }
 
+    /** Microseconds as seconds with three digits behind the point, one thousandth at least. */
+    static String seconds(long micros) {
+        long millis = Math.max(1, micros / 1_000);
+        return millis / 1_000 + "." + millis % 1_000 / 100 + millis % 100 / 10 + millis % 10;
+    }
+
     /** Seconds with fractions as microseconds. */
     static long micros(String seconds) {
         try {
--- a/src/main/java/gorsemast/cabauw/ObjectsServer.java
+++ b/src/main/java/gorsemast/cabauw/ObjectsServer.java
@@ -31,7 +31,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.Locale;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -118,7 +117,7 @@
                     @Override
                     public void refused(long retryAfter) {
                         HttpHeaders headers = new DefaultHttpHeaders();
-                        headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfter / 1e6));
+                        headers.set(HttpHeaderNames.RETRY_AFTER, Front.seconds(retryAfter));
                         write(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE.code(), headers, Unpooled.EMPTY_BUFFER);
                     }
 
--- a/src/main/java/gorsemast/marknesse/Log.java
+++ b/src/main/java/gorsemast/marknesse/Log.java
@@ -13,15 +13,17 @@
     private static final int MOST = 20;
     private static final long SECOND = 1_000_000_000L;
 
-    private final Logger logger;
+    private final String name;
     private final String prefix;
+    /** Made with the first line: the library's own start takes a tenth of the program's. */
+    private Logger logger;
     private long second;
     private int lines;
 
     /** The log of a part, by its prefix. */
     public Log(String prefix) {
+        this.name = prefix;
         this.prefix = prefix + ": ";
-        this.logger = LogManager.getLogger(prefix);
     }
 
     /** An event that an operator may want to know of. */
@@ -45,6 +47,7 @@
     }
 
     private synchronized boolean room() {
+        logger = logger == null ? LogManager.getLogger(name) : logger;
         long now = System.nanoTime();
         if (now - second > SECOND) {
             if (lines > MOST) {
--- a/src/main/java/gorsemast/marknesse/Settings.java
+++ b/src/main/java/gorsemast/marknesse/Settings.java
@@ -12,11 +12,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.yaml.snakeyaml.LoaderOptions;
-import org.yaml.snakeyaml.Yaml;
-import org.yaml.snakeyaml.constructor.SafeConstructor;
-import org.yaml.snakeyaml.error.MarkedYAMLException;
-import org.yaml.snakeyaml.error.YAMLException;
+import org.snakeyaml.engine.v2.api.Load;
+import org.snakeyaml.engine.v2.api.LoadSettings;
+import org.snakeyaml.engine.v2.exceptions.MarkedYamlEngineException;
+import org.snakeyaml.engine.v2.exceptions.YamlEngineException;
 
 /**
  * What one process is told at its start: who it is, where it listens, whom it may ask first, and the figures of the
@@ -58,12 +57,12 @@
     public static Settings parse(String text) {
         Object whole;
         try {
-            whole = new Yaml(new SafeConstructor(new LoaderOptions())).load(text);
-        } catch (MarkedYAMLException e) {
-            String at = e.getProblemMark() == null ? "?" : "line " + (e.getProblemMark().getLine() + 1) + ", column "
-                + (e.getProblemMark().getColumn() + 1);
+            whole = new Load(LoadSettings.builder().build()).loadFromString(text);
+        } catch (MarkedYamlEngineException e) {
+            String at = e.getProblemMark().map(mark -> "line " + (mark.getLine() + 1) + ", column " + (mark.getColumn() + 1))
+                .orElse("?");
             throw new SettingsException(Code.UNREADABLE, at, e.getProblem());
-        } catch (YAMLException e) {
+        } catch (YamlEngineException e) {
             throw new SettingsException(Code.UNREADABLE, "file", e.getMessage());
         }
         if (!(whole instanceof Map<?, ?> map)) {
--- a/src/main/java/gorsemast/vlissingen/Vlissingen.java
+++ b/src/main/java/gorsemast/vlissingen/Vlissingen.java
@@ -7,6 +7,7 @@
 import gorsemast.lauwersoog.Record.Program;
 import gorsemast.marknesse.Daemon;
 import gorsemast.marknesse.Log;
+import gorsemast.marknesse.Seed;
 import gorsemast.marknesse.Settings;
 import gorsemast.transport.Transport;
 import gorsemast.wilhelminadorp.Disk;
@@ -15,7 +16,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -76,7 +76,7 @@
         }
         disk = Disk.open(settings.dataDir());
         Saved saved = recover(disk.load());
-        keeper = new Keeper(saved, Math.max(1, settings.losses()), new SecureRandom().nextLong(), this);
+        keeper = new Keeper(saved, Math.max(1, settings.losses()), Seed.fresh(), this);
         links.listen(Ports.STORE.at(settings, settings.ip()));
         loop.execute(this::dial);
         loop.scheduleWithFixedDelay(this::tick, TICK_MICROS, TICK_MICROS, TimeUnit.MICROSECONDS);
@@ -90,7 +90,7 @@
             return saved;
         }
         // Only on the first start of all is an empty disk as it should be; any other one belongs to a new member.
-        String life = settings.firstBoot() ? "0" : Long.toHexString(new SecureRandom().nextLong());
+        String life = settings.firstBoot() ? "0" : Long.toHexString(Seed.fresh());
         List<Member> members = new ArrayList<>();
         if (settings.firstBoot()) {
             seeds.forEach(ip -> members.add(new Member(ip + "#0", ip)));
