--- a/src/main/java/gorsemast/deelen/LoopbackNetwork.java
+++ b/src/main/java/gorsemast/deelen/LoopbackNetwork.java
@@ -162,6 +162,16 @@
         }
     }
 
+    /** One more server, at an address of its own, whose last number is given. */
+    public StandInServer newServer(String id, String service, int number) throws IOException {
+        return new StandInServer(loop, id, service, "here", net + '.' + number, port, controls, BEAT_MILLIS);
+    }
+
+    /** Where proxies take links. */
+    public int linkPort() {
+        return port + 3;
+    }
+
     /** Where operators call. */
     public List<InetSocketAddress> controls() {
         return controls;
--- a/src/main/java/gorsemast/marknesse/Log.java
+++ b/src/main/java/gorsemast/marknesse/Log.java
@@ -12,6 +12,18 @@
 public final class Log {
     private static final int MOST = 20;
     private static final long SECOND = 1_000_000_000L;
+    private static final String FACTORY = "log4j2.loggerContextFactory";
+    private static final String LEVEL = "org.apache.logging.log4j.simplelog.level";
+
+    static {
+        // Whoever wants another engine of the library's names it; the simple one is silent below errors unless told.
+        if (System.getProperty(FACTORY) == null) {
+            System.setProperty(FACTORY, "org.apache.logging.log4j.simple.SimpleLoggerContextFactory");
+        }
+        if (System.getProperty(LEVEL) == null) {
+            System.setProperty(LEVEL, "INFO");
+        }
+    }
 
     private final String name;
     private final String prefix;
--- /dev/null
+++ b/src/test/java/gorsemast/deelen/NetworkTest.java
@@ -0,0 +1,227 @@
+package gorsemast.deelen;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import gorsemast.deelen.LoopbackNetwork.Answer;
+import gorsemast.deelen.StandInServer.Manner;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The whole path over real sockets: three core machines, two edges, stand-in servers that do wrong. */
+class NetworkTest {
+    @TempDir
+    static Path data;
+    private static LoopbackNetwork network;
+    private static int calls;
+    private static int version = 1;
+
+    @BeforeAll
+    static void start() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.88.1"))) {
+            network = new LoopbackNetwork("127.0.88", Math.min(60_000, free.getLocalPort()), data);
+        }
+        network.start(2);
+    }
+
+    @BeforeEach
+    void allWell() {
+        network.servers().forEach(server -> {
+            server.manner(Manner.SERVES);
+            server.work(0);
+        });
+    }
+
+    private static Answer ask(int edge, String method, String path, byte[] body) {
+        return network.call(network.fronts().get(edge), method, path, LoopbackNetwork.client("n" + ++calls), body);
+    }
+
+    private static Answer operator(int core, String path, String body) {
+        return network.call(network.controls().get(core), "POST", path, Map.of(), body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static long runs(String uri) {
+        return network.servers().stream().flatMap(server -> server.runs().stream()).filter(run -> run.uri().equals(uri)).count();
+    }
+
+    @Test
+    void anObjectIsFetchedOnceAndServedByAll() {
+        assertThat(ask(0, "GET", "/objects/once", null).text()).isEqualTo("object /objects/once version 0\n");
+        for (int i = 0; i < 6; i++) {
+            assertThat(ask(i % 2, "GET", "/objects/once", null).status()).isEqualTo(200);
+        }
+        assertThat(runs("/objects/once")).isEqualTo(1);
+    }
+
+    @Test
+    void aRangeComesFromTheWhole() {
+        Map<String, String> headers = new HashMap<>(LoopbackNetwork.client("range"));
+        headers.put("Range", "bytes=7-13");
+        Answer part = network.call(network.fronts().get(0), "GET", "/objects/range", headers, null);
+        assertThat(part.status()).isEqualTo(206);
+        assertThat(part.text()).isEqualTo("/object");
+        headers.put("Range", "bytes=4000-");
+        assertThat(network.call(network.fronts().get(0), "GET", "/objects/range", headers, null).status()).isEqualTo(416);
+        assertThat(runs("/objects/range")).isEqualTo(1);
+    }
+
+    @Test
+    void aPurgeByPathOrTagReachesAllEdges() {
+        for (String order : new String[] {"{\"hostname\":\"" + LoopbackNetwork.HOST + "\",\"path\":\"/objects/purged\"}",
+            "{\"tag\":\"all\"}"}) {
+            ask(0, "GET", "/objects/purged", null);
+            ask(1, "GET", "/objects/purged", null);
+            network.servers().forEach(server -> server.change("/objects/purged"));
+            assertThat(operator(1, "/v1/purge", order).status()).isEqualTo(200);
+            for (int edge = 0; edge < 2; edge++) {
+                int at = edge;
+                LoopbackNetwork.until(() -> ask(at, "GET", "/objects/purged", null).text().equals(current()));
+            }
+        }
+    }
+
+    private static String current() {
+        // the stand-ins count changes alike, so any of them tells
+        return network.call(network.servers().get(0).address(), "GET", "/objects/purged", Map.of(), null).text();
+    }
+
+    @Test
+    void whatMayNotRepeatRunsOnceHoweverItsServerFails() {
+        for (Manner manner : new Manner[] {Manner.RESETS, Manner.CUTS_SHORT, Manner.FAILS, Manner.ANSWERS_TWICE}) {
+            network.servers().forEach(server -> server.manner(manner));
+            String uri = "/orders/pay/" + manner;
+            Answer answer = ask(0, "POST", uri, "pay".getBytes(StandardCharsets.UTF_8));
+            assertThat(runs(uri)).as(manner.toString()).isEqualTo(1);
+            assertThat(answer.status()).as(manner.toString()).isNotIn(429, 503);
+        }
+    }
+
+    @Test
+    void aSurplusAnswerIsNobodysAnswer() {
+        network.servers().forEach(server -> server.manner(Manner.ANSWERS_TWICE));
+        for (int i = 0; i < 8; i++) {
+            String uri = "/orders/twice" + i;
+            assertThat(ask(0, "GET", uri, null).text()).isEqualTo("object " + uri + " version 0\n");
+        }
+    }
+
+    @Test
+    void whatIsTurnedAwayGoesElsewhereOrComesBackLater() {
+        network.servers().get(2).manner(Manner.TURNS_AWAY);
+        int served = 0;
+        for (int i = 0; i < 10; i++) {
+            served += ask(0, "POST", "/orders/pay/t" + i, null).status() == 200 ? 1 : 0;
+        }
+        assertThat(served).isEqualTo(10);
+        network.servers().get(3).manner(Manner.TURNS_AWAY);
+        Answer answer = ask(0, "POST", "/orders/pay/none", null);
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(runs("/orders/pay/none")).isZero();
+    }
+
+    @Test
+    void invalidConfigurationsAreRefusedAndNeverHold() {
+        String valid = new String(LoopbackNetwork.configuration(0x7fff, "20s"), StandardCharsets.UTF_8);
+        String[] broken = {valid.substring(0, valid.length() - 2), valid.replace("\"backend\":\"orders\"", "\"backend\":\"none\""),
+            valid.replace("\"weight\":1", "\"weight\":0"), valid.replace("\"weight\":1", "\"weight\":-1"),
+            valid.replace("\"maxAttempts\":2", "\"maxAttempts\":0"), valid + "x", "[]", "",
+            valid.replace("\"configVersion\":\"00007fff\"", "\"configVersion\":\"7fff\""),
+            valid.replace("\"timeout\":\"1500ms\"", "\"timeout\":\"soon\"")};
+        for (String body : broken) {
+            assertThat(operator(0, "/v1/configuration/replace", body).status()).as(body).isEqualTo(400);
+        }
+        assertThat(network.call(network.controls().get(2), "GET", "/v1/configuration/read", Map.of(), null).text())
+            .doesNotContain("00007fff");
+    }
+
+    @Test
+    void theHighestVersionHoldsWhereverItIsSent() {
+        for (int core = 0; core < 3; core++) {
+            byte[] next = LoopbackNetwork.configuration(++version, "20s");
+            assertThat(network.call(network.controls().get(core), "POST", "/v1/configuration/replace", Map.of(), next).status())
+                .isEqualTo(200);
+            assertThat(network.call(network.controls().get((core + 1) % 3), "POST", "/v1/configuration/replace", Map.of(),
+                LoopbackNetwork.configuration(1, "9s")).status()).isEqualTo(200);
+            assertThat(network.call(network.controls().get((core + 2) % 3), "GET", "/v1/configuration/read", Map.of(), null)
+                .body()).isEqualTo(next);
+        }
+    }
+
+    @Test
+    void aDrainingServerGetsNothingNewAndItsLateBeatsChangeNothing() throws IOException {
+        StandInServer leaving = network.newServer("i-leaving", "orders", 90);
+        LoopbackNetwork.until(() -> {
+            ask(0, "GET", "/orders/x" + calls, null);
+            return !leaving.runs().isEmpty();
+        });
+        leaving.drain();
+        LoopbackNetwork.until(() -> network.call(network.controls().get(0), "POST", "/v1/nodes/i-leaving/deregister", Map.of(),
+            new byte[0]).status() == 200);
+        int before = leaving.runs().size();
+        Set<Integer> statuses = java.util.stream.IntStream.range(0, 40).map(i -> ask(0, "GET", "/orders/late" + i, null).status())
+            .boxed().collect(Collectors.toSet());
+        assertThat(statuses).containsExactly(200);
+        assertThat(leaving.runs()).hasSize(before);
+        leaving.close();
+    }
+
+    @Test
+    void pipelinedRequestsAreAnsweredInTheirOrder() throws IOException {
+        network.servers().get(2).work(60_000);
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < 6; i++) {
+            all.append("GET /orders/p").append(i).append(" HTTP/1.1\r\nHost: ").append(LoopbackNetwork.HOST)
+                .append("\r\nAttempt-Id: pipe").append(i).append("\r\nTime-Budget: 1500\r\n\r\n");
+        }
+        String got = raw(all.toString(), "/orders/p5 version");
+        int at = -1;
+        for (int i = 0; i < 6; i++) {
+            int next = got.indexOf("object /orders/p" + i + " version");
+            assertThat(next).as(got).isGreaterThan(at);
+            at = next;
+        }
+    }
+
+    @Test
+    void badInputHarmsNobodyElse() throws IOException {
+        assertThat(raw("GET / HTTP/1.1\r\nHost : x\r\n\r\n", "400")).contains("400");
+        assertThat(raw("GARBAGE\r\n\r\n", "400")).contains("400");
+        assertThat(raw("POST /orders/pay/z HTTP/1.1\r\nHost: " + LoopbackNetwork.HOST + "\r\nAttempt-Id: s\r\nContent-Length: 3\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled", "400")).contains("400");
+        assertThat(raw("GET /none/ HTTP/1.1\r\nHost: " + LoopbackNetwork.HOST + "\r\n\r\n", "404")).contains("404");
+        try (Socket foreign = new Socket(network.fronts().get(0).getAddress(), network.linkPort())) {
+            foreign.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            foreign.setSoTimeout(10_000);
+            byte[] rest = foreign.getInputStream().readAllBytes(); // until it is closed
+            assertThat(rest.length).isLessThan(1_000);
+        }
+        assertThat(ask(0, "GET", "/orders/after", null).status()).isEqualTo(200);
+    }
+
+    private static String raw(String text, String until) throws IOException {
+        try (Socket socket = new Socket(network.fronts().get(0).getAddress(), network.fronts().get(0).getPort())) {
+            socket.setSoTimeout(10_000);
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+            StringBuilder got = new StringBuilder();
+            byte[] buffer = new byte[4_096];
+            for (int n = socket.getInputStream().read(buffer); n > 0; n = socket.getInputStream().read(buffer)) {
+                got.append(new String(buffer, 0, n, StandardCharsets.US_ASCII));
+                if (got.indexOf(until) >= 0) {
+                    break;
+                }
+            }
+            return got.toString();
+        }
+    }
+}
