--- a/src/main/java/gorsemast/cabauw/Cabauw.java
+++ b/src/main/java/gorsemast/cabauw/Cabauw.java
@@ -73,7 +73,8 @@
     private static final int HEAD_BYTES = 16 << 10;
     private static final long SERVER_IDLE_MILLIS = 8_000;
     private static final long CONNECT_MILLIS = 400;
-    private static final long SHELF_BYTES = 20L << 20;
+    /** Room for copies. With twice of it a quiet day's hits are the same, and the memory costs three times what they earn. */
+    private static final long SHELF_BYTES = 9L << 20;
     /** The platform looks each second and acts on two misses; until then new clients still come. */
     private static final long NOTICED_MICROS = 2_400_000;
     /** So long before the platform kills, what is left is let go. */
