--- a/deploy/system-archive.sh
+++ b/deploy/system-archive.sh
@@ -13,7 +13,7 @@
 rm -f target/system.jsa
 java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx128m -XX:-UsePerfData -Djava.library.path=target/native \
     -Dio.netty.allocator.type=unpooled -Dio.netty.noPreferDirect=true -Dio.netty.machineId=00:00:00:00:00:01 \
-    -Dio.netty.processId=1 -Dio.netty.initialSeedUniquifier=1 -Dslf4j.internal.verbosity=ERROR -Xlog:disable \
+    -Dio.netty.processId=1 -Dio.netty.initialSeedUniquifier=1 -Dio.netty.jfr.enabled=false -Dslf4j.internal.verbosity=ERROR -Xlog:disable \
     -XX:ArchiveClassesAtExit=target/system.jsa -cp "$path" gorsemast.deelen.Training target > target/system-archive.log 2>&1 || true
 rm -rf target/training*
 [ -f target/system.jsa ] || echo "no class archive was made; see target/system-archive.log" >&2
--- a/src/main/java/gorsemast/arcen/Main.java
+++ b/src/main/java/gorsemast/arcen/Main.java
@@ -26,6 +26,7 @@
         String file = System.getenv(Settings.VARIABLE);
         if (file == null || !word.equals("cabauw") && !word.equals("debilt") && !word.equals("vlissingen")) {
             log.warn("usage: " + Settings.VARIABLE + "=FILE gorsemast cabauw|debilt|vlissingen");
+            Log.flush();
             System.exit(2);
         }
         CompletableFuture<Daemon> started = new CompletableFuture<>();
@@ -35,6 +36,7 @@
                 Daemon program = started.join();
                 if (program != null) {
                     program.stop();
+                    Log.flush();
                     Runtime.getRuntime().halt(0); // else the signal would be the exit code
                 }
             }
@@ -59,6 +61,7 @@
             started.complete(program);
         } catch (IOException | RuntimeException e) {
             log.warn("can't start: " + e.getMessage());
+            Log.flush();
             started.complete(null);
             System.exit(1);
         } finally {
--- a/src/main/java/gorsemast/marknesse/Log.java
+++ b/src/main/java/gorsemast/marknesse/Log.java
@@ -1,5 +1,8 @@
 package gorsemast.marknesse;
 
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.locks.LockSupport;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -7,14 +10,25 @@
  * The log of one part: short sentences behind a fixed prefix, a line an event, on standard error. Log4j 2's interface
  * with the simple logger that comes with it: its full engine costs a daemon 0.3 s of a small core at each start.
  *
- * <p>A part that has more to say than {@link #MOST} lines in one second says how many it left out. Any thread.
+ * <p>Lines are written by a thread of their own, so that no event loop waits for whoever reads them, and from
+ * {@link #QUIET_NANOS} after the process's first line on: setting the library up takes a sixth of a start that clients wait
+ * for. Who ends the process calls {@link #flush} before. A part that has more to say than {@link #MOST} lines in one second
+ * says how many it left out; {@link #WAITING} lines wait at most. Any thread.
  */
 public final class Log {
     private static final int MOST = 20;
+    private static final int WAITING = 1_000;
     private static final long SECOND = 1_000_000_000L;
+    private static final long QUIET_NANOS = 2_500_000_000L;
     private static final String FACTORY = "log4j2.loggerContextFactory";
     private static final String LEVEL = "org.apache.logging.log4j.simplelog.level";
 
+    private record Line(Log of, boolean warns, String text) {
+    }
+
+    private static final Queue<Line> LINES = new ConcurrentLinkedQueue<>();
+    private static volatile Thread writer;
+
     static {
         // Whoever wants another engine of the library's names it; the simple one is silent below errors unless told.
         if (System.getProperty(FACTORY) == null) {
@@ -27,7 +41,6 @@
 
     private final String name;
     private final String prefix;
-    /** Made with the first line: the library's own start takes a tenth of the program's. */
     private Logger logger;
     private long second;
     private int lines;
@@ -40,16 +53,12 @@
 
     /** An event that an operator may want to know of. */
     public void info(String sentence) {
-        if (room()) {
-            logger.info(prefix + sentence);
-        }
+        line(false, sentence);
     }
 
     /** Something that should not be. */
     public void warn(String sentence) {
-        if (room()) {
-            logger.warn(prefix + sentence);
-        }
+        line(true, sentence);
     }
 
     /** A fault of the program's own, with its place. */
@@ -58,16 +67,59 @@
         warn("fault " + e + (at.length > 0 ? " at " + at[0] : "") + (at.length > 1 ? " from " + at[1] : ""));
     }
 
-    private synchronized boolean room() {
-        logger = logger == null ? LogManager.getLogger(name) : logger;
+    private synchronized void line(boolean warns, String sentence) {
         long now = System.nanoTime();
         if (now - second > SECOND) {
             if (lines > MOST) {
-                logger.warn(prefix + "left out " + (lines - MOST) + " lines");
+                LINES.add(new Line(this, true, prefix + "left out " + (lines - MOST) + " lines"));
             }
             second = now;
             lines = 0;
         }
-        return ++lines <= MOST;
+        if (++lines <= MOST && LINES.size() < WAITING) {
+            LINES.add(new Line(this, warns, prefix + sentence));
+            wake();
+        }
+    }
+
+    private static void wake() {
+        Thread thread = writer;
+        if (thread != null) {
+            LockSupport.unpark(thread);
+            return;
+        }
+        synchronized (LINES) {
+            if (writer == null) {
+                writer = new Thread(Log::write, "log");
+                writer.setDaemon(true);
+                writer.start();
+            }
+        }
+    }
+
+    private static void write() {
+        long from = System.nanoTime() + QUIET_NANOS;
+        for (long left = QUIET_NANOS; left > 0; left = from - System.nanoTime()) {
+            LockSupport.parkNanos(left);
+        }
+        while (true) {
+            flush();
+            LockSupport.park(LINES); // one that comes in between leaves its permit
+        }
+    }
+
+    /** Writes what waits, before the process ends. */
+    public static void flush() {
+        synchronized (LINES) {
+            for (Line line = LINES.poll(); line != null; line = LINES.poll()) {
+                Log of = line.of;
+                of.logger = of.logger == null ? LogManager.getLogger(of.name) : of.logger;
+                if (line.warns) {
+                    of.logger.warn(line.text);
+                } else {
+                    of.logger.info(line.text);
+                }
+            }
+        }
     }
 }
