--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -22,14 +22,6 @@
  * counted successes. All times are the caller's, in microseconds.
  */
 public final class Decide implements Balancer {
-    /** The paper's multipliers and threshold: doubled on failure, halved after a few successes. */
-    private static final double UP = 2;
-    private static final double DOWN = 0.5;
-    private static final double RANDOMIZATION = 0.3;
-    static final int THRESHOLD = 6;
-    /** Both bounds of an interval, as parts of the shortest deadline, and the lanes that they pace. */
-    private static final int INITIAL_PART = 50;
-    private static final int MAX_PART = 5;
     private static final int LANES = 2;
     /** A key moves when its server holds HIGH times the mean and another less than it; floors in requests. */
     private static final double HIGH = 3;
@@ -131,79 +123,13 @@
         this.actions = actions;
     }
 
-    /** The paper's sleeper: an interval that failures multiply up and counted successes step down. */
-    static class Sleeper {
-        final SplittableRandom random;
-        final long initialInterval;
-        final long maxInterval;
-        long currentInterval;
-        int currentSuccess;
-
-        Sleeper(SplittableRandom random, long initialInterval, long maxInterval) {
-            this.random = random;
-            this.initialInterval = initialInterval;
-            this.maxInterval = maxInterval;
-        }
-
-        void goUp() {
-            currentInterval = currentInterval == 0 ? initialInterval
-                : Math.min(maxInterval, draw(currentInterval * UP));
-        }
-
-        void success() {
-            if (currentInterval > 0 && ++currentSuccess >= THRESHOLD) {
-                goDown();
-                currentSuccess = 0;
-            }
-        }
-
-        void goDown() {
-            long next = draw(currentInterval * DOWN);
-            currentInterval = next < initialInterval ? 0 : next;
-        }
-
-        private long draw(double interval) {
-            double delta = Math.min(RANDOMIZATION * interval, maxInterval / 2.0);
-            return (long) (interval - delta + 2 * delta * random.nextDouble());
-        }
-    }
-
-    /** One of a target's paced ways out. While paced it carries one request, as the paper's workers do. */
-    private static final class Lane extends Sleeper {
-        /** Since when it rests: its last send or, like the paper's sleep after a call, the answer to it. */
-        long restSince;
-        long steppedAt;
-        int out;
-
-        Lane(SplittableRandom random, long deadline) {
-            super(random, deadline / INITIAL_PART, deadline / MAX_PART);
-        }
-
-        /** Steps down for each time in which a threshold of successes could have been earned, unused. */
-        void rest(long now) {
-            steppedAt = Math.max(steppedAt, restSince);
-            while (out == 0 && currentInterval > 0) {
-                long step = THRESHOLD * Math.max(currentInterval, maxInterval / 2);
-                if (now - steppedAt < step) {
-                    return;
-                }
-                steppedAt += step;
-                goDown();
-            }
-        }
-
-        long readyAt() {
-            return currentInterval == 0 ? 0 : out > 0 ? Long.MAX_VALUE : restSince + currentInterval;
-        }
-    }
-
     /** A cache server or the origin, with what is held for it and what is known of its health. */
     private final class Target {
         final String id;
         final long hash;
         final List<Lane> lanes = new ArrayList<>();
         final Rate rate = new Rate(Math.max(settings.coldTime() / 4.0, shortestDeadline));
-        final Sleeper trials = new Sleeper(random, shortestDeadline / MAX_PART, shortestDeadline);
+        final Sleeper trials = new Sleeper(random, shortestDeadline / Lane.MAX_PART, shortestDeadline);
         final TreeSet<Held> queue = new TreeSet<>(Held.LEAVING);
         final LinkedHashSet<Held> inFlight = new LinkedHashSet<>();
         final List<Faults> faults = new ArrayList<>();
@@ -323,9 +249,8 @@
         }
 
         /**
-         * Until when a cold server's allowance is used up. It earns its part of what warm ones carry from
-         * this balancer, by weight, of all requests where none is warm; beginning at a chance point, so that
-         * it holds summed over any number of balancers. Its queue waits like a paced lane's.
+         * Until when a cold server's allowance is used up. It earns its part of what warm ones carry from here, by weight
+         * (of all requests where none is warm), from a chance point on, so that it holds summed over any number.
          */
         long coldWait() {
             if (warmth() == 1) {
@@ -461,7 +386,7 @@
     // ---- events
 
     private void take(Settings given) {
-        given.check(INITIAL_PART);
+        given.check(Lane.INITIAL_PART);
         settings = given;
         shortestDeadline = given.classes().stream().mapToLong(RequestClass::deadline).min().getAsLong();
         shortestAim = given.classes().stream().mapToLong(RequestClass::aim).min().getAsLong();
@@ -496,7 +421,7 @@
         }
         if (given.listMustBeAsked()) {
             long within = given.listAskWithin();
-            listSleeper = new Sleeper(random, within / INITIAL_PART, within / MAX_PART);
+            listSleeper = new Sleeper(random, within / Lane.INITIAL_PART, within / Lane.MAX_PART);
             actions.subscribe();
         }
         alarms.arm(actions);
@@ -826,10 +751,8 @@
     private void feedback(Held held, Target target, Outcome o) {
         Code code = o.code();
         boolean fetch = o.note() == Note.MISS || o.note() == Note.MISS_FETCHING;
-        // Late answers count as failures: a long waiting room never says "full". What was fetched, or waited
-        // for that while the server answered others, tells of the ledger instead.
-        boolean failed = code == Code.FULL || code == Code.CONNECT_FAILED
-            || code == Code.ERROR && target == origin
+        // Late answers count as failures: a long waiting room never says "full". Fetches tell of the ledger instead.
+        boolean failed = code == Code.FULL || code == Code.CONNECT_FAILED || code == Code.ERROR && target == origin
             || code == Code.TIMEOUT && (held.fetch == null || target.lastAnswer < held.sentAt)
             || code == Code.OK && !fetch && target.late(o.elapsed(), held.type.aim());
         if (failed) {
@@ -840,11 +763,9 @@
         tells |= o.note() != Note.NONE;
         if (ledger != null && (held.fetch != null || fetch)) {
             Lane lane = held.fetch != null ? held.fetch : ledger.earliest();
-            // A client that left without an answer has waited too long as well. Where few servers fail a
-            // class, an error is the server's own if no two good answers have come since the one before.
+            // Who left unanswered waited too long too. Where few fail a class, an error after good answers is their own.
             int type = held.request.requestClass();
-            if (code == Code.ERROR && (target.faults(type).sum < BROKEN || alike(type))
-                || code == Code.TIMEOUT
+            if (code == Code.ERROR && (target.faults(type).sum < BROKEN || alike(type)) || code == Code.TIMEOUT
                 || code == Code.CANCELLED && o.elapsed() > held.type.aim()
                 || fetch && o.elapsed() > FETCH_LATE * held.type.aim()) {
                 lane.goUp();
@@ -862,8 +783,7 @@
         if (code == Code.OK || code == Code.FULL || code == Code.ERROR || code == Code.MISS) {
             heard(target);
         } else if (!o.code().calledOff) {
-            doubt(target, held.sentAt, code == Code.CONNECT_FAILED ? REFUSED
-                : code == Code.RESET ? BROKEN : SILENT);
+            doubt(target, held.sentAt, code == Code.CONNECT_FAILED ? REFUSED : code == Code.RESET ? BROKEN : SILENT);
         }
         if (code == Code.ERROR) {
             fault(held, target, SILENT);
@@ -1153,10 +1073,7 @@
             && !target.faults(held.request.requestClass()).shut() && !held.failedAt.contains(target);
     }
 
-    /**
-     * The server with fewest held and in flight. Under the low bound all count as equally few and the key's
-     * rendezvous order decides, so that balancers that share nothing find the same home for a key.
-     */
+    /** The server with fewest held and in flight; under the low bound all are equal, and the key's rendezvous decides. */
     private Target fewest(Held held, Home home, List<Target> usable, double mean, Target not) {
         String key = held.request.key();
         long keyHash = key == null ? random.nextLong() : Measures.hash(key) + (salt & home.copies - 1);
--- a/src/test/java/anisebend/SleeperTest.java
+++ b/src/test/java/anisebend/SleeperTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 
 class SleeperTest {
-    private final Decide.Sleeper sleeper = new Decide.Sleeper(new SplittableRandom(1), 100, 1600);
+    private final Sleeper sleeper = new Sleeper(new SplittableRandom(1), 100, 1600);
 
     @Test
     void growsFromZeroToTheUnjitteredInitialInterval() {
@@ -50,7 +50,7 @@
     @Test
     void stepsDownAfterCountedSuccessesAndResetsTheCount() {
         sleeper.currentInterval = 1000;
-        for (int i = 1; i < Decide.THRESHOLD; i++) {
+        for (int i = 1; i < Sleeper.THRESHOLD; i++) {
             sleeper.success();
             assertEquals(1000, sleeper.currentInterval);
         }
@@ -62,7 +62,7 @@
     @Test
     void stepsToZeroBelowTheInitialInterval() {
         sleeper.currentInterval = 120;
-        for (int i = 0; i < Decide.THRESHOLD; i++) {
+        for (int i = 0; i < Sleeper.THRESHOLD; i++) {
             sleeper.success();
         }
         assertEquals(0, sleeper.currentInterval);
