--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -249,8 +249,8 @@
         }
 
         /**
-         * Until when a cold server's allowance is used up. It earns its part of what warm ones carry from here, by weight
-         * (of all requests where none is warm), from a chance point on, so that it holds summed over any number.
+         * Until when a cold server's allowance is used up. It earns its part of what warm ones carry from
+         * here, by weight (of all requests where none is warm), from a chance point on: so sums hold too.
          */
         long coldWait() {
             if (warmth() == 1) {
@@ -751,8 +751,9 @@
     private void feedback(Held held, Target target, Outcome o) {
         Code code = o.code();
         boolean fetch = o.note() == Note.MISS || o.note() == Note.MISS_FETCHING;
-        // Late answers count as failures: a long waiting room never says "full". Fetches tell of the ledger instead.
-        boolean failed = code == Code.FULL || code == Code.CONNECT_FAILED || code == Code.ERROR && target == origin
+        // Late answers are failures: a long waiting room never says "full". Fetches tell of the ledger.
+        boolean failed = code == Code.FULL || code == Code.CONNECT_FAILED
+            || code == Code.ERROR && target == origin
             || code == Code.TIMEOUT && (held.fetch == null || target.lastAnswer < held.sentAt)
             || code == Code.OK && !fetch && target.late(o.elapsed(), held.type.aim());
         if (failed) {
@@ -763,9 +764,10 @@
         tells |= o.note() != Note.NONE;
         if (ledger != null && (held.fetch != null || fetch)) {
             Lane lane = held.fetch != null ? held.fetch : ledger.earliest();
-            // Who left unanswered waited too long too. Where few fail a class, an error after good answers is their own.
+            // Who left waited too long too. Where few fail a class, an error after good answers is theirs.
             int type = held.request.requestClass();
-            if (code == Code.ERROR && (target.faults(type).sum < BROKEN || alike(type)) || code == Code.TIMEOUT
+            if (code == Code.ERROR && (target.faults(type).sum < BROKEN || alike(type))
+                || code == Code.TIMEOUT
                 || code == Code.CANCELLED && o.elapsed() > held.type.aim()
                 || fetch && o.elapsed() > FETCH_LATE * held.type.aim()) {
                 lane.goUp();
@@ -783,7 +785,8 @@
         if (code == Code.OK || code == Code.FULL || code == Code.ERROR || code == Code.MISS) {
             heard(target);
         } else if (!o.code().calledOff) {
-            doubt(target, held.sentAt, code == Code.CONNECT_FAILED ? REFUSED : code == Code.RESET ? BROKEN : SILENT);
+            doubt(target, held.sentAt, code == Code.CONNECT_FAILED ? REFUSED
+                : code == Code.RESET ? BROKEN : SILENT);
         }
         if (code == Code.ERROR) {
             fault(held, target, SILENT);
@@ -1073,7 +1076,7 @@
             && !target.faults(held.request.requestClass()).shut() && !held.failedAt.contains(target);
     }
 
-    /** The server with fewest held and in flight; under the low bound all are equal, and the key's rendezvous decides. */
+    /** The server with fewest held and in flight; under the low bound the key's rendezvous decides. */
     private Target fewest(Held held, Home home, List<Target> usable, double mean, Target not) {
         String key = held.request.key();
         long keyHash = key == null ? random.nextLong() : Measures.hash(key) + (salt & home.copies - 1);
--- a/src/main/java/anisebend/Sleeper.java
+++ b/src/main/java/anisebend/Sleeper.java
@@ -23,7 +23,8 @@
     }
 
     void goUp() {
-        currentInterval = currentInterval == 0 ? initialInterval : Math.min(maxInterval, draw(currentInterval * UP));
+        currentInterval = currentInterval == 0 ? initialInterval
+            : Math.min(maxInterval, draw(currentInterval * UP));
     }
 
     void success() {
--- a/src/main/java/gorsemast/debilt/Debilt.java
+++ b/src/main/java/gorsemast/debilt/Debilt.java
@@ -318,6 +318,11 @@
             return;
         }
         Item item = outcome.item();
+        if (outcome.waits() && reached().size() < holders()) {
+            gossip.publish(item); // it may be true, and those that hear of it may go by it; but nothing is promised
+            reply.answer(503, "reaches no other registry", null);
+            return;
+        }
         gossip.publish(item, outcome.waits() ? holders() : 0, () -> {
             registry.safe(item.key(), item.stamp());
             reply.answer(200, null, null);
--- a/src/main/java/gorsemast/vlissingen/Keeper.java
+++ b/src/main/java/gorsemast/vlissingen/Keeper.java
@@ -517,6 +517,10 @@
             out.forward(call.id, known.getOrDefault(activePrimary, new Member(activePrimary, "")));
             return;
         }
+        if (role != Role.PRIMARY && !reachesMost()) {
+            out.answer(call.id, false, Kept.NONE); // cut off: whoever asks had better ask elsewhere
+            return;
+        }
         calls.add(call); // also where nobody leads: an election is a matter of a moment
         next();
     }
