--- a/src/main/java/gorsemast/debilt/Debilt.java
+++ b/src/main/java/gorsemast/debilt/Debilt.java
@@ -12,6 +12,7 @@
 import gorsemast.marknesse.Settings;
 import gorsemast.schiphol.Configuration;
 import gorsemast.terschelling.Board;
+import gorsemast.terschelling.Duty;
 import gorsemast.terschelling.Item;
 import gorsemast.terschelling.Item.Kind;
 import gorsemast.terschelling.MachineNews;
@@ -66,6 +67,8 @@
     private final Registry registry;
     private final Links links;
     private final Gossip gossip;
+    /** Telling who is silent: one registry does it for all. */
+    private final Duty telling;
     private final Map<Long, Waiting> waiting = new HashMap<>();
     private final Set<String> seeds = new LinkedHashSet<>();
     private final SplittableRandom random = new SplittableRandom(Seed.fresh());
@@ -94,6 +97,9 @@
         this.links = new Links(loop, this::now, () -> new Record.Hello(Program.REGISTRY, settings.ip(), settings.zone(),
             control(), life), this);
         this.gossip = new Gossip(Program.REGISTRY, board, links, this::now, this::synced, item -> changed = true);
+        this.telling = new Duty(settings.ip(), Seed.fresh(), (to, word, term, at) -> links.up(Program.REGISTRY).stream()
+            .filter(link -> link.peer().ip().equals(to)).findFirst().ifPresent(link ->
+                link.send(new Record.Ballot(word, term, at))));
         settings.seeds().forEach(seed -> seeds.add(seed.getAddress().getHostAddress()));
     }
 
@@ -194,7 +200,8 @@
             if (!beats.isEmpty()) {
                 links.up(Program.REGISTRY).forEach(link -> link.send(new Record.Heard(beats)));
             }
-            if (mostReached()) {
+            telling.tick(now, reached(), machines());
+            if (telling.acts(now, machines())) {
                 registry.silent(now).forEach(gossip::publish);
             }
             gossip.tick();
@@ -255,10 +262,10 @@
         return ips;
     }
 
-    private boolean mostReached() {
-        long machines = Math.max(seeds.size(), board.all(Kind.CORE).stream().map(MachineNews::of)
+    /** How many core machines there are, as far as is known. */
+    private int machines() {
+        return Math.max(seeds.size(), (int) board.all(Kind.CORE).stream().map(MachineNews::of)
             .filter(machine -> machine != null && machine.up()).count());
-        return 2 * (reached().size() + 1) > machines;
     }
 
     /** How many others have to hold what is acknowledged: as many as may be lost, one at least. */
@@ -360,6 +367,8 @@
         }
         if (record instanceof Record.Heard heard) {
             heard.beats().forEach(beat -> registry.heardElsewhere(now(), beat.id(), beat.seq()));
+        } else if (record instanceof Record.Ballot ballot) {
+            telling.said(now(), link.peer().ip(), ballot.word(), ballot.term(), ballot.at(), machines());
         } else if (record instanceof Record.Answer answer) {
             answered(answer);
         }
--- a/src/main/java/gorsemast/lauwersoog/Record.java
+++ b/src/main/java/gorsemast/lauwersoog/Record.java
@@ -1,6 +1,7 @@
 package gorsemast.lauwersoog;
 
 import gorsemast.terschelling.Board;
+import gorsemast.terschelling.Duty;
 import gorsemast.terschelling.Item;
 import gorsemast.vlissingen.Message;
 import java.io.DataInputStream;
@@ -62,6 +63,10 @@
     record Between(Message message) implements Record {
     }
 
+    /** Registry to registry: a ballot on who does what one does for all. */
+    record Ballot(Duty.Word word, long term, long at) implements Record {
+    }
+
     /** The first byte of each record; another one is another form of them. */
     int FORM = 1;
     /** The longest record, a bound on what one peer makes another keep. */
@@ -130,6 +135,11 @@
         } else if (this instanceof Between between) {
             out.writeByte(11);
             between.message.write(out);
+        } else if (this instanceof Ballot ballot) {
+            out.writeByte(12);
+            out.writeByte(ballot.word.ordinal());
+            out.writeLong(ballot.term);
+            out.writeLong(ballot.at);
         }
     }
 
@@ -188,6 +198,13 @@
             case 9 -> new Get(in.readLong(), in.readLong());
             case 10 -> new Answer(in.readLong(), in.readBoolean(), in.readLong(), bytes(in));
             case 11 -> new Between(Message.read(in));
+            case 12 -> {
+                Duty.Word word = Duty.Word.of(in.readUnsignedByte());
+                if (word == null) {
+                    throw new IOException("no such word");
+                }
+                yield new Ballot(word, in.readLong(), in.readLong());
+            }
             default -> throw new IOException("no record " + type);
         };
     }
--- /dev/null
+++ b/src/main/java/gorsemast/terschelling/Duty.java
@@ -0,0 +1,173 @@
+package gorsemast.terschelling;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * Something that one of several processes does, as one of them sees it. It is won by a round of ballots whenever it has
+ * fallen vacant.
+ *
+ * <p><b>Idea.</b> Who has not heard of a holder for {@link #VACANT_MICROS} asks all others for the next term; each grants a
+ * term once, and none while it has heard of a holder; more than half win it. The holder tells all that it holds it, and
+ * acts only while more than half have confirmed what it told within {@link #LEASE_MICROS}, counted from when it told them:
+ * that is over before any of them grants another term, whatever the clocks show, as long as they run at about one speed
+ * (leases, Gray and Cheriton 1989). Who has just started has forgotten what it granted, and grants nothing until that can't
+ * matter any more. So never two act at once, and a vacancy lasts some seconds at most while more than half are reached.
+ *
+ * <p>Nothing is kept on disk. Times in microseconds of a clock that never goes back; one thread. O(n) a tick.
+ */
+public final class Duty {
+    static final long TELL_MICROS = 300_000;
+    static final long LEASE_MICROS = 1_000_000;
+    static final long VACANT_MICROS = 1_500_000;
+    static final long ROUND_MICROS = 400_000;
+    private static final long STAND_BACK_MICROS = 1_200_000;
+
+    /** What is said of a duty. */
+    public enum Word {
+        /** May I have this term? */
+        ASK,
+        /** You may; also: I know that you hold it. */
+        GRANT,
+        /** I hold this term; {@code at} comes back with the answer. */
+        HOLD,
+        /** You may not; terms have come as far as this. */
+        NO;
+
+        private static final Word[] ALL = values();
+
+        /** The word of this number; null for none. */
+        public static Word of(int number) {
+            return number < ALL.length ? ALL[number] : null;
+        }
+    }
+
+    /** Says it to another process. */
+    public interface Out {
+        /** @param at the sender's time, which an answer brings back */
+        void say(String to, Word word, long term, long at);
+    }
+
+    private final String self;
+    private final SplittableRandom random;
+    private final Out out;
+    private final Set<String> votes = new HashSet<>();
+    private final Map<String, Long> confirmed = new HashMap<>();
+    private long begunAt = Long.MIN_VALUE;
+    private long term;
+    private String holder;
+    private long heardAt;
+    private long standBackUntil;
+    private long roundUntil;
+    private long toldAt;
+    private long asked;
+
+    /** Of the process with this name. */
+    public Duty(String self, long seed, Out out) {
+        this.self = self;
+        this.random = new SplittableRandom(seed);
+        this.out = out;
+    }
+
+    /** Whether this process is to act now, among so many. */
+    public boolean acts(long now, int all) {
+        if (!self.equals(holder)) {
+            return false;
+        }
+        long fresh = 1 + confirmed.values().stream().filter(at -> now - at < LEASE_MICROS).count();
+        return 2 * fresh > all;
+    }
+
+    /** Who holds it, as far as is known; null for nobody. */
+    public String holder() {
+        return holder;
+    }
+
+    /** To be called a few times a second, with those that are reached and how many there are with this one. */
+    public void tick(long now, Collection<String> others, int all) {
+        if (begunAt == Long.MIN_VALUE) {
+            begunAt = now;
+            heardAt = now; // somebody may hold it; it would be heard of by then
+            standBack(now);
+        }
+        if (self.equals(holder)) {
+            if (!acts(now, all) && now - heardAt > LEASE_MICROS) {
+                holder = null; // it could not be confirmed, and others may have it by now
+                heardAt = now;
+                standBack(now);
+                return;
+            }
+            if (now - toldAt >= TELL_MICROS) {
+                toldAt = now;
+                others.forEach(other -> out.say(other, Word.HOLD, term, now));
+            }
+            return;
+        }
+        if (now - heardAt > VACANT_MICROS && now >= standBackUntil && now >= roundUntil && 2 * (others.size() + 1) > all) {
+            holder = null;
+            term++;
+            asked = term;
+            votes.clear();
+            votes.add(self);
+            roundUntil = now + ROUND_MICROS;
+            standBackUntil = roundUntil + random.nextLong(STAND_BACK_MICROS);
+            others.forEach(other -> out.say(other, Word.ASK, term, now));
+            win(now, all);
+        }
+    }
+
+    private void standBack(long now) {
+        standBackUntil = now + random.nextLong(STAND_BACK_MICROS);
+    }
+
+    private void win(long now, int all) {
+        if (asked == term && now < roundUntil && 2 * votes.size() > all) {
+            holder = self;
+            asked = 0;
+            heardAt = now;
+            toldAt = now - TELL_MICROS;
+            confirmed.clear();
+        }
+    }
+
+    /** Another process has said something. */
+    public void said(long now, String from, Word word, long itsTerm, long at, int all) {
+        switch (word) {
+            case ASK -> {
+                boolean knows = begunAt != Long.MIN_VALUE && now - begunAt > VACANT_MICROS;
+                if (knows && itsTerm > term && now - heardAt > VACANT_MICROS && !self.equals(holder)) {
+                    term = itsTerm; // and so never again to anybody
+                    asked = 0;
+                    heardAt = now; // its word counts as a confirmation, and must hold as long as one
+                    standBack(now);
+                    out.say(from, Word.GRANT, itsTerm, at);
+                } else if (itsTerm <= term) {
+                    out.say(from, Word.NO, term, at);
+                }
+            }
+            case NO -> term = self.equals(holder) ? term : Math.max(term, itsTerm);
+            case GRANT -> {
+                if (self.equals(holder) && itsTerm == term) {
+                    confirmed.merge(from, at, Math::max);
+                    heardAt = acts(now, all) ? now : heardAt;
+                } else if (itsTerm == asked) {
+                    votes.add(from);
+                    win(now, all);
+                }
+            }
+            case HOLD -> {
+                if (itsTerm > term || itsTerm == term && !self.equals(holder)) {
+                    term = itsTerm;
+                    holder = from;
+                    asked = 0;
+                    heardAt = now;
+                    out.say(from, Word.GRANT, itsTerm, at);
+                }
+            }
+        }
+    }
+}
