--- a/src/main/java/gorsemast/cabauw/ObjectDesk.java
+++ b/src/main/java/gorsemast/cabauw/ObjectDesk.java
@@ -4,6 +4,7 @@
 import gorsemast.eelde.Copy;
 import gorsemast.eelde.Demand;
 import gorsemast.eelde.Homes;
+import gorsemast.eelde.Patience;
 import gorsemast.eelde.Shelf;
 import gorsemast.exchange.Passage;
 import gorsemast.exchange.Upstream;
@@ -62,8 +63,6 @@
     static final String STEP = "Home-Step";
     static final String LEFT = "Home-Budget";
     static final int OUT_OF_STEP = 409;
-    /** A home that has not answered by then is passed over; what it may have to fetch takes less. */
-    private static final long HOME_MICROS = 500_000;
     private static final long LEAST_LEFT = 60_000;
     /** Renewed ahead, by one for all, in this last part of its time, where it is asked for often. */
     private static final double RENEW_FROM = 0.8;
@@ -150,6 +149,7 @@
     private final SplittableRandom random;
     private final Map<String, Ceiling> ceilings = new HashMap<>();
     private final Map<String, Demand> demands = new HashMap<>();
+    private final Patience patience = new Patience();
     private final Map<String, Fetch> fetches = new HashMap<>();
     /** Counts: served from copies, fetched from homes, fetched from servers. */
     final long[] counts = new long[3];
@@ -288,13 +288,14 @@
 
     private void home(Fetch fetch, String home, InetSocketAddress at, long giveUp) {
         long now = clock.getAsLong();
-        long wait = Math.min(HOME_MICROS, (giveUp - now) * 2 / 3);
+        long wait = Math.min(patience.micros(), (giveUp - now) * 2 / 3);
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, fetch.uri);
         String step = Long.toHexString(board.purgeDigest());
         request.headers().set(HttpHeaderNames.HOST, fetch.host).set(STEP, step).set(LEFT, wait / 1_000);
         Upstream.Ending ending = (code, note, answer) -> {
             boolean inStep = answer != null && answer.status().code() != OUT_OF_STEP;
             if (answer != null) {
+                patience.answered(clock.getAsLong() - now);
                 homes.answered(home);
             } else if (!code.calledOff) {
                 homes.failed(clock.getAsLong(), home);
--- a/src/main/java/gorsemast/eelde/Homes.java
+++ b/src/main/java/gorsemast/eelde/Homes.java
@@ -15,6 +15,7 @@
 
     private static final class Away {
         private long until;
+        private long failedAt;
         private long span = SHORTEST_MICROS;
     }
 
@@ -52,11 +53,17 @@
         for (Map.Entry<String, String> entry : edges.entrySet()) {
             String edge = entry.getKey();
             long other = Hash.rank(name, edge);
-            if (other > rank && (!zoned || zone.equals(entry.getValue())) && !edge.equals(self) && !passed(now, edge)) {
-                best = edge;
-                rank = other;
+            if (other > rank && (!zoned || zone.equals(entry.getValue())) && !edge.equals(self)) {
+                if (!passed(now, edge)) {
+                    best = edge;
+                    rank = other;
+                }
             }
         }
+        Away tried = away.get(best);
+        if (tried != null) {
+            tried.until = now + tried.span; // this one is its trial; all others go on passing it over until it is answered
+        }
         return best;
     }
 
@@ -67,11 +74,16 @@
 
     /** It did not answer. */
     public void failed(long now, String edge) {
-        Away one = away.computeIfAbsent(edge, ip -> new Away());
-        if (now >= one.until) {
+        Away one = away.get(edge);
+        if (one == null) {
+            one = new Away();
             one.until = now + one.span;
+            away.put(edge, one);
+        } else if (now - one.failedAt > one.span / 2) { // not another one of the same silence
             one.span = Math.min(LONGEST_MICROS, 2 * one.span);
+            one.until = now + one.span;
         }
+        one.failedAt = now;
     }
 
     /** It did. */
--- /dev/null
+++ b/src/test/java/gorsemast/eelde/ContentTest.java
@@ -0,0 +1,118 @@
+package gorsemast.eelde;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import gorsemast.terschelling.PurgeNews;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Copies and purges, homes that fail, and a ceiling that holds over any window. */
+class ContentTest {
+    private static final String KEY = Shelf.key("a.example", "/x/1");
+
+    private static Copy copy(long asked, String... tags) {
+        return new Copy(200, List.of(), new byte[1_000], Set.of(tags), asked, 10_000_000);
+    }
+
+    @Test
+    void aCopyIsServedForItsTimeFromWhenItWasAskedFor() {
+        Shelf shelf = new Shelf(1 << 20);
+        shelf.put(KEY, copy(1_000_000));
+        assertThat(shelf.get(10_999_999, KEY, 60_000_000)).isNotNull();
+        assertThat(shelf.get(11_000_000, KEY, 60_000_000)).isNull();
+        assertThat(shelf.get(3_000_000, KEY, 2_000_000)).as("the route's time became shorter").isNull();
+    }
+
+    @Test
+    void aPurgeHoldsAgainstWhatWasAskedForBeforeIt() {
+        Shelf shelf = new Shelf(1 << 20);
+        long before = shelf.number();
+        shelf.purge(new PurgeNews("p", "a.example", "/x/1", ""));
+        long after = shelf.number();
+        shelf.purge(new PurgeNews("t", "", "", "red"));
+        assertThat(shelf.purgedSince(before, KEY, copy(0))).isTrue();
+        assertThat(shelf.purgedSince(after, KEY, copy(0))).isFalse();
+        assertThat(shelf.purgedSince(after, KEY, copy(0, "red"))).isTrue();
+        assertThat(shelf.purgedSince(shelf.number(), KEY, copy(0, "red"))).isFalse();
+        assertThat(shelf.purgedSince(before, Shelf.key("a.example", "/x/1?q"), copy(0))).as("with a query too").isTrue();
+        assertThat(shelf.purgedSince(before, Shelf.key("a.example", "/x/12"), copy(0))).isFalse();
+        for (int i = 0; i < 5_000; i++) {
+            shelf.purge(new PurgeNews("n" + i, "b.example", "/" + i, ""));
+        }
+        assertThat(shelf.purgedSince(after, KEY, copy(0))).as("more purges than are remembered").isTrue();
+    }
+
+    @Test
+    void copiesAreHeldWithinTheirRoomAndPurgedByTag() {
+        Shelf shelf = new Shelf(100_000);
+        for (int i = 0; i < 1_000; i++) {
+            shelf.put("k" + i, copy(0, i % 2 == 0 ? "even" : "odd"));
+            assertThat(shelf.bytes()).isLessThanOrEqualTo(100_000);
+        }
+        shelf.purge(new PurgeNews("t", "", "", "even"));
+        assertThat(shelf.held("k998")).isNull();
+        assertThat(shelf.held("k999")).isNotNull();
+        shelf.sweep(20_000_000);
+        assertThat(shelf.bytes()).isZero();
+    }
+
+    @Test
+    void aHomeThatFailsIsPassedOverAndTriedByOneRequestAtATime() {
+        Homes homes = new Homes("self", "here");
+        homes.edges(Map.of("self", "there", "other", "here"));
+        String key = java.util.stream.IntStream.range(0, 100).mapToObj(i -> "k" + i)
+            .filter(k -> homes.of(0, k, false).equals("other")).findFirst().orElseThrow();
+        homes.failed(1_000_000, "other");
+        assertThat(homes.of(1_100_000, key, false)).isEqualTo("self");
+        assertThat(homes.of(2_000_000, key, false)).as("a trial").isEqualTo("other");
+        assertThat(homes.of(2_000_001, key, false)).as("and only one").isEqualTo("self");
+        homes.failed(2_150_000, "other");
+        assertThat(homes.of(2_700_000, key, false)).as("for longer after another failure").isEqualTo("self");
+        homes.answered("other");
+        assertThat(homes.of(2_700_001, key, false)).isEqualTo("other");
+    }
+
+    @Test
+    void aZonesHomesAreInTheZone() {
+        Homes homes = new Homes("self", "here");
+        homes.edges(Map.of("self", "here", "far", "there"));
+        for (int i = 0; i < 50; i++) {
+            assertThat(homes.of(0, "k" + i, true)).isEqualTo("self");
+        }
+    }
+
+    @Test
+    void noWindowHoldsMoreThanTheCeiling() {
+        Ceiling ceiling = new Ceiling(5_000_000);
+        int edges = 4;
+        long[] taken = new long[10_000];
+        int count = 0;
+        for (long now = 0; now < 30_000_000; now += 7_000) {
+            if (ceiling.take(now, 100, edges, false)) {
+                taken[count++] = now;
+            }
+        }
+        for (int i = 0; i < count; i++) {
+            int from = i;
+            long inWindow = java.util.Arrays.stream(taken, 0, count).filter(at -> at >= taken[from] && at < taken[from] + 5_000_000)
+                .count();
+            assertThat(inWindow).isLessThanOrEqualTo(100 * 5 / edges);
+        }
+        assertThat(count).as("and not much less than it").isGreaterThan(30 * 100 / edges * 7 / 10);
+    }
+
+    @Test
+    void patienceFollowsWhatAnswersTake() {
+        Patience patience = new Patience();
+        for (int i = 0; i < 100; i++) {
+            patience.answered(5_000);
+        }
+        assertThat(patience.micros()).isEqualTo(Patience.LEAST_MICROS);
+        for (int i = 0; i < 100; i++) {
+            patience.answered(i % 2 == 0 ? 20_000 : 200_000);
+        }
+        assertThat(patience.micros()).isEqualTo(Patience.MOST_MICROS);
+    }
+}
