Tell other edges what was seen of servers' speeds

Own figures count twice as much as others'; one that lies moves little. Speeds are news that is not mended by digests.

--- a/src/main/java/gorsemast/cabauw/Cabauw.java
+++ b/src/main/java/gorsemast/cabauw/Cabauw.java
@@ -25,6 +25,7 @@
 import gorsemast.terschelling.Item.Kind;
 import gorsemast.terschelling.MachineNews;
 import gorsemast.terschelling.ServerNews;
+import gorsemast.terschelling.SpeedNews;
 import gorsemast.transport.Transport;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -68,6 +69,8 @@
     private static final int REGISTRIES = 2;
     private static final int WATCHED = 2;
     private static final long TICK_MICROS = 250_000;
+    /** What was seen of servers' speeds is told so often, by ten edges; more of them tell less often. */
+    private static final long SPEEDS_MICROS = 1_000_000;
     /** Of the descriptors, so many are the platform's. */
     private static final int RESERVED = 200;
     private static final int HEAD_BYTES = 16 << 10;
@@ -100,6 +103,7 @@
     private final long life = System.currentTimeMillis();
     private Configuration configuration;
     private boolean serversDirty;
+    private long speedsAt;
     private boolean ready;
     private boolean stopping;
 
@@ -228,6 +232,7 @@
             long now = now();
             dial();
             gossip.tick();
+            tellSpeeds(now);
             board.forget(now);
             shelf.sweep(now);
             if (serversDirty) {
@@ -242,6 +247,19 @@
         }
     }
 
+    /** What all edges hear of speeds together is the same however many they are. */
+    private void tellSpeeds(long now) {
+        if (now < speedsAt) {
+            return;
+        }
+        speedsAt = now + Math.max(SPEEDS_MICROS, SPEEDS_MICROS / 10 * homes.count());
+        Map<String, double[]> seen = new HashMap<>();
+        senders.values().forEach(sender -> sender.seen(seen));
+        if (!seen.isEmpty()) {
+            gossip.publish(new SpeedNews(settings.ip(), seen).item(now, System.currentTimeMillis()));
+        }
+    }
+
     private void dial() {
         Set<String> cores = new LinkedHashSet<>();
         for (Item item : board.all(Kind.CORE)) {
@@ -290,6 +308,12 @@
                 }
             }
             case PURGE -> desk.purged(item);
+            case SPEED -> {
+                SpeedNews speeds = SpeedNews.of(item);
+                if (speeds != null && !speeds.edge().equals(settings.ip())) {
+                    senders.values().forEach(sender -> sender.heard(speeds.edge(), speeds.servers()));
+                }
+            }
             case EDGE -> {
                 if (configuration != null) {
                     loop.execute(this::retune);
--- a/src/main/java/gorsemast/hupsel/Sender.java
+++ b/src/main/java/gorsemast/hupsel/Sender.java
@@ -48,15 +48,7 @@
     private static final long COLD_MICROS = 3_000_000;
     private static final long MOST_RETRY_AFTER = 1_000_000;
     private static final long LEAST_DEADLINE = 50_000;
-    /** How much less a server gets that is slower than the others: this power of how many times it takes as long. */
-    private static final double SPEED_POWER = 3;
-    /** A server's speed as it is known moves by this part towards each answer's. */
-    private static final double SPEED_STEP = 0.1;
-    /** Bounds of how much faster or slower than usual one is taken to be. */
-    private static final double SPEED_LEAST = 0.33;
-    private static final double SPEED_MOST = 4;
-    /** The module is told of speeds when one has changed by this factor, and not more often than this. */
-    private static final double SPEED_CHANGED = 1.1;
+    /** The module is told of changed speeds not more often than this. */
     private static final long SPEED_MICROS = 400_000;
     /** So many times as much goes to servers of the own zone, for objects, whose bytes are dear between zones. */
     private static final double NEAR = 4;
@@ -93,11 +85,7 @@
     private final Turns turns = new Turns(LOG::fault);
     private final List<Balancer.RequestClass> classes = new ArrayList<>();
     private final Map<String, Exchange> open = new HashMap<>();
-    /** How long each server takes, in parts of what all take for the same class; and as the module was told. */
-    private final Map<String, Double> slowness = new HashMap<>();
-    private final Map<String, Double> slownessTold = new HashMap<>();
-    /** What an answer takes by class, over all servers. */
-    private final Map<Integer, Double> usual = new HashMap<>();
+    private final Speeds speeds = new Speeds();
     private final Map<String, Balancer.Server> entries = new LinkedHashMap<>();
     private long speedsAt;
     private Map<String, Server> servers = Map.of();
@@ -181,7 +169,7 @@
         }
         Map<String, Server> before = servers;
         servers = next;
-        slowness.keySet().retainAll(next.keySet());
+        speeds.retain(next.keySet());
         tell();
         before.forEach((id, server) -> {
             Server later = next.get(id);
@@ -196,30 +184,39 @@
 
     /** Tells the module who there is, each with a weight by its room and its speed. */
     private void tell() {
-        speedsAt = now();
-        slownessTold.clear();
-        slownessTold.putAll(slowness);
+        long now = now();
+        speedsAt = now;
         List<Balancer.Server> list = new ArrayList<>();
         entries.values().forEach(e -> list.add(new Balancer.Server(e.id(), e.zone(), e.kind(), e.cell(), e.state(),
-            e.weight() * Math.pow(slowness.getOrDefault(e.id(), 1.0), -SPEED_POWER) * (objects && e.zone() == zone ? NEAR : 1),
-            e.startedAt())));
+            e.weight() * speeds.factor(now, e.id()) * (objects && e.zone() == zone ? NEAR : 1), e.startedAt())));
         turns.event(() -> module.servers(now(), ListKind.FULL, list));
     }
 
-    /** An answer came: how long its server takes is known better. What waits in its queue counts too, as it should. */
-    private void timed(String server, int number, long elapsed) {
-        double before = usual.getOrDefault(number, (double) elapsed);
-        usual.put(number, before + SPEED_STEP / 2 * (elapsed - before));
-        double ratio = Math.max(SPEED_LEAST, Math.min(SPEED_MOST, elapsed / Math.max(1, before)));
-        double slow = slowness.getOrDefault(server, 1.0);
-        slow += SPEED_STEP * (ratio - slow);
-        slowness.put(server, slow);
-        double told = slownessTold.getOrDefault(server, 1.0);
-        if (now() - speedsAt > SPEED_MICROS && (slow > told * SPEED_CHANGED || told > slow * SPEED_CHANGED)) {
+    private void tellChanged(String server) {
+        if (now() - speedsAt > SPEED_MICROS && speeds.changed(now(), server)) {
             tell();
         }
     }
 
+    /** What was seen here of this service's servers, added to {@code to}, for other edges. */
+    public void seen(Map<String, double[]> to) {
+        speeds.own().forEach((id, seen) -> to.put(id, new double[] {seen.slowness(), seen.answers()}));
+    }
+
+    /** What another edge has seen, of this service's servers among others. */
+    public void heard(String edge, Map<String, double[]> servers) {
+        Map<String, Speeds.Seen> known = new HashMap<>();
+        servers.forEach((id, seen) -> {
+            if (entries.containsKey(id)) {
+                known.put(id, new Speeds.Seen(seen[0], seen[1]));
+            }
+        });
+        if (!known.isEmpty()) {
+            speeds.heard(now(), edge, known);
+            known.keySet().stream().filter(id -> speeds.changed(now(), id)).findFirst().ifPresent(this::tellChanged);
+        }
+    }
+
     /** Whether a server may be sent anything new. */
     public boolean ready(Upstream.Peer peer) {
         Server server = servers.get(peer.host());
@@ -343,7 +340,8 @@
                         x.out = null;
                     }
                     if (code == Code.OK) {
-                        timed(id, classes.indexOf(type(x.call.route())), now() - sentAt);
+                        speeds.answered(id, classes.indexOf(type(x.call.route())), now() - sentAt);
+                        tellChanged(id);
                     }
                     Sender.this.ended(x, attempt, sentAt, code, answer);
                 }
--- /dev/null
+++ b/src/main/java/gorsemast/hupsel/Speeds.java
@@ -0,0 +1,100 @@
+package gorsemast.hupsel;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * How long each server of a service takes beside the others, as this edge has seen it and as others have told.
+ *
+ * <p><b>Idea.</b> An answer's time in parts of what all servers take for its class, smoothed; what waits in a server's queue
+ * counts too, as it should. An edge alone sees a handful of answers a second, so what others have seen is taken in, by how
+ * much they have seen, at half the weight of what was seen here, and is forgotten after {@link #HEARD_MICROS}. No other edge
+ * can say more than {@link #MOST_SEEN} answers' worth, so one that lies moves little where there are many.
+ *
+ * <p><b>When it could hurt.</b> A server that was slow and is so no more gets little until it has been tried again.
+ * O(edges) for a server's weight; one thread; times in microseconds.
+ */
+final class Speeds {
+    /** How much less a server gets that is slower than the others: this power of how many times it takes as long. */
+    private static final double POWER = 3;
+    private static final double STEP = 0.1;
+    private static final double LEAST = 0.33;
+    private static final double MOST = 4;
+    /** So many answers' worth of what is known before anything is. */
+    private static final double PRIOR = 2;
+    static final double MOST_SEEN = 20;
+    private static final double OTHERS = 0.5;
+    static final long HEARD_MICROS = 15_000_000;
+    /** Beyond this factor a change is worth telling the module of. */
+    private static final double CHANGED = 1.1;
+
+    /** What somebody has seen of a server. */
+    record Seen(double slowness, double answers) {
+    }
+
+    private record Heard(Map<String, Seen> servers, long at) {
+    }
+
+    private final Map<Integer, Double> usual = new HashMap<>();
+    private final Map<String, Seen> own = new HashMap<>();
+    private final Map<String, Heard> others = new HashMap<>();
+    private final Map<String, Double> told = new HashMap<>();
+
+    /** A server has answered a request of this class after so long. */
+    void answered(String server, int type, long elapsed) {
+        double before = usual.getOrDefault(type, (double) elapsed);
+        usual.put(type, before + STEP / 2 * (elapsed - before));
+        double ratio = Math.max(LEAST, Math.min(MOST, elapsed / Math.max(1, before)));
+        Seen seen = own.getOrDefault(server, new Seen(1, 0));
+        own.put(server, new Seen(seen.slowness + STEP * (ratio - seen.slowness), Math.min(MOST_SEEN, seen.answers + 1)));
+    }
+
+    /** Another edge has told what it has seen. */
+    void heard(long now, String edge, Map<String, Seen> servers) {
+        Map<String, Seen> numbers = new HashMap<>(servers);
+        numbers.values().removeIf(seen -> !Double.isFinite(seen.slowness) || !Double.isFinite(seen.answers));
+        others.put(edge, new Heard(numbers, now));
+    }
+
+    /** What was seen here, for others. */
+    Map<String, Seen> own() {
+        return own;
+    }
+
+    /** How many times as long as usual it takes. */
+    double slowness(long now, String server) {
+        Seen mine = own.getOrDefault(server, new Seen(1, 0));
+        double weight = PRIOR + mine.answers;
+        double sum = PRIOR + mine.slowness * mine.answers;
+        for (Heard heard : others.values()) {
+            Seen seen = heard.servers.get(server);
+            if (seen != null && now - heard.at < HEARD_MICROS) {
+                double part = OTHERS * Math.max(0, Math.min(MOST_SEEN, seen.answers));
+                weight += part;
+                sum += part * Math.max(LEAST, Math.min(MOST, seen.slowness));
+            }
+        }
+        return sum / weight;
+    }
+
+    /** By what its share is multiplied; the module counts as told of it. */
+    double factor(long now, String server) {
+        double slow = slowness(now, server);
+        told.put(server, slow);
+        return Math.pow(slow, -POWER);
+    }
+
+    /** Whether what the module was told of a server holds no more. */
+    boolean changed(long now, String server) {
+        double slow = slowness(now, server);
+        double before = told.getOrDefault(server, 1.0);
+        return slow > before * CHANGED || before > slow * CHANGED;
+    }
+
+    /** Forgets all but these servers. */
+    void retain(Collection<String> servers) {
+        own.keySet().retainAll(servers);
+        told.keySet().retainAll(servers);
+    }
+}
--- a/src/main/java/gorsemast/terschelling/Board.java
+++ b/src/main/java/gorsemast/terschelling/Board.java
@@ -85,6 +85,9 @@
     }
 
     private void toggle(Item item) {
+        if (!item.kind().mended()) {
+            return;
+        }
         long hash = hash(item.kind(), item.key(), item.stamp());
         digests[bucket(item.kind(), item.key())] ^= hash;
         if (item.kind() == Kind.PURGE) {
@@ -130,7 +133,7 @@
     public List<Stamp> stamps(int parts) {
         List<Stamp> found = new ArrayList<>();
         items.values().forEach(of -> of.values().forEach(item -> {
-            if ((parts >> bucket(item.kind(), item.key()) & 1) == 1) {
+            if (item.kind().mended() && (parts >> bucket(item.kind(), item.key()) & 1) == 1) {
                 found.add(new Stamp(item.kind(), item.key(), item.stamp()));
             }
         }));
@@ -144,7 +147,7 @@
         List<Item> found = new ArrayList<>();
         items.values().forEach(of -> of.values().forEach(item -> {
             Long theirs = known.get(item.kind().ordinal() + item.key());
-            if ((parts >> bucket(item.kind(), item.key()) & 1) == 1 && (theirs == null || theirs < item.stamp())) {
+            if (item.kind().mended() && (parts >> bucket(item.kind(), item.key()) & 1) == 1 && (theirs == null || theirs < item.stamp())) {
                 found.add(item);
             }
         }));
--- a/src/main/java/gorsemast/terschelling/Item.java
+++ b/src/main/java/gorsemast/terschelling/Item.java
@@ -23,7 +23,9 @@
         /** A core machine and where its programs listen. */
         CORE(false),
         /** An edge, and where it listens. */
-        EDGE(false);
+        EDGE(false),
+        /** What one edge has seen of servers' speeds; told anew so often that gaps are not mended. */
+        SPEED(true);
 
         private static final Kind[] ALL = values();
         private final boolean passes;
@@ -37,6 +39,11 @@
             return passes;
         }
 
+        /** Whether digests are of it. */
+        boolean mended() {
+            return this != SPEED;
+        }
+
         /** The kind of this number. */
         public static Kind of(int number) throws IOException {
             if (number < 0 || number >= ALL.length) {
--- /dev/null
+++ b/src/main/java/gorsemast/terschelling/SpeedNews.java
@@ -0,0 +1,49 @@
+package gorsemast.terschelling;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * How long servers take beside the others, as one edge has seen it: by server, how many times as long, and by how many
+ * answers that is known.
+ */
+public record SpeedNews(String edge, Map<String, double[]> servers) {
+    private static final int MOST = 4_096;
+
+    /** As a piece of news; the later one of an edge holds. */
+    public Item item(long now, long stamp) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeShort(Math.min(MOST, servers.size()));
+            int left = MOST;
+            for (Map.Entry<String, double[]> server : servers.entrySet()) {
+                if (left-- > 0) {
+                    out.writeUTF(server.getKey());
+                    out.writeFloat((float) server.getValue()[0]);
+                    out.writeFloat((float) server.getValue()[1]);
+                }
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException(e); // memory does not fail
+        }
+        return new Item(Item.Kind.SPEED, edge, stamp, bytes.toByteArray(), now);
+    }
+
+    /** What {@link #item} made; null where it can't be read. */
+    public static SpeedNews of(Item item) {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(item.body()))) {
+            Map<String, double[]> servers = new HashMap<>();
+            for (int left = in.readUnsignedShort(); left > 0; left--) {
+                servers.put(in.readUTF(), new double[] {in.readFloat(), in.readFloat()});
+            }
+            return new SpeedNews(item.key(), servers);
+        } catch (IOException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/gorsemast/hupsel/SpeedsTest.java
@@ -0,0 +1,58 @@
+package gorsemast.hupsel;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What is known of servers' speeds, seen here and told by others. */
+class SpeedsTest {
+    private final Speeds speeds = new Speeds();
+
+    private void answers(String server, int times, long micros) {
+        for (int i = 0; i < times; i++) {
+            speeds.answered(server, 0, micros);
+        }
+    }
+
+    @Test
+    void aSlowServerGetsLessAndIsNotForgotten() {
+        for (int i = 0; i < 50; i++) {
+            answers("quick", 1, 60_000);
+            answers("slow", 1, 180_000);
+        }
+        double part = speeds.factor(0, "slow") / speeds.factor(0, "quick");
+        assertThat(part).isBetween(0.02, 0.2);
+        assertThat(speeds.changed(0, "slow")).as("the module has just been told").isFalse();
+        answers("slow", 30, 60_000);
+        assertThat(speeds.changed(0, "slow")).isTrue();
+    }
+
+    @Test
+    void whatOthersHaveSeenIsTakenInAndForgotten() {
+        answers("a", 3, 60_000);
+        for (int edge = 0; edge < 6; edge++) {
+            speeds.heard(1_000, "e" + edge, Map.of("b", new Speeds.Seen(3, 20)));
+        }
+        assertThat(speeds.slowness(2_000, "b")).isGreaterThan(2.5);
+        assertThat(speeds.slowness(2_000 + Speeds.HEARD_MICROS, "b")).isEqualTo(1);
+    }
+
+    @Test
+    void oneThatLiesMovesLittleAmongMany() {
+        for (int edge = 0; edge < 9; edge++) {
+            speeds.heard(1_000, "e" + edge, Map.of("a", new Speeds.Seen(1, 20)));
+        }
+        speeds.heard(1_000, "liar", Map.of("a", new Speeds.Seen(1e9, 1e9)));
+        assertThat(speeds.slowness(2_000, "a")).isLessThan(1.4);
+        speeds.heard(1_000, "liar", Map.of("a", new Speeds.Seen(Double.NaN, Double.NaN)));
+        assertThat(speeds.factor(2_000, "a")).isNotNaN();
+    }
+
+    @Test
+    void serversThatHaveGoneAreForgotten() {
+        answers("a", 3, 60_000);
+        speeds.retain(java.util.List.of("b"));
+        assertThat(speeds.own()).isEmpty();
+    }
+}
