--- a/src/main/java/gorsemast/cabauw/Cabauw.java
+++ b/src/main/java/gorsemast/cabauw/Cabauw.java
@@ -70,7 +70,7 @@
     private static final int WATCHED = 2;
     private static final long TICK_MICROS = 250_000;
     /** What was seen of servers' speeds is told so often, by ten edges; more of them tell less often. */
-    private static final long SPEEDS_MICROS = 1_000_000;
+    private static final long SPEEDS_MICROS = 2_000_000;
     /** Of the descriptors, so many are the platform's. */
     private static final int RESERVED = 200;
     private static final int HEAD_BYTES = 16 << 10;
--- a/src/main/java/gorsemast/cabauw/Front.java
+++ b/src/main/java/gorsemast/cabauw/Front.java
@@ -46,6 +46,8 @@
     static final long LATER_MICROS = 300_000;
     /** Before the client's own time is over, by as much as an answer takes to it. */
     private static final long WAY_MICROS = 8_000;
+    /** A head is kept whole, so the operator's limit has one itself. */
+    private static final int MOST_HEAD = 256 << 10;
     private static final long MOST_BODIES = 24L << 20;
     private static final long MICROS = 1_000_000L;
     private static final int KEPT = 64 << 10;
@@ -86,7 +88,9 @@
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new StrictHttp.Requests(headBytes), new HttpResponseEncoder(),
+                    Configuration now = configuration.get();
+                    int head = now == null ? headBytes : Math.max(headBytes, Math.min(MOST_HEAD, now.limits().headerBytes()));
+                    ch.pipeline().addLast(new StrictHttp.Requests(head), new HttpResponseEncoder(),
                         new Visitor(ch, Front.this));
                 }
             }).bind(at).awaitUninterruptibly();
--- a/src/main/java/gorsemast/lauwersoog/Gossip.java
+++ b/src/main/java/gorsemast/lauwersoog/Gossip.java
@@ -93,7 +93,9 @@
         if (fresh || holders > 0) {
             News news = new News(order, List.of(item));
             for (Link link : links.up()) {
-                link.send(news);
+                if (item.kind().mended() || link.peer().program() == Program.REGISTRY) {
+                    link.send(news);
+                }
             }
         }
         if (fresh) {
@@ -156,11 +158,13 @@
         if (fresh.isEmpty()) {
             return;
         }
-        News on = new News(0, fresh);
+        // What is told anew all the time goes by registries alone: each edge has it once from each of its two.
+        List<Item> lasting = program == Program.REGISTRY ? fresh : fresh.stream().filter(item -> item.kind().mended()).toList();
+        News on = new News(0, lasting);
         boolean fromRegistry = from.peer().program() == Program.REGISTRY;
         for (Link link : links.up()) {
             boolean toRegistry = link.peer().program() == Program.REGISTRY;
-            if (link != from && !link.peer().ip().equals(from.peer().ip()) && !(fromRegistry && toRegistry)) {
+            if (!lasting.isEmpty() && link != from && !link.peer().ip().equals(from.peer().ip()) && !(fromRegistry && toRegistry)) {
                 link.send(on);
             }
         }
--- a/src/main/java/gorsemast/terschelling/Item.java
+++ b/src/main/java/gorsemast/terschelling/Item.java
@@ -40,7 +40,7 @@
         }
 
         /** Whether digests are of it. */
-        boolean mended() {
+        public boolean mended() {
             return this != SPEED;
         }
 
