--- a/src/main/java/gorsemast/cabauw/Cabauw.java
+++ b/src/main/java/gorsemast/cabauw/Cabauw.java
@@ -118,7 +118,7 @@
         int sockets = Math.max(16, settings.descriptors() - RESERVED);
         this.servers = new Upstream(loop, new Network(), this::readyServer, sockets / 3, SERVER_IDLE_MILLIS, CONNECT_MILLIS,
             random.nextLong());
-        this.between = new Upstream(loop, new Network(), peer -> !stopping || homes.count() > 0, sockets / 6, 20_000,
+        this.between = new Upstream(loop, new Network(), peer -> true, sockets / 6, 20_000,
             CONNECT_MILLIS, random.nextLong());
         this.desk = new ObjectDesk(loop, this::now, shelf, homes, board, between, senders::get,
             ip -> Ports.OBJECTS.at(settings, ip), settings.ip(), () -> configuration,
@@ -210,7 +210,7 @@
         CountDownLatch over = new CountDownLatch(1);
         loop.execute(() -> {
             stopping = true;
-            LOG.info("leaves, " + front.held() + " requests held");
+            LOG.info("leaves, " + front.held() + " requests held; took " + front.taken() + ", " + desk.tally());
             loop.schedule(front::closing, Math.min(NOTICED_MICROS, grace / 2), TimeUnit.MICROSECONDS);
             long last = now() + grace - LAST_MICROS;
             loop.scheduleWithFixedDelay(() -> {
--- a/src/main/java/gorsemast/cabauw/Front.java
+++ b/src/main/java/gorsemast/cabauw/Front.java
@@ -67,8 +67,7 @@
     private boolean closing;
     private long bodies;
     private int open;
-    /** Requests taken, and answered by status class. */
-    final long[] counts = new long[7];
+    private long taken;
 
     Front(EventLoop loop, LongSupplier clock, Supplier<Configuration> configuration, Function<String, Sender> senders,
           ObjectDesk desk, long seed) {
@@ -115,6 +114,11 @@
         return visitors.size();
     }
 
+    /** Requests since the start. */
+    long taken() {
+        return taken;
+    }
+
     /** Requests that are held. */
     int held() {
         return open;
@@ -187,7 +191,7 @@
 
     @Override
     public void take(Turn turn) {
-        counts[0]++;
+        taken++;
         Route route = route(turn.headers(), turn.uri());
         if (route == null) {
             turn.takeBody().release();
--- a/src/main/java/gorsemast/cabauw/ObjectDesk.java
+++ b/src/main/java/gorsemast/cabauw/ObjectDesk.java
@@ -151,8 +151,9 @@
     private final Map<String, Demand> demands = new HashMap<>();
     private final Patience patience = new Patience();
     private final Map<String, Fetch> fetches = new HashMap<>();
-    /** Counts: served from copies, fetched from homes, fetched from servers. */
-    final long[] counts = new long[3];
+    private long fromCopies;
+    private long fromHomes;
+    private long fromServers;
 
     ObjectDesk(EventLoop loop, LongSupplier clock, Shelf shelf, Homes homes, Board board, Upstream between,
                Function<String, Sender> senders, Function<String, InetSocketAddress> objects, String self, Supplier<Configuration> configuration, long window, long seed) {
@@ -170,6 +171,11 @@
         this.random = new SplittableRandom(seed);
     }
 
+    /** Where objects came from since the start, as words for the log. */
+    String tally() {
+        return fromCopies + " from copies, " + fromHomes + " from homes, " + fromServers + " from servers";
+    }
+
     /** A purge has become known. */
     void purged(Item item) {
         PurgeNews purge = PurgeNews.of(item);
@@ -189,7 +195,7 @@
         demands.computeIfAbsent(route.services().get(0).service(), name -> new Demand()).asked(now);
         turn.takeBody().release();
         if (copy != null) {
-            counts[0]++;
+            fromCopies++;
             answer(turn, copy, attemptId);
             renew(now, key, copy, route, host, turn.uri());
             return;
@@ -302,7 +308,7 @@
             }
             Copy copy = inStep && answer.status().code() == OK ? handed(answer, fetch.begun) : null;
             if (copy != null) {
-                counts[1]++;
+                fromHomes++;
                 fetch.here(copy);
             } else if (inStep && answer.status().code() == UNAVAILABLE && answer.headers().contains(HttpHeaderNames.RETRY_AFTER)) {
                 fetch.refused(Front.micros(answer.headers().get(HttpHeaderNames.RETRY_AFTER)));
@@ -358,7 +364,7 @@
             fetch.refused(ceiling.roomIn(asked));
             return;
         }
-        counts[2]++;
+        fromServers++;
         String id = "o" + Long.toHexString(random.nextLong());
         sender.take(new Call(fetch.route, HttpMethod.GET, fetch.uri, new DefaultHttpHeaders(), id, Unpooled.EMPTY_BUFFER,
             fetch.key, asked, giveUp, LARGEST), new Client() {
--- a/src/main/java/gorsemast/hupsel/Sender.java
+++ b/src/main/java/gorsemast/hupsel/Sender.java
@@ -223,26 +223,6 @@
         return server != null && server.state() == ServerNews.State.READY;
     }
 
-    /** Whether it knows this server. */
-    public boolean knows(String id) {
-        return servers.containsKey(id);
-    }
-
-    /** How many servers it may send to. */
-    public int size() {
-        return servers.size();
-    }
-
-    /** What the module believes; not to be asked within an event. */
-    public Balancer.View view() {
-        return module.view(now());
-    }
-
-    /** Requests that are held. */
-    public int held() {
-        return open.size();
-    }
-
     /** Takes a call, with its body's reference; returns what ends it when its client leaves. */
     public Runnable take(Call call, Client client) {
         Exchange x = new Exchange("r" + sequence++, call, client);
