Keep servers that still serve however long ago they were told of; pass on what is too long to hold

Found on a second reading, each with a test: - A server's state was forgotten 330 s after it was first told, though it had not changed: all edges would have dropped all servers for up to a beat. Only what has left or is silent passes now (BoardTest). - A cacheable object over 2 MB was answered 504: it is asked for without a copy (NetworkTest). Caused now: a second answer in the place of the next, an address taken over by another service, a late beat after leaving.

--- a/src/main/java/anisebend/net/Engine.java
+++ b/src/main/java/anisebend/net/Engine.java
@@ -8,6 +8,7 @@
 import gorsemast.admission.Lateness;
 import gorsemast.exchange.Passage;
 import gorsemast.exchange.Traffic;
+import gorsemast.exchange.Turns;
 import gorsemast.exchange.Upstream;
 import gorsemast.observe.Counters;
 import io.netty.buffer.ByteBuf;
@@ -22,12 +23,10 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.NetUtil;
 import java.io.IOException;
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -110,15 +109,13 @@
     private final Map<String, Exchange> open = new HashMap<>();
     /** Ids of the unanswered requests, as their clients know them. */
     private final Set<String> ids = new HashSet<>();
-    private final Queue<Runnable> events = new ArrayDeque<>();
-    private final Queue<Runnable> actions = new ArrayDeque<>();
+    private final Turns turns = new Turns(this::fault);
     /** The module's clock: Unix time in microseconds at the start, and monotonic from there. */
     private final long startMicros = System.currentTimeMillis() * 1000;
     private final long startNanos = System.nanoTime();
     /** Null until it is watched. */
     private Lateness lateness;
     private long sequence;
-    private boolean busy;
     /** Requests taken, served, refused, failed and left by their clients, since the start. */
     private final long[] counts = new long[5];
 
@@ -134,7 +131,7 @@
                     if (kind == ListKind.FAILED) {
                         log("discovery call failed");
                     }
-                    tell(() -> module.servers(now(), kind, entries));
+                    turns.event(() -> module.servers(now(), kind, entries));
                 }
 
                 @Override
@@ -147,8 +144,8 @@
                     upstream.forget(host);
                 }
             });
-        this.upstream = new Upstream(loop, Upstream.IN_SERVICE, node -> discovery.ready((Discovery.Node) node), maxConnections, config.connIdleMillis(),
-            config.connectTimeoutMillis(), config.seed());
+        this.upstream = new Upstream(loop, Upstream.IN_SERVICE, node -> discovery.ready((Discovery.Node) node),
+            maxConnections, config.connIdleMillis(), config.connectTimeoutMillis(), config.seed());
     }
 
     /** Starts the module; a setting or list that can't be worked with is thrown back. */
@@ -160,7 +157,7 @@
 
     private void attempt(Runnable event) {
         AtomicReference<RuntimeException> refused = new AtomicReference<>();
-        tell(() -> {
+        turns.event(() -> {
             try {
                 event.run();
             } catch (IllegalArgumentException e) {
@@ -211,7 +208,7 @@
 
     /** Whether no request is held, nor anything kept for one. */
     boolean idle() {
-        return open.isEmpty() && ids.isEmpty() && events.isEmpty() && actions.isEmpty();
+        return open.isEmpty() && ids.isEmpty() && turns.idle();
     }
 
     /** Lets go of all connections; nothing may be asked of it any more. */
@@ -269,7 +266,7 @@
         x.backstop = loop.schedule(() -> giveUp(x), deadline - BACKSTOP_MICROS - now(), TimeUnit.MICROSECONDS);
         Balancer.Request request = new Balancer.Request(x.id, call.requestClass(), call.tenant(), call.key(),
             deadline - MARGIN_MICROS, call.method().equals(HttpMethod.PUT));
-        tell(() -> {
+        turns.event(() -> {
             try {
                 module.request(now(), request);
             } catch (RuntimeException e) {
@@ -301,9 +298,9 @@
 
     /** It stays known until the module has heard, so that what that has sent meanwhile still gets an outcome. */
     private void abandon(Exchange x) {
-        tell(() -> {
+        turns.event(() -> {
             module.abandoned(now(), x.id);
-            actions.add(() -> forget(x));
+            turns.action(() -> forget(x));
         });
     }
 
@@ -312,33 +309,6 @@
         List.copyOf(open.values()).forEach(this::giveUp);
     }
 
-    private void tell(Runnable event) {
-        events.add(event);
-        if (busy) {
-            return;
-        }
-        busy = true;
-        try {
-            while (!events.isEmpty()) {
-                guarded(events.poll());
-                while (!actions.isEmpty()) {
-                    guarded(actions.poll());
-                }
-            }
-        } finally {
-            busy = false;
-        }
-    }
-
-    /** One faulty event or action must not take the others, or the process, with it. */
-    private void guarded(Runnable step) {
-        try {
-            step.run();
-        } catch (RuntimeException e) {
-            fault(e);
-        }
-    }
-
     private void fault(RuntimeException e) {
         StackTraceElement[] at = e.getStackTrace();
         log("fault: " + e + (at.length > 0 ? " at " + at[0] : ""));
@@ -368,7 +338,7 @@
 
     @Override
     public void send(String request, String server, long until) {
-        actions.add(() -> sendNow(request, server, until));
+        turns.action(() -> sendNow(request, server, until));
     }
 
     private void sendNow(String request, String server, long until) {
@@ -502,13 +472,13 @@
 
     private void told(Exchange x, int attempt, long sentAt, Code code, Note note) {
         boolean over = x.answered;
-        tell(() -> {
+        turns.event(() -> {
             long now = now();
             long elapsed = now - sentAt;
             // What this process was late with itself must not be held against the node.
             elapsed -= lateness == null ? 0 : Math.min(elapsed / 2, lateness.at(now));
             module.outcome(now, new Balancer.Outcome(x.id, attempt, code, elapsed, over, note, null));
-            actions.add(() -> forget(x));
+            turns.action(() -> forget(x));
         });
     }
 
@@ -523,7 +493,7 @@
     }
 
     private void answer(String request, int kind, Consumer<Client> how) {
-        actions.add(() -> {
+        turns.action(() -> {
             Exchange x = open.get(request);
             if (x != null && !x.answered) {
                 settle(x);
@@ -536,7 +506,7 @@
 
     @Override
     public void cancel(String request, int attempt) {
-        actions.add(() -> {
+        turns.action(() -> {
             Exchange x = open.get(request);
             if (x != null && x.out != null && x.attempts - 1 == attempt) {
                 x.out.cancel();
@@ -551,17 +521,17 @@
 
     @Override
     public void closeIdle(String server) {
-        actions.add(() -> upstream.closeIdle(server));
+        turns.action(() -> upstream.closeIdle(server));
     }
 
     @Override
     public void subscribe() {
-        actions.add(discovery::subscribe);
+        turns.action(discovery::subscribe);
     }
 
     @Override
     public void timer(long at, long token) {
-        actions.add(() -> loop.schedule(() -> tell(() -> module.timer(now(), token)),
+        turns.action(() -> loop.schedule(() -> turns.event(() -> module.timer(now(), token)),
             Math.max(0, at - now()), TimeUnit.MICROSECONDS));
     }
 
--- a/src/main/java/anisebend/net/ProxyServer.java
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -1,12 +1,12 @@
 package anisebend.net;
 
 import anisebend.Balancer;
-import gorsemast.exchange.NettyLog;
-import gorsemast.exchange.Signals;
-import gorsemast.exchange.StrictHttp;
 import gorsemast.admin.AdminListener;
 import gorsemast.admission.Door;
 import gorsemast.admission.Shedder;
+import gorsemast.exchange.NettyLog;
+import gorsemast.exchange.Signals;
+import gorsemast.exchange.StrictHttp;
 import gorsemast.lifecycle.Lifecycle;
 import gorsemast.lifecycle.Lifecycle.Phase;
 import gorsemast.observe.Counters;
--- a/src/main/java/anisebend/net/Trace.java
+++ b/src/main/java/anisebend/net/Trace.java
@@ -1,10 +1,10 @@
 package anisebend.net;
 
-import gorsemast.exchange.Traffic;
 import anisebend.Balancer;
 import anisebend.Balancer.Code;
 import anisebend.Balancer.ServerView;
 import anisebend.Balancer.Why;
+import gorsemast.exchange.Traffic;
 import java.lang.management.ManagementFactory;
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/gorsemast/cabauw/Cabauw.java
+++ b/src/main/java/gorsemast/cabauw/Cabauw.java
@@ -27,13 +27,11 @@
 import gorsemast.terschelling.ServerNews;
 import gorsemast.terschelling.SpeedNews;
 import gorsemast.transport.Transport;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -157,17 +155,12 @@
     }
 
     private void listenForProbes(InetSocketAddress at) throws IOException {
-        var bound = new ServerBootstrap().group(loop).channel(Transport.listener(loop))
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new StrictHttp.Requests(), new HttpResponseEncoder(), new Probe());
-                }
-            }).bind(at).awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new IOException("can't listen at " + at, bound.cause());
-        }
+        Transport.listen(loop, at, new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                ch.pipeline().addLast(new StrictHttp.Requests(), new HttpResponseEncoder(), new Probe());
+            }
+        });
     }
 
     /** Answers the platform's question whether clients are to come here. */
@@ -384,6 +377,7 @@
                 by.get(server.service()).add(server);
             }
         }
+        coldUntil.values().removeIf(until -> until < now());
         by.forEach((service, known) -> senders.get(service).servers(known, coldUntil, settings::zoneNumber));
     }
 
--- a/src/main/java/gorsemast/cabauw/Front.java
+++ b/src/main/java/gorsemast/cabauw/Front.java
@@ -10,14 +10,9 @@
 import gorsemast.schiphol.Configuration;
 import gorsemast.schiphol.Route;
 import gorsemast.transport.Transport;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -33,6 +28,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -80,23 +76,17 @@
     }
 
     Channel listen(InetSocketAddress at, int headBytes) throws IOException {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(Transport.listener(loop))
-            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
-            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    Configuration now = configuration.get();
-                    int head = now == null ? headBytes : Math.max(headBytes, Math.min(MOST_HEAD, now.limits().headerBytes()));
-                    ch.pipeline().addLast(new StrictHttp.Requests(head), new HttpResponseEncoder(),
-                        new Visitor(ch, Front.this));
-                }
-            }).bind(at).awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new IOException("can't listen at " + at, bound.cause());
-        }
-        return bound.channel();
+        loop.scheduleWithFixedDelay(() -> List.copyOf(visitors).forEach(visitor -> visitor.sweep(now())), Visitor.SWEEP_MICROS,
+            Visitor.SWEEP_MICROS, TimeUnit.MICROSECONDS);
+        return Transport.listen(loop, at, new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                Configuration now = configuration.get();
+                int head = now == null ? headBytes : Math.max(headBytes, Math.min(MOST_HEAD, now.limits().headerBytes()));
+                ch.pipeline().addLast(new StrictHttp.Requests(head), new HttpResponseEncoder(),
+                    new Visitor(ch, Front.this));
+            }
+        });
     }
 
     /** From now on connections end with their answers. */
@@ -212,9 +202,14 @@
         long wait = Math.min(route.timeoutMicros(), budget < 0 ? Long.MAX_VALUE : Math.max(1_000, budget - WAY_MICROS));
         long giveUp = turn.arrival() + wait;
         if (route.kind() == Route.Kind.CACHEABLE && turn.method().equals(HttpMethod.GET)) {
-            desk.serve(turn, route, route.host(), id, giveUp);
-            return;
+            desk.serve(turn, route, route.host(), id, giveUp, () -> forward(turn, route, id, giveUp));
+        } else {
+            forward(turn, route, id, giveUp);
         }
+    }
+
+    /** To a server of the route's service, and its answer back, without a copy. */
+    private void forward(Turn turn, Route route, String id, long giveUp) {
         Sender sender = senders.apply(route.service(random.nextDouble()));
         if (sender == null) {
             turn.takeBody().release();
--- a/src/main/java/gorsemast/cabauw/ObjectDesk.java
+++ b/src/main/java/gorsemast/cabauw/ObjectDesk.java
@@ -1,5 +1,7 @@
 package gorsemast.cabauw;
 
+import anisebend.Balancer.Code;
+import anisebend.Balancer.Note;
 import gorsemast.eelde.Ceiling;
 import gorsemast.eelde.Copy;
 import gorsemast.eelde.Demand;
@@ -36,6 +38,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -66,6 +69,8 @@
     private static final long LEAST_LEFT = 60_000;
     /** Renewed ahead, by one for all, in this last part of its time, where it is asked for often. */
     private static final double RENEW_FROM = 0.8;
+    /** So many objects that are too long to be held are remembered. */
+    private static final int MOST_LONG = 1_024;
     private static final int OK = 200;
     private static final int PARTIAL = 206;
     private static final int UNCHANGED = 304;
@@ -84,6 +89,9 @@
         void refused(long retryAfterMicros);
 
         void failed();
+
+        /** It is too long to be held, and has to be asked for without a copy. */
+        void tooLong();
     }
 
     private record Home(String host, InetSocketAddress dial) implements Upstream.Peer {
@@ -133,6 +141,12 @@
             over();
             waiters.forEach(Waiter::failed);
         }
+
+        void tooLong() {
+            over();
+            longs.put(key, Boolean.TRUE);
+            waiters.forEach(Waiter::tooLong);
+        }
     }
 
     private final EventLoop loop;
@@ -151,6 +165,15 @@
     private final Map<String, Demand> demands = new HashMap<>();
     private final Patience patience = new Patience();
     private final Map<String, Fetch> fetches = new HashMap<>();
+    /** Keys of objects that are too long to be held, those asked for last. */
+    private final Map<String, Boolean> longs = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > MOST_LONG;
+        }
+    };
     private long fromCopies;
     private long fromHomes;
     private long fromServers;
@@ -187,12 +210,16 @@
         }
     }
 
-    /** A client's request for an object. */
-    void serve(Turn turn, Route route, String host, String attemptId, long giveUp) {
+    /** A client's request for an object; {@code direct} sends it on without a copy. */
+    void serve(Turn turn, Route route, String host, String attemptId, long giveUp, Runnable direct) {
         long now = clock.getAsLong();
         String key = Shelf.key(host, turn.uri());
         Copy copy = shelf.get(now, key, route.ttlMicros());
         demands.computeIfAbsent(route.services().get(0).service(), name -> new Demand()).asked(now);
+        if (longs.get(key) != null) {
+            direct.run();
+            return;
+        }
         turn.takeBody().release();
         if (copy != null) {
             fromCopies++;
@@ -247,6 +274,13 @@
                     turn.answer(TIME_OUT, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
                 }
             }
+
+            @Override
+            public void tooLong() {
+                if (!done()) {
+                    direct.run();
+                }
+            }
         });
     }
 
@@ -298,24 +332,33 @@
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, fetch.uri);
         String step = Long.toHexString(board.purgeDigest());
         request.headers().set(HttpHeaderNames.HOST, fetch.host).set(STEP, step).set(LEFT, wait / 1_000);
-        Upstream.Ending ending = (code, note, answer) -> {
-            boolean inStep = answer != null && answer.status().code() != OUT_OF_STEP;
-            if (answer != null) {
-                patience.answered(clock.getAsLong() - now);
-                homes.answered(home);
-            } else if (!code.calledOff) {
-                homes.failed(clock.getAsLong(), home);
+        Upstream.Ending ending = new Upstream.Ending() {
+            @Override
+            public Passage begins(Note note, HttpResponse head, long length, Passage.Flow flow) {
+                origin(fetch, clock.getAsLong() + fetch.route.timeoutMicros(), false); // no home answers so
+                return null;
             }
-            Copy copy = inStep && answer.status().code() == OK ? handed(answer, fetch.begun) : null;
-            if (copy != null) {
-                fromHomes++;
-                fetch.here(copy);
-            } else if (inStep && answer.status().code() == UNAVAILABLE && answer.headers().contains(HttpHeaderNames.RETRY_AFTER)) {
-                fetch.refused(Front.micros(answer.headers().get(HttpHeaderNames.RETRY_AFTER)));
-            } else if (inStep && answer.status().code() < 500) {
-                fetch.other(answer);
-            } else {
-                origin(fetch, clock.getAsLong() + fetch.route.timeoutMicros(), false);
+
+            @Override
+            public void ended(Code code, Note note, FullHttpResponse answer) {
+                boolean inStep = answer != null && answer.status().code() != OUT_OF_STEP;
+                if (answer != null) {
+                    patience.answered(clock.getAsLong() - now);
+                    homes.answered(home);
+                } else if (!code.calledOff) {
+                    homes.failed(clock.getAsLong(), home);
+                }
+                Copy copy = inStep && answer.status().code() == OK ? handed(answer, fetch.begun) : null;
+                if (copy != null) {
+                    fromHomes++;
+                    fetch.here(copy);
+                } else if (inStep && answer.status().code() == UNAVAILABLE && answer.headers().contains(HttpHeaderNames.RETRY_AFTER)) {
+                    fetch.refused(Front.micros(answer.headers().get(HttpHeaderNames.RETRY_AFTER)));
+                } else if (inStep && answer.status().code() < 500) {
+                    fetch.other(answer);
+                } else {
+                    origin(fetch, clock.getAsLong() + fetch.route.timeoutMicros(), false);
+                }
             }
         };
         between.send(new Home(home, at), request, wait, false, LARGEST + (1 << 16), ending);
@@ -331,8 +374,12 @@
         HttpHeaders headers = new DefaultHttpHeaders();
         Hops.copy(answer.headers(), headers);
         headers.remove(AGE).remove(LIFE);
-        // Its age counts from before it was asked for here: the way there and back is not known apart.
-        return copy(OK, headers, answer.content(), begun - Long.parseLong(age), Long.parseLong(life));
+        try {
+            // Its age counts from before it was asked for here: the way there and back is not known apart.
+            return copy(OK, headers, answer.content(), begun - Long.parseLong(age), Long.parseLong(life));
+        } catch (NumberFormatException e) {
+            return null; // whoever it was, it was no home
+        }
     }
 
     // ---- from the servers
@@ -381,26 +428,8 @@
 
                 @Override
                 public Passage begins(HttpResponse head, long length, Passage.Flow flow) {
-                    loop.execute(() -> {
-                        flow.cancel();
-                        fetch.failed(); // longer than anything that is held
-                    });
-                    return new Passage() {
-                        @Override
-                        public void part(ByteBuf bytes) {
-                            // nobody takes it
-                        }
-
-                        @Override
-                        public void ended() {
-                            // nobody takes it
-                        }
-
-                        @Override
-                        public void broken() {
-                            // nobody takes it
-                        }
-                    };
+                    loop.execute(fetch::tooLong); // once the module has heard of this end
+                    return null;
                 }
 
                 @Override
--- a/src/main/java/gorsemast/cabauw/ObjectsServer.java
+++ b/src/main/java/gorsemast/cabauw/ObjectsServer.java
@@ -8,15 +8,11 @@
 import gorsemast.schiphol.Route;
 import gorsemast.terschelling.Board;
 import gorsemast.transport.Transport;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -53,20 +49,13 @@
     }
 
     void listen(InetSocketAddress at) throws IOException {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(Transport.listener(loop))
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new StrictHttp.Requests(), new HttpResponseEncoder(),
-                        new HttpObjectAggregator(MOST, true), new Asker());
-                }
-            }).bind(at).awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new IOException("can't listen at " + at, bound.cause());
-        }
+        Transport.listen(loop, at, new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                ch.pipeline().addLast(new StrictHttp.Requests(), new HttpResponseEncoder(),
+                    new HttpObjectAggregator(MOST, true), new Asker());
+            }
+        });
     }
 
     /** One connection of another edge. */
@@ -121,6 +110,11 @@
                         write(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE.code(), headers, Unpooled.EMPTY_BUFFER);
                     }
 
+                    @Override
+                    public void tooLong() {
+                        write(ctx, ObjectDesk.OUT_OF_STEP, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+                    }
+
                     @Override
                     public void failed() {
                         write(ctx, HttpResponseStatus.GATEWAY_TIMEOUT.code(), new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
--- a/src/main/java/gorsemast/cabauw/Visitor.java
+++ b/src/main/java/gorsemast/cabauw/Visitor.java
@@ -41,7 +41,7 @@
     private static final int AHEAD = 16;
     /** A body may take so much longer as this many bytes a second would. */
     private static final long SLOWEST_BYTES = 64_000;
-    private static final long SWEEP_MICROS = 250_000;
+    static final long SWEEP_MICROS = 250_000;
     private static final long STALLED_MICROS = 10_000_000;
     private static final Log LOG = new Log("cabauw");
 
@@ -225,14 +225,10 @@
     public void channelActive(ChannelHandlerContext ctx) {
         since = owner.now();
         owner.opened(this);
-        sweep();
     }
 
-    private void sweep() {
-        if (broken) {
-            return;
-        }
-        long now = owner.now();
+    /** Looks whether its time is over; called for all of them every {@link #SWEEP_MICROS}. */
+    void sweep(long now) {
         Request late = reading;
         if (late != null && now - late.headAt > owner.headMicros() + late.bytes * 1_000_000L / SLOWEST_BYTES) {
             refuse(late, HttpResponseStatus.REQUEST_TIMEOUT);
@@ -243,7 +239,6 @@
         } else if (!requests.isEmpty() && requests.peek().streaming && !channel.isWritable() && now - since > STALLED_MICROS) {
             close();
         }
-        channel.eventLoop().schedule(this::sweep, SWEEP_MICROS, TimeUnit.MICROSECONDS);
     }
 
     @Override
--- a/src/main/java/gorsemast/debilt/ControlServer.java
+++ b/src/main/java/gorsemast/debilt/ControlServer.java
@@ -3,17 +3,14 @@
 import gorsemast.exchange.StrictHttp;
 import gorsemast.marknesse.Log;
 import gorsemast.transport.Transport;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -60,20 +57,13 @@
     }
 
     void listen(InetSocketAddress at) throws IOException {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(Transport.listener(loop))
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new ReadTimeoutHandler(IDLE_SECONDS), new StrictHttp.Requests(),
-                        new HttpResponseEncoder(), new HttpObjectAggregator(MOST_BODY, true), new Caller());
-                }
-            }).bind(at).awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new IOException("can't listen at " + at, bound.cause());
-        }
+        Transport.listen(loop, at, new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                ch.pipeline().addLast(new ReadTimeoutHandler(IDLE_SECONDS), new StrictHttp.Requests(),
+                    new HttpResponseEncoder(), new HttpObjectAggregator(MOST_BODY, true), new Caller());
+            }
+        });
     }
 
     /** One connection. */
--- a/src/main/java/gorsemast/debilt/Debilt.java
+++ b/src/main/java/gorsemast/debilt/Debilt.java
@@ -96,7 +96,7 @@
         this.registry = new Registry(board, settings.beatMicros());
         this.links = new Links(loop, this::now, () -> new Record.Hello(Program.REGISTRY, settings.ip(), settings.zone(),
             control(), life), this);
-        this.gossip = new Gossip(Program.REGISTRY, board, links, this::now, this::synced, item -> changed = true);
+        this.gossip = new Gossip(Program.REGISTRY, board, links, this::now, this::synced, item -> changed |= item.kind().mended());
         this.telling = new Duty(settings.ip(), Seed.fresh(), (to, word, term, at) -> links.up(Program.REGISTRY).stream()
             .filter(link -> link.peer().ip().equals(to)).findFirst().ifPresent(link ->
                 link.send(new Record.Ballot(word, term, at))));
@@ -162,7 +162,9 @@
         writeAt = now + WRITE_MICROS;
         List<Item> items = new ArrayList<>();
         for (Kind kind : Kind.values()) {
-            items.addAll(board.all(kind));
+            if (kind.mended()) {
+                items.addAll(board.all(kind));
+            }
         }
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (DataOutputStream out = new DataOutputStream(bytes)) {
--- a/src/main/java/gorsemast/deelen/LoopbackNetwork.java
+++ b/src/main/java/gorsemast/deelen/LoopbackNetwork.java
@@ -28,6 +28,8 @@
 public final class LoopbackNetwork {
     /** A host whose paths below {@code /objects/} are held, and below {@code /orders/} are not. */
     public static final String HOST = "demo.example";
+    /** How long objects are held by the first configuration: longer than anybody waits for anything here. */
+    public static final String FIRST_TTL = "120s";
     private static final int CORES = 3;
     private static final long BEAT_MILLIS = 400;
     private static final long PATIENCE_SECONDS = 20;
@@ -97,7 +99,7 @@
             servers.add(new StandInServer(loop, "i-" + i, i < 2 ? "objects" : "orders", "here", net + '.' + (40 + i),
                 port, controls, BEAT_MILLIS));
         }
-        until(() -> call(controls.get(0), "POST", "/v1/configuration/replace", Map.of(), configuration(1, "20s")).status == 200);
+        until(() -> call(controls.get(0), "POST", "/v1/configuration/replace", Map.of(), configuration(1, FIRST_TTL)).status == 200);
         until(() -> probes.stream().allMatch(probe -> call(probe, "GET", "/v1/readiness", Map.of(), null).status == 200));
         until(() -> call(fronts.get(0), "GET", "/objects/first", client("first"), null).status == 200);
         until(() -> call(fronts.get(0), "GET", "/orders/first", client("second"), null).status == 200);
@@ -167,6 +169,11 @@
         return new StandInServer(loop, id, service, "here", net + '.' + number, port, controls, BEAT_MILLIS);
     }
 
+    /** The port of all machines' first service, for a server that takes another one's address. */
+    public InetSocketAddress address(int number) {
+        return new InetSocketAddress(net + '.' + number, port);
+    }
+
     /** Where proxies take links. */
     public int linkPort() {
         return port + 3;
--- a/src/main/java/gorsemast/deelen/StandInServer.java
+++ b/src/main/java/gorsemast/deelen/StandInServer.java
@@ -2,15 +2,12 @@
 
 import gorsemast.exchange.StrictHttp;
 import gorsemast.transport.Transport;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -37,9 +34,11 @@
  */
 public final class StandInServer implements AutoCloseable {
     private static final int MOST = 1 << 20;
+    /** What it appends to objects below a path {@code /long/}. */
+    public static final int LONG = 3 << 20;
 
     /** What it does with the next requests. */
-    public enum Manner { SERVES, TURNS_AWAY, FAILS, SAYS_NOTHING, CUTS_SHORT, ANSWERS_TWICE, RESETS }
+    public enum Manner { SERVES, TURNS_AWAY, FAILS, SAYS_NOTHING, CUTS_SHORT, ANSWERS_TWICE, ANSWERS_LATE_AGAIN, RESETS }
 
     /** A request that it ran. */
     public record Run(String attemptId, String method, String uri, String body) {
@@ -69,20 +68,14 @@
         this.service = service;
         this.zone = zone;
         this.registries = List.copyOf(registries);
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(Transport.listener(loop))
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    open.add(ch);
-                    ch.pipeline().addLast(new StrictHttp.Requests(), new HttpResponseEncoder(), new HttpObjectAggregator(MOST),
-                        new Serving());
-                }
-            }).bind(new InetSocketAddress(ip, port)).awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new IOException("can't listen at " + ip, bound.cause());
-        }
-        listener = bound.channel();
+        listener = Transport.listen(loop, new InetSocketAddress(ip, port), new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                open.add(ch);
+                ch.pipeline().addLast(new StrictHttp.Requests(), new HttpResponseEncoder(), new HttpObjectAggregator(MOST),
+                    new Serving());
+            }
+        });
         loop.scheduleAtFixedRate(this::beat, 0, beatMillis, TimeUnit.MILLISECONDS);
     }
 
@@ -157,6 +150,9 @@
 
     /** One connection; one request at a time. */
     private final class Serving extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private String lastAttempt;
+        private String lastBody;
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             String attempt = request.headers().get("Attempt-Id");
@@ -174,7 +170,13 @@
             synchronized (runs) {
                 runs.add(new Run(attempt, request.method().name(), uri, request.content().toString(StandardCharsets.UTF_8)));
             }
-            String body = "object " + uri + " version " + versions.getOrDefault(uri, 0) + '\n';
+            String body = "object " + uri + " version " + versions.getOrDefault(uri, 0) + '\n'
+                + (uri.contains("/long/") ? "x".repeat(LONG) : "");
+            if (does == Manner.ANSWERS_LATE_AGAIN && lastAttempt != null) {
+                write(ctx, HttpResponseStatus.OK, lastAttempt, lastBody, true); // in the place of the one that is due
+            }
+            lastAttempt = attempt;
+            lastBody = body;
             switch (does) {
                 case SAYS_NOTHING -> {
                     // the caller finds out
--- a/src/main/java/gorsemast/hupsel/Turns.java
+++ b/src/main/java/gorsemast/exchange/Turns.java
@@ -1,4 +1,4 @@
-package gorsemast.hupsel;
+package gorsemast.exchange;
 
 import java.util.ArrayDeque;
 import java.util.Queue;
@@ -8,18 +8,19 @@
  * Keeps a module from being entered while it is running: what its actions bring about waits until the event before it is
  * done. One faulty step does not take the others with it. One thread.
  */
-final class Turns {
+public final class Turns {
     private final Queue<Runnable> events = new ArrayDeque<>();
     private final Queue<Runnable> actions = new ArrayDeque<>();
     private final Consumer<RuntimeException> faults;
     private boolean busy;
 
-    Turns(Consumer<RuntimeException> faults) {
+    /** @param faults told of what a step throws */
+    public Turns(Consumer<RuntimeException> faults) {
         this.faults = faults;
     }
 
     /** Something for the module. */
-    void event(Runnable event) {
+    public void event(Runnable event) {
         events.add(event);
         if (busy) {
             return;
@@ -38,10 +39,15 @@
     }
 
     /** Something that the module wants done, after the event in which it said so. */
-    void action(Runnable action) {
+    public void action(Runnable action) {
         actions.add(action);
     }
 
+    /** Whether nothing waits. */
+    public boolean idle() {
+        return events.isEmpty() && actions.isEmpty();
+    }
+
     private void step(Runnable step) {
         try {
             step.run();
--- a/src/main/java/gorsemast/hupsel/Sender.java
+++ b/src/main/java/gorsemast/hupsel/Sender.java
@@ -6,6 +6,7 @@
 import anisebend.Balancer.Note;
 import anisebend.Decide;
 import gorsemast.exchange.Passage;
+import gorsemast.exchange.Turns;
 import gorsemast.exchange.Upstream;
 import gorsemast.marknesse.Log;
 import gorsemast.schiphol.Route;
--- a/src/main/java/gorsemast/lauwersoog/Links.java
+++ b/src/main/java/gorsemast/lauwersoog/Links.java
@@ -2,10 +2,8 @@
 
 import gorsemast.transport.Transport;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -52,20 +50,12 @@
 
     /** Listens for others; not on the loop. */
     public void listen(InetSocketAddress at) throws IOException {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(Transport.listener(loop))
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    fill(ch, new Link(Links.this, null));
-                }
-            }).bind(at).awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new IOException("can't listen at " + at, bound.cause());
-        }
-        listener = bound.channel();
+        listener = Transport.listen(loop, at, new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                fill(ch, new Link(Links.this, null));
+            }
+        });
     }
 
     private static void fill(Channel ch, Link link) {
--- a/src/main/java/gorsemast/terschelling/Board.java
+++ b/src/main/java/gorsemast/terschelling/Board.java
@@ -16,7 +16,7 @@
  * Shapiro et al. 2011). Gaps are found by comparing digests, one for each of {@link #BUCKETS} parts of the keys, and
  * mended by telling the stamps of a part that differs (anti-entropy, Demers et al. 1987).
  *
- * <p><b>Bounds.</b> A purge or a server's state is forgotten {@link #HORIZON_MICROS} after it was first told; no copy
+ * <p><b>Bounds.</b> A purge, or a server that has left or is silent, is forgotten {@link #HORIZON_MICROS} after it was first told; no copy
  * lives longer than {@link #LONGEST_COPY_MICROS}, which is well before that. {@link #MOST_PURGES} purges are kept at
  * most. O(1) a merge; digests are kept up as items come. One thread.
  */
@@ -48,7 +48,7 @@
 
     /** Takes an item in. Returns whether it was news. */
     public boolean merge(long now, Item item) {
-        if (item.kind().passes() && now - item.born() > HORIZON_MICROS - FADING_MICROS) {
+        if (item.passes() && now - item.born() > HORIZON_MICROS - FADING_MICROS) {
             return false;
         }
         Map<String, Item> of = items.get(item.kind());
@@ -72,15 +72,13 @@
     /** Forgets what has passed; to be called every second or so. */
     public void forget(long now) {
         for (Kind kind : Kind.values()) {
-            if (kind.passes()) {
-                items.get(kind).values().removeIf(item -> {
-                    boolean passed = now - item.born() > HORIZON_MICROS - FADING_MICROS;
-                    if (passed) {
-                        toggle(item);
-                    }
-                    return passed;
-                });
-            }
+            items.get(kind).values().removeIf(item -> {
+                boolean passed = item.passes() && now - item.born() > HORIZON_MICROS - FADING_MICROS;
+                if (passed) {
+                    toggle(item);
+                }
+                return passed;
+            });
         }
     }
 
--- a/src/main/java/gorsemast/terschelling/Item.java
+++ b/src/main/java/gorsemast/terschelling/Item.java
@@ -16,8 +16,8 @@
     public enum Kind {
         /** The operator's configuration; one key, stamped with its version. */
         CONFIGURATION(false),
-        /** A server's state, stamped by its own count of calls. */
-        SERVER(true),
+        /** A server's state, stamped by its own count of calls; passes once it has left or is silent. */
+        SERVER(false),
         /** Copies made before this are not to be served any more. */
         PURGE(true),
         /** A core machine and where its programs listen. */
@@ -34,11 +34,6 @@
             this.passes = passes;
         }
 
-        /** Whether it is forgotten after some time. */
-        boolean passes() {
-            return passes;
-        }
-
         /** Whether digests are of it. */
         public boolean mended() {
             return this != SPEED;
@@ -55,6 +50,11 @@
 
     private static final int MOST = 64 << 20;
 
+    /** Whether it is forgotten after some time: what still holds is not, however long ago it was told. */
+    boolean passes() {
+        return kind == Kind.SERVER ? ServerNews.passes(stamp) : kind.passes;
+    }
+
     /** Writes it with its age, as clocks are not compared between machines. */
     public void write(DataOutputStream out, long now) throws IOException {
         out.writeByte(kind.ordinal());
--- a/src/main/java/gorsemast/terschelling/ServerNews.java
+++ b/src/main/java/gorsemast/terschelling/ServerNews.java
@@ -35,6 +35,11 @@
         return state == State.GONE ? Long.MAX_VALUE : seq * State.ALL.length + state.ordinal();
     }
 
+    /** Whether a stamp is of one that has left or is silent, and may be forgotten some time after. */
+    static boolean passes(long stamp) {
+        return stamp == Long.MAX_VALUE || stamp % State.ALL.length == State.SILENT.ordinal();
+    }
+
     /** Where it is dialled; null where the address is none. */
     public InetSocketAddress dial() {
         return Address.parse(address);
--- a/src/main/java/gorsemast/transport/Transport.java
+++ b/src/main/java/gorsemast/transport/Transport.java
@@ -1,6 +1,10 @@
 package gorsemast.transport;
 
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.IoEventLoop;
@@ -23,6 +27,8 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 
 /**
@@ -37,6 +43,9 @@
  * <p>No state; any thread. What a loop is asked to carry must be of its own kind, so it is asked for by the loop.
  */
 public final class Transport {
+    /** Connections that may wait to be taken: a crowd that comes back at once. */
+    private static final int BACKLOG = 1_024;
+
     private Transport() {
     }
 
@@ -54,6 +63,21 @@
         return epoll(loop) ? EpollServerSocketChannel.class : NioServerSocketChannel.class;
     }
 
+    /**
+     * Listens at an address, each connection with {@code child}'s handlers, small writes at once and buffers on the heap; not
+     * on the loop. Throws where the address can't be had.
+     */
+    public static Channel listen(EventLoop loop, InetSocketAddress at, ChannelInitializer<Channel> child) throws IOException {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(listener(loop))
+            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+            .childOption(ChannelOption.TCP_NODELAY, true).childHandler(child).bind(at).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("can't listen at " + at, bound.cause());
+        }
+        return bound.channel();
+    }
+
     /** What connects on such a loop. */
     public static Class<? extends SocketChannel> stream(EventLoop loop) {
         return epoll(loop) ? EpollSocketChannel.class : NioSocketChannel.class;
--- a/src/main/java/gorsemast/vlissingen/Vlissingen.java
+++ b/src/main/java/gorsemast/vlissingen/Vlissingen.java
@@ -32,13 +32,15 @@
  */
 public final class Vlissingen implements Daemon, Link.Receiver, Keeper.Out {
     private static final long TICK_MICROS = 25_000;
+    /** Longer than any call may take here or at the store that it is passed on to. */
+    private static final long ASKED_MICROS = 6_000_000;
     private static final long DISK_AGAIN_MILLIS = 100;
     private static final String STATE = "state";
     private static final String CONFIGURATION = "configuration";
     private static final Log LOG = new Log("vlissingen");
 
     /** Who waits for a call's answer: a registry, or a store that passed it on. */
-    private record Asker(Link link, long call, boolean put, long version, byte[] body, long known) {
+    private record Asker(Link link, long call, boolean put, long version, byte[] body, long known, long until) {
     }
 
     private final Settings settings;
@@ -124,7 +126,9 @@
 
     private void tick() {
         try {
-            keeper.tick(now());
+            long now = now();
+            keeper.tick(now);
+            askers.values().removeIf(asker -> now > asker.until); // whoever it was passed on to did not answer
             dial();
         } catch (RuntimeException e) {
             LOG.fault(e);
@@ -161,11 +165,11 @@
             keeper.message(now(), between.message());
         } else if (record instanceof Record.Put put) {
             long call = ++lastCall;
-            askers.put(call, new Asker(link, put.call(), true, put.version(), put.body(), 0));
+            askers.put(call, new Asker(link, put.call(), true, put.version(), put.body(), 0, now() + ASKED_MICROS));
             keeper.put(now(), call, put.version(), put.body());
         } else if (record instanceof Record.Get get) {
             long call = ++lastCall;
-            askers.put(call, new Asker(link, get.call(), false, 0, null, get.known()));
+            askers.put(call, new Asker(link, get.call(), false, 0, null, get.known(), now() + ASKED_MICROS));
             keeper.get(now(), call);
         } else if (record instanceof Record.Answer answer) {
             Asker asker = askers.remove(answer.call());
--- a/src/test/java/gorsemast/deelen/NetworkTest.java
+++ b/src/test/java/gorsemast/deelen/NetworkTest.java
@@ -148,7 +148,7 @@
     @Test
     void theHighestVersionHoldsWhereverItIsSent() {
         for (int core = 0; core < 3; core++) {
-            byte[] next = LoopbackNetwork.configuration(++version, "20s");
+            byte[] next = LoopbackNetwork.configuration(++version, LoopbackNetwork.FIRST_TTL);
             assertThat(network.call(network.controls().get(core), "POST", "/v1/configuration/replace", Map.of(), next).status())
                 .isEqualTo(200);
             assertThat(network.call(network.controls().get((core + 1) % 3), "POST", "/v1/configuration/replace", Map.of(),
@@ -169,6 +169,7 @@
         LoopbackNetwork.until(() -> network.call(network.controls().get(0), "POST", "/v1/nodes/i-leaving/deregister", Map.of(),
             new byte[0]).status() == 200);
         int before = leaving.runs().size();
+        assertThat(operator(1, "/v1/nodes/i-leaving/heartbeat", beat(leaving, "ready", 100_000)).status()).isEqualTo(200);
         Set<Integer> statuses = java.util.stream.IntStream.range(0, 40).map(i -> ask(0, "GET", "/orders/late" + i, null).status())
             .boxed().collect(Collectors.toSet());
         assertThat(statuses).containsExactly(200);
@@ -176,6 +177,56 @@
         leaving.close();
     }
 
+    private static String beat(StandInServer server, String state, long seq) {
+        return "{\"backend\":\"orders\",\"address\":\"" + server.address().getAddress().getHostAddress() + ':'
+            + server.address().getPort() + "\",\"zone\":\"here\",\"configVersion\":\"v1\",\"capacity\":8,\"state\":\"" + state
+            + "\",\"warmupLeft\":\"0ms\",\"callSeq\":" + seq + '}';
+    }
+
+    @Test
+    void whatIsMeantForOneLifeIsNotRunByTheNextAtItsAddress() throws IOException {
+        StandInServer old = network.newServer("i-old", "orders", 91);
+        LoopbackNetwork.until(() -> {
+            ask(0, "GET", "/orders/y" + calls, null);
+            return !old.runs().isEmpty();
+        });
+        old.beats(false);
+        old.close(); // without a word: edges take it for ready yet
+        StandInServer[] next = new StandInServer[1];
+        LoopbackNetwork.until(() -> {
+            try {
+                next[0] = network.newServer("i-next", "elsewhere", 91);
+                return true;
+            } catch (IOException e) {
+                return false; // the address is not free yet
+            }
+        });
+        for (int i = 0; i < 60; i++) {
+            assertThat(ask(i % 2, i % 2 == 0 ? "GET" : "POST", "/orders/pay/reuse" + i, null).status()).isIn(200, 503);
+        }
+        assertThat(next[0].runs()).isEmpty();
+        next[0].close();
+    }
+
+    @Test
+    void anObjectThatIsTooLongToBeHeldIsPassedOn() {
+        for (int i = 0; i < 4; i++) {
+            Answer answer = ask(i % 2, "GET", "/objects/long/a", null);
+            assertThat(answer.status()).isEqualTo(200);
+            assertThat(answer.body().length).isGreaterThan(StandInServer.LONG);
+        }
+    }
+
+    @Test
+    void aSecondAnswerInThePlaceOfTheNextIsNobodysAnswer() {
+        network.servers().forEach(server -> server.manner(Manner.ANSWERS_LATE_AGAIN));
+        for (int i = 0; i < 12; i++) {
+            String uri = i % 2 == 0 ? "/orders/again" + i : "/orders/pay/again" + i;
+            assertThat(ask(0, i % 2 == 0 ? "GET" : "POST", uri, null).text()).isEqualTo("object " + uri + " version 0\n");
+            assertThat(runs(uri)).isEqualTo(1);
+        }
+    }
+
     @Test
     void pipelinedRequestsAreAnsweredInTheirOrder() throws IOException {
         network.servers().get(2).work(60_000);
--- /dev/null
+++ b/src/test/java/gorsemast/terschelling/BoardTest.java
@@ -0,0 +1,85 @@
+package gorsemast.terschelling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import gorsemast.terschelling.Item.Kind;
+import gorsemast.terschelling.ServerNews.State;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** Merging in any order, mending by digests, and what is forgotten. */
+class BoardTest {
+    private static ServerNews server(String id, State state, long seq) {
+        return new ServerNews(id, "s", "10.0.0.1:80", "z", 4, state, seq, 0);
+    }
+
+    private static List<Item> drawn(Random random) {
+        List<Item> items = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            items.add(switch (random.nextInt(3)) {
+                case 0 -> new PurgeNews("p" + random.nextInt(40), "h", "/" + i, "").item(random.nextInt(1_000));
+                case 1 -> server("i" + random.nextInt(20), State.values()[random.nextInt(4)], random.nextInt(9)).item(0);
+                default -> new MachineNews("10.0.0." + random.nextInt(9), "z", "", random.nextBoolean(), random.nextInt(5))
+                    .item(Kind.EDGE, 0);
+            });
+        }
+        return items;
+    }
+
+    @Test
+    void allOrdersComeToTheSameAndDigestsSaySo() {
+        Random random = new Random(3);
+        for (int round = 0; round < 50; round++) {
+            List<Item> items = drawn(random);
+            Board one = new Board();
+            items.forEach(item -> one.merge(1_000, item));
+            Collections.shuffle(items, random);
+            Board other = new Board();
+            items.forEach(item -> other.merge(1_000, item));
+            items.forEach(item -> assertThat(other.merge(1_000, item)).as("again").isFalse());
+            assertThat(other.differing(one.digest())).isZero();
+            assertThat(other.purgeDigest()).isEqualTo(one.purgeDigest());
+        }
+    }
+
+    @Test
+    void partsThatDifferAreMendedBothWays() {
+        Random random = new Random(4);
+        Board one = new Board();
+        Board other = new Board();
+        drawn(random).forEach(item -> (random.nextBoolean() ? one : other).merge(1_000, item));
+        int parts = one.differing(other.digest());
+        assertThat(parts).isNotZero();
+        one.newerThan(parts, other.stamps(parts)).forEach(item -> other.merge(2_000, item));
+        other.newerThan(parts, one.stamps(parts)).forEach(item -> one.merge(2_000, item));
+        assertThat(one.differing(other.digest())).isZero();
+    }
+
+    @Test
+    void aServerThatStillServesIsNotForgottenAndOneThatLeftIs() {
+        Board board = new Board();
+        board.merge(0, server("stays", State.READY, 1).item(0));
+        board.merge(0, server("leaves", State.DRAINING, 1).item(0));
+        board.merge(0, server("gone", State.GONE, 1).item(0));
+        board.merge(0, server("silent", State.SILENT, 1).item(0));
+        board.merge(0, new PurgeNews("p", "h", "/", "").item(0));
+        long empty = new Board().purgeDigest();
+        board.forget(10 * Board.HORIZON_MICROS);
+        assertThat(board.all(Kind.SERVER)).extracting(Item::key).containsExactly("stays", "leaves");
+        assertThat(board.purgeDigest()).isEqualTo(empty);
+        assertThat(board.merge(10 * Board.HORIZON_MICROS, server("gone", State.GONE, 1).item(0))).as("told late").isFalse();
+    }
+
+    @Test
+    void lateCallsChangeNothing() {
+        Board board = new Board();
+        board.merge(0, server("a", State.DRAINING, 5).item(0));
+        assertThat(board.merge(1, server("a", State.READY, 4).item(1))).isFalse();
+        assertThat(board.merge(1, server("a", State.SILENT, 5).item(1))).as("silence is weaker than what it said").isFalse();
+        board.merge(2, server("a", State.GONE, 5).item(2));
+        assertThat(board.merge(3, server("a", State.READY, 9).item(3))).isFalse();
+    }
+}
