--- a/deploy/system-archive.sh
+++ b/deploy/system-archive.sh
@@ -1,7 +1,8 @@
 #!/bin/sh
 # Archives the classes of the delivery network's three programs, so that each start maps them in place of reading and
 # verifying them: a machine that comes back is waited for. A network of all three runs for some seconds on loopback, with
-# stand-in servers, and is asked for a bit of everything. A missing or stale archive only makes the start slower.
+# stand-in servers, and is asked for a bit of everything; what it loaded is dumped together with the JDK's own classes into
+# one archive. A missing or stale archive only makes the start slower.
 set -eu
 cd "$(dirname "$0")/.."
 lib=target/lib
@@ -14,6 +15,10 @@
 java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx128m -XX:-UsePerfData -Djava.library.path=target/native \
     -Dio.netty.allocator.type=unpooled -Dio.netty.noPreferDirect=true -Dio.netty.machineId=00:00:00:00:00:01 \
     -Dio.netty.processId=1 -Dio.netty.initialSeedUniquifier=1 -Dio.netty.jfr.enabled=false -Dslf4j.internal.verbosity=ERROR -Xlog:disable \
-    -XX:ArchiveClassesAtExit=target/system.jsa -cp "$path" gorsemast.deelen.Training target > target/system-archive.log 2>&1 || true
+    -Xshare:off -XX:DumpLoadedClassList=target/system.classes -cp "$path" gorsemast.deelen.Training target \
+    > target/system-archive.log 2>&1 || true
+# The archived heap is written by G1 only; a serial collector reads it all the same.
+java -Xshare:dump -XX:+UseG1GC -XX:SharedClassListFile=target/system.classes -XX:SharedArchiveFile=target/system.jsa \
+    -cp "$path" >> target/system-archive.log 2>&1 || true
 rm -rf target/training*
 [ -f target/system.jsa ] || echo "no class archive was made; see target/system-archive.log" >&2
--- a/src/main/java/gorsemast/arcen/Main.java
+++ b/src/main/java/gorsemast/arcen/Main.java
@@ -30,17 +30,7 @@
             System.exit(2);
         }
         CompletableFuture<Daemon> started = new CompletableFuture<>();
-        Runtime.getRuntime().addShutdownHook(new Thread() {
-            @Override
-            public void run() {
-                Daemon program = started.join();
-                if (program != null) {
-                    program.stop();
-                    Log.flush();
-                    Runtime.getRuntime().halt(0); // else the signal would be the exit code
-                }
-            }
-        });
+        Runtime.getRuntime().addShutdownHook(new Leaving(started));
         try {
             Settings settings = Settings.read(Path.of(file));
             Daemon program = switch (word) {
@@ -50,13 +40,7 @@
             };
             program.start();
             // Behind the start, which somebody may be waiting for; heard of by reflection, it takes a tenth of that.
-            Signals.onHangup(() -> {
-                try {
-                    program.reload(Settings.read(Path.of(file)));
-                } catch (SettingsException e) {
-                    log.warn("keeps its settings: " + e.getMessage());
-                }
-            });
+            Signals.onHangup(new Rereading(program, Path.of(file), log));
             log.info("runs on " + settings.name() + " in " + settings.zone());
             started.complete(program);
         } catch (IOException | RuntimeException e) {
@@ -68,4 +52,36 @@
             started.complete(null); // without effect where it has started
         }
     }
+
+    /** SIGTERM: the program leaves in order. A class with a name, so that the archive of classes has it. */
+    private static final class Leaving extends Thread {
+        private final CompletableFuture<Daemon> started;
+
+        Leaving(CompletableFuture<Daemon> started) {
+            super("leaving");
+            this.started = started;
+        }
+
+        @Override
+        public void run() {
+            Daemon program = started.join();
+            if (program != null) {
+                program.stop();
+                Log.flush();
+                Runtime.getRuntime().halt(0); // else the signal would be the exit code
+            }
+        }
+    }
+
+    /** SIGHUP: the settings are read again. */
+    private record Rereading(Daemon program, Path file, Log log) implements Runnable {
+        @Override
+        public void run() {
+            try {
+                program.reload(Settings.read(file));
+            } catch (SettingsException e) {
+                log.warn("keeps its settings: " + e.getMessage());
+            }
+        }
+    }
 }
--- a/src/main/java/gorsemast/cabauw/Front.java
+++ b/src/main/java/gorsemast/cabauw/Front.java
@@ -202,7 +202,7 @@
         long wait = Math.min(route.timeoutMicros(), budget < 0 ? Long.MAX_VALUE : Math.max(1_000, budget - WAY_MICROS));
         long giveUp = turn.arrival() + wait;
         if (route.kind() == Route.Kind.CACHEABLE && turn.method().equals(HttpMethod.GET)) {
-            desk.serve(turn, route, route.host(), id, giveUp, () -> forward(turn, route, id, giveUp));
+            desk.serve(turn, route, id, giveUp, () -> forward(turn, route, id, giveUp));
         } else {
             forward(turn, route, id, giveUp);
         }
--- /dev/null
+++ b/src/main/java/gorsemast/cabauw/Lookout.java
@@ -0,0 +1,293 @@
+package gorsemast.cabauw;
+
+import gorsemast.eelde.Homes;
+import gorsemast.lauwersoog.Gossip;
+import gorsemast.lauwersoog.Neighbour;
+import gorsemast.lauwersoog.Neighbours;
+import gorsemast.lauwersoog.Record;
+import gorsemast.lauwersoog.Record.Program;
+import gorsemast.marknesse.Log;
+import gorsemast.schiphol.Configuration;
+import gorsemast.schiphol.ConfigurationException;
+import gorsemast.terschelling.Board;
+import gorsemast.terschelling.Hash;
+import gorsemast.terschelling.Item;
+import gorsemast.terschelling.Item.Kind;
+import gorsemast.terschelling.MachineNews;
+import gorsemast.terschelling.ServerNews;
+import gorsemast.terschelling.SpeedNews;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/**
+ * What an edge knows of everything but its own traffic: the newest configuration, servers, purges, other machines, and
+ * whom it keeps links to for that. No I/O, no clock of its own, no threads; what follows is told to a {@link Follower}.
+ *
+ * <p>Links go to {@value #REGISTRIES} registries and {@value #WATCHED} other edges, named by rendezvous, whatever the
+ * number of machines. It is ready once it holds what a synced registry holds. One caller; times in microseconds.
+ */
+public final class Lookout {
+    /** To be called so often. */
+    public static final long TICK_MICROS = 250_000;
+    /** So many registries and other proxies each keeps links to. */
+    static final int REGISTRIES = 2;
+    static final int WATCHED = 2;
+    /** What was seen of servers' speeds is told so often; by more than so many edges seldomer, the same for all together. */
+    private static final long SPEEDS_MICROS = 1_000_000;
+    private static final int SPEEDS_EDGES = 20;
+    private static final Log LOG = new Log("cabauw");
+
+    /** Who goes by it; all are called on the caller's thread, after what is told is merged. */
+    public interface Follower {
+        /** A newer configuration, or another number of edges to share with. */
+        void configured(Configuration now, int edges);
+
+        /** Servers by service, of services that the configuration knows; {@code coldUntil} by id. */
+        void servers(Map<String, List<ServerNews>> by, Map<String, Long> coldUntil);
+
+        /** A purge. */
+        void purged(Item purge);
+
+        /** What all edges together have seen of servers' speeds. */
+        void speeds(Map<String, double[]> pooled);
+
+        /** Runs a task after what is being told now. */
+        void afterwards(Runnable task);
+    }
+
+    private final String ip;
+    private final String zone;
+    private final long life;
+    private final long begun;
+    private final LongSupplier clock;
+    private final Neighbours neighbours;
+    private final Supplier<Map<String, double[]>> seen;
+    private final Follower follower;
+    private final Board board = new Board();
+    private final Homes homes;
+    private final Gossip gossip;
+    private final Map<String, Long> coldUntil = new HashMap<>();
+    private final Set<String> seeds = new LinkedHashSet<>();
+    private final Set<String> services = new LinkedHashSet<>();
+    private Configuration configuration;
+    private boolean serversDirty;
+    private long speedsAt;
+    private boolean ready;
+
+    /**
+     * Of one process, from its start on.
+     *
+     * @param life higher for a later start of the machine
+     * @param seen what was seen here of servers' speeds, as {@link SpeedNews} has it
+     */
+    public Lookout(String ip, String zone, long life, Set<String> seeds, LongSupplier clock, Neighbours neighbours,
+                   Supplier<Map<String, double[]>> seen, Follower follower) {
+        this.ip = ip;
+        this.zone = zone;
+        this.life = life;
+        this.clock = clock;
+        this.begun = clock.getAsLong();
+        this.neighbours = neighbours;
+        this.seen = seen;
+        this.follower = follower;
+        this.homes = new Homes(ip, zone);
+        this.gossip = new Gossip(Program.PROXY, board, neighbours, clock, () -> ready, this::changed);
+        this.seeds.addAll(seeds);
+    }
+
+    /** The first word on each of its links. */
+    public Record.Hello hello() {
+        return new Record.Hello(Program.PROXY, ip, zone, "", life);
+    }
+
+    /** All news; only to be read. */
+    public Board board() {
+        return board;
+    }
+
+    /** Which edges objects are at home at. */
+    public Homes homes() {
+        return homes;
+    }
+
+    /** The newest configuration; null before the first. */
+    public Configuration configuration() {
+        return configuration;
+    }
+
+    /** Whether it holds, or once held, what a synced registry does. */
+    public boolean ready() {
+        return ready;
+    }
+
+    /** Another list of core machines. */
+    public void seeds(Set<String> more) {
+        seeds.addAll(more);
+    }
+
+    /** To be called each {@link #TICK_MICROS}. */
+    public void tick() {
+        long now = clock.getAsLong();
+        homes.edges(edgesUp());
+        gossip.tick();
+        tellSpeeds(now);
+        board.forget(now);
+        tellServers();
+        if (!ready && configuration != null && gossip.caughtUp()) {
+            ready = true;
+            LOG.info("is ready with version " + Long.toHexString(configuration.version()));
+        }
+    }
+
+    private void tellSpeeds(long now) {
+        if (now < speedsAt) {
+            return;
+        }
+        speedsAt = now + SPEEDS_MICROS * Math.max(1, homes.count() / SPEEDS_EDGES);
+        Map<String, double[]> mine = seen.get();
+        if (!mine.isEmpty()) {
+            gossip.publish(new SpeedNews(ip, mine).item(now, life + (now - begun) / 1_000));
+        }
+    }
+
+    /** Addresses of the machines whose registries it wants links to. */
+    public Set<String> wantedRegistries() {
+        Set<String> cores = new LinkedHashSet<>();
+        for (Item item : board.all(Kind.CORE)) {
+            MachineNews machine = MachineNews.of(item);
+            if (machine != null && machine.up()) {
+                cores.add(machine.ip());
+            }
+        }
+        Set<String> linked = new LinkedHashSet<>();
+        neighbours.up(Program.REGISTRY).forEach(one -> linked.add(one.peer().ip()));
+        // Few are known for sure at first: whoever was named is tried until enough are found.
+        Set<String> registries = new LinkedHashSet<>(cores);
+        if (linked.size() < REGISTRIES) {
+            registries.addAll(seeds);
+        }
+        List<String> ranked = Hash.ranked(ip, registries);
+        int wants = linked.isEmpty() || cores.isEmpty() ? ranked.size() : REGISTRIES;
+        Set<String> wanted = new LinkedHashSet<>();
+        for (String core : ranked) {
+            if (wanted.size() < wants || linked.contains(core) && wanted.size() < REGISTRIES) {
+                wanted.add(core);
+            }
+        }
+        return wanted;
+    }
+
+    /** Addresses of the other edges that it wants links to. */
+    public Set<String> wantedEdges() {
+        Set<String> edges = new LinkedHashSet<>(edgesUp().keySet());
+        edges.remove(ip);
+        return new LinkedHashSet<>(Hash.ranked(ip, edges).subList(0, Math.min(WATCHED, edges.size())));
+    }
+
+    // ---- news
+
+    private void changed(Item item) {
+        switch (item.kind()) {
+            case CONFIGURATION -> configured(item);
+            case SERVER -> {
+                ServerNews server = ServerNews.of(item);
+                if (server != null && server.coldMicros() > 0 && !coldUntil.containsKey(server.id())) {
+                    coldUntil.put(server.id(), item.born() + server.coldMicros());
+                }
+                if (!serversDirty) {
+                    serversDirty = true;
+                    follower.afterwards(this::tellServers); // several in one record are told as one
+                }
+            }
+            case PURGE -> follower.purged(item);
+            case EDGE -> {
+                if (configuration != null) {
+                    follower.afterwards(this::tellConfiguration);
+                }
+            }
+            default -> {
+                // whom it keeps links to follows at the next tick
+            }
+        }
+    }
+
+    private void configured(Item item) {
+        try {
+            Configuration next = Configuration.parse(item.body());
+            if (configuration != null && next.version() <= configuration.version()) {
+                return;
+            }
+            configuration = next;
+            LOG.info("goes by version " + Long.toHexString(next.version()));
+            tellConfiguration();
+            serversDirty = true;
+            tellServers();
+        } catch (ConfigurationException e) {
+            LOG.warn("was told a configuration that is none: " + e.getMessage());
+        }
+    }
+
+    private void tellConfiguration() {
+        homes.edges(edgesUp());
+        follower.configured(configuration, homes.count());
+    }
+
+    private void tellServers() {
+        if (!serversDirty || configuration == null) {
+            return;
+        }
+        serversDirty = false;
+        Map<String, List<ServerNews>> by = new HashMap<>();
+        services.addAll(configuration.services().keySet()); // what is still on its way to a dropped one goes by this too
+        services.forEach(service -> by.put(service, new ArrayList<>()));
+        for (Item item : board.all(Kind.SERVER)) {
+            ServerNews server = ServerNews.of(item);
+            if (server != null && by.containsKey(server.service())) {
+                by.get(server.service()).add(server);
+            }
+        }
+        long now = clock.getAsLong();
+        coldUntil.values().removeIf(until -> until < now);
+        follower.servers(by, coldUntil);
+    }
+
+    private Map<String, String> edgesUp() {
+        Map<String, String> up = new HashMap<>();
+        for (Item item : board.all(Kind.EDGE)) {
+            MachineNews machine = MachineNews.of(item);
+            if (machine != null && machine.up()) {
+                up.put(machine.ip(), machine.zone());
+            }
+        }
+        return up;
+    }
+
+    // ---- neighbours
+
+    /** A process has come into reach. */
+    public void up(Neighbour one) {
+        if (one.peer().program() != Program.STORE) {
+            gossip.up(one);
+        }
+    }
+
+    /** It is reached no more. */
+    public void down(Neighbour one) {
+        gossip.down(one);
+    }
+
+    /** It has said something. */
+    public void received(Neighbour one, Record record) {
+        if (record instanceof Record.Pooled pooled) {
+            follower.speeds(pooled.servers());
+        } else {
+            gossip.received(one, record);
+        }
+    }
+}
--- a/src/main/java/gorsemast/cabauw/ObjectsServer.java
+++ b/src/main/java/gorsemast/cabauw/ObjectsServer.java
@@ -1,7 +1,8 @@
 package gorsemast.cabauw;
 
 import gorsemast.eelde.Copy;
-import gorsemast.eelde.Shelf;
+import gorsemast.eelde.Fetching;
+import gorsemast.eelde.Fetching.Wanted;
 import gorsemast.exchange.StrictHttp;
 import gorsemast.hupsel.Hops;
 import gorsemast.schiphol.Configuration;
@@ -82,8 +83,8 @@
                 return;
             }
             long wait = Long.parseLong(left) * 1_000;
-            desk.ask(Shelf.key(route.host(), uri), route, route.host(), uri, false, clock.getAsLong() + wait,
-                new ObjectDesk.Waiter() {
+            desk.ask(new Wanted(route, route.host(), uri), clock.getAsLong() + wait,
+                new Fetching.Waiter<>() {
                     @Override
                     public void here(Copy copy, boolean once) {
                         if (once || !inStep().equals(step)) {
--- a/src/main/java/gorsemast/debilt/ControlServer.java
+++ b/src/main/java/gorsemast/debilt/ControlServer.java
@@ -39,13 +39,7 @@
 
     /** Runs a command; the reply may come later, on the loop. */
     interface Runner {
-        void run(Command command, int size, Reply reply);
-    }
-
-    /** One answer; a second one is let be. */
-    interface Reply {
-        /** @param text why, null for nothing to say; a body takes its place */
-        void answer(int status, String text, byte[] body);
+        void run(Command command, int size, Office.Reply reply);
     }
 
     private final EventLoop loop;
--- a/src/main/java/gorsemast/deelen/Training.java
+++ b/src/main/java/gorsemast/deelen/Training.java
@@ -1,6 +1,7 @@
 package gorsemast.deelen;
 
 import gorsemast.exchange.NettyLog;
+import gorsemast.exchange.Signals;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,8 +17,13 @@
     }
 
     /** Takes the folder to work in. */
-    public static void main(String[] args) throws IOException {
+    public static void main(String[] args) throws IOException, ClassNotFoundException {
         NettyLog.install();
+        // What only the entry point uses: one class that is not in the archive has the jar opened at each start.
+        Class.forName("gorsemast.arcen.Main");
+        Class.forName("gorsemast.arcen.Main$Leaving");
+        Class.forName("gorsemast.arcen.Main$Rereading");
+        Signals.onHangup(() -> { });
         Path data = Files.createTempDirectory(Path.of(args[0]), "training");
         int port = 21_000 + (int) (ProcessHandle.current().pid() % 20_000);
         LoopbackNetwork network = new LoopbackNetwork("127.0.77", port, data);
--- /dev/null
+++ b/src/main/java/gorsemast/eelde/Fetching.java
@@ -0,0 +1,358 @@
+package gorsemast.eelde;
+
+import gorsemast.schiphol.Route;
+import gorsemast.terschelling.Board;
+import gorsemast.terschelling.Item;
+import gorsemast.terschelling.PurgeNews;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.LongSupplier;
+
+/**
+ * Decides where each object that is asked for comes from: a copy held here, a fetch that is out already, the object's home,
+ * or its servers.
+ *
+ * <p><b>Idea.</b> One fetch for all who ask meanwhile. A copy that another edge hands over is taken only where that edge knew
+ * of the same purges when it handed it over as this one did when it asked; so a purge that has come here first can't be
+ * undone by an edge that has not heard of it. What was asked for before a purge is held against that purge before it is put
+ * on the shelf, and given at most to those who had asked by then. Fetches from servers count at this edge's part of what the
+ * service bears; those that nobody waits for have half of it.
+ *
+ * <p><b>Bounds.</b> {@link Shelf}'s and as many fetches as there are requests. No I/O, no clock of its own, no threads:
+ * {@link Ways} carry out. One caller; times in microseconds.
+ *
+ * @param <A> an answer that is no copy, passed on as it is
+ */
+public final class Fetching<A> {
+    private static final long LEAST_LEFT = 60_000;
+    /** Renewed ahead, by one for all, in this last part of its time, where it is asked for often. */
+    private static final double RENEW_FROM = 0.8;
+    /** So many objects that are too long to be held are remembered. */
+    private static final int MOST_LONG = 1_024;
+    /** When to come back where nothing better is known. */
+    private static final long LATER_MICROS = 300_000;
+
+    /** An object that is asked for; {@code host} in lower case, {@code uri} with its query. */
+    public record Wanted(Route route, String host, String uri) {
+        /** What it is held under. */
+        public String key() {
+            return Shelf.key(host, uri);
+        }
+    }
+
+    /** Who waits for an object; one of these is called, once. */
+    public interface Waiter<A> {
+        /** It is here; {@code once} where it may be told to whoever asked by now but not be held. */
+        void here(Copy copy, boolean once);
+
+        /** An answer that is no copy: passed on as it is; only lent. */
+        void other(A answer);
+
+        void refused(long retryAfterMicros);
+
+        void failed();
+
+        /** It is too long to be held, and has to be asked for without a copy. */
+        void tooLong();
+    }
+
+    /** How a request to a home ended; one of these is called, once. */
+    public interface FromHome<A> {
+        /** A copy that may be held here as well. */
+        void copy(Copy copy);
+
+        void other(A answer);
+
+        void refused(long retryAfterMicros);
+
+        /** It answered, with nothing to go by. */
+        void useless();
+
+        /** It did not answer in time; {@code ours} where that was this edge's own doing. */
+        void silent(boolean ours);
+    }
+
+    /** How a request to servers ended; one of these is called, once. */
+    public interface FromServers<A> {
+        void copy(Copy copy);
+
+        void other(A answer);
+
+        void refused(long retryAfterMicros);
+
+        void failed();
+
+        void tooLong();
+    }
+
+    /** What carries requests out. */
+    public interface Ways<A> {
+        /** Asks another edge, which is to say by {@code step} whether it knows of the same purges. */
+        void home(String edge, Wanted what, long step, long begun, long wait, FromHome<A> ending);
+
+        /** Asks a service's servers; false where there is no such service yet. */
+        boolean servers(String service, Wanted what, long asked, long giveUp, FromServers<A> ending);
+
+        /** What a service's servers bear from all edges, a second. */
+        double perSecond(String service);
+    }
+
+    /** One fetch for all who ask meanwhile. */
+    private final class Fetch {
+        private final Wanted what;
+        private final String key;
+        private final long purges = shelf.number();
+        private final long begun = clock.getAsLong();
+        private final List<Waiter<A>> waiters = new ArrayList<>();
+
+        Fetch(Wanted what, String key) {
+            this.what = what;
+            this.key = key;
+        }
+
+        private List<Waiter<A>> over() {
+            fetches.remove(key, this);
+            return waiters;
+        }
+
+        void here(Copy copy) {
+            boolean once = shelf.purgedSince(purges, key, copy);
+            if (!once && what.route.ttlMicros() > 0) {
+                shelf.put(key, copy);
+            }
+            over().forEach(waiter -> waiter.here(copy, once));
+        }
+
+        void other(A answer) {
+            over().forEach(waiter -> waiter.other(answer));
+        }
+
+        void refused(long retryAfter) {
+            over().forEach(waiter -> waiter.refused(retryAfter));
+        }
+
+        void failed() {
+            over().forEach(Waiter::failed);
+        }
+
+        void tooLong() {
+            longs.put(key, Boolean.TRUE);
+            over().forEach(Waiter::tooLong);
+        }
+    }
+
+    private final LongSupplier clock;
+    private final Shelf shelf;
+    private final Homes homes;
+    private final Board board;
+    private final Ways<A> ways;
+    private final String self;
+    private final long window;
+    private final SplittableRandom random;
+    private final Map<String, Ceiling> ceilings = new HashMap<>();
+    private final Map<String, Demand> demands = new HashMap<>();
+    private final Patience patience = new Patience();
+    private final Map<String, Fetch> fetches = new HashMap<>();
+    /** Keys of objects that are too long to be held, those asked for last. */
+    private final Map<String, Boolean> longs = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > MOST_LONG;
+        }
+    };
+    private long fromCopies;
+    private long fromHomes;
+    private long fromServers;
+
+    /** At the edge with this address; {@code window} is what the servers' rate is counted over. */
+    public Fetching(String self, LongSupplier clock, Shelf shelf, Homes homes, Board board, long window, long seed,
+                    Ways<A> ways) {
+        this.self = self;
+        this.clock = clock;
+        this.shelf = shelf;
+        this.homes = homes;
+        this.board = board;
+        this.window = window;
+        this.random = new SplittableRandom(seed);
+        this.ways = ways;
+    }
+
+    /** Where objects came from since the start, as words for the log. */
+    public String tally() {
+        return fromCopies + " from copies, " + fromHomes + " from homes, " + fromServers + " from servers";
+    }
+
+    /** A purge has become known. */
+    public void purged(Item item) {
+        PurgeNews purge = PurgeNews.of(item);
+        if (purge != null) {
+            shelf.purge(purge);
+            if (purge.tag().isEmpty()) {
+                fetches.keySet().removeIf(key -> Shelf.path(purge, key)); // whoever asks from now on gets another
+            }
+        }
+    }
+
+    /** Whether it is known to be too long to be held. */
+    public boolean isLong(Wanted what) {
+        return longs.get(what.key()) != null;
+    }
+
+    /** A client asks: a copy that may be served now, which is renewed where its time is nearly over; null for none. */
+    public Copy held(Wanted what) {
+        long now = clock.getAsLong();
+        String key = what.key();
+        demand(service(what)).asked(now);
+        Copy copy = shelf.get(now, key, what.route.ttlMicros());
+        if (copy != null) {
+            fromCopies++;
+            renew(now, key, copy, what);
+        }
+        return copy;
+    }
+
+    /** Asks for an object; {@code homeToo} unless another edge asks this one as its home. */
+    public void ask(Wanted what, boolean homeToo, long giveUp, Waiter<A> waiter) {
+        long now = clock.getAsLong();
+        String key = what.key();
+        Copy copy = shelf.get(now, key, what.route.ttlMicros());
+        if (copy != null) {
+            waiter.here(copy, false);
+            return;
+        }
+        Fetch fetch = fetches.get(key);
+        if (fetch != null) {
+            fetch.waiters.add(waiter);
+            return;
+        }
+        fetch = new Fetch(what, key);
+        fetch.waiters.add(waiter);
+        fetches.put(key, fetch);
+        begin(fetch, homeToo, giveUp);
+    }
+
+    private void begin(Fetch fetch, boolean homeToo, long giveUp) {
+        long now = clock.getAsLong();
+        String home = homeToo ? homes.of(now, fetch.key, zoned(service(fetch.what))) : self;
+        if (home.equals(self) || giveUp - now < LEAST_LEFT) {
+            servers(fetch, fetch.waiters.isEmpty());
+        } else {
+            home(fetch, home, Math.min(patience.micros(), (giveUp - now) * 2 / 3));
+        }
+    }
+
+    /** A copy that is asked for near its end is fetched anew before it has ended; nobody waits for that. */
+    private void renew(long now, String key, Copy copy, Wanted what) {
+        long life = Math.min(copy.ttl(), what.route.ttlMicros());
+        if (now - copy.asked() > RENEW_FROM * life && !fetches.containsKey(key)) {
+            Fetch fetch = new Fetch(what, key);
+            fetches.put(key, fetch);
+            begin(fetch, true, now + what.route.timeoutMicros());
+        }
+    }
+
+    private void home(Fetch fetch, String home, long wait) {
+        long asked = clock.getAsLong();
+        ways.home(home, fetch.what, board.purgeDigest(), fetch.begun, wait, new FromHome<>() {
+            private void answered() {
+                patience.answered(clock.getAsLong() - asked);
+                homes.answered(home);
+            }
+
+            @Override
+            public void copy(Copy copy) {
+                answered();
+                fromHomes++;
+                fetch.here(copy);
+            }
+
+            @Override
+            public void other(A answer) {
+                answered();
+                fetch.other(answer);
+            }
+
+            @Override
+            public void refused(long retryAfter) {
+                answered();
+                fetch.refused(retryAfter);
+            }
+
+            @Override
+            public void useless() {
+                answered();
+                servers(fetch, false);
+            }
+
+            @Override
+            public void silent(boolean ours) {
+                if (!ours) {
+                    homes.failed(clock.getAsLong(), home);
+                }
+                servers(fetch, false);
+            }
+        });
+    }
+
+    private static String service(Wanted what) {
+        return what.route.services().get(0).service();
+    }
+
+    private Demand demand(String service) {
+        return demands.computeIfAbsent(service, name -> new Demand());
+    }
+
+    /**
+     * Whether each zone has a home for itself: while all that is asked for is well below what the servers bear, so that
+     * they would bear it even if nothing were held.
+     */
+    private boolean zoned(String service) {
+        return demand(service).zoned(clock.getAsLong(), ways.perSecond(service), homes.count());
+    }
+
+    private void servers(Fetch fetch, boolean ahead) {
+        long asked = clock.getAsLong();
+        String service = fetch.what.route.service(random.nextDouble());
+        Ceiling ceiling = ceilings.computeIfAbsent(service, name -> new Ceiling(window));
+        if (!ceiling.take(asked, ways.perSecond(service), homes.count(), ahead)) {
+            fetch.refused(ceiling.roomIn(asked));
+            return;
+        }
+        fromServers++;
+        boolean known = ways.servers(service, fetch.what, asked, asked + fetch.what.route.timeoutMicros(), new FromServers<>() {
+            @Override
+            public void copy(Copy copy) {
+                fetch.here(copy);
+            }
+
+            @Override
+            public void other(A answer) {
+                fetch.other(answer);
+            }
+
+            @Override
+            public void refused(long retryAfter) {
+                fetch.refused(retryAfter);
+            }
+
+            @Override
+            public void failed() {
+                fetch.failed();
+            }
+
+            @Override
+            public void tooLong() {
+                fetch.tooLong();
+            }
+        });
+        if (!known) {
+            fetch.refused(LATER_MICROS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/hupsel/Briefing.java
@@ -0,0 +1,174 @@
+package gorsemast.hupsel;
+
+import anisebend.Balancer;
+import gorsemast.schiphol.Route;
+import gorsemast.terschelling.ServerNews;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToIntFunction;
+
+/**
+ * What one service's decision module is told: its classes, its bounds, and its servers with their weights.
+ *
+ * <p>Routes become the module's classes; a class keeps its number for good, and a route that changes gets another. What
+ * may be sent beyond each request's first attempt is this edge's part of the service's budget. A server weighs as much as
+ * it has room, by its speed beside the others ({@link Speeds}), and for objects by how near it is. No I/O, no clock, no
+ * threads; times in microseconds.
+ */
+public final class Briefing {
+    /** Of the budget that the rules leave to all edges, so much is spent; the rest is for what they count otherwise. */
+    private static final double SPENT_OF_BUDGET = 0.75;
+    /** How slow a server is that says it is cold, until nothing else is known. */
+    private static final double COLD_SHARE = 0.5;
+    private static final long COLD_MICROS = 3_000_000;
+    private static final long MOST_RETRY_AFTER = 1_000_000;
+    private static final long LEAST_DEADLINE = 50_000;
+    /** The module is told of changed speeds not more often than this. */
+    private static final long SPEED_MICROS = 400_000;
+    /** So many times as much goes to servers of the own zone, for objects, whose bytes are dear between zones. */
+    private static final double NEAR = 4;
+
+    /** What bounds further attempts over all edges. */
+    public record Budget(double ratio, double slack, long window) {
+    }
+
+    private final Budget budget;
+    private final int zone;
+    private final List<Balancer.RequestClass> classes = new ArrayList<>();
+    private final Speeds speeds = new Speeds();
+    private final Map<String, Balancer.Server> entries = new LinkedHashMap<>();
+    private Map<String, Server> servers = Map.of();
+    private long toldAt = Long.MIN_VALUE / 2;
+    private int edges;
+    private int attempts = 1;
+    private boolean objects;
+
+    /** For an edge in the zone with this number, one of {@code edges}. */
+    public Briefing(Budget budget, int zone, List<Route> routes, int edges) {
+        this.budget = budget;
+        this.zone = zone;
+        this.edges = Math.max(1, edges);
+        learn(routes);
+    }
+
+    /** What bounds the module. */
+    public Balancer.Settings settings() {
+        double part = SPENT_OF_BUDGET / edges;
+        // No entry of the list is an origin behind the others, so misses are no part of this.
+        return new Balancer.Settings(edges, zone, Integer.MAX_VALUE, List.copyOf(classes), List.of(), 1, attempts, true,
+            false, true, MOST_RETRY_AFTER, false, 0, COLD_SHARE, COLD_MICROS, budget.slack * part,
+            budget.ratio * SPENT_OF_BUDGET, budget.window);
+    }
+
+    private static Balancer.RequestClass type(Route route) {
+        return new Balancer.RequestClass(route.repeatable() ? Balancer.Effect.SAFE : Balancer.Effect.UNSAFE,
+            Balancer.Group.ALL, 0, Math.max(1, route.aimMicros()), Math.max(LEAST_DEADLINE, route.timeoutMicros()),
+            1.0 / (1 + Math.max(0, route.priority())));
+    }
+
+    private boolean learn(List<Route> routes) {
+        int before = classes.size();
+        for (Route route : routes) {
+            if (!classes.contains(type(route))) {
+                classes.add(type(route));
+            }
+        }
+        objects = routes.stream().anyMatch(route -> route.kind() == Route.Kind.CACHEABLE);
+        int least = Math.max(1, routes.stream().mapToInt(Route::maxAttempts).min().orElse(1));
+        boolean changed = classes.size() != before || least != attempts;
+        attempts = least;
+        return changed;
+    }
+
+    /** The routes that lead here, and by how many edges what is bounded over all is divided; whether anything changes. */
+    public boolean retune(List<Route> routes, int sharedBy) {
+        boolean changed = learn(routes) || sharedBy != edges;
+        edges = Math.max(1, sharedBy);
+        return changed;
+    }
+
+    /** The class of a route; -1 where the module does not know it yet. */
+    public int number(Route route) {
+        return classes.indexOf(type(route));
+    }
+
+    /** Makes a class for a route of a version that has only just been replaced; the module is to be retuned then. */
+    public int add(Route route) {
+        classes.add(type(route));
+        return classes.size() - 1;
+    }
+
+    /** Who there is. What is silent is tried only where nobody else is there. Returns whom it knew before. */
+    public Map<String, Server> servers(long now, Collection<ServerNews> news, Map<String, Long> coldUntil,
+                                       ToIntFunction<String> zones) {
+        boolean someReady = news.stream().anyMatch(one -> one.state() == ServerNews.State.READY);
+        Map<String, Server> next = new HashMap<>();
+        entries.clear();
+        for (ServerNews one : news) {
+            boolean usable = one.state() == ServerNews.State.READY || !someReady && one.state() == ServerNews.State.SILENT;
+            if (one.state() == ServerNews.State.GONE || one.dial() == null) {
+                continue;
+            }
+            next.put(one.id(), new Server(one.id(), one.dial(), usable ? ServerNews.State.READY : ServerNews.State.DRAINING));
+            Long cold = coldUntil.get(one.id());
+            long started = cold == null || cold <= now ? 0 : cold - COLD_MICROS;
+            entries.put(one.id(), new Balancer.Server(one.id(), zones.applyAsInt(one.zone()), 0, 0,
+                usable ? Balancer.State.READY : Balancer.State.DRAINING, Math.max(1e-3, one.capacity()), Math.max(0, started)));
+        }
+        Map<String, Server> before = servers;
+        servers = next;
+        speeds.retain(next.keySet());
+        return before;
+    }
+
+    /** A server by its id; null where it is none or has left. */
+    public Server server(String id) {
+        return servers.get(id);
+    }
+
+    /** Whether a server may be sent anything new. */
+    public boolean ready(String id) {
+        Server server = servers.get(id);
+        return server != null && server.state() == ServerNews.State.READY;
+    }
+
+    /** All servers with their weights; the module counts as told of them. */
+    public List<Balancer.Server> list(long now) {
+        toldAt = now;
+        List<Balancer.Server> list = new ArrayList<>();
+        entries.values().forEach(e -> list.add(new Balancer.Server(e.id(), e.zone(), e.kind(), e.cell(), e.state(),
+            e.weight() * speeds.factor(now, e.id()) * (objects && e.zone() == zone ? NEAR : 1), e.startedAt())));
+        return list;
+    }
+
+    /** A server has answered a route's request after so long; whether the module is to be told the list again. */
+    public boolean answered(long now, String id, Route route, long elapsed) {
+        speeds.answered(id, number(route), elapsed);
+        return outdated(now, id);
+    }
+
+    /** What all edges together have seen, of this service's servers among others; whether the module is to be told. */
+    public boolean heard(long now, Map<String, double[]> pooled) {
+        Map<String, Speeds.Seen> known = new HashMap<>();
+        pooled.forEach((id, seen) -> {
+            if (entries.containsKey(id)) {
+                known.put(id, new Speeds.Seen(seen[0], seen[1]));
+            }
+        });
+        speeds.heard(now, known);
+        return known.keySet().stream().anyMatch(id -> outdated(now, id));
+    }
+
+    private boolean outdated(long now, String id) {
+        return now - toldAt > SPEED_MICROS && speeds.changed(now, id);
+    }
+
+    /** What was seen here of this service's servers, added to {@code to}, for other edges. */
+    public void seen(Map<String, double[]> to) {
+        speeds.own().forEach((id, seen) -> to.put(id, new double[] {seen.slowness(), seen.answers()}));
+    }
+}
--- a/src/main/java/gorsemast/hupsel/Sender.java
+++ b/src/main/java/gorsemast/hupsel/Sender.java
@@ -21,44 +21,28 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.ToIntFunction;
 
 /**
  * One service: its decision module and the requests that it holds.
  *
- * <p>Routes become the module's classes; a class keeps its number for good, and a route that changes gets another. What
- * may be sent beyond each request's first attempt is this edge's part of the service's budget. All on one event loop.
+ * <p>What the module is told is {@link Briefing}'s; what it decides is carried out here, over {@link Upstream}. All on one
+ * event loop.
  */
 public final class Sender implements Balancer.Actions {
     /** What the module has left unanswered fails this long before the client's time is over. */
     private static final long BACKSTOP_MICROS = 8_000;
     /** The module's own end comes so much before that. */
     private static final long MARGIN_MICROS = 12_000;
-    /** Of the budget that the rules leave to all edges, so much is spent; the rest is for what they count otherwise. */
-    private static final double SPENT_OF_BUDGET = 0.75;
-    /** How slow a server is that says it is cold, until nothing else is known. */
-    private static final double COLD_SHARE = 0.5;
-    private static final long COLD_MICROS = 3_000_000;
-    private static final long MOST_RETRY_AFTER = 1_000_000;
-    private static final long LEAST_DEADLINE = 50_000;
-    /** The module is told of changed speeds not more often than this. */
-    private static final long SPEED_MICROS = 400_000;
-    /** So many times as much goes to servers of the own zone, for objects, whose bytes are dear between zones. */
-    private static final double NEAR = 4;
     private static final Log LOG = new Log("hupsel");
 
-    /** What bounds further attempts over all edges. */
-    public record Budget(double ratio, double slack, long window) {
-    }
-
     private final class Exchange {
         private final String id;
         private final Call call;
@@ -80,148 +64,66 @@
     private final EventLoop loop;
     private final LongSupplier clock;
     private final Upstream upstream;
-    private final Budget budget;
-    private final int zone;
     private final Balancer module = new Decide(this);
     private final Turns turns = new Turns(LOG::fault);
-    private final List<Balancer.RequestClass> classes = new ArrayList<>();
+    private final Briefing briefing;
     private final Map<String, Exchange> open = new HashMap<>();
-    private final Speeds speeds = new Speeds();
-    private final Map<String, Balancer.Server> entries = new LinkedHashMap<>();
-    private long speedsAt;
-    private Map<String, Server> servers = Map.of();
-    private int edges = 1;
-    private int attempts = 1;
-    private boolean objects;
     private long sequence;
 
-    /** Of the service with this name, for an edge in the zone with this number. */
-    public Sender(String service, EventLoop loop, LongSupplier clock, Upstream upstream, Budget budget, int zone,
-                  List<Route> routes, int edges, long seed) {
+    /** Of the service with this name. */
+    public Sender(String service, EventLoop loop, LongSupplier clock, Upstream upstream, Briefing briefing, long seed) {
         this.service = service;
         this.loop = loop;
         this.clock = clock;
         this.upstream = upstream;
-        this.budget = budget;
-        this.zone = zone;
-        this.edges = Math.max(1, edges);
-        learn(routes);
-        turns.event(() -> module.start(now(), seed, settings()));
+        this.briefing = briefing;
+        turns.event(() -> module.start(now(), seed, briefing.settings()));
     }
 
     private long now() {
         return clock.getAsLong();
     }
 
-    private Balancer.Settings settings() {
-        double part = SPENT_OF_BUDGET / edges;
-        // No entry of the list is an origin behind the others, so misses are no part of this.
-        return new Balancer.Settings(edges, zone, Integer.MAX_VALUE, List.copyOf(classes), List.of(), 1, attempts, true,
-            false, true, MOST_RETRY_AFTER, false, 0, COLD_SHARE, COLD_MICROS, budget.slack * part,
-            budget.ratio * SPENT_OF_BUDGET, budget.window);
-    }
-
-    private static Balancer.RequestClass type(Route route) {
-        return new Balancer.RequestClass(route.repeatable() ? Balancer.Effect.SAFE : Balancer.Effect.UNSAFE,
-            Balancer.Group.ALL, 0, Math.max(1, route.aimMicros()), Math.max(LEAST_DEADLINE, route.timeoutMicros()),
-            1.0 / (1 + Math.max(0, route.priority())));
-    }
-
-    private boolean learn(List<Route> routes) {
-        int before = classes.size();
-        for (Route route : routes) {
-            if (!classes.contains(type(route))) {
-                classes.add(type(route));
-            }
-        }
-        objects = routes.stream().anyMatch(route -> route.kind() == Route.Kind.CACHEABLE);
-        int least = Math.max(1, routes.stream().mapToInt(Route::maxAttempts).min().orElse(1));
-        boolean changed = classes.size() != before || least != attempts;
-        attempts = least;
-        return changed;
-    }
-
     /** The routes that lead here, and by how many edges what is bounded over all is divided. */
     public void retune(List<Route> routes, int sharedBy) {
-        boolean changed = learn(routes);
-        if (changed || sharedBy != edges) {
-            edges = Math.max(1, sharedBy);
-            turns.event(() -> module.retune(now(), settings()));
+        if (briefing.retune(routes, sharedBy)) {
+            turns.event(() -> module.retune(now(), briefing.settings()));
         }
     }
 
-    /** Who there is. What is silent is tried only where nobody else is there. */
-    public void servers(Collection<ServerNews> news, Map<String, Long> coldUntil, java.util.function.ToIntFunction<String> zones) {
-        boolean someReady = news.stream().anyMatch(one -> one.state() == ServerNews.State.READY);
-        Map<String, Server> next = new HashMap<>();
-        entries.clear();
-        for (ServerNews one : news) {
-            boolean usable = one.state() == ServerNews.State.READY || !someReady && one.state() == ServerNews.State.SILENT;
-            Balancer.State state = usable ? Balancer.State.READY
-                : one.state() == ServerNews.State.GONE ? Balancer.State.GONE : Balancer.State.DRAINING;
-            if (state == Balancer.State.GONE || one.dial() == null) {
-                continue;
-            }
-            next.put(one.id(), new Server(one.id(), one.dial(), usable ? ServerNews.State.READY : ServerNews.State.DRAINING));
-            Long cold = coldUntil.get(one.id());
-            long started = cold == null || cold <= now() ? 0 : cold - COLD_MICROS;
-            entries.put(one.id(), new Balancer.Server(one.id(), zones.applyAsInt(one.zone()), 0, 0, state,
-                Math.max(1e-3, one.capacity()), Math.max(0, started)));
-        }
-        Map<String, Server> before = servers;
-        servers = next;
-        speeds.retain(next.keySet());
+    /** Who there is; who leaves is sent nothing new from now on. */
+    public void servers(Collection<ServerNews> news, Map<String, Long> coldUntil, ToIntFunction<String> zones) {
+        Map<String, Server> before = briefing.servers(now(), news, coldUntil, zones);
         tell();
-        before.forEach((id, server) -> {
-            Server later = next.get(id);
-            if (later == null || later.state() != ServerNews.State.READY) {
+        before.keySet().forEach(id -> {
+            if (!briefing.ready(id)) {
                 upstream.closeIdle(id);
             }
-            if (later == null) {
+            if (briefing.server(id) == null) {
                 upstream.forget(id);
             }
         });
     }
 
-    /** Tells the module who there is, each with a weight by its room and its speed. */
     private void tell() {
-        long now = now();
-        speedsAt = now;
-        List<Balancer.Server> list = new ArrayList<>();
-        entries.values().forEach(e -> list.add(new Balancer.Server(e.id(), e.zone(), e.kind(), e.cell(), e.state(),
-            e.weight() * speeds.factor(now, e.id()) * (objects && e.zone() == zone ? NEAR : 1), e.startedAt())));
-        turns.event(() -> module.servers(now(), ListKind.FULL, list));
-    }
-
-    private void tellChanged(String server) {
-        if (now() - speedsAt > SPEED_MICROS && speeds.changed(now(), server)) {
-            tell();
-        }
+        turns.event(() -> module.servers(now(), ListKind.FULL, briefing.list(now())));
     }
 
     /** What was seen here of this service's servers, added to {@code to}, for other edges. */
     public void seen(Map<String, double[]> to) {
-        speeds.own().forEach((id, seen) -> to.put(id, new double[] {seen.slowness(), seen.answers()}));
+        briefing.seen(to);
     }
 
-    /** What another edge has seen, of this service's servers among others. */
-    public void heard(String edge, Map<String, double[]> servers) {
-        Map<String, Speeds.Seen> known = new HashMap<>();
-        servers.forEach((id, seen) -> {
-            if (entries.containsKey(id)) {
-                known.put(id, new Speeds.Seen(seen[0], seen[1]));
-            }
-        });
-        if (!known.isEmpty()) {
-            speeds.heard(now(), edge, known);
-            known.keySet().stream().filter(id -> speeds.changed(now(), id)).findFirst().ifPresent(this::tellChanged);
+    /** What all edges together have seen, of this service's servers among others. */
+    public void heard(Map<String, double[]> pooled) {
+        if (briefing.heard(now(), pooled)) {
+            tell();
         }
     }
 
     /** Whether a server may be sent anything new. */
     public boolean ready(Upstream.Peer peer) {
-        Server server = servers.get(peer.host());
-        return server != null && server.state() == ServerNews.State.READY;
+        return briefing.ready(peer.host());
     }
 
     /** Takes a call, with its body's reference; returns what ends it when its client leaves. */
@@ -230,11 +132,10 @@
         open.put(x.id, x);
         x.backstop = loop.schedule(() -> giveUp(x), Math.max(0, call.giveUp() - BACKSTOP_MICROS - now()),
             TimeUnit.MICROSECONDS);
-        int number = classes.indexOf(type(call.route()));
+        int number = briefing.number(call.route());
         if (number < 0) {
-            classes.add(type(call.route())); // of a version that has only just been replaced
-            turns.event(() -> module.retune(now(), settings()));
-            number = classes.indexOf(type(call.route()));
+            number = briefing.add(call.route()); // of a version that has only just been replaced
+            turns.event(() -> module.retune(now(), briefing.settings()));
         }
         Balancer.Request request = new Balancer.Request(x.id, number, 0, call.key(),
             call.giveUp() - BACKSTOP_MICROS - MARGIN_MICROS, false);
@@ -301,7 +202,7 @@
         Exchange x = open.get(request);
         int attempt = x.attempts++;
         long sentAt = now();
-        Server server = servers.get(id);
+        Server server = briefing.server(id);
         long wait = Math.min(until, x.call.giveUp() - BACKSTOP_MICROS) - sentAt;
         if (x.out != null) {
             x.out.cancel(); // never two at once, whatever the module says
@@ -320,9 +221,8 @@
                     if (x.out == mine[0]) {
                         x.out = null;
                     }
-                    if (code == Code.OK) {
-                        speeds.answered(id, classes.indexOf(type(x.call.route())), now() - sentAt);
-                        tellChanged(id);
+                    if (code == Code.OK && briefing.answered(now(), id, x.call.route(), now() - sentAt)) {
+                        tell();
                     }
                     Sender.this.ended(x, attempt, sentAt, code, answer);
                 }
--- a/src/main/java/gorsemast/hupsel/Speeds.java
+++ b/src/main/java/gorsemast/hupsel/Speeds.java
@@ -8,12 +8,11 @@
  * How long each server of a service takes beside the others, as this edge has seen it and as others have told.
  *
  * <p><b>Idea.</b> An answer's time in parts of what all servers take for its class, smoothed; what waits in a server's queue
- * counts too, as it should. An edge alone sees a handful of answers a second, so what others have seen is taken in, by how
- * much they have seen, at half the weight of what was seen here, and is forgotten after {@link #HEARD_MICROS}. No other edge
- * can say more than {@link #MOST_SEEN} answers' worth, so one that lies moves little where there are many.
+ * counts too, as it should. An edge alone sees a handful of answers a second, so what all edges have seen together is taken
+ * in, by how much they have seen, at half the weight of what was seen here, and is forgotten after {@link #HEARD_MICROS}.
  *
  * <p><b>When it could hurt.</b> A server that was slow and is so no more gets little until it has been tried again.
- * O(edges) for a server's weight; one thread; times in microseconds.
+ * O(1) for a server's weight; one thread; times in microseconds.
  */
 final class Speeds {
     /** How much less a server gets that is slower than the others: this power of how many times it takes as long. */
@@ -25,6 +24,8 @@
     private static final double PRIOR = 2;
     static final double MOST_SEEN = 20;
     private static final double OTHERS = 0.5;
+    /** What all others have seen counts for no more than so many answers. */
+    static final double MOST_HEARD = 200;
     static final long HEARD_MICROS = 15_000_000;
     /** Beyond this factor a change is worth telling the module of. */
     private static final double CHANGED = 1.1;
@@ -33,12 +34,10 @@
     record Seen(double slowness, double answers) {
     }
 
-    private record Heard(Map<String, Seen> servers, long at) {
-    }
-
     private final Map<Integer, Double> usual = new HashMap<>();
     private final Map<String, Seen> own = new HashMap<>();
-    private final Map<String, Heard> others = new HashMap<>();
+    private Map<String, Seen> all = Map.of();
+    private long allAt;
     private final Map<String, Double> told = new HashMap<>();
 
     /** A server has answered a request of this class after so long. */
@@ -50,11 +49,11 @@
         own.put(server, new Seen(seen.slowness + STEP * (ratio - seen.slowness), Math.min(MOST_SEEN, seen.answers + 1)));
     }
 
-    /** Another edge has told what it has seen. */
-    void heard(long now, String edge, Map<String, Seen> servers) {
-        Map<String, Seen> numbers = new HashMap<>(servers);
-        numbers.values().removeIf(seen -> !Double.isFinite(seen.slowness) || !Double.isFinite(seen.answers));
-        others.put(edge, new Heard(numbers, now));
+    /** What all edges have seen together. */
+    void heard(long now, Map<String, Seen> pooled) {
+        all = new HashMap<>(pooled);
+        all.values().removeIf(seen -> !Double.isFinite(seen.slowness) || !Double.isFinite(seen.answers));
+        allAt = now;
     }
 
     /** What was seen here, for others. */
@@ -67,13 +66,11 @@
         Seen mine = own.getOrDefault(server, new Seen(1, 0));
         double weight = PRIOR + mine.answers;
         double sum = PRIOR + mine.slowness * mine.answers;
-        for (Heard heard : others.values()) {
-            Seen seen = heard.servers.get(server);
-            if (seen != null && now - heard.at < HEARD_MICROS) {
-                double part = OTHERS * Math.max(0, Math.min(MOST_SEEN, seen.answers));
-                weight += part;
-                sum += part * Math.max(LEAST, Math.min(MOST, seen.slowness));
-            }
+        Seen pooled = all.get(server);
+        if (pooled != null && now - allAt < HEARD_MICROS) {
+            double part = OTHERS * Math.max(0, Math.min(MOST_HEARD, pooled.answers));
+            weight += part;
+            sum += part * Math.max(LEAST, Math.min(MOST, pooled.slowness));
         }
         return sum / weight;
     }
--- a/src/main/java/gorsemast/lauwersoog/Gossip.java
+++ b/src/main/java/gorsemast/lauwersoog/Gossip.java
@@ -28,13 +28,13 @@
  */
 public final class Gossip {
     private final Board board;
-    private final Links links;
+    private final Neighbours links;
     private final Program program;
     private final LongSupplier clock;
     private final BooleanSupplier synced;
     private final Consumer<Item> changed;
     /** The last digest of each link, of those that were not still catching up themselves. */
-    private final Map<Link, long[]> digests = new HashMap<>();
+    private final Map<Neighbour, long[]> digests = new HashMap<>();
     private final Map<Long, Order> orders = new HashMap<>();
     private long lastOrder;
     private int turn;
@@ -57,7 +57,7 @@
      * @param synced whether this process is not catching up itself
      * @param changed told of each item that is new here, after it was merged
      */
-    public Gossip(Program program, Board board, Links links, LongSupplier clock, BooleanSupplier synced,
+    public Gossip(Program program, Board board, Neighbours links, LongSupplier clock, BooleanSupplier synced,
                   Consumer<Item> changed) {
         this.program = program;
         this.board = board;
@@ -68,12 +68,12 @@
     }
 
     /** A link is up. */
-    public void up(Link link) {
+    public void up(Neighbour link) {
         link.send(new Digest(synced.getAsBoolean(), board.digest()));
     }
 
     /** It is over. */
-    public void down(Link link) {
+    public void down(Neighbour link) {
         digests.remove(link);
     }
 
@@ -92,7 +92,7 @@
         }
         if (fresh || holders > 0) {
             News news = new News(order, List.of(item));
-            for (Link link : links.up()) {
+            for (Neighbour link : links.up()) {
                 if (item.kind().mended() || link.peer().program() == Program.REGISTRY) {
                     link.send(news);
                 }
@@ -113,7 +113,7 @@
     }
 
     /** Takes what is about news; returns whether it was. */
-    public boolean received(Link link, Record record) {
+    public boolean received(Neighbour link, Record record) {
         if (record instanceof Digest digest) {
             int parts = board.differing(digest.buckets());
             if (digest.synced()) {
@@ -144,7 +144,7 @@
         return true;
     }
 
-    private void take(Link from, News news) {
+    private void take(Neighbour from, News news) {
         long now = clock.getAsLong();
         List<Item> fresh = new ArrayList<>();
         for (Item item : news.items()) {
@@ -158,13 +158,14 @@
         if (fresh.isEmpty()) {
             return;
         }
-        // What is told anew all the time goes by registries alone: each edge has it once from each of its two.
-        List<Item> lasting = program == Program.REGISTRY ? fresh : fresh.stream().filter(item -> item.kind().mended()).toList();
-        News on = new News(0, lasting);
+        // What is told anew all the time ends at the registries, which tell proxies one sum of it.
+        News all = new News(0, fresh);
+        News lasting = new News(0, fresh.stream().filter(item -> item.kind().mended()).toList());
         boolean fromRegistry = from.peer().program() == Program.REGISTRY;
-        for (Link link : links.up()) {
+        for (Neighbour link : links.up()) {
             boolean toRegistry = link.peer().program() == Program.REGISTRY;
-            if (!lasting.isEmpty() && link != from && !link.peer().ip().equals(from.peer().ip()) && !(fromRegistry && toRegistry)) {
+            News on = toRegistry ? all : lasting;
+            if (!on.items().isEmpty() && link != from && !link.peer().ip().equals(from.peer().ip()) && !(fromRegistry && toRegistry)) {
                 link.send(on);
             }
         }
@@ -174,16 +175,16 @@
     /** Tells one link after the other what is known here. */
     public void tick() {
         forgetOrders();
-        Collection<Link> up = links.up();
+        Collection<Neighbour> up = links.up();
         if (!up.isEmpty()) {
-            List<Link> all = new ArrayList<>(up);
+            List<Neighbour> all = new ArrayList<>(up);
             all.get(Math.floorMod(turn++, all.size())).send(new Digest(synced.getAsBoolean(), board.digest()));
         }
     }
 
     /** Whether this process holds what some synced registry held at its last digest. */
     public boolean caughtUp() {
-        for (Map.Entry<Link, long[]> entry : digests.entrySet()) {
+        for (Map.Entry<Neighbour, long[]> entry : digests.entrySet()) {
             if (entry.getKey().peer().program() == Program.REGISTRY && board.differing(entry.getValue()) == 0) {
                 return true;
             }
--- a/src/main/java/gorsemast/lauwersoog/Link.java
+++ b/src/main/java/gorsemast/lauwersoog/Link.java
@@ -19,7 +19,7 @@
  * closed when nothing has come for {@link #SILENT_MICROS}, as a cut says nothing, and whoever wants it dials again.
  * All of it runs on its channel's event loop.
  */
-public final class Link extends SimpleChannelInboundHandler<ByteBuf> {
+public final class Link extends SimpleChannelInboundHandler<ByteBuf> implements Neighbour {
     /** A sign of life goes out this often. */
     static final long PING_MICROS = 500_000;
     /** After so long without one the other side is taken for gone: three of them, and the way. */
@@ -31,13 +31,13 @@
     /** Who is told of links. */
     public interface Receiver {
         /** The other side has said who it is. */
-        void up(Link link);
+        void up(Neighbour one);
 
         /** Something has come. */
-        void received(Link link, Record record);
+        void received(Neighbour one, Record record);
 
         /** It is over; told once, and only of links that were up. */
-        void down(Link link);
+        void down(Neighbour one);
     }
 
     private final Links owner;
@@ -53,6 +53,7 @@
     }
 
     /** Whom it leads to; null until it is up. */
+    @Override
     public Record.Hello peer() {
         return peer;
     }
@@ -62,7 +63,7 @@
         return dialled;
     }
 
-    /** Sends a record; it is lost where the link ends first. */
+    @Override
     public void send(Record record) {
         if (channel == null || !channel.isActive()) {
             return;
--- a/src/main/java/gorsemast/lauwersoog/Links.java
+++ b/src/main/java/gorsemast/lauwersoog/Links.java
@@ -25,9 +25,10 @@
  * All links of one process: those that others dial, and those that it keeps itself to a set of addresses, dialled anew
  * when they end. All of it runs on one event loop.
  */
-public final class Links {
+public final class Links implements Neighbours {
     private static final int CONNECT_MILLIS = 700;
-    /** How long after a failure the same address is dialled again. */
+    /** How long after a failure the same address is dialled again: what has just started may listen any moment. */
+    private static final long FIRST_AGAIN_MICROS = 30_000;
     private static final long AGAIN_MICROS = 300_000;
     private static final int LENGTH_BYTES = 4;
 
@@ -37,6 +38,8 @@
     private final Link.Receiver receiver;
     private final Set<Link> up = new LinkedHashSet<>();
     private final Map<InetSocketAddress, Link> dialled = new HashMap<>();
+    /** After how long an address that has not answered of late is dialled again; doubled at each failure in a row. */
+    private final Map<InetSocketAddress, Long> again = new HashMap<>();
     private Set<InetSocketAddress> wanted = Set.of();
     private Channel listener;
 
@@ -65,6 +68,7 @@
     /** Keeps links to these addresses from now on, and ends those that it has dialled to others; on the loop. */
     public void keep(Collection<InetSocketAddress> addresses) {
         wanted = Set.copyOf(addresses);
+        again.keySet().retainAll(wanted);
         for (InetSocketAddress address : List.copyOf(dialled.keySet())) {
             if (!wanted.contains(address)) {
                 Link link = dialled.remove(address);
@@ -101,6 +105,7 @@
 
     void up(Link link) {
         up.add(link);
+        again.remove(link.dialled());
         receiver.up(link);
     }
 
@@ -110,6 +115,7 @@
         }
         InetSocketAddress address = link.dialled();
         if (address != null && dialled.get(address) == link) {
+            long pause = again.merge(address, FIRST_AGAIN_MICROS, (before, first) -> Math.min(AGAIN_MICROS, 2 * before));
             loop.schedule(() -> {
                 if (dialled.get(address) == link) {
                     dialled.remove(address);
@@ -117,7 +123,7 @@
                         dial(address);
                     }
                 }
-            }, AGAIN_MICROS, TimeUnit.MICROSECONDS);
+            }, pause, TimeUnit.MICROSECONDS);
         }
     }
 
@@ -133,25 +139,11 @@
         return clock.getAsLong();
     }
 
-    /** All that are up, the eldest first. */
-    public Collection<Link> up() {
+    @Override
+    public Collection<Neighbour> up() {
         return new ArrayList<>(up);
     }
 
-    /** Those that are up to this program. */
-    public List<Link> up(Record.Program program) {
-        return up.stream().filter(link -> link.peer().program() == program).toList();
-    }
-
-    /** Sends a record to all that are up but one, which may be null. */
-    public void tell(Record record, Link but) {
-        for (Link link : up()) {
-            if (link != but) {
-                link.send(record);
-            }
-        }
-    }
-
     /** Ends all. */
     public void close() {
         wanted = Set.of();
@@ -159,6 +151,6 @@
             listener.close();
         }
         dialled.clear();
-        up().forEach(Link::close);
+        List.copyOf(up).forEach(Link::close);
     }
 }
--- /dev/null
+++ b/src/main/java/gorsemast/lauwersoog/Neighbour.java
@@ -0,0 +1,10 @@
+package gorsemast.lauwersoog;
+
+/** Another process of the system, for as long as it is reached; on its holder's thread. */
+public interface Neighbour {
+    /** Who it is. */
+    Record.Hello peer();
+
+    /** Sends a record; it is lost where it is reached no more before that has arrived. */
+    void send(Record record);
+}
--- a/src/main/java/gorsemast/lauwersoog/Record.java
+++ b/src/main/java/gorsemast/lauwersoog/Record.java
@@ -3,12 +3,14 @@
 import gorsemast.terschelling.Board;
 import gorsemast.terschelling.Duty;
 import gorsemast.terschelling.Item;
+import gorsemast.terschelling.SpeedNews;
 import gorsemast.vlissingen.Message;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 /** What processes say to each other over a link. Values; any thread. */
 public sealed interface Record {
@@ -67,6 +69,10 @@
     record Ballot(Duty.Word word, long term, long at) implements Record {
     }
 
+    /** Registry to proxy: what all edges together have seen of servers' speeds, as {@link SpeedNews} has it. */
+    record Pooled(Map<String, double[]> servers) implements Record {
+    }
+
     /** The first byte of each record; another one is another form of them. */
     int FORM = 1;
     /** The longest record, a bound on what one peer makes another keep. */
@@ -140,6 +146,9 @@
             out.writeByte(ballot.word.ordinal());
             out.writeLong(ballot.term);
             out.writeLong(ballot.at);
+        } else if (this instanceof Pooled pooled) {
+            out.writeByte(13);
+            SpeedNews.write(out, pooled.servers);
         }
     }
 
@@ -205,6 +214,7 @@
                 }
                 yield new Ballot(word, in.readLong(), in.readLong());
             }
+            case 13 -> new Pooled(SpeedNews.read(in));
             default -> throw new IOException("no record " + type);
         };
     }
--- a/src/main/java/gorsemast/marknesse/Log.java
+++ b/src/main/java/gorsemast/marknesse/Log.java
@@ -13,17 +13,24 @@
  * <p>Lines are written by a thread of their own, so that no event loop waits for whoever reads them, and from
  * {@link #QUIET_NANOS} after the process's first line on: setting the library up takes a sixth of a start that clients wait
  * for. Who ends the process calls {@link #flush} before. A part that has more to say than {@link #MOST} lines in one second
- * says how many it left out; {@link #WAITING} lines wait at most. Any thread.
+ * says how many it left out; {@link #WAITING} lines wait at most. A line that had to wait says for how long. Any thread.
  */
 public final class Log {
     private static final int MOST = 20;
     private static final int WAITING = 1_000;
     private static final long SECOND = 1_000_000_000L;
     private static final long QUIET_NANOS = 2_500_000_000L;
+    private static final long MILLI = 1_000_000L;
+    private static final long LATE_MILLIS = 200;
     private static final String FACTORY = "log4j2.loggerContextFactory";
     private static final String LEVEL = "org.apache.logging.log4j.simplelog.level";
 
-    private record Line(Log of, boolean warns, String text) {
+    private record Line(Log of, boolean warns, String text, long at) {
+        /** Who reads a line by when it came has to be told where that was much later than what it tells of. */
+        String told() {
+            long millis = (System.nanoTime() - at) / MILLI;
+            return millis < LATE_MILLIS ? text : text + " (" + millis + " ms ago)";
+        }
     }
 
     private static final Queue<Line> LINES = new ConcurrentLinkedQueue<>();
@@ -71,13 +78,13 @@
         long now = System.nanoTime();
         if (now - second > SECOND) {
             if (lines > MOST) {
-                LINES.add(new Line(this, true, prefix + "left out " + (lines - MOST) + " lines"));
+                LINES.add(new Line(this, true, prefix + "left out " + (lines - MOST) + " lines", now));
             }
             second = now;
             lines = 0;
         }
         if (++lines <= MOST && LINES.size() < WAITING) {
-            LINES.add(new Line(this, warns, prefix + sentence));
+            LINES.add(new Line(this, warns, prefix + sentence, now));
             wake();
         }
     }
@@ -115,9 +122,9 @@
                 Log of = line.of;
                 of.logger = of.logger == null ? LogManager.getLogger(of.name) : of.logger;
                 if (line.warns) {
-                    of.logger.warn(line.text);
+                    of.logger.warn(line.told());
                 } else {
-                    of.logger.info(line.text);
+                    of.logger.info(line.told());
                 }
             }
         }
--- a/src/main/java/gorsemast/marknesse/Settings.java
+++ b/src/main/java/gorsemast/marknesse/Settings.java
@@ -9,8 +9,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.snakeyaml.engine.v2.api.Load;
 import org.snakeyaml.engine.v2.api.LoadSettings;
@@ -44,6 +46,13 @@
     public static final String VARIABLE = "GORSEMAST_CONFIG";
     private static final double MICROS = 1e6;
 
+    /** The seeds' machines, without ports; a new set. */
+    public Set<String> seedIps() {
+        Set<String> ips = new LinkedHashSet<>();
+        seeds.forEach(seed -> ips.add(seed.getAddress().getHostAddress()));
+        return ips;
+    }
+
     /** Reads the file; throws {@link SettingsException} naming what can't be worked with. */
     public static Settings read(Path file) {
         try {
--- a/src/main/java/gorsemast/terschelling/SpeedNews.java
+++ b/src/main/java/gorsemast/terschelling/SpeedNews.java
@@ -19,15 +19,7 @@
     public Item item(long now, long stamp) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (DataOutputStream out = new DataOutputStream(bytes)) {
-            out.writeShort(Math.min(MOST, servers.size()));
-            int left = MOST;
-            for (Map.Entry<String, double[]> server : servers.entrySet()) {
-                if (left-- > 0) {
-                    out.writeUTF(server.getKey());
-                    out.writeFloat((float) server.getValue()[0]);
-                    out.writeFloat((float) server.getValue()[1]);
-                }
-            }
+            write(out, servers);
         } catch (IOException e) {
             throw new IllegalStateException(e); // memory does not fail
         }
@@ -37,13 +29,31 @@
     /** What {@link #item} made; null where it can't be read. */
     public static SpeedNews of(Item item) {
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(item.body()))) {
-            Map<String, double[]> servers = new HashMap<>();
-            for (int left = in.readUnsignedShort(); left > 0; left--) {
-                servers.put(in.readUTF(), new double[] {in.readFloat(), in.readFloat()});
-            }
-            return new SpeedNews(item.key(), servers);
+            return new SpeedNews(item.key(), read(in));
         } catch (IOException e) {
             return null;
         }
     }
+
+    /** Writes servers with what was seen of them, {@link #MOST} at most. */
+    public static void write(DataOutputStream out, Map<String, double[]> servers) throws IOException {
+        int left = Math.min(MOST, servers.size());
+        out.writeShort(left);
+        for (Map.Entry<String, double[]> server : servers.entrySet()) {
+            if (left-- > 0) {
+                out.writeUTF(server.getKey());
+                out.writeFloat((float) server.getValue()[0]);
+                out.writeFloat((float) server.getValue()[1]);
+            }
+        }
+    }
+
+    /** Reads what {@link #write} wrote. */
+    public static Map<String, double[]> read(DataInputStream in) throws IOException {
+        Map<String, double[]> servers = new HashMap<>();
+        for (int left = in.readUnsignedShort(); left > 0; left--) {
+            servers.put(in.readUTF(), new double[] {in.readFloat(), in.readFloat()});
+        }
+        return servers;
+    }
 }
--- a/src/main/java/gorsemast/vlissingen/Saved.java
+++ b/src/main/java/gorsemast/vlissingen/Saved.java
@@ -5,6 +5,9 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
 
 /**
  * All that a member has on its disk.
@@ -12,6 +15,21 @@
  * @param promised no epoch below this, nor this one for anybody else, has its word any more
  */
 public record Saved(Member me, long promised, View view, Kept kept) {
+    /**
+     * What a machine begins with whose disk is empty. Only at the first start of all is that as it should be, and the
+     * seeds are the first members; any other empty disk belongs to a new member, which has no vote yet.
+     *
+     * @param life a number that no other disk was given
+     */
+    public static Saved fresh(String ip, Collection<String> seeds, boolean firstBoot, long life) {
+        List<Member> members = new ArrayList<>();
+        if (firstBoot) {
+            seeds.forEach(seed -> members.add(new Member(seed + "#0", seed)));
+        }
+        return new Saved(new Member(ip + "#" + (firstBoot ? "0" : Long.toHexString(life)), ip), 0, Keeper.first(members),
+            Kept.NONE);
+    }
+
     /** As a record, without what is kept. */
     public byte[] state() {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- /dev/null
+++ b/src/main/java/gorsemast/vlissingen/Teller.java
@@ -0,0 +1,185 @@
+package gorsemast.vlissingen;
+
+import gorsemast.lauwersoog.Neighbour;
+import gorsemast.lauwersoog.Neighbours;
+import gorsemast.lauwersoog.Record;
+import gorsemast.lauwersoog.Record.Program;
+import gorsemast.marknesse.Log;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+/**
+ * Everything that a store decides: its {@link Keeper}, whose call each of the keeper's calls is, and who is passed on to
+ * the primary. No I/O, no clock of its own, no threads; one caller; times in microseconds.
+ */
+public final class Teller implements Keeper.Out {
+    /** To be called so often. */
+    public static final long TICK_MICROS = 25_000;
+    /** Longer than any call may take here or at the store that it is passed on to. */
+    private static final long ASKED_MICROS = 6_000_000;
+    private static final Log LOG = new Log("vlissingen");
+
+    /** Puts a state on disk, synced, and has {@link Teller#saved} called then, in the order of saves. */
+    public interface Saver {
+        /** @param keptToo whether the configuration may differ from the last one saved */
+        void save(Saved state, boolean keptToo, long token);
+    }
+
+    /** Who waits for a call's answer: a registry, or a store that passed it on. */
+    private record Asker(Neighbour from, long call, boolean put, long version, byte[] body, long known, long until) {
+    }
+
+    private final String ip;
+    private final LongSupplier clock;
+    private final Neighbours neighbours;
+    private final Saver saver;
+    private final Keeper keeper;
+    private final Map<Long, Asker> askers = new HashMap<>();
+    private final Set<String> seeds;
+    private long lastCall;
+
+    /**
+     * Of one process, from its start on.
+     *
+     * @param saved what its disk has, or had drawn for an empty one
+     * @param losses how many disks may be lost at the same time
+     */
+    public Teller(String ip, Set<String> seeds, Saved saved, int losses, long seed, LongSupplier clock, Neighbours neighbours,
+                  Saver saver) {
+        this.ip = ip;
+        this.seeds = new LinkedHashSet<>(seeds);
+        this.clock = clock;
+        this.neighbours = neighbours;
+        this.saver = saver;
+        this.keeper = new Keeper(saved, Math.max(1, losses), seed, this);
+    }
+
+    /** The first word on each of its links. */
+    public static Record.Hello hello(String ip, String zone) {
+        return new Record.Hello(Program.STORE, ip, zone, "", 0);
+    }
+
+    /** What it keeps, and whether it leads. */
+    public Keeper keeper() {
+        return keeper;
+    }
+
+    /** Another list of core machines. */
+    public void seeds(Set<String> more) {
+        seeds.addAll(more);
+    }
+
+    /** Addresses of the machines whose stores it wants links to. */
+    public Set<String> wanted() {
+        Set<String> wanted = new LinkedHashSet<>(seeds);
+        keeper.known().forEach(member -> wanted.add(member.ip()));
+        wanted.remove(ip);
+        return wanted;
+    }
+
+    /** To be called each {@link #TICK_MICROS}. */
+    public void tick() {
+        long now = clock.getAsLong();
+        keeper.tick(now);
+        askers.values().removeIf(asker -> now > asker.until); // whoever it was passed on to did not answer
+    }
+
+    /** A save is on disk, and all before it. */
+    public void saved(long token) {
+        keeper.saved(clock.getAsLong(), token);
+    }
+
+    // ---- neighbours
+
+    /** A process has come into reach. */
+    public void up(Neighbour one) {
+        if (one.peer().program() == Program.STORE) {
+            one.send(new Record.Between(keeper.greeting()));
+        } else if (one.peer().ip().equals(ip)) {
+            committed(keeper.kept()); // so that edges that start have something at once, whatever an election takes
+        }
+    }
+
+    /** It is reached no more. */
+    public void down(Neighbour one) {
+        askers.values().removeIf(asker -> asker.from == one);
+    }
+
+    /** It has said something. */
+    public void received(Neighbour one, Record record) {
+        long now = clock.getAsLong();
+        if (record instanceof Record.Between between) {
+            keeper.message(now, between.message());
+        } else if (record instanceof Record.Put put) {
+            long call = ++lastCall;
+            askers.put(call, new Asker(one, put.call(), true, put.version(), put.body(), 0, now + ASKED_MICROS));
+            keeper.put(now, call, put.version(), put.body());
+        } else if (record instanceof Record.Get get) {
+            long call = ++lastCall;
+            askers.put(call, new Asker(one, get.call(), false, 0, null, get.known(), now + ASKED_MICROS));
+            keeper.get(now, call);
+        } else if (record instanceof Record.Answer answer) {
+            Asker asker = askers.remove(answer.call());
+            if (asker != null) {
+                asker.from.send(new Record.Answer(asker.call, answer.done(), answer.version(), answer.body()));
+            }
+        }
+    }
+
+    // ---- what the keeper wants done
+
+    @Override
+    public void send(Member member, Message message) {
+        Neighbour store = neighbours.at(Program.STORE, member.ip());
+        if (store != null) {
+            store.send(new Record.Between(message));
+        }
+    }
+
+    @Override
+    public void save(Saved state, boolean keptToo, long token) {
+        saver.save(state, keptToo, token);
+    }
+
+    @Override
+    public void answer(long call, boolean done, Kept kept) {
+        Asker asker = askers.remove(call);
+        if (asker != null) {
+            boolean body = done && !asker.put && kept.version() != asker.known;
+            asker.from.send(new Record.Answer(asker.call, done, kept.version(), body ? kept.body() : null));
+        }
+    }
+
+    @Override
+    public void forward(long call, Member primary) {
+        Asker asker = askers.get(call);
+        if (asker == null) {
+            return;
+        }
+        Neighbour store = neighbours.at(Program.STORE, primary.ip());
+        if (store == null) {
+            answer(call, false, Kept.NONE);
+        } else if (asker.put) {
+            store.send(new Record.Put(call, asker.version, asker.body));
+        } else {
+            store.send(new Record.Get(call, asker.known));
+        }
+    }
+
+    @Override
+    public void committed(Kept kept) {
+        if (kept.version() > 0) {
+            for (Neighbour one : neighbours.up(Program.REGISTRY)) {
+                one.send(new Record.Answer(0, true, kept.version(), kept.body()));
+            }
+        }
+    }
+
+    @Override
+    public void log(String sentence) {
+        LOG.info(sentence);
+    }
+}
--- /dev/null
+++ b/src/test/java/gorsemast/debilt/PoolTest.java
@@ -0,0 +1,33 @@
+package gorsemast.debilt;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** The sum of what edges have seen: lies move little, old words go, its length follows the servers. */
+class PoolTest {
+    private final Pool pool = new Pool();
+
+    @Test
+    void oneThatLiesMovesLittleAmongMany() {
+        for (int edge = 0; edge < 9; edge++) {
+            pool.told(1_000, "e" + edge, Map.of("a", new double[] {1, 20}));
+        }
+        pool.told(1_000, "liar", Map.of("a", new double[] {1e9, 1e9}, "b", new double[] {Double.NaN, 5}, "c", new double[] {1, -1}));
+        Map<String, double[]> sum = pool.sum(2_000);
+        assertThat(sum).containsOnlyKeys("a");
+        assertThat(sum.get("a")[0]).isLessThan(1.4);
+        assertThat(sum.get("a")[1]).isEqualTo(200);
+    }
+
+    @Test
+    void whatAnEdgeToldIsReplacedAndForgotten() {
+        pool.told(1_000, "e", Map.of("a", new double[] {3, 10}));
+        pool.told(2_000, "e", Map.of("b", new double[] {2, 10}));
+        assertThat(pool.changed()).isTrue();
+        assertThat(pool.sum(3_000)).containsOnlyKeys("b");
+        assertThat(pool.changed()).isFalse();
+        assertThat(pool.sum(2_001 + Pool.TOLD_MICROS)).isEmpty();
+    }
+}
