--- a/src/main/java/gorsemast/command/Gorsemast.java
+++ b/src/main/java/gorsemast/command/Gorsemast.java
@@ -13,7 +13,7 @@
     synopsisSubcommandLabel = "VERB",
     description = "A proxy between clients and cache nodes, and what shows how several of them behave.",
     exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:done", "1:failed", "2:usage or settings"},
-    subcommands = {Serve.class, Check.class, FleetCommand.class, RigCommand.class, LabCommand.class, NetworkCommand.class, Gorsemast.VersionCommand.class,
+    subcommands = {Serve.class, Check.class, FleetCommand.class, RigCommand.class, LabCommand.class, NetworkCommand.class, HuntCommand.class, Gorsemast.VersionCommand.class,
         CommandLine.HelpCommand.class})
 public final class Gorsemast {
     static final int DONE = 0;
--- /dev/null
+++ b/src/main/java/gorsemast/command/HuntCommand.java
@@ -0,0 +1,65 @@
+package gorsemast.command;
+
+import gorsemast.exchange.NettyLog;
+import gorsemast.lelystad.Hunt;
+import gorsemast.lelystad.Outcome;
+import gorsemast.lelystad.Plant;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.function.Function;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Draws days of a whole network in virtual time and looks for broken rules. */
+@Command(name = "hunt", description = "Plays drawn days of the whole network in virtual time: the decisions of all three programs, "
+    + "with machines, disks, links, servers, operators and clients round them. A broken day is cut down and printed as a "
+    + "test. Exits with 1 where a rule is broken.")
+final class HuntCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+    @Option(names = "--days", defaultValue = "100", paramLabel = "N", description = "Days to play (${DEFAULT-VALUE}).")
+    private int days;
+    @Option(names = "--seed", defaultValue = "1", paramLabel = "N", description = "Of the first day; the next has the next.")
+    private long seed;
+    @Option(names = "--cores", defaultValue = "3", paramLabel = "N", description = "Core machines, 3 to 9 (${DEFAULT-VALUE}).")
+    private int cores;
+    @Option(names = "--edges", defaultValue = "4", paramLabel = "N", description = "Edges, 1 to 500 (${DEFAULT-VALUE}).")
+    private int edges;
+    @Option(names = "--plant", defaultValue = "NONE", paramLabel = "DEFECT", description = "One of ${COMPLETION-CANDIDATES}.")
+    private Plant plant;
+
+    @Override
+    public Integer call() {
+        if (days < 1 || cores < 3 || cores > 9 || edges < 1 || edges > 500) {
+            throw Gorsemast.usage(spec, "--days from 1, --cores from 3 to 9, --edges from 1 to 500");
+        }
+        NettyLog.install();
+        Hunt.Result result = Hunt.run(cores, edges, seed, days, plant, 3);
+        for (Hunt.Found broken : result.found()) {
+            Hunt.Found least = Hunt.shortest(broken, plant);
+            least.story().forEach(System.out::println);
+            System.out.println(least.day().asTest());
+            System.out.println();
+        }
+        List<Outcome> all = result.outcomes();
+        System.out.printf(Locale.ROOT, "%d days, %d broken%n", result.days(), result.found().size());
+        if (!all.isEmpty()) {
+            System.out.printf(Locale.ROOT, "orders acknowledged: %s%nedges ready after a start: %s%nserved again after a closing fault: "
+                + "%s%nan edge sends %.0f bytes and %.1f records a second%n", spread(all, Outcome::acks), spread(all, Outcome::readies),
+                spread(all, one -> one.again() < 0 ? List.of() : List.of(one.again())),
+                all.stream().mapToDouble(Outcome::edgeBytes).average().orElse(0),
+                all.stream().mapToDouble(Outcome::edgeRecords).average().orElse(0));
+        }
+        return result.found().isEmpty() ? Gorsemast.DONE : Gorsemast.FAILED;
+    }
+
+    private static String spread(List<Outcome> days, Function<Outcome, List<Long>> of) {
+        List<Long> sorted = days.stream().flatMap(day -> of.apply(day).stream()).sorted().toList();
+        return sorted.isEmpty() ? "none" : String.format(Locale.ROOT, "median %.3f s, 99 in 100 within %.3f s, worst %.3f s of %d",
+            sorted.get(sorted.size() / 2) / 1e6, sorted.get(sorted.size() * 99 / 100) / 1e6, sorted.get(sorted.size() - 1) / 1e6,
+            sorted.size());
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/lelystad/CoreProcesses.java
@@ -0,0 +1,169 @@
+package gorsemast.lelystad;
+
+import gorsemast.debilt.CallException;
+import gorsemast.debilt.Calls;
+import gorsemast.debilt.Office;
+import gorsemast.lauwersoog.Neighbour;
+import gorsemast.lauwersoog.Record;
+import gorsemast.lauwersoog.Record.Program;
+import gorsemast.vlissingen.Saved;
+import gorsemast.vlissingen.Teller;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** The two programs of a core machine round their decisions, with the machine's disk. */
+final class CoreProcesses {
+    private CoreProcesses() {
+    }
+
+    /** A registry. */
+    static final class Registry extends Process implements Office.Carrier {
+        final Office office;
+
+        Registry(World world, Machine machine) {
+            super(world, machine, Program.REGISTRY);
+            this.office = new Office(new Office.Self(machine.ip, machine.zone, machine.ip + ":80", wall(), World.BEAT_MICROS, 1),
+                world.seeds(), true, world.random.nextLong(), this::now, this, this);
+            office.recall(machine.disk.known);
+            each(Office.TICK_MICROS, this::tick);
+        }
+
+        private void tick() {
+            Set<Target> wanted = new LinkedHashSet<>();
+            office.wanted().forEach(ip -> wanted.add(new Target(Program.REGISTRY, ip)));
+            wanted.add(new Target(Program.STORE, machine.ip));
+            keep(wanted);
+            office.tick();
+        }
+
+        /** A call from outside. */
+        void call(String method, String path, byte[] body, Office.Reply reply) {
+            try {
+                office.run(Calls.decode(method, path, body), body.length, reply);
+            } catch (CallException e) {
+                reply.answer(e.code().status(), e.getMessage(), null);
+            }
+        }
+
+        @Override
+        Record.Hello hello() {
+            return office.hello();
+        }
+
+        @Override
+        void linked(Neighbour one) {
+            office.up(one);
+        }
+
+        @Override
+        void unlinked(Neighbour one) {
+            office.down(one);
+        }
+
+        @Override
+        void heardFrom(Neighbour one, Record record) {
+            office.received(one, record);
+        }
+
+        @Override
+        public void later(long micros, Runnable task) {
+            after(micros, task);
+        }
+
+        @Override
+        public void remember(byte[] record, Runnable done) {
+            Machine.Disk disk = machine.disk;
+            world.time.after(world.sync(machine), () -> {
+                if (machine.power && machine.disk == disk) {
+                    disk.known = record;
+                }
+                run(done);
+            });
+        }
+    }
+
+    /** A store. */
+    static final class Store extends Process {
+        private record Save(Saved state, long token) {
+        }
+
+        final Teller teller;
+        private final Machine.Disk disk;
+        private final Deque<Save> saves = new ArrayDeque<>();
+
+        Store(World world, Machine machine, boolean firstBoot) {
+            super(world, machine, Program.STORE);
+            this.disk = machine.disk;
+            if (disk.saved == null) {
+                disk.saved = Saved.fresh(machine.ip, world.seeds(), firstBoot, world.random.nextLong());
+            }
+            this.teller = new Teller(machine.ip, world.seeds(), disk.saved, 1,
+                world.random.nextLong(), this::now, this, this::save);
+            each(Teller.TICK_MICROS, this::tick);
+        }
+
+        private void tick() {
+            teller.tick();
+            Set<Target> wanted = new LinkedHashSet<>();
+            teller.wanted().forEach(ip -> wanted.add(new Target(Program.STORE, ip)));
+            keep(wanted);
+        }
+
+        private void save(Saved state, boolean keptToo, long token) {
+            saves.add(new Save(state, token));
+            if (world.plant == Plant.SAVED_TOO_EARLY) {
+                run(() -> after(0, () -> teller.saved(token)));
+            }
+            world.time.after(world.sync(machine), this::synced);
+        }
+
+        private void synced() {
+            if (machine.stalledUntil > world.time.now()) {
+                world.time.after(machine.stalledUntil - world.time.now(), this::synced);
+                return;
+            }
+            Save done = saves.poll();
+            if (done != null) {
+                disk.saved = done.state;
+                if (world.plant != Plant.SAVED_TOO_EARLY) {
+                    run(() -> teller.saved(done.token));
+                }
+            }
+        }
+
+        @Override
+        void end(boolean power) {
+            if (!alive) {
+                return;
+            }
+            // A process's writes are in the system's hands; power may take those that were not synced.
+            while (!saves.isEmpty() && !(power && world.random.nextBoolean())) {
+                disk.saved = saves.poll().state;
+            }
+            saves.clear();
+            super.end(power);
+        }
+
+        @Override
+        Record.Hello hello() {
+            return Teller.hello(machine.ip, machine.zone);
+        }
+
+        @Override
+        void linked(Neighbour one) {
+            teller.up(one);
+        }
+
+        @Override
+        void unlinked(Neighbour one) {
+            teller.down(one);
+        }
+
+        @Override
+        void heardFrom(Neighbour one, Record record) {
+            teller.received(one, record);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/lelystad/Day.java
@@ -0,0 +1,63 @@
+package gorsemast.lelystad;
+
+import gorsemast.lelystad.Trouble.Closing;
+import gorsemast.lelystad.Trouble.Kind;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * A day: sizes, a seed for everything that is drawn while it is played, and what happens.
+ *
+ * @param length of traffic, in microseconds
+ */
+public record Day(int cores, int edges, long seed, long length, List<Trouble> troubles, Closing closing) {
+    private static final long SECOND = 1_000_000;
+    private static final int MOST = 9;
+
+    /** Draws one as the operators do: planned work and faults, early ones in calm, later ones together. */
+    public static Day drawn(int cores, int edges, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Trouble> troubles = new ArrayList<>();
+        int count = 2 + random.nextInt(MOST - 1);
+        long length = 24 * SECOND;
+        for (int i = 0; i < count; i++) {
+            Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+            troubles.add(new Trouble(kind, SECOND + random.nextLong(length - 6 * SECOND), SECOND + random.nextLong(4 * SECOND),
+                random.nextInt(1_000)));
+        }
+        // Something that can be acknowledged wrongly goes on in each of them.
+        troubles.add(new Trouble(Kind.CONFIG, 2 * SECOND + random.nextLong(length / 2), 0, 0));
+        troubles.add(new Trouble(random.nextBoolean() ? Kind.DRAIN : Kind.PURGE, 3 * SECOND + random.nextLong(length / 2), 0,
+            random.nextInt(1_000)));
+        troubles.sort(Comparator.comparingLong(Trouble::at));
+        return new Day(cores, edges, seed, length, List.copyOf(troubles), Closing.values()[random.nextInt(4)]);
+    }
+
+    /** The same with other troubles. */
+    Day with(List<Trouble> others, Closing ending) {
+        return new Day(cores, edges, seed, length, List.copyOf(others), ending);
+    }
+
+    /** As a test's text. */
+    public String asTest() {
+        StringBuilder text = new StringBuilder("new Day(" + cores + ", " + edges + ", " + seed + "L, " + length + "L, List.of(");
+        for (int i = 0; i < troubles.size(); i++) {
+            Trouble one = troubles.get(i);
+            text.append(i == 0 ? "" : ",").append("\n    new Trouble(Kind.").append(one.kind()).append(", ").append(one.at())
+                .append("L, ").append(one.span()).append("L, ").append(one.pick()).append(')');
+        }
+        return text.append("), Closing.").append(closing).append(").play(Plant.NONE)").toString();
+    }
+
+    /** Plays it; throws {@link Broken} where a rule is broken. */
+    public Outcome play(Plant plant) {
+        return new World(this, plant, null).play();
+    }
+
+    /** Plays it and tells what happened. */
+    public Outcome play(Plant plant, List<String> story) {
+        return new World(this, plant, story).play();
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/lelystad/Edge.java
@@ -0,0 +1,324 @@
+package gorsemast.lelystad;
+
+import gorsemast.cabauw.Lookout;
+import gorsemast.eelde.Copy;
+import gorsemast.eelde.Fetching;
+import gorsemast.eelde.Fetching.FromHome;
+import gorsemast.eelde.Fetching.FromServers;
+import gorsemast.eelde.Fetching.Wanted;
+import gorsemast.eelde.Shelf;
+import gorsemast.hupsel.Briefing;
+import gorsemast.lauwersoog.Neighbour;
+import gorsemast.lauwersoog.Record;
+import gorsemast.lauwersoog.Record.Program;
+import gorsemast.schiphol.Configuration;
+import gorsemast.schiphol.Route;
+import gorsemast.terschelling.Item;
+import gorsemast.terschelling.ServerNews;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * An edge's program round its decisions: {@link Lookout}, {@link Fetching}, and a sender for each service. Requests and
+ * answers between edges and servers are calls in virtual time where HTTP stands in service.
+ */
+final class Edge extends Process implements Lookout.Follower, Fetching.Ways<String> {
+    private static final long OBJECT_MICROS = 1_500_000;
+
+    /** How a client's request ended. */
+    enum Told { SERVED, REFUSED, NO_ROUTE, FAILED }
+
+    /** What a client is told: of an object the version, and whether a copy was served. */
+    record Answer(Told told, long version, boolean copy) {
+    }
+
+    final Lookout lookout;
+    private final Fetching<String> fetching;
+    private final Map<String, EdgeSender> senders = new HashMap<>();
+    boolean leaving;
+    /** The highest version that anybody has seen the effect of in this life. */
+    long seenVersion;
+
+    Edge(World world, Machine machine) {
+        super(world, machine, Program.PROXY);
+        this.lookout = new Lookout(machine.ip, machine.zone, wall(), world.seeds(), this::now, this, this::seen, this);
+        this.fetching = new Fetching<>(machine.ip, this::now, new Shelf(1 << 20), lookout.homes(), lookout.board(),
+            World.WINDOW_MICROS, world.random.nextLong(), this);
+        each(Lookout.TICK_MICROS, this::tick);
+    }
+
+    private void tick() {
+        lookout.tick();
+        Set<Target> wanted = new LinkedHashSet<>();
+        lookout.wantedRegistries().forEach(ip -> wanted.add(new Target(Program.REGISTRY, ip)));
+        lookout.wantedEdges().forEach(ip -> wanted.add(new Target(Program.PROXY, ip)));
+        keep(wanted);
+    }
+
+    private Map<String, double[]> seen() {
+        Map<String, double[]> all = new HashMap<>();
+        senders.values().forEach(sender -> sender.briefing.seen(all));
+        return all;
+    }
+
+    boolean ready() {
+        return lookout.ready() && !leaving;
+    }
+
+    @Override
+    void leave() {
+        leaving = true;
+        after(3_000_000, () -> end(false));
+    }
+
+    // ---- clients
+
+    /** A request has come whole; {@code answer} is called once, unless the process ends before. */
+    void request(String attempt, String path, Consumer<Answer> answer) {
+        Configuration now = lookout.configuration();
+        Route route = now == null ? null : now.route(World.HOST, path);
+        if (now == null) {
+            answer.accept(new Answer(Told.REFUSED, 0, false));
+        } else if (route == null) {
+            answer.accept(new Answer(Told.NO_ROUTE, 0, false));
+        } else if (route.kind() == Route.Kind.CACHEABLE) {
+            object(new Wanted(route, World.HOST, path), answer);
+        } else {
+            EdgeSender sender = senders.get(route.service(world.random.nextDouble()));
+            if (sender == null) {
+                answer.accept(new Answer(Told.REFUSED, 0, false));
+                return;
+            }
+            sender.take(attempt, route, path, now() + route.timeoutMicros(), result -> answer.accept(new Answer(
+                result.code() == EdgeSender.End.SERVED ? Told.SERVED : result.code() == EdgeSender.End.REFUSED ? Told.REFUSED
+                    : Told.FAILED, 0, false)));
+        }
+    }
+
+    private void object(Wanted what, Consumer<Answer> answer) {
+        Copy held = fetching.held(what);
+        if (held != null) {
+            answer.accept(new Answer(Told.SERVED, version(held), true));
+            return;
+        }
+        boolean[] over = new boolean[1];
+        after(OBJECT_MICROS, () -> {
+            if (!over[0]) {
+                over[0] = true;
+                answer.accept(new Answer(Told.FAILED, 0, false));
+            }
+        });
+        fetching.ask(what, true, now() + OBJECT_MICROS, new Fetching.Waiter<>() {
+            private void end(Answer with) {
+                if (!over[0]) {
+                    over[0] = true;
+                    answer.accept(with);
+                }
+            }
+
+            @Override
+            public void here(Copy copy, boolean once) {
+                end(new Answer(Told.SERVED, version(copy), true));
+            }
+
+            @Override
+            public void other(String status) {
+                end(new Answer(Told.FAILED, 0, false));
+            }
+
+            @Override
+            public void refused(long retryAfterMicros) {
+                end(new Answer(Told.REFUSED, 0, false));
+            }
+
+            @Override
+            public void failed() {
+                end(new Answer(Told.FAILED, 0, false));
+            }
+
+            @Override
+            public void tooLong() {
+                end(new Answer(Told.FAILED, 0, false));
+            }
+        });
+    }
+
+    private static long version(Copy copy) {
+        return ByteBuffer.wrap(copy.body()).getLong();
+    }
+
+    private static Copy copy(long version, long asked, long ttl) {
+        return new Copy(200, List.of(), ByteBuffer.allocate(Long.BYTES).putLong(version).array(), Set.of("all"), asked, ttl);
+    }
+
+    // ---- objects, from homes and servers
+
+    @Override
+    public void home(String ip, Wanted what, long step, long begun, long wait, FromHome<String> ending) {
+        boolean[] over = new boolean[1];
+        after(wait, () -> {
+            if (!over[0]) {
+                over[0] = true;
+                ending.silent(false);
+            }
+        });
+        world.message(machine, ip, Program.PROXY, there -> ((Edge) there).asked(what, step, wait, (copy, age, ttl, useless) ->
+            world.message(there.machine, machine.ip, Program.PROXY, here -> {
+                if (here == this && !over[0]) {
+                    over[0] = true;
+                    if (copy >= 0) {
+                        ending.copy(copy(copy, begun - age, ttl));
+                    } else if (useless) {
+                        ending.useless();
+                    } else {
+                        ending.refused(300_000);
+                    }
+                }
+            })));
+    }
+
+    private interface Handed {
+        /** @param copy -1 for none */
+        void answer(long copy, long age, long ttl, boolean useless);
+    }
+
+    private void asked(Wanted what, long step, long wait, Handed handed) {
+        Configuration now = lookout.configuration();
+        Route route = now == null ? null : now.route(what.host(), what.uri());
+        if (route == null || route.kind() != Route.Kind.CACHEABLE) {
+            handed.answer(-1, 0, 0, true);
+            return;
+        }
+        fetching.ask(new Wanted(route, what.host(), what.uri()), false, now() + wait, new Fetching.Waiter<>() {
+            @Override
+            public void here(Copy copy, boolean once) {
+                boolean inStep = !once && lookout.board().purgeDigest() == step;
+                handed.answer(inStep ? version(copy) : -1, now() - copy.asked(), copy.ttl(), !inStep);
+            }
+
+            @Override
+            public void other(String status) {
+                handed.answer(-1, 0, 0, true);
+            }
+
+            @Override
+            public void refused(long retryAfterMicros) {
+                handed.answer(-1, 0, 0, false);
+            }
+
+            @Override
+            public void failed() {
+                handed.answer(-1, 0, 0, true);
+            }
+
+            @Override
+            public void tooLong() {
+                handed.answer(-1, 0, 0, true);
+            }
+        });
+    }
+
+    @Override
+    public boolean servers(String service, Wanted what, long asked, long giveUp, FromServers<String> ending) {
+        EdgeSender sender = senders.get(service);
+        if (sender == null) {
+            return false;
+        }
+        sender.take("o" + Long.toHexString(world.random.nextLong()), what.route(), what.uri(), giveUp, result -> {
+            switch (result.code()) {
+                case SERVED -> ending.copy(copy(result.version(), asked, what.route().ttlMicros()));
+                case REFUSED -> ending.refused(300_000);
+                case ANSWERED_ERROR -> ending.other("500");
+                default -> ending.failed();
+            }
+        });
+        return true;
+    }
+
+    @Override
+    public double perSecond(String service) {
+        Configuration now = lookout.configuration();
+        Configuration.Service known = now == null ? null : now.services().get(service);
+        return known == null || world.plant == Plant.NO_CEILING ? Double.POSITIVE_INFINITY : known.ratePerSecond();
+    }
+
+    // ---- what the lookout tells
+
+    @Override
+    public void configured(Configuration now, int edges) {
+        Map<String, List<Route>> routes = new LinkedHashMap<>();
+        now.routes().values().forEach(of -> of.forEach(route -> route.services().forEach(part ->
+            routes.computeIfAbsent(part.service(), name -> new ArrayList<>()).add(route))));
+        routes.forEach((service, of) -> {
+            EdgeSender sender = senders.get(service);
+            if (sender == null) {
+                senders.put(service, new EdgeSender(this, service, new Briefing(World.BUDGET, 0, of, edges)));
+            } else {
+                sender.retune(of, edges);
+            }
+        });
+    }
+
+    @Override
+    public void servers(Map<String, List<ServerNews>> by, Map<String, Long> coldUntil) {
+        by.forEach((service, known) -> {
+            EdgeSender sender = senders.get(service);
+            if (sender != null) {
+                List<ServerNews> told = known;
+                if (world.plant == Plant.SENDS_TO_LEAVING) {
+                    told = known.stream().map(one -> one.state() == ServerNews.State.DRAINING
+                        ? one.in(ServerNews.State.READY, one.seq()) : one).toList();
+                }
+                sender.servers(told, coldUntil);
+            }
+        });
+    }
+
+    @Override
+    public void purged(Item purge) {
+        fetching.purged(purge);
+    }
+
+    @Override
+    public void speeds(Map<String, double[]> pooled) {
+        senders.values().forEach(sender -> sender.heard(pooled));
+    }
+
+    @Override
+    public void afterwards(Runnable task) {
+        after(0, task);
+    }
+
+    // ---- links
+
+    @Override
+    Record.Hello hello() {
+        return lookout.hello();
+    }
+
+    @Override
+    void linked(Neighbour one) {
+        lookout.up(one);
+    }
+
+    @Override
+    void unlinked(Neighbour one) {
+        lookout.down(one);
+    }
+
+    @Override
+    void heardFrom(Neighbour one, Record record) {
+        boolean mends = record instanceof Record.Digest || record instanceof Record.Summary;
+        if (world.plant == Plant.MENDS_NOTHING && lookout.ready() && (mends || record instanceof Record.News && world.random.nextBoolean())) {
+            return;
+        }
+        lookout.received(one, record);
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/lelystad/EdgeSender.java
@@ -0,0 +1,236 @@
+package gorsemast.lelystad;
+
+import anisebend.Balancer;
+import anisebend.Balancer.Code;
+import anisebend.Balancer.ListKind;
+import anisebend.Balancer.Note;
+import anisebend.Decide;
+import gorsemast.exchange.Turns;
+import gorsemast.hupsel.Briefing;
+import gorsemast.hupsel.Server;
+import gorsemast.schiphol.Route;
+import gorsemast.terschelling.ServerNews;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** One service's decision module at an emulated edge; what it wants done goes to {@link Servers} in virtual time. */
+final class EdgeSender implements Balancer.Actions {
+    /** How a request ended. */
+    enum End { SERVED, REFUSED, ANSWERED_ERROR, FAILED }
+
+    /** An end, with an object's version where it was served. */
+    record Result(End code, long version) {
+    }
+
+    private static final long BACKSTOP_MICROS = 8_000;
+    private static final long MARGIN_MICROS = 12_000;
+
+    private static final class Exchange {
+        private final String id;
+        private final String attempt;
+        private final Route route;
+        private final String path;
+        private final long giveUp;
+        private final Consumer<Result> client;
+        private int attempts;
+        private int out = -1;
+        private boolean answered;
+        private boolean erred;
+
+        Exchange(String id, String attempt, Route route, String path, long giveUp, Consumer<Result> client) {
+            this.id = id;
+            this.attempt = attempt;
+            this.route = route;
+            this.path = path;
+            this.giveUp = giveUp;
+            this.client = client;
+        }
+    }
+
+    final Briefing briefing;
+    private final Edge edge;
+    private final String service;
+    private final Balancer module = new Decide(this);
+    private final Turns turns;
+    private final Map<String, Exchange> open = new HashMap<>();
+    private long sequence;
+
+    EdgeSender(Edge edge, String service, Briefing briefing) {
+        this.edge = edge;
+        this.service = service;
+        this.briefing = briefing;
+        this.turns = new Turns(fault -> {
+            throw fault;
+        });
+        turns.event(() -> module.start(edge.now(), edge.world.random.nextLong(), briefing.settings()));
+    }
+
+    void retune(List<Route> routes, int edges) {
+        if (briefing.retune(routes, edges)) {
+            turns.event(() -> module.retune(edge.now(), briefing.settings()));
+        }
+    }
+
+    void servers(Collection<ServerNews> news, Map<String, Long> coldUntil) {
+        briefing.servers(edge.now(), news, coldUntil, zone -> 0);
+        tell();
+    }
+
+    private void tell() {
+        turns.event(() -> module.servers(edge.now(), ListKind.FULL, briefing.list(edge.now())));
+    }
+
+    void heard(Map<String, double[]> pooled) {
+        if (briefing.heard(edge.now(), pooled)) {
+            tell();
+        }
+    }
+
+    void take(String attempt, Route route, String path, long giveUp, Consumer<Result> client) {
+        Exchange x = new Exchange("r" + sequence++, attempt, route, path, giveUp, client);
+        open.put(x.id, x);
+        edge.after(Math.max(0, giveUp - BACKSTOP_MICROS - edge.now()), () -> {
+            if (!x.answered) {
+                conclude(x, x.erred ? End.ANSWERED_ERROR : End.FAILED, 0);
+                turns.event(() -> {
+                    module.abandoned(edge.now(), x.id);
+                    turns.action(() -> forget(x));
+                });
+            }
+        });
+        int number = briefing.number(route);
+        if (number < 0) {
+            number = briefing.add(route);
+            turns.event(() -> module.retune(edge.now(), briefing.settings()));
+        }
+        Balancer.Request request = new Balancer.Request(x.id, number, 0, route.kind() == Route.Kind.CACHEABLE ? path : null,
+            giveUp - BACKSTOP_MICROS - MARGIN_MICROS, false);
+        turns.event(() -> module.request(edge.now(), request));
+    }
+
+    private void conclude(Exchange x, End end, long version) {
+        x.answered = true;
+        x.client.accept(new Result(end, version));
+    }
+
+    private void forget(Exchange x) {
+        if (x.answered && x.out < 0) {
+            open.remove(x.id);
+        }
+    }
+
+    // ---- actions
+
+    @Override
+    public void send(String request, String server, long until) {
+        turns.action(() -> sendNow(request, server, until));
+    }
+
+    private void sendNow(String request, String id, long until) {
+        Exchange x = open.get(request);
+        int attempt = x.attempts++;
+        long sentAt = edge.now();
+        Server server = briefing.server(id);
+        long wait = Math.min(until, x.giveUp - BACKSTOP_MICROS) - sentAt;
+        if (x.answered || server == null || wait <= 0) {
+            told(x, attempt, sentAt, Code.NOT_SENT);
+            return;
+        }
+        x.out = attempt;
+        String address = server.dial().getAddress().getHostAddress() + ":" + server.dial().getPort();
+        edge.after(wait, () -> ended(x, attempt, sentAt, Code.TIMEOUT, 0));
+        Servers.Request message = new Servers.Request(x.attempt, id, x.path, !x.route.repeatable(), service);
+        edge.world.referee.sent(edge, message);
+        edge.world.servers.send(edge.machine, address, message, reply -> edge.run(() -> {
+            if (reply.answer() == Servers.Answer.OK && briefing.answered(edge.now(), id, x.route, edge.now() - sentAt)) {
+                tell();
+            }
+            ended(x, attempt, sentAt, switch (reply.answer()) {
+                case OK -> Code.OK;
+                case ERROR -> Code.ERROR;
+                case FULL -> Code.FULL;
+                case MISDIRECTED -> Code.CONNECT_FAILED;
+            }, reply.version());
+        }), () -> edge.run(() -> ended(x, attempt, sentAt, Code.CONNECT_FAILED, 0)));
+    }
+
+    private void ended(Exchange x, int attempt, long sentAt, Code code, long version) {
+        if (x.out != attempt) {
+            return;
+        }
+        x.out = -1;
+        if (code == Code.OK && !x.answered) {
+            conclude(x, End.SERVED, version);
+        }
+        x.erred |= code == Code.ERROR;
+        Code heard = edge.world.plant == Plant.REPEATS_ALL && code.mayHaveRun && code != Code.OK ? Code.FULL : code;
+        told(x, attempt, sentAt, heard);
+    }
+
+    private void told(Exchange x, int attempt, long sentAt, Code code) {
+        boolean over = x.answered;
+        turns.event(() -> {
+            long now = edge.now();
+            module.outcome(now, new Balancer.Outcome(x.id, attempt, code, now - sentAt, over, Note.NONE, null));
+            turns.action(() -> forget(x));
+        });
+    }
+
+    @Override
+    public void refuse(String request, long retryAfter) {
+        answer(request, End.REFUSED);
+    }
+
+    @Override
+    public void fail(String request) {
+        answer(request, edge.world.plant == Plant.REFUSES_WHAT_RAN ? End.REFUSED : End.FAILED);
+    }
+
+    private void answer(String request, End end) {
+        turns.action(() -> {
+            Exchange x = open.get(request);
+            if (x != null && !x.answered) {
+                conclude(x, x.erred ? End.ANSWERED_ERROR : end, 0);
+                forget(x);
+            }
+        });
+    }
+
+    @Override
+    public void cancel(String request, int attempt) {
+        turns.action(() -> {
+            Exchange x = open.get(request);
+            if (x != null && x.out == attempt) {
+                ended(x, attempt, edge.now(), Code.CANCELLED, 0);
+            }
+        });
+    }
+
+    @Override
+    public void probe(String server) {
+        throw new IllegalStateException("probes are not part of this");
+    }
+
+    @Override
+    public void closeIdle(String server) {
+        // connections are not modelled
+    }
+
+    @Override
+    public void subscribe() {
+        // the list comes by itself
+    }
+
+    @Override
+    public void timer(long at, long token) {
+        turns.action(() -> edge.after(Math.max(0, at - edge.now()), () -> turns.event(() -> module.timer(edge.now(), token))));
+    }
+
+    @Override
+    public void log(String text) {
+        edge.world.say(edge.machine.ip + " " + service + ": " + text);
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/lelystad/Hunt.java
@@ -0,0 +1,100 @@
+package gorsemast.lelystad;
+
+import gorsemast.lelystad.Trouble.Closing;
+import gorsemast.marknesse.Log;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+
+/**
+ * Draws days, looks for broken rules, and cuts a broken day down to the troubles that it takes (delta debugging by single
+ * steps, Zeller 1999).
+ */
+public final class Hunt {
+    /** A broken day, cut down. */
+    public record Found(Day day, Broken broken, List<String> story) {
+    }
+
+    /** What a hunt came to. */
+    public record Result(int days, List<Found> found, List<Outcome> outcomes) {
+    }
+
+    private Hunt() {
+    }
+
+    /**
+     * Plays so many days from a seed on, on all processors; ends soon after {@code most} broken ones. While it runs, what
+     * parts write to their logs goes nowhere.
+     */
+    public static Result run(int cores, int edges, long seed, int days, Plant plant, int most) {
+        Log.divert(line -> { });
+        try {
+            AtomicInteger broken = new AtomicInteger();
+            List<Object> ends = IntStream.range(0, days).parallel().mapToObj(number -> {
+                if (broken.get() >= most) {
+                    return null;
+                }
+                Day day = Day.drawn(cores, edges, seed + number);
+                try {
+                    return day.play(plant);
+                } catch (Broken e) {
+                    broken.incrementAndGet();
+                    return new Found(day, e, List.of());
+                }
+            }).filter(Objects::nonNull).map(Object.class::cast).toList();
+            List<Found> found = ends.stream().filter(Found.class::isInstance).map(Found.class::cast).toList();
+            return new Result(ends.size(), found, ends.stream().filter(Outcome.class::isInstance).map(Outcome.class::cast).toList());
+        } finally {
+            Log.divert(null);
+        }
+    }
+
+    /** A broken day with no more troubles than it takes, and its story. */
+    public static Found shortest(Found found, Plant plant) {
+        Log.divert(line -> { });
+        try {
+            return shrink(found.day, found.broken, plant);
+        } finally {
+            Log.divert(null);
+        }
+    }
+
+    private static Found shrink(Day day, Broken first, Plant plant) {
+        Day least = day;
+        Broken broken = first;
+        for (int i = least.troubles().size() - 1; i >= 0; i--) {
+            List<Trouble> fewer = new ArrayList<>(least.troubles());
+            fewer.remove(i);
+            Day shorter = least.with(fewer, least.closing());
+            Broken still = broken(shorter, plant);
+            if (still != null && still.rule().equals(broken.rule())) {
+                least = shorter;
+                broken = still;
+            }
+        }
+        Day unclosed = least.with(least.troubles(), Closing.NONE);
+        Broken still = broken(unclosed, plant);
+        if (still != null && still.rule().equals(broken.rule())) {
+            least = unclosed;
+            broken = still;
+        }
+        List<String> story = new ArrayList<>();
+        try {
+            least.play(plant, story);
+        } catch (Broken e) {
+            story.add(e.getMessage());
+        }
+        return new Found(least, broken, story);
+    }
+
+    private static Broken broken(Day day, Plant plant) {
+        try {
+            day.play(plant);
+            return null;
+        } catch (Broken e) {
+            return e;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/lelystad/Plant.java
@@ -0,0 +1,23 @@
+package gorsemast.lelystad;
+
+/** Defects that can be planted round the decisions, to see that the referee finds each. */
+public enum Plant {
+    /** None. */
+    NONE,
+    /** A registry acknowledges drains and purges that only it knows of. */
+    ACKS_ALONE,
+    /** Half of the news that reaches an edge is lost, and no digest mends that. */
+    MENDS_NOTHING,
+    /** A store counts a save before it is on disk. */
+    SAVED_TOO_EARLY,
+    /** An edge goes by the configuration that it is told last. */
+    GOES_BACK,
+    /** An edge sends to servers that leave. */
+    SENDS_TO_LEAVING,
+    /** An edge sends again what may have run. */
+    REPEATS_ALL,
+    /** An edge calls refused what may have run. */
+    REFUSES_WHAT_RAN,
+    /** Edges share no ceiling. */
+    NO_CEILING
+}
--- /dev/null
+++ b/src/main/java/gorsemast/lelystad/Servers.java
@@ -0,0 +1,171 @@
+package gorsemast.lelystad;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** The servers of the operators' services: what they beat, run, refuse, forget and lose. One thread. */
+final class Servers {
+    /** How a server answers. */
+    enum Answer { OK, ERROR, FULL, MISDIRECTED }
+
+    /** What an answer carries: an object's version, the number of the configuration that led here. */
+    record Reply(Answer answer, long version) {
+    }
+
+    /** What a server is sent. */
+    record Request(String attempt, String target, String path, boolean unsafe, String service) {
+    }
+
+    private static final long CALL_MICROS = 1_000_000;
+    private static final int QUEUE = 8;
+
+    private final World world;
+    private final Map<String, Server> byAddress = new HashMap<>();
+    private final List<Server> all = new ArrayList<>();
+    private int born;
+
+    Servers(World world) {
+        this.world = world;
+    }
+
+    /** One life of a server. */
+    final class Server {
+        final String id;
+        final String service;
+        final String address;
+        final String zone;
+        final int slots;
+        boolean alive = true;
+        boolean draining;
+        /** When some machine acknowledged that it leaves; 0 before. */
+        long leavesFrom;
+        double slow = 1;
+        /** So many of its answers are lost after it has run what it was asked. */
+        double loses;
+        private int seq;
+        private int at;
+        private int busy;
+        private final List<Runnable> queue = new ArrayList<>();
+        private final double speed = 0.7 + world.random.nextDouble();
+
+        Server(String service, String address, String zone, int slots) {
+            this.id = "i-" + ++born;
+            this.service = service;
+            this.address = address;
+            this.zone = zone;
+            this.slots = slots;
+            byAddress.put(address, this);
+            all.add(this);
+            world.time.after(world.random.nextLong(World.BEAT_MICROS / 4), this::beat);
+        }
+
+        private void beat() {
+            if (!alive) {
+                return;
+            }
+            tell("heartbeat", acknowledged -> { });
+            world.time.after(World.BEAT_MICROS - 100_000 + world.random.nextLong(200_000), this::beat);
+        }
+
+        private void tell(String what, Consumer<Boolean> then) {
+            String body = "{\"backend\":\"" + service + "\",\"address\":\"" + address + "\",\"zone\":\"" + zone
+                + "\",\"configVersion\":\"v1\",\"capacity\":" + slots + ",\"state\":\"" + (draining ? "draining" : "ready")
+                + "\",\"warmupLeft\":\"0ms\",\"callSeq\":" + ++seq + "}";
+            boolean leaves = draining;
+            call(what, body, leaves, 0, then);
+        }
+
+        private void call(String what, String body, boolean leaves, int tries, Consumer<Boolean> then) {
+            List<Machine> cores = world.known();
+            Machine to = cores.get(Math.floorMod(at, cores.size()));
+            world.call("servers-" + zone, to, "POST", "/v1/nodes/" + id + "/" + what, body, CALL_MICROS, (status, text) -> {
+                if (!alive) {
+                    return;
+                }
+                if (status / 100 == 2) {
+                    if (leaves) {
+                        world.referee.leaves(this, to);
+                    }
+                    then.accept(true);
+                } else if (tries < 2 * cores.size()) {
+                    at++;
+                    call(what, body, leaves, tries + 1, then);
+                } else {
+                    then.accept(false);
+                }
+            });
+        }
+
+        /** It leaves in order: tells so, serves on, signs off, ends. */
+        void drain() {
+            if (!alive || draining) {
+                return;
+            }
+            draining = true;
+            tell("heartbeat", acknowledged -> world.time.after(World.DRAIN_MICROS + 400_000, () ->
+                tell("deregister", over -> world.time.after(300_000, this::crash))));
+        }
+
+        /** It ends without a word. */
+        void crash() {
+            alive = false;
+            if (byAddress.get(address) == this) {
+                byAddress.remove(address);
+            }
+        }
+
+        private void take(Request request, Consumer<Reply> reply) {
+            world.referee.arrived(this, request);
+            if (!request.target.equals(id)) {
+                reply.accept(new Reply(Answer.MISDIRECTED, 0));
+            } else if (busy >= slots && queue.size() >= QUEUE) {
+                reply.accept(new Reply(Answer.FULL, 0));
+            } else if (busy >= slots) {
+                queue.add(() -> work(request, reply));
+            } else {
+                work(request, reply);
+            }
+        }
+
+        private void work(Request request, Consumer<Reply> reply) {
+            busy++;
+            world.referee.runs(this, request);
+            long version = world.objects.getOrDefault(request.path, 0L);
+            long micros = (long) ((10_000 + world.random.nextLong(40_000)) * speed * slow);
+            world.time.after(micros, () -> {
+                busy--;
+                if (!queue.isEmpty()) {
+                    queue.remove(0).run();
+                }
+                if (alive && world.random.nextDouble() >= loses) {
+                    reply.accept(new Reply(world.random.nextInt(300) == 0 ? Answer.ERROR : Answer.OK, version));
+                }
+            });
+        }
+    }
+
+    /** All that have not ended, of a service; of all where it is null. */
+    List<Server> of(String service) {
+        return all.stream().filter(one -> one.alive && (service == null || one.service.equals(service))).toList();
+    }
+
+    /**
+     * An edge sends a request. {@code reply} may never be called, as an answer may be lost.
+     *
+     * @param refused called where nothing listens at the address
+     */
+    void send(Machine from, String address, Request request, Consumer<Reply> reply, Runnable refused) {
+        long way = world.way(400);
+        world.time.after(way, () -> {
+            Server server = byAddress.get(address);
+            if (server == null) {
+                world.time.after(way, refused);
+            } else {
+                server.take(request, answer -> world.time.after(way, () -> reply.accept(answer)));
+            }
+        });
+    }
+}
--- a/src/main/java/gorsemast/marknesse/Log.java
+++ b/src/main/java/gorsemast/marknesse/Log.java
@@ -3,6 +3,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -46,6 +47,8 @@
         }
     }
 
+    private static volatile Consumer<String> diverted;
+
     private final String name;
     private final String prefix;
     private Logger logger;
@@ -58,6 +61,11 @@
         this.prefix = prefix + ": ";
     }
 
+    /** Hands all lines to somebody else from now on, at once and by whoever tells them: for programs in virtual time. */
+    public static void divert(Consumer<String> to) {
+        diverted = to;
+    }
+
     /** An event that an operator may want to know of. */
     public void info(String sentence) {
         line(false, sentence);
@@ -74,7 +82,16 @@
         warn("fault " + e + (at.length > 0 ? " at " + at[0] : "") + (at.length > 1 ? " from " + at[1] : ""));
     }
 
-    private synchronized void line(boolean warns, String sentence) {
+    private void line(boolean warns, String sentence) {
+        Consumer<String> to = diverted;
+        if (to != null) {
+            to.accept(prefix + sentence);
+        } else {
+            queue(warns, sentence);
+        }
+    }
+
+    private synchronized void queue(boolean warns, String sentence) {
         long now = System.nanoTime();
         if (now - second > SECOND) {
             if (lines > MOST) {
