Divide connections, fetches and descriptors where many edges share few servers

Change: hupsel.Crowd: so many servers and connections to each as leave every edge its part, named by rendezvous; objects are fetched by a part of the edges where connections or rate are too little for all. cabauw.Places, Doorman: an edge of 20 sockets keeps one registry, closes connections with their answers and lets clients in one after the other. Changes of machines and edges are told once for all that come together.

--- a/src/main/java/gorsemast/cabauw/Cabauw.java
+++ b/src/main/java/gorsemast/cabauw/Cabauw.java
@@ -76,6 +76,7 @@
     private final EventLoop loop;
     private final Shelf shelf = new Shelf(SHELF_BYTES);
     private final Links links;
+    private final Places places;
     private final Lookout lookout;
     private final Upstream servers;
     private final Upstream between;
@@ -92,19 +93,20 @@
         this.settings = settings;
         this.loop = new MultiThreadIoEventLoopGroup(1, Transport.handlers()).next();
         this.links = new Links(loop, this::now, this::hello, this);
-        this.lookout = new Lookout(settings.ip(), settings.zone(), System.currentTimeMillis(), settings.seedIps(), this::now,
+        this.places = Places.of(Math.max(16, settings.descriptors() - RESERVED));
+        this.lookout = new Lookout(settings.ip(), settings.zone(), places.registries(), places.watched(), System.currentTimeMillis(), settings.seedIps(), this::now,
             links, this::seen, this);
-        int sockets = Math.max(16, settings.descriptors() - RESERVED);
-        this.servers = new Upstream(loop, new Network(), this::readyServer, sockets / 3, SERVER_IDLE_MILLIS, CONNECT_MILLIS,
+        this.servers = new Upstream(loop, new Network(), this::readyServer, places.servers(), SERVER_IDLE_MILLIS, CONNECT_MILLIS,
             random.nextLong());
-        this.between = new Upstream(loop, new Network(), peer -> true, sockets / 6, 20_000,
+        this.between = new Upstream(loop, new Network(), peer -> true, places.between(), 20_000,
             CONNECT_MILLIS, random.nextLong());
         this.desk = new ObjectDesk(loop, this::now, between, senders::get, ip -> Ports.OBJECTS.at(settings, ip),
-            lookout::configuration, random.nextLong());
+            lookout::configuration, lookout.homes()::count, places.keeps(), random.nextLong());
         this.fetching = new Fetching<>(settings.ip(), this::now, shelf, lookout.homes(), lookout.board(),
             settings.time("originWindow", 5_000_000), random.nextLong(), desk);
         desk.goBy(fetching);
-        this.front = new Front(loop, this::now, lookout::configuration, senders::get, desk, random.nextLong());
+        this.front = new Front(loop, this::now, lookout::configuration, senders::get, desk, places.clients(),
+            random.nextLong());
     }
 
     private Record.Hello hello() {
@@ -138,8 +140,10 @@
         if (clients == null || probes == null) {
             throw new IOException("listenAddrs: front and ready are needed");
         }
-        links.listen(Ports.PROXY.at(settings, settings.ip()));
-        new ObjectsServer(loop, this::now, lookout::configuration, desk, lookout.board()).listen(Ports.OBJECTS.at(settings, settings.ip()));
+        if (places.watched() > 0) {
+            links.listen(Ports.PROXY.at(settings, settings.ip()));
+        }
+        new ObjectsServer(loop, this::now, lookout::configuration, desk, lookout.board(), places.asked()).listen(Ports.OBJECTS.at(settings, settings.ip()));
         front.listen(clients, HEAD_BYTES);
         listenForProbes(probes);
         loop.execute(this::tick);
@@ -237,11 +241,16 @@
         routes.forEach((service, of) -> {
             Sender sender = senders.get(service);
             if (sender == null) {
-                senders.put(service, new Sender(service, loop, this::now, servers,
-                    new Briefing(budget, settings.zoneNumber(settings.zone()), of, edges), random.nextLong()));
+                sender = new Sender(service, loop, this::now, servers, new Briefing(settings.ip(),
+                    Math.max(1, places.servers() / routes.size()), budget, settings.zoneNumber(settings.zone()), of, edges),
+                    random.nextLong());
+                senders.put(service, sender);
             } else {
                 sender.retune(of, edges);
             }
+            int connections = now.services().get(service).maxConnections();
+            boolean held = of.stream().allMatch(route -> route.kind() == Route.Kind.CACHEABLE);
+            sender.shared(connections, held ? Math.min(edges, desk.fetchers(service)) : edges);
         });
     }
 
--- a/src/main/java/gorsemast/cabauw/Front.java
+++ b/src/main/java/gorsemast/cabauw/Front.java
@@ -58,6 +58,7 @@
     private final Supplier<Configuration> configuration;
     private final Function<String, Sender> senders;
     private final ObjectDesk desk;
+    private final Doorman doorman;
     private final SplittableRandom random;
     private final Set<Visitor> visitors = new LinkedHashSet<>();
     private boolean closing;
@@ -66,27 +67,31 @@
     private long taken;
 
     Front(EventLoop loop, LongSupplier clock, Supplier<Configuration> configuration, Function<String, Sender> senders,
-          ObjectDesk desk, long seed) {
+          ObjectDesk desk, int places, long seed) {
         this.loop = loop;
         this.clock = clock;
         this.configuration = configuration;
         this.senders = senders;
         this.desk = desk;
+        this.doorman = new Doorman(places, this::makeRoom);
         this.random = new SplittableRandom(seed);
     }
 
     Channel listen(InetSocketAddress at, int headBytes) throws IOException {
         loop.scheduleWithFixedDelay(() -> List.copyOf(visitors).forEach(visitor -> visitor.sweep(now())), Visitor.SWEEP_MICROS,
             Visitor.SWEEP_MICROS, TimeUnit.MICROSECONDS);
-        return Transport.listen(loop, at, new ChannelInitializer<Channel>() {
+        Channel listener = Transport.listen(loop, at, new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel ch) {
+                doorman.comes(ch);
                 Configuration now = configuration.get();
                 int head = now == null ? headBytes : Math.max(headBytes, Math.min(MOST_HEAD, now.limits().headerBytes()));
                 ch.pipeline().addLast(new StrictHttp.Requests(head), new HttpResponseEncoder(),
                     new Visitor(ch, Front.this));
             }
         });
+        doorman.at(listener);
+        return listener;
     }
 
     /** From now on connections end with their answers. */
@@ -104,6 +109,16 @@
         return visitors.size();
     }
 
+    /** The longest idle one makes room for who waits. */
+    private void makeRoom() {
+        for (Visitor visitor : visitors) {
+            if (visitor.idle()) {
+                visitor.close();
+                return;
+            }
+        }
+    }
+
     /** Requests since the start. */
     long taken() {
         return taken;
@@ -141,7 +156,7 @@
 
     @Override
     public boolean isClosing() {
-        return closing;
+        return closing || doorman.tight();
     }
 
     @Override
--- a/src/main/java/gorsemast/cabauw/Lookout.java
+++ b/src/main/java/gorsemast/cabauw/Lookout.java
@@ -29,15 +29,11 @@
  * What an edge knows of everything but its own traffic: the newest configuration, servers, purges, other machines, and
  * whom it keeps links to for that. No I/O, no clock of its own, no threads; what follows is told to a {@link Follower}.
  *
- * <p>Links go to {@value #REGISTRIES} registries and {@value #WATCHED} other edges, named by rendezvous, whatever the
- * number of machines. It is ready once it holds what a synced registry holds. One caller; times in microseconds.
+ * <p>Links go to a few registries and other edges, named by rendezvous, whatever the number of machines. It is ready once it holds what a synced registry holds. One caller; times in microseconds.
  */
 public final class Lookout {
     /** To be called so often. */
     public static final long TICK_MICROS = 250_000;
-    /** So many registries and other proxies each keeps links to. */
-    static final int REGISTRIES = 2;
-    static final int WATCHED = 2;
     /** What was seen of servers' speeds is told so often; by more than so many edges seldomer, the same for all together. */
     private static final long SPEEDS_MICROS = 1_000_000;
     private static final int SPEEDS_EDGES = 20;
@@ -63,6 +59,8 @@
 
     private final String ip;
     private final String zone;
+    private final int registries;
+    private final int watched;
     private final long life;
     private final long begun;
     private final LongSupplier clock;
@@ -77,19 +75,27 @@
     private final Set<String> services = new LinkedHashSet<>();
     private Configuration configuration;
     private boolean serversDirty;
+    private boolean edgesDirty;
+    /** All that are up, with their zones, and those of them that it watches; null where they have changed. */
+    private Map<String, String> edges;
+    private Set<String> nearest;
     private long speedsAt;
     private boolean ready;
 
     /**
      * Of one process, from its start on.
      *
+     * @param registries that it keeps links to
+     * @param watched other edges that it does
      * @param life higher for a later start of the machine
      * @param seen what was seen here of servers' speeds, as {@link SpeedNews} has it
      */
-    public Lookout(String ip, String zone, long life, Set<String> seeds, LongSupplier clock, Neighbours neighbours,
+    public Lookout(String ip, String zone, int registries, int watched, long life, Set<String> seeds, LongSupplier clock, Neighbours neighbours,
                    Supplier<Map<String, double[]>> seen, Follower follower) {
         this.ip = ip;
         this.zone = zone;
+        this.registries = registries;
+        this.watched = watched;
         this.life = life;
         this.clock = clock;
         this.begun = clock.getAsLong();
@@ -168,15 +174,15 @@
         Set<String> linked = new LinkedHashSet<>();
         neighbours.up(Program.REGISTRY).forEach(one -> linked.add(one.peer().ip()));
         // Few are known for sure at first: whoever was named is tried until enough are found.
-        Set<String> registries = new LinkedHashSet<>(cores);
-        if (linked.size() < REGISTRIES) {
-            registries.addAll(seeds);
+        Set<String> candidates = new LinkedHashSet<>(cores);
+        if (linked.size() < registries) {
+            candidates.addAll(seeds);
         }
-        List<String> ranked = Hash.ranked(ip, registries);
-        int wants = linked.isEmpty() || cores.isEmpty() ? ranked.size() : REGISTRIES;
+        List<String> ranked = Hash.ranked(ip, candidates);
+        int wants = linked.isEmpty() || cores.isEmpty() ? ranked.size() : registries;
         Set<String> wanted = new LinkedHashSet<>();
         for (String core : ranked) {
-            if (wanted.size() < wants || linked.contains(core) && wanted.size() < REGISTRIES) {
+            if (wanted.size() < wants || linked.contains(core) && wanted.size() < registries) {
                 wanted.add(core);
             }
         }
@@ -185,9 +191,12 @@
 
     /** Addresses of the other edges that it wants links to. */
     public Set<String> wantedEdges() {
-        Set<String> edges = new LinkedHashSet<>(edgesUp().keySet());
-        edges.remove(ip);
-        return new LinkedHashSet<>(Hash.ranked(ip, edges).subList(0, Math.min(WATCHED, edges.size())));
+        if (nearest == null) {
+            Set<String> edges = new LinkedHashSet<>(edgesUp().keySet());
+            edges.remove(ip);
+            nearest = new LinkedHashSet<>(Hash.ranked(ip, edges).subList(0, Math.min(watched, edges.size())));
+        }
+        return nearest;
     }
 
     // ---- news
@@ -207,8 +216,11 @@
             }
             case PURGE -> follower.purged(item);
             case EDGE -> {
-                if (configuration != null) {
-                    follower.afterwards(this::tellConfiguration);
+                edges = null;
+                nearest = null;
+                if (!edgesDirty) {
+                    edgesDirty = true;
+                    follower.afterwards(this::tellEdges); // as many at once when a whole fleet starts
                 }
             }
             default -> {
@@ -238,6 +250,15 @@
         follower.configured(configuration, homes.count());
     }
 
+    private void tellEdges() {
+        edgesDirty = false;
+        if (configuration != null) {
+            tellConfiguration();
+            serversDirty = true;
+            tellServers();
+        }
+    }
+
     private void tellServers() {
         if (!serversDirty || configuration == null) {
             return;
@@ -258,6 +279,9 @@
     }
 
     private Map<String, String> edgesUp() {
+        if (edges != null) {
+            return edges;
+        }
         Map<String, String> up = new HashMap<>();
         for (Item item : board.all(Kind.EDGE)) {
             MachineNews machine = MachineNews.of(item);
@@ -265,6 +289,7 @@
                 up.put(machine.ip(), machine.zone());
             }
         }
+        edges = up;
         return up;
     }
 
--- a/src/main/java/gorsemast/cabauw/ObjectDesk.java
+++ b/src/main/java/gorsemast/cabauw/ObjectDesk.java
@@ -11,6 +11,7 @@
 import gorsemast.exchange.Upstream;
 import gorsemast.hupsel.Call;
 import gorsemast.hupsel.Client;
+import gorsemast.hupsel.Crowd;
 import gorsemast.hupsel.Hops;
 import gorsemast.hupsel.Network;
 import gorsemast.hupsel.Sender;
@@ -30,6 +31,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.Arrays;
@@ -40,6 +42,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -72,17 +75,23 @@
     private final Function<String, Sender> senders;
     private final Function<String, InetSocketAddress> objects;
     private final Supplier<Configuration> configuration;
+    private final IntSupplier edges;
+    private final boolean keeps;
     private final SplittableRandom random;
     private Fetching<FullHttpResponse> fetching;
 
+    /** @param keeps whether connections to other edges are kept for the next request */
     ObjectDesk(EventLoop loop, LongSupplier clock, Upstream between, Function<String, Sender> senders,
-               Function<String, InetSocketAddress> objects, Supplier<Configuration> configuration, long seed) {
+               Function<String, InetSocketAddress> objects, Supplier<Configuration> configuration, IntSupplier edges,
+               boolean keeps, long seed) {
         this.loop = loop;
         this.clock = clock;
         this.between = between;
         this.senders = senders;
         this.objects = objects;
         this.configuration = configuration;
+        this.edges = edges;
+        this.keeps = keeps;
         this.random = new SplittableRandom(seed);
     }
 
@@ -174,6 +183,7 @@
     public void home(String edge, Wanted what, long step, long begun, long wait, FromHome<FullHttpResponse> ending) {
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, what.uri());
         request.headers().set(HttpHeaderNames.HOST, what.host()).set(STEP, Long.toHexString(step)).set(LEFT, wait / 1_000);
+        HttpUtil.setKeepAlive(request, keeps);
         between.send(new Home(edge, objects.apply(edge)), request, wait, false, LARGEST + (1 << 16), new Upstream.Ending() {
             @Override
             public Passage begins(Note note, HttpResponse head, long length, Passage.Flow flow) {
@@ -229,6 +239,12 @@
         return known == null ? Double.POSITIVE_INFINITY : known.ratePerSecond();
     }
 
+    @Override
+    public int fetchers(String service) {
+        Configuration.Service known = configuration.get() == null ? null : configuration.get().services().get(service);
+        return known == null ? Integer.MAX_VALUE : Crowd.homes(edges.getAsInt(), known.maxConnections(), known.ratePerSecond());
+    }
+
     @Override
     public boolean servers(String service, Wanted what, long asked, long giveUp, FromServers<FullHttpResponse> ending) {
         Sender sender = senders.apply(service);
--- a/src/main/java/gorsemast/cabauw/ObjectsServer.java
+++ b/src/main/java/gorsemast/cabauw/ObjectsServer.java
@@ -12,6 +12,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
@@ -25,6 +27,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -40,27 +43,33 @@
     private final Supplier<Configuration> configuration;
     private final ObjectDesk desk;
     private final Board board;
+    private final Doorman doorman;
 
-    ObjectsServer(EventLoop loop, LongSupplier clock, Supplier<Configuration> configuration, ObjectDesk desk, Board board) {
+    ObjectsServer(EventLoop loop, LongSupplier clock, Supplier<Configuration> configuration, ObjectDesk desk, Board board,
+                  int places) {
         this.loop = loop;
         this.clock = clock;
         this.configuration = configuration;
         this.desk = desk;
         this.board = board;
+        this.doorman = new Doorman(places, () -> { });
     }
 
     void listen(InetSocketAddress at) throws IOException {
-        Transport.listen(loop, at, new ChannelInitializer<Channel>() {
+        doorman.at(Transport.listen(loop, at, new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel ch) {
+                doorman.comes(ch);
                 ch.pipeline().addLast(new StrictHttp.Requests(), new HttpResponseEncoder(),
                     new HttpObjectAggregator(MOST, true), new Asker());
             }
-        });
+        }));
     }
 
     /** One connection of another edge. */
     private final class Asker extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private boolean keep = true;
+
         private String inStep() {
             return Long.toHexString(board.purgeDigest());
         }
@@ -82,6 +91,7 @@
                 write(ctx, ObjectDesk.OUT_OF_STEP, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
                 return;
             }
+            keep = HttpUtil.isKeepAlive(request);
             long wait = Long.parseLong(left) * 1_000;
             desk.ask(new Wanted(route, route.host(), uri), clock.getAsLong() + wait,
                 new Fetching.Waiter<>() {
@@ -127,7 +137,11 @@
             FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status),
                 body);
             answer.headers().add(headers).set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-            ctx.writeAndFlush(answer);
+            HttpUtil.setKeepAlive(answer, keep);
+            ChannelFuture written = ctx.writeAndFlush(answer);
+            if (!keep) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
         }
 
         @Override
--- /dev/null
+++ b/src/main/java/gorsemast/cabauw/Places.java
@@ -0,0 +1,41 @@
+package gorsemast.cabauw;
+
+/**
+ * How an edge divides its sockets between all who want some.
+ *
+ * <p>Where there are hundreds, each has what it may want. Where there are a few tens or less, links are fewer (one registry
+ * tells all the news), connections between edges end with their answers, and the rest is for clients and servers in equal
+ * parts; clients beyond wait in the system's queue and are let in one after the other.
+ *
+ * @param registries it keeps links to
+ * @param watched other edges that it keeps links to
+ * @param servers connections to servers
+ * @param between connections to other edges for objects
+ * @param asked connections of other edges for objects
+ * @param clients connections of clients
+ */
+record Places(int registries, int watched, int servers, int between, int asked, int clients) {
+    private static final int MANY = 128;
+    /** Listeners for clients, probes and objects, what the loop itself waits by, a probe, a link being dialled anew. */
+    private static final int FIXED = 9;
+
+    /** Divides so many sockets. */
+    static Places of(int sockets) {
+        if (sockets >= MANY) {
+            int links = 2 + 2 + 16;
+            int servers = sockets / 3;
+            int between = sockets / 6;
+            return new Places(2, 2, servers, between, sockets / 6, sockets - links - servers - 2 * between - FIXED);
+        }
+        int left = Math.max(8, sockets - FIXED - 1);
+        int between = Math.max(1, left / 6);
+        int asked = Math.max(2, left / 6);
+        int servers = Math.max(2, (left - between - asked) / 2);
+        return new Places(1, 0, servers, between, asked, Math.max(2, left - between - asked - servers));
+    }
+
+    /** Whether connections between edges are kept for the next request. */
+    boolean keeps() {
+        return watched > 0;
+    }
+}
--- a/src/main/java/gorsemast/eelde/Fetching.java
+++ b/src/main/java/gorsemast/eelde/Fetching.java
@@ -33,6 +33,10 @@
     private static final double RENEW_FROM = 0.8;
     /** So many objects that are too long to be held are remembered. */
     private static final int MOST_LONG = 1_024;
+    /** So many homes are asked for one object. */
+    private static final int MOST_HOMES = 2;
+    /** Of what servers bear, so much is for the edges that fetch for all; the others need it where a home fails. */
+    private static final double FETCHERS_PART = 0.88;
     /** When to come back where nothing better is known. */
     private static final long LATER_MICROS = 300_000;
 
@@ -99,6 +103,9 @@
 
         /** What a service's servers bear from all edges, a second. */
         double perSecond(String service);
+
+        /** How many edges fetch its objects; as many as there are, or more, for all. */
+        int fetchers(String service);
     }
 
     /** One fetch for all who ask meanwhile. */
@@ -108,6 +115,7 @@
         private final long purges = shelf.number();
         private final long begun = clock.getAsLong();
         private final List<Waiter<A>> waiters = new ArrayList<>();
+        private int homes;
 
         Fetch(Wanted what, String key) {
             this.what = what;
@@ -239,11 +247,14 @@
 
     private void begin(Fetch fetch, boolean homeToo, long giveUp) {
         long now = clock.getAsLong();
-        String home = homeToo ? homes.of(now, fetch.key, zoned(service(fetch.what))) : self;
+        String service = service(fetch.what);
+        int many = ways.fetchers(service);
+        boolean all = many >= homes.count();
+        String home = homeToo ? homes.of(now, fetch.key, all && zoned(service), service, many) : self;
         if (home.equals(self) || giveUp - now < LEAST_LEFT) {
             servers(fetch, fetch.waiters.isEmpty());
         } else {
-            home(fetch, home, Math.min(patience.micros(), (giveUp - now) * 2 / 3));
+            home(fetch, home, giveUp, Math.min(patience.micros(), (giveUp - now) * 2 / 3));
         }
     }
 
@@ -257,8 +268,9 @@
         }
     }
 
-    private void home(Fetch fetch, String home, long wait) {
+    private void home(Fetch fetch, String home, long giveUp, long wait) {
         long asked = clock.getAsLong();
+        fetch.homes++;
         ways.home(home, fetch.what, board.purgeDigest(), fetch.begun, wait, new FromHome<>() {
             private void answered() {
                 patience.answered(clock.getAsLong() - asked);
@@ -295,11 +307,27 @@
                 if (!ours) {
                     homes.failed(clock.getAsLong(), home);
                 }
-                servers(fetch, false);
+                String service = service(fetch.what);
+                // Whoever fetches for nobody has hardly a part of what the servers bear: another home, once.
+                if (fetch.homes < MOST_HOMES && !homes.fetches(service, ways.fetchers(service))) {
+                    begin(fetch, true, giveUp);
+                } else {
+                    servers(fetch, false);
+                }
             }
         });
     }
 
+    /** This edge's part of what a service's servers bear. */
+    private double part(String service) {
+        int many = ways.fetchers(service);
+        int edges = homes.count();
+        if (many >= edges) {
+            return 1.0 / edges;
+        }
+        return homes.fetches(service, many) ? FETCHERS_PART / many : (1 - FETCHERS_PART) / (edges - many);
+    }
+
     private static String service(Wanted what) {
         return what.route.services().get(0).service();
     }
@@ -320,7 +348,7 @@
         long asked = clock.getAsLong();
         String service = fetch.what.route.service(random.nextDouble());
         Ceiling ceiling = ceilings.computeIfAbsent(service, name -> new Ceiling(window));
-        if (!ceiling.take(asked, ways.perSecond(service), homes.count(), ahead)) {
+        if (!ceiling.take(asked, ways.perSecond(service) * part(service), 1, ahead)) {
             fetch.refused(ceiling.roomIn(asked));
             return;
         }
--- a/src/main/java/gorsemast/eelde/Homes.java
+++ b/src/main/java/gorsemast/eelde/Homes.java
@@ -1,12 +1,17 @@
 package gorsemast.eelde;
 
 import gorsemast.terschelling.Hash;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
- * Which edge is an object's home, by rendezvous over all that are believed to be up. One that has just failed to answer
- * is passed over for a while, by this edge alone. Times in microseconds; one thread.
+ * Which edge is an object's home, by rendezvous over all that are believed to be up, or over those of them that fetch a
+ * service's objects. One that has just failed to answer is passed over for a while, by this edge alone. O(edges) a key.
+ * Times in microseconds; one thread.
  */
 public final class Homes {
     /** For so long one that failed is passed over; doubled at each failure in a row. */
@@ -19,26 +24,57 @@
         private long span = SHORTEST_MICROS;
     }
 
+    private record Edge(String ip, String zone, long hash) {
+    }
+
     private final String self;
+    private final long selfHash;
     private final String zone;
-    private Map<String, String> edges = Map.of();
+    private List<Edge> edges = List.of();
+    private Map<String, String> zones = Map.of();
+    /** The edges that fetch a service's objects, where these are not all. */
+    private final Map<String, Set<String>> fetchers = new HashMap<>();
     private final Map<String, Away> away = new HashMap<>();
 
     /** Of the edge with this address. */
     public Homes(String self, String zone) {
         this.self = self;
+        this.selfHash = Hash.of(self);
         this.zone = zone;
     }
 
     /** All edges that are up, with their zones. */
-    public void edges(Map<String, String> zones) {
-        edges = Map.copyOf(zones);
-        away.keySet().retainAll(edges.keySet());
+    public void edges(Map<String, String> up) {
+        if (up.equals(zones)) {
+            return;
+        }
+        zones = Map.copyOf(up);
+        List<Edge> next = new ArrayList<>();
+        zones.forEach((ip, at) -> next.add(new Edge(ip, at, Hash.of(ip))));
+        edges = next;
+        fetchers.clear();
+        away.keySet().retainAll(zones.keySet());
     }
 
     /** How many there are, this one among them. */
     public int count() {
-        return Math.max(1, edges.containsKey(self) ? edges.size() : edges.size() + 1);
+        return Math.max(1, zones.containsKey(self) ? zones.size() : zones.size() + 1);
+    }
+
+    /** Whether this edge is one of the {@code many} that fetch a service's objects. */
+    public boolean fetches(String service, int many) {
+        return many >= count() || fetchers(service, many).contains(self);
+    }
+
+    private Set<String> fetchers(String service, int many) {
+        Set<String> known = fetchers.get(service);
+        if (known == null || known.size() != Math.min(many, count())) {
+            Set<String> all = new HashSet<>(zones.keySet());
+            all.add(self);
+            known = new HashSet<>(Hash.ranked("fetches " + service, all).subList(0, Math.min(many, all.size())));
+            fetchers.put(service, known);
+        }
+        return known;
     }
 
     /**
@@ -47,17 +83,21 @@
      * @param zoned whether each zone has a home of its own: fewer bytes between zones, more fetches
      */
     public String of(long now, String key, boolean zoned) {
+        return of(now, key, zoned, "", Integer.MAX_VALUE);
+    }
+
+    /** The same out of the {@code many} edges that fetch a service's objects. */
+    public String of(long now, String key, boolean zoned, String service, int many) {
+        Set<String> some = many >= count() ? null : fetchers(service, many);
         long name = Hash.of(key);
         String best = self;
-        long rank = Hash.rank(name, self);
-        for (Map.Entry<String, String> entry : edges.entrySet()) {
-            String edge = entry.getKey();
-            long other = Hash.rank(name, edge);
-            if (other > rank && (!zoned || zone.equals(entry.getValue())) && !edge.equals(self)) {
-                if (!passed(now, edge)) {
-                    best = edge;
-                    rank = other;
-                }
+        long rank = some == null || some.contains(self) ? Hash.rank(name, selfHash) : Long.MIN_VALUE;
+        for (Edge edge : edges) {
+            long other = Hash.rank(name, edge.hash);
+            if (other > rank && (!zoned || zone.equals(edge.zone)) && (some == null || some.contains(edge.ip))
+                && !edge.ip.equals(self) && !passed(now, edge.ip)) {
+                best = edge.ip;
+                rank = other;
             }
         }
         Away tried = away.get(best);
--- a/src/main/java/gorsemast/exchange/Upstream.java
+++ b/src/main/java/gorsemast/exchange/Upstream.java
@@ -193,6 +193,11 @@
         pools.limit(connectionsAtMost);
     }
 
+    /** Bounds the connections to one peer, where many processes share what it lets in. */
+    public void part(String host, int connections) {
+        pools.part(host, connections);
+    }
+
     /** What all outgoing connections have in common. */
     public static Bootstrap client(EventLoop loop, long connectMillis) {
         return new Bootstrap().group(loop).channel(Transport.stream(loop))
--- a/src/main/java/gorsemast/hupsel/Briefing.java
+++ b/src/main/java/gorsemast/hupsel/Briefing.java
@@ -6,9 +6,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.ToIntFunction;
 
 /**
@@ -36,25 +38,48 @@
     public record Budget(double ratio, double slack, long window) {
     }
 
+    private final String self;
+    private final int ownConnections;
     private final Budget budget;
     private final int zone;
     private final List<Balancer.RequestClass> classes = new ArrayList<>();
     private final Speeds speeds = new Speeds();
     private final Map<String, Balancer.Server> entries = new LinkedHashMap<>();
     private Map<String, Server> servers = Map.of();
+    private int mostConnections = Integer.MAX_VALUE;
+    private int users;
+    private int part = Integer.MAX_VALUE;
     private long toldAt = Long.MIN_VALUE / 2;
     private int edges;
     private int attempts = 1;
     private boolean objects;
 
-    /** For an edge in the zone with this number, one of {@code edges}. */
-    public Briefing(Budget budget, int zone, List<Route> routes, int edges) {
+    /**
+     * For the edge with this name, in the zone with this number, one of {@code edges}.
+     *
+     * @param ownConnections to this service's servers that it may have
+     */
+    public Briefing(String self, int ownConnections, Budget budget, int zone, List<Route> routes, int edges) {
+        this.self = self;
+        this.ownConnections = ownConnections;
         this.budget = budget;
         this.zone = zone;
         this.edges = Math.max(1, edges);
+        this.users = this.edges;
         learn(routes);
     }
 
+    /** How many connections one server takes from all callers, and how many edges are those. */
+    public void shared(int connections, int sharedBy) {
+        mostConnections = connections;
+        users = Math.max(1, sharedBy);
+    }
+
+    /** How many connections this edge may have to each of its servers. */
+    public int part() {
+        return part;
+    }
+
     /** What bounds the module. */
     public Balancer.Settings settings() {
         double part = SPENT_OF_BUDGET / edges;
@@ -106,10 +131,15 @@
     public Map<String, Server> servers(long now, Collection<ServerNews> news, Map<String, Long> coldUntil,
                                        ToIntFunction<String> zones) {
         boolean someReady = news.stream().anyMatch(one -> one.state() == ServerNews.State.READY);
+        List<String> ready = news.stream().filter(one -> one.dial() != null && (one.state() == ServerNews.State.READY
+            || !someReady && one.state() == ServerNews.State.SILENT)).map(ServerNews::id).toList();
+        Crowd crowd = new Crowd(users, ready.size(), mostConnections, ownConnections);
+        Set<String> chosen = new HashSet<>(Crowd.chosen(self, ready, crowd.reach()));
+        part = crowd.part();
         Map<String, Server> next = new HashMap<>();
         entries.clear();
         for (ServerNews one : news) {
-            boolean usable = one.state() == ServerNews.State.READY || !someReady && one.state() == ServerNews.State.SILENT;
+            boolean usable = chosen.contains(one.id());
             if (one.state() == ServerNews.State.GONE || one.dial() == null) {
                 continue;
             }
--- a/src/main/java/gorsemast/hupsel/Sender.java
+++ b/src/main/java/gorsemast/hupsel/Sender.java
@@ -91,10 +91,20 @@
         }
     }
 
+    /** How many connections one server takes from all callers, and how many edges are those; told before the servers. */
+    public void shared(int connections, int sharedBy) {
+        briefing.shared(connections, sharedBy);
+    }
+
     /** Who there is; who leaves is sent nothing new from now on. */
     public void servers(Collection<ServerNews> news, Map<String, Long> coldUntil, ToIntFunction<String> zones) {
         Map<String, Server> before = briefing.servers(now(), news, coldUntil, zones);
         tell();
+        news.forEach(one -> {
+            if (briefing.ready(one.id())) {
+                upstream.part(one.id(), briefing.part());
+            }
+        });
         before.keySet().forEach(id -> {
             if (!briefing.ready(id)) {
                 upstream.closeIdle(id);
--- a/src/main/java/gorsemast/lelystad/Edge.java
+++ b/src/main/java/gorsemast/lelystad/Edge.java
@@ -8,6 +8,7 @@
 import gorsemast.eelde.Fetching.Wanted;
 import gorsemast.eelde.Shelf;
 import gorsemast.hupsel.Briefing;
+import gorsemast.hupsel.Crowd;
 import gorsemast.lauwersoog.Neighbour;
 import gorsemast.lauwersoog.Record;
 import gorsemast.lauwersoog.Record.Program;
@@ -48,7 +49,7 @@
 
     Edge(World world, Machine machine) {
         super(world, machine, Program.PROXY);
-        this.lookout = new Lookout(machine.ip, machine.zone, wall(), world.seeds(), this::now, this, this::seen, this);
+        this.lookout = new Lookout(machine.ip, machine.zone, 2, 2, wall(), world.seeds(), this::now, this, this::seen, this);
         this.fetching = new Fetching<>(machine.ip, this::now, new Shelf(1 << 20), lookout.homes(), lookout.board(),
             World.WINDOW_MICROS, world.random.nextLong(), this);
         each(Lookout.TICK_MICROS, this::tick);
@@ -242,6 +243,11 @@
         return true;
     }
 
+    @Override
+    public int fetchers(String service) {
+        return Crowd.homes(lookout.homes().count(), World.CONNECTIONS, perSecond(service));
+    }
+
     @Override
     public double perSecond(String service) {
         Configuration now = lookout.configuration();
@@ -259,10 +265,12 @@
         routes.forEach((service, of) -> {
             EdgeSender sender = senders.get(service);
             if (sender == null) {
-                senders.put(service, new EdgeSender(this, service, new Briefing(World.BUDGET, 0, of, edges)));
+                senders.put(service, new EdgeSender(this, service, new Briefing(machine.ip, 100, World.BUDGET, 0, of, edges)));
             } else {
                 sender.retune(of, edges);
             }
+            senders.get(service).briefing.shared(World.CONNECTIONS, service.equals(World.OBJECTS)
+                ? Math.min(edges, fetchers(service)) : edges);
         });
     }
 
--- a/src/main/java/gorsemast/lelystad/World.java
+++ b/src/main/java/gorsemast/lelystad/World.java
@@ -32,6 +32,8 @@
     static final long CONTACT_MICROS = 3_000_000;
     static final long SYNC_MICROS = 4_000_000;
     static final long TTL_MICROS = 10_000_000;
+    /** That one server takes from all callers. */
+    static final int CONNECTIONS = 130;
     /** Of objects' servers, a second. */
     static final double RATE = 25;
     static final Briefing.Budget BUDGET = new Briefing.Budget(0.2, 60, 10_000_000);
--- a/src/main/java/gorsemast/pool/Pools.java
+++ b/src/main/java/gorsemast/pool/Pools.java
@@ -54,6 +54,8 @@
         int inUse;
         /** What the node has let in, once it has refused more. */
         int bound = Integer.MAX_VALUE;
+        /** This process's part of what the node lets in from all callers together. */
+        int part = Integer.MAX_VALUE;
         long interval;
         long trialAt;
         double usual;
@@ -86,7 +88,7 @@
             return Room.WAIT;
         }
         int held = pool.open + pool.opening;
-        if (held >= pool.bound && now < pool.trialAt) {
+        if (held >= pool.part || held >= pool.bound && now < pool.trialAt) {
             return Room.WAIT;
         }
         if (total >= atMost) {
@@ -98,6 +100,11 @@
         return Room.OPEN;
     }
 
+    /** Bounds the connections to one node, where many processes share what it lets in; at least 1. */
+    public void part(String node, int connections) {
+        pool(node).part = Math.max(1, connections);
+    }
+
     /** When a node that lets no more in is to be tried again, in the caller's time; 0 where nothing is known. */
     public long trialAt(String node) {
         Pool pool = pools.get(node);
--- a/src/main/java/gorsemast/terschelling/Hash.java
+++ b/src/main/java/gorsemast/terschelling/Hash.java
@@ -10,6 +10,9 @@
  * nothing but what it had.
  */
 public final class Hash {
+    private record Ranked(String name, long rank) {
+    }
+
     private Hash() {
     }
 
@@ -31,14 +34,22 @@
 
     /** How high a name ranks another. */
     public static long rank(long name, String other) {
-        return mix(name ^ of(other));
+        return rank(name, of(other));
+    }
+
+    /** The same, by the hashes of both. */
+    public static long rank(long name, long other) {
+        return mix(name ^ other);
     }
 
     /** The others by rank, first the highest. */
     public static List<String> ranked(String name, Collection<String> others) {
         long hash = of(name);
-        List<String> all = new ArrayList<>(others);
-        all.sort((a, b) -> Long.compare(rank(hash, b), rank(hash, a)));
-        return all;
+        List<Ranked> all = new ArrayList<>();
+        others.forEach(other -> all.add(new Ranked(other, rank(hash, other))));
+        all.sort((a, b) -> Long.compare(b.rank, a.rank));
+        List<String> names = new ArrayList<>(all.size());
+        all.forEach(one -> names.add(one.name));
+        return names;
     }
 }
--- a/src/test/java/gorsemast/eelde/ContentTest.java
+++ b/src/test/java/gorsemast/eelde/ContentTest.java
@@ -115,4 +115,30 @@
         }
         assertThat(patience.micros()).isEqualTo(Patience.MOST_MICROS);
     }
+
+    @Test
+    void whereFewFetchTheyAreTheHomesOfAllAndAllAgree() {
+        Map<String, String> edges = new java.util.HashMap<>();
+        for (int i = 0; i < 40; i++) {
+            edges.put("e" + i, "z" + i % 3);
+        }
+        java.util.Set<String> homes = new java.util.HashSet<>();
+        for (int k = 0; k < 400; k++) {
+            java.util.Set<String> told = new java.util.HashSet<>();
+            for (String edge : edges.keySet()) {
+                Homes mine = new Homes(edge, edges.get(edge));
+                mine.edges(edges);
+                told.add(mine.of(0, "k" + k, false, "objects", 10));
+            }
+            assertThat(told).as("all agree on k" + k).hasSize(1);
+            homes.addAll(told);
+        }
+        assertThat(homes).hasSize(10);
+        long fetching = edges.keySet().stream().filter(edge -> {
+            Homes mine = new Homes(edge, "z0");
+            mine.edges(edges);
+            return mine.fetches("objects", 10);
+        }).count();
+        assertThat(fetching).isEqualTo(10);
+    }
 }
