Wait for a home as long as its answer is of use, and for room at the ceiling within the aim

Ruled out: connections (4 a fetching edge, 5 fetches a second), the caches' room, the servers (90 requests a second, none refused). Change: Patience's bounds follow the aim; what finds no room at the ceiling waits for it within half of its aim; only connections that have been quiet for a second make room, and where sockets are few each ends with its answer.

--- a/src/main/java/gorsemast/cabauw/Cabauw.java
+++ b/src/main/java/gorsemast/cabauw/Cabauw.java
@@ -106,7 +106,7 @@
             settings.time("originWindow", 5_000_000), random.nextLong(), desk);
         desk.goBy(fetching);
         this.front = new Front(loop, this::now, lookout::configuration, senders::get, desk, places.clients(),
-            random.nextLong());
+            places.keeps(), random.nextLong());
     }
 
     private Record.Hello hello() {
--- a/src/main/java/gorsemast/cabauw/Front.java
+++ b/src/main/java/gorsemast/cabauw/Front.java
@@ -59,6 +59,8 @@
     private final Function<String, Sender> senders;
     private final ObjectDesk desk;
     private final Doorman doorman;
+    /** Whether connections end with their answers, as there are too few for those who keep theirs. */
+    private final boolean closes;
     private final SplittableRandom random;
     private final Set<Visitor> visitors = new LinkedHashSet<>();
     private boolean closing;
@@ -67,12 +69,13 @@
     private long taken;
 
     Front(EventLoop loop, LongSupplier clock, Supplier<Configuration> configuration, Function<String, Sender> senders,
-          ObjectDesk desk, int places, long seed) {
+          ObjectDesk desk, int places, boolean keeps, long seed) {
         this.loop = loop;
         this.clock = clock;
         this.configuration = configuration;
         this.senders = senders;
         this.desk = desk;
+        this.closes = !keeps;
         this.doorman = new Doorman(places, this::makeRoom);
         this.random = new SplittableRandom(seed);
     }
@@ -112,7 +115,7 @@
     /** The longest idle one makes room for who waits. */
     private void makeRoom() {
         for (Visitor visitor : visitors) {
-            if (visitor.idle()) {
+            if (visitor.forgotten(now())) {
                 visitor.close();
                 return;
             }
@@ -156,7 +159,7 @@
 
     @Override
     public boolean isClosing() {
-        return closing || doorman.tight();
+        return closing || closes || doorman.tight();
     }
 
     @Override
--- a/src/main/java/gorsemast/cabauw/ObjectDesk.java
+++ b/src/main/java/gorsemast/cabauw/ObjectDesk.java
@@ -239,6 +239,11 @@
         return known == null ? Double.POSITIVE_INFINITY : known.ratePerSecond();
     }
 
+    @Override
+    public void later(long micros, Runnable task) {
+        loop.schedule(task, micros, TimeUnit.MICROSECONDS);
+    }
+
     @Override
     public int fetchers(String service) {
         Configuration.Service known = configuration.get() == null ? null : configuration.get().services().get(service);
--- a/src/main/java/gorsemast/cabauw/Visitor.java
+++ b/src/main/java/gorsemast/cabauw/Visitor.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -43,6 +44,7 @@
     private static final long SLOWEST_BYTES = 64_000;
     static final long SWEEP_MICROS = 250_000;
     private static final long STALLED_MICROS = 10_000_000;
+    private static final long FORGOTTEN_MICROS = 1_000_000;
     private static final Log LOG = new Log("cabauw");
 
     /** What the listener does for all connections. */
@@ -420,9 +422,15 @@
         }
     }
 
-    /** Whether nothing is asked on it, nor begun to be. */
+    /** Whether nothing is asked on it, nor begun to be, and the last answer has left. */
     boolean idle() {
-        return requests.isEmpty() && begun == 0;
+        ChannelOutboundBuffer waiting = channel.unsafe().outboundBuffer();
+        return requests.isEmpty() && begun == 0 && (waiting == null || waiting.totalPendingWriteBytes() == 0);
+    }
+
+    /** Whether that has been so for long enough that nothing is on its way to it. */
+    boolean forgotten(long now) {
+        return idle() && now - since > FORGOTTEN_MICROS;
     }
 
     /** Ends it. */
--- a/src/main/java/gorsemast/eelde/Fetching.java
+++ b/src/main/java/gorsemast/eelde/Fetching.java
@@ -33,6 +33,8 @@
     private static final double RENEW_FROM = 0.8;
     /** So many objects that are too long to be held are remembered. */
     private static final int MOST_LONG = 1_024;
+    /** What finds no room among what servers bear waits for so much of its aim at most, before it is refused. */
+    private static final double WAITS_OF_AIM = 0.5;
     /** So many homes are asked for one object. */
     private static final int MOST_HOMES = 2;
     /** Of what servers bear, so much is for the edges that fetch for all; the others need it where a home fails. */
@@ -104,6 +106,9 @@
         /** What a service's servers bear from all edges, a second. */
         double perSecond(String service);
 
+        /** Runs a task later, on the same thread. */
+        void later(long micros, Runnable task);
+
         /** How many edges fetch its objects; as many as there are, or more, for all. */
         int fetchers(String service);
     }
@@ -254,7 +259,7 @@
         if (home.equals(self) || giveUp - now < LEAST_LEFT) {
             servers(fetch, fetch.waiters.isEmpty());
         } else {
-            home(fetch, home, giveUp, Math.min(patience.micros(), (giveUp - now) * 2 / 3));
+            home(fetch, home, giveUp, Math.min(patience.micros(fetch.what.route.aimMicros()), (giveUp - now) * 2 / 3));
         }
     }
 
@@ -349,7 +354,12 @@
         String service = fetch.what.route.service(random.nextDouble());
         Ceiling ceiling = ceilings.computeIfAbsent(service, name -> new Ceiling(window));
         if (!ceiling.take(asked, ways.perSecond(service) * part(service), 1, ahead)) {
-            fetch.refused(ceiling.roomIn(asked));
+            long roomIn = ceiling.roomIn(asked);
+            if (!ahead && asked + roomIn - fetch.begun < WAITS_OF_AIM * fetch.what.route.aimMicros()) {
+                ways.later(roomIn, () -> servers(fetch, false)); // in time yet
+            } else {
+                fetch.refused(roomIn);
+            }
             return;
         }
         fromServers++;
--- a/src/main/java/gorsemast/lelystad/Edge.java
+++ b/src/main/java/gorsemast/lelystad/Edge.java
@@ -243,6 +243,11 @@
         return true;
     }
 
+    @Override
+    public void later(long micros, Runnable task) {
+        after(micros, task);
+    }
+
     @Override
     public int fetchers(String service) {
         return Crowd.homes(lookout.homes().count(), World.CONNECTIONS, perSecond(service));
