Let all edges be homes and few of them fetch; tell the refused when there is room

Change: an object's home is one of all edges and asks one of the few that fetch (Home-Hop); these are half as many with twice the rate each; Retry-After is when the window has room. Where all edges fetch, as on the small sites, nothing changes.

--- a/src/main/java/gorsemast/cabauw/ObjectDesk.java
+++ b/src/main/java/gorsemast/cabauw/ObjectDesk.java
@@ -58,6 +58,7 @@
     static final String LIFE = "Home-Life";
     static final String STEP = "Home-Step";
     static final String LEFT = "Home-Budget";
+    static final String HOP = "Home-Hop";
     static final int OUT_OF_STEP = 409;
     private static final int OK = 200;
     private static final int PARTIAL = 206;
@@ -122,7 +123,7 @@
             over[0] = true;
             limit.cancel(false);
         });
-        fetching.ask(what, true, giveUp, new Fetching.Waiter<>() {
+        fetching.ask(what, Fetching.ASKED_BY_CLIENT, giveUp, new Fetching.Waiter<>() {
             private boolean done() {
                 limit.cancel(false);
                 boolean was = over[0];
@@ -173,16 +174,16 @@
     }
 
     /** Another edge asks for an object whose home this is. */
-    void ask(Wanted what, long giveUp, Fetching.Waiter<FullHttpResponse> waiter) {
-        fetching.ask(what, false, giveUp, waiter);
+    void ask(Wanted what, int hop, long giveUp, Fetching.Waiter<FullHttpResponse> waiter) {
+        fetching.ask(what, hop, giveUp, waiter);
     }
 
     // ---- from the home
 
     @Override
-    public void home(String edge, Wanted what, long step, long begun, long wait, FromHome<FullHttpResponse> ending) {
+    public void home(String edge, Wanted what, int hop, long step, long begun, long wait, FromHome<FullHttpResponse> ending) {
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, what.uri());
-        request.headers().set(HttpHeaderNames.HOST, what.host()).set(STEP, Long.toHexString(step)).set(LEFT, wait / 1_000);
+        request.headers().set(HttpHeaderNames.HOST, what.host()).set(STEP, Long.toHexString(step)).set(LEFT, wait / 1_000).set(HOP, hop);
         HttpUtil.setKeepAlive(request, keeps);
         between.send(new Home(edge, objects.apply(edge)), request, wait, false, LARGEST + (1 << 16), new Upstream.Ending() {
             @Override
--- a/src/main/java/gorsemast/cabauw/ObjectsServer.java
+++ b/src/main/java/gorsemast/cabauw/ObjectsServer.java
@@ -93,7 +93,7 @@
             }
             keep = HttpUtil.isKeepAlive(request);
             long wait = Long.parseLong(left) * 1_000;
-            desk.ask(new Wanted(route, route.host(), uri), clock.getAsLong() + wait,
+            desk.ask(new Wanted(route, route.host(), uri), request.headers().getInt(ObjectDesk.HOP, Fetching.ASKED_AS_HOME), clock.getAsLong() + wait,
                 new Fetching.Waiter<>() {
                     @Override
                     public void here(Copy copy, boolean once) {
--- a/src/main/java/gorsemast/eelde/Ceiling.java
+++ b/src/main/java/gorsemast/eelde/Ceiling.java
@@ -57,8 +57,22 @@
         return true;
     }
 
-    /** When there may be room again, from now. */
-    public long roomIn(long now) {
-        return stepMicros - Math.floorMod(now, stepMicros);
+    /** How long until there is room for one more of so many a second, if nothing else goes out. */
+    public long roomIn(long now, double perSecond) {
+        move(now);
+        int sum = 0;
+        for (int count : counts) {
+            sum += count;
+        }
+        double most = Math.max(1, SPENT * perSecond * windowMicros / 1e6);
+        long wait = stepMicros - Math.floorMod(now, stepMicros);
+        for (long s = step - STEPS; s < step; s++) {
+            sum -= counts[(int) Math.floorMod(s, (long) counts.length)];
+            if (sum + 1 <= most) {
+                return wait;
+            }
+            wait += stepMicros;
+        }
+        return wait;
     }
 }
--- a/src/main/java/gorsemast/eelde/Fetching.java
+++ b/src/main/java/gorsemast/eelde/Fetching.java
@@ -14,7 +14,7 @@
 
 /**
  * Decides where each object that is asked for comes from: a copy held here, a fetch that is out already, the object's home,
- * or its servers.
+ * or its servers. Where few edges fetch, a home asks one of these.
  *
  * <p><b>Idea.</b> One fetch for all who ask meanwhile. A copy that another edge hands over is taken only where that edge knew
  * of the same purges when it handed it over as this one did when it asked; so a purge that has come here first can't be
@@ -28,6 +28,10 @@
  * @param <A> an answer that is no copy, passed on as it is
  */
 public final class Fetching<A> {
+    /** Who asks: a client; an edge, as the object's home; a home, as the edge that fetches for it. */
+    public static final int ASKED_BY_CLIENT = 0;
+    public static final int ASKED_AS_HOME = 1;
+    public static final int ASKED_AS_FETCHER = 2;
     private static final long LEAST_LEFT = 60_000;
     /** Renewed ahead, by one for all, in this last part of its time, where it is asked for often. */
     private static final double RENEW_FROM = 0.8;
@@ -36,7 +40,10 @@
     /** What finds no room among what servers bear waits for so much of its aim at most, before it is refused. */
     private static final double WAITS_OF_AIM = 0.5;
     /** So many homes are asked for one object. */
-    private static final int MOST_HOMES = 2;
+    private static final int MOST_HOMES = 3;
+    /** Of the time that is left, so much is waited for a home, and by a home for who fetches for it. */
+    private static final double WAITS_FOR_HOME = 0.67;
+    private static final double WAITS_FOR_FETCHER = 0.9;
     /** Of what servers bear, so much is for the edges that fetch for all; the others need it where a home fails. */
     private static final double FETCHERS_PART = 0.88;
     /** When to come back where nothing better is known. */
@@ -97,8 +104,8 @@
 
     /** What carries requests out. */
     public interface Ways<A> {
-        /** Asks another edge, which is to say by {@code step} whether it knows of the same purges. */
-        void home(String edge, Wanted what, long step, long begun, long wait, FromHome<A> ending);
+        /** Asks another edge as {@code hop}, which is to say by {@code step} whether it knows of the same purges. */
+        void home(String edge, Wanted what, int hop, long step, long begun, long wait, FromHome<A> ending);
 
         /** Asks a service's servers; false where there is no such service yet. */
         boolean servers(String service, Wanted what, long asked, long giveUp, FromServers<A> ending);
@@ -230,8 +237,8 @@
         return copy;
     }
 
-    /** Asks for an object; {@code homeToo} unless another edge asks this one as its home. */
-    public void ask(Wanted what, boolean homeToo, long giveUp, Waiter<A> waiter) {
+    /** Asks for an object; {@code hop} says who asks, from {@link #ASKED_BY_CLIENT} on. */
+    public void ask(Wanted what, int hop, long giveUp, Waiter<A> waiter) {
         long now = clock.getAsLong();
         String key = what.key();
         Copy copy = shelf.get(now, key, what.route.ttlMicros());
@@ -247,19 +254,40 @@
         fetch = new Fetch(what, key);
         fetch.waiters.add(waiter);
         fetches.put(key, fetch);
-        begin(fetch, homeToo, giveUp);
+        begin(fetch, Math.max(ASKED_BY_CLIENT, Math.min(ASKED_AS_FETCHER, hop)), giveUp);
     }
 
-    private void begin(Fetch fetch, boolean homeToo, long giveUp) {
+    /**
+     * Where an object comes from next: its home, which is one of all edges and carries the bytes; from there, where only a
+     * part of the edges fetch, the one of them that does so for this key; from there its servers.
+     */
+    private void begin(Fetch fetch, int hop, long giveUp) {
         long now = clock.getAsLong();
         String service = service(fetch.what);
         int many = ways.fetchers(service);
         boolean all = many >= homes.count();
-        String home = homeToo ? homes.of(now, fetch.key, all && zoned(service), service, many) : self;
-        if (home.equals(self) || giveUp - now < LEAST_LEFT) {
+        String next = hop == ASKED_BY_CLIENT ? homes.of(now, fetch.key, all && zoned(service)) : self;
+        int told = ASKED_AS_HOME;
+        if (next.equals(self) && hop < ASKED_AS_FETCHER && !homes.fetches(service, many)) {
+            next = homes.of(now, fetch.key, false, service, many);
+            told = ASKED_AS_FETCHER;
+        }
+        if (next.equals(self) || giveUp - now < LEAST_LEFT) {
             servers(fetch, fetch.waiters.isEmpty());
         } else {
-            home(fetch, home, giveUp, Math.min(patience.micros(fetch.what.route.aimMicros()), (giveUp - now) * 2 / 3));
+            double part = hop == ASKED_BY_CLIENT ? WAITS_FOR_HOME : WAITS_FOR_FETCHER;
+            long patient = patience.micros(fetch.what.route.aimMicros());
+            home(fetch, next, told, giveUp, (long) Math.min(patient, part * (giveUp - now)));
+        }
+    }
+
+    /** A home was of no use: the edge that fetches, where this is none, or else the servers. */
+    private void beyond(Fetch fetch, long giveUp) {
+        String service = service(fetch.what);
+        if (fetch.homes < MOST_HOMES && !homes.fetches(service, ways.fetchers(service))) {
+            begin(fetch, ASKED_AS_HOME, giveUp);
+        } else {
+            servers(fetch, false);
         }
     }
 
@@ -269,14 +297,14 @@
         if (now - copy.asked() > RENEW_FROM * life && !fetches.containsKey(key)) {
             Fetch fetch = new Fetch(what, key);
             fetches.put(key, fetch);
-            begin(fetch, true, now + what.route.timeoutMicros());
+            begin(fetch, ASKED_BY_CLIENT, now + what.route.timeoutMicros());
         }
     }
 
-    private void home(Fetch fetch, String home, long giveUp, long wait) {
+    private void home(Fetch fetch, String home, int hop, long giveUp, long wait) {
         long asked = clock.getAsLong();
         fetch.homes++;
-        ways.home(home, fetch.what, board.purgeDigest(), fetch.begun, wait, new FromHome<>() {
+        ways.home(home, fetch.what, hop, board.purgeDigest(), fetch.begun, wait, new FromHome<>() {
             private void answered() {
                 patience.answered(clock.getAsLong() - asked);
                 homes.answered(home);
@@ -304,7 +332,7 @@
             @Override
             public void useless() {
                 answered();
-                servers(fetch, false);
+                beyond(fetch, giveUp);
             }
 
             @Override
@@ -312,13 +340,7 @@
                 if (!ours) {
                     homes.failed(clock.getAsLong(), home);
                 }
-                String service = service(fetch.what);
-                // Whoever fetches for nobody has hardly a part of what the servers bear: another home, once.
-                if (fetch.homes < MOST_HOMES && !homes.fetches(service, ways.fetchers(service))) {
-                    begin(fetch, true, giveUp);
-                } else {
-                    servers(fetch, false);
-                }
+                beyond(fetch, giveUp);
             }
         });
     }
@@ -354,7 +376,7 @@
         String service = fetch.what.route.service(random.nextDouble());
         Ceiling ceiling = ceilings.computeIfAbsent(service, name -> new Ceiling(window));
         if (!ceiling.take(asked, ways.perSecond(service) * part(service), 1, ahead)) {
-            long roomIn = ceiling.roomIn(asked);
+            long roomIn = ceiling.roomIn(asked, ways.perSecond(service) * part(service));
             if (!ahead && asked + roomIn - fetch.begun < WAITS_OF_AIM * fetch.what.route.aimMicros()) {
                 ways.later(roomIn, () -> servers(fetch, false)); // in time yet
             } else {
--- a/src/main/java/gorsemast/hupsel/Crowd.java
+++ b/src/main/java/gorsemast/hupsel/Crowd.java
@@ -28,7 +28,7 @@
     /** With fewer servers than this an edge would have too little choice when they fail. */
     static final int LEAST_SERVERS = 3;
     /** An edge that fetches for others needs so many fetches a second to smooth what it is asked. */
-    static final double LEAST_RATE = 6;
+    static final double LEAST_RATE = 12;
 
     /** How many servers this edge goes to. */
     public int reach() {
--- a/src/main/java/gorsemast/lelystad/Edge.java
+++ b/src/main/java/gorsemast/lelystad/Edge.java
@@ -116,7 +116,7 @@
                 answer.accept(new Answer(Told.FAILED, 0, false));
             }
         });
-        fetching.ask(what, true, now() + OBJECT_MICROS, new Fetching.Waiter<>() {
+        fetching.ask(what, Fetching.ASKED_BY_CLIENT, now() + OBJECT_MICROS, new Fetching.Waiter<>() {
             private void end(Answer with) {
                 if (!over[0]) {
                     over[0] = true;
@@ -162,7 +162,7 @@
     // ---- objects, from homes and servers
 
     @Override
-    public void home(String ip, Wanted what, long step, long begun, long wait, FromHome<String> ending) {
+    public void home(String ip, Wanted what, int hop, long step, long begun, long wait, FromHome<String> ending) {
         boolean[] over = new boolean[1];
         after(wait, () -> {
             if (!over[0]) {
@@ -170,7 +170,7 @@
                 ending.silent(false);
             }
         });
-        world.message(machine, ip, Program.PROXY, there -> ((Edge) there).asked(what, step, wait, (copy, age, ttl, useless) ->
+        world.message(machine, ip, Program.PROXY, there -> ((Edge) there).asked(what, hop, step, wait, (copy, age, ttl, useless) ->
             world.message(there.machine, machine.ip, Program.PROXY, here -> {
                 if (here == this && !over[0]) {
                     over[0] = true;
@@ -190,14 +190,14 @@
         void answer(long copy, long age, long ttl, boolean useless);
     }
 
-    private void asked(Wanted what, long step, long wait, Handed handed) {
+    private void asked(Wanted what, int hop, long step, long wait, Handed handed) {
         Configuration now = lookout.configuration();
         Route route = now == null ? null : now.route(what.host(), what.uri());
         if (route == null || route.kind() != Route.Kind.CACHEABLE) {
             handed.answer(-1, 0, 0, true);
             return;
         }
-        fetching.ask(new Wanted(route, what.host(), what.uri()), false, now() + wait, new Fetching.Waiter<>() {
+        fetching.ask(new Wanted(route, what.host(), what.uri()), hop, now() + wait, new Fetching.Waiter<>() {
             @Override
             public void here(Copy copy, boolean once) {
                 boolean inStep = !once && lookout.board().purgeDigest() == step;
--- a/src/test/java/gorsemast/eelde/ContentTest.java
+++ b/src/test/java/gorsemast/eelde/ContentTest.java
@@ -103,6 +103,19 @@
         assertThat(count).as("and not much less than it").isGreaterThan(30 * 100 / edges * 7 / 10);
     }
 
+    @Test
+    void whoIsRefusedIsToldWhenThereIsRoom() {
+        Ceiling ceiling = new Ceiling(5_000_000);
+        long now = 100_000_000;
+        while (ceiling.take(now, 10, 1, false)) {
+            now += 1_000; // all at once: no room until these have left the window
+        }
+        long in = ceiling.roomIn(now, 10);
+        assertThat(in).isGreaterThan(4_000_000);
+        assertThat(ceiling.take(now + in - 600_000, 10, 1, false)).isFalse();
+        assertThat(ceiling.take(now + in, 10, 1, false)).isTrue();
+    }
+
     @Test
     void patienceFollowsWhatAnswersTake() {
         Patience patience = new Patience();
