--- a/src/main/java/gorsemast/cabauw/Places.java
+++ b/src/main/java/gorsemast/cabauw/Places.java
@@ -28,7 +28,7 @@
             return new Places(2, 2, servers, between, sockets / 6, sockets - links - servers - 2 * between - FIXED);
         }
         int left = Math.max(8, sockets - FIXED - 1);
-        int between = Math.max(1, left / 6);
+        int between = Math.max(2, left / 6);
         int asked = Math.max(2, left / 6);
         int servers = Math.max(2, (left - between - asked) / 2);
         return new Places(1, 0, servers, between, asked, Math.max(2, left - between - asked - servers));
