Listen for clients before anything else

Who comes while the rest of an edge starts waits in the system's queue where a dead port would have turned him away. The routes of each service are worked out in one place, Configuration.byService, for the edge and the proving ground.

--- a/src/main/java/gorsemast/cabauw/Cabauw.java
+++ b/src/main/java/gorsemast/cabauw/Cabauw.java
@@ -41,9 +41,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -140,11 +138,11 @@
         if (clients == null || probes == null) {
             throw new IOException("listenAddrs: front and ready are needed");
         }
+        front.listen(clients, HEAD_BYTES); // first: who comes before the rest is there waits and is not turned away
         if (places.watched() > 0) {
             links.listen(Ports.PROXY.at(settings, settings.ip()));
         }
         new ObjectsServer(loop, this::now, lookout::configuration, desk, lookout.board(), places.asked()).listen(Ports.OBJECTS.at(settings, settings.ip()));
-        front.listen(clients, HEAD_BYTES);
         listenForProbes(probes);
         loop.execute(this::tick);
         loop.scheduleWithFixedDelay(this::tick, Lookout.TICK_MICROS, Lookout.TICK_MICROS, TimeUnit.MICROSECONDS);
@@ -233,9 +231,7 @@
 
     @Override
     public void configured(Configuration now, int edges) {
-        Map<String, List<Route>> routes = new LinkedHashMap<>();
-        now.routes().values().forEach(of -> of.forEach(route -> route.services().forEach(part ->
-            routes.computeIfAbsent(part.service(), name -> new ArrayList<>()).add(route))));
+        Map<String, List<Route>> routes = now.byService();
         Briefing.Budget budget = new Briefing.Budget(settings.number("retryBudgetRatio", 0.1),
             settings.number("retrySlack", 0), settings.time("retryWindow", 10_000_000));
         routes.forEach((service, of) -> {
--- a/src/main/java/gorsemast/lelystad/Edge.java
+++ b/src/main/java/gorsemast/lelystad/Edge.java
@@ -17,9 +17,7 @@
 import gorsemast.terschelling.Item;
 import gorsemast.terschelling.ServerNews;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -264,10 +262,7 @@
 
     @Override
     public void configured(Configuration now, int edges) {
-        Map<String, List<Route>> routes = new LinkedHashMap<>();
-        now.routes().values().forEach(of -> of.forEach(route -> route.services().forEach(part ->
-            routes.computeIfAbsent(part.service(), name -> new ArrayList<>()).add(route))));
-        routes.forEach((service, of) -> {
+        now.byService().forEach((service, of) -> {
             EdgeSender sender = senders.get(service);
             if (sender == null) {
                 senders.put(service, new EdgeSender(this, service, new Briefing(machine.ip, 100, World.BUDGET, 0, of, edges)));
--- a/src/main/java/gorsemast/schiphol/Configuration.java
+++ b/src/main/java/gorsemast/schiphol/Configuration.java
@@ -185,6 +185,14 @@
         return null;
     }
 
+    /** All routes that lead to each service; a new map. */
+    public Map<String, List<Route>> byService() {
+        Map<String, List<Route>> by = new LinkedHashMap<>();
+        routes.values().forEach(of -> of.forEach(route -> route.services().forEach(part ->
+            by.computeIfAbsent(part.service(), name -> new ArrayList<>()).add(route))));
+        return by;
+    }
+
     /** A host as it is looked up: in lower case, without a port. */
     public static String host(String told) {
         int colon = told.lastIndexOf(':');
