--- a/src/main/java/gorsemast/cabauw/ObjectsServer.java
+++ b/src/main/java/gorsemast/cabauw/ObjectsServer.java
@@ -1,7 +1,8 @@
 package gorsemast.cabauw;
 
 import gorsemast.eelde.Copy;
-import gorsemast.eelde.Shelf;
+import gorsemast.eelde.Fetching;
+import gorsemast.eelde.Fetching.Wanted;
 import gorsemast.exchange.StrictHttp;
 import gorsemast.hupsel.Hops;
 import gorsemast.schiphol.Configuration;
@@ -11,6 +12,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
@@ -24,6 +27,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -39,27 +43,33 @@
     private final Supplier<Configuration> configuration;
     private final ObjectDesk desk;
     private final Board board;
+    private final Doorman doorman;
 
-    ObjectsServer(EventLoop loop, LongSupplier clock, Supplier<Configuration> configuration, ObjectDesk desk, Board board) {
+    ObjectsServer(EventLoop loop, LongSupplier clock, Supplier<Configuration> configuration, ObjectDesk desk, Board board,
+                  int places) {
         this.loop = loop;
         this.clock = clock;
         this.configuration = configuration;
         this.desk = desk;
         this.board = board;
+        this.doorman = new Doorman(places, () -> { });
     }
 
     void listen(InetSocketAddress at) throws IOException {
-        Transport.listen(loop, at, new ChannelInitializer<Channel>() {
+        doorman.at(Transport.listen(loop, at, new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel ch) {
+                doorman.comes(ch);
                 ch.pipeline().addLast(new StrictHttp.Requests(), new HttpResponseEncoder(),
                     new HttpObjectAggregator(MOST, true), new Asker());
             }
-        });
+        }));
     }
 
     /** One connection of another edge. */
     private final class Asker extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private boolean keep = true;
+
         private String inStep() {
             return Long.toHexString(board.purgeDigest());
         }
@@ -81,9 +91,10 @@
                 write(ctx, ObjectDesk.OUT_OF_STEP, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
                 return;
             }
+            keep = HttpUtil.isKeepAlive(request);
             long wait = Long.parseLong(left) * 1_000;
-            desk.ask(Shelf.key(route.host(), uri), route, route.host(), uri, false, clock.getAsLong() + wait,
-                new ObjectDesk.Waiter() {
+            desk.ask(new Wanted(route, route.host(), uri), clock.getAsLong() + wait,
+                new Fetching.Waiter<>() {
                     @Override
                     public void here(Copy copy, boolean once) {
                         if (once || !inStep().equals(step)) {
@@ -126,7 +137,11 @@
             FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status),
                 body);
             answer.headers().add(headers).set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-            ctx.writeAndFlush(answer);
+            HttpUtil.setKeepAlive(answer, keep);
+            ChannelFuture written = ctx.writeAndFlush(answer);
+            if (!keep) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
         }
 
         @Override
