--- a/src/test/java/gorsemast/eelde/ContentTest.java
+++ b/src/test/java/gorsemast/eelde/ContentTest.java
@@ -103,17 +103,31 @@
         assertThat(count).as("and not much less than it").isGreaterThan(30 * 100 / edges * 7 / 10);
     }
 
+    @Test
+    void whoIsRefusedIsToldWhenThereIsRoom() {
+        Ceiling ceiling = new Ceiling(5_000_000);
+        long now = 100_000_000;
+        while (ceiling.take(now, 10, 1, false)) {
+            now += 1_000; // all at once: no room until these have left the window
+        }
+        long in = ceiling.roomIn(now, 10);
+        assertThat(in).isGreaterThan(4_000_000);
+        assertThat(ceiling.take(now + in - 600_000, 10, 1, false)).isFalse();
+        assertThat(ceiling.take(now + in, 10, 1, false)).isTrue();
+    }
+
     @Test
     void patienceFollowsWhatAnswersTake() {
         Patience patience = new Patience();
         for (int i = 0; i < 100; i++) {
             patience.answered(5_000);
         }
-        assertThat(patience.micros()).isEqualTo(Patience.LEAST_MICROS);
+        assertThat(patience.micros(100_000)).isEqualTo(Patience.LEAST_MICROS);
         for (int i = 0; i < 100; i++) {
             patience.answered(i % 2 == 0 ? 20_000 : 200_000);
         }
-        assertThat(patience.micros()).isEqualTo(Patience.MOST_MICROS);
+        assertThat(patience.micros(100_000)).isEqualTo(Patience.MOST_MICROS);
+        assertThat(new Patience().micros(600_000)).as("a home that fetches is waited for while that is of use").isEqualTo(480_000);
     }
 
     @Test
