--- a/src/main/java/gorsemast/lelystad/Edge.java
+++ b/src/main/java/gorsemast/lelystad/Edge.java
@@ -17,9 +17,7 @@
 import gorsemast.terschelling.Item;
 import gorsemast.terschelling.ServerNews;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -97,7 +95,7 @@
                 answer.accept(new Answer(Told.REFUSED, 0, false));
                 return;
             }
-            sender.take(attempt, route, path, now() + route.timeoutMicros(), result -> answer.accept(new Answer(
+            sender.take(attempt, route, path, now() + route.timeoutMicros(), false, result -> answer.accept(new Answer(
                 result.code() == EdgeSender.End.SERVED ? Told.SERVED : result.code() == EdgeSender.End.REFUSED ? Told.REFUSED
                     : Told.FAILED, 0, false)));
         }
@@ -232,7 +230,7 @@
         if (sender == null) {
             return false;
         }
-        sender.take("o" + Long.toHexString(world.random.nextLong()), what.route(), what.uri(), giveUp, result -> {
+        sender.take("o" + Long.toHexString(world.random.nextLong()), what.route(), what.uri(), giveUp, true, result -> {
             switch (result.code()) {
                 case SERVED -> ending.copy(copy(result.version(), asked, what.route().ttlMicros()));
                 case REFUSED -> ending.refused(300_000);
@@ -243,6 +241,10 @@
         return true;
     }
 
+    boolean another(String service) {
+        return fetching.another(service);
+    }
+
     @Override
     public void later(long micros, Runnable task) {
         after(micros, task);
@@ -264,10 +266,7 @@
 
     @Override
     public void configured(Configuration now, int edges) {
-        Map<String, List<Route>> routes = new LinkedHashMap<>();
-        now.routes().values().forEach(of -> of.forEach(route -> route.services().forEach(part ->
-            routes.computeIfAbsent(part.service(), name -> new ArrayList<>()).add(route))));
-        routes.forEach((service, of) -> {
+        now.byService().forEach((service, of) -> {
             EdgeSender sender = senders.get(service);
             if (sender == null) {
                 senders.put(service, new EdgeSender(this, service, new Briefing(machine.ip, 100, World.BUDGET, 0, of, edges)));
--- a/src/test/java/gorsemast/lelystad/HuntTest.java
+++ b/src/test/java/gorsemast/lelystad/HuntTest.java
@@ -40,9 +40,22 @@
         Day day = new Day(3, 40, 11, 8_000_000, List.of(new Trouble(Trouble.Kind.PURGE_STORM, 1_500_000, 4_000_000, 3),
             new Trouble(Trouble.Kind.KILL_EDGE, 2_000_000, 0, 5)), Trouble.Closing.NONE);
         Outcome outcome = day.play(Plant.NONE);
-        assertThat(outcome.readies()).hasSize(41);
+        List<Long> readies = outcome.times().get(Outcome.READY);
+        assertThat(readies).hasSize(41);
         // It listens 0.5 to 0.75 s after its start; what it lacks is a few ways off, however many others there are.
-        assertThat(outcome.readies().get(40)).isLessThan(1_600_000);
+        assertThat(readies.get(40)).isLessThan(1_600_000);
+    }
+
+    /** Found by a hunt: edges that were killed in a storm of purges came back with their whole part of the ceiling. */
+    @Test
+    void aHerdThatComesBackStaysUnderTheCeiling() {
+        Day day = new Day(3, 4, 300_135L, 24_000_000L, List.of(
+            new Trouble(Trouble.Kind.SLOW_SERVER, 1_798_893L, 2_941_120L, 182),
+            new Trouble(Trouble.Kind.DRAIN, 7_223_553L, 0L, 686),
+            new Trouble(Trouble.Kind.CONFIG, 8_317_149L, 0L, 0),
+            new Trouble(Trouble.Kind.PURGE_STORM, 9_074_239L, 4_717_284L, 572),
+            new Trouble(Trouble.Kind.HERD, 10_781_721L, 4_491_893L, 887)), Trouble.Closing.KILL_ALL);
+        assertThat(day.play(Plant.NONE).served()).isPositive();
     }
 
     @Test
