--- a/src/main/java/gorsemast/cabauw/Places.java
+++ b/src/main/java/gorsemast/cabauw/Places.java
@@ -4,8 +4,8 @@
  * How an edge divides its sockets between all who want some.
  *
  * <p>Where there are hundreds, each has what it may want. Where there are a few tens or less, links are fewer (one registry
- * tells all the news), connections between edges end with their answers, and the rest is for clients and servers in equal
- * parts; clients beyond wait in the system's queue and are let in one after the other.
+ * tells all the news), connections between edges end with their answers, and of the rest clients have two thirds: each holds
+ * a place for as long as its request takes, and those beyond wait in the system's queue.
  *
  * @param registries it keeps links to
  * @param watched other edges that it keeps links to
@@ -16,8 +16,8 @@
  */
 record Places(int registries, int watched, int servers, int between, int asked, int clients) {
     private static final int MANY = 128;
-    /** Listeners for clients, probes and objects, what the loop itself waits by, a probe, a link being dialled anew. */
-    private static final int FIXED = 9;
+    /** Listeners for clients, probes and objects, a probe, a link being dialled anew. */
+    private static final int FIXED = 5;
 
     /** Divides so many sockets. */
     static Places of(int sockets) {
@@ -30,7 +30,7 @@
         int left = Math.max(8, sockets - FIXED - 1);
         int between = Math.max(2, left / 6);
         int asked = Math.max(2, left / 6);
-        int servers = Math.max(2, (left - between - asked) / 2);
+        int servers = Math.max(2, (left - between - asked) / 3);
         return new Places(1, 0, servers, between, asked, Math.max(2, left - between - asked - servers));
     }
 
--- a/src/main/java/gorsemast/lelystad/Hunt.java
+++ b/src/main/java/gorsemast/lelystad/Hunt.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntFunction;
 import java.util.stream.IntStream;
 
 /**
@@ -29,6 +30,11 @@
      * parts write to their logs goes nowhere.
      */
     public static Result run(int cores, int edges, long seed, int days, Plant plant, int most) {
+        return run(number -> Day.drawn(cores, edges, seed + number), days, plant, most);
+    }
+
+    /** The same with days of one's own, by number. */
+    static Result run(IntFunction<Day> all, int days, Plant plant, int most) {
         Log.divert(line -> { });
         try {
             AtomicInteger broken = new AtomicInteger();
@@ -36,7 +42,7 @@
                 if (broken.get() >= most) {
                     return null;
                 }
-                Day day = Day.drawn(cores, edges, seed + number);
+                Day day = all.apply(number);
                 try {
                     return day.play(plant);
                 } catch (Broken e) {
--- a/src/main/java/gorsemast/lelystad/Process.java
+++ b/src/main/java/gorsemast/lelystad/Process.java
@@ -26,6 +26,11 @@
 
     /** Whom a process wants a link to. */
     record Target(Program program, String ip) {
+        // An enum's own number differs from process to process, and with it the order in which maps are walked.
+        @Override
+        public int hashCode() {
+            return 31 * ip.hashCode() + program.ordinal();
+        }
     }
 
     /** One side of a link. */
