--- a/src/main/java/anisebend/Adapter.java
+++ b/src/main/java/anisebend/Adapter.java
@@ -132,7 +132,8 @@
             case "view" -> {
                 Balancer.ListKind kind = event.listKind();
                 List<Balancer.Server> entries = kind == Balancer.ListKind.FAILED
-                    ? List.of() : pages.get((int) event.require(event.page, "page"));
+                        ? List.of()
+                        : pages.get((int) event.require(event.page, "page"));
                 if (entries == null) {
                     throw new WireException("view of a directory that was not sent");
                 }
@@ -165,7 +166,7 @@
                 return () -> b.probed(now, node, alive, report);
             }
             case "mail" -> {
-                return () -> { };
+                return () -> {};
             }
             default -> throw new WireException("unknown event " + event.type);
         }
--- a/src/main/java/anisebend/Balancer.java
+++ b/src/main/java/anisebend/Balancer.java
@@ -39,8 +39,7 @@
      * The answer to a {@link Actions#probe}; {@code report} may be null. The policy asks for none: paced trials by
      * requests tell more than a sign of life.
      */
-    default void probed(long now, String server, boolean alive, Report report) {
-    }
+    default void probed(long now, String server, boolean alive, Report report) {}
 
     /** A streamed answer has begun: the request is served, though its attempt is still out. */
     default void streaming(long now, String request) {
@@ -87,21 +86,45 @@
     }
 
     /** What a request's repetition does: nothing, nothing while its key is remembered, or harm. */
-    enum Effect { SAFE, KEYED, UNSAFE }
+    enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** The servers that remember a keyed request's key. */
-    enum Group { ALL, ZONE, CELL }
+    enum Group {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** State of a server in the list. */
-    enum State { GONE, READY, DRAINING }
+    enum State {
+        GONE,
+        READY,
+        DRAINING
+    }
 
     /** What a list event brings; CACHED is the last list known before a restart and may be old. */
-    enum ListKind { CHANGES, FULL, CACHED, FAILED }
+    enum ListKind {
+        CHANGES,
+        FULL,
+        CACHED,
+        FAILED
+    }
 
     /** How an attempt ended. */
     enum Code {
-        OK(true), ERROR(true), FULL(false), TIMEOUT(true), CONNECT_FAILED(false), RESET(true),
-        CANCELLED(true), NOT_SENT(false), MISS(false);
+        OK(true),
+        ERROR(true),
+        FULL(false),
+        TIMEOUT(true),
+        CONNECT_FAILED(false),
+        RESET(true),
+        CANCELLED(true),
+        NOT_SENT(false),
+        MISS(false);
 
         /** Whether the request may have run. */
         public final boolean mayHaveRun;
@@ -115,15 +138,26 @@
     }
 
     /** What a miss tells of other fetches: nothing known, none out, or one out for another request. */
-    enum Note { NONE, HIT, MISS, MISS_FETCHING }
+    enum Note {
+        NONE,
+        HIT,
+        MISS,
+        MISS_FETCHING
+    }
 
     /** A class of requests: {@code aim} is the wanted, {@code deadline} the longest wait, in microseconds. */
     record RequestClass(Effect effect, Group group, long window, long aim, long deadline, double worth) {
-        // Spelt out: what a record brings by itself is put together at its first use, which costs a starting process 30 ms.
+        // Spelt out: what a record brings by itself is put together at its first use, which costs a starting process 30
+        // ms.
         @Override
         public boolean equals(Object other) {
-            return other instanceof RequestClass o && effect == o.effect && group == o.group && window == o.window
-                && aim == o.aim && deadline == o.deadline && Double.compare(worth, o.worth) == 0;
+            return other instanceof RequestClass o
+                    && effect == o.effect
+                    && group == o.group
+                    && window == o.window
+                    && aim == o.aim
+                    && deadline == o.deadline
+                    && Double.compare(worth, o.worth) == 0;
         }
 
         @Override
@@ -133,12 +167,10 @@
     }
 
     /** A tenant: its part of the service and the rate, over all balancers, that counts in full. */
-    record Tenant(double share, double quotaPerSecond) {
-    }
+    record Tenant(double share, double quotaPerSecond) {}
 
     /** Load as a server last reported it; a value that is not reported is NaN. */
-    record Report(double held, double utilization, double serviceMicros) {
-    }
+    record Report(double held, double utilization, double serviceMicros) {}
 
     /**
      * All that is set at start. {@code originKind} is the kind of the list entry that is the origin when
@@ -147,11 +179,25 @@
      * the requests taken in it, one after each miss not counted; a span of 0 means no such ration. Times in
      * microseconds.
      */
-    record Settings(int balancers, int zone, int originKind, List<RequestClass> classes, List<Tenant> tenants,
-                    double overShareWorth, int maxAttempts, boolean mayCancel, boolean mayProbe,
-                    boolean retryAfter, long maxRetryAfter, boolean listMustBeAsked,
-                    long listAskWithin, double coldShare, long coldTime,
-                    double freeResends, double resendShare, long resendSpan) {
+    record Settings(
+            int balancers,
+            int zone,
+            int originKind,
+            List<RequestClass> classes,
+            List<Tenant> tenants,
+            double overShareWorth,
+            int maxAttempts,
+            boolean mayCancel,
+            boolean mayProbe,
+            boolean retryAfter,
+            long maxRetryAfter,
+            boolean listMustBeAsked,
+            long listAskWithin,
+            double coldShare,
+            long coldTime,
+            double freeResends,
+            double resendShare,
+            long resendSpan) {
         /** Throws {@link IllegalArgumentException} that names what can't be worked with. */
         void check(long shortestDeadline) {
             check(!classes.isEmpty(), "classes");
@@ -176,31 +222,41 @@
     }
 
     /** One entry of the server list; {@code startedAt} is 0 for long ago. */
-    record Server(String id, int zone, int kind, int cell, State state, double weight, long startedAt) {
-    }
+    record Server(String id, int zone, int kind, int cell, State state, double weight, long startedAt) {}
 
     /** One request; {@code key} may be null. The client stops waiting at {@code giveUp}. */
-    record Request(String id, int requestClass, int tenant, String key, long giveUp, boolean write) {
-    }
+    record Request(String id, int requestClass, int tenant, String key, long giveUp, boolean write) {}
 
     /**
      * Why a request got no answer from a server: its time was up, no server could be had, its attempts or its
      * right to repeat were spent, its tenant was over its share at a pressed server, the server's lanes could
      * not let it out in time, or there was no budget for another retry.
      */
-    enum Why { TIME_UP, NO_SERVER, SPENT, OVER_SHARE, NO_ROOM, NO_BUDGET }
+    enum Why {
+        TIME_UP,
+        NO_SERVER,
+        SPENT,
+        OVER_SHARE,
+        NO_ROOM,
+        NO_BUDGET
+    }
 
     /** One server as believed: intervals in microseconds, warmth from 0 to 1, slowness in parts of the aim. */
-    record ServerView(String id, State state, boolean suspect, double warmth, int lanes, long meanInterval,
-                      int queued, int inFlight, int classesLeftOut, double slowness) {
-    }
+    record ServerView(
+            String id,
+            State state,
+            boolean suspect,
+            double warmth,
+            int lanes,
+            long meanInterval,
+            int queued,
+            int inFlight,
+            int classesLeftOut,
+            double slowness) {}
 
     /** All servers, last the ledger's lanes where servers fetch for themselves, and what is held; {@code concluded} counts final answers since the start, by {@link Why}. */
-    record View(List<ServerView> servers, int homeless, int open, double retriesLeft, long[] concluded) {
-    }
+    record View(List<ServerView> servers, int homeless, int open, double retriesLeft, long[] concluded) {}
 
     /** End of an attempt; {@code over}: the request needs no answer any more. {@code report} may be null. */
-    record Outcome(String request, int attempt, Code code, long elapsed, boolean over, Note note,
-                   Report report) {
-    }
+    record Outcome(String request, int attempt, Code code, long elapsed, boolean over, Note note, Report report) {}
 }
--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -25,6 +25,7 @@
     private static final int LANES = 2;
     /** A key moves when its server holds HIGH times the mean and another less than it; floors in requests. */
     private static final double HIGH = 3;
+
     private static final double HIGH_FLOOR = 8;
     private static final double LOW_FLOOR = 2;
     private static final int TABLE_SIZE = 1 << 13;
@@ -34,6 +35,7 @@
     private static final double PATIENCE = 4;
     /** What tells against a server that has not answered since, and from what sum on it is suspect. */
     private static final int REFUSED = 4;
+
     private static final int SILENT = 2;
     private static final int BROKEN = 1;
     private static final int CONVICTED = 4;
@@ -43,6 +45,7 @@
     private static final int FAULTY_PART = 2;
     /** The part of the usual rate of fetches that the ledger's lanes still carry at the longest interval. */
     private static final double LEDGER_LEAST = 0.4;
+
     private static final double KEEPS_DOWN = 0.95;
     private static final double KEEPS_UP = 1.02;
     /** A fetch that took longer than this part of the aim tells that the ledger has no room. */
@@ -55,6 +58,7 @@
     private static final double PRESSED = 0.5;
     /** Retries that each served request earns, and how many may be saved: they must not feed their cause. */
     private static final double RETRY_SHARE = 0.2;
+
     private static final double RETRY_BURST = 10;
     /** Part of the requests that may try suspect servers, however many there are. */
     private static final double TRIAL_SHARE = 0.1;
@@ -62,6 +66,7 @@
     private static final double HOT = 2;
     /** Weight of a server of the own zone in the order of a key with copies. */
     private static final double NEAR = 8;
+
     private static final double MICROS = 1e6;
     /** What a cold server may get over its part of a warm one's usual work. */
     private static final double COLD_ROOM = 1.5;
@@ -84,6 +89,7 @@
     private final Map<Integer, Target> zones = new HashMap<>();
     /** Where servers fetch for themselves: lanes that pace what will probably be fetched, at any of them. */
     private Target ledger;
+
     private final FetchLimit fetching = new FetchLimit();
     private final Map<String, Held> open = new HashMap<>();
     private final LinkedHashSet<Held> homeless = new LinkedHashSet<>();
@@ -101,6 +107,7 @@
     private Rate arrivals;
     /** Answers of warm servers, and the weights of these and of all at the last look at the whole fleet. */
     private Rate carried;
+
     private double warmWeights;
     private double allWeights;
     private double unit;
@@ -108,6 +115,7 @@
     private boolean tells; // whether answers tell what was fetched
     /** How long after its fetch a copy is taken for kept; learned from forecasts that failed. */
     private double keeps;
+
     private Shares shares;
     private final List<Estimate> cacheTimes = new ArrayList<>();
     private Estimate originTime;
@@ -139,6 +147,7 @@
         long coldSince = Long.MIN_VALUE;
         /** What a cold server may be sent, earned over time; a send takes 1. */
         double credit;
+
         long creditAt;
         long pumpAt = Long.MAX_VALUE;
         long trialAt;
@@ -173,8 +182,17 @@
         ServerView view() {
             long sum = lanes.stream().mapToLong(lane -> lane.currentInterval).sum();
             int out = (int) faults.stream().filter(fault -> fault.out).count();
-            return new ServerView(id, entry.state(), suspect || zone != null && zone.suspect, warmth(),
-                lanes.size(), sum / lanes.size(), queue.size(), inFlight.size(), out, slowness);
+            return new ServerView(
+                    id,
+                    entry.state(),
+                    suspect || zone != null && zone.suspect,
+                    warmth(),
+                    lanes.size(),
+                    sum / lanes.size(),
+                    queue.size(),
+                    inFlight.size(),
+                    out,
+                    slowness);
         }
 
         boolean silent() {
@@ -195,7 +213,7 @@
             for (Lane lane : lanes) {
                 lane.rest(now);
                 if (lane.readyAt() < best.readyAt()
-                    || lane.readyAt() == best.readyAt() && lane.restSince < best.restSince) {
+                        || lane.readyAt() == best.readyAt() && lane.restSince < best.restSince) {
                     best = lane;
                 }
             }
@@ -203,8 +221,9 @@
         }
 
         boolean room() {
-            return this != ledger || originTime.samples < ENOUGH
-                || fetching.room(now, rate.peak, shortestAim, shortestDeadline);
+            return this != ledger
+                    || originTime.samples < ENOUGH
+                    || fetching.room(now, rate.peak, shortestAim, shortestDeadline);
         }
 
         /** When a request with {@code ahead} others before it may leave. */
@@ -217,7 +236,7 @@
             }
             double full = room() ? 0 : ahead * MICROS / Math.max(1, rate.at(now));
             return Math.max(Math.max(now, first), coldWait())
-                + Math.max((long) full, ahead * sum / lanes.size() / lanes.size());
+                    + Math.max((long) full, ahead * sum / lanes.size() / lanes.size());
         }
 
         /** Keeps as many lanes as carry the usual rate at the longest interval and the time of an answer. */
@@ -260,8 +279,9 @@
             double perMicro = COLD_ROOM * warmth() * usual * entry.weight() / MICROS;
             credit = Math.min(1, credit + (now - creditAt) * perMicro);
             creditAt = now;
-            return credit >= 1 ? 0
-                : (long) Math.min(coldSince + settings.coldTime(), now + 1 + (1 - credit) / perMicro);
+            return credit >= 1
+                    ? 0
+                    : (long) Math.min(coldSince + settings.coldTime(), now + 1 + (1 - credit) / perMicro);
         }
 
         /** The part of its full capacity that a server can be trusted with, 1 when warm. */
@@ -322,6 +342,7 @@
         int copies = 1;
         /** The server that has answered a read of it last, and when; what it keeps needs no fetch there. */
         Target kept;
+
         long keptAt;
 
         Home(long now) {
@@ -341,8 +362,8 @@
 
     /** A request that is owed an answer or has an attempt out. */
     private static final class Held {
-        static final Comparator<Held> LEAVING = (a, b) ->
-            a.worth == b.worth ? Long.compare(b.order, a.order) : Double.compare(b.worth, a.worth);
+        static final Comparator<Held> LEAVING =
+                (a, b) -> a.worth == b.worth ? Long.compare(b.order, a.order) : Double.compare(b.worth, a.worth);
         final Request request;
         final RequestClass type;
         final long order;
@@ -352,21 +373,25 @@
         final List<Held> followers = new ArrayList<>(0);
         /** Servers that turned it away or left it without an answer. */
         final List<Target> failedAt = new ArrayList<>(0);
+
         int attempts;
         int most;
         boolean answered;
         boolean missed;
         /** Its last attempt was a miss, so that the next is outside the ration. */
         boolean unrationed;
+
         Target queuedAt;
         Target out;
         Lane lane;
         /** The ledger's lane that it holds, if it will probably be fetched. */
         Lane fetch;
+
         FetchLimit.Fetch asked;
         long sentAt;
         /** Server and time of the first attempt that may have run, once there is one. */
         Server ranAt;
+
         long ranSince;
 
         Held(Request request, RequestClass type, long order, double worth, boolean over, long useful) {
@@ -388,8 +413,10 @@
     private void take(Settings given) {
         given.check(Lane.INITIAL_PART);
         settings = given;
-        shortestDeadline = given.classes().stream().mapToLong(RequestClass::deadline).min().getAsLong();
-        shortestAim = given.classes().stream().mapToLong(RequestClass::aim).min().getAsLong();
+        shortestDeadline =
+                given.classes().stream().mapToLong(RequestClass::deadline).min().getAsLong();
+        shortestAim =
+                given.classes().stream().mapToLong(RequestClass::aim).min().getAsLong();
         while (cacheTimes.size() < given.classes().size()) {
             cacheTimes.add(new Estimate(given.classes().get(cacheTimes.size()).aim() / 4.0));
         }
@@ -474,8 +501,8 @@
                 origin = target;
             } else {
                 targets.put(entry.id(), target);
-                target.zone = zones.computeIfAbsent(entry.zone(),
-                    zone -> new Target(new Server("zone " + zone, zone, 0, 0, State.READY, 1, 0)));
+                target.zone = zones.computeIfAbsent(
+                        entry.zone(), zone -> new Target(new Server("zone " + zone, zone, 0, 0, State.READY, 1, 0)));
                 if (entry.startedAt() > 0) {
                     target.cool(entry.startedAt());
                 }
@@ -500,8 +527,8 @@
         RequestClass type = settings.classes().get(request.requestClass());
         boolean over = shares.over(now, request.tenant());
         double worth = type.worth() * (over ? settings.overShareWorth() : 1);
-        Held held = new Held(request, type, sequence++, worth, over,
-            Math.min(request.giveUp(), (long) (now + LATE * type.aim())));
+        Held held = new Held(
+                request, type, sequence++, worth, over, Math.min(request.giveUp(), (long) (now + LATE * type.aim())));
         held.most = settings.maxAttempts();
         open.put(request.id(), held);
         arrivals.add(now);
@@ -566,8 +593,7 @@
         now = time;
         List<Target> all = new ArrayList<>(targets.values());
         all.addAll(ledger == null ? List.of() : List.of(ledger));
-        return new View(all.stream().map(Target::view).toList(), homeless.size(), open.size(), retries,
-            given.clone());
+        return new View(all.stream().map(Target::view).toList(), homeless.size(), open.size(), retries, given.clone());
     }
 
     // ---- the way of a request
@@ -622,8 +648,9 @@
         }
         pump(target);
         // The newest leave first, so one more may be one too many for those behind: they are told at once.
-        while (!target.queue.isEmpty() && target.leaves(target.queue.size() - 1)
-            > target.queue.last().until() - typical(target.queue.last(), target)) {
+        while (!target.queue.isEmpty()
+                && target.leaves(target.queue.size() - 1)
+                        > target.queue.last().until() - typical(target.queue.last(), target)) {
             conclude(target.queue.last(), Why.NO_ROOM);
         }
     }
@@ -641,8 +668,9 @@
     /** Whether a read of this key will probably be a fetch at that server; known only where answers tell. */
     private boolean fetched(Held held, Target target) {
         Home home = held.request.write() || held.request.key() == null ? null : table.get(held.request.key());
-        return tells && home != null && (home.kept != target || home.keptAt < target.coldSince
-            || now - home.keptAt > keeps);
+        return tells
+                && home != null
+                && (home.kept != target || home.keptAt < target.coldSince || now - home.keptAt > keeps);
     }
 
     /** Waits for a fetch of its key that is out from here already, if one is. */
@@ -730,8 +758,8 @@
             target.credit -= 1;
             Estimate usual = cacheTimes.get(held.request.requestClass());
             // The first guess knows nothing of the way and of new connections.
-            long patience = (long) Math.max(usual.mean + PATIENCE * usual.deviation,
-                usual.samples < ENOUGH ? held.type.aim() : 0);
+            long patience = (long)
+                    Math.max(usual.mean + PATIENCE * usual.deviation, usual.samples < ENOUGH ? held.type.aim() : 0);
             if (target.suspect && held.type.effect() == Effect.SAFE) {
                 until = Math.min(until, now + patience);
             }
@@ -752,10 +780,11 @@
         Code code = o.code();
         boolean fetch = o.note() == Note.MISS || o.note() == Note.MISS_FETCHING;
         // Late answers are failures: a long waiting room never says "full". Fetches tell of the ledger.
-        boolean failed = code == Code.FULL || code == Code.CONNECT_FAILED
-            || code == Code.ERROR && target == origin
-            || code == Code.TIMEOUT && (held.fetch == null || target.lastAnswer < held.sentAt)
-            || code == Code.OK && !fetch && target.late(o.elapsed(), held.type.aim());
+        boolean failed = code == Code.FULL
+                || code == Code.CONNECT_FAILED
+                || code == Code.ERROR && target == origin
+                || code == Code.TIMEOUT && (held.fetch == null || target.lastAnswer < held.sentAt)
+                || code == Code.OK && !fetch && target.late(o.elapsed(), held.type.aim());
         if (failed) {
             held.lane.goUp();
         } else if (!code.calledOff && code != Code.TIMEOUT && code != Code.RESET && code != Code.ERROR) {
@@ -767,9 +796,9 @@
             // Who left waited too long too. Where few fail a class, an error after good answers is theirs.
             int type = held.request.requestClass();
             if (code == Code.ERROR && (target.faults(type).sum < BROKEN || alike(type))
-                || code == Code.TIMEOUT
-                || code == Code.CANCELLED && o.elapsed() > held.type.aim()
-                || fetch && o.elapsed() > FETCH_LATE * held.type.aim()) {
+                    || code == Code.TIMEOUT
+                    || code == Code.CANCELLED && o.elapsed() > held.type.aim()
+                    || fetch && o.elapsed() > FETCH_LATE * held.type.aim()) {
                 lane.goUp();
             } else if (code == Code.OK) { // a hit too: what fails is counted over both
                 lane.success();
@@ -785,8 +814,7 @@
         if (code == Code.OK || code == Code.FULL || code == Code.ERROR || code == Code.MISS) {
             heard(target);
         } else if (!o.code().calledOff) {
-            doubt(target, held.sentAt, code == Code.CONNECT_FAILED ? REFUSED
-                : code == Code.RESET ? BROKEN : SILENT);
+            doubt(target, held.sentAt, code == Code.CONNECT_FAILED ? REFUSED : code == Code.RESET ? BROKEN : SILENT);
         }
         if (code == Code.ERROR) {
             fault(held, target, SILENT);
@@ -850,22 +878,28 @@
 
     /** Rule: what may have run is sent again only within what its class allows. */
     private boolean mayRepeat(Held held) {
-        return held.ranAt == null || held.type.effect() == Effect.SAFE
-            || held.type.effect() == Effect.KEYED && now < held.ranSince + held.type.window();
+        return held.ranAt == null
+                || held.type.effect() == Effect.SAFE
+                || held.type.effect() == Effect.KEYED && now < held.ranSince + held.type.window();
     }
 
     /** Rule: the ration of further attempts, checked before the wait and at each send. */
     private boolean mayResend(Held held) {
         long since = now - settings.resendSpan();
-        return settings.resendSpan() == 0 || held.attempts == 0 || held.unrationed
-            || resent.countAfter(since - 1) < Math.floor(settings.freeResends()
-                + settings.resendShare() * taken.countAfter(since));
+        return settings.resendSpan() == 0
+                || held.attempts == 0
+                || held.unrationed
+                || resent.countAfter(since - 1)
+                        < Math.floor(settings.freeResends() + settings.resendShare() * taken.countAfter(since));
     }
 
     private boolean sameGroup(Held held, Target target) {
-        return held.ranAt == null || held.type.effect() != Effect.KEYED || held.type.group() == Group.ALL
-            || (held.type.group() == Group.ZONE ? held.ranAt.zone() == target.entry.zone()
-                : held.ranAt.cell() == target.entry.cell());
+        return held.ranAt == null
+                || held.type.effect() != Effect.KEYED
+                || held.type.group() == Group.ALL
+                || (held.type.group() == Group.ZONE
+                        ? held.ranAt.zone() == target.entry.zone()
+                        : held.ranAt.cell() == target.entry.cell());
     }
 
     /** The final answer to a request that was not served: a refusal where that is true, else a failure. */
@@ -880,8 +914,9 @@
         } else if (held.out != null && held.out.lastAnswer >= held.sentAt) {
             fault(held, held.out, BROKEN); // waited to the end, while others got answers
         }
-        boolean refusable = held.ranAt == null && held.out == null || held.type.effect() == Effect.SAFE
-            || held.type.effect() == Effect.KEYED && held.type.group() == Group.ALL;
+        boolean refusable = held.ranAt == null && held.out == null
+                || held.type.effect() == Effect.SAFE
+                || held.type.effect() == Effect.KEYED && held.type.group() == Group.ALL;
         if (refusable) {
             Target at = held.queuedAt;
             long wait = at == null ? 0 : Math.max(0, at.leaves(at.queue.size()) - now);
@@ -972,20 +1007,25 @@
             int type = held.request.requestClass();
             target.faults(type).sum = Math.min(2 * CONVICTED, target.faults(type).sum + weight);
             boolean alike = alike(type);
-            targets.values().forEach(t -> t.faults(type).leaveOut(!alike && t.faults(type).failing()));
+            targets.values().forEach(t -> t.faults(type)
+                    .leaveOut(!alike && t.faults(type).failing()));
         }
     }
 
     /** Whether so many servers fail a class that it comes from behind them. */
     private boolean alike(int type) {
-        long bad = targets.values().stream().filter(t -> t.ready() && t.faults(type).failing()).count();
-        return FAULTY_PART * bad > targets.values().stream().filter(Target::ready).count();
+        long bad = targets.values().stream()
+                .filter(t -> t.ready() && t.faults(type).failing())
+                .count();
+        return FAULTY_PART * bad
+                > targets.values().stream().filter(Target::ready).count();
     }
 
     /** A silent server or zone counts as displaced until a trial is answered; its work is called back. */
     private void suspect(Target target) {
         long listed = targets.values().stream().filter(Target::ready).count();
-        long suspects = targets.values().stream().filter(t -> t.ready() && t.suspect).count();
+        long suspects =
+                targets.values().stream().filter(t -> t.ready() && t.suspect).count();
         if (target.zone != null && SUSPECT_PART * (suspects + 1) > Math.max(listed, SUSPECT_PART)) {
             return; // Silence on many sides is overload or our own pause; moving their keys would add to it.
         }
@@ -1059,9 +1099,11 @@
             return home.target = fewest(held, home, usable, mean, null);
         }
         boolean crowded = target.load() > Math.max(HIGH * mean, HIGH_FLOOR / unit);
-        Target other = !crowded && fits(held, target) ? null // a copy elsewhere saves a fetch
-            : !crowded && usable.contains(home.kept) && fits(held, home.kept) ? home.kept
-            : fewest(held, home, usable, mean, target);
+        Target other = !crowded && fits(held, target)
+                ? null // a copy elsewhere saves a fetch
+                : !crowded && usable.contains(home.kept) && fits(held, home.kept)
+                        ? home.kept
+                        : fewest(held, home, usable, mean, target);
         if (other == null) {
             return target;
         }
@@ -1072,8 +1114,12 @@
     }
 
     private boolean fits(Held held, Target target) {
-        return target.ready() && !target.silent() && sameGroup(held, target) && target.coldWait() <= now
-            && !target.faults(held.request.requestClass()).shut() && !held.failedAt.contains(target);
+        return target.ready()
+                && !target.silent()
+                && sameGroup(held, target)
+                && target.coldWait() <= now
+                && !target.faults(held.request.requestClass()).shut()
+                && !held.failedAt.contains(target);
     }
 
     /** The server with fewest held and in flight; under the low bound the key's rendezvous decides. */
--- a/src/main/java/anisebend/FetchLimit.java
+++ b/src/main/java/anisebend/FetchLimit.java
@@ -11,6 +11,7 @@
 final class FetchLimit {
     /** Deviations of a chance number that the bound leaves room for, and the least that may be out. */
     private static final double CHANCE = 4;
+
     private static final int LEAST = 2;
     private static final double MICROS = 1e6;
 
--- a/src/main/java/anisebend/Lane.java
+++ b/src/main/java/anisebend/Lane.java
@@ -6,10 +6,12 @@
 final class Lane extends Sleeper {
     /** Both bounds of an interval, as parts of the shortest deadline. */
     static final int INITIAL_PART = 50;
+
     static final int MAX_PART = 5;
 
     /** Since when it rests: its last send or, like the paper's sleep after a call, the answer to it. */
     long restSince;
+
     long steppedAt;
     int out;
 
--- a/src/main/java/anisebend/Main.java
+++ b/src/main/java/anisebend/Main.java
@@ -9,8 +9,7 @@
  * input and output.
  */
 public final class Main {
-    private Main() {
-    }
+    private Main() {}
 
     /** Runs the named program; any other argument is a usage error. */
     public static void main(String[] args) throws IOException {
--- a/src/main/java/anisebend/Measures.java
+++ b/src/main/java/anisebend/Measures.java
@@ -7,8 +7,7 @@
     private static final double SMOOTHING = 0.125;
     private static final double MICROS = 1e6;
 
-    private Measures() {
-    }
+    private Measures() {}
 
     /** A value moved towards a sample by the usual step. */
     static double smooth(double value, double sample) {
@@ -39,6 +38,7 @@
         double value;
         /** The highest value lately, forgotten over several spans' worth of events. */
         double peak;
+
         private long last;
 
         Rate(double span) {
--- a/src/main/java/anisebend/Shares.java
+++ b/src/main/java/anisebend/Shares.java
@@ -11,6 +11,7 @@
 final class Shares {
     /** How far a tenant's part of the traffic here must exceed its fraction before it is over its share. */
     private static final double OVER = 1.25;
+
     private static final double MICROS = 1e6;
 
     private final class Use {
@@ -22,6 +23,7 @@
     private final List<Balancer.Tenant> tenants;
     /** How many share the quotas; may change in service. */
     int balancers;
+
     private final Rate arrivals;
     private final Use[] uses;
     final double span;
--- a/src/main/java/anisebend/Sleeper.java
+++ b/src/main/java/anisebend/Sleeper.java
@@ -6,6 +6,7 @@
 class Sleeper {
     /** The paper's multipliers and threshold: doubled on failure, halved after a few successes. */
     private static final double UP = 2;
+
     private static final double DOWN = 0.5;
     private static final double RANDOMIZATION = 0.3;
     static final int THRESHOLD = 6;
@@ -23,8 +24,7 @@
     }
 
     void goUp() {
-        currentInterval = currentInterval == 0 ? initialInterval
-            : Math.min(maxInterval, draw(currentInterval * UP));
+        currentInterval = currentInterval == 0 ? initialInterval : Math.min(maxInterval, draw(currentInterval * UP));
     }
 
     void success() {
--- a/src/main/java/anisebend/WireEvent.java
+++ b/src/main/java/anisebend/WireEvent.java
@@ -141,15 +141,27 @@
     }
 
     Balancer.Request request() throws WireException {
-        return new Balancer.Request(require(request, "xid"), (int) require(requestClass, "kind"),
-            tenant == NONE ? 0 : (int) tenant, key, require(giveUp, "give_up_at_ms"), write);
+        return new Balancer.Request(
+                require(request, "xid"),
+                (int) require(requestClass, "kind"),
+                tenant == NONE ? 0 : (int) tenant,
+                key,
+                require(giveUp, "give_up_at_ms"),
+                write);
     }
 
     Balancer.Outcome outcome(List<String> names) throws WireException {
-        Balancer.Note told = note == 1 ? Balancer.Note.HIT : note == 2 ? Balancer.Note.MISS
-            : note == 3 ? Balancer.Note.MISS_FETCHING : Balancer.Note.NONE;
-        return new Balancer.Outcome(require(request, "xid"), (int) require(attempt, "leg"), outcomeCode(),
-            elapsed == NONE ? 0 : elapsed, last, told, report(names));
+        Balancer.Note told = note == 1
+                ? Balancer.Note.HIT
+                : note == 2 ? Balancer.Note.MISS : note == 3 ? Balancer.Note.MISS_FETCHING : Balancer.Note.NONE;
+        return new Balancer.Outcome(
+                require(request, "xid"),
+                (int) require(attempt, "leg"),
+                outcomeCode(),
+                elapsed == NONE ? 0 : elapsed,
+                last,
+                told,
+                report(names));
     }
 
     Balancer.Code outcomeCode() throws WireException {
@@ -171,8 +183,8 @@
         if (usage == null) {
             return null;
         }
-        return new Balancer.Report(value(names, "outstanding"), value(names, "utilization"),
-            value(names, "recent_ms") * 1000);
+        return new Balancer.Report(
+                value(names, "outstanding"), value(names, "utilization"), value(names, "recent_ms") * 1000);
     }
 
     private double value(List<String> names, String name) {
@@ -258,8 +270,8 @@
             if (id == null || state < 0 || state > 2) {
                 throw new WireException("an entry of nodes_list needs a node and a known state");
             }
-            Balancer.State listed = state == 1 ? Balancer.State.READY
-                : state == 2 ? Balancer.State.DRAINING : Balancer.State.GONE;
+            Balancer.State listed =
+                    state == 1 ? Balancer.State.READY : state == 2 ? Balancer.State.DRAINING : Balancer.State.GONE;
             list.add(new Balancer.Server(id, (int) zone, (int) kind, (int) cell, listed, weight, started));
         }
         return List.copyOf(list);
--- a/src/main/java/anisebend/WireSettings.java
+++ b/src/main/java/anisebend/WireSettings.java
@@ -7,8 +7,7 @@
 
 /** Turns the settings object of the wire into {@link Balancer.Settings}. */
 public final class WireSettings {
-    private WireSettings() {
-    }
+    private WireSettings() {}
 
     /** The settings that the module is started with. */
     public static Balancer.Settings settings(Map<String, Object> env) throws WireException {
@@ -18,9 +17,13 @@
         List<Balancer.RequestClass> classes = new ArrayList<>();
         for (Object item : list(env, "lanes")) {
             Map<?, ?> lane = asMap(item, "lanes");
-            classes.add(new Balancer.RequestClass(effect(text(lane, "repeat", "")),
-                group(text(lane, "group", "all")), micros(lane, "dedup_window_ms", 0),
-                micros(lane, "aim_ms", 0), micros(lane, "hard_limit_ms", 0), number(lane, "credit", 1)));
+            classes.add(new Balancer.RequestClass(
+                    effect(text(lane, "repeat", "")),
+                    group(text(lane, "group", "all")),
+                    micros(lane, "dedup_window_ms", 0),
+                    micros(lane, "aim_ms", 0),
+                    micros(lane, "hard_limit_ms", 0),
+                    number(lane, "credit", 1)));
         }
         List<Balancer.Tenant> tenants = new ArrayList<>();
         for (Object item : list(env, "realms")) {
@@ -28,16 +31,25 @@
             tenants.add(new Balancer.Tenant(number(realm, "fraction", 1), number(realm, "quota_rps", 0)));
         }
         boolean aside = text(extra, "mode", "through").equals("aside");
-        return new Balancer.Settings((int) number(env, "fleet_size", 1), (int) number(env, "locality", 0),
-            aside ? (int) number(extra, "origin_kind", -1) : -1, List.copyOf(classes), List.copyOf(tenants),
-            number(env, "over_share_worth", 1), (int) number(allowed, "send_cap", 1),
-            flag(allowed, "may_cancel"), flag(allowed, "probes"), flag(allowed, "retry_after"),
-            micros(allowed, "max_retry_after_ms", 0),
-            text(env, "discovery", "push").equals("ask"),
-            micros(rules, "ask_within_ms", 0),
-            number(rules, "cold_from", 1), micros(rules, "cold_ms", 0),
-            number(rules, "free_resends", 0), number(rules, "extra_per_request", 0),
-            micros(rules, "ratio_span_ms", 0));
+        return new Balancer.Settings(
+                (int) number(env, "fleet_size", 1),
+                (int) number(env, "locality", 0),
+                aside ? (int) number(extra, "origin_kind", -1) : -1,
+                List.copyOf(classes),
+                List.copyOf(tenants),
+                number(env, "over_share_worth", 1),
+                (int) number(allowed, "send_cap", 1),
+                flag(allowed, "may_cancel"),
+                flag(allowed, "probes"),
+                flag(allowed, "retry_after"),
+                micros(allowed, "max_retry_after_ms", 0),
+                text(env, "discovery", "push").equals("ask"),
+                micros(rules, "ask_within_ms", 0),
+                number(rules, "cold_from", 1),
+                micros(rules, "cold_ms", 0),
+                number(rules, "free_resends", 0),
+                number(rules, "extra_per_request", 0),
+                micros(rules, "ratio_span_ms", 0));
     }
 
     static List<String> columns(Map<String, Object> env) throws WireException {
--- a/src/main/java/anisebend/net/ClientConnection.java
+++ b/src/main/java/anisebend/net/ClientConnection.java
@@ -91,18 +91,22 @@
         void asks(ClientConnection connection);
 
         /** A request of a class that is configured has been answered with this status. */
-        default void answered(int requestClass, HttpResponseStatus status) {
-        }
+        default void answered(int requestClass, HttpResponseStatus status) {}
 
         /** An answer has been written and no request is in hand. */
         void idle(ClientConnection connection, boolean turnedAway);
 
         /** For observers: something happened at the door, in a word. */
-        default void counted(String what) {
-        }
+        default void counted(String what) {}
     }
 
-    private enum State { NEW, READING, BUSY, IDLE, CLOSING }
+    private enum State {
+        NEW,
+        READING,
+        BUSY,
+        IDLE,
+        CLOSING
+    }
 
     private final Channel channel;
     private final StrictHttp.Requests decoder;
@@ -110,14 +114,17 @@
     private State state = State.NEW;
     /** When this state began. */
     private long since;
+
     private boolean turnedAway;
     /** The same within the present read. */
     private boolean turnedAwayNow;
+
     private HttpRequest request;
     private RequestHead head;
     private Body body;
     /** The class of the request in hand, -1 where it has none. */
     private int requestClass = -1;
+
     private boolean complete;
     private boolean keepAlive;
     /** When the request that is being read is to come back; 0 for one that is taken. Nothing is kept of it. */
@@ -126,6 +133,7 @@
     private long received;
     /** When its head was whole, or it got room. */
     private long bodySince;
+
     private Engine.Exchange exchange;
     /** The source of an answer that is being passed on. */
     private Passage.Flow passing;
@@ -135,6 +143,7 @@
     private boolean wasLong;
     /** What the system had not taken yet when it was last looked at. */
     private long unsent;
+
     private boolean old;
 
     /** A request's body on its way in, with the room that it has or waits for. */
@@ -154,7 +163,9 @@
             if (bytes <= room || waits) {
                 return;
             }
-            room = known ? bytes : Math.min(Math.min(RequestHead.MAX_BODY, owner.bodies().most()), bytes + GROWTH);
+            room = known
+                    ? bytes
+                    : Math.min(Math.min(RequestHead.MAX_BODY, owner.bodies().most()), bytes + GROWTH);
             waits = known ? !owner.bodies().begin(this, room) : !owner.bodies().grow(this, room);
             if (waits) {
                 owner.counted("body waits");
@@ -174,8 +185,8 @@
 
         private void goOn() {
             if (expected && received == 0) {
-                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
-                    Unpooled.EMPTY_BUFFER));
+                channel.writeAndFlush(new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
         }
 
@@ -299,8 +310,8 @@
                 body.goOn();
             }
         } else if (HttpUtil.is100ContinueExpected(start)) {
-            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
-                Unpooled.EMPTY_BUFFER));
+            channel.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
     }
 
@@ -369,10 +380,21 @@
             refused(comeBack);
             return;
         }
-        Engine.Exchange taken = owner.engine().take(new Engine.Call(start.method(), start.uri(), wanted.id,
-            wanted.idempotencyKey, came == null ? Unpooled.EMPTY_BUFFER : came.kept.take(), wanted.requestClass, wanted.tenant,
-            wanted.key.isEmpty() ? null : wanted.key, since, wanted.waitMicros,
-            came == null ? () -> { } : came::done), this);
+        Engine.Exchange taken = owner.engine()
+                .take(
+                        new Engine.Call(
+                                start.method(),
+                                start.uri(),
+                                wanted.id,
+                                wanted.idempotencyKey,
+                                came == null ? Unpooled.EMPTY_BUFFER : came.kept.take(),
+                                wanted.requestClass,
+                                wanted.tenant,
+                                wanted.key.isEmpty() ? null : wanted.key,
+                                since,
+                                wanted.waitMicros,
+                                came == null ? () -> {} : came::done),
+                        this);
         if (taken == null) {
             turnAway(HttpResponseStatus.CONFLICT, keepAlive); // another's request of this id is open
         } else if (!taken.answered()) { // it may have been, at once
@@ -412,15 +434,14 @@
         answer(status);
         if (stay && state == State.IDLE) {
             channel.config().setAutoRead(false);
-            channel.eventLoop().schedule(() -> channel.config().setAutoRead(true), PAUSE_MILLIS,
-                TimeUnit.MILLISECONDS);
+            channel.eventLoop().schedule(() -> channel.config().setAutoRead(true), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
     @Override
     public void served(FullHttpResponse answer) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-            answer.content().retain());
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.OK, answer.content().retain());
         copyType(answer, response);
         turnedAway = false;
         write(response);
@@ -530,8 +551,11 @@
 
     private void end(Object last) {
         enter(keepAlive ? State.IDLE : State.CLOSING);
-        channel.writeAndFlush(last).addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE
-            : turnedAway ? PART : ChannelFutureListener.CLOSE);
+        channel.writeAndFlush(last)
+                .addListener(
+                        keepAlive
+                                ? ChannelFutureListener.CLOSE_ON_FAILURE
+                                : turnedAway ? PART : ChannelFutureListener.CLOSE);
         owner.idle(this, turnedAway);
     }
 
--- a/src/main/java/anisebend/net/Discovery.java
+++ b/src/main/java/anisebend/net/Discovery.java
@@ -72,11 +72,17 @@
     private final Map<String, Node> nodes = new HashMap<>();
     /** Each entry as it was told, in discovery's form; null where nobody asks for that. */
     private Map<String, Map<String, Object>> told;
+
     private Channel channel;
     private Call call;
 
-    Discovery(EventLoop loop, InetSocketAddress address, ProxyConfig.Names names, long askWithinMicros,
-              long connectMillis, Listener listener) {
+    Discovery(
+            EventLoop loop,
+            InetSocketAddress address,
+            ProxyConfig.Names names,
+            long askWithinMicros,
+            long connectMillis,
+            Listener listener) {
         this.loop = loop;
         this.address = address;
         this.names = names;
@@ -192,7 +198,8 @@
 
     private void start(ListWatch.Call wanted) {
         call = new Call(wanted.limitMicros());
-        call.start(wanted.whole() ? LIST : LIST + "?after=" + wanted.after() + "&wait_ms=" + wanted.waitMicros() / 1000);
+        call.start(
+                wanted.whole() ? LIST : LIST + "?after=" + wanted.after() + "&wait_ms=" + wanted.waitMicros() / 1000);
     }
 
     private void answered(FullHttpResponse answer) {
@@ -233,12 +240,13 @@
         for (Object item : ProxyConfig.list(list, "hosts")) {
             Map<String, Object> entry = ProxyConfig.asMap(item, "hosts");
             String host = ProxyConfig.string(entry, "host");
-            State state = switch (ProxyConfig.string(entry, "health")) {
-                case "Ready" -> State.READY;
-                case "Terminating" -> State.DRAINING;
-                case "Gone" -> State.GONE;
-                default -> throw new IOException("unknown health of " + host);
-            };
+            State state =
+                    switch (ProxyConfig.string(entry, "health")) {
+                        case "Ready" -> State.READY;
+                        case "Terminating" -> State.DRAINING;
+                        case "Gone" -> State.GONE;
+                        default -> throw new IOException("unknown health of " + host);
+                    };
             double born = entry.get("born_ms") == null ? 0 : ProxyConfig.number(entry, "born_ms");
             double share = entry.get("share") == null ? 1 : ProxyConfig.number(entry, "share");
             int cell = entry.get("block") == null ? 0 : (int) ProxyConfig.number(entry, "block");
@@ -249,14 +257,22 @@
             if (state == State.GONE) {
                 changed.add(new Node(host, null, born, false));
             } else {
-                changed.add(new Node(host, ProxyConfig.address(ProxyConfig.string(entry, "dial")), born,
-                    state == State.READY));
+                changed.add(new Node(
+                        host, ProxyConfig.address(ProxyConfig.string(entry, "dial")), born, state == State.READY));
             }
-            servers.add(new Server(host, index(names.zones(), entry.get("site")),
-                index(names.kinds(), entry.get("class")), cell, state, share, (long) (born * 1000)));
+            servers.add(new Server(
+                    host,
+                    index(names.zones(), entry.get("site")),
+                    index(names.kinds(), entry.get("class")),
+                    cell,
+                    state,
+                    share,
+                    (long) (born * 1000)));
         }
         if (kind != ListKind.CHANGES) {
-            List<String> gone = nodes.keySet().stream().filter(host -> !present.contains(host)).toList();
+            List<String> gone = nodes.keySet().stream()
+                    .filter(host -> !present.contains(host))
+                    .toList();
             gone.forEach(this::forget);
         }
         if (entries != null) {
@@ -306,20 +322,24 @@
         }
 
         void start(String uri) {
-            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
-                Unpooled.EMPTY_BUFFER);
+            FullHttpRequest request =
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri, Unpooled.EMPTY_BUFFER);
             request.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(address));
             if (channel != null && channel.isActive()) {
                 write(request);
                 return;
             }
-            ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER),
-                        new Answers());
-                }
-            }).connect(address);
+            ChannelFuture connecting = bootstrap
+                    .clone()
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel ch) {
+                            ch.pipeline()
+                                    .addLast(
+                                            new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER), new Answers());
+                        }
+                    })
+                    .connect(address);
             channel = connecting.channel();
             connecting.addListener(done -> {
                 if (done.isSuccess() && call == this) {
--- a/src/main/java/anisebend/net/Engine.java
+++ b/src/main/java/anisebend/net/Engine.java
@@ -65,9 +65,18 @@
     }
 
     /** A client's request, read and checked; {@code bodyDone} runs once, when its body has been let go. */
-    record Call(HttpMethod method, String uri, String correlationId, String idempotencyKey, ByteBuf body,
-                int requestClass, int tenant, String key, long arrival, long waitMicros,
-                Runnable bodyDone) {
+    record Call(
+            HttpMethod method,
+            String uri,
+            String correlationId,
+            String idempotencyKey,
+            ByteBuf body,
+            int requestClass,
+            int tenant,
+            String key,
+            long arrival,
+            long waitMicros,
+            Runnable bodyDone) {
         /** Nothing of it is needed any more. */
         private void release() {
             body.release();
@@ -101,6 +110,7 @@
     private Balancer.Settings settings;
     /** How many proxies share what is bounded over all; 0 for as many as the settings say. */
     private int sharedBy;
+
     private boolean begun;
     private final Consumer<String> operator;
     private final Balancer module = new Decide(this);
@@ -109,12 +119,15 @@
     private final Map<String, Exchange> open = new HashMap<>();
     /** Ids of the unanswered requests, as their clients know them. */
     private final Set<String> ids = new HashSet<>();
+
     private final Turns turns = new Turns(this::fault);
     /** The module's clock: Unix time in microseconds at the start, and monotonic from there. */
     private final long startMicros = System.currentTimeMillis() * 1000;
+
     private final long startNanos = System.nanoTime();
     /** Null until it is watched. */
     private Lateness lateness;
+
     private long sequence;
     /** Requests taken, served, refused, failed and left by their clients, since the start. */
     private final long[] counts = new long[5];
@@ -124,28 +137,39 @@
         this.settings = config.settings();
         this.classes = settings.classes();
         this.operator = operator;
-        this.discovery = new Discovery(loop, config.discovery(), config.names(),
-            config.settings().listAskWithin(), config.connectTimeoutMillis(), new Discovery.Listener() {
-                @Override
-                public void news(ListKind kind, List<Balancer.Server> entries) {
-                    if (kind == ListKind.FAILED) {
-                        log("discovery call failed");
+        this.discovery = new Discovery(
+                loop,
+                config.discovery(),
+                config.names(),
+                config.settings().listAskWithin(),
+                config.connectTimeoutMillis(),
+                new Discovery.Listener() {
+                    @Override
+                    public void news(ListKind kind, List<Balancer.Server> entries) {
+                        if (kind == ListKind.FAILED) {
+                            log("discovery call failed");
+                        }
+                        turns.event(() -> module.servers(now(), kind, entries));
                     }
-                    turns.event(() -> module.servers(now(), kind, entries));
-                }
 
-                @Override
-                public void unusable(String host) {
-                    upstream.closeIdle(host);
-                }
+                    @Override
+                    public void unusable(String host) {
+                        upstream.closeIdle(host);
+                    }
 
-                @Override
-                public void forgotten(String host) {
-                    upstream.forget(host);
-                }
-            });
-        this.upstream = new Upstream(loop, Upstream.IN_SERVICE, node -> discovery.ready((Discovery.Node) node),
-            maxConnections, config.connIdleMillis(), config.connectTimeoutMillis(), config.seed());
+                    @Override
+                    public void forgotten(String host) {
+                        upstream.forget(host);
+                    }
+                });
+        this.upstream = new Upstream(
+                loop,
+                Upstream.IN_SERVICE,
+                node -> discovery.ready((Discovery.Node) node),
+                maxConnections,
+                config.connIdleMillis(),
+                config.connectTimeoutMillis(),
+                config.seed());
     }
 
     /** Starts the module; a setting or list that can't be worked with is thrown back. */
@@ -195,10 +219,27 @@
     }
 
     private Balancer.Settings shared(Balancer.Settings s) {
-        return sharedBy == 0 || sharedBy == s.balancers() ? s : new Balancer.Settings(sharedBy, s.zone(), s.originKind(),
-            s.classes(), s.tenants(), s.overShareWorth(), s.maxAttempts(), s.mayCancel(), s.mayProbe(), s.retryAfter(),
-            s.maxRetryAfter(), s.listMustBeAsked(), s.listAskWithin(), s.coldShare(), s.coldTime(), s.freeResends(),
-            s.resendShare(), s.resendSpan());
+        return sharedBy == 0 || sharedBy == s.balancers()
+                ? s
+                : new Balancer.Settings(
+                        sharedBy,
+                        s.zone(),
+                        s.originKind(),
+                        s.classes(),
+                        s.tenants(),
+                        s.overShareWorth(),
+                        s.maxAttempts(),
+                        s.mayCancel(),
+                        s.mayProbe(),
+                        s.retryAfter(),
+                        s.maxRetryAfter(),
+                        s.listMustBeAsked(),
+                        s.listAskWithin(),
+                        s.coldShare(),
+                        s.coldTime(),
+                        s.freeResends(),
+                        s.resendShare(),
+                        s.resendSpan());
     }
 
     /** The list and the calls for it. */
@@ -221,8 +262,8 @@
     /** From now on the loop's lateness is known, and {@code each} is told of it at every tick. */
     void watchLateness(LongConsumer each) {
         lateness = new Lateness(now(), TICK_MICROS);
-        loop.scheduleWithFixedDelay(() -> each.accept(lateness.ran(now())), TICK_MICROS, TICK_MICROS,
-            TimeUnit.MICROSECONDS);
+        loop.scheduleWithFixedDelay(
+                () -> each.accept(lateness.ran(now())), TICK_MICROS, TICK_MICROS, TimeUnit.MICROSECONDS);
     }
 
     /** What the module believes. Not to be asked while an event is being worked on. */
@@ -235,9 +276,13 @@
         Counters.counter(to, "attempts", upstream.attemptsWritten());
         Counters.gauge(to, "in_flight", ids.size());
         Counters.gauge(to, "cache_nodes_known", discovery.size());
-        Counters.gauge(to, "cache_nodes_excluded", view().servers().stream()
-            .filter(server -> discovery.node(server.id()) != null)
-            .filter(server -> server.suspect() || server.state() != Balancer.State.READY).count());
+        Counters.gauge(
+                to,
+                "cache_nodes_excluded",
+                view().servers().stream()
+                        .filter(server -> discovery.node(server.id()) != null)
+                        .filter(server -> server.suspect() || server.state() != Balancer.State.READY)
+                        .count());
     }
 
     long[] counts() {
@@ -264,8 +309,13 @@
         open.put(x.id, x);
         long deadline = call.arrival() + call.waitMicros();
         x.backstop = loop.schedule(() -> giveUp(x), deadline - BACKSTOP_MICROS - now(), TimeUnit.MICROSECONDS);
-        Balancer.Request request = new Balancer.Request(x.id, call.requestClass(), call.tenant(), call.key(),
-            deadline - MARGIN_MICROS, call.method().equals(HttpMethod.PUT));
+        Balancer.Request request = new Balancer.Request(
+                x.id,
+                call.requestClass(),
+                call.tenant(),
+                call.key(),
+                deadline - MARGIN_MICROS,
+                call.method().equals(HttpMethod.PUT));
         turns.event(() -> {
             try {
                 module.request(now(), request);
@@ -383,11 +433,15 @@
     }
 
     private static FullHttpRequest message(Call call, Discovery.Node node, long wait) {
-        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri(),
-            call.body().isReadable() ? call.body().retainedDuplicate() : Unpooled.EMPTY_BUFFER);
-        message.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(node.dial()))
-            .set("X-Correlation-Id", call.correlationId())
-            .set("X-Time-Left", Seconds.of(wait));
+        FullHttpRequest message = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                call.method(),
+                call.uri(),
+                call.body().isReadable() ? call.body().retainedDuplicate() : Unpooled.EMPTY_BUFFER);
+        message.headers()
+                .set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(node.dial()))
+                .set("X-Correlation-Id", call.correlationId())
+                .set("X-Time-Left", Seconds.of(wait));
         if (call.idempotencyKey() != null) {
             message.headers().set("Idempotency-Key", call.idempotencyKey());
         }
@@ -531,8 +585,8 @@
 
     @Override
     public void timer(long at, long token) {
-        turns.action(() -> loop.schedule(() -> turns.event(() -> module.timer(now(), token)),
-            Math.max(0, at - now()), TimeUnit.MICROSECONDS));
+        turns.action(() -> loop.schedule(
+                () -> turns.event(() -> module.timer(now(), token)), Math.max(0, at - now()), TimeUnit.MICROSECONDS));
     }
 
     @Override
--- a/src/main/java/anisebend/net/ProxyConfig.java
+++ b/src/main/java/anisebend/net/ProxyConfig.java
@@ -31,14 +31,23 @@
  * @param classes the numbers of the classes; the settings hold the rules of each number
  * @param text the file as it was read
  */
-record ProxyConfig(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
-                   long seed, int sockets,
-                   Map<String, Object> known, Balancer.Settings settings, ClassBook classes, Names names,
-                   long connIdleMillis, long connectTimeoutMillis, Map<String, Object> text) {
+record ProxyConfig(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress admin,
+        InetSocketAddress discovery,
+        long seed,
+        int sockets,
+        Map<String, Object> known,
+        Balancer.Settings settings,
+        ClassBook classes,
+        Names names,
+        long connIdleMillis,
+        long connectTimeoutMillis,
+        Map<String, Object> text) {
 
     /** The words that stand on the wire for the module's numbers. */
-    record Names(List<String> tenants, List<String> zones, List<String> kinds) {
-    }
+    record Names(List<String> tenants, List<String> zones, List<String> kinds) {}
 
     /** Reads the file at {@code PROXY_CONFIG}; the single variables win over it, as they are the nearer. */
     static ProxyConfig load(Map<String, String> env) throws IOException {
@@ -56,8 +65,9 @@
      */
     ProxyConfig after(ProxyConfig present) throws IOException {
         Shape.check(present.text, text, Set.of("known"));
-        if (!names.zones().equals(present.names.zones()) || !names.kinds().equals(present.names.kinds())
-            || settings.originKind() != present.settings.originKind()) {
+        if (!names.zones().equals(present.names.zones())
+                || !names.kinds().equals(present.names.kinds())
+                || settings.originKind() != present.settings.originKind()) {
             throw new IOException("failure_domains, shapes and the origin can't change without a restart");
         }
         Balancer.Settings s = settings;
@@ -67,12 +77,38 @@
         } catch (IllegalArgumentException e) {
             throw new IOException(e.getMessage(), e);
         }
-        return new ProxyConfig(name, listen, admin, discovery, seed, sockets, known,
-            new Balancer.Settings(s.balancers(), s.zone(), s.originKind(), book.rules(), s.tenants(),
-                s.overShareWorth(), s.maxAttempts(), s.mayCancel(), s.mayProbe(), s.retryAfter(), s.maxRetryAfter(),
-                s.listMustBeAsked(), s.listAskWithin(), s.coldShare(), s.coldTime(), s.freeResends(),
-                s.resendShare(), s.resendSpan()),
-            book, names, connIdleMillis, connectTimeoutMillis, text);
+        return new ProxyConfig(
+                name,
+                listen,
+                admin,
+                discovery,
+                seed,
+                sockets,
+                known,
+                new Balancer.Settings(
+                        s.balancers(),
+                        s.zone(),
+                        s.originKind(),
+                        book.rules(),
+                        s.tenants(),
+                        s.overShareWorth(),
+                        s.maxAttempts(),
+                        s.mayCancel(),
+                        s.mayProbe(),
+                        s.retryAfter(),
+                        s.maxRetryAfter(),
+                        s.listMustBeAsked(),
+                        s.listAskWithin(),
+                        s.coldShare(),
+                        s.coldTime(),
+                        s.freeResends(),
+                        s.resendShare(),
+                        s.resendSpan()),
+                book,
+                names,
+                connIdleMillis,
+                connectTimeoutMillis,
+                text);
     }
 
     private static ProxyConfig load(Map<String, String> env, Map<String, String> variables) throws IOException {
@@ -100,14 +136,22 @@
                 throw new IOException("hard_limit_ms and aim_ms must be positive");
             }
         }
-        Names names = new Names(names(settings, "realms"),
-            names(settings, "failure_domains"), names(settings, "shapes"));
-        return new ProxyConfig(variable(env, "PROXY_NAME", root, "name"),
-            address(variable(env, "PROXY_LISTEN", root, "listen")), admin(env, root),
-            address(variable(env, "PROXY_DISCOVERY", root, "discovery")),
-            seed(string(root, "seed")), (int) positive(limits, "sockets"), map(root, "known"),
-            read, ClassBook.of(names(settings, "lanes"), read.classes()), names, positive(allowed, "conn_idle_ms"),
-            positive(allowed, "connect_timeout_ms"), root);
+        Names names =
+                new Names(names(settings, "realms"), names(settings, "failure_domains"), names(settings, "shapes"));
+        return new ProxyConfig(
+                variable(env, "PROXY_NAME", root, "name"),
+                address(variable(env, "PROXY_LISTEN", root, "listen")),
+                admin(env, root),
+                address(variable(env, "PROXY_DISCOVERY", root, "discovery")),
+                seed(string(root, "seed")),
+                (int) positive(limits, "sockets"),
+                map(root, "known"),
+                read,
+                ClassBook.of(names(settings, "lanes"), read.classes()),
+                names,
+                positive(allowed, "conn_idle_ms"),
+                positive(allowed, "connect_timeout_ms"),
+                root);
     }
 
     /**
@@ -116,8 +160,11 @@
      * taken for that too, and is back a second later.
      */
     boolean begins() {
-        return known.get("hosts") instanceof List<?> hosts && hosts.stream().allMatch(host ->
-            host instanceof Map<?, ?> entry && entry.get("born_ms") instanceof Number born && born.longValue() == 0);
+        return known.get("hosts") instanceof List<?> hosts
+                && hosts.stream()
+                        .allMatch(host -> host instanceof Map<?, ?> entry
+                                && entry.get("born_ms") instanceof Number born
+                                && born.longValue() == 0);
     }
 
     /** One whole JSON object, and nothing after it. */
@@ -132,7 +179,10 @@
             }
             return object;
         } catch (JsonProcessingException e) {
-            throw new IOException("malformed JSON: " + e.getOriginalMessage().lines().findFirst().orElse(""), e);
+            throw new IOException(
+                    "malformed JSON: "
+                            + e.getOriginalMessage().lines().findFirst().orElse(""),
+                    e);
         }
     }
 
@@ -158,8 +208,8 @@
         }
     }
 
-    private static String variable(Map<String, String> env, String variable, Map<String, Object> root,
-                                   String field) throws IOException {
+    private static String variable(Map<String, String> env, String variable, Map<String, Object> root, String field)
+            throws IOException {
         String value = env.get(variable);
         return value == null || value.isEmpty() ? string(root, field) : value;
     }
--- a/src/main/java/anisebend/net/ProxyServer.java
+++ b/src/main/java/anisebend/net/ProxyServer.java
@@ -55,6 +55,7 @@
     private static final int BACKLOG = 1024;
     /** Parts of the descriptors for either side; the rest is for the JVM, discovery and sockets on their way out. */
     private static final double CLIENT_PART = 0.4;
+
     private static final double UPSTREAM_PART = 0.4;
     /**
      * This part of the heap is for long bodies; with the flags in deploy/balancer.toml the longest fits in it once, and
@@ -63,6 +64,7 @@
     private static final double BODY_PART = 0.45;
     /** So many at most come in beyond the bound before it is seen. */
     private static final int ACCEPTED_AT_ONCE = 4;
+
     private static final int MAX_READ = 16 << 10;
     private static final long SWEEP_MILLIS = 100;
     /**
@@ -76,6 +78,7 @@
     private static final long LONGEST_MILLIS = 3_000;
     /** What the system is asked to hold for one client, and for all, when the process is about to end. */
     private static final int PARTING_EACH = 4 << 20;
+
     private static final long PARTING_MOST = 192L << 20;
     private static final long BEFORE_KILL_MILLIS = 130;
 
@@ -88,7 +91,7 @@
     private final Door<ClientConnection> door;
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
     private BodyBudget<ClientConnection.Body> bodies =
-        new BodyBudget<>((long) (Runtime.getRuntime().maxMemory() * BODY_PART));
+            new BodyBudget<>((long) (Runtime.getRuntime().maxMemory() * BODY_PART));
     private final Parting<ClientConnection> parting = new Parting<>(PARTING_MOST, PARTING_EACH);
     private final Map<String, Long> events = new TreeMap<>();
     private final Shedder shedder;
@@ -125,8 +128,11 @@
         this.door = new Door<>(part(config.sockets(), CLIENT_PART));
         this.engine = new Engine(loop, config, part(config.sockets(), UPSTREAM_PART), operator);
         this.random = new SplittableRandom(config.seed());
-        this.shedder = new Shedder(new double[0],
-            config.settings().tenants().stream().mapToDouble(Balancer.Tenant::share).toArray());
+        this.shedder = new Shedder(
+                new double[0],
+                config.settings().tenants().stream()
+                        .mapToDouble(Balancer.Tenant::share)
+                        .toArray());
         this.succession = succession();
         take(config);
     }
@@ -135,9 +141,14 @@
     private void take(ProxyConfig taken) {
         config = taken;
         taken.classes().names().forEach(counters::list);
-        shedder.classes(taken.settings().classes().stream().mapToDouble(Balancer.RequestClass::worth).toArray());
-        long longest = taken.classes().names().stream().mapToInt(taken.classes()::number)
-            .mapToLong(number -> taken.classes().rules().get(number).deadline() / 1000).max().orElse(0);
+        shedder.classes(taken.settings().classes().stream()
+                .mapToDouble(Balancer.RequestClass::worth)
+                .toArray());
+        long longest = taken.classes().names().stream()
+                .mapToInt(taken.classes()::number)
+                .mapToLong(number -> taken.classes().rules().get(number).deadline() / 1000)
+                .max()
+                .orElse(0);
         drainMillis = Math.max(CLOSING_MILLIS, Math.min(LONGEST_MILLIS, longest) + 700 - BEFORE_KILL_MILLIS);
     }
 
@@ -157,12 +168,13 @@
         if (succession == null) {
             return;
         }
-        succession.tell(switch (lifecycle.phase()) {
-            case STARTING -> Generations.Standing.STARTING;
-            case SERVING -> Generations.Standing.SERVING;
-            case EMPTYING -> Generations.Standing.EMPTIED;
-            case HANDING_OVER, STOPPING -> Generations.Standing.LEAVING;
-        });
+        succession.tell(
+                switch (lifecycle.phase()) {
+                    case STARTING -> Generations.Standing.STARTING;
+                    case SERVING -> Generations.Standing.SERVING;
+                    case EMPTYING -> Generations.Standing.EMPTIED;
+                    case HANDING_OVER, STOPPING -> Generations.Standing.LEAVING;
+                });
         succession.look();
         Generations generations = succession.generations();
         if (generations.processes() != processes) {
@@ -203,13 +215,18 @@
     public ProxyServer trace(long periodMillis) {
         tracing = true;
         Trace trace = new Trace(engine, operator);
-        loop.scheduleAtFixedRate(() -> {
-            clients.forEach(c -> counted("now:" + c.state()));
-            trace.line(worstLate, clients.size() + " " + events + " accepts=" + door.open()
-                + " shed=" + shedder.level());
-            events.clear();
-            worstLate = 0;
-        }, periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(
+                () -> {
+                    clients.forEach(c -> counted("now:" + c.state()));
+                    trace.line(
+                            worstLate,
+                            clients.size() + " " + events + " accepts=" + door.open() + " shed=" + shedder.level());
+                    events.clear();
+                    worstLate = 0;
+                },
+                periodMillis,
+                periodMillis,
+                TimeUnit.MILLISECONDS);
         return this;
     }
 
@@ -310,7 +327,8 @@
     }
 
     private void warmUp(InetSocketAddress self, Runnable then) {
-        boolean hurried = !config.begins() && (succession == null || !succession.generations().hasPredecessor());
+        boolean hurried = !config.begins()
+                && (succession == null || !succession.generations().hasPredecessor());
         warmup = new Warmup(loop, config, self, hurried, () -> {
             warmup = null;
             then.run();
@@ -348,15 +366,17 @@
     private void begin(Supplier<ChannelFuture> listening) throws IOException {
         try {
             loop.submit(() -> {
-                engine.begin(config);
-                engine.watchLateness(late -> {
-                    worstLate = Math.max(worstLate, late);
-                    shedder.late(engine.now(), late);
-                });
-                share();
-                loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
-                return listening.get();
-            }).get().get();
+                        engine.begin(config);
+                        engine.watchLateness(late -> {
+                            worstLate = Math.max(worstLate, late);
+                            shedder.late(engine.now(), late);
+                        });
+                        share();
+                        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+                        return listening.get();
+                    })
+                    .get()
+                    .get();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
@@ -380,26 +400,30 @@
 
     @SuppressWarnings("deprecation") // of the option's name alone
     private ChannelFuture listen() {
-        ChannelFuture bound = new ServerBootstrap().group(group).channel(Transport.listener(loop))
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .option(Transport.reusePort(loop), config.admin() != null)
-            .option(ChannelOption.RCVBUF_ALLOCATOR,
-                new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTED_AT_ONCE))
-            .childOption(ChannelOption.RCVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 1024, MAX_READ))
-            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    StrictHttp.Requests decoder = new StrictHttp.Requests();
-                    ClientConnection connection = new ClientConnection(ch, decoder, ProxyServer.this);
-                    ch.pipeline().addLast(decoder, new HttpResponseEncoder());
-                    if (warmup != null) {
-                        ch.pipeline().addLast(warmup.new Gate(decoder, connection));
+        ChannelFuture bound = new ServerBootstrap()
+                .group(group)
+                .channel(Transport.listener(loop))
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(Transport.reusePort(loop), config.admin() != null)
+                .option(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTED_AT_ONCE))
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 1024, MAX_READ))
+                .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        StrictHttp.Requests decoder = new StrictHttp.Requests();
+                        ClientConnection connection = new ClientConnection(ch, decoder, ProxyServer.this);
+                        ch.pipeline().addLast(decoder, new HttpResponseEncoder());
+                        if (warmup != null) {
+                            ch.pipeline().addLast(warmup.new Gate(decoder, connection));
+                        }
+                        ch.pipeline().addLast(connection);
                     }
-                    ch.pipeline().addLast(connection);
-                }
-            }).bind(config.listen());
+                })
+                .bind(config.listen());
         listener = bound.channel();
         return bound;
     }
@@ -490,8 +514,10 @@
         if (succession != null) {
             succession.look();
         }
-        lifecycle.terminate(now, succession != null && succession.generations().succeeded(),
-            TimeUnit.MILLISECONDS.toMicros(drainMillis - CLOSING_MILLIS));
+        lifecycle.terminate(
+                now,
+                succession != null && succession.generations().succeeded(),
+                TimeUnit.MILLISECONDS.toMicros(drainMillis - CLOSING_MILLIS));
         operator.accept("drains for at most " + drainMillis + " ms: " + lifecycle.phase());
         if (lifecycle.phase() == Phase.STOPPING) {
             door.drain(now);
@@ -553,7 +579,8 @@
 
     /** Closes as many of the connections on which nothing is asked as are to go now, the longest known first. */
     private void sendAway(long now) {
-        List<ClientConnection> vacant = clients.stream().filter(client -> client.vacant(now)).toList();
+        List<ClientConnection> vacant =
+                clients.stream().filter(client -> client.vacant(now)).toList();
         int left = lifecycle.toClose(now, vacant.size(), TimeUnit.MILLISECONDS.toMicros(SWEEP_MILLIS));
         vacant.subList(0, left).forEach(ClientConnection::closeIfFree);
     }
@@ -563,8 +590,10 @@
      * the latest for the end of the proxy, and kill the other while it has requests in hand.
      */
     private void checkDrained() {
-        if (closing() && lifecycle.ending() && clients.isEmpty()
-            && (succession == null || !succession.generations().hasPredecessor())) {
+        if (closing()
+                && lifecycle.ending()
+                && clients.isEmpty()
+                && (succession == null || !succession.generations().hasPredecessor())) {
             drained.countDown();
         }
     }
@@ -673,8 +702,11 @@
 
     @Override
     public void answered(int requestClass, HttpResponseStatus status) {
-        counters.ended(config.classes().name(requestClass), status.code() == 200 ? Counters.End.SERVED
-            : status.code() == 503 || status.code() == 429 ? Counters.End.REFUSED : Counters.End.FAILED);
+        counters.ended(
+                config.classes().name(requestClass),
+                status.code() == 200
+                        ? Counters.End.SERVED
+                        : status.code() == 503 || status.code() == 429 ? Counters.End.REFUSED : Counters.End.FAILED);
     }
 
     @Override
--- a/src/main/java/anisebend/net/RequestHead.java
+++ b/src/main/java/anisebend/net/RequestHead.java
@@ -17,18 +17,21 @@
     static final int MAX_BODY = 32 << 20;
     /** Up to here a body is kept without asking for room. */
     static final int SHORT_BODY = 64 << 10;
+
     static final String READY = "/health/ready";
     private static final String API = "/api/";
     private static final int MAX_ID = 256;
     private static final int MAX_NUMBER = 12;
     /** A wait past the class's deadline by more than this part only holds memory. */
     private static final long OVER_PART = 8;
+
     private static final double MICROS = 1e6;
 
     /** What is wrong with it, null for nothing. */
     final HttpResponseStatus problem;
     /** Whether it is plain where the message ends, so that another may follow. */
     final boolean framed;
+
     String id;
     String idempotencyKey;
     String key;
@@ -44,21 +47,23 @@
     RequestHead(HttpRequest request, ProxyConfig config) {
         HttpHeaders headers = request.headers();
         HttpResponseStatus framing = framing(request, headers);
-        framed = framing == null && !headers.contains(HttpHeaderNames.CONTENT_LENGTH)
-            && !headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+        framed = framing == null
+                && !headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+                && !headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
         problem = framing != null ? framing : meaning(request, headers, config);
     }
 
     /** Nothing but one plain length, or plain chunks, may say where the message ends. */
     private static HttpResponseStatus framing(HttpRequest request, HttpHeaders headers) {
-        if (request.decoderResult().isFailure() || !HttpVersion.HTTP_1_1.equals(request.protocolVersion())
-            && !HttpVersion.HTTP_1_0.equals(request.protocolVersion())) {
+        if (request.decoderResult().isFailure()
+                || !HttpVersion.HTTP_1_1.equals(request.protocolVersion())
+                        && !HttpVersion.HTTP_1_0.equals(request.protocolVersion())) {
             return HttpResponseStatus.BAD_REQUEST;
         }
         List<String> lengths = headers.getAll(HttpHeaderNames.CONTENT_LENGTH);
         List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
         if (lengths.size() + codings.size() > 1
-            || codings.size() == 1 && !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0))) {
+                || codings.size() == 1 && !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0))) {
             return HttpResponseStatus.BAD_REQUEST;
         }
         if (lengths.size() == 1) {
@@ -91,13 +96,17 @@
         id = single(headers, "X-Correlation-Id");
         idempotencyKey = single(headers, "Idempotency-Key");
         requestClass = config.classes().number(single(headers, "X-Service-Class"));
-        tenant = config.names().tenants().isEmpty() ? 0
-            : index(config.names().tenants(), single(headers, "X-Account"));
+        tenant = config.names().tenants().isEmpty() ? 0 : index(config.names().tenants(), single(headers, "X-Account"));
         waitMicros = micros(single(headers, "X-Time-Left"));
         // A body of a read would have to be passed on, and has no meaning.
-        if (id == null || id.isEmpty() || id.length() > MAX_ID || requestClass < 0 || tenant < 0 || waitMicros <= 0
-            || headers.getAll("Idempotency-Key").size() > 1
-            || read && !framed && !"0".equals(headers.get(HttpHeaderNames.CONTENT_LENGTH))) {
+        if (id == null
+                || id.isEmpty()
+                || id.length() > MAX_ID
+                || requestClass < 0
+                || tenant < 0
+                || waitMicros <= 0
+                || headers.getAll("Idempotency-Key").size() > 1
+                || read && !framed && !"0".equals(headers.get(HttpHeaderNames.CONTENT_LENGTH))) {
             return HttpResponseStatus.BAD_REQUEST;
         }
         long deadline = config.settings().classes().get(requestClass).deadline();
@@ -127,8 +136,9 @@
         }
         int point = seconds.indexOf('.');
         int whole = point < 0 ? seconds.length() : point;
-        boolean plain = whole > 0 && digits(seconds, 0, whole)
-            && (point < 0 || point + 1 < seconds.length() && digits(seconds, point + 1, seconds.length()));
+        boolean plain = whole > 0
+                && digits(seconds, 0, whole)
+                && (point < 0 || point + 1 < seconds.length() && digits(seconds, point + 1, seconds.length()));
         return plain ? Math.round(Double.parseDouble(seconds) * MICROS) : 0;
     }
 
--- a/src/main/java/anisebend/net/Seconds.java
+++ b/src/main/java/anisebend/net/Seconds.java
@@ -6,8 +6,7 @@
     private static final int MILLIS = 1_000;
     private static final int DIGITS = 3;
 
-    private Seconds() {
-    }
+    private Seconds() {}
 
     /** Rounded up to a whole millisecond, so that what is left or to be waited for is never 0. */
     static String of(long micros) {
--- a/src/main/java/anisebend/net/ServerBacklog.java
+++ b/src/main/java/anisebend/net/ServerBacklog.java
@@ -13,8 +13,7 @@
     /** Each takes in a few; together more than can have come since the loop's last turn. */
     private static final int READS = 64;
 
-    private ServerBacklog() {
-    }
+    private ServerBacklog() {}
 
     static void close(Channel listener) {
         if (listener.isActive()) {
--- a/src/main/java/anisebend/net/Trace.java
+++ b/src/main/java/anisebend/net/Trace.java
@@ -33,12 +33,20 @@
     void line(long worstMicros, String clients) {
         long now = engine.now();
         Balancer.View view = engine.view();
-        StringBuilder s = new StringBuilder("trace t=").append((now - startMicros) / 1000)
-            .append(" late=").append(worstMicros / 1000)
-            .append(" clients=").append(clients).append("\n  open=").append(view.open())
-            .append(" homeless=").append(view.homeless())
-            .append(" retries=").append(Math.round(view.retriesLeft() * 10) / 10.0)
-            .append(" cpu=").append(cpuMillis());
+        StringBuilder s = new StringBuilder("trace t=")
+                .append((now - startMicros) / 1000)
+                .append(" late=")
+                .append(worstMicros / 1000)
+                .append(" clients=")
+                .append(clients)
+                .append("\n  open=")
+                .append(view.open())
+                .append(" homeless=")
+                .append(view.homeless())
+                .append(" retries=")
+                .append(Math.round(view.retriesLeft() * 10) / 10.0)
+                .append(" cpu=")
+                .append(cpuMillis());
         long[] present = engine.counts();
         String[] names = {"taken", "served", "refused", "failed", "gone"};
         for (int i = 0; i < present.length; i++) {
@@ -52,20 +60,36 @@
         for (ServerView server : view.servers()) {
             Traffic t = engine.traffic(server.id());
             long[] last = before.computeIfAbsent(server.id(), id -> new long[Code.values().length + 5]);
-            s.append("\n  ").append(server.id()).append(' ').append(server.state())
-                .append(server.suspect() ? " SUSPECT" : "").append(" warm=")
-                .append(Math.round(server.warmth() * 100) / 100.0)
-                .append(" lanes=").append(server.lanes()).append('x').append(server.meanInterval() / 1000)
-                .append("ms q=").append(server.queued()).append(" out=").append(server.inFlight())
-                .append(" left=").append(server.classesLeftOut())
-                .append(" slow=").append(Math.round(server.slowness() * 100) / 100.0);
+            s.append("\n  ")
+                    .append(server.id())
+                    .append(' ')
+                    .append(server.state())
+                    .append(server.suspect() ? " SUSPECT" : "")
+                    .append(" warm=")
+                    .append(Math.round(server.warmth() * 100) / 100.0)
+                    .append(" lanes=")
+                    .append(server.lanes())
+                    .append('x')
+                    .append(server.meanInterval() / 1000)
+                    .append("ms q=")
+                    .append(server.queued())
+                    .append(" out=")
+                    .append(server.inFlight())
+                    .append(" left=")
+                    .append(server.classesLeftOut())
+                    .append(" slow=")
+                    .append(Math.round(server.slowness() * 100) / 100.0);
             if (t == null) {
                 continue;
             }
             s.append(" conns=").append(t.open).append('+').append(t.opening);
             int i = 0;
-            s.append(" dialled=").append(since(last, i++, t.connects)).append(" notup=")
-                .append(since(last, i++, t.connectsFailed)).append(" noroom=").append(since(last, i++, t.noRoom));
+            s.append(" dialled=")
+                    .append(since(last, i++, t.connects))
+                    .append(" notup=")
+                    .append(since(last, i++, t.connectsFailed))
+                    .append(" noroom=")
+                    .append(since(last, i++, t.noRoom));
             long up = since(last, i++, t.connectMicros);
             s.append(" upms=").append(up / 1000);
             long ok = since(last, i++, t.okMicros);
--- a/src/main/java/anisebend/net/Warmup.java
+++ b/src/main/java/anisebend/net/Warmup.java
@@ -1,6 +1,5 @@
 package anisebend.net;
 
-import gorsemast.exchange.Passage;
 import gorsemast.exchange.StrictHttp;
 import gorsemast.exchange.Upstream;
 import gorsemast.retention.BodyBudget;
@@ -47,9 +46,11 @@
      * this, or crowd at another that may be about to stop too; on a slow day the first 40 to 150 must do for it.
      */
     private static final int REQUESTS = 256;
+
     private static final long LIMIT_MILLIS = 1_200;
     /** Where nobody waits, as the service begins or a predecessor has the clients: then cold code would cost them. */
     private static final int UNHURRIED_REQUESTS = 640;
+
     private static final long UNHURRIED_MILLIS = 2_600;
     private static final int CLIENTS = 6;
     private static final int KEYS = 64;
@@ -67,6 +68,7 @@
     private final Runnable done;
     /** Drawn from the start's own seed and so known to nobody else: no client can be taken for the warm-up. */
     private final String token;
+
     private final BodyBudget<ClientConnection.Body> bodies = new BodyBudget<>(0);
     private final List<Channel> channels = new ArrayList<>();
     private int sent;
@@ -81,12 +83,28 @@
         this.self = self;
         this.done = done;
         this.token = "warm-" + Long.toHexString(new SplittableRandom(real.seed()).nextLong());
-        Map<String, Object> list = Map.of("seq", 0.0, "whole", true, "hosts", List.of(Map.of("host", NODE,
-            "dial", NetUtil.toSocketAddressString(self), "health", "Ready")));
-        this.config = new ProxyConfig(real.name(), real.listen(), null, self, real.seed(), real.sockets(), list,
-            real.settings(), real.classes(), real.names(), real.connIdleMillis(),
-            real.connectTimeoutMillis(), Map.of());
-        this.engine = new Engine(loop, config, CLIENTS, text -> { });
+        Map<String, Object> list = Map.of(
+                "seq",
+                0.0,
+                "whole",
+                true,
+                "hosts",
+                List.of(Map.of("host", NODE, "dial", NetUtil.toSocketAddressString(self), "health", "Ready")));
+        this.config = new ProxyConfig(
+                real.name(),
+                real.listen(),
+                null,
+                self,
+                real.seed(),
+                real.sockets(),
+                list,
+                real.settings(),
+                real.classes(),
+                real.names(),
+                real.connIdleMillis(),
+                real.connectTimeoutMillis(),
+                Map.of());
+        this.engine = new Engine(loop, config, CLIENTS, text -> {});
     }
 
     /** Begins; {@code done} runs when enough has been asked or it has taken too long. */
@@ -99,14 +117,20 @@
             return;
         }
         for (int i = 0; i < CLIENTS; i++) {
-            Upstream.client(loop, limitMillis).handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    channels.add(ch);
-                    ch.pipeline().addLast(new HttpRequestEncoder(), new StrictHttp.Responses(),
-                        new HttpObjectAggregator(Upstream.MAX_KEPT), new Asking());
-                }
-            }).connect(self);
+            Upstream.client(loop, limitMillis)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel ch) {
+                            channels.add(ch);
+                            ch.pipeline()
+                                    .addLast(
+                                            new HttpRequestEncoder(),
+                                            new StrictHttp.Responses(),
+                                            new HttpObjectAggregator(Upstream.MAX_KEPT),
+                                            new Asking());
+                        }
+                    })
+                    .connect(self);
         }
     }
 
@@ -123,21 +147,24 @@
     private FullHttpRequest next() {
         int number = sent++;
         boolean write = number % WRITES_EVERY == 0;
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-            write ? HttpMethod.PUT : HttpMethod.GET, "/api/warm-" + number % KEYS,
-            write ? Unpooled.wrappedBuffer(new byte[BODY_BYTES]) : Unpooled.EMPTY_BUFFER);
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                write ? HttpMethod.PUT : HttpMethod.GET,
+                "/api/warm-" + number % KEYS,
+                write ? Unpooled.wrappedBuffer(new byte[BODY_BYTES]) : Unpooled.EMPTY_BUFFER);
         List<String> classes = List.copyOf(config.classes().names());
         List<String> tenants = config.names().tenants();
-        request.headers().set(HttpHeaderNames.HOST, "warm-up").set(TOKEN, token)
-            .set("X-Correlation-Id", token + number)
-            .set("X-Service-Class", classes.get(number % classes.size()))
-            .set("X-Time-Left", "1.000");
+        request.headers()
+                .set(HttpHeaderNames.HOST, "warm-up")
+                .set(TOKEN, token)
+                .set("X-Correlation-Id", token + number)
+                .set("X-Service-Class", classes.get(number % classes.size()))
+                .set("X-Time-Left", "1.000");
         if (!tenants.isEmpty()) {
             request.headers().set("X-Account", tenants.get(number % tenants.size()));
         }
         if (write) {
-            request.headers().set("Idempotency-Key", token + number)
-                .set(HttpHeaderNames.CONTENT_LENGTH, BODY_BYTES);
+            request.headers().set("Idempotency-Key", token + number).set(HttpHeaderNames.CONTENT_LENGTH, BODY_BYTES);
         }
         return request;
     }
@@ -181,8 +208,10 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
-            String id = message instanceof HttpRequest request ? request.headers().get("X-Correlation-Id") : null;
-            if (message instanceof HttpRequest request && token.equals(request.headers().get(TOKEN))) {
+            String id =
+                    message instanceof HttpRequest request ? request.headers().get("X-Correlation-Id") : null;
+            if (message instanceof HttpRequest request
+                    && token.equals(request.headers().get(TOKEN))) {
                 ClientConnection own = new ClientConnection(ctx.channel(), decoder, Warmup.this);
                 if (real == null) {
                     ctx.pipeline().addLast(own);
@@ -193,11 +222,14 @@
                 ctx.fireChannelRead(message);
             } else if (id != null && id.startsWith(token)) {
                 answer = answer(new byte[BODY_BYTES]);
-            } else if (message instanceof HttpRequest request && !over
-                && request.uri().startsWith(Discovery.LIST)) {
-                answer = request.uri().contains("?") ? null : answer(("{\"seq\":0,\"whole\":true,\"hosts\":[{\"host\":\""
-                    + NODE + "\",\"dial\":\"" + NetUtil.toSocketAddressString(self) + "\",\"health\":\"Ready\"}]}")
-                    .getBytes(StandardCharsets.UTF_8));
+            } else if (message instanceof HttpRequest request
+                    && !over
+                    && request.uri().startsWith(Discovery.LIST)) {
+                answer = request.uri().contains("?")
+                        ? null
+                        : answer(("{\"seq\":0,\"whole\":true,\"hosts\":[{\"host\":\"" + NODE + "\",\"dial\":\""
+                                        + NetUtil.toSocketAddressString(self) + "\",\"health\":\"Ready\"}]}")
+                                .getBytes(StandardCharsets.UTF_8));
             } else if (message instanceof HttpRequest && real == null) {
                 ctx.close();
             } else if (message instanceof HttpRequest) {
@@ -214,8 +246,8 @@
         }
 
         private static FullHttpResponse answer(byte[] body) {
-            FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-                Unpooled.wrappedBuffer(body));
+            FullHttpResponse answer = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
             answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length).set("X-Lookup", "hit");
             return answer;
         }
@@ -254,12 +286,10 @@
     }
 
     @Override
-    public void opened(ClientConnection connection) {
-    }
+    public void opened(ClientConnection connection) {}
 
     @Override
-    public void closed(ClientConnection connection) {
-    }
+    public void closed(ClientConnection connection) {}
 
     @Override
     public long turnsAway(RequestHead head) {
@@ -267,10 +297,8 @@
     }
 
     @Override
-    public void asks(ClientConnection connection) {
-    }
+    public void asks(ClientConnection connection) {}
 
     @Override
-    public void idle(ClientConnection connection, boolean turnedAway) {
-    }
+    public void idle(ClientConnection connection, boolean turnedAway) {}
 }
--- a/src/main/java/gorsemast/admin/AdminCall.java
+++ b/src/main/java/gorsemast/admin/AdminCall.java
@@ -9,8 +9,7 @@
 public final class AdminCall {
     private static final int WITHIN_MILLIS = 2_000;
 
-    private AdminCall() {
-    }
+    private AdminCall() {}
 
     /** All that is answered; at most two seconds for each read. */
     public static String ask(InetSocketAddress at, String call) throws IOException {
--- a/src/main/java/gorsemast/admin/AdminListener.java
+++ b/src/main/java/gorsemast/admin/AdminListener.java
@@ -39,6 +39,7 @@
     static final long WHOLE_MILLIS = 2_000;
     /** A longer line is no call. */
     static final int LONGEST = 256;
+
     private static final int BACKLOG = 128;
 
     /** What can be asked. Each returns at once. */
@@ -79,16 +80,19 @@
 
     /** Binds it; on {@code loop}, which then does all of the work. */
     public ChannelFuture listen(MultiThreadIoEventLoopGroup group, EventLoop loop, SocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(group).channel(Transport.listener(loop))
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new Caller(loop));
-                }
-            }).bind(address);
+        ChannelFuture bound = new ServerBootstrap()
+                .group(group)
+                .channel(Transport.listener(loop))
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ch.pipeline().addLast(new Caller(loop));
+                    }
+                })
+                .bind(address);
         listener = bound.channel();
         return bound;
     }
@@ -113,7 +117,9 @@
             case "resume" -> said(calls.resume(), "serving", "not in service");
             default -> {
                 String other = calls.other(call);
-                yield other == null ? "400 unknown call; there are health, counters, quiesce, resume\n" : "200 " + other;
+                yield other == null
+                        ? "400 unknown call; there are health, counters, quiesce, resume\n"
+                        : "200 " + other;
             }
         };
     }
@@ -140,11 +146,14 @@
                 first.close();
             }
             callers.add(ctx.channel());
-            loop.schedule(() -> {
-                if (callers.contains(ctx.channel())) {
-                    answer(ctx, "400 no whole call in " + WHOLE_MILLIS + " ms\n");
-                }
-            }, WHOLE_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        if (callers.contains(ctx.channel())) {
+                            answer(ctx, "400 no whole call in " + WHOLE_MILLIS + " ms\n");
+                        }
+                    },
+                    WHOLE_MILLIS,
+                    TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -155,8 +164,11 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             ByteBuf in = (ByteBuf) message;
-            if (!answered && line.length() == 0 && in.isReadable() && !lower(in.getByte(in.readerIndex()))
-                && other.test(ctx.channel())) {
+            if (!answered
+                    && line.length() == 0
+                    && in.isReadable()
+                    && !lower(in.getByte(in.readerIndex()))
+                    && other.test(ctx.channel())) {
                 callers.remove(ctx.channel());
                 answered = true;
                 ctx.fireChannelActive();
@@ -186,7 +198,7 @@
             if (!answered) {
                 answered = true;
                 ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII))
-                    .addListener(ChannelFutureListener.CLOSE);
+                        .addListener(ChannelFutureListener.CLOSE);
             }
         }
 
--- a/src/main/java/gorsemast/admission/Door.java
+++ b/src/main/java/gorsemast/admission/Door.java
@@ -33,6 +33,7 @@
     static final double IDLE_PART = 0.625;
     /** In a drain so many connections on which anything was asked are kept free: this part, so many at least, half at most. */
     static final double FREE_PART = 0.25;
+
     static final int FREE_LEAST = 8;
     /** From so long after a drain began, in microseconds; until then those who need one more may still come in. */
     static final long LAST_ARRIVALS_MICROS = 200_000;
@@ -41,10 +42,16 @@
     /** Who says nothing for this long is the first to go when there is need, in microseconds. */
     static final long SILENT_MICROS = 200_000;
 
-    private enum Standing { NEW, IDLE, BUSY, TURNED_AWAY }
+    private enum Standing {
+        NEW,
+        IDLE,
+        BUSY,
+        TURNED_AWAY
+    }
 
     /** By standing, each in the order in which they came to it, with the time of that. */
     private final List<Map<G, Long>> rows = new ArrayList<>();
+
     private final Map<G, Standing> standings = new LinkedHashMap<>();
     private int places;
     private boolean draining;
--- a/src/main/java/gorsemast/admission/Shedder.java
+++ b/src/main/java/gorsemast/admission/Shedder.java
@@ -35,10 +35,12 @@
     private static final double KEPT = 0.95;
     /** Fewer than this tell nothing of shares. */
     private static final double ENOUGH = 40;
+
     private static final long FIRST_RETRY_MICROS = 200_000;
 
     /** Of each class, how many distinct worths are less. */
     private int[] ranks;
+
     private int most;
     private final double[] shares;
     private final double[] asked;
@@ -57,7 +59,9 @@
     /** Goes on with classes of other worths, by their numbers. */
     public void classes(double[] worths) {
         double[] order = Arrays.stream(worths).distinct().sorted().toArray();
-        ranks = Arrays.stream(worths).mapToInt(worth -> Arrays.binarySearch(order, worth)).toArray();
+        ranks = Arrays.stream(worths)
+                .mapToInt(worth -> Arrays.binarySearch(order, worth))
+                .toArray();
         most = Math.max(0, order.length - 1);
     }
 
--- a/src/main/java/gorsemast/arcen/Main.java
+++ b/src/main/java/gorsemast/arcen/Main.java
@@ -15,8 +15,7 @@
 
 /** Starts {@code cabauw}, {@code debilt} or {@code vlissingen} by the settings at {@value Settings#VARIABLE}. */
 public final class Main {
-    private Main() {
-    }
+    private Main() {}
 
     /** Runs the named program; any other argument is a usage error. */
     public static void main(String[] args) {
@@ -33,11 +32,12 @@
         Runtime.getRuntime().addShutdownHook(new Leaving(started));
         try {
             Settings settings = Settings.read(Path.of(file));
-            Daemon program = switch (word) {
-                case "cabauw" -> new Cabauw(settings);
-                case "debilt" -> new Debilt(settings);
-                default -> new Vlissingen(settings);
-            };
+            Daemon program =
+                    switch (word) {
+                        case "cabauw" -> new Cabauw(settings);
+                        case "debilt" -> new Debilt(settings);
+                        default -> new Vlissingen(settings);
+                    };
             program.start();
             // Behind the start, which somebody may be waiting for; heard of by reflection, it takes a tenth of that.
             Signals.onHangup(new Rereading(program, Path.of(file), log));
--- a/src/main/java/gorsemast/cabauw/Cabauw.java
+++ b/src/main/java/gorsemast/cabauw/Cabauw.java
@@ -57,6 +57,7 @@
 public final class Cabauw implements Daemon, Link.Receiver, Lookout.Follower {
     /** Of the descriptors, so many are the platform's. */
     private static final int RESERVED = 200;
+
     private static final int HEAD_BYTES = 16 << 10;
     private static final long SERVER_IDLE_MILLIS = 8_000;
     private static final long CONNECT_MILLIS = 400;
@@ -68,6 +69,7 @@
     private static final long LAST_MICROS = 500_000;
     /** While it leaves, it looks so often for what is over. */
     private static final long LEAVING_MICROS = 60_000;
+
     private static final Log LOG = new Log("cabauw");
 
     private final Settings settings;
@@ -92,19 +94,56 @@
         this.loop = new MultiThreadIoEventLoopGroup(1, Transport.handlers()).next();
         this.links = new Links(loop, this::now, this::hello, this);
         this.places = Places.of(Math.max(16, settings.descriptors() - RESERVED));
-        this.lookout = new Lookout(settings.ip(), settings.zone(), places.registries(), places.watched(), System.currentTimeMillis(), settings.seedIps(), this::now,
-            links, this::seen, this);
-        this.servers = new Upstream(loop, new Network(), this::readyServer, places.servers(), SERVER_IDLE_MILLIS, CONNECT_MILLIS,
-            random.nextLong());
-        this.between = new Upstream(loop, new Network(), peer -> true, places.between(), 20_000,
-            CONNECT_MILLIS, random.nextLong());
-        this.desk = new ObjectDesk(loop, this::now, between, senders::get, ip -> Ports.OBJECTS.at(settings, ip),
-            lookout::configuration, lookout.homes()::count, places.keeps(), random.nextLong());
-        this.fetching = new Fetching<>(settings.ip(), this::now, shelf, lookout.homes(), lookout.board(),
-            settings.time("originWindow", 5_000_000), random.nextLong(), desk);
+        this.lookout = new Lookout(
+                settings.ip(),
+                settings.zone(),
+                places.registries(),
+                places.watched(),
+                System.currentTimeMillis(),
+                settings.seedIps(),
+                this::now,
+                links,
+                this::seen,
+                this);
+        this.servers = new Upstream(
+                loop,
+                new Network(),
+                this::readyServer,
+                places.servers(),
+                SERVER_IDLE_MILLIS,
+                CONNECT_MILLIS,
+                random.nextLong());
+        this.between = new Upstream(
+                loop, new Network(), peer -> true, places.between(), 20_000, CONNECT_MILLIS, random.nextLong());
+        this.desk = new ObjectDesk(
+                loop,
+                this::now,
+                between,
+                senders::get,
+                ip -> Ports.OBJECTS.at(settings, ip),
+                lookout::configuration,
+                lookout.homes()::count,
+                places.keeps(),
+                random.nextLong());
+        this.fetching = new Fetching<>(
+                settings.ip(),
+                this::now,
+                shelf,
+                lookout.homes(),
+                lookout.board(),
+                settings.time("originWindow", 5_000_000),
+                random.nextLong(),
+                desk);
         desk.goBy(fetching);
-        this.front = new Front(loop, this::now, lookout::configuration, senders::get, desk, places.clients(),
-            places.keeps(), random.nextLong());
+        this.front = new Front(
+                loop,
+                this::now,
+                lookout::configuration,
+                senders::get,
+                desk,
+                places.clients(),
+                places.keeps(),
+                random.nextLong());
     }
 
     private Record.Hello hello() {
@@ -142,7 +181,8 @@
         if (places.watched() > 0) {
             links.listen(Ports.PROXY.at(settings, settings.ip()));
         }
-        new ObjectsServer(loop, this::now, lookout::configuration, desk, lookout.board(), places.asked()).listen(Ports.OBJECTS.at(settings, settings.ip()));
+        new ObjectsServer(loop, this::now, lookout::configuration, desk, lookout.board(), places.asked())
+                .listen(Ports.OBJECTS.at(settings, settings.ip()));
         listenForProbes(probes);
         loop.execute(this::tick);
         loop.scheduleWithFixedDelay(this::tick, Lookout.TICK_MICROS, Lookout.TICK_MICROS, TimeUnit.MICROSECONDS);
@@ -167,10 +207,13 @@
                 request = head;
             }
             if (message instanceof LastHttpContent && request != null) {
-                boolean known = request.uri().equals("/v1/readiness") && request.decoderResult().isSuccess();
-                HttpResponseStatus status = !known ? HttpResponseStatus.NOT_FOUND
-                    : lookout.ready() && !stopping ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
-                FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+                boolean known = request.uri().equals("/v1/readiness")
+                        && request.decoderResult().isSuccess();
+                HttpResponseStatus status = !known
+                        ? HttpResponseStatus.NOT_FOUND
+                        : lookout.ready() && !stopping ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+                FullHttpResponse answer =
+                        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
                 answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
                 var written = ctx.writeAndFlush(answer);
                 if (!HttpUtil.isKeepAlive(request) || !known) {
@@ -200,12 +243,17 @@
             LOG.info("leaves, " + front.held() + " requests held; took " + front.taken() + ", " + fetching.tally());
             loop.schedule(front::closing, Math.min(NOTICED_MICROS, grace / 2), TimeUnit.MICROSECONDS);
             long last = now() + grace - LAST_MICROS;
-            loop.scheduleWithFixedDelay(() -> {
-                boolean closes = now() > last - grace + LAST_MICROS + Math.min(NOTICED_MICROS, grace / 2) + 600_000;
-                if (now() > last || closes && front.closeIdle() == 0) {
-                    over.countDown();
-                }
-            }, LEAVING_MICROS, LEAVING_MICROS, TimeUnit.MICROSECONDS);
+            loop.scheduleWithFixedDelay(
+                    () -> {
+                        boolean closes =
+                                now() > last - grace + LAST_MICROS + Math.min(NOTICED_MICROS, grace / 2) + 600_000;
+                        if (now() > last || closes && front.closeIdle() == 0) {
+                            over.countDown();
+                        }
+                    },
+                    LEAVING_MICROS,
+                    LEAVING_MICROS,
+                    TimeUnit.MICROSECONDS);
         });
         try {
             over.await(grace, TimeUnit.MICROSECONDS);
@@ -232,14 +280,27 @@
     @Override
     public void configured(Configuration now, int edges) {
         Map<String, List<Route>> routes = now.byService();
-        Briefing.Budget budget = new Briefing.Budget(settings.number("retryBudgetRatio", 0.1),
-            settings.number("retrySlack", 0), settings.time("retryWindow", 10_000_000));
+        Briefing.Budget budget = new Briefing.Budget(
+                settings.number("retryBudgetRatio", 0.1),
+                settings.number("retrySlack", 0),
+                settings.time("retryWindow", 10_000_000));
         routes.forEach((service, of) -> {
             Sender sender = senders.get(service);
             if (sender == null) {
-                sender = new Sender(service, loop, this::now, servers, new Briefing(settings.ip(),
-                    Math.max(1, places.servers() / routes.size()), budget, settings.zoneNumber(settings.zone()), of, edges),
-                    () -> fetching.another(service), random.nextLong());
+                sender = new Sender(
+                        service,
+                        loop,
+                        this::now,
+                        servers,
+                        new Briefing(
+                                settings.ip(),
+                                Math.max(1, places.servers() / routes.size()),
+                                budget,
+                                settings.zoneNumber(settings.zone()),
+                                of,
+                                edges),
+                        () -> fetching.another(service),
+                        random.nextLong());
                 senders.put(service, sender);
             } else {
                 sender.retune(of, edges);
--- a/src/main/java/gorsemast/cabauw/Front.java
+++ b/src/main/java/gorsemast/cabauw/Front.java
@@ -44,6 +44,7 @@
     private static final long WAY_MICROS = 8_000;
     /** A head is kept whole, so the operator's limit has one itself. */
     private static final int MOST_HEAD = 256 << 10;
+
     private static final long MOST_BODIES = 24L << 20;
     private static final long MICROS = 1_000_000L;
     private static final int KEPT = 64 << 10;
@@ -61,6 +62,7 @@
     private final Doorman doorman;
     /** Whether connections end with their answers, as there are too few for those who keep theirs. */
     private final boolean closes;
+
     private final SplittableRandom random;
     private final Set<Visitor> visitors = new LinkedHashSet<>();
     private boolean closing;
@@ -68,8 +70,15 @@
     private int open;
     private long taken;
 
-    Front(EventLoop loop, LongSupplier clock, Supplier<Configuration> configuration, Function<String, Sender> senders,
-          ObjectDesk desk, int places, boolean keeps, long seed) {
+    Front(
+            EventLoop loop,
+            LongSupplier clock,
+            Supplier<Configuration> configuration,
+            Function<String, Sender> senders,
+            ObjectDesk desk,
+            int places,
+            boolean keeps,
+            long seed) {
         this.loop = loop;
         this.clock = clock;
         this.configuration = configuration;
@@ -81,16 +90,21 @@
     }
 
     Channel listen(InetSocketAddress at, int headBytes) throws IOException {
-        loop.scheduleWithFixedDelay(() -> List.copyOf(visitors).forEach(visitor -> visitor.sweep(now())), Visitor.SWEEP_MICROS,
-            Visitor.SWEEP_MICROS, TimeUnit.MICROSECONDS);
+        loop.scheduleWithFixedDelay(
+                () -> List.copyOf(visitors).forEach(visitor -> visitor.sweep(now())),
+                Visitor.SWEEP_MICROS,
+                Visitor.SWEEP_MICROS,
+                TimeUnit.MICROSECONDS);
         Channel listener = Transport.listen(loop, at, new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel ch) {
                 doorman.comes(ch);
                 Configuration now = configuration.get();
-                int head = now == null ? headBytes : Math.max(headBytes, Math.min(MOST_HEAD, now.limits().headerBytes()));
-                ch.pipeline().addLast(new StrictHttp.Requests(head), new HttpResponseEncoder(),
-                    new Visitor(ch, Front.this));
+                int head = now == null
+                        ? headBytes
+                        : Math.max(headBytes, Math.min(MOST_HEAD, now.limits().headerBytes()));
+                ch.pipeline()
+                        .addLast(new StrictHttp.Requests(head), new HttpResponseEncoder(), new Visitor(ch, Front.this));
             }
         });
         doorman.at(listener);
@@ -235,9 +249,20 @@
             return;
         }
         open++;
-        Runnable leave = sender.take(new Call(route, turn.method(), turn.uri(), turn.headers(),
-            id == null ? "n" + Long.toHexString(random.nextLong()) : id, turn.takeBody(), null, turn.arrival(), giveUp, KEPT, false),
-            new Answering(turn));
+        Runnable leave = sender.take(
+                new Call(
+                        route,
+                        turn.method(),
+                        turn.uri(),
+                        turn.headers(),
+                        id == null ? "n" + Long.toHexString(random.nextLong()) : id,
+                        turn.takeBody(),
+                        null,
+                        turn.arrival(),
+                        giveUp,
+                        KEPT,
+                        false),
+                new Answering(turn));
         turn.onLeave(() -> {
             open--;
             leave.run();
@@ -274,7 +299,8 @@
         @Override
         public void answered(FullHttpResponse answer) {
             open--;
-            turn.answer(answer.status().code(), headers(answer), answer.content().retainedDuplicate());
+            turn.answer(
+                    answer.status().code(), headers(answer), answer.content().retainedDuplicate());
         }
 
         @Override
--- a/src/main/java/gorsemast/cabauw/Lookout.java
+++ b/src/main/java/gorsemast/cabauw/Lookout.java
@@ -36,6 +36,7 @@
     public static final long TICK_MICROS = 250_000;
     /** What was seen of servers' speeds is told so often; by more than so many edges seldomer, the same for all together. */
     private static final long SPEEDS_MICROS = 1_000_000;
+
     private static final int SPEEDS_EDGES = 20;
     private static final Log LOG = new Log("cabauw");
 
@@ -78,6 +79,7 @@
     private boolean edgesDirty;
     /** All that are up, with their zones, and those of them that it watches; null where they have changed. */
     private Map<String, String> edges;
+
     private Set<String> nearest;
     private long speedsAt;
     private boolean ready;
@@ -90,8 +92,17 @@
      * @param life higher for a later start of the machine
      * @param seen what was seen here of servers' speeds, as {@link SpeedNews} has it
      */
-    public Lookout(String ip, String zone, int registries, int watched, long life, Set<String> seeds, LongSupplier clock, Neighbours neighbours,
-                   Supplier<Map<String, double[]>> seen, Follower follower) {
+    public Lookout(
+            String ip,
+            String zone,
+            int registries,
+            int watched,
+            long life,
+            Set<String> seeds,
+            LongSupplier clock,
+            Neighbours neighbours,
+            Supplier<Map<String, double[]>> seen,
+            Follower follower) {
         this.ip = ip;
         this.zone = zone;
         this.registries = registries;
@@ -265,7 +276,8 @@
         }
         serversDirty = false;
         Map<String, List<ServerNews>> by = new HashMap<>();
-        services.addAll(configuration.services().keySet()); // what is still on its way to a dropped one goes by this too
+        services.addAll(
+                configuration.services().keySet()); // what is still on its way to a dropped one goes by this too
         services.forEach(service -> by.put(service, new ArrayList<>()));
         for (Item item : board.all(Kind.SERVER)) {
             ServerNews server = ServerNews.of(item);
--- a/src/main/java/gorsemast/cabauw/ObjectDesk.java
+++ b/src/main/java/gorsemast/cabauw/ObjectDesk.java
@@ -18,7 +18,6 @@
 import gorsemast.schiphol.Configuration;
 import gorsemast.schiphol.Route;
 import gorsemast.terschelling.Board;
-import gorsemast.terschelling.Item;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -55,6 +54,7 @@
     static final int LARGEST = 2 << 20;
     /** What a home adds to its answers: how old the copy is, for how long it may be held, and whether it may be at all. */
     static final String AGE = "Home-Age";
+
     static final String LIFE = "Home-Life";
     static final String STEP = "Home-Step";
     static final String LEFT = "Home-Budget";
@@ -67,8 +67,7 @@
     private static final int UNAVAILABLE = 503;
     private static final int TIME_OUT = 504;
 
-    private record Home(String host, InetSocketAddress dial) implements Upstream.Peer {
-    }
+    private record Home(String host, InetSocketAddress dial) implements Upstream.Peer {}
 
     private final EventLoop loop;
     private final LongSupplier clock;
@@ -82,9 +81,16 @@
     private Fetching<FullHttpResponse> fetching;
 
     /** @param keeps whether connections to other edges are kept for the next request */
-    ObjectDesk(EventLoop loop, LongSupplier clock, Upstream between, Function<String, Sender> senders,
-               Function<String, InetSocketAddress> objects, Supplier<Configuration> configuration, IntSupplier edges,
-               boolean keeps, long seed) {
+    ObjectDesk(
+            EventLoop loop,
+            LongSupplier clock,
+            Upstream between,
+            Function<String, Sender> senders,
+            Function<String, InetSocketAddress> objects,
+            Supplier<Configuration> configuration,
+            IntSupplier edges,
+            boolean keeps,
+            long seed) {
         this.loop = loop;
         this.clock = clock;
         this.between = between;
@@ -115,10 +121,13 @@
             return;
         }
         boolean[] over = new boolean[1];
-        ScheduledFuture<?> limit = loop.schedule(() -> {
-            over[0] = true;
-            turn.answer(TIME_OUT, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
-        }, Math.max(0, giveUp - clock.getAsLong()), TimeUnit.MICROSECONDS);
+        ScheduledFuture<?> limit = loop.schedule(
+                () -> {
+                    over[0] = true;
+                    turn.answer(TIME_OUT, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+                },
+                Math.max(0, giveUp - clock.getAsLong()),
+                TimeUnit.MICROSECONDS);
         turn.onLeave(() -> {
             over[0] = true;
             limit.cancel(false);
@@ -181,37 +190,43 @@
     // ---- from the home
 
     @Override
-    public void home(String edge, Wanted what, int hop, long step, long begun, long wait, FromHome<FullHttpResponse> ending) {
+    public void home(
+            String edge, Wanted what, int hop, long step, long begun, long wait, FromHome<FullHttpResponse> ending) {
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, what.uri());
-        request.headers().set(HttpHeaderNames.HOST, what.host()).set(STEP, Long.toHexString(step)).set(LEFT, wait / 1_000).set(HOP, hop);
+        request.headers()
+                .set(HttpHeaderNames.HOST, what.host())
+                .set(STEP, Long.toHexString(step))
+                .set(LEFT, wait / 1_000)
+                .set(HOP, hop);
         HttpUtil.setKeepAlive(request, keeps);
-        between.send(new Home(edge, objects.apply(edge)), request, wait, false, LARGEST + (1 << 16), new Upstream.Ending() {
-            @Override
-            public Passage begins(Note note, HttpResponse head, long length, Passage.Flow flow) {
-                ending.useless(); // no home answers so
-                return null;
-            }
+        between.send(
+                new Home(edge, objects.apply(edge)), request, wait, false, LARGEST + (1 << 16), new Upstream.Ending() {
+                    @Override
+                    public Passage begins(Note note, HttpResponse head, long length, Passage.Flow flow) {
+                        ending.useless(); // no home answers so
+                        return null;
+                    }
 
-            @Override
-            public void ended(Code code, Note note, FullHttpResponse answer) {
-                if (answer == null) {
-                    ending.silent(code.calledOff);
-                    return;
-                }
-                int status = answer.status().code();
-                String later = answer.headers().get(HttpHeaderNames.RETRY_AFTER);
-                Copy copy = status == OK ? handed(answer, begun) : null;
-                if (copy != null) {
-                    ending.copy(copy);
-                } else if (status == UNAVAILABLE && later != null) {
-                    ending.refused(Front.micros(later));
-                } else if (status != OUT_OF_STEP && status < 500) {
-                    ending.other(answer);
-                } else {
-                    ending.useless();
-                }
-            }
-        });
+                    @Override
+                    public void ended(Code code, Note note, FullHttpResponse answer) {
+                        if (answer == null) {
+                            ending.silent(code.calledOff);
+                            return;
+                        }
+                        int status = answer.status().code();
+                        String later = answer.headers().get(HttpHeaderNames.RETRY_AFTER);
+                        Copy copy = status == OK ? handed(answer, begun) : null;
+                        if (copy != null) {
+                            ending.copy(copy);
+                        } else if (status == UNAVAILABLE && later != null) {
+                            ending.refused(Front.micros(later));
+                        } else if (status != OUT_OF_STEP && status < 500) {
+                            ending.other(answer);
+                        } else {
+                            ending.useless();
+                        }
+                    }
+                });
     }
 
     /** A home's answer as a copy, with the time that it has left here; null where it is none that can be vouched for. */
@@ -236,7 +251,9 @@
 
     @Override
     public double perSecond(String service) {
-        Configuration.Service known = configuration.get() == null ? null : configuration.get().services().get(service);
+        Configuration.Service known = configuration.get() == null
+                ? null
+                : configuration.get().services().get(service);
         return known == null ? Double.POSITIVE_INFINITY : known.ratePerSecond();
     }
 
@@ -247,8 +264,12 @@
 
     @Override
     public int fetchers(String service) {
-        Configuration.Service known = configuration.get() == null ? null : configuration.get().services().get(service);
-        return known == null ? Integer.MAX_VALUE : Crowd.homes(edges.getAsInt(), known.maxConnections(), known.ratePerSecond());
+        Configuration.Service known = configuration.get() == null
+                ? null
+                : configuration.get().services().get(service);
+        return known == null
+                ? Integer.MAX_VALUE
+                : Crowd.homes(edges.getAsInt(), known.maxConnections(), known.ratePerSecond());
     }
 
     @Override
@@ -258,35 +279,52 @@
             return false;
         }
         String id = "o" + Long.toHexString(random.nextLong());
-        sender.take(new Call(what.route(), HttpMethod.GET, what.uri(), new DefaultHttpHeaders(), id, Unpooled.EMPTY_BUFFER,
-            what.key(), asked, giveUp, LARGEST, true), new Client() {
-                @Override
-                public void answered(FullHttpResponse answer) {
-                    if (answer.status().code() == OK && answer.headers().contains(Network.SEAL)) {
-                        HttpHeaders headers = new DefaultHttpHeaders();
-                        Hops.copy(answer.headers(), headers);
-                        ending.copy(copy(OK, headers, answer.content(), asked, what.route().ttlMicros()));
-                    } else {
-                        ending.other(answer);
+        sender.take(
+                new Call(
+                        what.route(),
+                        HttpMethod.GET,
+                        what.uri(),
+                        new DefaultHttpHeaders(),
+                        id,
+                        Unpooled.EMPTY_BUFFER,
+                        what.key(),
+                        asked,
+                        giveUp,
+                        LARGEST,
+                        true),
+                new Client() {
+                    @Override
+                    public void answered(FullHttpResponse answer) {
+                        if (answer.status().code() == OK && answer.headers().contains(Network.SEAL)) {
+                            HttpHeaders headers = new DefaultHttpHeaders();
+                            Hops.copy(answer.headers(), headers);
+                            ending.copy(copy(
+                                    OK,
+                                    headers,
+                                    answer.content(),
+                                    asked,
+                                    what.route().ttlMicros()));
+                        } else {
+                            ending.other(answer);
+                        }
                     }
-                }
 
-                @Override
-                public Passage begins(HttpResponse head, long length, Passage.Flow flow) {
-                    loop.execute(ending::tooLong); // once the module has heard of this end
-                    return null;
-                }
+                    @Override
+                    public Passage begins(HttpResponse head, long length, Passage.Flow flow) {
+                        loop.execute(ending::tooLong); // once the module has heard of this end
+                        return null;
+                    }
 
-                @Override
-                public void refused(long retryAfter) {
-                    ending.refused(retryAfter);
-                }
+                    @Override
+                    public void refused(long retryAfter) {
+                        ending.refused(retryAfter);
+                    }
 
-                @Override
-                public void failed(boolean timeUp) {
-                    ending.failed();
-                }
-            });
+                    @Override
+                    public void failed(boolean timeUp) {
+                        ending.failed();
+                    }
+                });
         return true;
     }
 
@@ -296,8 +334,13 @@
             tags.addAll(Arrays.asList(line.trim().split(" +")));
         }
         headers.remove(Network.ATTEMPT);
-        return new Copy(status, List.copyOf(headers.entries()), ByteBufUtil.getBytes(body), tags, asked,
-            Math.min(ttl, Board.LONGEST_COPY_MICROS));
+        return new Copy(
+                status,
+                List.copyOf(headers.entries()),
+                ByteBufUtil.getBytes(body),
+                tags,
+                asked,
+                Math.min(ttl, Board.LONGEST_COPY_MICROS));
     }
 
     // ---- to clients
@@ -324,8 +367,8 @@
             turn.answer(RANGE, headers, Unpooled.EMPTY_BUFFER);
         } else {
             headers.set(HttpHeaderNames.CONTENT_RANGE, "bytes " + range[0] + '-' + range[1] + '/' + length);
-            turn.answer(PARTIAL, headers, Unpooled.wrappedBuffer(copy.body(), (int) range[0],
-                (int) (range[1] - range[0] + 1)));
+            turn.answer(PARTIAL, headers, Unpooled.wrappedBuffer(copy.body(), (int) range[0], (int)
+                    (range[1] - range[0] + 1)));
         }
     }
 
--- a/src/main/java/gorsemast/cabauw/ObjectsServer.java
+++ b/src/main/java/gorsemast/cabauw/ObjectsServer.java
@@ -45,14 +45,19 @@
     private final Board board;
     private final Doorman doorman;
 
-    ObjectsServer(EventLoop loop, LongSupplier clock, Supplier<Configuration> configuration, ObjectDesk desk, Board board,
-                  int places) {
+    ObjectsServer(
+            EventLoop loop,
+            LongSupplier clock,
+            Supplier<Configuration> configuration,
+            ObjectDesk desk,
+            Board board,
+            int places) {
         this.loop = loop;
         this.clock = clock;
         this.configuration = configuration;
         this.desk = desk;
         this.board = board;
-        this.doorman = new Doorman(places, () -> { });
+        this.doorman = new Doorman(places, () -> {});
     }
 
     void listen(InetSocketAddress at) throws IOException {
@@ -60,8 +65,12 @@
             @Override
             protected void initChannel(Channel ch) {
                 doorman.comes(ch);
-                ch.pipeline().addLast(new StrictHttp.Requests(), new HttpResponseEncoder(),
-                    new HttpObjectAggregator(MOST, true), new Asker());
+                ch.pipeline()
+                        .addLast(
+                                new StrictHttp.Requests(),
+                                new HttpResponseEncoder(),
+                                new HttpObjectAggregator(MOST, true),
+                                new Asker());
             }
         }));
     }
@@ -86,56 +95,69 @@
             Configuration now = configuration.get();
             String uri = request.uri();
             int query = uri.indexOf('?');
-            Route route = now == null ? null : now.route(Configuration.host(host), query < 0 ? uri : uri.substring(0, query));
+            Route route =
+                    now == null ? null : now.route(Configuration.host(host), query < 0 ? uri : uri.substring(0, query));
             if (route == null || route.kind() != Route.Kind.CACHEABLE) {
                 write(ctx, ObjectDesk.OUT_OF_STEP, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
                 return;
             }
             keep = HttpUtil.isKeepAlive(request);
             long wait = Long.parseLong(left) * 1_000;
-            desk.ask(new Wanted(route, route.host(), uri), request.headers().getInt(ObjectDesk.HOP, Fetching.ASKED_AS_HOME), clock.getAsLong() + wait,
-                new Fetching.Waiter<>() {
-                    @Override
-                    public void here(Copy copy, boolean once) {
-                        if (once || !inStep().equals(step)) {
-                            write(ctx, ObjectDesk.OUT_OF_STEP, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
-                            return;
+            desk.ask(
+                    new Wanted(route, route.host(), uri),
+                    request.headers().getInt(ObjectDesk.HOP, Fetching.ASKED_AS_HOME),
+                    clock.getAsLong() + wait,
+                    new Fetching.Waiter<>() {
+                        @Override
+                        public void here(Copy copy, boolean once) {
+                            if (once || !inStep().equals(step)) {
+                                write(ctx, ObjectDesk.OUT_OF_STEP, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+                                return;
+                            }
+                            HttpHeaders headers = new DefaultHttpHeaders();
+                            copy.headers().forEach(header -> headers.add(header.getKey(), header.getValue()));
+                            headers.set(ObjectDesk.AGE, clock.getAsLong() - copy.asked())
+                                    .set(ObjectDesk.LIFE, copy.ttl());
+                            write(ctx, copy.status(), headers, Unpooled.wrappedBuffer(copy.body()));
                         }
-                        HttpHeaders headers = new DefaultHttpHeaders();
-                        copy.headers().forEach(header -> headers.add(header.getKey(), header.getValue()));
-                        headers.set(ObjectDesk.AGE, clock.getAsLong() - copy.asked()).set(ObjectDesk.LIFE, copy.ttl());
-                        write(ctx, copy.status(), headers, Unpooled.wrappedBuffer(copy.body()));
-                    }
 
-                    @Override
-                    public void other(FullHttpResponse answer) {
-                        HttpHeaders headers = new DefaultHttpHeaders();
-                        Hops.copy(answer.headers(), headers);
-                        write(ctx, answer.status().code(), headers, answer.content().retainedDuplicate());
-                    }
+                        @Override
+                        public void other(FullHttpResponse answer) {
+                            HttpHeaders headers = new DefaultHttpHeaders();
+                            Hops.copy(answer.headers(), headers);
+                            write(
+                                    ctx,
+                                    answer.status().code(),
+                                    headers,
+                                    answer.content().retainedDuplicate());
+                        }
 
-                    @Override
-                    public void refused(long retryAfter) {
-                        HttpHeaders headers = new DefaultHttpHeaders();
-                        headers.set(HttpHeaderNames.RETRY_AFTER, Front.seconds(retryAfter));
-                        write(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE.code(), headers, Unpooled.EMPTY_BUFFER);
-                    }
+                        @Override
+                        public void refused(long retryAfter) {
+                            HttpHeaders headers = new DefaultHttpHeaders();
+                            headers.set(HttpHeaderNames.RETRY_AFTER, Front.seconds(retryAfter));
+                            write(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE.code(), headers, Unpooled.EMPTY_BUFFER);
+                        }
 
-                    @Override
-                    public void tooLong() {
-                        write(ctx, ObjectDesk.OUT_OF_STEP, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
-                    }
+                        @Override
+                        public void tooLong() {
+                            write(ctx, ObjectDesk.OUT_OF_STEP, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+                        }
 
-                    @Override
-                    public void failed() {
-                        write(ctx, HttpResponseStatus.GATEWAY_TIMEOUT.code(), new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
-                    }
-                });
+                        @Override
+                        public void failed() {
+                            write(
+                                    ctx,
+                                    HttpResponseStatus.GATEWAY_TIMEOUT.code(),
+                                    new DefaultHttpHeaders(),
+                                    Unpooled.EMPTY_BUFFER);
+                        }
+                    });
         }
 
         private void write(ChannelHandlerContext ctx, int status, HttpHeaders headers, ByteBuf body) {
-            FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status),
-                body);
+            FullHttpResponse answer =
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), body);
             answer.headers().add(headers).set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             HttpUtil.setKeepAlive(answer, keep);
             ChannelFuture written = ctx.writeAndFlush(answer);
--- a/src/main/java/gorsemast/cabauw/Visitor.java
+++ b/src/main/java/gorsemast/cabauw/Visitor.java
@@ -42,6 +42,7 @@
     private static final int AHEAD = 16;
     /** A body may take so much longer as this many bytes a second would. */
     private static final long SLOWEST_BYTES = 64_000;
+
     static final long SWEEP_MICROS = 250_000;
     private static final long STALLED_MICROS = 10_000_000;
     private static final long FORGOTTEN_MICROS = 1_000_000;
@@ -81,6 +82,7 @@
     private Request reading;
     /** When the first byte of what is not a whole head yet came; 0 where nothing has. */
     private long begun;
+
     private long since;
     private boolean closing;
     private boolean broken;
@@ -110,7 +112,7 @@
         private HttpResponse ready;
         private ByteBuf content = Unpooled.EMPTY_BUFFER;
         private Flow flow;
-        private Runnable leave = () -> { };
+        private Runnable leave = () -> {};
 
         Request(HttpRequest head) {
             this.head = head;
@@ -238,7 +240,10 @@
             close();
         } else if (requests.isEmpty() && begun == 0 && now - since > owner.idleMicros()) {
             close();
-        } else if (!requests.isEmpty() && requests.peek().streaming && !channel.isWritable() && now - since > STALLED_MICROS) {
+        } else if (!requests.isEmpty()
+                && requests.peek().streaming
+                && !channel.isWritable()
+                && now - since > STALLED_MICROS) {
             close();
         }
     }
@@ -269,8 +274,8 @@
                 return;
             }
             if (HttpUtil.is100ContinueExpected(head) && requests.size() == 1) {
-                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
-                    Unpooled.EMPTY_BUFFER));
+                channel.writeAndFlush(new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
         }
         if (message instanceof HttpContent part && reading != null) {
@@ -304,8 +309,10 @@
     private static HttpResponseStatus problem(HttpRequest head) {
         if (head.decoderResult().isFailure()) {
             return head.decoderResult().cause() instanceof io.netty.handler.codec.http.TooLongHttpHeaderException
-                || head.decoderResult().cause() instanceof io.netty.handler.codec.http.TooLongHttpLineException
-                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST;
+                            || head.decoderResult().cause()
+                                    instanceof io.netty.handler.codec.http.TooLongHttpLineException
+                    ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                    : HttpResponseStatus.BAD_REQUEST;
         }
         boolean oneHost = head.headers().getAll(HttpHeaderNames.HOST).size() == 1;
         boolean path = head.uri().startsWith("/");
@@ -415,8 +422,13 @@
     /** Says that nothing more comes before it closes: unread bytes would else reset the connection and lose the answer. */
     private void part() {
         if (channel instanceof DuplexChannel duplex && channel.isActive()) {
-            duplex.shutdownOutput().addListener(done ->
-                channel.eventLoop().schedule(() -> { channel.close(); }, SWEEP_MICROS, TimeUnit.MICROSECONDS));
+            duplex.shutdownOutput().addListener(done -> channel.eventLoop()
+                    .schedule(
+                            () -> {
+                                channel.close();
+                            },
+                            SWEEP_MICROS,
+                            TimeUnit.MICROSECONDS));
         } else {
             channel.close();
         }
--- a/src/main/java/gorsemast/command/Check.java
+++ b/src/main/java/gorsemast/command/Check.java
@@ -17,8 +17,11 @@
 import picocli.CommandLine.Parameters;
 
 /** Reads a file and says what is wrong with it: settings of either program, or an operator's configuration. */
-@Command(name = "check", description = "Reads a file and prints what is wrong with it: product settings (.json5), a machine's "
-    + "settings (.yaml) or an operator's configuration (.json).", subcommands = Check.Model.class)
+@Command(
+        name = "check",
+        description = "Reads a file and prints what is wrong with it: product settings (.json5), a machine's "
+                + "settings (.yaml) or an operator's configuration (.json).",
+        subcommands = Check.Model.class)
 final class Check implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", arity = "0..1", description = "By its ending: .json5, .yaml or .json.")
     private Path file;
@@ -35,14 +38,16 @@
             if (name.endsWith(".yaml") || name.endsWith(".yml")) {
                 Settings settings = Settings.read(file);
                 System.out.println(file + ": good; " + settings.name() + " in " + settings.zone() + ", listens for "
-                    + settings.listens().keySet());
+                        + settings.listens().keySet());
                 return Gorsemast.DONE;
             }
             if (name.endsWith(".json")) {
                 Configuration read = Configuration.parse(Files.readAllBytes(file));
                 System.out.println(file + ": good; version " + Long.toHexString(read.version()) + ", "
-                    + read.routes().values().stream().mapToInt(java.util.List::size).sum() + " routes to "
-                    + read.services().keySet());
+                        + read.routes().values().stream()
+                                .mapToInt(java.util.List::size)
+                                .sum() + " routes to "
+                        + read.services().keySet());
                 return Gorsemast.DONE;
             }
         } catch (SettingsException | ConfigurationException e) {
@@ -53,44 +58,65 @@
         if (settings == null) {
             return Gorsemast.USAGE;
         }
-        System.out.println(file + ": good; peers " + (settings.peers() == null ? "off" : "at "
-            + settings.peers().listen()));
+        System.out.println(file + ": good; peers "
+                + (settings.peers() == null ? "off" : "at " + settings.peers().listen()));
         return Gorsemast.DONE;
     }
 
     /** The store's decisions, over drawn courses and all rows of events. */
-    @Command(name = "model", description = "Plays the store's decisions: all rows of events up to a depth, and drawn courses. "
-        + "Exits with 1 where what was acknowledged is lost, and prints how.")
+    @Command(
+            name = "model",
+            description = "Plays the store's decisions: all rows of events up to a depth, and drawn courses. "
+                    + "Exits with 1 where what was acknowledged is lost, and prints how.")
     static final class Model implements Callable<Integer> {
-        @Option(names = "--depth", defaultValue = "2", paramLabel = "N", description = "Events in a row; 25 sorts, so 25^N rows.")
+        @Option(
+                names = "--depth",
+                defaultValue = "2",
+                paramLabel = "N",
+                description = "Events in a row; 25 sorts, so 25^N rows.")
         private int depth;
+
         @Option(names = "--members", defaultValue = "3", paramLabel = "N")
         private int members;
-        @Option(names = "--spares", defaultValue = "1", paramLabel = "N", description = "Further machines, in drawn courses.")
+
+        @Option(
+                names = "--spares",
+                defaultValue = "1",
+                paramLabel = "N",
+                description = "Further machines, in drawn courses.")
         private int spares;
+
         @Option(names = "--courses", defaultValue = "500", paramLabel = "N")
         private int courses;
+
         @Option(names = "--events", defaultValue = "1200", paramLabel = "N", description = "Of each drawn course.")
         private int events;
+
         @Option(names = "--seed", defaultValue = "1", paramLabel = "N")
         private long seed;
-        @Option(names = "--plant", defaultValue = "NONE", paramLabel = "DEFECT", description = "One of ${COMPLETION-CANDIDATES}.")
+
+        @Option(
+                names = "--plant",
+                defaultValue = "NONE",
+                paramLabel = "DEFECT",
+                description = "One of ${COMPLETION-CANDIDATES}.")
         private Plant plant;
 
         @Override
         public Integer call() {
             long begun = System.nanoTime();
             StoreCheck.Result rows = StoreCheck.all(members, depth, plant);
-            StoreCheck.Result drawn = rows.broken() != null ? rows
-                : StoreCheck.drawn(members, spares, seed, courses, events, plant);
+            StoreCheck.Result drawn =
+                    rows.broken() != null ? rows : StoreCheck.drawn(members, spares, seed, courses, events, plant);
             double seconds = (System.nanoTime() - begun) / 1e9;
             if (drawn.broken() != null) {
                 drawn.story().forEach(System.out::println);
                 System.out.println("broken: " + drawn.broken());
                 return Gorsemast.FAILED;
             }
-            System.out.printf("%d rows of %d events, %d courses of %d: %d calls answered, nothing lost; %.1f s%n", rows.courses(),
-                depth, drawn.courses(), events, rows.answered() + drawn.answered(), seconds);
+            System.out.printf(
+                    "%d rows of %d events, %d courses of %d: %d calls answered, nothing lost; %.1f s%n",
+                    rows.courses(), depth, drawn.courses(), events, rows.answered() + drawn.answered(), seconds);
             return Gorsemast.DONE;
         }
     }
--- a/src/main/java/gorsemast/command/FleetCommand.java
+++ b/src/main/java/gorsemast/command/FleetCommand.java
@@ -14,8 +14,10 @@
 import picocli.CommandLine.Spec;
 
 /** What one proxy believes of the fleet. */
-@Command(name = "fleet", description = "Prints what the proxy at a second address believes of the fleet: who lives, since "
-    + "when and why.")
+@Command(
+        name = "fleet",
+        description =
+                "Prints what the proxy at a second address believes of the fleet: who lives, since " + "when and why.")
 final class FleetCommand implements Callable<Integer> {
     @Option(names = "--admin", required = true, paramLabel = "HOST:PORT", description = "The proxy's second address.")
     private String admin;
@@ -39,7 +41,7 @@
             String answer = AdminCall.ask(address, "fleet");
             if (!answer.startsWith("200 {")) {
                 System.err.println("gorsemast: " + admin + " answers: " + answer.strip()
-                    + (answer.startsWith("400 unknown") ? " (its settings have no peers)" : ""));
+                        + (answer.startsWith("400 unknown") ? " (its settings have no peers)" : ""));
                 return Gorsemast.FAILED;
             }
             String text = answer.substring(4).strip();
@@ -52,15 +54,27 @@
     }
 
     private static String table(JsonNode view) {
-        StringBuilder s = new StringBuilder(String.format("%s sees %d live, settled for %.1f s%s, digest %s%n",
-            view.get("self").asText(), view.get("live").asInt(), view.get("settled_ms").asLong() / 1000.0,
-            view.get("sure").asBoolean() ? "" : " (not sure)", view.get("digest").asText()));
-        s.append(String.format("bounds over the fleet are divided by %d (settings: %d); local health %d%n",
-            view.get("shared_by").asInt(), view.get("configured").asInt(), view.get("local_health").asInt()));
+        StringBuilder s = new StringBuilder(String.format(
+                "%s sees %d live, settled for %.1f s%s, digest %s%n",
+                view.get("self").asText(),
+                view.get("live").asInt(),
+                view.get("settled_ms").asLong() / 1000.0,
+                view.get("sure").asBoolean() ? "" : " (not sure)",
+                view.get("digest").asText()));
+        s.append(String.format(
+                "bounds over the fleet are divided by %d (settings: %d); local health %d%n",
+                view.get("shared_by").asInt(),
+                view.get("configured").asInt(),
+                view.get("local_health").asInt()));
         for (JsonNode member : view.get("members")) {
-            s.append(String.format("  %-16s %-8s %9.1f s  %-21s %s  %s%n", member.get("name").asText(),
-                member.get("state").asText(), member.get("since_ms").asLong() / 1000.0, member.get("address").asText(),
-                member.get("facts"), member.get("why").asText()));
+            s.append(String.format(
+                    "  %-16s %-8s %9.1f s  %-21s %s  %s%n",
+                    member.get("name").asText(),
+                    member.get("state").asText(),
+                    member.get("since_ms").asLong() / 1000.0,
+                    member.get("address").asText(),
+                    member.get("facts"),
+                    member.get("why").asText()));
         }
         return s.toString();
     }
--- a/src/main/java/gorsemast/command/Gorsemast.java
+++ b/src/main/java/gorsemast/command/Gorsemast.java
@@ -9,26 +9,38 @@
 import picocli.CommandLine.ParameterException;
 
 /** The product's command, {@code ./gorsemast VERB}. The platform's {@code run} goes by {@code anisebend.Main}. */
-@Command(name = "gorsemast", mixinStandardHelpOptions = true, versionProvider = Gorsemast.Version.class,
-    synopsisSubcommandLabel = "VERB",
-    description = "A proxy between clients and cache nodes, and what shows how several of them behave.",
-    exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:done", "1:failed", "2:usage or settings"},
-    subcommands = {Serve.class, Check.class, FleetCommand.class, RigCommand.class, LabCommand.class, NetworkCommand.class, HuntCommand.class, Gorsemast.VersionCommand.class,
-        CommandLine.HelpCommand.class})
+@Command(
+        name = "gorsemast",
+        mixinStandardHelpOptions = true,
+        versionProvider = Gorsemast.Version.class,
+        synopsisSubcommandLabel = "VERB",
+        description = "A proxy between clients and cache nodes, and what shows how several of them behave.",
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {"0:done", "1:failed", "2:usage or settings"},
+        subcommands = {
+            Serve.class,
+            Check.class,
+            FleetCommand.class,
+            RigCommand.class,
+            LabCommand.class,
+            NetworkCommand.class,
+            HuntCommand.class,
+            Gorsemast.VersionCommand.class,
+            CommandLine.HelpCommand.class
+        })
 public final class Gorsemast {
     static final int DONE = 0;
     static final int FAILED = 1;
     static final int USAGE = 2;
 
-    private Gorsemast() {
-    }
+    private Gorsemast() {}
 
     /** Runs a verb and exits with its code. */
     public static void main(String[] args) {
         CommandLine line = new CommandLine(new Gorsemast());
         line.setParameterExceptionHandler((wrong, given) -> {
-            System.err.println("gorsemast: " + wrong.getMessage().lines().findFirst().orElse("usage")
-                + "; see gorsemast help");
+            System.err.println(
+                    "gorsemast: " + wrong.getMessage().lines().findFirst().orElse("usage") + "; see gorsemast help");
             return USAGE;
         });
         line.setExecutionExceptionHandler((failed, command, result) -> {
--- a/src/main/java/gorsemast/command/HuntCommand.java
+++ b/src/main/java/gorsemast/command/HuntCommand.java
@@ -16,21 +16,44 @@
 import picocli.CommandLine.Spec;
 
 /** Draws days of a whole network in virtual time and looks for broken rules. */
-@Command(name = "hunt", description = "Plays drawn days of the whole network in virtual time: the decisions of all three programs, "
-    + "with machines, disks, links, servers, operators and clients round them. A broken day is cut down and printed as a "
-    + "test. Exits with 1 where a rule is broken.")
+@Command(
+        name = "hunt",
+        description = "Plays drawn days of the whole network in virtual time: the decisions of all three programs, "
+                + "with machines, disks, links, servers, operators and clients round them. A broken day is cut down and printed as a "
+                + "test. Exits with 1 where a rule is broken.")
 final class HuntCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
+
     @Option(names = "--days", defaultValue = "100", paramLabel = "N", description = "Days to play (${DEFAULT-VALUE}).")
     private int days;
-    @Option(names = "--seed", defaultValue = "1", paramLabel = "N", description = "Of the first day; the next has the next.")
+
+    @Option(
+            names = "--seed",
+            defaultValue = "1",
+            paramLabel = "N",
+            description = "Of the first day; the next has the next.")
     private long seed;
-    @Option(names = "--cores", defaultValue = "3", paramLabel = "N", description = "Core machines, 3 to 9 (${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--cores",
+            defaultValue = "3",
+            paramLabel = "N",
+            description = "Core machines, 3 to 9 (${DEFAULT-VALUE}).")
     private int cores;
-    @Option(names = "--edges", defaultValue = "4", paramLabel = "N", description = "Edges, 1 to 500 (${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--edges",
+            defaultValue = "4",
+            paramLabel = "N",
+            description = "Edges, 1 to 500 (${DEFAULT-VALUE}).")
     private int edges;
-    @Option(names = "--plant", defaultValue = "NONE", paramLabel = "DEFECT", description = "One of ${COMPLETION-CANDIDATES}.")
+
+    @Option(
+            names = "--plant",
+            defaultValue = "NONE",
+            paramLabel = "DEFECT",
+            description = "One of ${COMPLETION-CANDIDATES}.")
     private Plant plant;
 
     @Override
@@ -47,22 +70,33 @@
             System.out.println();
         }
         List<Outcome> all = result.outcomes();
-        System.out.printf(Locale.ROOT, "%d days, %d broken%n", result.days(), result.found().size());
+        System.out.printf(
+                Locale.ROOT,
+                "%d days, %d broken%n",
+                result.days(),
+                result.found().size());
         Map<String, List<Long>> times = new TreeMap<>();
-        all.forEach(day -> day.times().forEach((what, took) -> times.computeIfAbsent(what, name -> new ArrayList<>()).addAll(took)));
+        all.forEach(day -> day.times().forEach((what, took) -> times.computeIfAbsent(what, name -> new ArrayList<>())
+                .addAll(took)));
         times.forEach((what, took) -> System.out.println(what + ": " + spread(took)));
         if (!all.isEmpty()) {
-            System.out.printf(Locale.ROOT, "an edge sends %.0f bytes and %.1f records a second%n",
-                all.stream().mapToDouble(Outcome::edgeBytes).average().orElse(0),
-                all.stream().mapToDouble(Outcome::edgeRecords).average().orElse(0));
+            System.out.printf(
+                    Locale.ROOT,
+                    "an edge sends %.0f bytes and %.1f records a second%n",
+                    all.stream().mapToDouble(Outcome::edgeBytes).average().orElse(0),
+                    all.stream().mapToDouble(Outcome::edgeRecords).average().orElse(0));
         }
         return result.found().isEmpty() ? Gorsemast.DONE : Gorsemast.FAILED;
     }
 
     private static String spread(List<Long> took) {
         List<Long> sorted = took.stream().sorted().toList();
-        return String.format(Locale.ROOT, "median %.3f s, 99 in 100 within %.3f s, worst %.3f s of %d",
-            sorted.get(sorted.size() / 2) / 1e6, sorted.get(sorted.size() * 99 / 100) / 1e6, sorted.get(sorted.size() - 1) / 1e6,
-            sorted.size());
+        return String.format(
+                Locale.ROOT,
+                "median %.3f s, 99 in 100 within %.3f s, worst %.3f s of %d",
+                sorted.get(sorted.size() / 2) / 1e6,
+                sorted.get(sorted.size() * 99 / 100) / 1e6,
+                sorted.get(sorted.size() - 1) / 1e6,
+                sorted.size());
     }
 }
--- a/src/main/java/gorsemast/command/LabCommand.java
+++ b/src/main/java/gorsemast/command/LabCommand.java
@@ -12,17 +12,23 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
-import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Spec;
 
 /** Experiments in virtual time. */
-@Command(name = "lab", description = "Experiments with the real decision modules in virtual time; prints a table.",
-    subcommands = {LabCommand.DayCommand.class, LabCommand.GrowthCommand.class, LabCommand.PlanCommand.class})
+@Command(
+        name = "lab",
+        description = "Experiments with the real decision modules in virtual time; prints a table.",
+        subcommands = {LabCommand.DayCommand.class, LabCommand.GrowthCommand.class, LabCommand.PlanCommand.class})
 final class LabCommand implements Callable<Integer> {
-    @Option(names = "--members", split = ",", defaultValue = "3,10,30,100,300,1000", paramLabel = "N,N,…",
-        description = "Sizes of the fleet, 3 to 1000.")
+    @Option(
+            names = "--members",
+            split = ",",
+            defaultValue = "3,10,30,100,300,1000",
+            paramLabel = "N,N,…",
+            description = "Sizes of the fleet, 3 to 1000.")
     private List<Integer> members;
 
     @Option(names = "--plot", paramLabel = "FILE", description = "Draws it as SVG too.")
@@ -40,23 +46,40 @@
     }
 
     /** One day of a whole tier. */
-    @Command(name = "day", description = "Plays one day of a whole tier: proxies, nodes, a ledger, a register. Exits with 1 "
-        + "where one of the four rules is broken.")
+    @Command(
+            name = "day",
+            description = "Plays one day of a whole tier: proxies, nodes, a ledger, a register. Exits with 1 "
+                    + "where one of the four rules is broken.")
     static final class DayCommand implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
-        @Option(names = "--kind", defaultValue = "CALM", paramLabel = "KIND", description = "One of ${COMPLETION-CANDIDATES}.")
+
+        @Option(
+                names = "--kind",
+                defaultValue = "CALM",
+                paramLabel = "KIND",
+                description = "One of ${COMPLETION-CANDIDATES}.")
         private Day kind;
+
         @Option(names = "--proxies", defaultValue = "100", paramLabel = "N")
         private int proxies;
+
         @Option(names = "--nodes", defaultValue = "200", paramLabel = "N")
         private int nodes;
+
         @Option(names = "--seed", defaultValue = "1", paramLabel = "N")
         private long seed;
-        @Option(names = "--load", defaultValue = "0.45", paramLabel = "PART", description = "Of the nodes' warm capacity.")
+
+        @Option(
+                names = "--load",
+                defaultValue = "0.45",
+                paramLabel = "PART",
+                description = "Of the nodes' warm capacity.")
         private double load;
+
         @Option(names = "--misses-hold", description = "A read that waits for the ledger keeps its node's hand.")
         private boolean missesHold;
+
         @Option(names = "--by-second", description = "Prints the sums of each second.")
         private boolean bySecond;
 
@@ -78,12 +101,20 @@
     static final class GrowthCommand implements Runnable {
         @Spec
         private CommandSpec spec;
-        @Option(names = "--kind", defaultValue = "CALM", paramLabel = "KIND", description = "One of ${COMPLETION-CANDIDATES}.")
+
+        @Option(
+                names = "--kind",
+                defaultValue = "CALM",
+                paramLabel = "KIND",
+                description = "One of ${COMPLETION-CANDIDATES}.")
         private Day kind;
+
         @Option(names = "--proxies", split = ",", defaultValue = "3,10,30,100", paramLabel = "N,N,…")
         private List<Integer> proxies;
+
         @Option(names = "--nodes", split = ",", defaultValue = "9,20,60,200", paramLabel = "N,N,…")
         private List<Integer> nodes;
+
         @Option(names = "--seed", defaultValue = "1", paramLabel = "N")
         private long seed;
 
@@ -102,6 +133,7 @@
     static final class PlanCommand implements Runnable {
         @Option(names = "--nodes", split = ",", defaultValue = "12,60,200", paramLabel = "N,N,…")
         private List<Integer> nodes;
+
         @Option(names = "--seed", defaultValue = "1", paramLabel = "N")
         private long seed;
 
--- a/src/main/java/gorsemast/command/Logs.java
+++ b/src/main/java/gorsemast/command/Logs.java
@@ -13,8 +13,7 @@
 
 /** Sets Logback up as the settings say: one line an event on standard error, as text or as a JSON object. */
 final class Logs {
-    private Logs() {
-    }
+    private Logs() {}
 
     static void install(GorsemastSettings.Log log) {
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
--- a/src/main/java/gorsemast/command/RigCommand.java
+++ b/src/main/java/gorsemast/command/RigCommand.java
@@ -17,41 +17,68 @@
 import picocli.CommandLine.Spec;
 
 /** The fleet's proving ground. */
-@Command(name = "rig", description = {"Starts several processes of this program on loopback, with stand-ins round them, and "
-    + "plays a day of faults between them.", "One line an event; the last line is what it came to."})
+@Command(
+        name = "rig",
+        description = {
+            "Starts several processes of this program on loopback, with stand-ins round them, and "
+                    + "plays a day of faults between them.",
+            "One line an event; the last line is what it came to."
+        })
 final class RigCommand implements Callable<Integer> {
     private static final List<String> PLANTS = List.of("", "twice", "lost", "unsettled");
 
-    @Option(names = "--kind", defaultValue = "view", paramLabel = "KIND", description = "What is proven: view, or herd "
-        + "(seven in ten killed under load, with the view and without).")
+    @Option(
+            names = "--kind",
+            defaultValue = "view",
+            paramLabel = "KIND",
+            description =
+                    "What is proven: view, or herd " + "(seven in ten killed under load, with the view and without).")
     private String kind;
 
-    @Option(names = "--processes", defaultValue = "5", paramLabel = "N", description = "How many, 2 to " + Day.MOST + ".")
+    @Option(
+            names = "--processes",
+            defaultValue = "5",
+            paramLabel = "N",
+            description = "How many, 2 to " + Day.MOST + ".")
     private int processes;
 
     @Option(names = "--seed", defaultValue = "1", paramLabel = "N", description = "What the day is drawn from.")
     private long seed;
 
-    @Option(names = "--seconds", defaultValue = "20", paramLabel = "N", description = "No event begins later; 1 to 3600.")
+    @Option(
+            names = "--seconds",
+            defaultValue = "20",
+            paramLabel = "N",
+            description = "No event begins later; 1 to 3600.")
     private int seconds;
 
-    @Option(names = "--day", paramLabel = "FILE", description = "Plays the day in this file; one that is not there is drawn "
-        + "and written to it.")
+    @Option(
+            names = "--day",
+            paramLabel = "FILE",
+            description = "Plays the day in this file; one that is not there is drawn " + "and written to it.")
     private Path file;
 
     @Option(names = "--every", description = "Not a drawn day but each kind of failure, one after another.")
     private boolean every;
 
-    @Option(names = "--plant", defaultValue = "", paramLabel = "NAME", description = "The rig does a wrong thing itself, once: "
-        + "twice, lost or unsettled.")
+    @Option(
+            names = "--plant",
+            defaultValue = "",
+            paramLabel = "NAME",
+            description = "The rig does a wrong thing itself, once: " + "twice, lost or unsettled.")
     private String plant;
 
-    @Option(names = "--register-ms", defaultValue = "1500", paramLabel = "MS", description = "What the register takes for a "
-        + "list in a herd.")
+    @Option(
+            names = "--register-ms",
+            defaultValue = "1500",
+            paramLabel = "MS",
+            description = "What the register takes for a " + "list in a herd.")
     private long registerMillis;
 
-    @Option(names = "--logs", paramLabel = "FOLDER", description = "Where the processes' files and logs go; else a temporary "
-        + "folder that is named.")
+    @Option(
+            names = "--logs",
+            paramLabel = "FOLDER",
+            description = "Where the processes' files and logs go; else a temporary " + "folder that is named.")
     private Path logs;
 
     @Spec
@@ -87,8 +114,10 @@
             }
         }
         if (plant.equals("unsettled")) {
-            day = new Day(day.processes(), day.seed(), List.of(new Day.Event(Day.Kind.CUT, List.of(), 2),
-                new Day.Event(Day.Kind.HEAL, List.of(), 0)));
+            day = new Day(
+                    day.processes(),
+                    day.seed(),
+                    List.of(new Day.Event(Day.Kind.CUT, List.of(), 2), new Day.Event(Day.Kind.HEAL, List.of(), 0)));
         }
         Path home = logs != null ? Files.createDirectories(logs) : Files.createTempDirectory("gorsemast-rig");
         System.out.println("seed " + day.seed() + ", " + day.processes() + " processes, logs in " + home);
--- a/src/main/java/gorsemast/command/Serve.java
+++ b/src/main/java/gorsemast/command/Serve.java
@@ -13,16 +13,21 @@
 import picocli.CommandLine.Option;
 
 /** One proxy as the platform's configuration tells it, with the parts that the settings turn on. */
-@Command(name = "serve", description = {"Serves as PROXY_CONFIG in the environment says, with the parts that the settings "
-    + "turn on.", "SIGTERM ends it in good order, SIGHUP has PROXY_CONFIG read anew."})
+@Command(
+        name = "serve",
+        description = {
+            "Serves as PROXY_CONFIG in the environment says, with the parts that the settings " + "turn on.",
+            "SIGTERM ends it in good order, SIGHUP has PROXY_CONFIG read anew."
+        })
 final class Serve implements Callable<Integer> {
     @Option(names = "--settings", paramLabel = "FILE", description = "The product's settings; without, no part is on.")
     private Path file;
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        GorsemastSettings settings = file == null ? new GorsemastSettings(new GorsemastSettings.Log(false, "info"), null)
-            : Gorsemast.settings(file);
+        GorsemastSettings settings = file == null
+                ? new GorsemastSettings(new GorsemastSettings.Log(false, "info"), null)
+                : Gorsemast.settings(file);
         if (settings == null) {
             return Gorsemast.USAGE;
         }
@@ -34,10 +39,13 @@
         }
         server.reloadOnHangup();
         server.startWarm();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            server.drain();
-            Runtime.getRuntime().halt(Gorsemast.DONE); // else the signal would be the exit code
-        }, "drain"));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            server.drain();
+                            Runtime.getRuntime().halt(Gorsemast.DONE); // else the signal would be the exit code
+                        },
+                        "drain"));
         new CountDownLatch(1).await(); // the loop's thread serves; a signal ends the process
         return Gorsemast.DONE;
     }
--- a/src/main/java/gorsemast/debilt/Calls.java
+++ b/src/main/java/gorsemast/debilt/Calls.java
@@ -19,8 +19,7 @@
     private static final String NODES = "/v1/nodes/";
     private static final int LONGEST_ID = 256;
 
-    private Calls() {
-    }
+    private Calls() {}
 
     /** The command of a call; throws {@link CallException} where it is none. */
     public static Command decode(String method, String path, byte[] body) {
@@ -77,11 +76,12 @@
         if (Address.parse(address) == null) {
             throw new CallException(Code.INVALID, "address: wants ip:port");
         }
-        ServerNews.State state = switch (text(told, "state")) {
-            case "ready" -> ServerNews.State.READY;
-            case "draining" -> ServerNews.State.DRAINING;
-            default -> throw new CallException(Code.INVALID, "state: is neither ready nor draining");
-        };
+        ServerNews.State state =
+                switch (text(told, "state")) {
+                    case "ready" -> ServerNews.State.READY;
+                    case "draining" -> ServerNews.State.DRAINING;
+                    default -> throw new CallException(Code.INVALID, "state: is neither ready nor draining");
+                };
         Object cold = told.get("warmupLeft");
         double seq = number(told, "callSeq");
         double capacity = told.get("capacity") == null ? 1 : number(told, "capacity");
@@ -89,8 +89,15 @@
             throw new CallException(Code.INVALID, "callSeq, capacity: out of range");
         }
         try {
-            return new ServerNews(id, text(told, "backend"), address, told.get("zone") == null ? "" : text(told, "zone"),
-                capacity, state, (long) seq, cold == null ? 0 : Settings.micros("warmupLeft", cold.toString()));
+            return new ServerNews(
+                    id,
+                    text(told, "backend"),
+                    address,
+                    told.get("zone") == null ? "" : text(told, "zone"),
+                    capacity,
+                    state,
+                    (long) seq,
+                    cold == null ? 0 : Settings.micros("warmupLeft", cold.toString()));
         } catch (SettingsException e) {
             throw new CallException(Code.INVALID, e.getMessage());
         }
--- a/src/main/java/gorsemast/debilt/ControlServer.java
+++ b/src/main/java/gorsemast/debilt/ControlServer.java
@@ -54,8 +54,13 @@
         Transport.listen(loop, at, new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel ch) {
-                ch.pipeline().addLast(new ReadTimeoutHandler(IDLE_SECONDS), new StrictHttp.Requests(),
-                    new HttpResponseEncoder(), new HttpObjectAggregator(MOST_BODY, true), new Caller());
+                ch.pipeline()
+                        .addLast(
+                                new ReadTimeoutHandler(IDLE_SECONDS),
+                                new StrictHttp.Requests(),
+                                new HttpResponseEncoder(),
+                                new HttpObjectAggregator(MOST_BODY, true),
+                                new Caller());
             }
         });
     }
@@ -66,7 +71,8 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            boolean keep = HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess();
+            boolean keep =
+                    HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess();
             if (!request.decoderResult().isSuccess() || busy) {
                 write(ctx, 400, "one whole call at a time", null, false);
                 return;
@@ -94,13 +100,15 @@
         }
 
         private void write(ChannelHandlerContext ctx, int status, String text, byte[] body, boolean keep) {
-            byte[] bytes = body != null ? body : (text == null ? "{}" : "{\"error\":" + quoted(text) + "}")
-                .getBytes(StandardCharsets.UTF_8);
+            byte[] bytes = body != null
+                    ? body
+                    : (text == null ? "{}" : "{\"error\":" + quoted(text) + "}").getBytes(StandardCharsets.UTF_8);
             ByteBuf content = Unpooled.wrappedBuffer(bytes);
-            FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status),
-                content);
-            answer.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
-                .set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+            FullHttpResponse answer =
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content);
+            answer.headers()
+                    .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+                    .set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
             if (!keep) {
                 answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
--- a/src/main/java/gorsemast/debilt/Debilt.java
+++ b/src/main/java/gorsemast/debilt/Debilt.java
@@ -47,9 +47,20 @@
         this.settings = settings;
         this.loop = new MultiThreadIoEventLoopGroup(1, Transport.handlers()).next();
         this.links = new Links(loop, this::now, this::hello, this);
-        this.office = new Office(new Office.Self(settings.ip(), settings.zone(), control(), System.currentTimeMillis(),
-            settings.beatMicros(), settings.losses()), settings.seedIps(), settings.dataDir() != null, Seed.fresh(), this::now,
-            links, this);
+        this.office = new Office(
+                new Office.Self(
+                        settings.ip(),
+                        settings.zone(),
+                        control(),
+                        System.currentTimeMillis(),
+                        settings.beatMicros(),
+                        settings.losses()),
+                settings.seedIps(),
+                settings.dataDir() != null,
+                Seed.fresh(),
+                this::now,
+                links,
+                this);
     }
 
     private long now() {
--- a/src/main/java/gorsemast/debilt/Office.java
+++ b/src/main/java/gorsemast/debilt/Office.java
@@ -41,6 +41,7 @@
     public static final long TICK_MICROS = 250_000;
     /** A caller looks elsewhere after a second; the answer that nothing is certain has to come before. */
     static final long CALL_MICROS = 850_000;
+
     private static final long LARGE_CALL_MICROS = 2_500_000;
     /** From this size on callers wait longer. */
     private static final int LARGE = 256 << 10;
@@ -50,6 +51,7 @@
     private static final long WRITE_MICROS = 500_000;
     /** What edges have seen of servers is told to all of them this often, and written down this seldom. */
     private static final long POOL_MICROS = 1_000_000;
+
     private static final long POOL_WRITE_MICROS = 5_000_000;
     private static final Log LOG = new Log("debilt");
 
@@ -60,8 +62,7 @@
     }
 
     /** What this process is, as its settings and its start have it. */
-    public record Self(String ip, String zone, String control, long life, long beatMicros, int losses) {
-    }
+    public record Self(String ip, String zone, String control, long life, long beatMicros, int losses) {}
 
     /** What carries an office. */
     public interface Carrier {
@@ -73,8 +74,7 @@
     }
 
     /** A call that waits for the store. */
-    private record Waiting(Configuration put, Reply reply, long until) {
-    }
+    private record Waiting(Configuration put, Reply reply, long until) {}
 
     private final Self self;
     private final LongSupplier clock;
@@ -86,6 +86,7 @@
     private final Pool pool = new Pool();
     /** Telling who is silent: one registry does it for all. */
     private final Duty telling;
+
     private final Map<Long, Waiting> waiting = new HashMap<>();
     private final Set<String> seeds = new LinkedHashSet<>();
     private final SplittableRandom random;
@@ -107,8 +108,14 @@
      * @param seeds addresses of core machines as the operator's list had them
      * @param remembers whether there is a disk to write to
      */
-    public Office(Self self, Set<String> seeds, boolean remembers, long seed, LongSupplier clock, Neighbours neighbours,
-                  Carrier carrier) {
+    public Office(
+            Self self,
+            Set<String> seeds,
+            boolean remembers,
+            long seed,
+            LongSupplier clock,
+            Neighbours neighbours,
+            Carrier carrier) {
         this.self = self;
         this.clock = clock;
         this.neighbours = neighbours;
@@ -283,8 +290,10 @@
 
     /** How many core machines there are, as far as is known. */
     private int machines() {
-        return Math.max(seeds.size(), (int) board.all(Kind.CORE).stream().map(MachineNews::of)
-            .filter(machine -> machine != null && machine.up()).count());
+        return Math.max(seeds.size(), (int) board.all(Kind.CORE).stream()
+                .map(MachineNews::of)
+                .filter(machine -> machine != null && machine.up())
+                .count());
     }
 
     /** How many others have to hold what is acknowledged: as many as may be lost, one at least. */
@@ -355,8 +364,9 @@
             publish(registry.deregister(now, leaving.id()), reply);
         } else if (command instanceof Command.Purge purge) {
             String id = Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
-            publish(new Registry.Outcome(new PurgeNews(id, purge.host(), purge.path(), purge.tag()).item(now), true),
-                reply);
+            publish(
+                    new Registry.Outcome(new PurgeNews(id, purge.host(), purge.path(), purge.tag()).item(now), true),
+                    reply);
         } else if (command instanceof Command.Read) {
             ask(reply);
         } else if (command instanceof Command.Replace replace) {
@@ -403,7 +413,8 @@
         if (one.peer().program() == Program.PROXY) {
             Map<String, double[]> sum = pool.sum(now());
             if (!sum.isEmpty()) {
-                one.send(new Record.Pooled(sum)); // who has just started chooses servers no more blindly than the others
+                one.send(
+                        new Record.Pooled(sum)); // who has just started chooses servers no more blindly than the others
             }
         }
         linkedMachines(now());
@@ -411,7 +422,9 @@
 
     /** It has said something. */
     public void received(Neighbour one, Record record) {
-        if (record instanceof Record.Digest digest && digest.synced() && one.peer().program() == Program.REGISTRY) {
+        if (record instanceof Record.Digest digest
+                && digest.synced()
+                && one.peer().program() == Program.REGISTRY) {
             metSynced |= board.differing(digest.buckets()) == 0;
         }
         if (gossip.received(one, record)) {
--- a/src/main/java/gorsemast/debilt/Pool.java
+++ b/src/main/java/gorsemast/debilt/Pool.java
@@ -19,8 +19,7 @@
     private static final double LEAST = 0.33;
     private static final double MOST = 4;
 
-    private record Told(Map<String, double[]> servers, long at) {
-    }
+    private record Told(Map<String, double[]> servers, long at) {}
 
     private final Map<String, Told> edges = new HashMap<>();
     private boolean changed;
--- a/src/main/java/gorsemast/debilt/Registry.java
+++ b/src/main/java/gorsemast/debilt/Registry.java
@@ -43,8 +43,7 @@
     }
 
     /** What is to be published for a beat, and whether others must hold it first. */
-    public record Outcome(Item item, boolean waits) {
-    }
+    public record Outcome(Item item, boolean waits) {}
 
     /** A server's own beat. Null where it is no news. */
     public Outcome beat(long now, ServerNews server) {
@@ -57,8 +56,11 @@
             return null; // it has left; this came late
         }
         Item item = server.item(now);
-        if (known != null && (held.stamp() >= item.stamp() || known.state() == server.state()
-            && known.address().equals(server.address()) && known.service().equals(server.service()))) {
+        if (known != null
+                && (held.stamp() >= item.stamp()
+                        || known.state() == server.state()
+                                && known.address().equals(server.address())
+                                && known.service().equals(server.service()))) {
             boolean unsafe = known.state() == State.DRAINING && server.state() == State.DRAINING && !safe(held);
             return unsafe ? new Outcome(held, true) : null;
         }
@@ -69,8 +71,8 @@
     public Outcome deregister(long now, String id) {
         Item held = board.get(Kind.SERVER, id);
         ServerNews known = held == null ? null : ServerNews.of(held);
-        ServerNews gone = known == null ? new ServerNews(id, "", "", "", 1, State.GONE, 0, 0) : known.in(State.GONE,
-            known.seq());
+        ServerNews gone =
+                known == null ? new ServerNews(id, "", "", "", 1, State.GONE, 0, 0) : known.in(State.GONE, known.seq());
         if (known != null && known.state() == State.GONE) {
             return safe(held) ? null : new Outcome(held, true);
         }
@@ -135,10 +137,11 @@
         for (Kind kind : List.of(Kind.EDGE, Kind.CORE)) {
             for (Item item : board.all(kind)) {
                 MachineNews machine = MachineNews.of(item);
-                if (machine != null && machine.up() && now - heard.computeIfAbsent(kind + item.key(), key -> now)
-                    > DOWN_MICROS) {
+                if (machine != null
+                        && machine.up()
+                        && now - heard.computeIfAbsent(kind + item.key(), key -> now) > DOWN_MICROS) {
                     found.add(new MachineNews(machine.ip(), machine.zone(), machine.control(), false, machine.life())
-                        .item(kind, now));
+                            .item(kind, now));
                 }
             }
         }
--- a/src/main/java/gorsemast/deelen/HttpCall.java
+++ b/src/main/java/gorsemast/deelen/HttpCall.java
@@ -32,8 +32,7 @@
         void answered(int status, byte[] body);
     }
 
-    private HttpCall() {
-    }
+    private HttpCall() {}
 
     /** A POST with a JSON body. */
     public static void post(EventLoop loop, InetSocketAddress to, String path, byte[] body, Done done) {
@@ -41,30 +40,45 @@
     }
 
     /** Any call. */
-    public static void send(EventLoop loop, InetSocketAddress to, String method, String path, Map<String, String> headers,
-                            byte[] body, Done done) {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), path,
-            body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
-        request.headers().set(HttpHeaderNames.HOST, to.getAddress().getHostAddress()).set(HttpHeaderNames.CONNECTION, "close");
+    public static void send(
+            EventLoop loop,
+            InetSocketAddress to,
+            String method,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            Done done) {
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(method),
+                path,
+                body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
+        request.headers()
+                .set(HttpHeaderNames.HOST, to.getAddress().getHostAddress())
+                .set(HttpHeaderNames.CONNECTION, "close");
         headers.forEach(request.headers()::set);
         if (body != null) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
         }
-        new Bootstrap().group(loop).channel(Transport.stream(loop))
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
-            .handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST), new Waiting(done));
-                }
-            }).connect(to).addListener(connected -> {
-                if (connected.isSuccess()) {
-                    ((io.netty.channel.ChannelFuture) connected).channel().writeAndFlush(request);
-                } else {
-                    request.release();
-                    done.answered(0, new byte[0]);
-                }
-            });
+        new Bootstrap()
+                .group(loop)
+                .channel(Transport.stream(loop))
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST), new Waiting(done));
+                    }
+                })
+                .connect(to)
+                .addListener(connected -> {
+                    if (connected.isSuccess()) {
+                        ((io.netty.channel.ChannelFuture) connected).channel().writeAndFlush(request);
+                    } else {
+                        request.release();
+                        done.answered(0, new byte[0]);
+                    }
+                });
     }
 
     private static final class Waiting extends SimpleChannelInboundHandler<FullHttpResponse> {
