--- a/src/main/java/gorsemast/deelen/LoopbackNetwork.java
+++ b/src/main/java/gorsemast/deelen/LoopbackNetwork.java
@@ -30,6 +30,7 @@
     public static final String HOST = "demo.example";
     /** How long objects are held by the first configuration: longer than anybody waits for anything here. */
     public static final String FIRST_TTL = "120s";
+
     private static final int CORES = 3;
     private static final long BEAT_MILLIS = 400;
     private static final long PATIENCE_SECONDS = 20;
@@ -62,21 +63,44 @@
     /** The settings of one machine, as the platform writes them. */
     public String settings(String ip, String name, boolean core, boolean first, Path disk) {
         StringBuilder text = new StringBuilder();
-        text.append("nodeName: \"").append(name).append("\"\nip: \"").append(ip).append("\"\nzone: \"here\"\nregion: \"lo\"\n")
-            .append("zones:\n  here: \"lo\"\nlistenAddrs:\n");
+        text.append("nodeName: \"")
+                .append(name)
+                .append("\"\nip: \"")
+                .append(ip)
+                .append("\"\nzone: \"here\"\nregion: \"lo\"\n")
+                .append("zones:\n  here: \"lo\"\nlistenAddrs:\n");
         if (core) {
             text.append("  control: \"").append(ip).append(':').append(port).append("\"\n");
         } else {
-            text.append("  front: \"").append(ip).append(':').append(port + 1).append("\"\n  ready: \"").append(ip).append(':')
-                .append(port + 2).append("\"\n");
+            text.append("  front: \"")
+                    .append(ip)
+                    .append(':')
+                    .append(port + 1)
+                    .append("\"\n  ready: \"")
+                    .append(ip)
+                    .append(':')
+                    .append(port + 2)
+                    .append("\"\n");
         }
-        text.append("internalPorts:\n  - ").append(port + 3).append("\n  - ").append(port + 8).append("\nseedNodes:\n");
-        controls.forEach(control -> text.append("  - \"").append(control.getAddress().getHostAddress()).append(':')
-            .append(control.getPort()).append("\"\n"));
-        text.append("initialBoot: ").append(first).append("\nlimits:\n  fileDescriptors: 4096\ndataDir: ")
-            .append(disk == null ? "null" : "\"" + disk + '"').append("\nheartbeat: \"").append(BEAT_MILLIS)
-            .append("ms\"\nfaultTolerance:\n  machineLosses: 1\ntimingBounds:\n  drain: \"2000ms\"\n  grace: \"1s\"\n")
-            .append("  retryBudgetRatio: 0.2\n  retryWindow: \"10s\"\n  retrySlack: 60\n");
+        text.append("internalPorts:\n  - ")
+                .append(port + 3)
+                .append("\n  - ")
+                .append(port + 8)
+                .append("\nseedNodes:\n");
+        controls.forEach(control -> text.append("  - \"")
+                .append(control.getAddress().getHostAddress())
+                .append(':')
+                .append(control.getPort())
+                .append("\"\n"));
+        text.append("initialBoot: ")
+                .append(first)
+                .append("\nlimits:\n  fileDescriptors: 4096\ndataDir: ")
+                .append(disk == null ? "null" : "\"" + disk + '"')
+                .append("\nheartbeat: \"")
+                .append(BEAT_MILLIS)
+                .append(
+                        "ms\"\nfaultTolerance:\n  machineLosses: 1\ntimingBounds:\n  drain: \"2000ms\"\n  grace: \"1s\"\n")
+                .append("  retryBudgetRatio: 0.2\n  retryWindow: \"10s\"\n  retrySlack: 60\n");
         return text.toString();
     }
 
@@ -96,11 +120,21 @@
             probes.add(new InetSocketAddress(ip, port + 2));
         }
         for (int i = 0; i < 4; i++) {
-            servers.add(new StandInServer(loop, "i-" + i, i < 2 ? "objects" : "orders", "here", net + '.' + (40 + i),
-                port, controls, BEAT_MILLIS));
+            servers.add(new StandInServer(
+                    loop,
+                    "i-" + i,
+                    i < 2 ? "objects" : "orders",
+                    "here",
+                    net + '.' + (40 + i),
+                    port,
+                    controls,
+                    BEAT_MILLIS));
         }
-        until(() -> call(controls.get(0), "POST", "/v1/configuration/replace", Map.of(), configuration(1, FIRST_TTL)).status == 200);
-        until(() -> probes.stream().allMatch(probe -> call(probe, "GET", "/v1/readiness", Map.of(), null).status == 200));
+        until(() ->
+                call(controls.get(0), "POST", "/v1/configuration/replace", Map.of(), configuration(1, FIRST_TTL)).status
+                        == 200);
+        until(() ->
+                probes.stream().allMatch(probe -> call(probe, "GET", "/v1/readiness", Map.of(), null).status == 200));
         until(() -> call(fronts.get(0), "GET", "/objects/first", client("first"), null).status == 200);
         until(() -> call(fronts.get(0), "GET", "/orders/first", client("second"), null).status == 200);
     }
@@ -113,18 +147,19 @@
     /** A configuration of both services under a version. */
     public static byte[] configuration(int version, String ttl) {
         return ("{\"configVersion\":\"" + String.format("%08x", version) + "\",\"backendTable\":["
-            + "{\"name\":\"objects\",\"healthPath\":\"/health\",\"maxConnections\":130,\"protocol\":\"h1\",\"tls\":false,"
-            + "\"ratePerS\":880.0},{\"name\":\"orders\",\"healthPath\":\"/health\",\"maxConnections\":130}],"
-            + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeout\":\"3000ms\","
-            + "\"idleTimeout\":\"15000ms\"},\"virtualHosts\":[{\"hostname\":\"" + HOST + "\",\"pathRules\":["
-            + "{\"name\":\"objects\",\"pathPrefix\":\"/objects/\",\"routeType\":\"cacheable\",\"timeout\":\"1500ms\","
-            + "\"targetLatency\":\"100ms\",\"priority\":1,\"weightedBackends\":[{\"backend\":\"objects\",\"weight\":1}],"
-            + "\"maxAttempts\":2,\"cacheTtl\":\"" + ttl + "\"},"
-            + "{\"name\":\"orders\",\"pathPrefix\":\"/orders/\",\"routeType\":\"idempotent\",\"timeout\":\"1500ms\","
-            + "\"targetLatency\":\"200ms\",\"priority\":2,\"backend\":\"orders\",\"maxAttempts\":2},"
-            + "{\"name\":\"pay\",\"pathPrefix\":\"/orders/pay/\",\"routeType\":\"non_idempotent\",\"timeout\":\"1500ms\","
-            + "\"targetLatency\":\"200ms\",\"priority\":1,\"backend\":\"orders\",\"maxAttempts\":2}]}]}")
-            .getBytes(StandardCharsets.UTF_8);
+                        + "{\"name\":\"objects\",\"healthPath\":\"/health\",\"maxConnections\":130,\"protocol\":\"h1\",\"tls\":false,"
+                        + "\"ratePerS\":880.0},{\"name\":\"orders\",\"healthPath\":\"/health\",\"maxConnections\":130}],"
+                        + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeout\":\"3000ms\","
+                        + "\"idleTimeout\":\"15000ms\"},\"virtualHosts\":[{\"hostname\":\"" + HOST
+                        + "\",\"pathRules\":["
+                        + "{\"name\":\"objects\",\"pathPrefix\":\"/objects/\",\"routeType\":\"cacheable\",\"timeout\":\"1500ms\","
+                        + "\"targetLatency\":\"100ms\",\"priority\":1,\"weightedBackends\":[{\"backend\":\"objects\",\"weight\":1}],"
+                        + "\"maxAttempts\":2,\"cacheTtl\":\"" + ttl + "\"},"
+                        + "{\"name\":\"orders\",\"pathPrefix\":\"/orders/\",\"routeType\":\"idempotent\",\"timeout\":\"1500ms\","
+                        + "\"targetLatency\":\"200ms\",\"priority\":2,\"backend\":\"orders\",\"maxAttempts\":2},"
+                        + "{\"name\":\"pay\",\"pathPrefix\":\"/orders/pay/\",\"routeType\":\"non_idempotent\",\"timeout\":\"1500ms\","
+                        + "\"targetLatency\":\"200ms\",\"priority\":1,\"backend\":\"orders\",\"maxAttempts\":2}]}]}")
+                .getBytes(StandardCharsets.UTF_8);
     }
 
     /** An answer; status 0 for none. */
@@ -138,7 +173,8 @@
     /** A call that is waited for; not on a loop of the network. */
     public Answer call(InetSocketAddress to, String method, String path, Map<String, String> headers, byte[] body) {
         CompletableFuture<Answer> answer = new CompletableFuture<>();
-        HttpCall.send(loop, to, method, path, headers, body, (status, bytes) -> answer.complete(new Answer(status, bytes)));
+        HttpCall.send(
+                loop, to, method, path, headers, body, (status, bytes) -> answer.complete(new Answer(status, bytes)));
         try {
             return answer.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
         } catch (InterruptedException | ExecutionException | TimeoutException e) {
--- a/src/main/java/gorsemast/deelen/StandInServer.java
+++ b/src/main/java/gorsemast/deelen/StandInServer.java
@@ -38,11 +38,19 @@
     public static final int LONG = 3 << 20;
 
     /** What it does with the next requests. */
-    public enum Manner { SERVES, TURNS_AWAY, FAILS, SAYS_NOTHING, CUTS_SHORT, ANSWERS_TWICE, ANSWERS_LATE_AGAIN, RESETS }
+    public enum Manner {
+        SERVES,
+        TURNS_AWAY,
+        FAILS,
+        SAYS_NOTHING,
+        CUTS_SHORT,
+        ANSWERS_TWICE,
+        ANSWERS_LATE_AGAIN,
+        RESETS
+    }
 
     /** A request that it ran. */
-    public record Run(String attemptId, String method, String uri, String body) {
-    }
+    public record Run(String attemptId, String method, String uri, String body) {}
 
     private final EventLoop loop;
     private final String id;
@@ -61,8 +69,16 @@
     private int turn;
 
     /** One that listens on an address of its own; begins to beat at once. */
-    public StandInServer(EventLoop loop, String id, String service, String zone, String ip, int port,
-                         List<InetSocketAddress> registries, long beatMillis) throws IOException {
+    public StandInServer(
+            EventLoop loop,
+            String id,
+            String service,
+            String zone,
+            String ip,
+            int port,
+            List<InetSocketAddress> registries,
+            long beatMillis)
+            throws IOException {
         this.loop = loop;
         this.id = id;
         this.service = service;
@@ -72,8 +88,12 @@
             @Override
             protected void initChannel(Channel ch) {
                 open.add(ch);
-                ch.pipeline().addLast(new StrictHttp.Requests(), new HttpResponseEncoder(), new HttpObjectAggregator(MOST),
-                    new Serving());
+                ch.pipeline()
+                        .addLast(
+                                new StrictHttp.Requests(),
+                                new HttpResponseEncoder(),
+                                new HttpObjectAggregator(MOST),
+                                new Serving());
             }
         });
         loop.scheduleAtFixedRate(this::beat, 0, beatMillis, TimeUnit.MILLISECONDS);
@@ -127,15 +147,20 @@
             return;
         }
         InetSocketAddress at = address();
-        String body = "{\"backend\":\"" + service + "\",\"address\":\"" + at.getAddress().getHostAddress() + ':' + at.getPort()
-            + "\",\"zone\":\"" + zone + "\",\"configVersion\":\"v1\",\"capacity\":8,\"state\":\"" + state
-            + "\",\"warmupLeft\":\"0ms\",\"callSeq\":" + ++calls + '}';
-        HttpCall.post(loop, registries.get(turn % registries.size()), "/v1/nodes/" + id + "/heartbeat",
-            body.getBytes(StandardCharsets.UTF_8), (status, answer) -> {
-                if (status != 200) {
-                    turn++;
-                }
-            });
+        String body = "{\"backend\":\"" + service + "\",\"address\":\""
+                + at.getAddress().getHostAddress() + ':' + at.getPort()
+                + "\",\"zone\":\"" + zone + "\",\"configVersion\":\"v1\",\"capacity\":8,\"state\":\"" + state
+                + "\",\"warmupLeft\":\"0ms\",\"callSeq\":" + ++calls + '}';
+        HttpCall.post(
+                loop,
+                registries.get(turn % registries.size()),
+                "/v1/nodes/" + id + "/heartbeat",
+                body.getBytes(StandardCharsets.UTF_8),
+                (status, answer) -> {
+                    if (status != 200) {
+                        turn++;
+                    }
+                });
     }
 
     /** It is gone, without a word. */
@@ -168,10 +193,11 @@
             }
             String uri = request.uri();
             synchronized (runs) {
-                runs.add(new Run(attempt, request.method().name(), uri, request.content().toString(StandardCharsets.UTF_8)));
+                runs.add(new Run(
+                        attempt, request.method().name(), uri, request.content().toString(StandardCharsets.UTF_8)));
             }
             String body = "object " + uri + " version " + versions.getOrDefault(uri, 0) + '\n'
-                + (uri.contains("/long/") ? "x".repeat(LONG) : "");
+                    + (uri.contains("/long/") ? "x".repeat(LONG) : "");
             if (does == Manner.ANSWERS_LATE_AGAIN && lastAttempt != null) {
                 write(ctx, HttpResponseStatus.OK, lastAttempt, lastBody, true); // in the place of the one that is due
             }
@@ -185,20 +211,29 @@
                 case FAILS -> write(ctx, HttpResponseStatus.INTERNAL_SERVER_ERROR, attempt, "failed", true);
                 case CUTS_SHORT -> {
                     byte[] whole = ("HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nEdge-Seal: " + id
-                        + "\r\nContent-Length: " + (body.length() + 10) + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8);
+                                    + "\r\nContent-Length: " + (body.length() + 10) + "\r\n\r\n" + body)
+                            .getBytes(StandardCharsets.UTF_8);
                     // straight to the socket: the encoder would not write what is no answer
-                    ctx.pipeline().firstContext().writeAndFlush(Unpooled.wrappedBuffer(whole)).addListener(done -> ctx.close());
+                    ctx.pipeline()
+                            .firstContext()
+                            .writeAndFlush(Unpooled.wrappedBuffer(whole))
+                            .addListener(done -> ctx.close());
                 }
-                default -> loop.schedule(() -> {
-                    write(ctx, HttpResponseStatus.OK, attempt, body, true);
-                    if (does == Manner.ANSWERS_TWICE) {
-                        write(ctx, HttpResponseStatus.OK, attempt, "again " + body, true);
-                    }
-                }, workMicros, TimeUnit.MICROSECONDS);
+                default ->
+                    loop.schedule(
+                            () -> {
+                                write(ctx, HttpResponseStatus.OK, attempt, body, true);
+                                if (does == Manner.ANSWERS_TWICE) {
+                                    write(ctx, HttpResponseStatus.OK, attempt, "again " + body, true);
+                                }
+                            },
+                            workMicros,
+                            TimeUnit.MICROSECONDS);
             }
         }
 
-        private void write(ChannelHandlerContext ctx, HttpResponseStatus status, String attempt, String body, boolean ran) {
+        private void write(
+                ChannelHandlerContext ctx, HttpResponseStatus status, String attempt, String body, boolean ran) {
             ByteBuf content = ByteBufUtil.writeUtf8(ctx.alloc(), body);
             FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content);
             answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
@@ -206,8 +241,10 @@
                 answer.headers().set("Attempt-Id", attempt);
             }
             if (ran) {
-                answer.headers().set("Edge-Seal", id).set("Object-Tags", "all").set(HttpHeaderNames.ETAG,
-                    '"' + Integer.toHexString(body.hashCode()) + '"');
+                answer.headers()
+                        .set("Edge-Seal", id)
+                        .set("Object-Tags", "all")
+                        .set(HttpHeaderNames.ETAG, '"' + Integer.toHexString(body.hashCode()) + '"');
             } else {
                 answer.headers().set("Not-Executed", "1").set("Instance-Id", id);
             }
--- a/src/main/java/gorsemast/deelen/Training.java
+++ b/src/main/java/gorsemast/deelen/Training.java
@@ -13,8 +13,7 @@
  * those that the three programs need. Part of the build; nothing of it runs in service.
  */
 public final class Training {
-    private Training() {
-    }
+    private Training() {}
 
     /** Takes the folder to work in. */
     public static void main(String[] args) throws IOException, ClassNotFoundException {
@@ -23,7 +22,7 @@
         Class.forName("gorsemast.arcen.Main");
         Class.forName("gorsemast.arcen.Main$Leaving");
         Class.forName("gorsemast.arcen.Main$Rereading");
-        Signals.onHangup(() -> { });
+        Signals.onHangup(() -> {});
         Path data = Files.createTempDirectory(Path.of(args[0]), "training");
         int port = 21_000 + (int) (ProcessHandle.current().pid() % 20_000);
         LoopbackNetwork network = new LoopbackNetwork("127.0.77", port, data);
@@ -31,16 +30,29 @@
         for (int i = 0; i < 60; i++) {
             Map<String, String> headers = new HashMap<>(LoopbackNetwork.client("t" + i));
             headers.put("Range", "bytes=2-5");
-            network.call(network.fronts().get(i % 3), "GET", "/objects/" + i % 20, i % 2 == 0 ? headers
-                : LoopbackNetwork.client("u" + i), null);
-            network.call(network.fronts().get(i % 3), "POST", "/orders/pay/" + i, LoopbackNetwork.client("p" + i), new byte[500]);
+            network.call(
+                    network.fronts().get(i % 3),
+                    "GET",
+                    "/objects/" + i % 20,
+                    i % 2 == 0 ? headers : LoopbackNetwork.client("u" + i),
+                    null);
+            network.call(
+                    network.fronts().get(i % 3),
+                    "POST",
+                    "/orders/pay/" + i,
+                    LoopbackNetwork.client("p" + i),
+                    new byte[500]);
             network.call(network.fronts().get(i % 3), "GET", "/orders/" + i, LoopbackNetwork.client("o" + i), null);
         }
         network.call(network.fronts().get(0), "GET", "/none", LoopbackNetwork.client("n"), null);
         network.call(network.controls().get(1), "POST", "/v1/purge", Map.of(), "{\"tag\":\"all\"}".getBytes());
         network.call(network.controls().get(1), "POST", "/v1/configuration/replace", Map.of(), "{".getBytes());
-        network.call(network.controls().get(2), "POST", "/v1/configuration/replace", Map.of(),
-            LoopbackNetwork.configuration(2, "5s"));
+        network.call(
+                network.controls().get(2),
+                "POST",
+                "/v1/configuration/replace",
+                Map.of(),
+                LoopbackNetwork.configuration(2, "5s"));
         network.call(network.controls().get(2), "GET", "/v1/configuration/read", Map.of(), null);
         network.servers().get(3).manner(StandInServer.Manner.TURNS_AWAY);
         network.servers().get(0).drain();
--- a/src/main/java/gorsemast/eelde/Ceiling.java
+++ b/src/main/java/gorsemast/eelde/Ceiling.java
@@ -16,6 +16,7 @@
     private static final int STEPS = 10;
     /** Parts of the rate that are spent: the rest is for what is seen otherwise at the servers than here. */
     private static final double SPENT = 0.95;
+
     private static final double AHEAD = 0.5;
     /** Of the window's part, so much may go out in one step: once and a half of an even one. */
     private static final double STEP_PART = 0.15;
--- a/src/main/java/gorsemast/eelde/Copy.java
+++ b/src/main/java/gorsemast/eelde/Copy.java
@@ -13,7 +13,8 @@
  * @param asked when the server was asked for it, in the holder's time: what it says is at least as new
  * @param ttl how long from then it may be served at most
  */
-public record Copy(int status, List<Map.Entry<String, String>> headers, byte[] body, Set<String> tags, long asked, long ttl) {
+public record Copy(
+        int status, List<Map.Entry<String, String>> headers, byte[] body, Set<String> tags, long asked, long ttl) {
     /** What each held object costs beside its body. */
     private static final int OVERHEAD = 600;
 
--- a/src/main/java/gorsemast/eelde/Demand.java
+++ b/src/main/java/gorsemast/eelde/Demand.java
@@ -10,6 +10,7 @@
     private static final double MICROS = 1e6;
     /** Of what the servers bear: below the first part each zone may have homes, above the second they are shared. */
     private static final double LOW = 0.9;
+
     private static final double HIGH = 2;
 
     private double rate;
--- a/src/main/java/gorsemast/eelde/Fetching.java
+++ b/src/main/java/gorsemast/eelde/Fetching.java
@@ -30,6 +30,7 @@
 public final class Fetching<A> {
     /** Who asks: a client; an edge, as the object's home; a home, as the edge that fetches for it. */
     public static final int ASKED_BY_CLIENT = 0;
+
     public static final int ASKED_AS_HOME = 1;
     public static final int ASKED_AS_FETCHER = 2;
     private static final long LEAST_LEFT = 60_000;
@@ -43,6 +44,7 @@
     private static final int MOST_HOMES = 3;
     /** Of the time that is left, so much is waited for a home, and by a home for who fetches for it. */
     private static final double WAITS_FOR_HOME = 0.67;
+
     private static final double WAITS_FOR_FETCHER = 0.9;
     /** Of what servers bear, so much is for the edges that fetch for all; the others need it where a home fails. */
     private static final double FETCHERS_PART = 0.88;
@@ -201,13 +203,21 @@
             return size() > MOST_LONG;
         }
     };
+
     private long fromCopies;
     private long fromHomes;
     private long fromServers;
 
     /** At the edge with this address; {@code window} is what the servers' rate is counted over. */
-    public Fetching(String self, LongSupplier clock, Shelf shelf, Homes homes, Board board, long window, long seed,
-                    Ways<A> ways) {
+    public Fetching(
+            String self,
+            LongSupplier clock,
+            Shelf shelf,
+            Homes homes,
+            Board board,
+            long window,
+            long seed,
+            Ways<A> ways) {
         this.self = self;
         this.clock = clock;
         this.begun = clock.getAsLong();
@@ -230,7 +240,8 @@
         if (purge != null) {
             shelf.purge(purge);
             if (purge.tag().isEmpty()) {
-                fetches.forEach(of -> of.keySet().removeIf(key -> Shelf.path(purge, key))); // who asks from now on gets another
+                fetches.forEach(
+                        of -> of.keySet().removeIf(key -> Shelf.path(purge, key))); // who asks from now on gets another
             }
         }
     }
@@ -378,8 +389,9 @@
     /** Whether one more may go to a service's servers now, a further attempt or one for no object; it is counted if so. */
     public boolean another(String service) {
         double most = ways.perSecond(service);
-        return Double.isInfinite(most) || ceilings.computeIfAbsent(service, name -> new Ceiling(window, begun))
-            .take(clock.getAsLong(), most * part(service), false);
+        return Double.isInfinite(most)
+                || ceilings.computeIfAbsent(service, name -> new Ceiling(window, begun))
+                        .take(clock.getAsLong(), most * part(service), false);
     }
 
     private static String service(Wanted what) {
@@ -413,32 +425,33 @@
             return;
         }
         fromServers++;
-        boolean known = ways.servers(service, fetch.what, asked, asked + fetch.what.route.timeoutMicros(), new FromServers<>() {
-            @Override
-            public void copy(Copy copy) {
-                fetch.here(copy);
-            }
-
-            @Override
-            public void other(A answer) {
-                fetch.other(answer);
-            }
-
-            @Override
-            public void refused(long retryAfter) {
-                fetch.refused(retryAfter);
-            }
-
-            @Override
-            public void failed() {
-                fetch.failed();
-            }
-
-            @Override
-            public void tooLong() {
-                fetch.tooLong();
-            }
-        });
+        boolean known =
+                ways.servers(service, fetch.what, asked, asked + fetch.what.route.timeoutMicros(), new FromServers<>() {
+                    @Override
+                    public void copy(Copy copy) {
+                        fetch.here(copy);
+                    }
+
+                    @Override
+                    public void other(A answer) {
+                        fetch.other(answer);
+                    }
+
+                    @Override
+                    public void refused(long retryAfter) {
+                        fetch.refused(retryAfter);
+                    }
+
+                    @Override
+                    public void failed() {
+                        fetch.failed();
+                    }
+
+                    @Override
+                    public void tooLong() {
+                        fetch.tooLong();
+                    }
+                });
         if (!known) {
             fetch.refused(LATER_MICROS);
         }
--- a/src/main/java/gorsemast/eelde/Homes.java
+++ b/src/main/java/gorsemast/eelde/Homes.java
@@ -16,6 +16,7 @@
 public final class Homes {
     /** For so long one that failed is passed over; doubled at each failure in a row. */
     static final long SHORTEST_MICROS = 500_000;
+
     static final long LONGEST_MICROS = 4_000_000;
 
     private static final class Away {
@@ -24,8 +25,7 @@
         private long span = SHORTEST_MICROS;
     }
 
-    private record Edge(String ip, String zone, long hash) {
-    }
+    private record Edge(String ip, String zone, long hash) {}
 
     private final String self;
     private final long selfHash;
@@ -34,6 +34,7 @@
     private Map<String, String> zones = Map.of();
     /** The edges that fetch a service's objects, where these are not all. */
     private final Map<String, Set<String>> fetchers = new HashMap<>();
+
     private final Map<String, Away> away = new HashMap<>();
 
     /** Of the edge with this address. */
@@ -94,15 +95,19 @@
         long rank = some == null || some.contains(self) ? Hash.rank(name, selfHash) : Long.MIN_VALUE;
         for (Edge edge : edges) {
             long other = Hash.rank(name, edge.hash);
-            if (other > rank && (!zoned || zone.equals(edge.zone)) && (some == null || some.contains(edge.ip))
-                && !edge.ip.equals(self) && !passed(now, edge.ip)) {
+            if (other > rank
+                    && (!zoned || zone.equals(edge.zone))
+                    && (some == null || some.contains(edge.ip))
+                    && !edge.ip.equals(self)
+                    && !passed(now, edge.ip)) {
                 best = edge.ip;
                 rank = other;
             }
         }
         Away tried = away.get(best);
         if (tried != null) {
-            tried.until = now + tried.span; // this one is its trial; all others go on passing it over until it is answered
+            tried.until =
+                    now + tried.span; // this one is its trial; all others go on passing it over until it is answered
         }
         return best;
     }
--- a/src/main/java/gorsemast/eelde/Shelf.java
+++ b/src/main/java/gorsemast/eelde/Shelf.java
@@ -21,8 +21,7 @@
     /** A copy of more than this part of all room is not held. */
     private static final int LARGEST_PART = 8;
 
-    private record Numbered(long number, PurgeNews purge) {
-    }
+    private record Numbered(long number, PurgeNews purge) {}
 
     private final LinkedHashMap<String, Copy> copies = new LinkedHashMap<>(16, 0.75f, true);
     private final ArrayDeque<Numbered> purges = new ArrayDeque<>();
@@ -97,9 +96,12 @@
             return false;
         }
         int path = purge.host().length() + 1;
-        return key.startsWith(purge.host()) && key.length() >= path + purge.path().length() && key.charAt(path - 1) == ' '
-            && key.startsWith(purge.path(), path)
-            && (key.length() == path + purge.path().length() || key.charAt(path + purge.path().length()) == '?');
+        return key.startsWith(purge.host())
+                && key.length() >= path + purge.path().length()
+                && key.charAt(path - 1) == ' '
+                && key.startsWith(purge.path(), path)
+                && (key.length() == path + purge.path().length()
+                        || key.charAt(path + purge.path().length()) == '?');
     }
 
     /** Whether this copy, asked for under {@code since}, is named by a later purge, or may be. */
--- a/src/main/java/gorsemast/emulator/Attempt.java
+++ b/src/main/java/gorsemast/emulator/Attempt.java
@@ -19,6 +19,7 @@
     Connections.Connection connection;
     /** Its last byte is on its way: from here on only an answer can say that it has not run. */
     boolean written;
+
     boolean ended;
     CacheNode.Work work;
 
@@ -41,8 +42,11 @@
     }
 
     void expire() {
-        end(written ? Code.TIMEOUT : connection == null && connections.open(node.id()) > 0 ? Code.NOT_SENT
-            : Code.CONNECT_FAILED, Note.NONE);
+        end(
+                written
+                        ? Code.TIMEOUT
+                        : connection == null && connections.open(node.id()) > 0 ? Code.NOT_SENT : Code.CONNECT_FAILED,
+                Note.NONE);
     }
 
     void end(Code code, Note note) {
--- a/src/main/java/gorsemast/emulator/CacheNode.java
+++ b/src/main/java/gorsemast/emulator/CacheNode.java
@@ -22,7 +22,11 @@
  */
 final class CacheNode {
     /** Process and network of a node, as a proxy meets it. */
-    enum Condition { UP, REFUSING, SILENT }
+    enum Condition {
+        UP,
+        REFUSING,
+        SILENT
+    }
 
     /** What a node answers: in which way, and what it tells of the read. */
     interface Reply {
@@ -76,6 +80,7 @@
     private final ArrayDeque<Work> row = new ArrayDeque<>();
     /** Each kept key, and until when its copy is good. */
     private final Map<String, Long> copies = new HashMap<>();
+
     private final Map<String, List<Work>> fetching = new HashMap<>();
     private final ArrayDeque<Long> arrivals = new ArrayDeque<>();
     private Condition condition = Condition.UP;
@@ -85,6 +90,7 @@
     private int connections;
     /** 0 for long ago. */
     long born;
+
     boolean draining;
     boolean gone;
     private double errorShare;
--- a/src/main/java/gorsemast/emulator/Cluster.java
+++ b/src/main/java/gorsemast/emulator/Cluster.java
@@ -27,9 +27,11 @@
     private static final long LISTED_MICROS = 800_000;
     /** How unlike nodes are: half the width of their speeds. */
     private static final double SPEEDS = 0.15;
+
     private static final int CELL = 6;
     /** The ledger carries so much more than the misses and writes of the usual traffic. */
     private static final double LEDGER_ROOM = 2;
+
     private static final long LEDGER_MICROS = 60_000;
 
     final ClusterSettings settings;
@@ -54,8 +56,8 @@
         this.settings = settings;
         this.random = new SplittableRandom(settings.seed());
         double missed = settings.rate() * (1 - settings.hits() + ClusterSettings.SHARES[2] + ClusterSettings.SHARES[3]);
-        this.ledger = new Ledger(time, random.split(), (int) Math.ceil(missed * LEDGER_ROOM * LEDGER_MICROS / 1e6),
-            LEDGER_MICROS);
+        this.ledger = new Ledger(
+                time, random.split(), (int) Math.ceil(missed * LEDGER_ROOM * LEDGER_MICROS / 1e6), LEDGER_MICROS);
         this.register = new Register(time, settings);
         this.cut = new boolean[settings.zones()][settings.zones()];
         this.deadSince = new long[settings.proxies()];
@@ -86,7 +88,7 @@
 
     long oneWay(int zone, CacheNode node) {
         return (long) ((zone == node.zone ? settings.nearMicros() : settings.crossMicros())
-            * (1 + JITTER * random.nextDouble()));
+                * (1 + JITTER * random.nextDouble()));
     }
 
     boolean losesAnswer() {
@@ -127,8 +129,14 @@
     // ---- what is done to it
 
     private CacheNode add(int zone, long born) {
-        CacheNode node = new CacheNode("n" + nodeNumber, zone, nodeNumber / CELL, 1 - SPEEDS + 2 * SPEEDS * random.nextDouble(),
-            born, this, random.split());
+        CacheNode node = new CacheNode(
+                "n" + nodeNumber,
+                zone,
+                nodeNumber / CELL,
+                1 - SPEEDS + 2 * SPEEDS * random.nextDouble(),
+                born,
+                this,
+                random.split());
         nodeNumber++;
         nodes.put(node.id, node);
         if (born == 0) {
@@ -145,7 +153,9 @@
 
     /** The nodes that are in service, the oldest first. */
     List<CacheNode> serving() {
-        return nodes.values().stream().filter(node -> !node.gone && !node.draining).toList();
+        return nodes.values().stream()
+                .filter(node -> !node.gone && !node.draining)
+                .toList();
     }
 
     /** Takes a node out in good order, and puts a new one in its place. */
@@ -201,14 +211,38 @@
      * @param before share of the worth asked for that was served before the faults; {@code during} and {@code after} alike
      * @param mostFetched how often the key that was fetched most was fetched
      */
-    public record Result(Tally tally, Referee referee, int back, double before, double during, double after, long asked,
-                         long attempts, long fetches, int mostFetched, int keysFetched, long handshakes, long listCalls) {
+    public record Result(
+            Tally tally,
+            Referee referee,
+            int back,
+            double before,
+            double during,
+            double after,
+            long asked,
+            long attempts,
+            long fetches,
+            int mostFetched,
+            int keysFetched,
+            long handshakes,
+            long listCalls) {
         /** One line for people. */
         public String line() {
-            return String.format(java.util.Locale.ROOT, "served %.3f before, %.3f during, %.3f after; back in %s; lost %d twice %d"
-                    + " drains %d fallen %d; a request: attempts %.2f fetches %.3f handshakes %.3f list calls %.4f", before, during,
-                after, back < 0 ? "never" : back + " s", referee.lost(), referee.twice(), referee.drains(), referee.fallen(),
-                (double) attempts / asked, (double) fetches / asked, (double) handshakes / asked, (double) listCalls / asked);
+            return String.format(
+                    java.util.Locale.ROOT,
+                    "served %.3f before, %.3f during, %.3f after; back in %s; lost %d twice %d"
+                            + " drains %d fallen %d; a request: attempts %.2f fetches %.3f handshakes %.3f list calls %.4f",
+                    before,
+                    during,
+                    after,
+                    back < 0 ? "never" : back + " s",
+                    referee.lost(),
+                    referee.twice(),
+                    referee.drains(),
+                    referee.fallen(),
+                    (double) attempts / asked,
+                    (double) fetches / asked,
+                    (double) handshakes / asked,
+                    (double) listCalls / asked);
         }
     }
 
@@ -222,13 +256,26 @@
         time.run(START + (Day.SECONDS + 7) * SECOND); // all that was asked has its answer
         double before = tally.share(Day.WARM, Day.FAULT);
         int back = -1;
-        for (int second = Day.SECONDS - 1; second >= Day.OVER && tally.rows().get(second).share() >= Day.BACK * before; second--) {
+        for (int second = Day.SECONDS - 1;
+                second >= Day.OVER && tally.rows().get(second).share() >= Day.BACK * before;
+                second--) {
             back = second - Day.OVER;
         }
         int end = Day.SECONDS;
-        return new Result(tally, referee, back, before, tally.share(Day.FAULT, Day.OVER), tally.share(Day.OVER, end),
-            tally.sum(Count.ASKED, 0, end), tally.sum(Count.ATTEMPTS, 0, end), ledger.fetches, ledger.mostFetched(),
-            ledger.keysFetched(), tally.sum(Count.HANDSHAKES, 0, end), tally.sum(Count.LIST_CALLS, 0, end));
+        return new Result(
+                tally,
+                referee,
+                back,
+                before,
+                tally.share(Day.FAULT, Day.OVER),
+                tally.share(Day.OVER, end),
+                tally.sum(Count.ASKED, 0, end),
+                tally.sum(Count.ATTEMPTS, 0, end),
+                ledger.fetches,
+                ledger.mostFetched(),
+                ledger.keysFetched(),
+                tally.sum(Count.HANDSHAKES, 0, end),
+                tally.sum(Count.LIST_CALLS, 0, end));
     }
 
     private void look() {
@@ -238,7 +285,10 @@
         proxies.forEach(proxy -> proxy.look(tally));
         tally.add(time.now(), Count.FETCHES, ledger.fetches - fetchesSeen);
         fetchesSeen = ledger.fetches;
-        tally.add(time.now(), Count.PROXIES_WITH_LIST, proxies.stream().filter(SimulatedProxy::listed).count());
+        tally.add(
+                time.now(),
+                Count.PROXIES_WITH_LIST,
+                proxies.stream().filter(SimulatedProxy::listed).count());
         time.after(SECOND, this::look);
     }
 }
--- a/src/main/java/gorsemast/emulator/Connections.java
+++ b/src/main/java/gorsemast/emulator/Connections.java
@@ -102,7 +102,8 @@
                 return;
             }
             next.written = true;
-            cluster.referee.wroteToDraining(time.now(), "proxy " + proxy.number, node.id(), proxy.drainToldAt(node.id()));
+            cluster.referee.wroteToDraining(
+                    time.now(), "proxy " + proxy.number, node.id(), proxy.drainToldAt(node.id()));
             cluster.tally.add(time.now(), Count.CROSSED, proxy.zone == end.zone ? 0 : 1);
             time.after(cluster.oneWay(proxy.zone, end), () -> arrive(next));
         }
@@ -118,30 +119,37 @@
                 return;
             }
             Ask ask = sent.ask;
-            sent.work = end.request(ask.key, ask.rules().effect() != Effect.SAFE, ask.took,
-                () -> cluster.referee.ran(time.now(), ask.id, ask.rules().effect(), ask.rules().window()),
-                new CacheNode.Reply() {
-                    @Override
-                    public void served(Note note) {
-                        back(Code.OK, note);
-                    }
+            sent.work = end.request(
+                    ask.key,
+                    ask.rules().effect() != Effect.SAFE,
+                    ask.took,
+                    () -> cluster.referee.ran(
+                            time.now(),
+                            ask.id,
+                            ask.rules().effect(),
+                            ask.rules().window()),
+                    new CacheNode.Reply() {
+                        @Override
+                        public void served(Note note) {
+                            back(Code.OK, note);
+                        }
 
-                    @Override
-                    public void error() {
-                        back(Code.ERROR, Note.NONE);
-                    }
+                        @Override
+                        public void error() {
+                            back(Code.ERROR, Note.NONE);
+                        }
 
-                    @Override
-                    public void turnedAway() {
-                        back(Code.FULL, Note.NONE);
-                    }
+                        @Override
+                        public void turnedAway() {
+                            back(Code.FULL, Note.NONE);
+                        }
 
-                    private void back(Code code, Note note) {
-                        if (!answerLost && cluster.reaches(proxy.zone, end)) {
-                            ifRunning(cluster.oneWay(proxy.zone, end), () -> sent.end(code, note));
+                        private void back(Code code, Note note) {
+                            if (!answerLost && cluster.reaches(proxy.zone, end)) {
+                                ifRunning(cluster.oneWay(proxy.zone, end), () -> sent.end(code, note));
+                            }
                         }
-                    }
-                });
+                    });
         }
 
         private void close() {
@@ -277,7 +285,9 @@
         }
         Deque<Attempt> row = waiting.get(node);
         if (row != null) {
-            List.copyOf(row).stream().filter(attempt -> !proxy.ready(attempt.node)).forEach(Attempt::cancel);
+            List.copyOf(row).stream()
+                    .filter(attempt -> !proxy.ready(attempt.node))
+                    .forEach(Attempt::cancel);
         }
     }
 
--- a/src/main/java/gorsemast/emulator/Day.java
+++ b/src/main/java/gorsemast/emulator/Day.java
@@ -53,7 +53,8 @@
         @Override
         void plan(Cluster c) {
             bad(c, 8, 0, 3);
-            List<CacheNode> zone = c.serving().stream().filter(node -> node.zone == 0).toList();
+            List<CacheNode> zone =
+                    c.serving().stream().filter(node -> node.zone == 0).toList();
             at(c, FAULT, () -> zone.forEach(c::crash));
             at(c, FAULT + 1, () -> c.cut(1, 2, true));
             at(c, FAULT + 5, () -> zone.forEach(c::back));
@@ -101,6 +102,7 @@
     public static final int SECONDS = 34;
     /** Service is back where it serves this part of the share before the faults, and goes on to. */
     public static final double BACK = 0.9;
+
     private static final long SECOND = 1_000_000;
     private static final double STEP = 0.5;
 
--- a/src/main/java/gorsemast/emulator/Growth.java
+++ b/src/main/java/gorsemast/emulator/Growth.java
@@ -15,28 +15,29 @@
  */
 public final class Growth {
     /** A figure of a run with so many proxies, by its heading. */
-    private record Figure(String name, ToDoubleBiFunction<Result, Integer> of) {
-    }
+    private record Figure(String name, ToDoubleBiFunction<Result, Integer> of) {}
 
     private static final List<Figure> FIGURES = List.of(
-        new Figure("served before", (result, proxies) -> result.before()),
-        new Figure("during", (result, proxies) -> result.during()),
-        new Figure("after", (result, proxies) -> result.after()),
-        new Figure("back, s", (result, proxies) -> result.back() < 0 ? Double.NaN : result.back()),
-        new Figure("attempts a request", (result, proxies) -> (double) result.attempts() / result.asked()),
-        new Figure("fetches a request", (result, proxies) -> (double) result.fetches() / result.asked()),
-        new Figure("fetches a key", (result, proxies) -> (double) result.fetches() / result.keysFetched()),
-        new Figure("handshakes a request", (result, proxies) -> (double) result.handshakes() / result.asked()),
-        new Figure("list calls a proxy and s", (result, proxies) -> (double) result.listCalls() / proxies / Day.SECONDS),
-        new Figure("fallen", (result, proxies) -> result.referee().fallen()));
+            new Figure("served before", (result, proxies) -> result.before()),
+            new Figure("during", (result, proxies) -> result.during()),
+            new Figure("after", (result, proxies) -> result.after()),
+            new Figure("back, s", (result, proxies) -> result.back() < 0 ? Double.NaN : result.back()),
+            new Figure("attempts a request", (result, proxies) -> (double) result.attempts() / result.asked()),
+            new Figure("fetches a request", (result, proxies) -> (double) result.fetches() / result.asked()),
+            new Figure("fetches a key", (result, proxies) -> (double) result.fetches() / result.keysFetched()),
+            new Figure("handshakes a request", (result, proxies) -> (double) result.handshakes() / result.asked()),
+            new Figure(
+                    "list calls a proxy and s",
+                    (result, proxies) -> (double) result.listCalls() / proxies / Day.SECONDS),
+            new Figure("fallen", (result, proxies) -> result.referee().fallen()));
 
-    private Growth() {
-    }
+    private Growth() {}
 
     /** The table, as Markdown, a row for each size. */
     public static String table(Day day, List<Integer> proxies, List<Integer> nodes, long seed) {
         if (proxies.size() != nodes.size()) {
-            throw new IllegalArgumentException("as many sizes of proxies as of nodes, not " + proxies + " and " + nodes);
+            throw new IllegalArgumentException(
+                    "as many sizes of proxies as of nodes, not " + proxies + " and " + nodes);
         }
         StringBuilder s = new StringBuilder("| proxies | nodes |");
         FIGURES.forEach(figure -> s.append(' ').append(figure.name).append(" |"));
@@ -45,7 +46,9 @@
         for (int i = 0; i < proxies.size(); i++) {
             int many = proxies.get(i);
             Result result = new Cluster(ClusterSettings.of(many, nodes.get(i), seed)).play(day);
-            double[] row = FIGURES.stream().mapToDouble(figure -> figure.of.applyAsDouble(result, many)).toArray();
+            double[] row = FIGURES.stream()
+                    .mapToDouble(figure -> figure.of.applyAsDouble(result, many))
+                    .toArray();
             rows.add(row);
             s.append("| ").append(many).append(" | ").append(nodes.get(i)).append(" |");
             Arrays.stream(row).forEach(value -> s.append(String.format(Locale.ROOT, " %.3f |", value)));
--- a/src/main/java/gorsemast/emulator/Ledger.java
+++ b/src/main/java/gorsemast/emulator/Ledger.java
@@ -12,8 +12,7 @@
  * a ledger does not know of that. O(1) an event.
  */
 final class Ledger {
-    private record Work(long took, Runnable done) {
-    }
+    private record Work(long took, Runnable done) {}
 
     private final VirtualTime time;
     private final SplittableRandom random;
--- a/src/main/java/gorsemast/emulator/Referee.java
+++ b/src/main/java/gorsemast/emulator/Referee.java
@@ -73,7 +73,8 @@
     void wroteToDraining(long now, String proxy, String node, long toldAt) {
         if (now > toldAt + DRAIN_MICROS) {
             drains++;
-            find(now / 1000 + " ms: " + proxy + " wrote to " + node + " " + (now - toldAt) / 1000 + " ms after its drain was told");
+            find(now / 1000 + " ms: " + proxy + " wrote to " + node + " " + (now - toldAt) / 1000
+                    + " ms after its drain was told");
         }
     }
 
--- a/src/main/java/gorsemast/emulator/Register.java
+++ b/src/main/java/gorsemast/emulator/Register.java
@@ -66,7 +66,9 @@
     }
 
     List<Server> whole() {
-        return entries.values().stream().filter(entry -> entry.state() != State.GONE).toList();
+        return entries.values().stream()
+                .filter(entry -> entry.state() != State.GONE)
+                .toList();
     }
 
     long version() {
@@ -137,8 +139,11 @@
             working = false;
             if (!call.over && !down) {
                 call.over = true;
-                List<Server> told = call.whole ? whole()
-                    : entries.values().stream().filter(entry -> changedAt.get(entry.id()) > call.after).toList();
+                List<Server> told = call.whole
+                        ? whole()
+                        : entries.values().stream()
+                                .filter(entry -> changedAt.get(entry.id()) > call.after)
+                                .toList();
                 call.caller.answered(call.whole ? ListKind.FULL : ListKind.CHANGES, told, version);
             }
             work();
--- a/src/main/java/gorsemast/emulator/SimulatedProxy.java
+++ b/src/main/java/gorsemast/emulator/SimulatedProxy.java
@@ -56,6 +56,7 @@
     private long nodesVersion;
     /** When each node that drains or has gone was first told so to this process. */
     private final Map<String, Long> drainTold = new HashMap<>();
+
     private final Map<String, Exchange> open = new HashMap<>();
     private final Queue<Runnable> events = new ArrayDeque<>();
     private final Queue<Runnable> actions = new ArrayDeque<>();
@@ -154,8 +155,13 @@
                 abandon(x);
             }
         });
-        Balancer.Request request = new Balancer.Request(ask.id, ask.type, ask.tenant, ask.key, ask.deadline - MARGIN_MICROS,
-            ask.rules().effect() != Balancer.Effect.SAFE);
+        Balancer.Request request = new Balancer.Request(
+                ask.id,
+                ask.type,
+                ask.tenant,
+                ask.key,
+                ask.deadline - MARGIN_MICROS,
+                ask.rules().effect() != Balancer.Effect.SAFE);
         tell(() -> module.request(time.now(), request));
         return true;
     }
@@ -245,18 +251,21 @@
     }
 
     private void told(Exchange x, int attempt, long sentAt, Code code, Note note) {
-        cluster.tally.add(time.now(), switch (code) {
-            case OK, MISS -> Count.OK;
-            case FULL -> Count.FULL;
-            case ERROR -> Count.ERROR;
-            case TIMEOUT, CANCELLED -> Count.TIMEOUT;
-            case RESET -> Count.RESET;
-            case CONNECT_FAILED -> Count.CONNECT_FAILED;
-            case NOT_SENT -> Count.NOT_SENT;
-        });
+        cluster.tally.add(
+                time.now(),
+                switch (code) {
+                    case OK, MISS -> Count.OK;
+                    case FULL -> Count.FULL;
+                    case ERROR -> Count.ERROR;
+                    case TIMEOUT, CANCELLED -> Count.TIMEOUT;
+                    case RESET -> Count.RESET;
+                    case CONNECT_FAILED -> Count.CONNECT_FAILED;
+                    case NOT_SENT -> Count.NOT_SENT;
+                });
         boolean over = x.answered;
         tell(() -> {
-            module.outcome(time.now(), new Balancer.Outcome(x.ask.id, attempt, code, time.now() - sentAt, over, note, null));
+            module.outcome(
+                    time.now(), new Balancer.Outcome(x.ask.id, attempt, code, time.now() - sentAt, over, note, null));
             actions.add(() -> forget(x));
         });
     }
@@ -293,8 +302,7 @@
     }
 
     @Override
-    public void probe(String server) {
-    }
+    public void probe(String server) {}
 
     @Override
     public void closeIdle(String server) {
@@ -322,8 +330,7 @@
     }
 
     @Override
-    public void log(String text) {
-    }
+    public void log(String text) {}
 
     // ---- the list
 
@@ -394,7 +401,9 @@
             watch.told(version);
         }
         List<String> unusable = new ArrayList<>();
-        next.values().stream().filter(entry -> entry.state() == State.READY).forEach(entry -> drainTold.remove(entry.id()));
+        next.values().stream()
+                .filter(entry -> entry.state() == State.READY)
+                .forEach(entry -> drainTold.remove(entry.id()));
         for (Server old : before.values()) {
             Server now = next.get(old.id());
             if (now == null || now.state() != old.state() || now.startedAt() != old.startedAt()) {
@@ -433,12 +442,19 @@
         }
         Balancer.View view = module.view(time.now());
         for (Balancer.Why why : Balancer.Why.values()) {
-            tally.add(time.now(), Count.valueOf(why.name()), view.concluded()[why.ordinal()] - concluded[why.ordinal()]);
+            tally.add(
+                    time.now(), Count.valueOf(why.name()), view.concluded()[why.ordinal()] - concluded[why.ordinal()]);
         }
         concluded = view.concluded().clone();
-        tally.add(time.now(), Count.SUSPECTS, view.servers().stream().filter(Balancer.ServerView::suspect).count());
+        tally.add(
+                time.now(),
+                Count.SUSPECTS,
+                view.servers().stream().filter(Balancer.ServerView::suspect).count());
         if (!view.servers().isEmpty()) { // last stand the ledger's lanes
-            tally.add(time.now(), Count.LANE_MICROS, view.servers().get(view.servers().size() - 1).meanInterval());
+            tally.add(
+                    time.now(),
+                    Count.LANE_MICROS,
+                    view.servers().get(view.servers().size() - 1).meanInterval());
         }
     }
 }
--- a/src/main/java/gorsemast/emulator/Tally.java
+++ b/src/main/java/gorsemast/emulator/Tally.java
@@ -10,10 +10,38 @@
 public final class Tally {
     /** What is counted. Client's ends first, then attempts, then what the tier does beside requests. */
     public enum Count {
-        ASKED, IN_TIME, LATE, REFUSED, FAILED, LEFT, UNREACHED, RETRIED,
-        ATTEMPTS, OK, FULL, ERROR, TIMEOUT, RESET, CONNECT_FAILED, NOT_SENT, FETCHES, CROSSED,
-        HANDSHAKES, CONNECTS_FAILED, LIST_CALLS, LIST_FAILED, LIST_ANSWERS, PROXIES_WITH_LIST,
-        TIME_UP, NO_SERVER, SPENT, OVER_SHARE, NO_ROOM, NO_BUDGET, SUSPECTS, LANE_MICROS
+        ASKED,
+        IN_TIME,
+        LATE,
+        REFUSED,
+        FAILED,
+        LEFT,
+        UNREACHED,
+        RETRIED,
+        ATTEMPTS,
+        OK,
+        FULL,
+        ERROR,
+        TIMEOUT,
+        RESET,
+        CONNECT_FAILED,
+        NOT_SENT,
+        FETCHES,
+        CROSSED,
+        HANDSHAKES,
+        CONNECTS_FAILED,
+        LIST_CALLS,
+        LIST_FAILED,
+        LIST_ANSWERS,
+        PROXIES_WITH_LIST,
+        TIME_UP,
+        NO_SERVER,
+        SPENT,
+        OVER_SHARE,
+        NO_ROOM,
+        NO_BUDGET,
+        SUSPECTS,
+        LANE_MICROS
     }
 
     private static final long SECOND = 1_000_000;
@@ -75,7 +103,9 @@
 
     /** The sum over some seconds. */
     public long sum(Count what, int from, int to) {
-        return rows.subList(Math.min(from, rows.size()), Math.min(to, rows.size())).stream().mapToLong(row -> row.of(what)).sum();
+        return rows.subList(Math.min(from, rows.size()), Math.min(to, rows.size())).stream()
+                .mapToLong(row -> row.of(what))
+                .sum();
     }
 
     /** The part of the worth asked for in these seconds that was served. */
@@ -98,7 +128,9 @@
             }
         }
         StringBuilder s = new StringBuilder("| s | share |");
-        shown.forEach(count -> s.append(' ').append(count.name().toLowerCase(Locale.ROOT).replace('_', ' ')).append(" |"));
+        shown.forEach(count -> s.append(' ')
+                .append(count.name().toLowerCase(Locale.ROOT).replace('_', ' '))
+                .append(" |"));
         s.append("\n|").append(" --- |".repeat(shown.size() + 2)).append('\n');
         for (int i = 0; i < rows.size(); i++) {
             Row row = rows.get(i);
--- a/src/main/java/gorsemast/emulator/VirtualTime.java
+++ b/src/main/java/gorsemast/emulator/VirtualTime.java
@@ -11,11 +11,10 @@
  * seed gives the same run. Times in microseconds. One thread. O(log n) an event.
  */
 public final class VirtualTime {
-    private record Event(long at, long order, Runnable run) {
-    }
+    private record Event(long at, long order, Runnable run) {}
 
     private final PriorityQueue<Event> queue =
-        new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
     private long now;
     private long order;
 
--- a/src/main/java/gorsemast/emulator/Workload.java
+++ b/src/main/java/gorsemast/emulator/Workload.java
@@ -25,7 +25,16 @@
         final SimulatedProxy own;
         boolean over;
 
-        Ask(String id, int type, int tenant, String key, long took, long firstAt, long deadline, int tries, SimulatedProxy own) {
+        Ask(
+                String id,
+                int type,
+                int tenant,
+                String key,
+                long took,
+                long firstAt,
+                long deadline,
+                int tries,
+                SimulatedProxy own) {
             this.id = id;
             this.type = type;
             this.tenant = tenant;
@@ -129,7 +138,8 @@
         long took = (long) (settings.workMicros() * Math.exp(sigma * random.nextGaussian() - sigma * sigma / 2));
         draw = random.nextDouble();
         int tenant = 0;
-        while (tenant < ClusterSettings.TENANTS.size() - 1 && (draw -= ClusterSettings.TENANTS.get(tenant).share()) >= 0) {
+        while (tenant < ClusterSettings.TENANTS.size() - 1
+                && (draw -= ClusterSettings.TENANTS.get(tenant).share()) >= 0) {
             tenant++;
         }
         cluster.tally.asked(time.now(), ClusterSettings.CLASSES.get(type).worth());
--- a/src/main/java/gorsemast/exchange/NettyLog.java
+++ b/src/main/java/gorsemast/exchange/NettyLog.java
@@ -101,24 +101,19 @@
     }
 
     @Override
-    public void trace(String text) {
-    }
+    public void trace(String text) {}
 
     @Override
-    public void trace(String format, Object about) {
-    }
+    public void trace(String format, Object about) {}
 
     @Override
-    public void trace(String format, Object about, Object more) {
-    }
+    public void trace(String format, Object about, Object more) {}
 
     @Override
-    public void trace(String format, Object... about) {
-    }
+    public void trace(String format, Object... about) {}
 
     @Override
-    public void trace(String text, Throwable cause) {
-    }
+    public void trace(String text, Throwable cause) {}
 
     @Override
     public boolean isDebugEnabled() {
@@ -126,24 +121,19 @@
     }
 
     @Override
-    public void debug(String text) {
-    }
+    public void debug(String text) {}
 
     @Override
-    public void debug(String format, Object about) {
-    }
+    public void debug(String format, Object about) {}
 
     @Override
-    public void debug(String format, Object about, Object more) {
-    }
+    public void debug(String format, Object about, Object more) {}
 
     @Override
-    public void debug(String format, Object... about) {
-    }
+    public void debug(String format, Object... about) {}
 
     @Override
-    public void debug(String text, Throwable cause) {
-    }
+    public void debug(String text, Throwable cause) {}
 
     @Override
     public boolean isInfoEnabled() {
@@ -151,22 +141,17 @@
     }
 
     @Override
-    public void info(String text) {
-    }
+    public void info(String text) {}
 
     @Override
-    public void info(String format, Object about) {
-    }
+    public void info(String format, Object about) {}
 
     @Override
-    public void info(String format, Object about, Object more) {
-    }
+    public void info(String format, Object about, Object more) {}
 
     @Override
-    public void info(String format, Object... about) {
-    }
+    public void info(String format, Object... about) {}
 
     @Override
-    public void info(String text, Throwable cause) {
-    }
+    public void info(String text, Throwable cause) {}
 }
--- a/src/main/java/gorsemast/exchange/Signals.java
+++ b/src/main/java/gorsemast/exchange/Signals.java
@@ -8,21 +8,20 @@
  * each direct use, no annotation can allow one, and warnings are errors here.
  */
 public final class Signals {
-    private Signals() {
-    }
+    private Signals() {}
 
     /** Runs {@code task} at each SIGHUP, on a thread of its own; without this a JVM ends on the first. */
     public static void onHangup(Runnable task) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object handle = Proxy.newProxyInstance(Signals.class.getClassLoader(), new Class<?>[] {handler},
-                (proxy, method, arguments) -> {
-                    task.run();
-                    return null;
-                });
+            Object handle = Proxy.newProxyInstance(
+                    Signals.class.getClassLoader(), new Class<?>[] {handler}, (proxy, method, arguments) -> {
+                        task.run();
+                        return null;
+                    });
             signal.getMethod("handle", signal, handler)
-                .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), handle);
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), handle);
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("SIGHUP cannot be handled", e);
         }
--- a/src/main/java/gorsemast/exchange/StrictHttp.java
+++ b/src/main/java/gorsemast/exchange/StrictHttp.java
@@ -16,12 +16,15 @@
     /** Bodies come in parts of this size at most; each costs a pass through the pipeline. */
     private static final int MAX_PART = 32 << 10;
 
-    private StrictHttp() {
-    }
+    private StrictHttp() {}
 
     private static HttpDecoderConfig config() {
-        return new HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE).setMaxHeaderSize(MAX_HEAD)
-            .setMaxChunkSize(MAX_PART).setAllowDuplicateContentLengths(false).setStrictLineParsing(true);
+        return new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAX_LINE)
+                .setMaxHeaderSize(MAX_HEAD)
+                .setMaxChunkSize(MAX_PART)
+                .setAllowDuplicateContentLengths(false)
+                .setStrictLineParsing(true);
     }
 
     private static void rejectTwoLengths() {
--- a/src/main/java/gorsemast/exchange/Traffic.java
+++ b/src/main/java/gorsemast/exchange/Traffic.java
@@ -6,6 +6,7 @@
 public final class Traffic {
     /** Connections that are open or coming up now. */
     public int open;
+
     public int opening;
     public long connects;
     public long connectsFailed;
--- a/src/main/java/gorsemast/exchange/Upstream.java
+++ b/src/main/java/gorsemast/exchange/Upstream.java
@@ -62,6 +62,7 @@
      * translation on the way too. Costs so much of each such request, and an early answer to half a request is lost.
      */
     private static final long LEAST_HOLD_MICROS = 2_000;
+
     private static final long MOST_HOLD_MICROS = 20_000;
     /** An attempt that has waited for a connection for this part of its time goes back to whoever chose the node. */
     private static final int WAITING_PART = 2;
@@ -99,19 +100,21 @@
         public Code code(HttpResponse answer) {
             int status = answer.status().code();
             boolean turnedAway = (status == 503 || status == 504)
-                && "1".equals(answer.headers().get("X-Unprocessed"));
+                    && "1".equals(answer.headers().get("X-Unprocessed"));
             return status == 200 ? Code.OK : turnedAway ? Code.FULL : Code.ERROR;
         }
 
         @Override
         public Note note(HttpResponse answer) {
             String word = answer.headers().get("X-Lookup");
-            return word == null ? Note.NONE : switch (word) {
-                case "hit" -> Note.HIT;
-                case "miss" -> Note.MISS;
-                case "pending" -> Note.MISS_FETCHING;
-                default -> Note.NONE;
-            };
+            return word == null
+                    ? Note.NONE
+                    : switch (word) {
+                        case "hit" -> Note.HIT;
+                        case "miss" -> Note.MISS;
+                        case "pending" -> Note.MISS_FETCHING;
+                        default -> Note.NONE;
+                    };
         }
     };
 
@@ -144,6 +147,7 @@
     private final Map<String, Deque<Connection>> idle = new HashMap<>();
     /** Attempts that wait for a connection, in the order in which they came; some may have ended meanwhile. */
     private final Map<String, Deque<Attempt>> waiting = new HashMap<>();
+
     private final Map<String, Traffic> traffic = new HashMap<>();
     private long stalledMicros = STALLED_MICROS;
     /** Attempts whose last byte the system has taken, since the start. */
@@ -156,8 +160,14 @@
      * @param maxConnections open or coming up at a time
      * @param idleMillis after how long the peers close what is idle
      */
-    public Upstream(EventLoop loop, Dialect dialect, Readiness readiness, int maxConnections, long idleMillis,
-                    long connectMillis, long seed) {
+    public Upstream(
+            EventLoop loop,
+            Dialect dialect,
+            Readiness readiness,
+            int maxConnections,
+            long idleMillis,
+            long connectMillis,
+            long seed) {
         this.loop = loop;
         this.dialect = dialect;
         this.readiness = readiness;
@@ -200,10 +210,12 @@
 
     /** What all outgoing connections have in common. */
     public static Bootstrap client(EventLoop loop, long connectMillis) {
-        return new Bootstrap().group(loop).channel(Transport.stream(loop))
-            .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectMillis);
+        return new Bootstrap()
+                .group(loop)
+                .channel(Transport.stream(loop))
+                .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectMillis);
     }
 
     /**
@@ -294,7 +306,9 @@
         }
         Deque<Attempt> row = waiting.get(host);
         if (row != null) {
-            List.copyOf(row).stream().filter(attempt -> !readiness.ready(attempt.node)).forEach(Attempt::cancel);
+            List.copyOf(row).stream()
+                    .filter(attempt -> !readiness.ready(attempt.node))
+                    .forEach(Attempt::cancel);
         }
     }
 
@@ -320,6 +334,7 @@
         private final boolean once;
         /** Up to how many bytes its answer is kept whole. */
         private final int most;
+
         private final Ending ending;
         private ScheduledFuture<?> limit;
         private Connection connection;
@@ -327,6 +342,7 @@
         private boolean written;
         /** The request's reference has gone to the connection. */
         private boolean handedOver;
+
         private boolean ended;
         private final Traffic passed;
         private final long begunNanos = System.nanoTime();
@@ -353,8 +369,12 @@
 
         /** Waiting for a place at a node that has let others in says nothing of it. */
         private void expire() {
-            end(written ? Code.TIMEOUT : connection == null && pools.open(node.host()) > 0 ? Code.NOT_SENT
-                : Code.CONNECT_FAILED, Note.NONE, null);
+            end(
+                    written
+                            ? Code.TIMEOUT
+                            : connection == null && pools.open(node.host()) > 0 ? Code.NOT_SENT : Code.CONNECT_FAILED,
+                    Note.NONE,
+                    null);
         }
 
         /** Its answer is too long to be kept: ends here, and the connection goes on. */
@@ -403,6 +423,7 @@
         private long holdMicros;
         /** Whether it was kept after an answer: that it is dead then says nothing of the node. */
         private boolean kept;
+
         private final StrictHttp.Responses decoder = new StrictHttp.Responses();
         /** The head of the answer to the present attempt, until all that came with it has been read. */
         private HttpResponse head;
@@ -410,14 +431,17 @@
         private ByteBuf body;
         /** Its bytes, -1 where they are not known ahead. */
         private long length;
+
         private long received;
         private boolean complete;
         /** Who takes an answer that is too long to be kept. */
         private Passage passage;
+
         private long lastPart;
         private boolean inInterim;
         /** Within an answer to another request, which is dropped. */
         private boolean surplus;
+
         private boolean excess;
         private int interim;
         private final Traffic passed;
@@ -432,12 +456,15 @@
             passed.opening++;
             pools.opening(now(), node.host());
             long begun = System.nanoTime();
-            ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new HttpRequestEncoder(), decoder, Connection.this);
-                }
-            }).connect(node.dial());
+            ChannelFuture connecting = bootstrap
+                    .clone()
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel ch) {
+                            ch.pipeline().addLast(new HttpRequestEncoder(), decoder, Connection.this);
+                        }
+                    })
+                    .connect(node.dial());
             channel = connecting.channel();
             connecting.addListener(done -> {
                 passed.opening--;
@@ -499,7 +526,7 @@
             }
             next.handedOver = true;
             if (next.once && next.request.content().isReadable()
-                || next.request.content().readableBytes() > BodyBuffer.BLOCK) {
+                    || next.request.content().readableBytes() > BodyBuffer.BLOCK) {
                 writeInParts(next);
             } else {
                 next.written = true;
@@ -514,8 +541,8 @@
         private void writeInParts(Attempt next) {
             FullHttpRequest whole = next.request;
             ByteBuf content = whole.content();
-            channel.write(new DefaultHttpRequest(whole.protocolVersion(), whole.method(), whole.uri(),
-                whole.headers()));
+            channel.write(
+                    new DefaultHttpRequest(whole.protocolVersion(), whole.method(), whole.uri(), whole.headers()));
             while (content.readableBytes() > BodyBuffer.BLOCK) {
                 channel.write(new DefaultHttpContent(content.readRetainedSlice(BodyBuffer.BLOCK)));
             }
@@ -532,13 +559,16 @@
                     }
                     return;
                 }
-                loop.schedule(() -> {
-                    if (attempt == next) {
-                        finish(next, new DefaultLastHttpContent(content));
-                    } else {
-                        content.release();
-                    }
-                }, holdMicros, TimeUnit.MICROSECONDS);
+                loop.schedule(
+                        () -> {
+                            if (attempt == next) {
+                                finish(next, new DefaultLastHttpContent(content));
+                            } else {
+                                content.release();
+                            }
+                        },
+                        holdMicros,
+                        TimeUnit.MICROSECONDS);
             });
         }
 
@@ -649,8 +679,10 @@
             // end after closeFuture, when its attempt has ended as a reset: it might have been cut anywhere.
             boolean early = attempt != null && !attempt.written && dialect.code(start) != Code.OK;
             excess |= early; // turned away before all of it was read: the rest of it can't be called back
-            if (attempt == null || !attempt.written && !early || start.decoderResult().isFailure()
-                || start.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            if (attempt == null
+                    || !attempt.written && !early
+                    || start.decoderResult().isFailure()
+                    || start.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
                 lost();
                 return;
             }
@@ -745,13 +777,16 @@
         }
 
         private void watch() {
-            loop.schedule(() -> {
-                if (passage != null && channel.config().isAutoRead() && now() - lastPart > stalledMicros) {
-                    lost();
-                } else if (passage != null) {
-                    watch();
-                }
-            }, stalledMicros / 2, TimeUnit.MICROSECONDS);
+            loop.schedule(
+                    () -> {
+                        if (passage != null && channel.config().isAutoRead() && now() - lastPart > stalledMicros) {
+                            lost();
+                        } else if (passage != null) {
+                            watch();
+                        }
+                    },
+                    stalledMicros / 2,
+                    TimeUnit.MICROSECONDS);
         }
 
         @Override
@@ -780,8 +815,12 @@
 
         private void conclude() {
             HttpResponse start = head;
-            FullHttpResponse answer = new DefaultFullHttpResponse(start.protocolVersion(), start.status(),
-                body == null ? Unpooled.EMPTY_BUFFER : body, start.headers(), EmptyHttpHeaders.INSTANCE);
+            FullHttpResponse answer = new DefaultFullHttpResponse(
+                    start.protocolVersion(),
+                    start.status(),
+                    body == null ? Unpooled.EMPTY_BUFFER : body,
+                    start.headers(),
+                    EmptyHttpHeaders.INSTANCE);
             body = null;
             clear();
             try {
--- a/src/main/java/gorsemast/fleet/Claim.java
+++ b/src/main/java/gorsemast/fleet/Claim.java
@@ -22,8 +22,8 @@
  * @param incarnation 0 to {@link #MAX_INCARNATION}
  * @param version of the facts, 0 for none yet
  */
-public record Claim(ProcessId id, String address, long incarnation, State state, long version,
-                    SortedMap<String, String> facts) {
+public record Claim(
+        ProcessId id, String address, long incarnation, State state, long version, SortedMap<String, String> facts) {
     /** A process that refutes a thousand times a second reaches this after 30 years; what is beyond is forged. */
     public static final long MAX_INCARNATION = 1L << 40;
     /** Keys and values of all facts together, in characters: so that any claim fits in a datagram. */
--- a/src/main/java/gorsemast/fleet/Fleet.java
+++ b/src/main/java/gorsemast/fleet/Fleet.java
@@ -57,6 +57,7 @@
     private static final int RELAY_PERIODS = 4;
     /** The dead and unanswered seeds are tried after so many periods at first, twice as many each time, up to these. */
     private static final int FIRST_TRY = 2;
+
     private static final int LAST_TRY = 32;
     /** Views that differ for so many periods are compared, however little else there is to say. */
     private static final int DIFFER_PERIODS = 2;
@@ -72,8 +73,7 @@
          * Asks the machine at that address whether anybody listens there; {@link Fleet#refused} if it says no. Optional:
          * without it nobody is ever proven gone but by a later process at his address.
          */
-        default void inquire(String address) {
-        }
+        default void inquire(String address) {}
 
         /** The set of those that live has changed, or the facts of one. */
         void changed();
@@ -82,8 +82,8 @@
         void log(String text);
     }
 
-    private record Relayed(ProcessId asker, String address, long sequence, long nackAt, long endsAt, boolean[] nacked) {
-    }
+    private record Relayed(
+            ProcessId asker, String address, long sequence, long nackAt, long endsAt, boolean[] nacked) {}
 
     private static final class Probe {
         final ProcessId target;
@@ -120,6 +120,7 @@
     private final Set<String> sharedNames = new HashSet<>();
     /** Since when all answers have shown other views than ours; {@link Long#MIN_VALUE} where the last one agreed. */
     private long differsSince = Long.MIN_VALUE;
+
     private ProcessId self;
     private Probe probe;
     private long now;
@@ -238,8 +239,11 @@
             return;
         }
         if (member == null) { // held silent already: now it is known
-            member = roster.all().stream().filter(m -> m.claim.state() == State.SILENT
-                && m.claim.address().equals(at)).findFirst().orElse(null);
+            member = roster.all().stream()
+                    .filter(m ->
+                            m.claim.state() == State.SILENT && m.claim.address().equals(at))
+                    .findFirst()
+                    .orElse(null);
         }
         if (member != null) {
             learn(member.claim.in(State.GONE), self.name(), "nobody listens at its address");
@@ -274,8 +278,7 @@
                 }
             }
             case PING_REQUEST -> relay(message, at);
-            case GOSSIP -> {
-            }
+            case GOSSIP -> {}
             case SYNC -> {
                 long differing = roster.differing(message.buckets());
                 if (sender == null) {
@@ -287,11 +290,14 @@
             }
             case SYNC_REPLY -> {
                 if (!message.buckets().isEmpty()) {
-                    sendClaims(Kind.SYNC_REST, message.from(), at, message.buckets().get(0));
+                    sendClaims(
+                            Kind.SYNC_REST,
+                            message.from(),
+                            at,
+                            message.buckets().get(0));
                 }
             }
-            default -> {
-            }
+            default -> {}
         }
         changed();
     }
@@ -302,11 +308,18 @@
         boolean doubt = health.score() > 0 || left;
         for (Member m : roster.all()) {
             doubt |= m.claim.state() == State.SUSPECT;
-            members.add(new MemberView(m.claim.id(), m.claim.address(), m.claim.state(), m.claim.incarnation(),
-                time - m.since, m.why, m.claim.facts()));
+            members.add(new MemberView(
+                    m.claim.id(),
+                    m.claim.address(),
+                    m.claim.state(),
+                    m.claim.incarnation(),
+                    time - m.since,
+                    m.why,
+                    m.claim.facts()));
         }
         long stood = time - viewSince;
-        return new FleetView(self, roster.digest(), stood, !doubt && stood >= settings.settle(), health.score(), members);
+        return new FleetView(
+                self, roster.digest(), stood, !doubt && stood >= settings.settle(), health.score(), members);
     }
 
     /** Who this process is; a clock that was set back may have raised its generation since the start. */
@@ -344,8 +357,11 @@
         if (next == null) {
             return;
         }
-        probe = new Probe(next, ++sequence, now + health.scaled(settings.timeout()),
-            now + health.scaled(settings.period()) - settings.step());
+        probe = new Probe(
+                next,
+                ++sequence,
+                now + health.scaled(settings.timeout()),
+                now + health.scaled(settings.period()) - settings.step());
         send(Kind.PING, roster.get(next), probe.sequence);
     }
 
@@ -360,7 +376,9 @@
                 }
             }
             List<ProcessId> all = new ArrayList<>();
-            roster.all().stream().filter(m -> m.live() && !m.claim.id().equals(self)).forEach(m -> all.add(m.claim.id()));
+            roster.all().stream()
+                    .filter(m -> m.live() && !m.claim.id().equals(self))
+                    .forEach(m -> all.add(m.claim.id()));
             for (int i = all.size() - 1; i > 0; i--) {
                 Collections.swap(all, i, random.nextInt(i + 1));
             }
@@ -381,9 +399,18 @@
             for (Member helper : draw(settings.indirect(), probe.target)) {
                 if (!helper.claim.id().equals(self)) {
                     probe.nacksDue++;
-                    actions.send(helper.claim.address(), new Message(Kind.PING_REQUEST, self, helper.claim.id(),
-                        probe.sequence, target.claim.address(), probe.target, roster.digest(), List.of(),
-                        rumors.take(MOST_BYTES - HEAD_BYTES, roster.live(), null)));
+                    actions.send(
+                            helper.claim.address(),
+                            new Message(
+                                    Kind.PING_REQUEST,
+                                    self,
+                                    helper.claim.id(),
+                                    probe.sequence,
+                                    target.claim.address(),
+                                    probe.target,
+                                    roster.digest(),
+                                    List.of(),
+                                    rumors.take(MOST_BYTES - HEAD_BYTES, roster.live(), null)));
                 }
             }
             actions.inquire(target.claim.address());
@@ -392,8 +419,11 @@
             health.worse(probe.nacksDue > 0 ? probe.nacksDue : 1);
             Probe failed = probe;
             probe = null;
-            learn(target.claim.in(State.SUSPECT), self.name(), "no answer to " + self.name() + " nor to "
-                + (failed.indirect ? settings.indirect() : 0) + " others");
+            learn(
+                    target.claim.in(State.SUSPECT),
+                    self.name(),
+                    "no answer to " + self.name() + " nor to " + (failed.indirect ? settings.indirect() : 0)
+                            + " others");
         }
     }
 
@@ -407,8 +437,9 @@
         }
         Relayed asked = relayed.remove(answer);
         if (asked != null) {
-            actions.send(asked.address(), new Message(Kind.ACK, self, asked.asker(), asked.sequence(), "", from, 0, List.of(),
-                List.of()));
+            actions.send(
+                    asked.address(),
+                    new Message(Kind.ACK, self, asked.asker(), asked.sequence(), "", from, 0, List.of(), List.of()));
         }
         Seed seed = seeds.get(at);
         if (seed != null) {
@@ -421,8 +452,15 @@
             return;
         }
         long mine = ++sequence;
-        relayed.put(mine, new Relayed(request.from(), at, request.sequence(), now + settings.timeout() * 4 / 5,
-            now + RELAY_PERIODS * settings.period(), new boolean[1]));
+        relayed.put(
+                mine,
+                new Relayed(
+                        request.from(),
+                        at,
+                        request.sequence(),
+                        now + settings.timeout() * 4 / 5,
+                        now + RELAY_PERIODS * settings.period(),
+                        new boolean[1]));
         Member about = roster.get(request.about());
         actions.send(request.address(), message(Kind.PING, request.about(), mine, about));
     }
@@ -432,8 +470,10 @@
         for (Relayed asked : relayed.values()) {
             if (now >= asked.nackAt() && !asked.nacked()[0]) {
                 asked.nacked()[0] = true;
-                actions.send(asked.address(), new Message(Kind.NACK, self, asked.asker(), asked.sequence(), "", null, 0,
-                    List.of(), List.of()));
+                actions.send(
+                        asked.address(),
+                        new Message(
+                                Kind.NACK, self, asked.asker(), asked.sequence(), "", null, 0, List.of(), List.of()));
             }
         }
     }
@@ -446,8 +486,10 @@
             defend(claim);
             return;
         }
-        if (claim.id().name().equals(self.name()) && claim.address().equals(address)
-            && claim.id().generation() > self.generation() && claim.id().generation() < Long.MAX_VALUE) {
+        if (claim.id().name().equals(self.name())
+                && claim.address().equals(address)
+                && claim.id().generation() > self.generation()
+                && claim.id().generation() < Long.MAX_VALUE) {
             rejuvenate(claim.id().generation() + 1);
             return;
         }
@@ -467,11 +509,15 @@
         Claim before = known.claim;
         Claim joined = before.join(claim);
         if (joined.equals(before)) {
-            if (claim.state() == State.SUSPECT && before.state() == State.SUSPECT
-                && claim.incarnation() == before.incarnation() && known.suspicion != null
-                && known.suspicion.confirm(witness)) {
+            if (claim.state() == State.SUSPECT
+                    && before.state() == State.SUSPECT
+                    && claim.incarnation() == before.incarnation()
+                    && known.suspicion != null
+                    && known.suspicion.confirm(witness)) {
                 rumors.add(new Rumor(before, witness));
-            } else if (claim.standing(before) < 0 && !before.state().live() && claim.state().live()) {
+            } else if (claim.standing(before) < 0
+                    && !before.state().live()
+                    && claim.state().live()) {
                 tell(before, self.name()); // old words of the dead: whoever still believes them is told
             }
             return;
@@ -539,10 +585,13 @@
     /** Whether a later generation of this name is known at its address. */
     private boolean replaced(Claim claim) {
         Member there = roster.at(claim.address());
-        return there != null && there.claim.id().name().equals(claim.id().name())
-            && there.claim.id().generation() > claim.id().generation()
-            || roster.all().stream().anyMatch(m -> m.claim.id().name().equals(claim.id().name())
-                && m.claim.address().equals(claim.address()) && m.claim.id().generation() > claim.id().generation());
+        return there != null
+                        && there.claim.id().name().equals(claim.id().name())
+                        && there.claim.id().generation() > claim.id().generation()
+                || roster.all().stream()
+                        .anyMatch(m -> m.claim.id().name().equals(claim.id().name())
+                                && m.claim.address().equals(claim.address())
+                                && m.claim.id().generation() > claim.id().generation());
     }
 
     /** One that was not live is: earlier generations at its address have ended, other ones of its name are looked at. */
@@ -579,8 +628,8 @@
     private void suspect(Member member, String witness) {
         double spread = Math.max(1, Math.log10(Math.max(1, roster.live())));
         long least = (long) (settings.suspicionLeast() * spread * settings.period());
-        member.suspicion = new Suspicion(now, witness, least, (long) (least * settings.suspicionMost()),
-            roster.live() - 2);
+        member.suspicion =
+                new Suspicion(now, witness, least, (long) (least * settings.suspicionMost()), roster.live() - 2);
     }
 
     private void endSuspicions() {
@@ -603,12 +652,17 @@
         }
         sender.heardAt = now;
         if (sender.live()) {
-            Member twin = roster.all().stream().filter(m -> m != sender && m.live()
-                && m.claim.id().name().equals(from.name()) && m.heardAt != Long.MIN_VALUE
-                && now - m.heardAt < 2 * settings.period()).findFirst().orElse(null);
+            Member twin = roster.all().stream()
+                    .filter(m -> m != sender
+                            && m.live()
+                            && m.claim.id().name().equals(from.name())
+                            && m.heardAt != Long.MIN_VALUE
+                            && now - m.heardAt < 2 * settings.period())
+                    .findFirst()
+                    .orElse(null);
             if (twin != null && sharedNames.add(from.name())) {
                 actions.log("name " + from.name() + " is used at " + at + " and at " + twin.claim.address()
-                    + ": an upgrade, or two machines");
+                        + ": an upgrade, or two machines");
             }
         }
         return sender;
@@ -623,8 +677,16 @@
     private Message message(Kind kind, ProcessId to, long number, Member about) {
         // Who is suspected or held dead is told so first, that it may refute: Lifeguard's buddy system.
         Rumor first = about != null && about.claim.state() != State.ALIVE ? new Rumor(about.claim, self.name()) : null;
-        return new Message(kind, self, to, number, "", null, roster.digest(), List.of(),
-            rumors.take(MOST_BYTES - HEAD_BYTES, roster.live(), first));
+        return new Message(
+                kind,
+                self,
+                to,
+                number,
+                "",
+                null,
+                roster.digest(),
+                List.of(),
+                rumors.take(MOST_BYTES - HEAD_BYTES, roster.live(), first));
     }
 
     private void send(Kind kind, Member to, long number) {
@@ -637,15 +699,37 @@
 
     /** One that is not known here asks or compares: it is told who this is, and asked what it knows. */
     private void introduce(ProcessId to, String at) {
-        actions.send(at, new Message(Kind.SYNC, self, to, 0, "", null, roster.digest(), roster.buckets(),
-            List.of(new Rumor(mine(), self.name()))));
+        actions.send(
+                at,
+                new Message(
+                        Kind.SYNC,
+                        self,
+                        to,
+                        0,
+                        "",
+                        null,
+                        roster.digest(),
+                        roster.buckets(),
+                        List.of(new Rumor(mine(), self.name()))));
     }
 
     private void sync(Member with) {
         syncAt = now + settings.syncPeriods() * settings.period();
-        actions.send(with.claim.address(), new Message(Kind.SYNC, self, with.claim.id(), 0, "", null, roster.digest(),
-            roster.buckets(), rumors.take(MOST_BYTES - HEAD_BYTES - DIGESTS_BYTES, roster.live(),
-                with.claim.state() == State.ALIVE ? null : new Rumor(with.claim, self.name()))));
+        actions.send(
+                with.claim.address(),
+                new Message(
+                        Kind.SYNC,
+                        self,
+                        with.claim.id(),
+                        0,
+                        "",
+                        null,
+                        roster.digest(),
+                        roster.buckets(),
+                        rumors.take(
+                                MOST_BYTES - HEAD_BYTES - DIGESTS_BYTES,
+                                roster.live(),
+                                with.claim.state() == State.ALIVE ? null : new Rumor(with.claim, self.name()))));
     }
 
     /** Views that go on differing are compared: news may have been lost. */
@@ -670,7 +754,8 @@
         int sent = 0;
         List<Long> meant = List.of(mask); // with the first one only: it is answered once
         for (Member member : roster.all()) {
-            boolean due = (mask >> Roster.bucket(member.claim.id()) & 1) != 0 && !member.claim.id().equals(self);
+            boolean due = (mask >> Roster.bucket(member.claim.id()) & 1) != 0
+                    && !member.claim.id().equals(self);
             if (!due) {
                 continue;
             }
@@ -711,8 +796,11 @@
         Member next = null;
         for (Member member : roster.all()) {
             boolean dead = member.claim.state() == State.SILENT || member.claim.state() == State.GONE;
-            if (dead && member.tryAt <= now && (next == null || member.tryAt < next.tryAt)
-                && roster.at(member.claim.address()) == null && roster.latest(member.claim.id())) {
+            if (dead
+                    && member.tryAt <= now
+                    && (next == null || member.tryAt < next.tryAt)
+                    && roster.at(member.claim.address()) == null
+                    && roster.latest(member.claim.id())) {
                 next = member;
             }
         }
@@ -738,7 +826,9 @@
     private List<Member> draw(int many, ProcessId not) {
         List<Member> from = new ArrayList<>();
         for (Member member : roster.all()) {
-            if (member.live() && !member.claim.id().equals(self) && !member.claim.id().equals(not)) {
+            if (member.live()
+                    && !member.claim.id().equals(self)
+                    && !member.claim.id().equals(not)) {
                 from.add(member);
             }
         }
--- a/src/main/java/gorsemast/fleet/FleetSettings.java
+++ b/src/main/java/gorsemast/fleet/FleetSettings.java
@@ -15,8 +15,18 @@
  * @param remembered how many of the dead are kept at most
  * @param forget how long the dead are kept at most
  */
-public record FleetSettings(long period, long timeout, int indirect, double suspicionLeast, double suspicionMost,
-                            boolean localHealth, int fanout, int syncPeriods, long settle, int remembered, long forget) {
+public record FleetSettings(
+        long period,
+        long timeout,
+        int indirect,
+        double suspicionLeast,
+        double suspicionMost,
+        boolean localHealth,
+        int fanout,
+        int syncPeriods,
+        long settle,
+        int remembered,
+        long forget) {
     private static final long SECOND = 1_000_000;
 
     public FleetSettings {
@@ -45,8 +55,8 @@
 
     /** The same without what Lifeguard adds to SWIM. */
     public FleetSettings plain() {
-        return new FleetSettings(period, timeout, indirect, suspicionLeast, 1, false, fanout, syncPeriods, settle,
-            remembered, forget);
+        return new FleetSettings(
+                period, timeout, indirect, suspicionLeast, 1, false, fanout, syncPeriods, settle, remembered, forget);
     }
 
     /** The module's own step. */
--- a/src/main/java/gorsemast/fleet/Learning.java
+++ b/src/main/java/gorsemast/fleet/Learning.java
@@ -30,6 +30,7 @@
     public static final long PATIENCE = 500_000;
     /** After a round that came to nothing the next waits for so long. */
     private static final long PAUSE = 1_000_000;
+
     private static final int ENOUGH = 2;
 
     /** The fact by which a process tells the version of its list. */
@@ -43,8 +44,7 @@
      * @param digest of the list's content: equal where two say the same
      * @param age since the register told or confirmed it
      */
-    public record Offer(String from, long version, long digest, long age) {
-    }
+    public record Offer(String from, long version, long digest, long age) {}
 
     private final Map<String, Offer> offers = new HashMap<>();
     private final Set<String> asked = new HashSet<>();
@@ -67,8 +67,10 @@
         }
         List<MemberView> known = new ArrayList<>();
         for (MemberView member : view.members()) {
-            if (member.state() == Claim.State.ALIVE && !member.id().equals(view.self()) && version(member) > version
-                && member.facts().containsKey(ADMIN)) {
+            if (member.state() == Claim.State.ALIVE
+                    && !member.id().equals(view.self())
+                    && version(member) > version
+                    && member.facts().containsKey(ADMIN)) {
                 known.add(member);
             }
         }
@@ -113,8 +115,9 @@
     private Offer judge(long now) {
         Offer best = null;
         for (Offer offer : offers.values()) {
-            long alike = offers.values().stream().filter(o -> o.digest() == offer.digest()
-                && o.version() == offer.version()).count();
+            long alike = offers.values().stream()
+                    .filter(o -> o.digest() == offer.digest() && o.version() == offer.version())
+                    .count();
             if (alike >= ENOUGH && (best == null || offer.version() > best.version())) {
                 best = offer;
             }
--- a/src/main/java/gorsemast/fleet/Message.java
+++ b/src/main/java/gorsemast/fleet/Message.java
@@ -15,8 +15,16 @@
  * @param buckets for {@link Kind#SYNC} a digest of each bucket; else one number, the buckets meant, as a bit mask
  * @param rumors what goes along
  */
-public record Message(Kind kind, ProcessId from, ProcessId to, long sequence, String address, ProcessId about, long view,
-                      List<Long> buckets, List<Rumor> rumors) {
+public record Message(
+        Kind kind,
+        ProcessId from,
+        ProcessId to,
+        long sequence,
+        String address,
+        ProcessId about,
+        long view,
+        List<Long> buckets,
+        List<Rumor> rumors) {
     /** What a datagram is for. */
     public enum Kind {
         /** Are you there? */
--- a/src/main/java/gorsemast/fleet/ProcessId.java
+++ b/src/main/java/gorsemast/fleet/ProcessId.java
@@ -14,8 +14,9 @@
     public static final int MAX_NAME = 64;
     /** Low bits that two starts within one millisecond on machines of one name differ by. */
     private static final int DRAWN_BITS = 12;
+
     private static final Comparator<ProcessId> ORDER =
-        Comparator.comparing(ProcessId::name).thenComparingLong(ProcessId::generation);
+            Comparator.comparing(ProcessId::name).thenComparingLong(ProcessId::generation);
 
     public ProcessId {
         if (name.isEmpty() || name.length() > MAX_NAME || !name.chars().allMatch(ProcessId::usable)) {
--- a/src/main/java/gorsemast/fleet/Roster.java
+++ b/src/main/java/gorsemast/fleet/Roster.java
@@ -39,6 +39,7 @@
         Suspicion suspicion;
         /** When it is to be tried again, while it is held dead, and how long to wait after that. */
         long tryAt;
+
         long pause;
 
         Member(Claim claim, long now, String why) {
@@ -127,8 +128,10 @@
     }
 
     private void forgetOldest() {
-        members.values().stream().filter(m -> !m.live()).min(Comparator.comparingLong(m -> m.since))
-            .ifPresent(m -> members.remove(m.claim.id()));
+        members.values().stream()
+                .filter(m -> !m.live())
+                .min(Comparator.comparingLong(m -> m.since))
+                .ifPresent(m -> members.remove(m.claim.id()));
     }
 
     /** Forgets those that have been dead since before {@code time}. */
@@ -138,8 +141,8 @@
 
     /** Whether this is a later generation of a name than any other that is known. */
     boolean latest(ProcessId id) {
-        return members.keySet().stream().noneMatch(other -> other.name().equals(id.name())
-            && other.generation() > id.generation());
+        return members.keySet().stream()
+                .noneMatch(other -> other.name().equals(id.name()) && other.generation() > id.generation());
     }
 
     static int bucket(ProcessId id) {
@@ -179,6 +182,7 @@
     }
 
     private long hash(String text) {
-        return ByteBuffer.wrap(sha.digest(text.getBytes(StandardCharsets.UTF_8))).getLong();
+        return ByteBuffer.wrap(sha.digest(text.getBytes(StandardCharsets.UTF_8)))
+                .getLong();
     }
 }
--- a/src/main/java/gorsemast/fleet/Rumors.java
+++ b/src/main/java/gorsemast/fleet/Rumors.java
@@ -33,7 +33,7 @@
 
     /** Least sent first, then the latest. */
     private static final Comparator<Waiting> NEXT =
-        Comparator.<Waiting>comparingInt(w -> w.sent).thenComparing(w -> -w.order);
+            Comparator.<Waiting>comparingInt(w -> w.sent).thenComparing(w -> -w.order);
 
     private final Map<ProcessId, Waiting> waiting = new HashMap<>();
     private long order;
@@ -70,7 +70,9 @@
         rows.sort(NEXT);
         for (Waiting row : rows) {
             int size = row.rumor.size();
-            if (size > room || first != null && row.rumor.claim().id().equals(first.claim().id())) {
+            if (size > room
+                    || first != null
+                            && row.rumor.claim().id().equals(first.claim().id())) {
                 continue;
             }
             room -= size;
--- a/src/main/java/gorsemast/hupsel/Briefing.java
+++ b/src/main/java/gorsemast/hupsel/Briefing.java
@@ -26,6 +26,7 @@
     private static final double SPENT_OF_BUDGET = 0.75;
     /** How slow a server is that says it is cold, until nothing else is known. */
     private static final double COLD_SHARE = 0.5;
+
     private static final long COLD_MICROS = 3_000_000;
     private static final long MOST_RETRY_AFTER = 1_000_000;
     private static final long LEAST_DEADLINE = 50_000;
@@ -35,8 +36,7 @@
     private static final double NEAR = 4;
 
     /** What bounds further attempts over all edges. */
-    public record Budget(double ratio, double slack, long window) {
-    }
+    public record Budget(double ratio, double slack, long window) {}
 
     private final String self;
     private final int ownConnections;
@@ -84,15 +84,35 @@
     public Balancer.Settings settings() {
         double part = SPENT_OF_BUDGET / edges;
         // No entry of the list is an origin behind the others, so misses are no part of this.
-        return new Balancer.Settings(edges, zone, Integer.MAX_VALUE, List.copyOf(classes), List.of(), 1, attempts, true,
-            false, true, MOST_RETRY_AFTER, false, 0, COLD_SHARE, COLD_MICROS, budget.slack * part,
-            budget.ratio * SPENT_OF_BUDGET, budget.window);
+        return new Balancer.Settings(
+                edges,
+                zone,
+                Integer.MAX_VALUE,
+                List.copyOf(classes),
+                List.of(),
+                1,
+                attempts,
+                true,
+                false,
+                true,
+                MOST_RETRY_AFTER,
+                false,
+                0,
+                COLD_SHARE,
+                COLD_MICROS,
+                budget.slack * part,
+                budget.ratio * SPENT_OF_BUDGET,
+                budget.window);
     }
 
     private static Balancer.RequestClass type(Route route) {
-        return new Balancer.RequestClass(route.repeatable() ? Balancer.Effect.SAFE : Balancer.Effect.UNSAFE,
-            Balancer.Group.ALL, 0, Math.max(1, route.aimMicros()), Math.max(LEAST_DEADLINE, route.timeoutMicros()),
-            1.0 / (1 + Math.max(0, route.priority())));
+        return new Balancer.RequestClass(
+                route.repeatable() ? Balancer.Effect.SAFE : Balancer.Effect.UNSAFE,
+                Balancer.Group.ALL,
+                0,
+                Math.max(1, route.aimMicros()),
+                Math.max(LEAST_DEADLINE, route.timeoutMicros()),
+                1.0 / (1 + Math.max(0, route.priority())));
     }
 
     private boolean learn(List<Route> routes) {
@@ -103,7 +123,8 @@
             }
         }
         objects = routes.stream().anyMatch(route -> route.kind() == Route.Kind.CACHEABLE);
-        int least = Math.max(1, routes.stream().mapToInt(Route::maxAttempts).min().orElse(1));
+        int least =
+                Math.max(1, routes.stream().mapToInt(Route::maxAttempts).min().orElse(1));
         boolean changed = classes.size() != before || least != attempts;
         attempts = least;
         return changed;
@@ -128,11 +149,15 @@
     }
 
     /** Who there is. What is silent is tried only where nobody else is there. Returns whom it knew before. */
-    public Map<String, Server> servers(long now, Collection<ServerNews> news, Map<String, Long> coldUntil,
-                                       ToIntFunction<String> zones) {
+    public Map<String, Server> servers(
+            long now, Collection<ServerNews> news, Map<String, Long> coldUntil, ToIntFunction<String> zones) {
         boolean someReady = news.stream().anyMatch(one -> one.state() == ServerNews.State.READY);
-        List<String> ready = news.stream().filter(one -> one.dial() != null && (one.state() == ServerNews.State.READY
-            || !someReady && one.state() == ServerNews.State.SILENT)).map(ServerNews::id).toList();
+        List<String> ready = news.stream()
+                .filter(one -> one.dial() != null
+                        && (one.state() == ServerNews.State.READY
+                                || !someReady && one.state() == ServerNews.State.SILENT))
+                .map(ServerNews::id)
+                .toList();
         Crowd crowd = new Crowd(users, ready.size(), mostConnections, ownConnections);
         Set<String> chosen = new HashSet<>(Crowd.chosen(self, ready, crowd.reach()));
         part = crowd.part();
@@ -143,11 +168,21 @@
             if (one.state() == ServerNews.State.GONE || one.dial() == null) {
                 continue;
             }
-            next.put(one.id(), new Server(one.id(), one.dial(), usable ? ServerNews.State.READY : ServerNews.State.DRAINING));
+            next.put(
+                    one.id(),
+                    new Server(one.id(), one.dial(), usable ? ServerNews.State.READY : ServerNews.State.DRAINING));
             Long cold = coldUntil.get(one.id());
             long started = cold == null || cold <= now ? 0 : cold - COLD_MICROS;
-            entries.put(one.id(), new Balancer.Server(one.id(), zones.applyAsInt(one.zone()), 0, 0,
-                usable ? Balancer.State.READY : Balancer.State.DRAINING, Math.max(1e-3, one.capacity()), Math.max(0, started)));
+            entries.put(
+                    one.id(),
+                    new Balancer.Server(
+                            one.id(),
+                            zones.applyAsInt(one.zone()),
+                            0,
+                            0,
+                            usable ? Balancer.State.READY : Balancer.State.DRAINING,
+                            Math.max(1e-3, one.capacity()),
+                            Math.max(0, started)));
         }
         Map<String, Server> before = servers;
         servers = next;
@@ -170,8 +205,15 @@
     public List<Balancer.Server> list(long now) {
         toldAt = now;
         List<Balancer.Server> list = new ArrayList<>();
-        entries.values().forEach(e -> list.add(new Balancer.Server(e.id(), e.zone(), e.kind(), e.cell(), e.state(),
-            e.weight() * speeds.factor(now, e.id()) * (objects && e.zone() == zone ? NEAR : 1), e.startedAt())));
+        entries.values()
+                .forEach(e -> list.add(new Balancer.Server(
+                        e.id(),
+                        e.zone(),
+                        e.kind(),
+                        e.cell(),
+                        e.state(),
+                        e.weight() * speeds.factor(now, e.id()) * (objects && e.zone() == zone ? NEAR : 1),
+                        e.startedAt())));
         return list;
     }
 
--- a/src/main/java/gorsemast/hupsel/Call.java
+++ b/src/main/java/gorsemast/hupsel/Call.java
@@ -16,6 +16,15 @@
  * @param keep so many bytes of its answer are kept whole; a longer one is passed on as it comes
  * @param counted whether its first attempt has room at the service's ceiling already
  */
-public record Call(Route route, HttpMethod method, String uri, HttpHeaders headers, String attemptId, ByteBuf body,
-                   String key, long arrival, long giveUp, int keep, boolean counted) {
-}
+public record Call(
+        Route route,
+        HttpMethod method,
+        String uri,
+        HttpHeaders headers,
+        String attemptId,
+        ByteBuf body,
+        String key,
+        long arrival,
+        long giveUp,
+        int keep,
+        boolean counted) {}
--- a/src/main/java/gorsemast/hupsel/Crowd.java
+++ b/src/main/java/gorsemast/hupsel/Crowd.java
@@ -51,6 +51,8 @@
 
     /** The servers that the edge with this name goes to, out of those that may be sent to. */
     public static List<String> chosen(String edge, Collection<String> servers, int count) {
-        return count >= servers.size() ? new ArrayList<>(servers) : Hash.ranked(edge, servers).subList(0, count);
+        return count >= servers.size()
+                ? new ArrayList<>(servers)
+                : Hash.ranked(edge, servers).subList(0, count);
     }
 }
--- a/src/main/java/gorsemast/hupsel/Hops.java
+++ b/src/main/java/gorsemast/hupsel/Hops.java
@@ -10,11 +10,21 @@
 
 /** Which headers concern one connection only (RFC 9110, 7.6.1) and are not passed on. No state; any thread. */
 public final class Hops {
-    private static final Set<String> OWN = Set.of("connection", "keep-alive", "proxy-connection", "te", "trailer",
-        "transfer-encoding", "upgrade", "content-length", "expect", "host", "proxy-authenticate", "proxy-authorization");
+    private static final Set<String> OWN = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "content-length",
+            "expect",
+            "host",
+            "proxy-authenticate",
+            "proxy-authorization");
 
-    private Hops() {
-    }
+    private Hops() {}
 
     /** Whether this one stays behind; {@code named} are those that {@code Connection} names, in lower case. */
     private static boolean stays(String name, Set<String> named) {
@@ -35,7 +45,7 @@
     /** Adds all but those; lengths are said anew by whoever sends them. */
     public static void copy(HttpHeaders from, HttpHeaders to) {
         Set<String> named = named(from);
-        for (Iterator<Map.Entry<String, String>> all = from.iteratorAsString(); all.hasNext();) {
+        for (Iterator<Map.Entry<String, String>> all = from.iteratorAsString(); all.hasNext(); ) {
             Map.Entry<String, String> header = all.next();
             if (!stays(header.getKey(), named)) {
                 to.add(header.getKey(), header.getValue());
--- a/src/main/java/gorsemast/hupsel/Network.java
+++ b/src/main/java/gorsemast/hupsel/Network.java
@@ -18,6 +18,7 @@
     public static final String TARGET = "Target-Instance";
     /** What a server's answer carries. */
     public static final String SEAL = "Edge-Seal";
+
     private static final String NOT_RUN = "Not-Executed";
     private static final int MISDIRECTED = 421;
     private static final int FAILED = 500;
--- a/src/main/java/gorsemast/hupsel/Sender.java
+++ b/src/main/java/gorsemast/hupsel/Sender.java
@@ -42,6 +42,7 @@
     private static final long BACKSTOP_MICROS = 8_000;
     /** The module's own end comes so much before that. */
     private static final long MARGIN_MICROS = 12_000;
+
     private static final Log LOG = new Log("hupsel");
 
     private final class Exchange {
@@ -77,8 +78,14 @@
      *
      * @param ceiling whether one more attempt may go out now, of what the service bears from all edges; it counts if so
      */
-    public Sender(String service, EventLoop loop, LongSupplier clock, Upstream upstream, Briefing briefing,
-                  BooleanSupplier ceiling, long seed) {
+    public Sender(
+            String service,
+            EventLoop loop,
+            LongSupplier clock,
+            Upstream upstream,
+            Briefing briefing,
+            BooleanSupplier ceiling,
+            long seed) {
         this.service = service;
         this.loop = loop;
         this.clock = clock;
@@ -148,15 +155,15 @@
     public Runnable take(Call call, Client client) {
         Exchange x = new Exchange("r" + sequence++, call, client);
         open.put(x.id, x);
-        x.backstop = loop.schedule(() -> giveUp(x), Math.max(0, call.giveUp() - BACKSTOP_MICROS - now()),
-            TimeUnit.MICROSECONDS);
+        x.backstop = loop.schedule(
+                () -> giveUp(x), Math.max(0, call.giveUp() - BACKSTOP_MICROS - now()), TimeUnit.MICROSECONDS);
         int number = briefing.number(call.route());
         if (number < 0) {
             number = briefing.add(call.route()); // of a version that has only just been replaced
             turns.event(() -> module.retune(now(), briefing.settings()));
         }
-        Balancer.Request request = new Balancer.Request(x.id, number, 0, call.key(),
-            call.giveUp() - BACKSTOP_MICROS - MARGIN_MICROS, false);
+        Balancer.Request request = new Balancer.Request(
+                x.id, number, 0, call.key(), call.giveUp() - BACKSTOP_MICROS - MARGIN_MICROS, false);
         turns.event(() -> module.request(now(), request));
         return () -> gone(x);
     }
@@ -232,33 +239,38 @@
         }
         Upstream.Attempt[] mine = new Upstream.Attempt[1];
         boolean[] over = new boolean[1];
-        mine[0] = upstream.send(server, message(x.call, id, x.call.giveUp() - sentAt), wait, !x.call.route().repeatable(),
-            x.call.keep(), new Upstream.Ending() {
-                @Override
-                public void ended(Code code, Note note, FullHttpResponse answer) {
-                    over[0] = true;
-                    if (x.out == mine[0]) {
-                        x.out = null;
-                    }
-                    if (code == Code.OK && briefing.answered(now(), id, x.call.route(), now() - sentAt)) {
-                        tell();
+        mine[0] = upstream.send(
+                server,
+                message(x.call, id, x.call.giveUp() - sentAt),
+                wait,
+                !x.call.route().repeatable(),
+                x.call.keep(),
+                new Upstream.Ending() {
+                    @Override
+                    public void ended(Code code, Note note, FullHttpResponse answer) {
+                        over[0] = true;
+                        if (x.out == mine[0]) {
+                            x.out = null;
+                        }
+                        if (code == Code.OK && briefing.answered(now(), id, x.call.route(), now() - sentAt)) {
+                            tell();
+                        }
+                        Sender.this.ended(x, attempt, sentAt, code, answer);
                     }
-                    Sender.this.ended(x, attempt, sentAt, code, answer);
-                }
-
-                @Override
-                public Passage begins(Note note, HttpResponse head, long length, Passage.Flow flow) {
-                    over[0] = true;
-                    x.out = null;
-                    Passage taker = null;
-                    if (!x.answered) {
-                        conclude(x);
-                        taker = x.client.begins(head, length, flow);
+
+                    @Override
+                    public Passage begins(Note note, HttpResponse head, long length, Passage.Flow flow) {
+                        over[0] = true;
+                        x.out = null;
+                        Passage taker = null;
+                        if (!x.answered) {
+                            conclude(x);
+                            taker = x.client.begins(head, length, flow);
+                        }
+                        told(x, attempt, sentAt, Code.OK);
+                        return taker;
                     }
-                    told(x, attempt, sentAt, Code.OK);
-                    return taker;
-                }
-            });
+                });
         if (!over[0]) {
             x.out = mine[0];
         }
@@ -270,10 +282,12 @@
         HttpHeaders headers = message.headers();
         headers.set(HttpHeaderNames.HOST, call.route().host());
         Hops.copy(call.headers(), headers);
-        headers.set(Network.ATTEMPT, call.attemptId()).set(Network.TARGET, id)
-            .set(Network.BUDGET, Math.max(1, wait / 1_000));
-        if (body.isReadable() || call.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-            || call.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+        headers.set(Network.ATTEMPT, call.attemptId())
+                .set(Network.TARGET, id)
+                .set(Network.BUDGET, Math.max(1, wait / 1_000));
+        if (body.isReadable()
+                || call.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                || call.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
         return message;
@@ -349,8 +363,8 @@
 
     @Override
     public void timer(long at, long token) {
-        turns.action(() -> loop.schedule(() -> turns.event(() -> module.timer(now(), token)), Math.max(0, at - now()),
-            TimeUnit.MICROSECONDS));
+        turns.action(() -> loop.schedule(
+                () -> turns.event(() -> module.timer(now(), token)), Math.max(0, at - now()), TimeUnit.MICROSECONDS));
     }
 
     @Override
--- a/src/main/java/gorsemast/hupsel/Server.java
+++ b/src/main/java/gorsemast/hupsel/Server.java
@@ -5,5 +5,4 @@
 import java.net.InetSocketAddress;
 
 /** One life of a server, as it may be sent to. */
-public record Server(String host, InetSocketAddress dial, ServerNews.State state) implements Upstream.Peer {
-}
+public record Server(String host, InetSocketAddress dial, ServerNews.State state) implements Upstream.Peer {}
--- a/src/main/java/gorsemast/hupsel/Speeds.java
+++ b/src/main/java/gorsemast/hupsel/Speeds.java
@@ -17,22 +17,24 @@
 final class Speeds {
     /** How much less a server gets that is slower than the others: this power of how many times it takes as long. */
     private static final double POWER = 3;
+
     private static final double STEP = 0.1;
     private static final double LEAST = 0.33;
     private static final double MOST = 4;
     /** So many answers' worth of what is known before anything is. */
     private static final double PRIOR = 2;
+
     static final double MOST_SEEN = 20;
     private static final double OTHERS = 0.5;
     /** What all others have seen counts for no more than so many answers. */
     static final double MOST_HEARD = 200;
+
     static final long HEARD_MICROS = 15_000_000;
     /** Beyond this factor a change is worth telling the module of. */
     private static final double CHANGED = 1.1;
 
     /** What somebody has seen of a server. */
-    record Seen(double slowness, double answers) {
-    }
+    record Seen(double slowness, double answers) {}
 
     private final Map<Integer, Double> usual = new HashMap<>();
     private final Map<String, Seen> own = new HashMap<>();
@@ -46,7 +48,9 @@
         usual.put(type, before + STEP / 2 * (elapsed - before));
         double ratio = Math.max(LEAST, Math.min(MOST, elapsed / Math.max(1, before)));
         Seen seen = own.getOrDefault(server, new Seen(1, 0));
-        own.put(server, new Seen(seen.slowness + STEP * (ratio - seen.slowness), Math.min(MOST_SEEN, seen.answers + 1)));
+        own.put(
+                server,
+                new Seen(seen.slowness + STEP * (ratio - seen.slowness), Math.min(MOST_SEEN, seen.answers + 1)));
     }
 
     /** What all edges have seen together. */
--- a/src/main/java/gorsemast/lab/FleetStudy.java
+++ b/src/main/java/gorsemast/lab/FleetStudy.java
@@ -1,7 +1,6 @@
 package gorsemast.lab;
 
 import gorsemast.fleet.FleetSettings;
-import gorsemast.fleet.FleetView;
 import gorsemast.fleet.Message;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -30,9 +29,16 @@
      *     member in ten slow as a whole
      * @param suspicions suspicions seen at the end of each second of that minute, summed over views
      */
-    public record Row(int members, boolean lifeguard, double firstSuspicion, double agreed, double joined, double messages,
-                      double bytes, double falselyDead, double suspicions) {
-    }
+    public record Row(
+            int members,
+            boolean lifeguard,
+            double firstSuspicion,
+            double agreed,
+            double joined,
+            double messages,
+            double bytes,
+            double falselyDead,
+            double suspicions) {}
 
     private final ToIntFunction<Message> sizes;
 
@@ -43,7 +49,8 @@
 
     /** One row for a fleet of that size. */
     public Row row(int members, boolean lifeguard) {
-        FleetSettings settings = lifeguard ? FleetSettings.of(PERIOD) : FleetSettings.of(PERIOD).plain();
+        FleetSettings settings =
+                lifeguard ? FleetSettings.of(PERIOD) : FleetSettings.of(PERIOD).plain();
         double[][] figures = new double[7][REPEATS];
         int repeats = members > 300 ? 1 : REPEATS;
         for (int seed = 0; seed < repeats; seed++) {
@@ -67,8 +74,11 @@
                 disturbed(fleet, figures, seed);
             }
         }
-        double[] medians = Arrays.stream(figures).mapToDouble(f -> median(Arrays.copyOf(f, repeats))).toArray();
-        return new Row(members, lifeguard, medians[0], medians[1], medians[2], medians[3], medians[4], medians[5], medians[6]);
+        double[] medians = Arrays.stream(figures)
+                .mapToDouble(f -> median(Arrays.copyOf(f, repeats)))
+                .toArray();
+        return new Row(
+                members, lifeguard, medians[0], medians[1], medians[2], medians[3], medians[4], medians[5], medians[6]);
     }
 
     private static void disturbed(VirtualFleet fleet, double[][] figures, int seed) {
@@ -105,18 +115,33 @@
     /** The table, as Markdown, with how each figure grows with the fleet at its end. */
     public static String table(List<Row> rows) {
         StringBuilder s = new StringBuilder("| members | | first suspicion | agreed | join known | datagrams | bytes | "
-            + "falsely dead | suspicions |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+                + "falsely dead | suspicions |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
         for (Row row : rows) {
-            s.append(String.format(Locale.ROOT, "| %d | %s | %.1f | %.1f | %.1f | %.2f | %.0f | %.0f | %.0f |%n", row.members,
-                row.lifeguard ? "with" : "without", row.firstSuspicion, row.agreed, row.joined, row.messages, row.bytes,
-                row.falselyDead, row.suspicions));
+            s.append(String.format(
+                    Locale.ROOT,
+                    "| %d | %s | %.1f | %.1f | %.1f | %.2f | %.0f | %.0f | %.0f |%n",
+                    row.members,
+                    row.lifeguard ? "with" : "without",
+                    row.firstSuspicion,
+                    row.agreed,
+                    row.joined,
+                    row.messages,
+                    row.bytes,
+                    row.falselyDead,
+                    row.suspicions));
         }
         Row first = rows.get(0);
         Row last = rows.get(rows.size() - 2);
-        s.append(String.format(Locale.ROOT, "exponents with Lifeguard, from %d to %d members: agreed %.2f, join %.2f, "
-                + "datagrams %.2f, bytes %.2f%n", first.members, last.members, exponent(first, last, first.agreed, last.agreed),
-            exponent(first, last, first.joined, last.joined), exponent(first, last, first.messages, last.messages),
-            exponent(first, last, first.bytes, last.bytes)));
+        s.append(String.format(
+                Locale.ROOT,
+                "exponents with Lifeguard, from %d to %d members: agreed %.2f, join %.2f, "
+                        + "datagrams %.2f, bytes %.2f%n",
+                first.members,
+                last.members,
+                exponent(first, last, first.agreed, last.agreed),
+                exponent(first, last, first.joined, last.joined),
+                exponent(first, last, first.messages, last.messages),
+                exponent(first, last, first.bytes, last.bytes)));
         return s.toString();
     }
 
@@ -125,10 +150,18 @@
         List<Row> with = rows.stream().filter(Row::lifeguard).toList();
         double[] sizes = with.stream().mapToDouble(Row::members).toArray();
         return new Plot("The fleet's view in virtual time", "members", "periods, or datagrams a period", sizes)
-            .line("all agree on a crash that nobody proves", with.stream().mapToDouble(Row::agreed).toArray())
-            .line("first suspicion", with.stream().mapToDouble(Row::firstSuspicion).toArray())
-            .line("a join is known to all", with.stream().mapToDouble(Row::joined).toArray())
-            .line("datagrams a member and period", with.stream().mapToDouble(Row::messages).toArray());
+                .line(
+                        "all agree on a crash that nobody proves",
+                        with.stream().mapToDouble(Row::agreed).toArray())
+                .line(
+                        "first suspicion",
+                        with.stream().mapToDouble(Row::firstSuspicion).toArray())
+                .line(
+                        "a join is known to all",
+                        with.stream().mapToDouble(Row::joined).toArray())
+                .line(
+                        "datagrams a member and period",
+                        with.stream().mapToDouble(Row::messages).toArray());
     }
 
     private static double exponent(Row first, Row last, double from, double to) {
--- a/src/main/java/gorsemast/lab/Plot.java
+++ b/src/main/java/gorsemast/lab/Plot.java
@@ -25,16 +25,29 @@
     public Plot(String title, String across, String up, double[] sizes) {
         System.setProperty("java.awt.headless", "true");
         this.sizes = sizes.clone();
-        chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(title).xAxisTitle(across).yAxisTitle(up).build();
-        chart.getStyler().setXAxisLogarithmic(true).setYAxisLogarithmic(true).setLegendPosition(LegendPosition.OutsideS);
+        chart = new XYChartBuilder()
+                .width(WIDTH)
+                .height(HEIGHT)
+                .title(title)
+                .xAxisTitle(across)
+                .yAxisTitle(up)
+                .build();
+        chart.getStyler()
+                .setXAxisLogarithmic(true)
+                .setYAxisLogarithmic(true)
+                .setLegendPosition(LegendPosition.OutsideS);
     }
 
     /** Another line: a value for each size. */
     public Plot line(String name, double[] values) {
-        int[] drawn = java.util.stream.IntStream.range(0, sizes.length).filter(i -> values[i] > 0).toArray();
+        int[] drawn = java.util.stream.IntStream.range(0, sizes.length)
+                .filter(i -> values[i] > 0)
+                .toArray();
         if (drawn.length > 0) {
-            chart.addSeries(name, Arrays.stream(drawn).mapToDouble(i -> sizes[i]).toArray(),
-                Arrays.stream(drawn).mapToDouble(i -> values[i]).toArray());
+            chart.addSeries(
+                    name,
+                    Arrays.stream(drawn).mapToDouble(i -> sizes[i]).toArray(),
+                    Arrays.stream(drawn).mapToDouble(i -> values[i]).toArray());
         }
         return this;
     }
--- a/src/main/java/gorsemast/lab/VirtualFleet.java
+++ b/src/main/java/gorsemast/lab/VirtualFleet.java
@@ -26,7 +26,12 @@
  */
 public final class VirtualFleet {
     /** What becomes of one datagram. */
-    public enum Fate { ARRIVES, LOST, TWICE, LATE }
+    public enum Fate {
+        ARRIVES,
+        LOST,
+        TWICE,
+        LATE
+    }
 
     /** One machine with the process that runs there, if any does. */
     public final class Machine {
@@ -68,15 +73,17 @@
                 @Override
                 public void inquire(String address) {
                     Machine asked = at(address);
-                    if (asked != null && !asked.running && !asked.dark && !cut(Machine.this, asked)
-                        && !cut(asked, Machine.this)) {
+                    if (asked != null
+                            && !asked.running
+                            && !asked.dark
+                            && !cut(Machine.this, asked)
+                            && !cut(asked, Machine.this)) {
                         after(delay() * 2, () -> ifRunning(mine, () -> fleet.refused(now(), address)));
                     }
                 }
 
                 @Override
-                public void changed() {
-                }
+                public void changed() {}
 
                 @Override
                 public void log(String text) {
@@ -255,8 +262,9 @@
         bytes += size;
         largest = Math.max(largest, size);
         Machine to = at(address);
-        Fate fate = fates != null ? fates.apply(messages - 1) : random.nextDouble() < loss ? Fate.LOST
-            : random.nextDouble() < doubled ? Fate.TWICE : Fate.ARRIVES;
+        Fate fate = fates != null
+                ? fates.apply(messages - 1)
+                : random.nextDouble() < loss ? Fate.LOST : random.nextDouble() < doubled ? Fate.TWICE : Fate.ARRIVES;
         int copies = fate == Fate.LOST ? 0 : fate == Fate.TWICE ? 2 : 1;
         for (int i = 0; i < copies; i++) {
             after(delay() + from.slow + (fate == Fate.LATE ? LATE_PERIODS * settings.period() : 0), () -> {
@@ -331,7 +339,11 @@
             }
             for (FleetView.MemberView member : machine.view().members()) {
                 Machine other = at(member.address());
-                sum += !member.state().live() && other.running && other.fleet.self().equals(member.id()) ? 1 : 0;
+                sum += !member.state().live()
+                                && other.running
+                                && other.fleet.self().equals(member.id())
+                        ? 1
+                        : 0;
             }
         }
         return sum;
@@ -343,7 +355,8 @@
         for (Machine machine : machines) {
             if (machine.running) {
                 sum += (int) machine.view().members().stream()
-                    .filter(member -> member.state() == Claim.State.SUSPECT).count();
+                        .filter(member -> member.state() == Claim.State.SUSPECT)
+                        .count();
             }
         }
         return sum;
--- a/src/main/java/gorsemast/lauwersoog/Gossip.java
+++ b/src/main/java/gorsemast/lauwersoog/Gossip.java
@@ -57,8 +57,13 @@
      * @param synced whether this process is not catching up itself
      * @param changed told of each item that is new here, after it was merged
      */
-    public Gossip(Program program, Board board, Neighbours links, LongSupplier clock, BooleanSupplier synced,
-                  Consumer<Item> changed) {
+    public Gossip(
+            Program program,
+            Board board,
+            Neighbours links,
+            LongSupplier clock,
+            BooleanSupplier synced,
+            Consumer<Item> changed) {
         this.program = program;
         this.board = board;
         this.links = links;
@@ -74,7 +79,7 @@
 
     /** Something of this process's own, to be known by all. Returns whether it was news. */
     public boolean publish(Item item) {
-        return publish(item, 0, () -> { });
+        return publish(item, 0, () -> {});
     }
 
     /** The same; {@code done} runs once so many registries on other machines hold it, or never. */
@@ -115,7 +120,8 @@
                 // Looked at as it comes: a moment later one of the two may have something newer.
                 caughtUp |= parts == 0 && link.peer().program() == Program.REGISTRY;
             } else if (synced.getAsBoolean()) {
-                link.send(new Digest(true, board.digest())); // whoever has just started waits for this, among however many
+                link.send(new Digest(
+                        true, board.digest())); // whoever has just started waits for this, among however many
             }
             if (parts != 0) {
                 link.send(new Summary(parts, true, board.stamps(parts)));
@@ -158,12 +164,16 @@
         }
         // What is told anew all the time ends at the registries, which tell proxies one sum of it.
         News all = new News(0, fresh);
-        News lasting = new News(0, fresh.stream().filter(item -> item.kind().mended()).toList());
+        News lasting =
+                new News(0, fresh.stream().filter(item -> item.kind().mended()).toList());
         boolean fromRegistry = from.peer().program() == Program.REGISTRY;
         for (Neighbour link : links.up()) {
             boolean toRegistry = link.peer().program() == Program.REGISTRY;
             News on = toRegistry ? all : lasting;
-            if (!on.items().isEmpty() && link != from && !link.peer().ip().equals(from.peer().ip()) && !(fromRegistry && toRegistry)) {
+            if (!on.items().isEmpty()
+                    && link != from
+                    && !link.peer().ip().equals(from.peer().ip())
+                    && !(fromRegistry && toRegistry)) {
                 link.send(on);
             }
         }
--- a/src/main/java/gorsemast/lauwersoog/Link.java
+++ b/src/main/java/gorsemast/lauwersoog/Link.java
@@ -26,6 +26,7 @@
     static final long SILENT_MICROS = 1_800_000;
     /** A peer that reads nothing makes this process keep so much at most. */
     private static final long MOST_WAITING = 96L << 20;
+
     private static final Log LOG = new Log("lauwersoog");
 
     /** Who is told of links. */
@@ -69,7 +70,7 @@
             return;
         }
         if (channel.unsafe().outboundBuffer() != null
-            && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MOST_WAITING) {
+                && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MOST_WAITING) {
             close();
             return;
         }
--- a/src/main/java/gorsemast/lauwersoog/Links.java
+++ b/src/main/java/gorsemast/lauwersoog/Links.java
@@ -29,6 +29,7 @@
     private static final int CONNECT_MILLIS = 700;
     /** How long after a failure the same address is dialled again: what has just started may listen any moment. */
     private static final long FIRST_AGAIN_MICROS = 30_000;
+
     private static final long AGAIN_MICROS = 300_000;
     private static final int LENGTH_BYTES = 4;
 
@@ -40,6 +41,7 @@
     private final Map<InetSocketAddress, Link> dialled = new HashMap<>();
     /** After how long an address that has not answered of late is dialled again; doubled at each failure in a row. */
     private final Map<InetSocketAddress, Long> again = new HashMap<>();
+
     private Set<InetSocketAddress> wanted = Set.of();
     private Channel listener;
 
@@ -85,22 +87,26 @@
     private void dial(InetSocketAddress address) {
         Link link = new Link(this, address);
         dialled.put(address, link);
-        new Bootstrap().group(loop).channel(Transport.stream(loop))
-            .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
-            .handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    fill(ch, link);
-                }
-            }).connect(address).addListener(done -> {
-                if (!done.isSuccess()) {
-                    ended(link);
-                } else if (dialled.get(address) != link) {
-                    link.close();
-                }
-            });
+        new Bootstrap()
+                .group(loop)
+                .channel(Transport.stream(loop))
+                .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        fill(ch, link);
+                    }
+                })
+                .connect(address)
+                .addListener(done -> {
+                    if (!done.isSuccess()) {
+                        ended(link);
+                    } else if (dialled.get(address) != link) {
+                        link.close();
+                    }
+                });
     }
 
     void up(Link link) {
@@ -115,15 +121,19 @@
         }
         InetSocketAddress address = link.dialled();
         if (address != null && dialled.get(address) == link) {
-            long pause = again.merge(address, FIRST_AGAIN_MICROS, (before, first) -> Math.min(AGAIN_MICROS, 2 * before));
-            loop.schedule(() -> {
-                if (dialled.get(address) == link) {
-                    dialled.remove(address);
-                    if (wanted.contains(address)) {
-                        dial(address);
-                    }
-                }
-            }, pause, TimeUnit.MICROSECONDS);
+            long pause =
+                    again.merge(address, FIRST_AGAIN_MICROS, (before, first) -> Math.min(AGAIN_MICROS, 2 * before));
+            loop.schedule(
+                    () -> {
+                        if (dialled.get(address) == link) {
+                            dialled.remove(address);
+                            if (wanted.contains(address)) {
+                                dial(address);
+                            }
+                        }
+                    },
+                    pause,
+                    TimeUnit.MICROSECONDS);
         }
     }
 
--- a/src/main/java/gorsemast/lauwersoog/Record.java
+++ b/src/main/java/gorsemast/lauwersoog/Record.java
@@ -15,63 +15,53 @@
 /** What processes say to each other over a link. Values; any thread. */
 public sealed interface Record {
     /** Programs, as they name themselves. */
-    enum Program { PROXY, REGISTRY, STORE }
+    enum Program {
+        PROXY,
+        REGISTRY,
+        STORE
+    }
 
     /** The first word on each link, from both sides. */
-    record Hello(Program program, String ip, String zone, String control, long life) implements Record {
-    }
+    record Hello(Program program, String ip, String zone, String control, long life) implements Record {}
 
     /** A sign of life. */
-    record Ping() implements Record {
-    }
+    record Ping() implements Record {}
 
     /** All news in short; {@code synced} where the sender is not still catching up itself. */
-    record Digest(boolean synced, long[] buckets) implements Record {
-    }
+    record Digest(boolean synced, long[] buckets) implements Record {}
 
     /** The stamps of some parts; whoever gets it tells what it has newer and, where {@code asks}, what it lacks. */
-    record Summary(int parts, boolean asks, List<Board.Stamp> stamps) implements Record {
-    }
+    record Summary(int parts, boolean asks, List<Board.Stamp> stamps) implements Record {}
 
     /** News; told back by {@link Held} where {@code order} is not 0. */
-    record News(long order, List<Item> items) implements Record {
-    }
+    record News(long order, List<Item> items) implements Record {}
 
     /** The news of this order is held by the sender too. */
-    record Held(long order) implements Record {
-    }
+    record Held(long order) implements Record {}
 
     /** Beats that a registry has had since it last told: ids and their counts of calls. */
-    record Heard(List<Beat> beats) implements Record {
-    }
+    record Heard(List<Beat> beats) implements Record {}
 
     /** One of those. */
-    record Beat(String id, long seq) {
-    }
+    record Beat(String id, long seq) {}
 
     /** Registry to store: keep this version. */
-    record Put(long call, long version, byte[] body) implements Record {
-    }
+    record Put(long call, long version, byte[] body) implements Record {}
 
     /** Registry to store: the newest version, with its body where it is not {@code known}. */
-    record Get(long call, long known) implements Record {
-    }
+    record Get(long call, long known) implements Record {}
 
     /** Store to registry; {@code done} where it is certain. Version 0 stands for none. */
-    record Answer(long call, boolean done, long version, byte[] body) implements Record {
-    }
+    record Answer(long call, boolean done, long version, byte[] body) implements Record {}
 
     /** Store to store, between members; what it says is decided elsewhere. */
-    record Between(Message message) implements Record {
-    }
+    record Between(Message message) implements Record {}
 
     /** Registry to registry: a ballot on who does what one does for all. */
-    record Ballot(Duty.Word word, long term, long at) implements Record {
-    }
+    record Ballot(Duty.Word word, long term, long at) implements Record {}
 
     /** Registry to proxy: what all edges together have seen of servers' speeds, as {@link SpeedNews} has it. */
-    record Pooled(Map<String, double[]> servers) implements Record {
-    }
+    record Pooled(Map<String, double[]> servers) implements Record {}
 
     /** The first byte of each record; another one is another form of them. */
     int FORM = 1;
--- a/src/main/java/gorsemast/lelystad/Codec.java
+++ b/src/main/java/gorsemast/lelystad/Codec.java
@@ -9,8 +9,7 @@
 
 /** Records as they go over links: written and read as in service, so that lengths and ages are what they are there. */
 final class Codec {
-    private Codec() {
-    }
+    private Codec() {}
 
     static byte[] bytes(Record record, long now) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/src/main/java/gorsemast/lelystad/CoreProcesses.java
+++ b/src/main/java/gorsemast/lelystad/CoreProcesses.java
@@ -15,8 +15,7 @@
 
 /** The two programs of a core machine round their decisions, with the machine's disk. */
 final class CoreProcesses {
-    private CoreProcesses() {
-    }
+    private CoreProcesses() {}
 
     /** A registry. */
     static final class Registry extends Process implements Office.Carrier {
@@ -24,8 +23,14 @@
 
         Registry(World world, Machine machine) {
             super(world, machine, Program.REGISTRY);
-            this.office = new Office(new Office.Self(machine.ip, machine.zone, machine.ip + ":80", wall(), World.BEAT_MICROS, 1),
-                world.seeds(), true, world.random.nextLong(), this::now, this, this);
+            this.office = new Office(
+                    new Office.Self(machine.ip, machine.zone, machine.ip + ":80", wall(), World.BEAT_MICROS, 1),
+                    world.seeds(),
+                    true,
+                    world.random.nextLong(),
+                    this::now,
+                    this,
+                    this);
             office.recall(machine.disk.known);
             each(Office.TICK_MICROS, this::tick);
         }
@@ -86,8 +91,7 @@
 
     /** A store. */
     static final class Store extends Process {
-        private record Save(Saved state, long token) {
-        }
+        private record Save(Saved state, long token) {}
 
         final Teller teller;
         private final Machine.Disk disk;
@@ -99,8 +103,8 @@
             if (disk.saved == null) {
                 disk.saved = Saved.fresh(machine.ip, world.seeds(), firstBoot, world.random.nextLong());
             }
-            this.teller = new Teller(machine.ip, world.seeds(), disk.saved, 1,
-                world.random.nextLong(), this::now, this, this::save);
+            this.teller = new Teller(
+                    machine.ip, world.seeds(), disk.saved, 1, world.random.nextLong(), this::now, this, this::save);
             each(Teller.TICK_MICROS, this::tick);
         }
 
--- a/src/main/java/gorsemast/lelystad/Course.java
+++ b/src/main/java/gorsemast/lelystad/Course.java
@@ -4,7 +4,6 @@
 import gorsemast.lelystad.Trouble.Closing;
 import gorsemast.schiphol.Configuration;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -76,8 +75,10 @@
             close();
             world.time.run(world.time.now() + 2 * RECOVERY_MICROS);
             if (restored > 0 && askedLate > 0 && 4 * answeredLate < askedLate) {
-                throw new Broken("RECOVER", answeredLate + " of " + askedLate + " requests are served " + RECOVERY_MICROS / 1_000_000
-                    + " s after all were back");
+                throw new Broken(
+                        "RECOVER",
+                        answeredLate + " of " + askedLate + " requests are served " + RECOVERY_MICROS / 1_000_000
+                                + " s after all were back");
             }
         } else {
             world.time.run(world.time.now() + 2 * World.CONTACT_MICROS + CALL_MICROS);
@@ -102,17 +103,23 @@
 
     static String configuration(long version) {
         String other = version % 2 == 0 ? "orders" : "other";
-        return "{\"configVersion\":\"" + String.format(Locale.ROOT, "%08x", version) + "\",\"backendTable\":[{\"name\":\"objects\","
-            + "\"healthPath\":\"/h\",\"maxConnections\":130,\"ratePerS\":" + World.RATE + "},{\"name\":\"orders\",\"healthPath\":\"/h\","
-            + "\"maxConnections\":130},{\"name\":\"other\",\"healthPath\":\"/h\",\"maxConnections\":130}],\"virtualHosts\":["
-            + "{\"hostname\":\"" + World.HOST + "\",\"pathRules\":[" + rule("objects", "/o/", "cacheable", "objects")
-            + ",\"cacheTtl\":\"" + World.TTL_MICROS / 1_000 + "ms\"}," + rule("safe", "/s/", "idempotent", "orders") + "},"
-            + rule("pay", "/p/", "non_idempotent", "orders") + "}," + rule("moves", "/m/", "idempotent", other) + "}]}]}";
+        return "{\"configVersion\":\"" + String.format(Locale.ROOT, "%08x", version)
+                + "\",\"backendTable\":[{\"name\":\"objects\","
+                + "\"healthPath\":\"/h\",\"maxConnections\":130,\"ratePerS\":" + World.RATE
+                + "},{\"name\":\"orders\",\"healthPath\":\"/h\","
+                + "\"maxConnections\":130},{\"name\":\"other\",\"healthPath\":\"/h\",\"maxConnections\":130}],\"virtualHosts\":["
+                + "{\"hostname\":\"" + World.HOST + "\",\"pathRules\":["
+                + rule("objects", "/o/", "cacheable", "objects")
+                + ",\"cacheTtl\":\"" + World.TTL_MICROS / 1_000 + "ms\"}," + rule("safe", "/s/", "idempotent", "orders")
+                + "},"
+                + rule("pay", "/p/", "non_idempotent", "orders") + "}," + rule("moves", "/m/", "idempotent", other)
+                + "}]}]}";
     }
 
     private static String rule(String name, String prefix, String type, String service) {
-        return "{\"name\":\"" + name + "\",\"pathPrefix\":\"" + prefix + "\",\"routeType\":\"" + type + "\",\"timeout\":\"1500ms\","
-            + "\"targetLatency\":\"200ms\",\"priority\":1,\"maxAttempts\":2,\"backend\":\"" + service + "\"";
+        return "{\"name\":\"" + name + "\",\"pathPrefix\":\"" + prefix + "\",\"routeType\":\"" + type
+                + "\",\"timeout\":\"1500ms\","
+                + "\"targetLatency\":\"200ms\",\"priority\":1,\"maxAttempts\":2,\"backend\":\"" + service + "\"";
     }
 
     /** A change under the next version, by one of two operators where both send at once. */
@@ -137,16 +144,27 @@
 
     void invalid() {
         String good = configuration(version + 100);
-        String[] broken = {good.substring(0, good.length() / 2), good.replace("\"backend\":\"orders\"", "\"backend\":\"none\""),
-            good.replace("\"maxAttempts\":2", "\"maxAttempts\":0"), "[]", good.replace("\"pathPrefix\":\"/s/\"", "\"pathPrefix\":\"s\"")};
+        String[] broken = {
+            good.substring(0, good.length() / 2),
+            good.replace("\"backend\":\"orders\"", "\"backend\":\"none\""),
+            good.replace("\"maxAttempts\":2", "\"maxAttempts\":0"),
+            "[]",
+            good.replace("\"pathPrefix\":\"/s/\"", "\"pathPrefix\":\"s\"")
+        };
         String body = broken[world.random.nextInt(broken.length)];
         List<Machine> cores = world.known();
-        world.call("operator", cores.get(world.random.nextInt(cores.size())), "POST", "/v1/configuration/replace", body, CALL_MICROS,
-            (status, text) -> {
-                if (status / 100 == 2) {
-                    throw new Broken("CONFIG", "an invalid configuration is acknowledged");
-                }
-            });
+        world.call(
+                "operator",
+                cores.get(world.random.nextInt(cores.size())),
+                "POST",
+                "/v1/configuration/replace",
+                body,
+                CALL_MICROS,
+                (status, text) -> {
+                    if (status / 100 == 2) {
+                        throw new Broken("CONFIG", "an invalid configuration is acknowledged");
+                    }
+                });
     }
 
     /** An object changes and is purged, by its path or by its tag. */
@@ -157,8 +175,13 @@
         world.referee.changes(path, next);
         long sentAt = world.time.now();
         String body = tag ? "{\"tag\":\"all\"}" : "{\"hostname\":\"" + World.HOST + "\",\"path\":\"" + path + "\"}";
-        order("/v1/purge", body, "purge of " + (tag ? "all" : path), ACK_MICROS, ACK_MICROS,
-            () -> world.referee.purged(tag ? null : path, sentAt));
+        order(
+                "/v1/purge",
+                body,
+                "purge of " + (tag ? "all" : path),
+                ACK_MICROS,
+                ACK_MICROS,
+                () -> world.referee.purged(tag ? null : path, sentAt));
     }
 
     /** Sends until it is acknowledged, to one machine after the other. */
@@ -166,21 +189,38 @@
         long begun = world.time.now();
         boolean[] over = new boolean[1];
         world.say("operator sends " + name);
-        send(path, body, begun, until, world.random.nextInt(1_000), 0, () -> {
-            over[0] = true;
-            world.took(Outcome.ACKNOWLEDGED, world.time.now() - begun);
-            world.say(name + " is acknowledged");
-            acknowledged.run();
-        }, over);
+        send(
+                path,
+                body,
+                begun,
+                until,
+                world.random.nextInt(1_000),
+                0,
+                () -> {
+                    over[0] = true;
+                    world.took(Outcome.ACKNOWLEDGED, world.time.now() - begun);
+                    world.say(name + " is acknowledged");
+                    acknowledged.run();
+                },
+                over);
         // Held to be acknowledged only where the core was settled all the while.
         world.time.after(within + CALL_MICROS, () -> {
             if (!over[0] && world.coreCalmFor() >= within + CALL_MICROS + World.CONTACT_MICROS) {
-                throw new Broken("ACK", name + " is not acknowledged in " + within / 1_000 + " ms with the core settled");
+                throw new Broken(
+                        "ACK", name + " is not acknowledged in " + within / 1_000 + " ms with the core settled");
             }
         });
     }
 
-    private void send(String path, String body, long begun, long until, int at, int tries, Runnable acknowledged, boolean[] over) {
+    private void send(
+            String path,
+            String body,
+            long begun,
+            long until,
+            int at,
+            int tries,
+            Runnable acknowledged,
+            boolean[] over) {
         if (over[0] || world.time.now() - begun > until) {
             return;
         }
@@ -195,8 +235,9 @@
             } else if (status == 400) {
                 throw new Broken("CONFIG", "a valid order is refused: " + text);
             } else {
-                world.time.after(Math.min(500_000, 50_000L << Math.min(4, tries)), () ->
-                    send(path, body, begun, until, at + 1, tries + 1, acknowledged, over));
+                world.time.after(
+                        Math.min(500_000, 50_000L << Math.min(4, tries)),
+                        () -> send(path, body, begun, until, at + 1, tries + 1, acknowledged, over));
             }
         });
     }
@@ -221,13 +262,20 @@
 
     private void read(int at, long until, String[] got) {
         List<Machine> cores = world.known();
-        world.call("operator", cores.get(at % cores.size()), "GET", "/v1/configuration/read", "", CALL_MICROS, (status, text) -> {
-            if (status == 200) {
-                got[0] = text;
-            } else if (world.time.now() < until) {
-                world.time.after(100_000, () -> read(at + 1, until, got));
-            }
-        });
+        world.call(
+                "operator",
+                cores.get(at % cores.size()),
+                "GET",
+                "/v1/configuration/read",
+                "",
+                CALL_MICROS,
+                (status, text) -> {
+                    if (status == 200) {
+                        got[0] = text;
+                    } else if (world.time.now() < until) {
+                        world.time.after(100_000, () -> read(at + 1, until, got));
+                    }
+                });
     }
 
     // ---- clients
@@ -235,8 +283,10 @@
     /** The platform asks each second who takes clients; two misses take one out. */
     private void probe() {
         for (Machine machine : world.machines(false)) {
-            boolean well = machine.power && machine.frozenUntil <= world.time.now()
-                && world.process(gorsemast.lauwersoog.Record.Program.PROXY, machine) instanceof Edge edge && edge.ready();
+            boolean well = machine.power
+                    && machine.frozenUntil <= world.time.now()
+                    && world.process(gorsemast.lauwersoog.Record.Program.PROXY, machine) instanceof Edge edge
+                    && edge.ready();
             int misses = well ? 0 : missed.getOrDefault(machine, 0) + 1;
             missed.put(machine, misses);
             if (well || misses >= 2) {
@@ -254,13 +304,16 @@
     }
 
     private void request() {
-        List<Machine> in = world.machines(false).stream().filter(one -> taken.getOrDefault(one, false)).toList();
+        List<Machine> in = world.machines(false).stream()
+                .filter(one -> taken.getOrDefault(one, false))
+                .toList();
         in = 2 * in.size() < world.machines(false).size() ? world.machines(false) : in;
         Machine machine = in.get(world.random.nextInt(in.size()));
         int what = world.random.nextInt(10);
         boolean unsafe = what >= 8;
-        String path = what < 6 ? "/o/" + Math.min(world.random.nextInt(PATHS), world.random.nextInt(PATHS)) : what < 7 ? "/s/x"
-            : what < 8 ? "/m/x" : "/p/x";
+        String path = what < 6
+                ? "/o/" + Math.min(world.random.nextInt(PATHS), world.random.nextInt(PATHS))
+                : what < 7 ? "/s/x" : what < 8 ? "/m/x" : "/p/x";
         String service = what < 6 ? World.OBJECTS : "orders";
         String attempt = "t" + ++lastRequest;
         world.referee.asks(service);
@@ -272,28 +325,34 @@
         askedLate += late ? 1 : 0;
         long sentAt = world.time.now();
         world.time.after(world.way(1_000), () -> {
-            Edge edge = machine.power && world.process(gorsemast.lauwersoog.Record.Program.PROXY, machine) instanceof Edge one
-                ? one : null;
+            Edge edge = machine.power
+                            && world.process(gorsemast.lauwersoog.Record.Program.PROXY, machine) instanceof Edge one
+                    ? one
+                    : null;
             if (edge == null) {
                 return;
             }
             edge.run(() -> {
                 Configuration now = edge.lookout.configuration();
                 if (now != null) {
-                    boolean planted = world.plant == Plant.GOES_BACK && edge.seenVersion > 1 && world.random.nextInt(50) == 0;
+                    boolean planted =
+                            world.plant == Plant.GOES_BACK && edge.seenVersion > 1 && world.random.nextInt(50) == 0;
                     world.referee.handles(edge, planted ? edge.seenVersion - 1 : now.version(), sentAt);
                 }
-                edge.request(attempt, path, answer -> world.time.after(world.way(1_000), () -> {
-                    world.referee.answered(edge, attempt, path, unsafe, sentAt, answer);
-                    if (answer.told() == Edge.Told.SERVED) {
-                        served++;
-                        answeredLate += late ? 1 : 0;
-                        if (restored > 0 && !again && sentAt > restored) {
-                            again = true;
-                            world.took(Outcome.SERVED_AGAIN, world.time.now() - restored);
-                        }
-                    }
-                }));
+                edge.request(
+                        attempt,
+                        path,
+                        answer -> world.time.after(world.way(1_000), () -> {
+                            world.referee.answered(edge, attempt, path, unsafe, sentAt, answer);
+                            if (answer.told() == Edge.Told.SERVED) {
+                                served++;
+                                answeredLate += late ? 1 : 0;
+                                if (restored > 0 && !again && sentAt > restored) {
+                                    again = true;
+                                    world.took(Outcome.SERVED_AGAIN, world.time.now() - restored);
+                                }
+                            }
+                        }));
             });
         });
     }
--- a/src/main/java/gorsemast/lelystad/Day.java
+++ b/src/main/java/gorsemast/lelystad/Day.java
@@ -24,13 +24,19 @@
         long length = 24 * SECOND;
         for (int i = 0; i < count; i++) {
             Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
-            troubles.add(new Trouble(kind, SECOND + random.nextLong(length - 6 * SECOND), SECOND + random.nextLong(4 * SECOND),
-                random.nextInt(1_000)));
+            troubles.add(new Trouble(
+                    kind,
+                    SECOND + random.nextLong(length - 6 * SECOND),
+                    SECOND + random.nextLong(4 * SECOND),
+                    random.nextInt(1_000)));
         }
         // Something that can be acknowledged wrongly goes on in each of them.
         troubles.add(new Trouble(Kind.CONFIG, 2 * SECOND + random.nextLong(length / 2), 0, 0));
-        troubles.add(new Trouble(random.nextBoolean() ? Kind.DRAIN : Kind.PURGE, 3 * SECOND + random.nextLong(length / 2), 0,
-            random.nextInt(1_000)));
+        troubles.add(new Trouble(
+                random.nextBoolean() ? Kind.DRAIN : Kind.PURGE,
+                3 * SECOND + random.nextLong(length / 2),
+                0,
+                random.nextInt(1_000)));
         troubles.sort(Comparator.comparingLong(Trouble::at));
         return new Day(cores, edges, seed, length, List.copyOf(troubles), Closing.values()[random.nextInt(4)]);
     }
@@ -42,13 +48,25 @@
 
     /** As a test's text. */
     public String asTest() {
-        StringBuilder text = new StringBuilder("new Day(" + cores + ", " + edges + ", " + seed + "L, " + length + "L, List.of(");
+        StringBuilder text =
+                new StringBuilder("new Day(" + cores + ", " + edges + ", " + seed + "L, " + length + "L, List.of(");
         for (int i = 0; i < troubles.size(); i++) {
             Trouble one = troubles.get(i);
-            text.append(i == 0 ? "" : ",").append("\n    new Trouble(Kind.").append(one.kind()).append(", ").append(one.at())
-                .append("L, ").append(one.span()).append("L, ").append(one.pick()).append(')');
+            text.append(i == 0 ? "" : ",")
+                    .append("\n    new Trouble(Kind.")
+                    .append(one.kind())
+                    .append(", ")
+                    .append(one.at())
+                    .append("L, ")
+                    .append(one.span())
+                    .append("L, ")
+                    .append(one.pick())
+                    .append(')');
         }
-        return text.append("), Closing.").append(closing).append(").play(Plant.NONE)").toString();
+        return text.append("), Closing.")
+                .append(closing)
+                .append(").play(Plant.NONE)")
+                .toString();
     }
 
     /** Plays it; throws {@link Broken} where a rule is broken. */
--- a/src/main/java/gorsemast/lelystad/Edge.java
+++ b/src/main/java/gorsemast/lelystad/Edge.java
@@ -32,11 +32,15 @@
     private static final long OBJECT_MICROS = 1_500_000;
 
     /** How a client's request ended. */
-    enum Told { SERVED, REFUSED, NO_ROUTE, FAILED }
+    enum Told {
+        SERVED,
+        REFUSED,
+        NO_ROUTE,
+        FAILED
+    }
 
     /** What a client is told: of an object the version, and whether a copy was served. */
-    record Answer(Told told, long version, boolean copy) {
-    }
+    record Answer(Told told, long version, boolean copy) {}
 
     final Lookout lookout;
     private final Fetching<String> fetching;
@@ -47,9 +51,17 @@
 
     Edge(World world, Machine machine) {
         super(world, machine, Program.PROXY);
-        this.lookout = new Lookout(machine.ip, machine.zone, 2, 2, wall(), world.seeds(), this::now, this, this::seen, this);
-        this.fetching = new Fetching<>(machine.ip, this::now, new Shelf(1 << 20), lookout.homes(), lookout.board(),
-            World.WINDOW_MICROS, world.random.nextLong(), this);
+        this.lookout =
+                new Lookout(machine.ip, machine.zone, 2, 2, wall(), world.seeds(), this::now, this, this::seen, this);
+        this.fetching = new Fetching<>(
+                machine.ip,
+                this::now,
+                new Shelf(1 << 20),
+                lookout.homes(),
+                lookout.board(),
+                World.WINDOW_MICROS,
+                world.random.nextLong(),
+                this);
         each(Lookout.TICK_MICROS, this::tick);
     }
 
@@ -95,9 +107,18 @@
                 answer.accept(new Answer(Told.REFUSED, 0, false));
                 return;
             }
-            sender.take(attempt, route, path, now() + route.timeoutMicros(), false, result -> answer.accept(new Answer(
-                result.code() == EdgeSender.End.SERVED ? Told.SERVED : result.code() == EdgeSender.End.REFUSED ? Told.REFUSED
-                    : Told.FAILED, 0, false)));
+            sender.take(
+                    attempt,
+                    route,
+                    path,
+                    now() + route.timeoutMicros(),
+                    false,
+                    result -> answer.accept(new Answer(
+                            result.code() == EdgeSender.End.SERVED
+                                    ? Told.SERVED
+                                    : result.code() == EdgeSender.End.REFUSED ? Told.REFUSED : Told.FAILED,
+                            0,
+                            false)));
         }
     }
 
@@ -154,7 +175,8 @@
     }
 
     private static Copy copy(long version, long asked, long ttl) {
-        return new Copy(200, List.of(), ByteBuffer.allocate(Long.BYTES).putLong(version).array(), Set.of("all"), asked, ttl);
+        return new Copy(
+                200, List.of(), ByteBuffer.allocate(Long.BYTES).putLong(version).array(), Set.of("all"), asked, ttl);
     }
 
     // ---- objects, from homes and servers
@@ -168,19 +190,24 @@
                 ending.silent(false);
             }
         });
-        world.message(machine, ip, Program.PROXY, there -> ((Edge) there).asked(what, hop, step, wait, (copy, age, ttl, useless) ->
-            world.message(there.machine, machine.ip, Program.PROXY, here -> {
-                if (here == this && !over[0]) {
-                    over[0] = true;
-                    if (copy >= 0) {
-                        ending.copy(copy(copy, begun - age, ttl));
-                    } else if (useless) {
-                        ending.useless();
-                    } else {
-                        ending.refused(300_000);
-                    }
-                }
-            })));
+        world.message(machine, ip, Program.PROXY, there -> ((Edge) there)
+                .asked(
+                        what,
+                        hop,
+                        step,
+                        wait,
+                        (copy, age, ttl, useless) -> world.message(there.machine, machine.ip, Program.PROXY, here -> {
+                            if (here == this && !over[0]) {
+                                over[0] = true;
+                                if (copy >= 0) {
+                                    ending.copy(copy(copy, begun - age, ttl));
+                                } else if (useless) {
+                                    ending.useless();
+                                } else {
+                                    ending.refused(300_000);
+                                }
+                            }
+                        })));
     }
 
     private interface Handed {
@@ -232,7 +259,8 @@
         }
         sender.take("o" + Long.toHexString(world.random.nextLong()), what.route(), what.uri(), giveUp, true, result -> {
             switch (result.code()) {
-                case SERVED -> ending.copy(copy(result.version(), asked, what.route().ttlMicros()));
+                case SERVED ->
+                    ending.copy(copy(result.version(), asked, what.route().ttlMicros()));
                 case REFUSED -> ending.refused(300_000);
                 case ANSWERED_ERROR -> ending.other("500");
                 default -> ending.failed();
@@ -269,12 +297,17 @@
         now.byService().forEach((service, of) -> {
             EdgeSender sender = senders.get(service);
             if (sender == null) {
-                senders.put(service, new EdgeSender(this, service, new Briefing(machine.ip, 100, World.BUDGET, 0, of, edges)));
+                senders.put(
+                        service,
+                        new EdgeSender(this, service, new Briefing(machine.ip, 100, World.BUDGET, 0, of, edges)));
             } else {
                 sender.retune(of, edges);
             }
-            senders.get(service).briefing.shared(World.CONNECTIONS, service.equals(World.OBJECTS)
-                ? Math.min(edges, fetchers(service)) : edges);
+            senders.get(service)
+                    .briefing
+                    .shared(
+                            World.CONNECTIONS,
+                            service.equals(World.OBJECTS) ? Math.min(edges, fetchers(service)) : edges);
         });
     }
 
@@ -285,8 +318,11 @@
             if (sender != null) {
                 List<ServerNews> told = known;
                 if (world.plant == Plant.SENDS_TO_LEAVING) {
-                    told = known.stream().map(one -> one.state() == ServerNews.State.DRAINING
-                        ? one.in(ServerNews.State.READY, one.seq()) : one).toList();
+                    told = known.stream()
+                            .map(one -> one.state() == ServerNews.State.DRAINING
+                                    ? one.in(ServerNews.State.READY, one.seq())
+                                    : one)
+                            .toList();
                 }
                 sender.servers(told, coldUntil);
             }
@@ -328,7 +364,9 @@
     @Override
     void heardFrom(Neighbour one, Record record) {
         boolean mends = record instanceof Record.Digest || record instanceof Record.Summary;
-        if (world.plant == Plant.MENDS_NOTHING && lookout.ready() && (mends || record instanceof Record.News && world.random.nextBoolean())) {
+        if (world.plant == Plant.MENDS_NOTHING
+                && lookout.ready()
+                && (mends || record instanceof Record.News && world.random.nextBoolean())) {
             return;
         }
         lookout.received(one, record);
--- a/src/main/java/gorsemast/lelystad/EdgeSender.java
+++ b/src/main/java/gorsemast/lelystad/EdgeSender.java
@@ -19,11 +19,15 @@
 /** One service's decision module at an emulated edge; what it wants done goes to {@link Servers} in virtual time. */
 final class EdgeSender implements Balancer.Actions {
     /** How a request ended. */
-    enum End { SERVED, REFUSED, ANSWERED_ERROR, FAILED }
+    enum End {
+        SERVED,
+        REFUSED,
+        ANSWERED_ERROR,
+        FAILED
+    }
 
     /** An end, with an object's version where it was served. */
-    record Result(End code, long version) {
-    }
+    record Result(End code, long version) {}
 
     private static final long BACKSTOP_MICROS = 8_000;
     private static final long MARGIN_MICROS = 12_000;
@@ -41,7 +45,14 @@
         private boolean answered;
         private boolean erred;
 
-        Exchange(String id, String attempt, Route route, String path, long giveUp, boolean counted, Consumer<Result> client) {
+        Exchange(
+                String id,
+                String attempt,
+                Route route,
+                String path,
+                long giveUp,
+                boolean counted,
+                Consumer<Result> client) {
             this.counted = counted;
             this.id = id;
             this.attempt = attempt;
@@ -109,8 +120,13 @@
             number = briefing.add(route);
             turns.event(() -> module.retune(edge.now(), briefing.settings()));
         }
-        Balancer.Request request = new Balancer.Request(x.id, number, 0, route.kind() == Route.Kind.CACHEABLE ? path : null,
-            giveUp - BACKSTOP_MICROS - MARGIN_MICROS, false);
+        Balancer.Request request = new Balancer.Request(
+                x.id,
+                number,
+                0,
+                route.kind() == Route.Kind.CACHEABLE ? path : null,
+                giveUp - BACKSTOP_MICROS - MARGIN_MICROS,
+                false);
         turns.event(() -> module.request(edge.now(), request));
     }
 
@@ -144,21 +160,33 @@
             return;
         }
         x.out = attempt;
-        String address = server.dial().getAddress().getHostAddress() + ":" + server.dial().getPort();
+        String address = server.dial().getAddress().getHostAddress() + ":"
+                + server.dial().getPort();
         edge.after(wait, () -> ended(x, attempt, sentAt, Code.TIMEOUT, 0));
         Servers.Request message = new Servers.Request(x.attempt, id, x.path, !x.route.repeatable(), service);
         edge.world.referee.sent(edge, message);
-        edge.world.servers.send(edge.machine, address, message, reply -> edge.run(() -> {
-            if (reply.answer() == Servers.Answer.OK && briefing.answered(edge.now(), id, x.route, edge.now() - sentAt)) {
-                tell();
-            }
-            ended(x, attempt, sentAt, switch (reply.answer()) {
-                case OK -> Code.OK;
-                case ERROR -> Code.ERROR;
-                case FULL -> Code.FULL;
-                case MISDIRECTED -> Code.CONNECT_FAILED;
-            }, reply.version());
-        }), () -> edge.run(() -> ended(x, attempt, sentAt, Code.CONNECT_FAILED, 0)));
+        edge.world.servers.send(
+                edge.machine,
+                address,
+                message,
+                reply -> edge.run(() -> {
+                    if (reply.answer() == Servers.Answer.OK
+                            && briefing.answered(edge.now(), id, x.route, edge.now() - sentAt)) {
+                        tell();
+                    }
+                    ended(
+                            x,
+                            attempt,
+                            sentAt,
+                            switch (reply.answer()) {
+                                case OK -> Code.OK;
+                                case ERROR -> Code.ERROR;
+                                case FULL -> Code.FULL;
+                                case MISDIRECTED -> Code.CONNECT_FAILED;
+                            },
+                            reply.version());
+                }),
+                () -> edge.run(() -> ended(x, attempt, sentAt, Code.CONNECT_FAILED, 0)));
     }
 
     private void ended(Exchange x, int attempt, long sentAt, Code code, long version) {
@@ -230,7 +258,8 @@
 
     @Override
     public void timer(long at, long token) {
-        turns.action(() -> edge.after(Math.max(0, at - edge.now()), () -> turns.event(() -> module.timer(edge.now(), token))));
+        turns.action(() ->
+                edge.after(Math.max(0, at - edge.now()), () -> turns.event(() -> module.timer(edge.now(), token))));
     }
 
     @Override
--- a/src/main/java/gorsemast/lelystad/Hunt.java
+++ b/src/main/java/gorsemast/lelystad/Hunt.java
@@ -15,15 +15,12 @@
  */
 public final class Hunt {
     /** A broken day, cut down. */
-    public record Found(Day day, Broken broken, List<String> story) {
-    }
+    public record Found(Day day, Broken broken, List<String> story) {}
 
     /** What a hunt came to. */
-    public record Result(int days, List<Found> found, List<Outcome> outcomes) {
-    }
+    public record Result(int days, List<Found> found, List<Outcome> outcomes) {}
 
-    private Hunt() {
-    }
+    private Hunt() {}
 
     /**
      * Plays so many days from a seed on, on all processors; ends soon after {@code most} broken ones. While it runs, what
@@ -35,23 +32,37 @@
 
     /** The same with days of one's own, by number. */
     static Result run(IntFunction<Day> all, int days, Plant plant, int most) {
-        Log.divert(line -> { });
+        Log.divert(line -> {});
         try {
             AtomicInteger broken = new AtomicInteger();
-            List<Object> ends = IntStream.range(0, days).parallel().mapToObj(number -> {
-                if (broken.get() >= most) {
-                    return null;
-                }
-                Day day = all.apply(number);
-                try {
-                    return day.play(plant);
-                } catch (Broken e) {
-                    broken.incrementAndGet();
-                    return new Found(day, e, List.of());
-                }
-            }).filter(Objects::nonNull).map(Object.class::cast).toList();
-            List<Found> found = ends.stream().filter(Found.class::isInstance).map(Found.class::cast).toList();
-            return new Result(ends.size(), found, ends.stream().filter(Outcome.class::isInstance).map(Outcome.class::cast).toList());
+            List<Object> ends = IntStream.range(0, days)
+                    .parallel()
+                    .mapToObj(number -> {
+                        if (broken.get() >= most) {
+                            return null;
+                        }
+                        Day day = all.apply(number);
+                        try {
+                            return day.play(plant);
+                        } catch (Broken e) {
+                            broken.incrementAndGet();
+                            return new Found(day, e, List.of());
+                        }
+                    })
+                    .filter(Objects::nonNull)
+                    .map(Object.class::cast)
+                    .toList();
+            List<Found> found = ends.stream()
+                    .filter(Found.class::isInstance)
+                    .map(Found.class::cast)
+                    .toList();
+            return new Result(
+                    ends.size(),
+                    found,
+                    ends.stream()
+                            .filter(Outcome.class::isInstance)
+                            .map(Outcome.class::cast)
+                            .toList());
         } finally {
             Log.divert(null);
         }
@@ -59,7 +70,7 @@
 
     /** A broken day with no more troubles than it takes, and its story. */
     public static Found shortest(Found found, Plant plant) {
-        Log.divert(line -> { });
+        Log.divert(line -> {});
         try {
             return shrink(found.day, found.broken, plant);
         } finally {
--- a/src/main/java/gorsemast/lelystad/Machine.java
+++ b/src/main/java/gorsemast/lelystad/Machine.java
@@ -24,9 +24,11 @@
     boolean gone;
     /** A stalled disk finishes nothing until then. */
     long stalledUntil;
+
     long frozenUntil;
     /** Of the time of day, which only starts read. */
     long clockError;
+
     private int troubles;
     private long calmSince;
 
--- a/src/main/java/gorsemast/lelystad/Process.java
+++ b/src/main/java/gorsemast/lelystad/Process.java
@@ -230,16 +230,21 @@
                 }
             }
         }
-        targets.stream().filter(target -> !dialled.containsKey(target)).sorted((a, b) -> a.toString().compareTo(b.toString()))
-            .forEach(this::dial);
+        targets.stream()
+                .filter(target -> !dialled.containsKey(target))
+                .sorted((a, b) -> a.toString().compareTo(b.toString()))
+                .forEach(this::dial);
     }
 
     private void dial(Target target) {
         Object attempt = new Object();
         dialled.put(target, attempt);
         Machine to = world.machine(target.ip());
-        boolean silent = to == null || !to.power || world.cut(machine, to) || world.cut(to, machine)
-            || to.frozenUntil > world.time.now();
+        boolean silent = to == null
+                || !to.power
+                || world.cut(machine, to)
+                || world.cut(to, machine)
+                || to.frozenUntil > world.time.now();
         after(silent ? CONNECT_MICROS : 2 * world.delay(machine, to), () -> {
             if (dialled.get(target) != attempt) {
                 return;
--- a/src/main/java/gorsemast/lelystad/Referee.java
+++ b/src/main/java/gorsemast/lelystad/Referee.java
@@ -20,11 +20,9 @@
     private static final long STALE_SLACK = 2_000_000;
     private static final double OVERRUN = 1.1;
 
-    private record Change(long at, long version) {
-    }
+    private record Change(long at, long version) {}
 
-    private record Purge(String path, long sentAt, long ackedAt) {
-    }
+    private record Purge(String path, long sentAt, long ackedAt) {}
 
     private final World world;
     private final Map<Long, Long> acknowledged = new HashMap<>();
@@ -66,7 +64,8 @@
     /** An edge handles a request that was sent then, by this version. */
     void handles(Edge edge, long version, long sentAt) {
         if (version < edge.seenVersion) {
-            throw new Broken("CONFIG", edge.machine.ip + " goes back from version " + edge.seenVersion + " to " + version);
+            throw new Broken(
+                    "CONFIG", edge.machine.ip + " goes back from version " + edge.seenVersion + " to " + version);
         }
         edge.seenVersion = version;
         if (!touch(edge.machine)) {
@@ -74,8 +73,10 @@
         }
         acknowledged.forEach((known, at) -> {
             if (known > version && sentAt > at + CONFIG_APPLY) {
-                throw new Broken("CONFIG", edge.machine.ip + " goes by version " + version + " " + (sentAt - at) / 1_000
-                    + " ms after " + known + " was acknowledged");
+                throw new Broken(
+                        "CONFIG",
+                        edge.machine.ip + " goes by version " + version + " " + (sentAt - at) / 1_000 + " ms after "
+                                + known + " was acknowledged");
             }
         });
     }
@@ -106,10 +107,14 @@
 
     void arrived(Servers.Server server, Servers.Request request) {
         boolean touched = inTouch.getOrDefault(request.attempt() + request.target(), false);
-        if (server.leavesFrom > 0 && now() > server.leavesFrom + World.DRAIN_MICROS && touched
-            && request.target().equals(server.id)) {
-            throw new Broken("DRAIN", server.id + " is sent " + request.path() + " " + (now() - server.leavesFrom) / 1_000
-                + " ms after it was acknowledged to leave");
+        if (server.leavesFrom > 0
+                && now() > server.leavesFrom + World.DRAIN_MICROS
+                && touched
+                && request.target().equals(server.id)) {
+            throw new Broken(
+                    "DRAIN",
+                    server.id + " is sent " + request.path() + " " + (now() - server.leavesFrom) / 1_000
+                            + " ms after it was acknowledged to leave");
         }
         if (request.service().equals(World.OBJECTS)) {
             fetched.add(now());
@@ -121,17 +126,21 @@
                 throw new Broken("CEILING", fetched.size() + " requests in a window that may have " + (int) most);
             }
         }
-        if (!arrivedIds.computeIfAbsent(request.service(), name -> new HashSet<>()).add(request.attempt())) {
+        if (!arrivedIds
+                .computeIfAbsent(request.service(), name -> new HashSet<>())
+                .add(request.attempt())) {
             Deque<Long> more = further.computeIfAbsent(request.service(), name -> new ArrayDeque<>());
             more.add(now());
             while (more.peek() < now() - World.BUDGET.window()) {
                 more.poll();
             }
             long requests = asked.getOrDefault(request.service(), new ArrayDeque<>()).stream()
-                .filter(at -> at > now() - World.BUDGET.window()).count();
+                    .filter(at -> at > now() - World.BUDGET.window())
+                    .count();
             if (more.size() > World.BUDGET.ratio() * requests + World.BUDGET.slack()) {
-                throw new Broken("BUDGET", more.size() + " further attempts for " + requests + " requests of "
-                    + request.service());
+                throw new Broken(
+                        "BUDGET",
+                        more.size() + " further attempts for " + requests + " requests of " + request.service());
             }
         }
     }
@@ -206,14 +215,19 @@
             return;
         }
         if (sentAt > replacedAt + World.TTL_MICROS + STALE_SLACK) {
-            throw new Broken("STALE", edge.machine.ip + " serves version " + version + " of " + path + ", replaced "
-                + (sentAt - replacedAt) / 1_000 + " ms ago");
+            throw new Broken(
+                    "STALE",
+                    edge.machine.ip + " serves version " + version + " of " + path + ", replaced "
+                            + (sentAt - replacedAt) / 1_000 + " ms ago");
         }
         for (Purge purge : purges) {
-            if ((purge.path == null || purge.path.equals(path)) && replacedAt <= purge.sentAt
-                && sentAt > purge.ackedAt + PURGE) {
-                throw new Broken("STALE", edge.machine.ip + " serves version " + version + " of " + path + " "
-                    + (sentAt - purge.ackedAt) / 1_000 + " ms after its purge was acknowledged");
+            if ((purge.path == null || purge.path.equals(path))
+                    && replacedAt <= purge.sentAt
+                    && sentAt > purge.ackedAt + PURGE) {
+                throw new Broken(
+                        "STALE",
+                        edge.machine.ip + " serves version " + version + " of " + path + " "
+                                + (sentAt - purge.ackedAt) / 1_000 + " ms after its purge was acknowledged");
             }
         }
     }
--- a/src/main/java/gorsemast/lelystad/Servers.java
+++ b/src/main/java/gorsemast/lelystad/Servers.java
@@ -9,15 +9,18 @@
 /** The servers of the operators' services: what they beat, run, refuse, forget and lose. One thread. */
 final class Servers {
     /** How a server answers. */
-    enum Answer { OK, ERROR, FULL, MISDIRECTED }
+    enum Answer {
+        OK,
+        ERROR,
+        FULL,
+        MISDIRECTED
+    }
 
     /** What an answer carries: an object's version, the number of the configuration that led here. */
-    record Reply(Answer answer, long version) {
-    }
+    record Reply(Answer answer, long version) {}
 
     /** What a server is sent. */
-    record Request(String attempt, String target, String path, boolean unsafe, String service) {
-    }
+    record Request(String attempt, String target, String path, boolean unsafe, String service) {}
 
     private static final long CALL_MICROS = 1_000_000;
     private static final int QUEUE = 8;
@@ -42,9 +45,11 @@
         boolean draining;
         /** When some machine acknowledged that it leaves; 0 before. */
         long leavesFrom;
+
         double slow = 1;
         /** So many of its answers are lost after it has run what it was asked. */
         double loses;
+
         private int seq;
         private int at;
         private int busy;
@@ -66,14 +71,15 @@
             if (!alive) {
                 return;
             }
-            tell("heartbeat", acknowledged -> { });
+            tell("heartbeat", acknowledged -> {});
             world.time.after(World.BEAT_MICROS - 100_000 + world.random.nextLong(200_000), this::beat);
         }
 
         private void tell(String what, Consumer<Boolean> then) {
             String body = "{\"backend\":\"" + service + "\",\"address\":\"" + address + "\",\"zone\":\"" + zone
-                + "\",\"configVersion\":\"v1\",\"capacity\":" + slots + ",\"state\":\"" + (draining ? "draining" : "ready")
-                + "\",\"warmupLeft\":\"0ms\",\"callSeq\":" + ++seq + "}";
+                    + "\",\"configVersion\":\"v1\",\"capacity\":" + slots + ",\"state\":\""
+                    + (draining ? "draining" : "ready")
+                    + "\",\"warmupLeft\":\"0ms\",\"callSeq\":" + ++seq + "}";
             boolean leaves = draining;
             call(what, body, leaves, 0, then);
         }
@@ -81,22 +87,29 @@
         private void call(String what, String body, boolean leaves, int tries, Consumer<Boolean> then) {
             List<Machine> cores = world.known();
             Machine to = cores.get(Math.floorMod(at, cores.size()));
-            world.call("servers-" + zone, to, "POST", "/v1/nodes/" + id + "/" + what, body, CALL_MICROS, (status, text) -> {
-                if (!alive) {
-                    return;
-                }
-                if (status / 100 == 2) {
-                    if (leaves) {
-                        world.referee.leaves(this, to);
-                    }
-                    then.accept(true);
-                } else if (tries < 2 * cores.size()) {
-                    at++;
-                    call(what, body, leaves, tries + 1, then);
-                } else {
-                    then.accept(false);
-                }
-            });
+            world.call(
+                    "servers-" + zone,
+                    to,
+                    "POST",
+                    "/v1/nodes/" + id + "/" + what,
+                    body,
+                    CALL_MICROS,
+                    (status, text) -> {
+                        if (!alive) {
+                            return;
+                        }
+                        if (status / 100 == 2) {
+                            if (leaves) {
+                                world.referee.leaves(this, to);
+                            }
+                            then.accept(true);
+                        } else if (tries < 2 * cores.size()) {
+                            at++;
+                            call(what, body, leaves, tries + 1, then);
+                        } else {
+                            then.accept(false);
+                        }
+                    });
         }
 
         /** It leaves in order: tells so, serves on, signs off, ends. */
@@ -105,8 +118,11 @@
                 return;
             }
             draining = true;
-            tell("heartbeat", acknowledged -> world.time.after(World.DRAIN_MICROS + 400_000, () ->
-                tell("deregister", over -> world.time.after(300_000, this::crash))));
+            tell(
+                    "heartbeat",
+                    acknowledged -> world.time.after(
+                            World.DRAIN_MICROS + 400_000,
+                            () -> tell("deregister", over -> world.time.after(300_000, this::crash))));
         }
 
         /** It ends without a word. */
@@ -149,7 +165,9 @@
 
     /** All that have not ended, of a service; of all where it is null. */
     List<Server> of(String service) {
-        return all.stream().filter(one -> one.alive && (service == null || one.service.equals(service))).toList();
+        return all.stream()
+                .filter(one -> one.alive && (service == null || one.service.equals(service)))
+                .toList();
     }
 
     /**
--- a/src/main/java/gorsemast/lelystad/Trouble.java
+++ b/src/main/java/gorsemast/lelystad/Trouble.java
@@ -71,7 +71,12 @@
     }
 
     /** Everything that may end a day, right after a change was acknowledged. */
-    public enum Closing { NONE, KILL_ALL, POWER_ALL, WIPE }
+    public enum Closing {
+        NONE,
+        KILL_ALL,
+        POWER_ALL,
+        WIPE
+    }
 
     @Override
     public String toString() {
--- a/src/main/java/gorsemast/lelystad/Troubles.java
+++ b/src/main/java/gorsemast/lelystad/Troubles.java
@@ -37,11 +37,20 @@
     }
 
     private void strike(Trouble trouble, int waited) {
-        boolean counted = switch (trouble.kind()) {
-            case REPLACE_CORE, KILL_CORE, POWER_CORE, FREEZE_CORE, CUT_CORE, CUT_ONE_WAY, STALL, POWER_AFTER_ACK,
-                WIPE_AFTER_ACK, KILL_CORES -> true;
-            default -> false;
-        };
+        boolean counted =
+                switch (trouble.kind()) {
+                    case REPLACE_CORE,
+                            KILL_CORE,
+                            POWER_CORE,
+                            FREEZE_CORE,
+                            CUT_CORE,
+                            CUT_ONE_WAY,
+                            STALL,
+                            POWER_AFTER_ACK,
+                            WIPE_AFTER_ACK,
+                            KILL_CORES -> true;
+                    default -> false;
+                };
         if (counted && !world.mayLose()) {
             if (waited < 30) {
                 world.time.after(AGAIN_MICROS, () -> strike(trouble, waited + 1));
@@ -50,10 +59,13 @@
         }
         world.say(trouble.toString());
         if (counted) {
-            primaryLost(trouble.kind().toString(), switch (trouble.kind()) {
-                case POWER_AFTER_ACK, WIPE_AFTER_ACK, KILL_CORES, STALL -> null; // told where they strike, or nobody takes over
-                default -> core(trouble.pick());
-            });
+            primaryLost(
+                    trouble.kind().toString(),
+                    switch (trouble.kind()) {
+                        case POWER_AFTER_ACK, WIPE_AFTER_ACK, KILL_CORES, STALL ->
+                            null; // told where they strike, or nobody takes over
+                        default -> core(trouble.pick());
+                    });
         }
         int n = trouble.pick();
         switch (trouble.kind()) {
@@ -72,11 +84,12 @@
             case LOSE_ANSWERS -> lose(n, trouble.span());
             case SLOW_SERVER -> slow(n, trouble.span());
             case KILL_EDGE -> bounce(edge(n), false, RESTART_MICROS);
-            case HERD -> world.machines(false).forEach(one -> {
-                if ((one.ip.hashCode() ^ n) % 3 != 0) {
-                    bounce(one, false, RESTART_MICROS);
-                }
-            });
+            case HERD ->
+                world.machines(false).forEach(one -> {
+                    if ((one.ip.hashCode() ^ n) % 3 != 0) {
+                        bounce(one, false, RESTART_MICROS);
+                    }
+                });
             case KILL_CORE -> bounce(core(n), false, RESTART_MICROS);
             case KILL_CORES -> world.machines(true).forEach(one -> bounce(one, false, RESTART_MICROS));
             case POWER_CORE -> bounce(core(n), true, trouble.span());
@@ -113,7 +126,8 @@
 
     private Server leaver(int n) {
         String service = n % 2 == 0 ? "orders" : World.OBJECTS;
-        List<Server> serving = world.servers.of(service).stream().filter(one -> !one.draining).toList();
+        List<Server> serving =
+                world.servers.of(service).stream().filter(one -> !one.draining).toList();
         return serving.size() < 2 ? null : pick(serving, n);
     }
 
@@ -302,7 +316,9 @@
                 bounce(struck, true, 1_000_000);
                 struck.disk = new Machine.Disk();
                 if (othersToo) {
-                    world.machines(true).stream().filter(one -> one != struck).forEach(one -> bounce(one, true, 1_000_000));
+                    world.machines(true).stream()
+                            .filter(one -> one != struck)
+                            .forEach(one -> bounce(one, true, 1_000_000));
                 }
             }
         } else {
--- a/src/main/java/gorsemast/lelystad/World.java
+++ b/src/main/java/gorsemast/lelystad/World.java
@@ -38,6 +38,7 @@
     static final int CONNECTIONS = 130;
     /** Of objects' servers, a second. */
     static final double RATE = 25;
+
     static final Briefing.Budget BUDGET = new Briefing.Budget(0.2, 60, 10_000_000);
     private static final long START_MICROS = 500_000;
     private static final long SEED_LAG = 3_000_000;
@@ -52,13 +53,14 @@
     final Servers servers = new Servers(this);
     /** Versions of objects that have changed. */
     final Map<String, Long> objects = new HashMap<>();
+
     private final Day day;
     private final List<String> story;
     private final Map<String, List<Long>> times = new TreeMap<>();
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final Set<String> cuts = new HashSet<>();
     private List<String> seeds = new ArrayList<>();
-    private Consumer<Machine> onAck = machine -> { };
+    private Consumer<Machine> onAck = machine -> {};
     private long edgeBytes;
     private long edgeRecords;
     private int coreTroubles;
@@ -104,7 +106,9 @@
     /** The machine, other than that, whose store leads; null for none. */
     Machine primaryBut(Machine but) {
         for (Machine machine : machines(true)) {
-            if (machine != but && process(Program.STORE, machine) instanceof Store store && store.teller.keeper().primary()) {
+            if (machine != but
+                    && process(Program.STORE, machine) instanceof Store store
+                    && store.teller.keeper().primary()) {
                 return machine;
             }
         }
@@ -116,8 +120,13 @@
         if (!(process(Program.PROXY, machine) instanceof Edge edge)) {
             return false;
         }
-        return machines(true).stream().anyMatch(core -> process(Program.REGISTRY, core) instanceof Registry registry
-            && registry.office.synced() && registry.office.board().differing(edge.lookout.board().digest()) == 0);
+        return machines(true).stream()
+                .anyMatch(core -> process(Program.REGISTRY, core) instanceof Registry registry
+                        && registry.office.synced()
+                        && registry.office
+                                        .board()
+                                        .differing(edge.lookout.board().digest())
+                                == 0);
     }
 
     Outcome outcome(int asked, int served, long from) {
@@ -151,7 +160,9 @@
     }
 
     List<Machine> machines(boolean core) {
-        return machines.values().stream().filter(one -> one.core == core && !one.gone).toList();
+        return machines.values().stream()
+                .filter(one -> one.core == core && !one.gone)
+                .toList();
     }
 
     /** The process of this program on a machine; null where none listens. */
@@ -258,7 +269,7 @@
 
     boolean allCalm() {
         return coreCalmFor() >= CONTACT_MICROS
-            && machines(false).stream().allMatch(one -> one.calmFor(time.now()) >= CONTACT_MICROS);
+                && machines(false).stream().allMatch(one -> one.calmFor(time.now()) >= CONTACT_MICROS);
     }
 
     // ---- ways
@@ -308,7 +319,14 @@
     }
 
     /** A call from outside to a machine's registry; {@code end} is called once, with status 0 for no answer. */
-    void call(String who, Machine to, String method, String path, String body, long patience, BiConsumer<Integer, String> end) {
+    void call(
+            String who,
+            Machine to,
+            String method,
+            String path,
+            String body,
+            long patience,
+            BiConsumer<Integer, String> end) {
         boolean[] over = new boolean[1];
         BiConsumer<Integer, String> once = (status, text) -> {
             if (!over[0]) {
@@ -326,20 +344,23 @@
                 }
                 return;
             }
-            process.run(() -> ((Registry) process).call(method, path, body.getBytes(StandardCharsets.UTF_8),
-                (status, text, bytes) -> {
-                    if (status == 200 && method.equals("POST") && !path.endsWith("heartbeat")) {
-                        onAck.accept(to);
-                    }
-                    time.after(way, () -> once.accept(status, bytes == null ? text : new String(bytes, StandardCharsets.UTF_8)));
-                }));
+            process.run(() -> ((Registry) process)
+                    .call(method, path, body.getBytes(StandardCharsets.UTF_8), (status, text, bytes) -> {
+                        if (status == 200 && method.equals("POST") && !path.endsWith("heartbeat")) {
+                            onAck.accept(to);
+                        }
+                        time.after(
+                                way,
+                                () -> once.accept(
+                                        status, bytes == null ? text : new String(bytes, StandardCharsets.UTF_8)));
+                    }));
         });
     }
 
     /** What strikes the next machine that acknowledges something. */
     void onAck(Consumer<Machine> what) {
         onAck = machine -> {
-            onAck = other -> { };
+            onAck = other -> {};
             what.accept(machine);
         };
     }
--- a/src/main/java/gorsemast/lifecycle/Lifecycle.java
+++ b/src/main/java/gorsemast/lifecycle/Lifecycle.java
@@ -18,7 +18,13 @@
  */
 public final class Lifecycle {
     /** What the proxy is doing. */
-    public enum Phase { STARTING, SERVING, EMPTYING, HANDING_OVER, STOPPING }
+    public enum Phase {
+        STARTING,
+        SERVING,
+        EMPTYING,
+        HANDING_OVER,
+        STOPPING
+    }
 
     /** The front asks ten times a second and sends nobody new 0.2 s after a no. */
     public static final long NOTICED_MICROS = 350_000;
