--- a/src/main/java/gorsemast/maintenance/Bounds.java
+++ b/src/main/java/gorsemast/maintenance/Bounds.java
@@ -23,8 +23,9 @@
 public record Bounds(int perZone, int perBlock, int perGroup, double reserve, double ledger) {
     public Bounds {
         if (perZone < 1 || perBlock < 1 || perGroup < 1 || !(reserve >= 0) || !(ledger >= 0)) {
-            throw new IllegalArgumentException("perZone, perBlock, perGroup are 1 or more, reserve and ledger 0 or more: "
-                + perZone + ", " + perBlock + ", " + perGroup + ", " + reserve + ", " + ledger);
+            throw new IllegalArgumentException(
+                    "perZone, perBlock, perGroup are 1 or more, reserve and ledger 0 or more: " + perZone + ", "
+                            + perBlock + ", " + perGroup + ", " + reserve + ", " + ledger);
         }
     }
 
@@ -36,7 +37,8 @@
      * @param refilling those of them whose keys the ledger is refilling now
      * @param demand requests a second that the nodes have to carry
      */
-    public String against(Machine wanted, Collection<Machine> all, Set<Machine> out, Set<Machine> refilling, double demand) {
+    public String against(
+            Machine wanted, Collection<Machine> all, Set<Machine> out, Set<Machine> refilling, double demand) {
         if (out.contains(wanted)) {
             return wanted.name() + " is not in full service itself";
         }
@@ -56,26 +58,41 @@
         if (full != null) {
             return full;
         }
-        long kin = all.stream().filter(machine -> machine.kind() == wanted.kind()).count();
-        long kinOut = out.stream().filter(machine -> machine.kind() == wanted.kind()).count();
-        boolean last = all.stream().noneMatch(machine -> machine.kind() == wanted.kind() && !machine.equals(wanted)
-            && machine.zone().equals(wanted.zone()) && !out.contains(machine));
+        long kin =
+                all.stream().filter(machine -> machine.kind() == wanted.kind()).count();
+        long kinOut =
+                out.stream().filter(machine -> machine.kind() == wanted.kind()).count();
+        boolean last = all.stream()
+                .noneMatch(machine -> machine.kind() == wanted.kind()
+                        && !machine.equals(wanted)
+                        && machine.zone().equals(wanted.zone())
+                        && !out.contains(machine));
         if (last && kin > 1) {
             return wanted.name() + " is the last " + word(wanted) + " that serves zone " + wanted.zone();
         }
         if (wanted.kind() == Machine.Kind.PROXY) {
-            return 2 * (kinOut + 1) >= kin ? "a majority of the " + kin + " proxies has to stay, " + kinOut + " are out" : null;
+            return 2 * (kinOut + 1) >= kin
+                    ? "a majority of the " + kin + " proxies has to stay, " + kinOut + " are out"
+                    : null;
         }
-        double left = all.stream().filter(machine -> machine.kind() == Machine.Kind.NODE && !machine.equals(wanted)
-            && !out.contains(machine)).mapToDouble(Machine::capacity).sum();
+        double left = all.stream()
+                .filter(machine ->
+                        machine.kind() == Machine.Kind.NODE && !machine.equals(wanted) && !out.contains(machine))
+                .mapToDouble(Machine::capacity)
+                .sum();
         if (left < demand * (1 + reserve)) {
-            return String.format(java.util.Locale.ROOT, "capacity left %.0f/s is under %.0f/s, the demand with its reserve", left,
-                demand * (1 + reserve));
+            return String.format(
+                    java.util.Locale.ROOT,
+                    "capacity left %.0f/s is under %.0f/s, the demand with its reserve",
+                    left,
+                    demand * (1 + reserve));
         }
-        double refill = wanted.refill() + refilling.stream().mapToDouble(Machine::refill).sum();
+        double refill = wanted.refill()
+                + refilling.stream().mapToDouble(Machine::refill).sum();
         // One alone is let go however much it costs: else a large node could never be worked on.
         if (refill > ledger && !refilling.isEmpty()) {
-            return String.format(java.util.Locale.ROOT, "the ledger would have to refill %.0f/s, it bears %.0f/s", refill, ledger);
+            return String.format(
+                    java.util.Locale.ROOT, "the ledger would have to refill %.0f/s, it bears %.0f/s", refill, ledger);
         }
         return null;
     }
--- a/src/main/java/gorsemast/maintenance/Conductor.java
+++ b/src/main/java/gorsemast/maintenance/Conductor.java
@@ -46,6 +46,7 @@
     private final Map<Long, Long> warmingSince = new HashMap<>();
     /** Since when it has seen a phase in which somebody owes a word, by token and phase. */
     private final Map<String, Long> owedSince = new HashMap<>();
+
     private long proposedFor = -1;
     private long plannedAt = Long.MIN_VALUE;
 
@@ -74,16 +75,20 @@
                 case EMPTYING -> {
                     owed.add(debt);
                     Set<String> asked = asked(processes, ticks);
-                    if (asked != null && !asked.isEmpty() && list.emptied(work.token()).containsAll(asked)) {
+                    if (asked != null
+                            && !asked.isEmpty()
+                            && list.emptied(work.token()).containsAll(asked)) {
                         commands.add(new Command.Release(wall, work.machine(), work.token(), List.copyOf(asked)));
                     } else if (owes(debt, ticks, WorksList.EMPTYING_MILLIS)) {
-                        commands.add(new Command.Overdue(Math.max(wall, WorksList.overdueAt(work)), work.machine(), work.token()));
+                        commands.add(new Command.Overdue(
+                                Math.max(wall, WorksList.overdueAt(work)), work.machine(), work.token()));
                     }
                 }
                 case OUT -> {
                     owed.add(debt);
                     if (owes(debt, ticks, WorksList.SILENT_FACTOR * work.minutes() * MINUTE)) {
-                        commands.add(new Command.Overdue(Math.max(wall, WorksList.overdueAt(work)), work.machine(), work.token()));
+                        commands.add(new Command.Overdue(
+                                Math.max(wall, WorksList.overdueAt(work)), work.machine(), work.token()));
                     }
                 }
                 case WARMING -> {
@@ -93,8 +98,7 @@
                         commands.add(new Command.Warm(wall, work.machine(), work.token()));
                     }
                 }
-                default -> {
-                }
+                default -> {}
             }
         }
         warmingSince.keySet().retainAll(warming);
@@ -131,15 +135,18 @@
      */
     private void grant(WorksList list, Processes processes, long ticks, long wall, List<Command> commands) {
         boolean waits = list.works().stream().anyMatch(work -> work.phase() == Phase.WAITING);
-        if (!processes.sure() || !waits || list.heldBy() != null
-            || list.changes() == proposedFor && ticks - plannedAt < MINUTE) {
+        if (!processes.sure()
+                || !waits
+                || list.heldBy() != null
+                || list.changes() == proposedFor && ticks - plannedAt < MINUTE) {
             return;
         }
         proposedFor = list.changes();
         plannedAt = ticks;
         for (Plan.Slot slot : planner.plan(list, wall).now()) {
             int slash = slot.key().lastIndexOf('/');
-            commands.add(new Command.Grant(wall, slot.key().substring(0, slash), slot.machine().name()));
+            commands.add(new Command.Grant(
+                    wall, slot.key().substring(0, slash), slot.machine().name()));
         }
     }
 }
--- a/src/main/java/gorsemast/maintenance/ListPlanner.java
+++ b/src/main/java/gorsemast/maintenance/ListPlanner.java
@@ -48,10 +48,13 @@
     @Override
     public Plan plan(WorksList list, long now) {
         Comparator<Work> order = rule == Rule.WIDEST
-            ? Comparator.comparingLong(Work::until).thenComparing(Comparator.comparingInt(Work::minutes).reversed())
-            : Comparator.comparingLong(Work::since);
-        List<Work> waiting = new ArrayList<>(list.works().stream().filter(work -> work.phase() == Phase.WAITING)
-            .sorted(order.thenComparing(Work::key)).toList());
+                ? Comparator.comparingLong(Work::until)
+                        .thenComparing(Comparator.comparingInt(Work::minutes).reversed())
+                : Comparator.comparingLong(Work::since);
+        List<Work> waiting = new ArrayList<>(list.works().stream()
+                .filter(work -> work.phase() == Phase.WAITING)
+                .sorted(order.thenComparing(Work::key))
+                .toList());
         List<Slot> slots = new ArrayList<>();
         List<Slot> going = new ArrayList<>();
         for (Work work : list.works()) {
@@ -59,13 +62,15 @@
                 Machine machine = list.machine(work.machine());
                 int end = Planner.remaining(work, machine, now);
                 int given = work.phase() == Phase.WARMING ? 0 : Math.max(0, end - Planner.warming(machine));
-                going.add(new Slot(work.key(), machine, 0, work.phase() == Phase.EMPTYING ? EMPTYING_MINUTES : 0, given, end));
+                going.add(new Slot(
+                        work.key(), machine, 0, work.phase() == Phase.EMPTYING ? EMPTYING_MINUTES : 0, given, end));
             }
         }
         Map<String, String> left = new HashMap<>();
         TreeSet<Integer> moments = new TreeSet<>(Set.of(0));
         going.forEach(slot -> moments.addAll(List.of(slot.emptied(), slot.given(), slot.end())));
-        waiting.forEach(work -> moments.add((int) Math.min(MOST_MINUTES, Math.max(0, work.from() - now + MINUTE - 1) / MINUTE)));
+        waiting.forEach(work ->
+                moments.add((int) Math.min(MOST_MINUTES, Math.max(0, work.from() - now + MINUTE - 1) / MINUTE)));
         for (Integer at = 0; at != null && !waiting.isEmpty(); at = moments.higher(at)) {
             int minute = at;
             Set<Machine> out = new HashSet<>();
@@ -78,11 +83,26 @@
                 Machine machine = list.machine(work.machine());
                 long then = now + minute * MINUTE;
                 int given = minute + EMPTYING_MINUTES + work.minutes();
-                Slot slot = new Slot(work.key(), machine, minute, minute + EMPTYING_MINUTES, given,
-                    given + Planner.warming(machine));
-                String why = list.heldBy() != null ? "grants are held by " + list.heldBy() : then < work.from() ? "not before its time"
-                    : out.size() >= rule.width ? "one at a time"
-                    : list.bounds().against(machine, list.machines(), out, refilling(going, slot), list.demand());
+                Slot slot = new Slot(
+                        work.key(),
+                        machine,
+                        minute,
+                        minute + EMPTYING_MINUTES,
+                        given,
+                        given + Planner.warming(machine));
+                String why = list.heldBy() != null
+                        ? "grants are held by " + list.heldBy()
+                        : then < work.from()
+                                ? "not before its time"
+                                : out.size() >= rule.width
+                                        ? "one at a time"
+                                        : list.bounds()
+                                                .against(
+                                                        machine,
+                                                        list.machines(),
+                                                        out,
+                                                        refilling(going, slot),
+                                                        list.demand());
                 if (why == null && work.until() != Long.MAX_VALUE && now + given * MINUTE > work.until()) {
                     left.put(work.key(), "it could not be back by its time any more");
                     waiting.remove(work);
--- a/src/main/java/gorsemast/maintenance/Machine.java
+++ b/src/main/java/gorsemast/maintenance/Machine.java
@@ -12,10 +12,21 @@
  * @param refill fetches a second that its keys cost the ledger while they are moved away, and again while it is cold
  * @param warmMillis how long it takes until it is warm again
  */
-public record Machine(String name, Kind kind, String zone, String block, String group, double capacity, double refill,
-                      long warmMillis) implements Comparable<Machine> {
+public record Machine(
+        String name,
+        Kind kind,
+        String zone,
+        String block,
+        String group,
+        double capacity,
+        double refill,
+        long warmMillis)
+        implements Comparable<Machine> {
     /** What runs on it. */
-    public enum Kind { NODE, PROXY }
+    public enum Kind {
+        NODE,
+        PROXY
+    }
 
     public Machine {
         if (name.isEmpty() || zone.isEmpty()) {
@@ -23,7 +34,7 @@
         }
         if (!(capacity > 0) || !(refill >= 0) || warmMillis < 0) {
             throw new IllegalArgumentException(name + ": capacity is above 0, refill and warmMillis are not below, not "
-                + capacity + ", " + refill + ", " + warmMillis);
+                    + capacity + ", " + refill + ", " + warmMillis);
         }
     }
 
--- a/src/main/java/gorsemast/maintenance/Plan.java
+++ b/src/main/java/gorsemast/maintenance/Plan.java
@@ -32,7 +32,9 @@
     }
 
     public Plan {
-        slots = slots.stream().sorted(Comparator.comparingInt(Slot::start).thenComparing(Slot::key)).toList();
+        slots = slots.stream()
+                .sorted(Comparator.comparingInt(Slot::start).thenComparing(Slot::key))
+                .toList();
         left = Map.copyOf(left);
     }
 
@@ -46,8 +48,12 @@
         double peak = 0;
         for (Slot at : slots) {
             for (int minute : new int[] {at.start(), at.given()}) {
-                peak = Math.max(peak, slots.stream().filter(slot -> slot.refilling(minute))
-                    .mapToDouble(slot -> slot.machine().refill()).sum());
+                peak = Math.max(
+                        peak,
+                        slots.stream()
+                                .filter(slot -> slot.refilling(minute))
+                                .mapToDouble(slot -> slot.machine().refill())
+                                .sum());
             }
         }
         return peak;
@@ -57,7 +63,8 @@
     public int width() {
         int width = 0;
         for (Slot at : slots) {
-            width = Math.max(width, (int) slots.stream().filter(slot -> slot.out(at.start())).count());
+            width = Math.max(width, (int)
+                    slots.stream().filter(slot -> slot.out(at.start())).count());
         }
         return width;
     }
--- a/src/main/java/gorsemast/maintenance/Planner.java
+++ b/src/main/java/gorsemast/maintenance/Planner.java
@@ -18,14 +18,15 @@
     /** Minutes from now until a work that is out is expected to be in full service again. */
     static int remaining(Work work, Machine machine, long now) {
         long gone = Math.max(0, now - work.since()) / MINUTE;
-        long left = switch (work.phase()) {
-            case EMPTYING -> Math.max(1, EMPTYING_MINUTES - gone) + work.minutes() + warming(machine);
-            case OUT -> Math.max(1, work.minutes() - gone) + warming(machine);
-            case WARMING -> Math.max(1, warming(machine) - gone);
-            // Nobody knows when somebody will have looked.
-            case FAILED -> (long) WorksList.SILENT_FACTOR * work.minutes() + warming(machine);
-            default -> 0;
-        };
+        long left =
+                switch (work.phase()) {
+                    case EMPTYING -> Math.max(1, EMPTYING_MINUTES - gone) + work.minutes() + warming(machine);
+                    case OUT -> Math.max(1, work.minutes() - gone) + warming(machine);
+                    case WARMING -> Math.max(1, warming(machine) - gone);
+                    // Nobody knows when somebody will have looked.
+                    case FAILED -> (long) WorksList.SILENT_FACTOR * work.minutes() + warming(machine);
+                    default -> 0;
+                };
         return (int) Math.min(left, Integer.MAX_VALUE / 4);
     }
 }
--- a/src/main/java/gorsemast/maintenance/SolverPlanner.java
+++ b/src/main/java/gorsemast/maintenance/SolverPlanner.java
@@ -30,6 +30,7 @@
 public final class SolverPlanner implements Planner {
     /** Parts into which a resource is cut, as the solver counts in whole numbers. */
     private static final int UNITS = 1_000;
+
     private final long mostFails;
 
     /** Gives up after so many dead ends. */
@@ -55,7 +56,13 @@
         for (int i = 0; i < starts.length; i++) {
             Slot old = plain.slots().get(i);
             int moved = starts[i] - old.start();
-            slots.add(new Slot(old.key(), old.machine(), starts[i], old.emptied() + moved, old.given() + moved, old.end() + moved));
+            slots.add(new Slot(
+                    old.key(),
+                    old.machine(),
+                    starts[i],
+                    old.emptied() + moved,
+                    old.given() + moved,
+                    old.end() + moved));
         }
         return new Plan(slots, plain.left(), "solver");
     }
@@ -94,8 +101,9 @@
             int warming = Planner.warming(machine);
             int takes = EMPTYING_MINUTES + work.minutes() + warming;
             int from = (int) Math.min(horizon, Math.max(0, work.from() - now + MINUTE - 1) / MINUTE);
-            long latest = work.until() == Long.MAX_VALUE ? horizon - takes
-                : Math.min(horizon - takes, (work.until() - now) / MINUTE - EMPTYING_MINUTES - work.minutes());
+            long latest = work.until() == Long.MAX_VALUE
+                    ? horizon - takes
+                    : Math.min(horizon - takes, (work.until() - now) / MINUTE - EMPTYING_MINUTES - work.minutes());
             IntVar start = model.intVar(work.key(), from, (int) Math.max(from, latest), true);
             starts.add(start);
             machines.add(machine);
@@ -116,21 +124,33 @@
                 group(kind, machine -> "block " + machine.zone() + "/" + machine.block(), block -> bounds.perBlock());
                 group(kind, machine -> "class " + machine.group(), group -> bounds.perGroup());
             }
-            long proxies = list.machines().stream().filter(machine -> machine.kind() == Machine.Kind.PROXY).count();
+            long proxies = list.machines().stream()
+                    .filter(machine -> machine.kind() == Machine.Kind.PROXY)
+                    .count();
             resource(machine -> machine.kind() == Machine.Kind.PROXY, machine -> 1, (int) ((proxies - 1) / 2));
-            double all = list.machines().stream().filter(machine -> machine.kind() == Machine.Kind.NODE)
-                .mapToDouble(Machine::capacity).sum();
+            double all = list.machines().stream()
+                    .filter(machine -> machine.kind() == Machine.Kind.NODE)
+                    .mapToDouble(Machine::capacity)
+                    .sum();
             double spare = all - list.demand() * (1 + bounds.reserve());
             if (all > 0) {
-                resource(machine -> machine.kind() == Machine.Kind.NODE,
-                    machine -> (int) Math.ceil(machine.capacity() / all * UNITS * 100), (int) Math.floor(spare / all * UNITS * 100));
+                resource(
+                        machine -> machine.kind() == Machine.Kind.NODE,
+                        machine -> (int) Math.ceil(machine.capacity() / all * UNITS * 100),
+                        (int) Math.floor(spare / all * UNITS * 100));
             }
             double ledger = bounds.ledger();
-            IntVar[] heights = refilled.stream().map(machine -> model.intVar(machine.kind() == Machine.Kind.PROXY || ledger == 0
-                ? 0 : (int) Math.min(UNITS, Math.ceil(machine.refill() / ledger * UNITS)))).toArray(IntVar[]::new);
-            model.cumulative(refills.toArray(Task[]::new), heights, model.intVar(UNITS)).post();
+            IntVar[] heights = refilled.stream()
+                    .map(machine -> model.intVar(
+                            machine.kind() == Machine.Kind.PROXY || ledger == 0
+                                    ? 0
+                                    : (int) Math.min(UNITS, Math.ceil(machine.refill() / ledger * UNITS))))
+                    .toArray(IntVar[]::new);
+            model.cumulative(refills.toArray(Task[]::new), heights, model.intVar(UNITS))
+                    .post();
             IntVar makespan = model.intVar("makespan", 0, horizon);
-            model.max(makespan, absences.stream().map(Task::getEnd).toArray(IntVar[]::new)).post();
+            model.max(makespan, absences.stream().map(Task::getEnd).toArray(IntVar[]::new))
+                    .post();
             model.setObjective(Model.MINIMIZE, makespan);
             model.arithm(makespan, "<", horizon).post(); // the plain order is as good as that
             model.getSolver().setSearch(Search.inputOrderLBSearch(starts.toArray(IntVar[]::new)));
@@ -146,18 +166,25 @@
 
         /** So many of a zone's machines of that kind may go that one is left, where there are others. */
         private int spare(Machine.Kind kind, String zone) {
-            long kin = list.machines().stream().filter(machine -> machine.kind() == kind).count();
-            long there = list.machines().stream().filter(machine -> machine.kind() == kind
-                && ("zone " + machine.zone()).equals(zone)).count();
+            long kin = list.machines().stream()
+                    .filter(machine -> machine.kind() == kind)
+                    .count();
+            long there = list.machines().stream()
+                    .filter(machine -> machine.kind() == kind && ("zone " + machine.zone()).equals(zone))
+                    .count();
             return (int) (kin > 1 ? Math.max(0, there - 1) : there);
         }
 
-        private void group(Machine.Kind kind, java.util.function.Function<Machine, String> name, ToIntFunction<String> capacity) {
+        private void group(
+                Machine.Kind kind, java.util.function.Function<Machine, String> name, ToIntFunction<String> capacity) {
             Map<String, Integer> groups = new TreeMap<>();
-            machines.stream().filter(machine -> machine.kind() == kind).forEach(machine -> groups.merge(name.apply(machine), 1,
-                Integer::sum));
-            groups.forEach((group, many) -> resource(machine -> machine.kind() == kind && name.apply(machine).equals(group),
-                machine -> 1, capacity.applyAsInt(group)));
+            machines.stream()
+                    .filter(machine -> machine.kind() == kind)
+                    .forEach(machine -> groups.merge(name.apply(machine), 1, Integer::sum));
+            groups.forEach((group, many) -> resource(
+                    machine -> machine.kind() == kind && name.apply(machine).equals(group),
+                    machine -> 1,
+                    capacity.applyAsInt(group)));
         }
 
         private void resource(Predicate<Machine> takes, ToIntFunction<Machine> height, int capacity) {
@@ -171,8 +198,11 @@
             }
             // Where more is out already than the bounds allow by now there is no solution, and the plain order stays.
             if (!tasks.isEmpty()) {
-                model.cumulative(tasks.toArray(Task[]::new), heights.toArray(IntVar[]::new),
-                    model.intVar(Math.max(0, capacity))).post();
+                model.cumulative(
+                                tasks.toArray(Task[]::new),
+                                heights.toArray(IntVar[]::new),
+                                model.intVar(Math.max(0, capacity)))
+                        .post();
             }
         }
     }
--- a/src/main/java/gorsemast/maintenance/Work.java
+++ b/src/main/java/gorsemast/maintenance/Work.java
@@ -15,8 +15,19 @@
  * @param next what it is once its machine is warm again: {@link Phase#BACK} where the work was done, {@link Phase#WAITING}
  *     where it has to be granted again, {@link Phase#WITHDRAWN}
  */
-public record Work(String id, String machine, String crew, long from, long until, int minutes, Phase phase, long token,
-                   long since, String why, int tries, Phase next) {
+public record Work(
+        String id,
+        String machine,
+        String crew,
+        long from,
+        long until,
+        int minutes,
+        Phase phase,
+        long token,
+        long since,
+        String why,
+        int tries,
+        Phase next) {
     /** The life of a work. */
     public enum Phase {
         /** Waits for its turn. */
@@ -47,8 +58,8 @@
             throw new IllegalArgumentException("a work has an id, a machine and a crew");
         }
         if (minutes < 1 || from < 0 || until <= from) {
-            throw new IllegalArgumentException(id + ": minutes are 1 or more, until is after from; not " + minutes + ", " + from
-                + " to " + until);
+            throw new IllegalArgumentException(
+                    id + ": minutes are 1 or more, until is after from; not " + minutes + ", " + from + " to " + until);
         }
     }
 
@@ -62,8 +73,19 @@
     }
 
     Work granted(long index, long at) {
-        return new Work(id, machine, crew, from, until, minutes, Phase.EMPTYING, index, at, "is being emptied", tries + 1,
-            Phase.WAITING);
+        return new Work(
+                id,
+                machine,
+                crew,
+                from,
+                until,
+                minutes,
+                Phase.EMPTYING,
+                index,
+                at,
+                "is being emptied",
+                tries + 1,
+                Phase.WAITING);
     }
 
     /** On its way back, and what it is then. */
--- a/src/main/java/gorsemast/maintenance/WorksList.java
+++ b/src/main/java/gorsemast/maintenance/WorksList.java
@@ -31,6 +31,7 @@
     public static final int SILENT_FACTOR = 3;
     /** Emptying that has not ended by then is called off. */
     public static final long EMPTYING_MILLIS = 10 * 60_000L;
+
     private static final long MINUTE = 60_000;
 
     /**
@@ -38,8 +39,7 @@
      *
      * @param why what is wrong with it, or what it came to; in words for people
      */
-    public record Result(boolean accepted, String why) {
-    }
+    public record Result(boolean accepted, String why) {}
 
     private final Map<String, Machine> machines = new TreeMap<>();
     private final Map<String, Work> works = new TreeMap<>();
@@ -116,7 +116,9 @@
             }
         }
         works.values().removeIf(work -> work.machine().equals(c.machine()));
-        return machines.remove(c.machine()) == null ? no(c.machine() + " is not in the fleet") : yes(c.machine() + " forgotten");
+        return machines.remove(c.machine()) == null
+                ? no(c.machine() + " is not in the fleet")
+                : yes(c.machine() + " forgotten");
     }
 
     private Result want(Command.Want c) {
@@ -125,8 +127,19 @@
         }
         Work wanted;
         try {
-            wanted = new Work(c.id(), c.machine(), c.crew(), c.from(), c.until(), c.minutes(), Phase.WAITING, 0, c.at(),
-                "waits for its turn", 0, Phase.WAITING);
+            wanted = new Work(
+                    c.id(),
+                    c.machine(),
+                    c.crew(),
+                    c.from(),
+                    c.until(),
+                    c.minutes(),
+                    Phase.WAITING,
+                    0,
+                    c.at(),
+                    "waits for its turn",
+                    0,
+                    Phase.WAITING);
         } catch (IllegalArgumentException e) {
             return no(e.getMessage());
         }
@@ -145,9 +158,10 @@
         return switch (work.phase()) {
             case WAITING -> put(work.in(Phase.WITHDRAWN, c.at(), "withdrawn before its turn"));
             case EMPTYING -> put(work.warming(Phase.WITHDRAWN, c.at(), "withdrawn while it was emptied; warms up"));
-            case WARMING -> work.next() == Phase.WAITING
-                ? put(work.warming(Phase.WITHDRAWN, work.since(), "withdrawn; warms up"))
-                : no(work.key() + " is on its way back already");
+            case WARMING ->
+                work.next() == Phase.WAITING
+                        ? put(work.warming(Phase.WITHDRAWN, work.since(), "withdrawn; warms up"))
+                        : no(work.key() + " is on its way back already");
             case OUT -> no(work.key() + " is out: its crew gives it back");
             case FAILED -> no(work.key() + " has failed: somebody has to look at " + work.machine());
             case BACK, WITHDRAWN -> no(work.key() + " is over");
@@ -157,7 +171,8 @@
     private Result grant(Command.Grant c) {
         Work work = works.get(c.id() + "/" + c.machine());
         if (work == null || work.phase() != Phase.WAITING) {
-            return no(c.id() + "/" + c.machine() + (work == null ? " is not in the list" : " does not wait: " + work.phase()));
+            return no(c.id() + "/" + c.machine()
+                    + (work == null ? " is not in the list" : " does not wait: " + work.phase()));
         }
         String against = against(work, c.at());
         return against == null ? put(work.granted(index, c.at())) : no(against);
@@ -199,7 +214,8 @@
         List<String> missing = new ArrayList<>(c.processes());
         missing.removeAll(emptied.getOrDefault(c.token(), Set.of()));
         if (c.processes().isEmpty() || !missing.isEmpty()) {
-            return no(c.machine() + " is not emptied by " + (missing.isEmpty() ? "anybody" : String.join(", ", missing)));
+            return no(
+                    c.machine() + " is not emptied by " + (missing.isEmpty() ? "anybody" : String.join(", ", missing)));
         }
         emptied.remove(c.token());
         return put(work.in(Phase.OUT, c.at(), work.crew() + " has it"));
@@ -210,8 +226,10 @@
         if (work == null || work.phase() != Phase.OUT || !work.crew().equals(c.crew())) {
             return no(c.crew() + " has not got " + c.machine() + " under token " + c.token());
         }
-        return put(c.well() ? work.warming(Phase.BACK, c.at(), "done; warms up")
-            : work.in(Phase.FAILED, c.at(), "failed: " + c.why()));
+        return put(
+                c.well()
+                        ? work.warming(Phase.BACK, c.at(), "done; warms up")
+                        : work.in(Phase.FAILED, c.at(), "failed: " + c.why()));
     }
 
     private Result warm(Command.Warm c) {
@@ -228,9 +246,13 @@
             return no(c.machine() + " is not overdue under token " + c.token());
         }
         emptied.remove(c.token());
-        return put(work.phase() == Phase.EMPTYING
-            ? work.warming(Phase.WAITING, c.at(), "was not emptied in time; warms up and waits again")
-            : work.in(Phase.FAILED, c.at(), work.crew() + " has said nothing: it counts as out until somebody has looked"));
+        return put(
+                work.phase() == Phase.EMPTYING
+                        ? work.warming(Phase.WAITING, c.at(), "was not emptied in time; warms up and waits again")
+                        : work.in(
+                                Phase.FAILED,
+                                c.at(),
+                                work.crew() + " has said nothing: it counts as out until somebody has looked"));
     }
 
     /** From when on silence ends the work's phase; never for those in which nobody owes a word. */
--- a/src/main/java/gorsemast/marknesse/PlainYaml.java
+++ b/src/main/java/gorsemast/marknesse/PlainYaml.java
@@ -16,8 +16,7 @@
     private final List<String> lines = new ArrayList<>();
     private int at;
 
-    private PlainYaml() {
-    }
+    private PlainYaml() {}
 
     /** What the text says, or null where it has a form that is not plain. */
     static Map<?, ?> read(String text) {
@@ -142,8 +141,12 @@
                 throw other();
             }
         }
-        if (text.isEmpty() || text.length() > 9 || points > 1 || text.startsWith(".") || text.endsWith(".")
-            || text.length() > 1 && text.startsWith("0") && points == 0) {
+        if (text.isEmpty()
+                || text.length() > 9
+                || points > 1
+                || text.startsWith(".")
+                || text.endsWith(".")
+                || text.length() > 1 && text.startsWith("0") && points == 0) {
             throw other();
         }
         if (points == 1) {
--- a/src/main/java/gorsemast/marknesse/Seed.java
+++ b/src/main/java/gorsemast/marknesse/Seed.java
@@ -12,15 +12,16 @@
 public final class Seed {
     private static final Path SOURCE = Path.of("/dev/urandom");
 
-    private Seed() {
-    }
+    private Seed() {}
 
     /** A fresh one. */
     public static long fresh() {
         try (DataInputStream in = new DataInputStream(Files.newInputStream(SOURCE))) {
             return in.readLong();
         } catch (IOException e) {
-            long z = System.nanoTime() * 0x9e3779b97f4a7c15L ^ ProcessHandle.current().pid() << 32 ^ System.currentTimeMillis();
+            long z = System.nanoTime() * 0x9e3779b97f4a7c15L
+                    ^ ProcessHandle.current().pid() << 32
+                    ^ System.currentTimeMillis();
             z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
             return z ^ z >>> 31;
         }
--- a/src/main/java/gorsemast/marknesse/Settings.java
+++ b/src/main/java/gorsemast/marknesse/Settings.java
@@ -38,12 +38,24 @@
  * @param descriptors how many it may have open
  * @param bounds figures of the rules: times in microseconds, numbers as they are
  */
-public record Settings(String name, String ip, String zone, Map<String, String> zones,
-                       Map<String, InetSocketAddress> listens, int firstPort, int lastPort, List<InetSocketAddress> seeds,
-                       boolean firstBoot, Path dataDir, long beatMicros, int losses, int descriptors,
-                       Map<String, Double> bounds) {
+public record Settings(
+        String name,
+        String ip,
+        String zone,
+        Map<String, String> zones,
+        Map<String, InetSocketAddress> listens,
+        int firstPort,
+        int lastPort,
+        List<InetSocketAddress> seeds,
+        boolean firstBoot,
+        Path dataDir,
+        long beatMicros,
+        int losses,
+        int descriptors,
+        Map<String, Double> bounds) {
     /** Where the path of the file stands. */
     public static final String VARIABLE = "GORSEMAST_CONFIG";
+
     private static final double MICROS = 1e6;
 
     /** The seeds' machines, without ports; a new set. */
@@ -68,8 +80,9 @@
         try {
             whole = whole != null ? whole : new Load(LoadSettings.builder().build()).loadFromString(text);
         } catch (MarkedYamlEngineException e) {
-            String at = e.getProblemMark().map(mark -> "line " + (mark.getLine() + 1) + ", column " + (mark.getColumn() + 1))
-                .orElse("?");
+            String at = e.getProblemMark()
+                    .map(mark -> "line " + (mark.getLine() + 1) + ", column " + (mark.getColumn() + 1))
+                    .orElse("?");
             throw new SettingsException(Code.UNREADABLE, at, e.getProblem());
         } catch (YamlEngineException e) {
             throw new SettingsException(Code.UNREADABLE, "file", e.getMessage());
@@ -79,15 +92,21 @@
         }
         Section root = new Section("", map);
         List<Object> ports = root.list("internalPorts");
-        if (ports.size() != 2 || !(ports.get(0) instanceof Integer first) || !(ports.get(1) instanceof Integer last)
-            || first < 1 || last > 65_535 || first > last) {
-            throw new SettingsException(Code.OUT_OF_RANGE, "internalPorts", "wants two ports, the first not above the second");
+        if (ports.size() != 2
+                || !(ports.get(0) instanceof Integer first)
+                || !(ports.get(1) instanceof Integer last)
+                || first < 1
+                || last > 65_535
+                || first > last) {
+            throw new SettingsException(
+                    Code.OUT_OF_RANGE, "internalPorts", "wants two ports, the first not above the second");
         }
         Map<String, String> zones = new LinkedHashMap<>();
         root.section("zones").map.forEach((zone, region) -> zones.put(String.valueOf(zone), String.valueOf(region)));
         Map<String, InetSocketAddress> listens = new TreeMap<>();
         Section listen = root.section("listenAddrs");
-        listen.map.forEach((word, address) -> listens.put(String.valueOf(word), listen.address(String.valueOf(word), address)));
+        listen.map.forEach(
+                (word, address) -> listens.put(String.valueOf(word), listen.address(String.valueOf(word), address)));
         List<InetSocketAddress> seeds = new ArrayList<>();
         for (Object seed : root.list("seedNodes")) {
             seeds.add(root.address("seedNodes", seed));
@@ -97,10 +116,21 @@
         Section given = root.section("timingBounds");
         given.map.keySet().forEach(key -> bounds.put(String.valueOf(key), given.figure(String.valueOf(key))));
         Object dir = map.get("dataDir");
-        return new Settings(root.text("nodeName"), root.text("ip"), root.text("zone"), zones, listens, first, last, seeds,
-            Boolean.TRUE.equals(map.get("initialBoot")), dir == null ? null : Path.of(String.valueOf(dir)),
-            micros("heartbeat", root.text("heartbeat")), (int) root.section("faultTolerance").figure("machineLosses", 1),
-            (int) limits.figure("fileDescriptors", 4096), bounds);
+        return new Settings(
+                root.text("nodeName"),
+                root.text("ip"),
+                root.text("zone"),
+                zones,
+                listens,
+                first,
+                last,
+                seeds,
+                Boolean.TRUE.equals(map.get("initialBoot")),
+                dir == null ? null : Path.of(String.valueOf(dir)),
+                micros("heartbeat", root.text("heartbeat")),
+                (int) root.section("faultTolerance").figure("machineLosses", 1),
+                (int) limits.figure("fileDescriptors", 4096),
+                bounds);
     }
 
     /** A time of the rules in microseconds, or what holds where the file has none. */
@@ -125,11 +155,12 @@
         while (unit < text.length() && (Character.isDigit(text.charAt(unit)) || text.charAt(unit) == '.')) {
             unit++;
         }
-        double scale = switch (text.substring(unit)) {
-            case "ms" -> MICROS / 1_000;
-            case "s" -> MICROS;
-            default -> 0;
-        };
+        double scale =
+                switch (text.substring(unit)) {
+                    case "ms" -> MICROS / 1_000;
+                    case "s" -> MICROS;
+                    default -> 0;
+                };
         try {
             double number = Double.parseDouble(text.substring(0, unit));
             if (scale > 0 && number * scale < Long.MAX_VALUE / 4.0) {
--- a/src/main/java/gorsemast/marknesse/SettingsException.java
+++ b/src/main/java/gorsemast/marknesse/SettingsException.java
@@ -5,7 +5,12 @@
     private static final long serialVersionUID = 1L;
 
     /** What is wrong. */
-    public enum Code { UNREADABLE, MISSING, WRONG_TYPE, OUT_OF_RANGE }
+    public enum Code {
+        UNREADABLE,
+        MISSING,
+        WRONG_TYPE,
+        OUT_OF_RANGE
+    }
 
     private final Code code;
     private final String key;
--- a/src/main/java/gorsemast/observe/Counters.java
+++ b/src/main/java/gorsemast/observe/Counters.java
@@ -15,7 +15,11 @@
  */
 public final class Counters {
     /** What a request's client was told. */
-    public enum End { SERVED, REFUSED, FAILED }
+    public enum End {
+        SERVED,
+        REFUSED,
+        FAILED
+    }
 
     private static final String PREFIX = "edge_proxy.";
     private static final String[] WORDS = {"served", "refused", "failed"};
--- a/src/main/java/gorsemast/peers/FleetPart.java
+++ b/src/main/java/gorsemast/peers/FleetPart.java
@@ -31,6 +31,7 @@
 public final class FleetPart implements Part {
     /** What it tells of itself. */
     public static final String PHASE = "phase";
+
     public static final String LIST = Learning.LIST;
 
     private final GorsemastSettings.Peers settings;
@@ -59,22 +60,32 @@
     public void start(Host given) throws IOException {
         host = given;
         long unixMillis = System.currentTimeMillis();
-        SplittableRandom random = new SplittableRandom(System.nanoTime() ^ ProcessHandle.current().pid() << 32);
+        SplittableRandom random =
+                new SplittableRandom(System.nanoTime() ^ ProcessHandle.current().pid() << 32);
         ProcessId id = new ProcessId(name, ProcessId.generation(unixMillis, random.nextLong()));
-        String address = settings.advertise() != null ? settings.advertise()
-            : NetUtil.toSocketAddressString(settings.listen());
-        peers = new Peers(host.loop(), settings.fleet(), new FleetCodec(settings.cluster(), settings.secret()), id,
-            address, random.nextLong(), host.clock(), host::log, facts());
+        String address =
+                settings.advertise() != null ? settings.advertise() : NetUtil.toSocketAddressString(settings.listen());
+        peers = new Peers(
+                host.loop(),
+                settings.fleet(),
+                new FleetCodec(settings.cluster(), settings.secret()),
+                id,
+                address,
+                random.nextLong(),
+                host.clock(),
+                host::log,
+                facts());
         peers.listen(this::changed);
         lists = new ListExchange(host);
         peers.start(settings.listen(), settings.seeds());
         host.log("fleet: " + id + " takes datagrams at " + NetUtil.toSocketAddressString(peers.address()) + ", told as "
-            + address);
+                + address);
     }
 
     private Map<String, String> facts() {
-        return host.admin() == null || host.admin().getPort() == 0 ? Map.of(PHASE, "starting")
-            : Map.of(PHASE, "starting", Learning.ADMIN, NetUtil.toSocketAddressString(host.admin()));
+        return host.admin() == null || host.admin().getPort() == 0
+                ? Map.of(PHASE, "starting")
+                : Map.of(PHASE, "starting", Learning.ADMIN, NetUtil.toSocketAddressString(host.admin()));
     }
 
     private void changed() {
--- a/src/main/java/gorsemast/peers/ListExchange.java
+++ b/src/main/java/gorsemast/peers/ListExchange.java
@@ -91,30 +91,39 @@
             return;
         }
         Call call = new Call(address);
-        new Bootstrap().group(host.loop()).channel(Transport.stream(host.loop()))
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) TimeUnit.MICROSECONDS.toMillis(Learning.PATIENCE))
-            .handler(call).connect(to).addListener(done -> {
-                if (!done.isSuccess()) {
-                    call.failed();
-                }
-            });
+        new Bootstrap()
+                .group(host.loop())
+                .channel(Transport.stream(host.loop()))
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) TimeUnit.MICROSECONDS.toMillis(Learning.PATIENCE))
+                .handler(call)
+                .connect(to)
+                .addListener(done -> {
+                    if (!done.isSuccess()) {
+                        call.failed();
+                    }
+                });
         host.loop().schedule(call::failed, Learning.PATIENCE, TimeUnit.MICROSECONDS);
     }
 
     private void answered(String from, byte[] text) throws IOException {
         Map<?, ?> list = MAPPER.readValue(text, Map.class);
-        if (!(list.get("seq") instanceof Number seq) || !(list.get("age_ms") instanceof Number age)
-            || !(list.get("hosts") instanceof List<?> hosts) || !Boolean.TRUE.equals(list.get("whole"))) {
+        if (!(list.get("seq") instanceof Number seq)
+                || !(list.get("age_ms") instanceof Number age)
+                || !(list.get("hosts") instanceof List<?> hosts)
+                || !Boolean.TRUE.equals(list.get("whole"))) {
             throw new IOException("no list");
         }
         lists.put(from, text);
-        take(learning.answered(now(), new Offer(from, seq.longValue(), digest(MAPPER.writeValueAsBytes(hosts)),
-            age.longValue() * 1_000), host.listVersion()));
+        take(learning.answered(
+                now(),
+                new Offer(from, seq.longValue(), digest(MAPPER.writeValueAsBytes(hosts)), age.longValue() * 1_000),
+                host.listVersion()));
     }
 
     private static long digest(byte[] text) {
         try {
-            return ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest(text)).getLong();
+            return ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest(text))
+                    .getLong();
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException(e); // every Java platform has it
         }
@@ -126,7 +135,8 @@
         }
         try {
             host.learn(lists.get(offer.from()));
-            host.log("list " + offer.version() + " learned from " + offer.from() + ", " + offer.age() / 1_000 + " ms old");
+            host.log("list " + offer.version() + " learned from " + offer.from() + ", " + offer.age() / 1_000
+                    + " ms old");
         } catch (IOException | RuntimeException e) {
             host.log("list of " + offer.from() + " not taken: " + e.getMessage());
         }
--- a/src/main/java/gorsemast/peers/Peers.java
+++ b/src/main/java/gorsemast/peers/Peers.java
@@ -65,7 +65,7 @@
     private Fleet fleet;
     private Channel channel;
     private ScheduledFuture<?> steps;
-    private Runnable listener = () -> { };
+    private Runnable listener = () -> {};
     private boolean changed;
     private long sent;
     private long sentBytes;
@@ -78,8 +78,16 @@
      * @param operator takes lines for the log
      * @param facts what it tells of itself from the first word on
      */
-    public Peers(EventLoop loop, FleetSettings settings, FleetCodec codec, ProcessId id, String address, long seed,
-                 LongSupplier clock, Consumer<String> operator, Map<String, String> facts) {
+    public Peers(
+            EventLoop loop,
+            FleetSettings settings,
+            FleetCodec codec,
+            ProcessId id,
+            String address,
+            long seed,
+            LongSupplier clock,
+            Consumer<String> operator,
+            Map<String, String> facts) {
         this.loop = loop;
         this.settings = settings;
         this.codec = codec;
@@ -102,15 +110,22 @@
     @SuppressWarnings("deprecation") // of the option's name alone
     public void start(InetSocketAddress bind, Collection<String> seeds) throws IOException {
         try {
-            channel = new Bootstrap().group(loop).channel(Transport.datagrams(loop))
-                .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES))
-                .handler(new Receiver()).bind(bind).sync().channel();
+            channel = new Bootstrap()
+                    .group(loop)
+                    .channel(Transport.datagrams(loop))
+                    .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES))
+                    .handler(new Receiver())
+                    .bind(bind)
+                    .sync()
+                    .channel();
             loop.submit(() -> {
-                fleet = make.apply(new Sending());
-                fleet.start(clock.getAsLong(), seeds);
-                fleet.facts(clock.getAsLong(), advertised);
-                steps = loop.scheduleAtFixedRate(this::step, settings.step(), settings.step(), TimeUnit.MICROSECONDS);
-            }).sync();
+                        fleet = make.apply(new Sending());
+                        fleet.start(clock.getAsLong(), seeds);
+                        fleet.facts(clock.getAsLong(), advertised);
+                        steps = loop.scheduleAtFixedRate(
+                                this::step, settings.step(), settings.step(), TimeUnit.MICROSECONDS);
+                    })
+                    .sync();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
@@ -187,12 +202,16 @@
             if (to == null || inquiries.size() >= MOST_INQUIRIES || !inquiries.add(address)) {
                 return;
             }
-            new Bootstrap().group(loop).channel(Transport.datagrams(loop)).handler(new Inquiry(address)).connect(to)
-                .addListener(done -> {
-                    if (!done.isSuccess()) {
-                        inquiries.remove(address);
-                    }
-                });
+            new Bootstrap()
+                    .group(loop)
+                    .channel(Transport.datagrams(loop))
+                    .handler(new Inquiry(address))
+                    .connect(to)
+                    .addListener(done -> {
+                        if (!done.isSuccess()) {
+                            inquiries.remove(address);
+                        }
+                    });
         }
 
         @Override
--- a/src/main/java/gorsemast/pool/Pools.java
+++ b/src/main/java/gorsemast/pool/Pools.java
@@ -31,6 +31,7 @@
 public final class Pools {
     /** So many may come up at a time for a node to which none is open. */
     static final int FIRST = 4;
+
     static final long SHORTEST_MICROS = 100_000;
     static final long LONGEST_MICROS = 2_000_000;
     static final long HALF_LIFE_MICROS = 2_000_000;
@@ -56,6 +57,7 @@
         int bound = Integer.MAX_VALUE;
         /** This process's part of what the node lets in from all callers together. */
         int part = Integer.MAX_VALUE;
+
         long interval;
         long trialAt;
         double usual;
@@ -114,8 +116,11 @@
     /** Whether to open one before it is asked for; the caller opens it if so. */
     public boolean spare(long now, String node) {
         Pool pool = pool(node);
-        boolean wanted = pool.opening == 0 && pool.spares >= 1 && pool.open < Math.ceil(usual(now, pool) - 0.5)
-            && room(now, node, 1) == Room.OPEN && total < SCARCE * atMost;
+        boolean wanted = pool.opening == 0
+                && pool.spares >= 1
+                && pool.open < Math.ceil(usual(now, pool) - 0.5)
+                && room(now, node, 1) == Room.OPEN
+                && total < SCARCE * atMost;
         if (wanted) {
             pool.spares--;
         }
--- a/src/main/java/gorsemast/register/ListWatch.java
+++ b/src/main/java/gorsemast/register/ListWatch.java
@@ -16,6 +16,7 @@
     public static final long GRACE_MICROS = 2_000_000;
     /** A whole list takes a busy register longer than a change does. */
     static final long WHOLE_LIST_MICROS = 6_000_000;
+
     private static final long MOST_WAIT_MICROS = 60_000_000;
     private static final long MILLI = 1_000;
 
@@ -27,8 +28,7 @@
      * @param waitMicros how long the register may wait for a change
      * @param limitMicros when the call has failed, from its start
      */
-    public record Call(boolean whole, long after, long waitMicros, long limitMicros) {
-    }
+    public record Call(boolean whole, long after, long waitMicros, long limitMicros) {}
 
     private final long waitMicros;
     private boolean out;
@@ -82,8 +82,9 @@
 
     private Call next() {
         out = true;
-        return listed ? new Call(false, version, waitMicros, waitMicros + GRACE_MICROS)
-            : new Call(true, version, 0, WHOLE_LIST_MICROS);
+        return listed
+                ? new Call(false, version, waitMicros, waitMicros + GRACE_MICROS)
+                : new Call(true, version, 0, WHOLE_LIST_MICROS);
     }
 
     /** Whether a call is out. */
--- a/src/main/java/gorsemast/retention/BodyBudget.java
+++ b/src/main/java/gorsemast/retention/BodyBudget.java
@@ -26,8 +26,7 @@
  * @param <G> a request that keeps its body, compared by identity of its {@code equals}
  */
 public final class BodyBudget<G> {
-    private record Wish<G>(G guest, long bytes) {
-    }
+    private record Wish<G>(G guest, long bytes) {}
 
     private final long most;
     private final Map<G, Long> held = new HashMap<>();
@@ -101,8 +100,10 @@
             grower = null;
         }
         List<G> in = new ArrayList<>(0);
-        while (!grow.isEmpty() && (grower == null || grower == grow.peekFirst().guest())
-            && fits(grow.peekFirst().bytes() - held.getOrDefault(grow.peekFirst().guest(), 0L))) {
+        while (!grow.isEmpty()
+                && (grower == null || grower == grow.peekFirst().guest())
+                && fits(grow.peekFirst().bytes()
+                        - held.getOrDefault(grow.peekFirst().guest(), 0L))) {
             Wish<G> wish = grow.pollFirst();
             grower = wish.guest();
             take(wish.guest(), wish.bytes());
--- a/src/main/java/gorsemast/retune/Shape.java
+++ b/src/main/java/gorsemast/retune/Shape.java
@@ -14,8 +14,7 @@
  * <p><b>When it could hurt.</b> A platform that takes a key out for good needs a restart of the proxies.
  */
 public final class Shape {
-    private Shape() {
-    }
+    private Shape() {}
 
     /**
      * Returns where {@code next} has the keys of {@code present}.
--- a/src/main/java/gorsemast/rig/Clients.java
+++ b/src/main/java/gorsemast/rig/Clients.java
@@ -23,19 +23,26 @@
     static final int DEADLINE_MILLIS = 3_000;
     /** An answer may be read so long after its time on a busy machine. */
     private static final int SLACK_MILLIS = 2_000;
+
     private static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     private static final int TOPUP_EACH = 4;
 
     /** How a request ended, as its client saw it. */
-    enum End { SERVED, REFUSED, FAILED, UNREACHED, CUT, SILENT }
+    enum End {
+        SERVED,
+        REFUSED,
+        FAILED,
+        UNREACHED,
+        CUT,
+        SILENT
+    }
 
     /**
      * @param proxy whom it was asked of
      * @param from when, in nanoseconds
      * @param until when its end was seen
      */
-    record Asked(String id, boolean write, int proxy, long from, long until, End end) {
-    }
+    record Asked(String id, boolean write, int proxy, long from, long until, End end) {}
 
     private final Proxies proxies;
     private final List<Thread> threads = new ArrayList<>();
@@ -56,7 +63,8 @@
 
     private void run(String prefix, SplittableRandom random) {
         for (int i = 0; !over; i++) {
-            List<Proxies.Proxy> running = proxies.all.stream().filter(Proxies.Proxy::takes).toList();
+            List<Proxies.Proxy> running =
+                    proxies.all.stream().filter(Proxies.Proxy::takes).toList();
             if (!running.isEmpty()) {
                 Proxies.Proxy proxy = running.get(random.nextInt(running.size()));
                 boolean write = i % TOPUP_EACH == 0;
@@ -75,10 +83,13 @@
             socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), proxy.clients), 1_000);
             socket.setSoTimeout(DEADLINE_MILLIS + SLACK_MILLIS);
             String body = write ? "+5" : "";
-            String text = (write ? "PUT" : "GET") + " /api/card-" + Math.floorMod(id.hashCode(), 64) + " HTTP/1.1\r\nHost: app\r\n"
-                + "X-Correlation-Id: " + id + "\r\nX-Service-Class: " + (write ? "topup" : "read") + "\r\nX-Account: acme\r\n"
-                + "X-Time-Left: " + DEADLINE_MILLIS / 1_000 + ".000\r\nConnection: close\r\n"
-                + (write ? "Idempotency-Key: " + id + "\r\nContent-Length: " + body.length() + "\r\n" : "") + "\r\n" + body;
+            String text = (write ? "PUT" : "GET") + " /api/card-" + Math.floorMod(id.hashCode(), 64)
+                    + " HTTP/1.1\r\nHost: app\r\n"
+                    + "X-Correlation-Id: " + id + "\r\nX-Service-Class: " + (write ? "topup" : "read")
+                    + "\r\nX-Account: acme\r\n"
+                    + "X-Time-Left: " + DEADLINE_MILLIS / 1_000 + ".000\r\nConnection: close\r\n"
+                    + (write ? "Idempotency-Key: " + id + "\r\nContent-Length: " + body.length() + "\r\n" : "") + "\r\n"
+                    + body;
             socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
             whole = true;
             InputStream in = new BufferedInputStream(socket.getInputStream());
@@ -87,8 +98,9 @@
                 return End.CUT;
             }
             int status = Integer.parseInt(answer.substring(9, 12));
-            return status == 200 ? answer.endsWith("of " + id) ? End.SERVED : End.CUT
-                : status == 503 || status == 429 ? End.REFUSED : End.FAILED;
+            return status == 200
+                    ? answer.endsWith("of " + id) ? End.SERVED : End.CUT
+                    : status == 503 || status == 429 ? End.REFUSED : End.FAILED;
         } catch (java.net.SocketTimeoutException e) {
             return whole ? End.SILENT : End.UNREACHED;
         } catch (IOException e) {
--- a/src/main/java/gorsemast/rig/Day.java
+++ b/src/main/java/gorsemast/rig/Day.java
@@ -69,8 +69,9 @@
 
         @Override
         public String toString() {
-            return kind.name().toLowerCase(java.util.Locale.ROOT) + (who.isEmpty() ? "" : " " + who)
-                + (groups > 0 ? " into " + groups : "");
+            return kind.name().toLowerCase(java.util.Locale.ROOT)
+                    + (who.isEmpty() ? "" : " " + who)
+                    + (groups > 0 ? " into " + groups : "");
         }
     }
 
@@ -81,7 +82,8 @@
         }
         for (Event event : events) {
             if (event.who().stream().anyMatch(who -> who < 0 || who >= processes)) {
-                throw new IllegalArgumentException(event + " names a process that the day has not; 0 to " + (processes - 1));
+                throw new IllegalArgumentException(
+                        event + " names a process that the day has not; 0 to " + (processes - 1));
             }
             if (event.kind() == Kind.CUT && (event.groups() < 2 || event.groups() > processes)) {
                 throw new IllegalArgumentException(event + ": groups is " + event.groups() + "; 2 to " + processes);
@@ -96,17 +98,29 @@
             most.add(i);
         }
         int last = processes - 1;
-        return new Day(processes, seed, List.of(
-            Event.of(Kind.KILL, 1), Event.of(Kind.RESTART, 1),
-            new Event(Kind.KILL, most, 0), new Event(Kind.RESTART, most, 0),
-            new Event(Kind.CUT, List.of(), 2), Event.of(Kind.HEAL),
-            new Event(Kind.CUT, List.of(), 3), Event.of(Kind.HEAL),
-            Event.of(Kind.ONE_WAY, 0, last), Event.of(Kind.HEAL),
-            Event.of(Kind.LOSSY), Event.of(Kind.HEAL),
-            Event.of(Kind.STOP, last), Event.of(Kind.CONTINUE, last),
-            Event.of(Kind.VANISH, 0), Event.of(Kind.RESTART, 0),
-            Event.of(Kind.LEAVE, last), Event.of(Kind.RESTART, last),
-            Event.of(Kind.RESTART_ALL)));
+        return new Day(
+                processes,
+                seed,
+                List.of(
+                        Event.of(Kind.KILL, 1),
+                        Event.of(Kind.RESTART, 1),
+                        new Event(Kind.KILL, most, 0),
+                        new Event(Kind.RESTART, most, 0),
+                        new Event(Kind.CUT, List.of(), 2),
+                        Event.of(Kind.HEAL),
+                        new Event(Kind.CUT, List.of(), 3),
+                        Event.of(Kind.HEAL),
+                        Event.of(Kind.ONE_WAY, 0, last),
+                        Event.of(Kind.HEAL),
+                        Event.of(Kind.LOSSY),
+                        Event.of(Kind.HEAL),
+                        Event.of(Kind.STOP, last),
+                        Event.of(Kind.CONTINUE, last),
+                        Event.of(Kind.VANISH, 0),
+                        Event.of(Kind.RESTART, 0),
+                        Event.of(Kind.LEAVE, last),
+                        Event.of(Kind.RESTART, last),
+                        Event.of(Kind.RESTART_ALL)));
     }
 
     /** A day drawn from a seed, with so many events. */
@@ -130,7 +144,8 @@
                 case KILL, VANISH, STOP, LEAVE -> {
                     int most = Math.max(1, kind == Kind.KILL ? running.size() - 1 : running.size() / 3);
                     if (running.size() > 1) {
-                        List<Integer> who = List.copyOf(running.subList(0, 1 + random.nextInt(Math.min(most, running.size() - 1))));
+                        List<Integer> who =
+                                List.copyOf(running.subList(0, 1 + random.nextInt(Math.min(most, running.size() - 1))));
                         (kind == Kind.STOP ? stopped : dead).addAll(who);
                         drawn.add(new Event(kind, who, 0));
                     }
@@ -194,8 +209,9 @@
     }
 
     private static ObjectMapper mapper() {
-        return new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT)
-            .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+        return new ObjectMapper()
+                .enable(SerializationFeature.INDENT_OUTPUT)
+                .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
     }
 
     /** Writes it down, to be played again. */
@@ -208,8 +224,11 @@
         try {
             return mapper().readValue(Files.readString(file), Day.class);
         } catch (JsonProcessingException e) {
-            String at = e.getLocation() == null ? "" : e.getLocation().getLineNr() + ":" + e.getLocation().getColumnNr() + ": ";
-            throw new IOException(file + ":" + at + e.getOriginalMessage().lines().findFirst().orElse(""), e);
+            String at = e.getLocation() == null
+                    ? ""
+                    : e.getLocation().getLineNr() + ":" + e.getLocation().getColumnNr() + ": ";
+            throw new IOException(
+                    file + ":" + at + e.getOriginalMessage().lines().findFirst().orElse(""), e);
         }
     }
 }
--- a/src/main/java/gorsemast/rig/Herd.java
+++ b/src/main/java/gorsemast/rig/Herd.java
@@ -23,10 +23,12 @@
 public final class Herd {
     /** Of ten processes so many are killed. */
     private static final int KILLED_OF_TEN = 7;
+
     private static final int NODES = 12;
     private static final int DEAD = 6;
     /** One more than die, so that who knows the new list can be told by its size. */
     private static final int FRESH = 7;
+
     private static final long LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
     private static final long GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     private static final int PATIENCE_SECONDS = 60;
@@ -41,15 +43,35 @@
      * @param listCalls calls that the register had in the window
      * @param mostAtFresh the most requests that a fresh node had within a second
      */
-    public record Result(boolean peers, double served, long asked, long lost, long twice, List<Long> listedMillis,
-                         int killed, int listCalls, long mostAtFresh, List<String> findings) {
+    public record Result(
+            boolean peers,
+            double served,
+            long asked,
+            long lost,
+            long twice,
+            List<Long> listedMillis,
+            int killed,
+            int listCalls,
+            long mostAtFresh,
+            List<String> findings) {
         /** One line for people. */
         public String line() {
-            return String.format(Locale.ROOT, "%s view: served %.3f of %d, lost %d twice %d, new list after %s ms, list calls "
-                    + "%d, most at a fresh node in a second %d", peers ? "with" : "without", served, asked, lost, twice,
-                listedMillis.isEmpty() ? "-" : listedMillis.get(listedMillis.size() / 2) + " (median), "
-                    + listedMillis.get(listedMillis.size() - 1) + " (last of " + listedMillis.size() + " of " + killed + ")",
-                listCalls, mostAtFresh);
+            return String.format(
+                    Locale.ROOT,
+                    "%s view: served %.3f of %d, lost %d twice %d, new list after %s ms, list calls "
+                            + "%d, most at a fresh node in a second %d",
+                    peers ? "with" : "without",
+                    served,
+                    asked,
+                    lost,
+                    twice,
+                    listedMillis.isEmpty()
+                            ? "-"
+                            : listedMillis.get(listedMillis.size() / 2) + " (median), "
+                                    + listedMillis.get(listedMillis.size() - 1) + " (last of " + listedMillis.size()
+                                    + " of " + killed + ")",
+                    listCalls,
+                    mostAtFresh);
         }
     }
 
@@ -83,8 +105,9 @@
 
     /** Plays it once. */
     public Result play(boolean peers) throws IOException, InterruptedException {
-        try (Relay relay = new Relay(seed); StandIns stands = new StandIns(NODES);
-             Proxies proxies = new Proxies(processes, home.resolve(peers ? "with" : "without"), relay, stands)) {
+        try (Relay relay = new Relay(seed);
+                StandIns stands = new StandIns(NODES);
+                Proxies proxies = new Proxies(processes, home.resolve(peers ? "with" : "without"), relay, stands)) {
             Thread ended = new Thread(proxies::close);
             Runtime.getRuntime().addShutdownHook(ended);
             try {
@@ -103,10 +126,16 @@
         await(() -> proxies.all.stream().allMatch(Proxies.Proxy::ready), "not all are ready");
         out.accept("all " + processes + " are ready");
         Clients clients = new Clients(proxies, Math.min(32, 2 * processes), seed);
-        await(() -> clients.asked.stream().filter(asked -> asked.end() == Clients.End.SERVED).count() >= SERVED_BEFORE
-            * (long) processes, "not enough is served before the kill");
+        await(
+                () -> clients.asked.stream()
+                                .filter(asked -> asked.end() == Clients.End.SERVED)
+                                .count()
+                        >= SERVED_BEFORE * (long) processes,
+                "not enough is served before the kill");
         String old = stands.list();
-        List<Proxies.Proxy> killed = proxies.all.stream().filter(proxy -> proxy.number % 10 < KILLED_OF_TEN).toList();
+        List<Proxies.Proxy> killed = proxies.all.stream()
+                .filter(proxy -> proxy.number % 10 < KILLED_OF_TEN)
+                .toList();
         Queue<Referee.Blow> blows = new ConcurrentLinkedQueue<>();
         stands.registerMillis = registerMillis;
         int callsBefore = stands.listCalls.get();
@@ -133,19 +162,32 @@
         }
         int calls = stands.listCalls.get() - callsBefore;
         clients.end();
-        List<Clients.Asked> window = clients.asked.stream().filter(asked -> asked.from() >= begun && asked.from() < end).toList();
-        long served = window.stream().filter(asked -> asked.end() == Clients.End.SERVED).count();
+        List<Clients.Asked> window = clients.asked.stream()
+                .filter(asked -> asked.from() >= begun && asked.from() < end)
+                .toList();
+        long served = window.stream()
+                .filter(asked -> asked.end() == Clients.End.SERVED)
+                .count();
         Map<String, Integer> runs = new HashMap<>();
         stands.runs.forEach((id, many) -> runs.put(id, many.get()));
         Referee.Judgement judged = Referee.judge(clients.asked, runs, blows, GRACE_NANOS);
         List<Long> times = new ArrayList<>(listed.values());
         times.sort(null);
-        return new Result(peers, window.isEmpty() ? 0 : (double) served / window.size(), window.size(), judged.lost(),
-            judged.twice(), times, killed.size(), calls, stands.mostAtFreshInASecond(), judged.findings());
+        return new Result(
+                peers,
+                window.isEmpty() ? 0 : (double) served / window.size(),
+                window.size(),
+                judged.lost(),
+                judged.twice(),
+                times,
+                killed.size(),
+                calls,
+                stands.mostAtFreshInASecond(),
+                judged.findings());
     }
 
     private static void await(java.util.function.BooleanSupplier holds, String wrong) throws IOException {
-        for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS); !holds.getAsBoolean();) {
+        for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS); !holds.getAsBoolean(); ) {
             if (System.nanoTime() > end) {
                 throw new IOException(wrong + " after " + PATIENCE_SECONDS + " s");
             }
--- a/src/main/java/gorsemast/rig/Proxies.java
+++ b/src/main/java/gorsemast/rig/Proxies.java
@@ -20,9 +20,11 @@
 final class Proxies implements AutoCloseable {
     /** Below where systems hand out ports by themselves, so that a port that is free stays so until it is bound. */
     private static final int LEAST_PORT = 15_000;
+
     private static final int PORTS = 16_000;
     /** New connections go on coming for so long after SIGTERM, as on the platform. */
     private static final long FRONT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
     private static final int PERIOD_MILLIS = 300;
 
     /** One process and the machine that it runs on, so to speak. */
@@ -42,6 +44,7 @@
         volatile boolean peers = true;
         /** The list that it is started with, in the register's form; null for the present one. */
         volatile String known;
+
         private int starts;
 
         Proxy(int number) throws IOException {
@@ -65,16 +68,28 @@
 
         void start() throws IOException {
             Path folder = Files.createDirectories(home.resolve(name + "-" + starts++));
-            InetSocketAddress front = relay.open(name, new InetSocketAddress(InetAddress.getLoopbackAddress(), datagrams));
+            InetSocketAddress front =
+                    relay.open(name, new InetSocketAddress(InetAddress.getLoopbackAddress(), datagrams));
             Files.writeString(folder.resolve("config.json"), config());
             Files.writeString(folder.resolve("gorsemast.json5"), settings(front));
-            List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-Xmx80m", "-XX:-UsePerfData", "-cp",
-                System.getProperty("java.class.path"), "gorsemast.command.Gorsemast", "serve", "--settings",
-                folder.resolve("gorsemast.json5").toString()));
-            ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
-            builder.environment().put("PROXY_CONFIG", folder.resolve("config.json").toString());
+            List<String> command = new ArrayList<>(List.of(
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-XX:+UseSerialGC",
+                    "-XX:TieredStopAtLevel=1",
+                    "-Xshare:auto",
+                    "-Xmx80m",
+                    "-XX:-UsePerfData",
+                    "-cp",
+                    System.getProperty("java.class.path"),
+                    "gorsemast.command.Gorsemast",
+                    "serve",
+                    "--settings",
+                    folder.resolve("gorsemast.json5").toString()));
+            ProcessBuilder builder = new ProcessBuilder(command)
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
+            builder.environment()
+                    .put("PROXY_CONFIG", folder.resolve("config.json").toString());
             builder.environment().put("TMPDIR", folder.toString());
             stopped = false;
             dark = false;
@@ -109,7 +124,9 @@
 
         void signal(String signal) throws IOException, InterruptedException {
             stopped = signal.equals("STOP");
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
         }
 
         /** What it believes; null where it does not answer. */
@@ -133,7 +150,8 @@
 
         boolean ready() {
             try {
-                return AdminCall.ask(new InetSocketAddress(InetAddress.getLoopbackAddress(), admin), "health").startsWith("200");
+                return AdminCall.ask(new InetSocketAddress(InetAddress.getLoopbackAddress(), admin), "health")
+                        .startsWith("200");
             } catch (IOException e) {
                 return false;
             }
@@ -151,9 +169,17 @@
                    {"name":"topup","repeat":"non_idempotent","aim_ms":1000.0,"hard_limit_ms":%d.0,"credit":10.0}],
                   "realms":[{"name":"acme","fraction":1.0,"quota_rps":100000.0}],
                   "rules":{"ask_within_ms":5000.0,"cold_from":0.32,"cold_ms":100.0}}}
-                """.formatted(name, clients, admin, stands.register(), number * 7919L + starts,
-                    known == null ? stands.list() : known, all.size(),
-                    Clients.DEADLINE_MILLIS, Clients.DEADLINE_MILLIS);
+                """
+                    .formatted(
+                            name,
+                            clients,
+                            admin,
+                            stands.register(),
+                            number * 7919L + starts,
+                            known == null ? stands.list() : known,
+                            all.size(),
+                            Clients.DEADLINE_MILLIS,
+                            Clients.DEADLINE_MILLIS);
         }
 
         private String settings(InetSocketAddress front) {
@@ -164,7 +190,10 @@
             for (int i = 0; i < Math.min(3, all.size()); i++) {
                 InetSocketAddress seed = fronts.get("p" + i);
                 if (seed != null) {
-                    seeds.append('"').append("127.0.0.1:").append(seed.getPort()).append("\", ");
+                    seeds.append('"')
+                            .append("127.0.0.1:")
+                            .append(seed.getPort())
+                            .append("\", ");
                 }
             }
             return """
@@ -179,7 +208,8 @@
                     period_ms: %d, settle_ms: 1000,
                   },
                 }
-                """.formatted(datagrams, front.getPort(), seeds, PERIOD_MILLIS);
+                """
+                    .formatted(datagrams, front.getPort(), seeds, PERIOD_MILLIS);
         }
     }
 
@@ -199,7 +229,9 @@
             all.add(new Proxy(i));
         }
         for (Proxy proxy : all) { // all fronts first: each process is told of the seeds' ones
-            fronts.put(proxy.name, relay.open(proxy.name, new InetSocketAddress(InetAddress.getLoopbackAddress(), proxy.datagrams)));
+            fronts.put(
+                    proxy.name,
+                    relay.open(proxy.name, new InetSocketAddress(InetAddress.getLoopbackAddress(), proxy.datagrams)));
         }
     }
 
--- a/src/main/java/gorsemast/rig/Referee.java
+++ b/src/main/java/gorsemast/rig/Referee.java
@@ -20,16 +20,21 @@
  */
 final class Referee {
     /** Something that was done to a process, after which what it had in hand may be orphaned. */
-    record Blow(int proxy, long at) {
-    }
+    record Blow(int proxy, long at) {}
 
     /** What a day came to; {@code findings} says what broke a rule, one line each. */
-    record Judgement(long asked, long served, long refused, long failed, long unreached, long orphaned, long lost, long twice,
-                     List<String> findings) {
-    }
+    record Judgement(
+            long asked,
+            long served,
+            long refused,
+            long failed,
+            long unreached,
+            long orphaned,
+            long lost,
+            long twice,
+            List<String> findings) {}
 
-    private Referee() {
-    }
+    private Referee() {}
 
     /**
      * @param runs how often each write ran, by its request's id
@@ -44,14 +49,16 @@
         for (Asked one : all) {
             ends.merge(one.end(), 1L, Long::sum);
             if (one.end() == End.CUT || one.end() == End.SILENT) {
-                boolean struck = blows.stream().anyMatch(blow -> blow.proxy() == one.proxy()
-                    && blow.at() >= one.from() - graceNanos && blow.at() <= one.until() + graceNanos);
+                boolean struck = blows.stream()
+                        .anyMatch(blow -> blow.proxy() == one.proxy()
+                                && blow.at() >= one.from() - graceNanos
+                                && blow.at() <= one.until() + graceNanos);
                 if (struck) {
                     orphaned++;
                 } else {
                     lost++;
                     findings.add("lost: " + one.id() + " taken by p" + one.proxy() + ", " + one.end() + " after "
-                        + (one.until() - one.from()) / 1_000_000 + " ms");
+                            + (one.until() - one.from()) / 1_000_000 + " ms");
                 }
             }
             int ran = one.write() ? runs.getOrDefault(one.id(), 0) : 0;
@@ -63,7 +70,15 @@
                 findings.add("lost: " + one.id() + " was answered as served and never ran");
             }
         }
-        return new Judgement(all.size(), ends.getOrDefault(End.SERVED, 0L), ends.getOrDefault(End.REFUSED, 0L),
-            ends.getOrDefault(End.FAILED, 0L), ends.getOrDefault(End.UNREACHED, 0L), orphaned, lost, twice, findings);
+        return new Judgement(
+                all.size(),
+                ends.getOrDefault(End.SERVED, 0L),
+                ends.getOrDefault(End.REFUSED, 0L),
+                ends.getOrDefault(End.FAILED, 0L),
+                ends.getOrDefault(End.UNREACHED, 0L),
+                orphaned,
+                lost,
+                twice,
+                findings);
     }
 }
--- a/src/main/java/gorsemast/rig/Relay.java
+++ b/src/main/java/gorsemast/rig/Relay.java
@@ -35,8 +35,7 @@
         static final Link GOOD = new Link(false, 0, 0, 0, 0);
     }
 
-    private record Waiting(long at, long order, String to, String from, byte[] bytes) {
-    }
+    private record Waiting(long at, long order, String to, String from, byte[] bytes) {}
 
     private final Selector selector = Selector.open();
     private final Map<String, DatagramChannel> fronts = new ConcurrentHashMap<>();
@@ -44,7 +43,7 @@
     private final Map<String, InetSocketAddress> real = new ConcurrentHashMap<>();
     private final Map<String, Link> links = new ConcurrentHashMap<>();
     private final PriorityQueue<Waiting> waiting =
-        new PriorityQueue<>(Comparator.comparingLong(Waiting::at).thenComparingLong(Waiting::order));
+            new PriorityQueue<>(Comparator.comparingLong(Waiting::at).thenComparingLong(Waiting::order));
     private final SplittableRandom random;
     private final Thread thread;
     private volatile boolean closed;
@@ -61,7 +60,8 @@
     synchronized InetSocketAddress open(String name, InetSocketAddress process) throws IOException {
         real.put(name, process);
         if (!fronts.containsKey(name)) {
-            InetSocketAddress at = addresses.getOrDefault(name, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            InetSocketAddress at =
+                    addresses.getOrDefault(name, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
             DatagramChannel front = DatagramChannel.open();
             front.setOption(StandardSocketOptions.SO_RCVBUF, 1 << 20);
             front.bind(at);
@@ -105,13 +105,17 @@
         Map<InetSocketAddress, String> known = new HashMap<>();
         while (!closed) {
             try {
-                long next = waiting.isEmpty() ? 50 : Math.max(1, TimeUnit.NANOSECONDS.toMillis(waiting.peek().at() - System.nanoTime()));
+                long next = waiting.isEmpty()
+                        ? 50
+                        : Math.max(
+                                1, TimeUnit.NANOSECONDS.toMillis(waiting.peek().at() - System.nanoTime()));
                 selector.select(Math.min(50, next));
                 for (SelectionKey key : selector.selectedKeys()) {
                     receive(key, buffer, known);
                 }
                 selector.selectedKeys().clear();
-                for (long now = System.nanoTime(); !waiting.isEmpty() && waiting.peek().at() <= now;) {
+                for (long now = System.nanoTime();
+                        !waiting.isEmpty() && waiting.peek().at() <= now; ) {
                     forward(waiting.poll());
                 }
             } catch (IOException | RuntimeException e) {
--- a/src/main/java/gorsemast/rig/Rig.java
+++ b/src/main/java/gorsemast/rig/Rig.java
@@ -42,6 +42,7 @@
     private static final int PLANTED_WITHIN_SECONDS = 5;
     /** So long a settled view is watched, and so long where links are bad and nobody may be called dead. */
     private static final long WATCH_MILLIS = 600;
+
     private static final long WATCH_BAD_MILLIS = 4_000;
     private static final long LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
     private static final int NODES = 4;
@@ -49,8 +50,14 @@
     private static final long GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     /** What a day came to. */
-    public record Result(int settled, int faults, long lost, long twice, long falsely, Map<String, Long> counts,
-                         List<String> findings) {
+    public record Result(
+            int settled,
+            int faults,
+            long lost,
+            long twice,
+            long falsely,
+            Map<String, Long> counts,
+            List<String> findings) {
         /** Whether all held. */
         public boolean holds() {
             return settled == faults && lost == 0 && twice == 0 && falsely == 0;
@@ -113,9 +120,24 @@
         judgement = Referee.judge(clients.asked, runs, blows, GRACE_NANOS);
         findings.addAll(judgement.findings());
         out.accept("requests " + judgement.asked() + " served " + judgement.served() + " refused " + judgement.refused()
-            + " failed " + judgement.failed() + " unreached " + judgement.unreached() + " orphaned " + judgement.orphaned());
-        return new Result(settled, faults, judgement.lost(), judgement.twice(), falsely, Map.of("asked", judgement.asked(),
-            "served", judgement.served(), "orphaned", judgement.orphaned(), "unreached", judgement.unreached()), findings);
+                + " failed " + judgement.failed() + " unreached " + judgement.unreached() + " orphaned "
+                + judgement.orphaned());
+        return new Result(
+                settled,
+                faults,
+                judgement.lost(),
+                judgement.twice(),
+                falsely,
+                Map.of(
+                        "asked",
+                        judgement.asked(),
+                        "served",
+                        judgement.served(),
+                        "orphaned",
+                        judgement.orphaned(),
+                        "unreached",
+                        judgement.unreached()),
+                findings);
     }
 
     /** Does what the event says; returns when. */
@@ -130,7 +152,10 @@
             }
             case RESTART -> start(event.who());
             case RESTART_ALL -> {
-                List<Integer> running = proxies.all.stream().filter(Proxies.Proxy::exists).map(p -> p.number).toList();
+                List<Integer> running = proxies.all.stream()
+                        .filter(Proxies.Proxy::exists)
+                        .map(p -> p.number)
+                        .toList();
                 for (int who : running) {
                     blow(who);
                     proxies.all.get(who).kill(false);
@@ -164,8 +189,11 @@
                     }
                 }
             }
-            case ONE_WAY -> relay.link(proxies.all.get(event.who().get(0)).name, proxies.all.get(event.who().get(1)).name,
-                new Relay.Link(true, 0, 0, 0, 0));
+            case ONE_WAY ->
+                relay.link(
+                        proxies.all.get(event.who().get(0)).name,
+                        proxies.all.get(event.who().get(1)).name,
+                        new Relay.Link(true, 0, 0, 0, 0));
             case LOSSY -> proxies.all.forEach(from -> proxies.all.forEach(to -> relay.link(from.name, to.name, LOSSY)));
             default -> {
                 groups = 1;
@@ -195,7 +223,8 @@
     /** Waits until all that can reach each other see exactly each other, and watches that for a while. */
     private boolean settle(String what, long since) throws InterruptedException {
         boolean planted = plant.equals("unsettled") && what.equals("heal");
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(planted ? PLANTED_WITHIN_SECONDS : SETTLES_WITHIN_SECONDS);
+        long end =
+                System.nanoTime() + TimeUnit.SECONDS.toNanos(planted ? PLANTED_WITHIN_SECONDS : SETTLES_WITHIN_SECONDS);
         String why = disagreement();
         while (why != null && System.nanoTime() < end) {
             LockSupport.parkNanos(LOOK_NANOS);
@@ -237,7 +266,8 @@
                     members++;
                 }
             }
-            String digest = digests.putIfAbsent(viewer.number % groups, view.get("digest").asText());
+            String digest = digests.putIfAbsent(
+                    viewer.number % groups, view.get("digest").asText());
             if (!live.equals(expected) || members != expected.size()) {
                 return viewer.name + " sees " + live + " where " + expected + " are";
             }
@@ -274,8 +304,10 @@
                     }
                 });
                 for (Proxies.Proxy other : proxies.all) {
-                    if (other.running() && reaches(viewer, other) && !live.contains(other.name)
-                        && seen.add(viewer.name + " calls " + other.name + " dead")) {
+                    if (other.running()
+                            && reaches(viewer, other)
+                            && !live.contains(other.name)
+                            && seen.add(viewer.name + " calls " + other.name + " dead")) {
                         falsely++;
                         findings.add("false: " + viewer.name + " calls " + other.name + " dead: " + view);
                     }
@@ -290,22 +322,28 @@
         if (plant.equals("twice")) {
             HttpClient client = HttpClient.newHttpClient();
             for (int i = 0; i < 2; i++) {
-                client.send(HttpRequest.newBuilder(URI.create("http://" + stands.node())).header("X-Correlation-Id", "planted")
-                    .PUT(HttpRequest.BodyPublishers.ofString("+5")).build(), HttpResponse.BodyHandlers.discarding());
+                client.send(
+                        HttpRequest.newBuilder(URI.create("http://" + stands.node()))
+                                .header("X-Correlation-Id", "planted")
+                                .PUT(HttpRequest.BodyPublishers.ofString("+5"))
+                                .build(),
+                        HttpResponse.BodyHandlers.discarding());
             }
             clients.asked.add(new Asked("planted", true, 0, System.nanoTime(), System.nanoTime(), Clients.End.SERVED));
         } else if (plant.equals("lost")) {
             try (ServerSocket hole = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-                 Socket client = new Socket(hole.getInetAddress(), hole.getLocalPort()); Socket taken = hole.accept()) {
+                    Socket client = new Socket(hole.getInetAddress(), hole.getLocalPort());
+                    Socket taken = hole.accept()) {
                 long from = System.nanoTime();
                 OutputStream to = client.getOutputStream();
-                to.write("GET /api/card HTTP/1.1\r\nX-Correlation-Id: planted\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                to.write("GET /api/card HTTP/1.1\r\nX-Correlation-Id: planted\r\n\r\n"
+                        .getBytes(StandardCharsets.US_ASCII));
                 InputStream in = taken.getInputStream();
                 in.readNBytes(16);
                 taken.shutdownOutput(); // taken, and no answer
                 int end = client.getInputStream().read();
-                clients.asked.add(new Asked("planted", false, 0, from, System.nanoTime(), end < 0 ? Clients.End.CUT
-                    : Clients.End.SERVED));
+                clients.asked.add(new Asked(
+                        "planted", false, 0, from, System.nanoTime(), end < 0 ? Clients.End.CUT : Clients.End.SERVED));
             }
         }
     }
--- a/src/main/java/gorsemast/rig/StandIns.java
+++ b/src/main/java/gorsemast/rig/StandIns.java
@@ -40,6 +40,7 @@
 
     /** The nodes in service; changed under this object's monitor together with {@link #version}. */
     private final List<Node> nodes = new CopyOnWriteArrayList<>();
+
     private int named;
     private long version = 1;
     private final HttpServer register;
@@ -50,11 +51,13 @@
     });
     /** How often each write has run at the ledger, by its request's id. */
     final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+
     private volatile boolean closed;
     /** The register turns every call away. */
     volatile boolean registerDown;
     /** The register takes so long for each list, one call after another. */
     volatile long registerMillis;
+
     private final Object desk = new Object();
     /** How many calls the register has had. */
     final AtomicInteger listCalls = new AtomicInteger();
@@ -127,13 +130,22 @@
     }
 
     private String list(boolean whole, List<Node> told) {
-        StringBuilder s = new StringBuilder("{\"seq\":").append(version).append(",\"whole\":").append(whole).append(",\"hosts\":[");
+        StringBuilder s = new StringBuilder("{\"seq\":")
+                .append(version)
+                .append(",\"whole\":")
+                .append(whole)
+                .append(",\"hosts\":[");
         String comma = "";
         for (Node node : told) {
-            s.append(comma).append("{\"host\":\"").append(node.name).append("\",\"dial\":\"127.0.0.1:")
-                .append(node.server.getAddress().getPort())
-                .append("\",\"site\":\"a\",\"class\":\"m\",\"block\":0,\"health\":\"Ready\"")
-                .append(",\"share\":1.0,\"born_ms\":").append(node.bornMillis).append('}');
+            s.append(comma)
+                    .append("{\"host\":\"")
+                    .append(node.name)
+                    .append("\",\"dial\":\"127.0.0.1:")
+                    .append(node.server.getAddress().getPort())
+                    .append("\",\"site\":\"a\",\"class\":\"m\",\"block\":0,\"health\":\"Ready\"")
+                    .append(",\"share\":1.0,\"born_ms\":")
+                    .append(node.bornMillis)
+                    .append('}');
             comma = ",";
         }
         return s.append("]}").toString();
@@ -145,7 +157,8 @@
             exchange.getRequestBody().readAllBytes();
             String id = exchange.getRequestHeaders().getFirst("X-Correlation-Id");
             if (exchange.getRequestMethod().equals("PUT")) {
-                runs.computeIfAbsent(String.valueOf(id), key -> new AtomicInteger()).incrementAndGet();
+                runs.computeIfAbsent(String.valueOf(id), key -> new AtomicInteger())
+                        .incrementAndGet();
             }
             exchange.getResponseHeaders().set("X-Lookup", "hit");
             answer(exchange, "of " + id);
@@ -164,8 +177,8 @@
             if (after >= 0) {
                 long known = Long.parseLong(query.substring(after + 6).split("&")[0]);
                 synchronized (this) {
-                    for (long end = System.nanoTime() + 5_000_000_000L; !closed && version <= known
-                        && System.nanoTime() < end;) {
+                    for (long end = System.nanoTime() + 5_000_000_000L;
+                            !closed && version <= known && System.nanoTime() < end; ) {
                         wait(1_000);
                     }
                 }
--- a/src/main/java/gorsemast/schiphol/Configuration.java
+++ b/src/main/java/gorsemast/schiphol/Configuration.java
@@ -24,8 +24,8 @@
  * @param body as it was sent; not to be written to
  * @param routes by host, the longest prefix first
  */
-public record Configuration(long version, byte[] body, Map<String, List<Route>> routes, Map<String, Service> services,
-                            Limits limits) {
+public record Configuration(
+        long version, byte[] body, Map<String, List<Route>> routes, Map<String, Service> services, Limits limits) {
     private static final DslJson<Object> JSON = new DslJson<>();
     private static final int VERSION_DIGITS = 8;
     private static final int HEX = 16;
@@ -36,12 +36,10 @@
      * @param maxConnections that one of its servers takes from all callers together
      * @param ratePerSecond that its servers together are to get at most; infinite where nothing is said
      */
-    public record Service(String name, String healthPath, int maxConnections, double ratePerSecond) {
-    }
+    public record Service(String name, String healthPath, int maxConnections, double ratePerSecond) {}
 
     /** What clients may send and how long they may take. */
-    public record Limits(int headerBytes, long bodyBytes, long headerMicros, long idleMicros) {
-    }
+    public record Limits(int headerBytes, long bodyBytes, long headerMicros, long idleMicros) {}
 
     /** Reads and checks a body; throws {@link ConfigurationException}. */
     public static Configuration parse(byte[] body) {
@@ -51,12 +49,20 @@
         for (Object entry : list("backendTable", root.get("backendTable"))) {
             Map<String, Object> service = object("backendTable", entry);
             String name = text("backendTable.name", service.get("name"));
-            double rate = service.get("ratePerS") == null ? Double.POSITIVE_INFINITY
-                : number("backendTable." + name + ".ratePerS", service.get("ratePerS"));
+            double rate = service.get("ratePerS") == null
+                    ? Double.POSITIVE_INFINITY
+                    : number("backendTable." + name + ".ratePerS", service.get("ratePerS"));
             Object connections = service.get("maxConnections");
             Object health = service.get("healthPath");
-            services.put(name, new Service(name, health == null ? null : health.toString(), connections == null
-                ? Integer.MAX_VALUE : (int) number("backendTable." + name + ".maxConnections", connections), rate));
+            services.put(
+                    name,
+                    new Service(
+                            name,
+                            health == null ? null : health.toString(),
+                            connections == null
+                                    ? Integer.MAX_VALUE
+                                    : (int) number("backendTable." + name + ".maxConnections", connections),
+                            rate));
         }
         Map<String, List<Route>> routes = new HashMap<>();
         for (Object entry : list("virtualHosts", root.get("virtualHosts"))) {
@@ -115,12 +121,13 @@
         if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
             throw new ConfigurationException(Code.WRONG_TYPE, name + ".pathPrefix", "begins and ends with a slash");
         }
-        Route.Kind kind = switch (text(name + ".routeType", rule.get("routeType"))) {
-            case "cacheable" -> Route.Kind.CACHEABLE;
-            case "idempotent" -> Route.Kind.IDEMPOTENT;
-            case "non_idempotent" -> Route.Kind.NON_IDEMPOTENT;
-            default -> throw new ConfigurationException(Code.WRONG_TYPE, name + ".routeType", "is not known");
-        };
+        Route.Kind kind =
+                switch (text(name + ".routeType", rule.get("routeType"))) {
+                    case "cacheable" -> Route.Kind.CACHEABLE;
+                    case "idempotent" -> Route.Kind.IDEMPOTENT;
+                    case "non_idempotent" -> Route.Kind.NON_IDEMPOTENT;
+                    default -> throw new ConfigurationException(Code.WRONG_TYPE, name + ".routeType", "is not known");
+                };
         List<Route.Weighted> to = new ArrayList<>();
         if (rule.get("weightedBackends") != null) {
             double sum = 0;
@@ -141,7 +148,8 @@
         }
         for (Route.Weighted part : to) {
             if (!services.containsKey(part.service())) {
-                throw new ConfigurationException(Code.UNKNOWN_SERVICE, name, "names the unknown service " + part.service());
+                throw new ConfigurationException(
+                        Code.UNKNOWN_SERVICE, name, "names the unknown service " + part.service());
             }
         }
         double attempts = rule.get("maxAttempts") == null ? 1 : number(name + ".maxAttempts", rule.get("maxAttempts"));
@@ -155,9 +163,17 @@
         Object aim = rule.get("targetLatency");
         Object ttl = rule.get("cacheTtl");
         Object priority = rule.get("priority");
-        return new Route(name, host, prefix, kind, timeout, aim == null ? timeout : time(name + ".targetLatency", aim),
-            priority == null ? 0 : (int) number(name + ".priority", priority), List.copyOf(to), (int) attempts,
-            ttl == null || kind != Route.Kind.CACHEABLE ? 0 : time(name + ".cacheTtl", ttl));
+        return new Route(
+                name,
+                host,
+                prefix,
+                kind,
+                timeout,
+                aim == null ? timeout : time(name + ".targetLatency", aim),
+                priority == null ? 0 : (int) number(name + ".priority", priority),
+                List.copyOf(to),
+                (int) attempts,
+                ttl == null || kind != Route.Kind.CACHEABLE ? 0 : time(name + ".cacheTtl", ttl));
     }
 
     private static Limits limits(Object told) {
@@ -166,10 +182,11 @@
         Object bytes = given.get("maxBodyBytes");
         Object slowest = given.get("headerTimeout");
         Object idle = given.get("idleTimeout");
-        return new Limits(header == null ? 16_384 : (int) number("limits.maxHeaderBytes", header),
-            bytes == null ? 64L << 20 : (long) number("limits.maxBodyBytes", bytes),
-            slowest == null ? 3_000_000 : time("limits.headerTimeout", slowest),
-            idle == null ? 15_000_000 : time("limits.idleTimeout", idle));
+        return new Limits(
+                header == null ? 16_384 : (int) number("limits.maxHeaderBytes", header),
+                bytes == null ? 64L << 20 : (long) number("limits.maxBodyBytes", bytes),
+                slowest == null ? 3_000_000 : time("limits.headerTimeout", slowest),
+                idle == null ? 15_000_000 : time("limits.idleTimeout", idle));
     }
 
     /** The route of a request; null where there is none. The query is not part of {@code path}. */
@@ -188,8 +205,10 @@
     /** All routes that lead to each service; a new map. */
     public Map<String, List<Route>> byService() {
         Map<String, List<Route>> by = new LinkedHashMap<>();
-        routes.values().forEach(of -> of.forEach(route -> route.services().forEach(part ->
-            by.computeIfAbsent(part.service(), name -> new ArrayList<>()).add(route))));
+        routes.values()
+                .forEach(of -> of.forEach(route -> route.services()
+                        .forEach(part -> by.computeIfAbsent(part.service(), name -> new ArrayList<>())
+                                .add(route))));
         return by;
     }
 
--- a/src/main/java/gorsemast/schiphol/ConfigurationException.java
+++ b/src/main/java/gorsemast/schiphol/ConfigurationException.java
@@ -5,7 +5,16 @@
     private static final long serialVersionUID = 1L;
 
     /** What is wrong with it. */
-    public enum Code { UNREADABLE, MISSING, WRONG_TYPE, UNKNOWN_SERVICE, NO_WEIGHT, BELOW_ZERO, NO_ATTEMPTS, SAME_PLACE }
+    public enum Code {
+        UNREADABLE,
+        MISSING,
+        WRONG_TYPE,
+        UNKNOWN_SERVICE,
+        NO_WEIGHT,
+        BELOW_ZERO,
+        NO_ATTEMPTS,
+        SAME_PLACE
+    }
 
     private final Code code;
 
--- a/src/main/java/gorsemast/schiphol/Route.java
+++ b/src/main/java/gorsemast/schiphol/Route.java
@@ -14,14 +14,26 @@
  * @param maxAttempts to so many servers one try may be sent
  * @param ttlMicros how long an answer may be held; 0 for not at all
  */
-public record Route(String name, String host, String prefix, Kind kind, long timeoutMicros, long aimMicros, int priority,
-                    List<Weighted> services, int maxAttempts, long ttlMicros) {
+public record Route(
+        String name,
+        String host,
+        String prefix,
+        Kind kind,
+        long timeoutMicros,
+        long aimMicros,
+        int priority,
+        List<Weighted> services,
+        int maxAttempts,
+        long ttlMicros) {
     /** What a repetition of a request does. */
-    public enum Kind { CACHEABLE, IDEMPOTENT, NON_IDEMPOTENT }
+    public enum Kind {
+        CACHEABLE,
+        IDEMPOTENT,
+        NON_IDEMPOTENT
+    }
 
     /** A service and its weight. */
-    public record Weighted(String service, double weight) {
-    }
+    public record Weighted(String service, double weight) {}
 
     /** Whether a request may run more than once. */
     public boolean repeatable() {
--- a/src/main/java/gorsemast/settings/Fault.java
+++ b/src/main/java/gorsemast/settings/Fault.java
@@ -13,7 +13,9 @@
     /** As it is printed behind the file's name: {@code line:column: key: wrong; right}. */
     @Override
     public String toString() {
-        return (line > 0 ? line + ":" + column + ": " : "") + (key.isEmpty() ? "" : key + ": ") + wrong
-            + (right.isEmpty() ? "" : "; " + right);
+        return (line > 0 ? line + ":" + column + ": " : "")
+                + (key.isEmpty() ? "" : key + ": ")
+                + wrong
+                + (right.isEmpty() ? "" : "; " + right);
     }
 }
--- a/src/main/java/gorsemast/settings/GorsemastSettings.java
+++ b/src/main/java/gorsemast/settings/GorsemastSettings.java
@@ -25,8 +25,7 @@
      * @param json whether lines are JSON objects
      * @param level the least that is written: {@code debug}, {@code info}, {@code warn} or {@code error}
      */
-    public record Log(boolean json, String level) {
-    }
+    public record Log(boolean json, String level) {}
 
     /**
      * @param listen where this process takes datagrams; port 0 for any
@@ -35,9 +34,15 @@
      * @param learn whether a restarted process takes its list of nodes from the others until the register answers
      * @param share whether what is a hundredth of the whole goes by those that live
      */
-    public record Peers(InetSocketAddress listen, String advertise, List<String> seeds, String cluster, String secret,
-                        FleetSettings fleet, boolean share, boolean learn) {
-    }
+    public record Peers(
+            InetSocketAddress listen,
+            String advertise,
+            List<String> seeds,
+            String cluster,
+            String secret,
+            FleetSettings fleet,
+            boolean share,
+            boolean learn) {}
 
     /** A settings file that can't be worked with, with all that is wrong with it. */
     public static final class FaultyException extends Exception {
@@ -45,7 +50,8 @@
         private final transient List<Fault> faults;
 
         FaultyException(String file, List<Fault> faults) {
-            super(String.join("\n", faults.stream().map(fault -> file + ":" + fault).toList()));
+            super(String.join(
+                    "\n", faults.stream().map(fault -> file + ":" + fault).toList()));
             this.faults = List.copyOf(faults);
         }
 
@@ -62,8 +68,9 @@
         } catch (MalformedInputException e) {
             throw new FaultyException(file.toString(), List.of(new Fault(0, 0, "", "is not UTF-8", "")));
         } catch (IOException e) {
-            throw new FaultyException(file.toString(), List.of(new Fault(0, 0, "", "can't be read: " + e.getClass()
-                .getSimpleName(), "")));
+            throw new FaultyException(
+                    file.toString(),
+                    List.of(new Fault(0, 0, "", "can't be read: " + e.getClass().getSimpleName(), "")));
         }
     }
 
@@ -108,8 +115,8 @@
             return null;
         }
         InetSocketAddress listen = s.text("listen", null, GorsemastSettings::address, null);
-        String advertise = s.text("advertise", "", text -> text.isEmpty() ? null
-            : NetUtil.toSocketAddressString(address(text)), null);
+        String advertise = s.text(
+                "advertise", "", text -> text.isEmpty() ? null : NetUtil.toSocketAddressString(address(text)), null);
         if (advertise == null && listen != null && listen.getAddress().isAnyLocalAddress()) {
             s.fault("advertise", "is missing", "an address where others reach this process, as it listens at any");
         }
@@ -123,15 +130,18 @@
             s.fault("timeout_ms", "is " + timeout, "less than period_ms, which is " + period);
             timeout = Math.max(1, period / 2);
         }
-        FleetSettings fleet = new FleetSettings(usual.period(), timeout * MICROS,
-            (int) s.integer("indirect", usual.indirect(), 0, 16),
-            s.number("suspicion_least", usual.suspicionLeast(), 1, 100),
-            s.number("suspicion_most", usual.suspicionMost(), 1, 100), true,
-            (int) s.integer("fanout", usual.fanout(), 1, 16),
-            (int) s.integer("sync_periods", usual.syncPeriods(), 1, 10_000),
-            s.integer("settle_ms", usual.settle() / MICROS, 0, 3_600_000) * MICROS,
-            (int) s.integer("remembered", usual.remembered(), 0, 100_000),
-            s.integer("forget_s", usual.forget() / MICROS / MICROS, 1, 30 * DAY_SECONDS) * MICROS * MICROS);
+        FleetSettings fleet = new FleetSettings(
+                usual.period(),
+                timeout * MICROS,
+                (int) s.integer("indirect", usual.indirect(), 0, 16),
+                s.number("suspicion_least", usual.suspicionLeast(), 1, 100),
+                s.number("suspicion_most", usual.suspicionMost(), 1, 100),
+                true,
+                (int) s.integer("fanout", usual.fanout(), 1, 16),
+                (int) s.integer("sync_periods", usual.syncPeriods(), 1, 10_000),
+                s.integer("settle_ms", usual.settle() / MICROS, 0, 3_600_000) * MICROS,
+                (int) s.integer("remembered", usual.remembered(), 0, 100_000),
+                s.integer("forget_s", usual.forget() / MICROS / MICROS, 1, 30 * DAY_SECONDS) * MICROS * MICROS);
         boolean share = s.flag("share", true);
         boolean learn = s.flag("learn", true);
         s.end();
--- a/src/main/java/gorsemast/settings/Json5.java
+++ b/src/main/java/gorsemast/settings/Json5.java
@@ -21,16 +21,16 @@
  */
 final class Json5 {
     private static final JsonFactory FACTORY = new JsonFactoryBuilder()
-        .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
-        .enable(JsonReadFeature.ALLOW_SINGLE_QUOTES)
-        .enable(JsonReadFeature.ALLOW_UNQUOTED_FIELD_NAMES)
-        .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
-        .enable(JsonReadFeature.ALLOW_LEADING_PLUS_SIGN_FOR_NUMBERS)
-        .enable(JsonReadFeature.ALLOW_LEADING_DECIMAL_POINT_FOR_NUMBERS)
-        .enable(JsonReadFeature.ALLOW_TRAILING_DECIMAL_POINT_FOR_NUMBERS)
-        .enable(JsonReadFeature.ALLOW_BACKSLASH_ESCAPING_ANY_CHARACTER)
-        .disable(StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION)
-        .build();
+            .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+            .enable(JsonReadFeature.ALLOW_SINGLE_QUOTES)
+            .enable(JsonReadFeature.ALLOW_UNQUOTED_FIELD_NAMES)
+            .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+            .enable(JsonReadFeature.ALLOW_LEADING_PLUS_SIGN_FOR_NUMBERS)
+            .enable(JsonReadFeature.ALLOW_LEADING_DECIMAL_POINT_FOR_NUMBERS)
+            .enable(JsonReadFeature.ALLOW_TRAILING_DECIMAL_POINT_FOR_NUMBERS)
+            .enable(JsonReadFeature.ALLOW_BACKSLASH_ESCAPING_ANY_CHARACTER)
+            .disable(StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION)
+            .build();
 
     /** A value: a {@link String}, {@link Double}, {@link Boolean}, a list or a map of such, or null; and its place. */
     record Value(Object is, int line, int column) {
@@ -46,13 +46,19 @@
 
         /** What kind of value it is, in a word. */
         String kind() {
-            return is == null ? "null" : is instanceof Map ? "an object" : is instanceof List ? "an array"
-                : is instanceof String ? "a text" : is instanceof Double ? "a number" : "true or false";
+            return is == null
+                    ? "null"
+                    : is instanceof Map
+                            ? "an object"
+                            : is instanceof List
+                                    ? "an array"
+                                    : is instanceof String
+                                            ? "a text"
+                                            : is instanceof Double ? "a number" : "true or false";
         }
     }
 
-    private Json5() {
-    }
+    private Json5() {}
 
     /** The one value in a text; null where it can't be read, and then {@code faults} tells why. */
     static Value parse(String text, List<Fault> faults) {
@@ -69,8 +75,12 @@
             return value;
         } catch (JsonProcessingException e) {
             JsonLocation at = e.getLocation();
-            faults.add(new Fault(at == null ? 0 : at.getLineNr(), at == null ? 0 : at.getColumnNr(), "",
-                e.getOriginalMessage().lines().findFirst().orElse("cannot be read"), ""));
+            faults.add(new Fault(
+                    at == null ? 0 : at.getLineNr(),
+                    at == null ? 0 : at.getColumnNr(),
+                    "",
+                    e.getOriginalMessage().lines().findFirst().orElse("cannot be read"),
+                    ""));
             return null;
         } catch (IOException e) {
             throw new IllegalStateException(e); // from memory
@@ -79,21 +89,22 @@
 
     private static Value value(JsonParser in, String key, List<Fault> faults) throws IOException {
         JsonLocation at = in.currentTokenLocation();
-        Object is = switch (in.currentToken()) {
-            case START_OBJECT -> object(in, key, faults);
-            case START_ARRAY -> {
-                List<Value> items = new ArrayList<>();
-                while (in.nextToken() != JsonToken.END_ARRAY) {
-                    items.add(value(in, key + "[" + items.size() + "]", faults));
-                }
-                yield items;
-            }
-            case VALUE_STRING -> in.getText();
-            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> in.getDoubleValue();
-            case VALUE_TRUE -> true;
-            case VALUE_FALSE -> false;
-            default -> null;
-        };
+        Object is =
+                switch (in.currentToken()) {
+                    case START_OBJECT -> object(in, key, faults);
+                    case START_ARRAY -> {
+                        List<Value> items = new ArrayList<>();
+                        while (in.nextToken() != JsonToken.END_ARRAY) {
+                            items.add(value(in, key + "[" + items.size() + "]", faults));
+                        }
+                        yield items;
+                    }
+                    case VALUE_STRING -> in.getText();
+                    case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> in.getDoubleValue();
+                    case VALUE_TRUE -> true;
+                    case VALUE_FALSE -> false;
+                    default -> null;
+                };
         return new Value(is, at.getLineNr(), at.getColumnNr());
     }
 
--- a/src/main/java/gorsemast/settings/Section.java
+++ b/src/main/java/gorsemast/settings/Section.java
@@ -86,8 +86,9 @@
     }
 
     private static String trim(double number) {
-        return number == Math.rint(number) && Math.abs(number) < 1e15 ? Long.toString((long) number)
-            : Double.toString(number);
+        return number == Math.rint(number) && Math.abs(number) < 1e15
+                ? Long.toString((long) number)
+                : Double.toString(number);
     }
 
     /** An array of texts, empty where it is absent. */
@@ -139,8 +140,12 @@
     void end() {
         fields.forEach((name, value) -> {
             if (!asked.contains(name)) {
-                faults.add(new Fault(value.line(), value.column(), way(name), "is not a setting",
-                    "one of " + String.join(", ", new java.util.TreeSet<>(asked))));
+                faults.add(new Fault(
+                        value.line(),
+                        value.column(),
+                        way(name),
+                        "is not a setting",
+                        "one of " + String.join(", ", new java.util.TreeSet<>(asked))));
             }
         });
     }
--- a/src/main/java/gorsemast/stavoren/StoreCheck.java
+++ b/src/main/java/gorsemast/stavoren/StoreCheck.java
@@ -12,11 +12,9 @@
  */
 public final class StoreCheck {
     /** What was found: null for nothing, else what was broken, and how. */
-    public record Result(long courses, long answered, String broken, List<String> story) {
-    }
+    public record Result(long courses, long answered, String broken, List<String> story) {}
 
-    private StoreCheck() {
-    }
+    private StoreCheck() {}
 
     /** Drawn courses of so many events each. */
     public static Result drawn(int members, int spares, long seed, int courses, int events, Plant plant) {
--- a/src/main/java/gorsemast/stavoren/World.java
+++ b/src/main/java/gorsemast/stavoren/World.java
@@ -40,11 +40,9 @@
     private static final long STEP_MICROS = 25_000;
     private static final long LONG_MICROS = 20_000_000;
 
-    private record Save(Saved state, long token, Keeper of) {
-    }
+    private record Save(Saved state, long token, Keeper of) {}
 
-    private record Asked(boolean put, long version, long floor) {
-    }
+    private record Asked(boolean put, long version, long floor) {}
 
     /** One machine. */
     private final class Machine implements Keeper.Out {
@@ -61,8 +59,11 @@
 
         void start() {
             if (disk == null) {
-                disk = new Saved(new Member(ip + "#" + (plant == Plant.WIPED_KEEPS_ITS_NAME ? 0 : ++lives), ip), 0,
-                    plant == Plant.WIPED_KEEPS_ITS_NAME ? Keeper.first(firstMembers) : Keeper.first(List.of()), Kept.NONE);
+                disk = new Saved(
+                        new Member(ip + "#" + (plant == Plant.WIPED_KEEPS_ITS_NAME ? 0 : ++lives), ip),
+                        0,
+                        plant == Plant.WIPED_KEEPS_ITS_NAME ? Keeper.first(firstMembers) : Keeper.first(List.of()),
+                        Kept.NONE);
             }
             keeper = new Keeper(disk, plant == Plant.NO_BACKUP ? 0 : 1, random.nextLong(), this);
             if (plant == Plant.WIPED_KEEPS_ITS_NAME && disk.me().id().endsWith("#0")) {
@@ -113,7 +114,8 @@
             }
             Message sent = spoiled(message);
             if (sent != null) {
-                links.computeIfAbsent(ip + ">" + to.ip(), pair -> new ArrayDeque<>()).add(sent);
+                links.computeIfAbsent(ip + ">" + to.ip(), pair -> new ArrayDeque<>())
+                        .add(sent);
             }
             if (message.kind() == Kind.COPY && plant == Plant.COPIED_WITHOUT_COPY) {
                 forge(to, Kind.COPIED, message);
@@ -135,22 +137,48 @@
 
         private Message spoiled(Message m) {
             return switch (plant) {
-                case VOTE_WITHOUT_KEPT -> m.kind() == Kind.VOTE
-                    ? new Message(m.kind(), m.from(), m.epoch(), m.number(), m.flag(), m.view(), null) : m;
-                case INSTALL_WITHOUT_KEPT -> m.kind() == Kind.INSTALL
-                    ? new Message(m.kind(), m.from(), m.epoch(), m.number(), m.flag(), m.view(), Kept.NONE) : m;
-                case REFUSAL_COUNTS_AS_VOTE -> m.kind() == Kind.NO
-                    ? new Message(Kind.VOTE, m.from(), lastAsked, 0, false, null, null) : m;
+                case VOTE_WITHOUT_KEPT ->
+                    m.kind() == Kind.VOTE
+                            ? new Message(m.kind(), m.from(), m.epoch(), m.number(), m.flag(), m.view(), null)
+                            : m;
+                case INSTALL_WITHOUT_KEPT ->
+                    m.kind() == Kind.INSTALL
+                            ? new Message(m.kind(), m.from(), m.epoch(), m.number(), m.flag(), m.view(), Kept.NONE)
+                            : m;
+                case REFUSAL_COUNTS_AS_VOTE ->
+                    m.kind() == Kind.NO ? new Message(Kind.VOTE, m.from(), lastAsked, 0, false, null, null) : m;
                 case COPIED_WITHOUT_COPY -> m.kind() == Kind.COPY ? null : m;
-                case VIEW_OF_ONE -> m.kind() == Kind.VIEW || m.kind() == Kind.INSTALL
-                    ? new Message(m.kind(), m.from(), m.epoch(), m.number(), m.flag(), new View(m.view().epoch(),
-                        m.view().primary(), m.view().backups(), m.view().members().subList(0, 1), List.of()), m.kept()) : m;
+                case VIEW_OF_ONE ->
+                    m.kind() == Kind.VIEW || m.kind() == Kind.INSTALL
+                            ? new Message(
+                                    m.kind(),
+                                    m.from(),
+                                    m.epoch(),
+                                    m.number(),
+                                    m.flag(),
+                                    new View(
+                                            m.view().epoch(),
+                                            m.view().primary(),
+                                            m.view().backups(),
+                                            m.view().members().subList(0, 1),
+                                            List.of()),
+                                    m.kept())
+                            : m;
                 case EPOCHS_IGNORED -> {
                     Keeper keeperNow = keeper;
                     yield (m.kind() == Kind.COPIED || m.kind() == Kind.CONFIRMED || m.kind() == Kind.INSTALLED)
-                        && keeperNow != null ? new Message(m.kind(), m.from(), m.epoch(), m.number(), m.flag(), null, null)
-                        : m.kind() == Kind.ASK ? new Message(m.kind(), m.from(), m.epoch() + 1_000, Long.MAX_VALUE / 4,
-                            m.flag(), m.view(), new Kept(Long.MAX_VALUE / 4, 0, new byte[0])) : m;
+                                    && keeperNow != null
+                            ? new Message(m.kind(), m.from(), m.epoch(), m.number(), m.flag(), null, null)
+                            : m.kind() == Kind.ASK
+                                    ? new Message(
+                                            m.kind(),
+                                            m.from(),
+                                            m.epoch() + 1_000,
+                                            Long.MAX_VALUE / 4,
+                                            m.flag(),
+                                            m.view(),
+                                            new Kept(Long.MAX_VALUE / 4, 0, new byte[0]))
+                                    : m;
                 }
                 default -> m;
             };
@@ -180,8 +208,8 @@
                 throw new Broken("version " + asked.version + " is acknowledged where " + kept.version() + " holds");
             }
             if (kept.version() < asked.floor) {
-                throw new Broken(ip + " answers with version " + kept.version() + " after " + asked.floor
-                    + " was acknowledged");
+                throw new Broken(
+                        ip + " answers with version " + kept.version() + " after " + asked.floor + " was acknowledged");
             }
             String text = new String(kept.body(), StandardCharsets.UTF_8);
             String before = acknowledged.putIfAbsent(kept.version(), text);
@@ -200,8 +228,13 @@
         public void forward(long call, Member primary) {
             Asked asked = calls.get(call);
             Machine to = machines.get(primary.ip());
-            if (asked != null && to != null && to.keeper != null && !to.frozen && hops.merge(call, 1, Integer::sum) < 4
-                && !cut(ip, to.ip) && !cut(to.ip, ip)) {
+            if (asked != null
+                    && to != null
+                    && to.keeper != null
+                    && !to.frozen
+                    && hops.merge(call, 1, Integer::sum) < 4
+                    && !cut(ip, to.ip)
+                    && !cut(to.ip, ip)) {
                 later.add(() -> {
                     if (to.keeper != null) {
                         enter(to, call, asked);
@@ -285,8 +318,11 @@
 
     private void enter(Machine at, long call, Asked asked) {
         if (asked.put) {
-            at.keeper.put(now, call, asked.version, ("content of " + asked.version + " by call " + call)
-                .getBytes(StandardCharsets.UTF_8));
+            at.keeper.put(
+                    now,
+                    call,
+                    asked.version,
+                    ("content of " + asked.version + " by call " + call).getBytes(StandardCharsets.UTF_8));
         } else {
             at.keeper.get(now, call);
         }
@@ -338,8 +374,14 @@
         at.keeper.message(now, message);
         if (plant == Plant.ANSWERS_ANY_EPOCH && (message.kind() == Kind.COPY || message.kind() == Kind.CONFIRM)) {
             Machine asker = machines.get(from);
-            Message answer = new Message(message.kind() == Kind.COPY ? Kind.COPIED : Kind.CONFIRMED, at.disk.me(),
-                message.epoch(), message.number(), false, null, null);
+            Message answer = new Message(
+                    message.kind() == Kind.COPY ? Kind.COPIED : Kind.CONFIRMED,
+                    at.disk.me(),
+                    message.epoch(),
+                    message.number(),
+                    false,
+                    null,
+                    null);
             later.add(() -> {
                 if (asker.keeper != null && !asker.frozen) {
                     asker.keeper.message(now, answer);
@@ -405,8 +447,13 @@
     }
 
     private boolean allUp(String but) {
-        return ips.stream().allMatch(ip -> ip.equals(but) || machines.get(ip).disk == null || machines.get(ip).keeper != null
-            && !machines.get(ip).frozen) && cuts.isEmpty() && machines.get(but).disk != null && steadySince < now - 4_000_000;
+        return ips.stream()
+                        .allMatch(ip -> ip.equals(but)
+                                || machines.get(ip).disk == null
+                                || machines.get(ip).keeper != null && !machines.get(ip).frozen)
+                && cuts.isEmpty()
+                && machines.get(but).disk != null
+                && steadySince < now - 4_000_000;
     }
 
     private long steadySince;
--- a/src/main/java/gorsemast/terschelling/Board.java
+++ b/src/main/java/gorsemast/terschelling/Board.java
@@ -27,13 +27,13 @@
     public static final long HORIZON_MICROS = 360_000_000;
     /** No copy may be served that is older. */
     public static final long LONGEST_COPY_MICROS = 300_000_000;
+
     private static final int MOST_PURGES = 20_000;
     /** In this last part of its time an item counts in no digest, as clocks that differ by little forget it in turn. */
     private static final long FADING_MICROS = 30_000_000;
 
     /** A key and its stamp, which is what digests and summaries are of. */
-    public record Stamp(Kind kind, String key, long stamp) {
-    }
+    public record Stamp(Kind kind, String key, long stamp) {}
 
     private final Map<Kind, Map<String, Item>> items = new EnumMap<>(Kind.class);
     private final long[] digests = new long[BUCKETS];
@@ -145,7 +145,9 @@
         List<Item> found = new ArrayList<>();
         items.values().forEach(of -> of.values().forEach(item -> {
             Long theirs = known.get(item.kind().ordinal() + item.key());
-            if (item.kind().mended() && (parts >> bucket(item.kind(), item.key()) & 1) == 1 && (theirs == null || theirs < item.stamp())) {
+            if (item.kind().mended()
+                    && (parts >> bucket(item.kind(), item.key()) & 1) == 1
+                    && (theirs == null || theirs < item.stamp())) {
                 found.add(item);
             }
         }));
--- a/src/main/java/gorsemast/terschelling/Duty.java
+++ b/src/main/java/gorsemast/terschelling/Duty.java
@@ -78,7 +78,10 @@
         if (!self.equals(holder)) {
             return false;
         }
-        long fresh = 1 + confirmed.values().stream().filter(at -> now - at < LEASE_MICROS).count();
+        long fresh = 1
+                + confirmed.values().stream()
+                        .filter(at -> now - at < LEASE_MICROS)
+                        .count();
         return 2 * fresh > all;
     }
 
@@ -107,7 +110,10 @@
             }
             return;
         }
-        if (now - heardAt > VACANT_MICROS && now >= standBackUntil && now >= roundUntil && 2 * (others.size() + 1) > all) {
+        if (now - heardAt > VACANT_MICROS
+                && now >= standBackUntil
+                && now >= roundUntil
+                && 2 * (others.size() + 1) > all) {
             holder = null;
             term++;
             asked = term;
--- a/src/main/java/gorsemast/terschelling/Hash.java
+++ b/src/main/java/gorsemast/terschelling/Hash.java
@@ -10,11 +10,9 @@
  * nothing but what it had.
  */
 public final class Hash {
-    private record Ranked(String name, long rank) {
-    }
+    private record Ranked(String name, long rank) {}
 
-    private Hash() {
-    }
+    private Hash() {}
 
     /** Of a text: FNV-1a, mixed. */
     public static long of(String text) {
--- a/src/main/java/gorsemast/terschelling/ServerNews.java
+++ b/src/main/java/gorsemast/terschelling/ServerNews.java
@@ -14,8 +14,15 @@
  * @param seq the number of its call that told this
  * @param coldMicros for how long it is slow yet, from when this was told
  */
-public record ServerNews(String id, String service, String address, String zone, double capacity, State state, long seq,
-                         long coldMicros) {
+public record ServerNews(
+        String id,
+        String service,
+        String address,
+        String zone,
+        double capacity,
+        State state,
+        long seq,
+        long coldMicros) {
     /** What it does; the order breaks ties within one call's number. */
     public enum State {
         /** It takes requests. */
@@ -70,8 +77,15 @@
     /** What {@link #item} made; null where it can't be read. */
     public static ServerNews of(Item item) {
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(item.body()))) {
-            return new ServerNews(item.key(), in.readUTF(), in.readUTF(), in.readUTF(), in.readDouble(),
-                State.ALL[in.readUnsignedByte()], in.readLong(), in.readLong());
+            return new ServerNews(
+                    item.key(),
+                    in.readUTF(),
+                    in.readUTF(),
+                    in.readUTF(),
+                    in.readDouble(),
+                    State.ALL[in.readUnsignedByte()],
+                    in.readLong(),
+                    in.readLong());
         } catch (IOException | IndexOutOfBoundsException e) {
             return null;
         }
--- a/src/main/java/gorsemast/transport/Transport.java
+++ b/src/main/java/gorsemast/transport/Transport.java
@@ -46,8 +46,7 @@
     /** Connections that may wait to be taken: a crowd that comes back at once. */
     private static final int BACKLOG = 1_024;
 
-    private Transport() {
-    }
+    private Transport() {}
 
     /** What an event loop that carries sockets is made with. */
     public static IoHandlerFactory handlers() {
@@ -67,11 +66,18 @@
      * Listens at an address, each connection with {@code child}'s handlers, small writes at once and buffers on the heap; not
      * on the loop. Throws where the address can't be had.
      */
-    public static Channel listen(EventLoop loop, InetSocketAddress at, ChannelInitializer<Channel> child) throws IOException {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(listener(loop))
-            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
-            .childOption(ChannelOption.TCP_NODELAY, true).childHandler(child).bind(at).awaitUninterruptibly();
+    public static Channel listen(EventLoop loop, InetSocketAddress at, ChannelInitializer<Channel> child)
+            throws IOException {
+        ChannelFuture bound = new ServerBootstrap()
+                .group(loop)
+                .channel(listener(loop))
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(child)
+                .bind(at)
+                .awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new IOException("can't listen at " + at, bound.cause());
         }
--- a/src/main/java/gorsemast/upgrade/Generations.java
+++ b/src/main/java/gorsemast/upgrade/Generations.java
@@ -43,7 +43,7 @@
     }
 
     /** A live process of this proxy. */
-    public record Member(long order, Standing standing) { }
+    public record Member(long order, Standing standing) {}
 
     private final long own;
     private List<Member> others = List.of();
--- a/src/main/java/gorsemast/vlissingen/Keeper.java
+++ b/src/main/java/gorsemast/vlissingen/Keeper.java
@@ -66,11 +66,15 @@
         void log(String sentence);
     }
 
-    private enum Role { FOLLOWER, CANDIDATE, INSTALLING, PRIMARY }
-
-    private record Call(long id, boolean put, long version, byte[] body, long until) {
+    private enum Role {
+        FOLLOWER,
+        CANDIDATE,
+        INSTALLING,
+        PRIMARY
     }
 
+    private record Call(long id, boolean put, long version, byte[] body, long until) {}
+
     private final Out out;
     private final SplittableRandom random;
     private final int losses;
@@ -89,6 +93,7 @@
     private final Set<String> installed = new HashSet<>();
     /** When each was last heard, by id, and what it said of itself. */
     private final Map<String, Long> heard = new HashMap<>();
+
     private final Map<String, Member> known = new HashMap<>();
     private String activePrimary = "";
     private long activeAt = Long.MIN_VALUE / 2;
@@ -99,6 +104,7 @@
     private boolean onDisk;
     /** What all backups of this epoch hold. */
     private Kept agreed = Kept.NONE;
+
     private boolean copies;
     private boolean begun;
     private long token;
@@ -200,8 +206,12 @@
 
     private void lead() {
         boolean lacking = view.backups().stream().anyMatch(id -> now - lastHeard(id) > SILENT_MICROS);
-        Member joining = known.values().stream().filter(member -> !view.has(member.id())
-            && now - lastHeard(member.id()) < SILENT_MICROS && replaceable(member) != null).findFirst().orElse(null);
+        Member joining = known.values().stream()
+                .filter(member -> !view.has(member.id())
+                        && now - lastHeard(member.id()) < SILENT_MICROS
+                        && replaceable(member) != null)
+                .findFirst()
+                .orElse(null);
         if ((lacking || joining != null) && view.before().isEmpty() && reachesMost()) {
             if (joining != null) {
                 Member gone = replaceable(joining);
@@ -225,8 +235,9 @@
         }
         Member longest = null;
         for (Member member : view.members()) {
-            if (!member.equals(me) && now - lastHeard(member.id()) > GONE_MICROS
-                && (longest == null || lastHeard(member.id()) < lastHeard(longest.id()))) {
+            if (!member.equals(me)
+                    && now - lastHeard(member.id()) > GONE_MICROS
+                    && (longest == null || lastHeard(member.id()) < lastHeard(longest.id()))) {
                 longest = member;
             }
         }
@@ -249,7 +260,9 @@
 
     private void standBack() {
         boolean first = me.id().equals(view.primary())
-            || view.epoch() == 0 && !view.members().isEmpty() && view.members().get(0).equals(me);
+                || view.epoch() == 0
+                        && !view.members().isEmpty()
+                        && view.members().get(0).equals(me);
         standBackUntil = now + (first ? 0 : STAND_BACK_MICROS / 5) + random.nextLong(STAND_BACK_MICROS);
     }
 
@@ -262,15 +275,24 @@
         out.log("stands for epoch " + epoch);
         granted.clear();
         best = kept;
-        proposed = members == null ? view : new View(view.epoch(), view.primary(), view.backups(), List.copyOf(members),
-            view.members());
+        proposed = members == null
+                ? view
+                : new View(view.epoch(), view.primary(), view.backups(), List.copyOf(members), view.members());
         save(false, () -> {
             if (role == Role.CANDIDATE && promised == epoch) {
                 granted.add(me.id());
                 for (Member member : view.all()) {
                     if (!member.equals(me)) {
-                        send(member, new Message(Kind.ASK, me, epoch, view.epoch(), false, null,
-                            new Kept(kept.version(), kept.epoch(), new byte[0])));
+                        send(
+                                member,
+                                new Message(
+                                        Kind.ASK,
+                                        me,
+                                        epoch,
+                                        view.epoch(),
+                                        false,
+                                        null,
+                                        new Kept(kept.version(), kept.epoch(), new byte[0])));
                     }
                 }
                 elect(epoch);
@@ -301,7 +323,7 @@
                     standBack();
                     adopt(m.view());
                     promised = Math.max(promised, m.epoch());
-                    save(false, () -> { });
+                    save(false, () -> {});
                 }
             }
             case INSTALL -> install(m);
@@ -341,7 +363,9 @@
         if (role == Role.PRIMARY && m.number() > view.epoch()) {
             yieldTo(Math.max(promised, m.number())); // a later epoch has begun while this one was not heard
         }
-        if (role == Role.PRIMARY && m.epoch() > view.epoch() && view.backups().contains(m.from().id())) {
+        if (role == Role.PRIMARY
+                && m.epoch() > view.epoch()
+                && view.backups().contains(m.from().id())) {
             // It has promised more than this epoch and holds nothing in it any more: a later one brings it back.
             promised = Math.max(promised, m.epoch());
             stand(null);
@@ -352,7 +376,9 @@
             activeAt = now;
             next();
         }
-        if (role == Role.PRIMARY && m.number() < view.epoch() && !view.backups().contains(m.from().id())) {
+        if (role == Role.PRIMARY
+                && m.number() < view.epoch()
+                && !view.backups().contains(m.from().id())) {
             send(m.from(), new Message(Kind.VIEW, me, view.epoch(), 0, false, view, null));
         }
     }
@@ -361,14 +387,20 @@
         if (!view.has(me.id())) {
             return; // a life that nobody has taken in yet: what stood here before had a vote, this has none
         }
-        boolean leads = role == Role.PRIMARY && !m.from().equals(me)
-            && view.backups().stream().allMatch(id -> now - lastHeard(id) < SILENT_MICROS);
+        boolean leads = role == Role.PRIMARY
+                && !m.from().equals(me)
+                && view.backups().stream().allMatch(id -> now - lastHeard(id) < SILENT_MICROS);
         boolean led = !activePrimary.equals(m.from().id()) && now - activeAt < SILENT_MICROS;
         boolean no = !view.has(m.from().id()) || m.number() < view.epoch() || m.epoch() <= promised || leads || led;
         if (no) {
-            out.log("grants " + m.from().id() + " no epoch " + m.epoch() + ": " + (!view.has(m.from().id()) ? "no member"
-                : m.number() < view.epoch() ? "an old view" : m.epoch() <= promised ? "promised " + promised
-                : "epoch " + view.epoch() + " is led"));
+            out.log("grants " + m.from().id() + " no epoch " + m.epoch() + ": "
+                    + (!view.has(m.from().id())
+                            ? "no member"
+                            : m.number() < view.epoch()
+                                    ? "an old view"
+                                    : m.epoch() <= promised
+                                            ? "promised " + promised
+                                            : "epoch " + view.epoch() + " is led"));
             send(m.from(), new Message(Kind.NO, me, promised, 0, false, view, null));
             return;
         }
@@ -410,8 +442,12 @@
         if (backups.size() < wanted) {
             return; // nobody to hold it beside this one
         }
-        View next = new View(epoch, me.id(), List.copyOf(backups.subList(0, wanted)), proposed.members(),
-            proposed == view ? view.before() : proposed.before());
+        View next = new View(
+                epoch,
+                me.id(),
+                List.copyOf(backups.subList(0, wanted)),
+                proposed.members(),
+                proposed == view ? view.before() : proposed.before());
         role = Role.INSTALLING;
         roundUntil = now + ROUND_MICROS;
         installed.clear();
@@ -424,8 +460,16 @@
                 for (Member member : next.all()) {
                     if (!member.equals(me)) {
                         boolean backup = next.backups().contains(member.id());
-                        send(member, new Message(backup ? Kind.INSTALL : Kind.VIEW, me, epoch, 0, false, next,
-                            backup ? kept : null));
+                        send(
+                                member,
+                                new Message(
+                                        backup ? Kind.INSTALL : Kind.VIEW,
+                                        me,
+                                        epoch,
+                                        0,
+                                        false,
+                                        next,
+                                        backup ? kept : null));
                     }
                 }
                 begin();
@@ -434,8 +478,10 @@
     }
 
     private void pick(List<String> backups, String id) {
-        if (granted.contains(id) && !id.equals(me.id()) && !backups.contains(id)
-            && proposed.members().stream().anyMatch(member -> member.id().equals(id))) {
+        if (granted.contains(id)
+                && !id.equals(me.id())
+                && !backups.contains(id)
+                && proposed.members().stream().anyMatch(member -> member.id().equals(id))) {
             backups.add(id);
         }
     }
@@ -461,11 +507,16 @@
 
     /** A witness, or one that was away, learns who is who. */
     private void adopt(View newer) {
-        if (newer != null && role != Role.PRIMARY && role != Role.INSTALLING && (newer.epoch() > view.epoch()
-            || newer.epoch() == view.epoch() && newer.before().isEmpty() && !view.before().isEmpty())) {
+        if (newer != null
+                && role != Role.PRIMARY
+                && role != Role.INSTALLING
+                && (newer.epoch() > view.epoch()
+                        || newer.epoch() == view.epoch()
+                                && newer.before().isEmpty()
+                                && !view.before().isEmpty())) {
             view = newer;
             promised = Math.max(promised, newer.epoch());
-            save(false, () -> { });
+            save(false, () -> {});
         }
     }
 
@@ -486,7 +537,7 @@
         if (!view.before().isEmpty()) {
             // Backups and primary have both lists on disk: no majority of the old one alone is left.
             view = new View(view.epoch(), view.primary(), view.backups(), view.members(), List.of());
-            save(false, () -> { });
+            save(false, () -> {});
         }
         for (Member member : view.members()) {
             if (!member.equals(me)) {
@@ -558,8 +609,16 @@
         }
         for (Member member : view.members()) {
             if (view.backups().contains(member.id())) {
-                send(member, new Message(copies ? Kind.COPY : Kind.CONFIRM, me, view.epoch(), mine, false, null,
-                    copies ? kept : null));
+                send(
+                        member,
+                        new Message(
+                                copies ? Kind.COPY : Kind.CONFIRM,
+                                me,
+                                view.epoch(),
+                                mine,
+                                false,
+                                null,
+                                copies ? kept : null));
             }
         }
         finish();
--- a/src/main/java/gorsemast/vlissingen/Member.java
+++ b/src/main/java/gorsemast/vlissingen/Member.java
@@ -6,5 +6,4 @@
  *
  * @param id the address and a word drawn when the disk was first used
  */
-public record Member(String id, String ip) {
-}
+public record Member(String id, String ip) {}
--- a/src/main/java/gorsemast/vlissingen/Message.java
+++ b/src/main/java/gorsemast/vlissingen/Message.java
@@ -67,7 +67,13 @@
         if (kind >= Kind.ALL.length) {
             throw new IOException("no message " + kind);
         }
-        return new Message(Kind.ALL[kind], new Member(in.readUTF(), in.readUTF()), in.readLong(), in.readLong(),
-            in.readBoolean(), in.readBoolean() ? View.read(in) : null, in.readBoolean() ? Kept.read(in) : null);
+        return new Message(
+                Kind.ALL[kind],
+                new Member(in.readUTF(), in.readUTF()),
+                in.readLong(),
+                in.readLong(),
+                in.readBoolean(),
+                in.readBoolean() ? View.read(in) : null,
+                in.readBoolean() ? Kept.read(in) : null);
     }
 }
--- a/src/main/java/gorsemast/vlissingen/Saved.java
+++ b/src/main/java/gorsemast/vlissingen/Saved.java
@@ -26,8 +26,11 @@
         if (firstBoot) {
             seeds.forEach(seed -> members.add(new Member(seed + "#0", seed)));
         }
-        return new Saved(new Member(ip + "#" + (firstBoot ? "0" : Long.toHexString(life)), ip), 0, Keeper.first(members),
-            Kept.NONE);
+        return new Saved(
+                new Member(ip + "#" + (firstBoot ? "0" : Long.toHexString(life)), ip),
+                0,
+                Keeper.first(members),
+                Kept.NONE);
     }
 
     /** As a record, without what is kept. */
@@ -59,7 +62,7 @@
     /** What both records say; throws where they are none. */
     public static Saved of(byte[] state, byte[] configuration) throws IOException {
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(state));
-             DataInputStream more = new DataInputStream(new ByteArrayInputStream(configuration))) {
+                DataInputStream more = new DataInputStream(new ByteArrayInputStream(configuration))) {
             if (in.readUnsignedByte() != 1) {
                 throw new IOException("another form of state");
             }
--- a/src/main/java/gorsemast/vlissingen/Teller.java
+++ b/src/main/java/gorsemast/vlissingen/Teller.java
@@ -20,6 +20,7 @@
     public static final long TICK_MICROS = 25_000;
     /** Longer than any call may take here or at the store that it is passed on to. */
     private static final long ASKED_MICROS = 6_000_000;
+
     private static final Log LOG = new Log("vlissingen");
 
     /** Puts a state on disk, synced, and has {@link Teller#saved} called then, in the order of saves. */
@@ -29,8 +30,7 @@
     }
 
     /** Who waits for a call's answer: a registry, or a store that passed it on. */
-    private record Asker(Neighbour from, long call, boolean put, long version, byte[] body, long known, long until) {
-    }
+    private record Asker(Neighbour from, long call, boolean put, long version, byte[] body, long known, long until) {}
 
     private final String ip;
     private final LongSupplier clock;
@@ -47,8 +47,15 @@
      * @param saved what its disk has, or had drawn for an empty one
      * @param losses how many disks may be lost at the same time
      */
-    public Teller(String ip, Set<String> seeds, Saved saved, int losses, long seed, LongSupplier clock, Neighbours neighbours,
-                  Saver saver) {
+    public Teller(
+            String ip,
+            Set<String> seeds,
+            Saved saved,
+            int losses,
+            long seed,
+            LongSupplier clock,
+            Neighbours neighbours,
+            Saver saver) {
         this.ip = ip;
         this.seeds = new LinkedHashSet<>(seeds);
         this.clock = clock;
--- a/src/main/java/gorsemast/vlissingen/View.java
+++ b/src/main/java/gorsemast/vlissingen/View.java
@@ -29,7 +29,8 @@
 
     /** Whether it may vote. */
     boolean has(String id) {
-        return members.stream().anyMatch(m -> m.id().equals(id)) || before.stream().anyMatch(m -> m.id().equals(id));
+        return members.stream().anyMatch(m -> m.id().equals(id))
+                || before.stream().anyMatch(m -> m.id().equals(id));
     }
 
     /** All that may vote. */
--- a/src/main/java/gorsemast/vlissingen/Vlissingen.java
+++ b/src/main/java/gorsemast/vlissingen/Vlissingen.java
@@ -63,8 +63,15 @@
         }
         disk = Disk.open(settings.dataDir());
         Saved saved = recover(disk.load());
-        teller = new Teller(settings.ip(), settings.seedIps(), saved, settings.losses(), Seed.fresh(), this::now, links,
-            this::save);
+        teller = new Teller(
+                settings.ip(),
+                settings.seedIps(),
+                saved,
+                settings.losses(),
+                Seed.fresh(),
+                this::now,
+                links,
+                this::save);
         links.listen(Ports.STORE.at(settings, settings.ip()));
         loop.execute(this::tick);
         loop.scheduleWithFixedDelay(this::tick, Teller.TICK_MICROS, Teller.TICK_MICROS, TimeUnit.MICROSECONDS);
@@ -73,8 +80,8 @@
     private Saved recover(Map<String, byte[]> records) throws IOException {
         if (records.containsKey(STATE) && records.containsKey(CONFIGURATION)) {
             Saved saved = Saved.of(records.get(STATE), records.get(CONFIGURATION));
-            LOG.info("has version " + Long.toHexString(saved.kept().version()) + " of epoch " + saved.kept().epoch()
-                + ", promised " + saved.promised());
+            LOG.info("has version " + Long.toHexString(saved.kept().version()) + " of epoch "
+                    + saved.kept().epoch() + ", promised " + saved.promised());
             return saved;
         }
         if (!settings.firstBoot()) {
--- a/src/main/java/gorsemast/wilhelminadorp/Disk.java
+++ b/src/main/java/gorsemast/wilhelminadorp/Disk.java
@@ -47,21 +47,21 @@
     private Disk(Path folder) {
         this.folder = folder;
         EnvironmentConfig config = new EnvironmentConfig()
-            .setLogDurableWrite(true)
-            .setLogFileSize(FILE_KB)
-            .setLogCachePageSize(PAGE_BYTES)
-            .setMemoryUsage(CACHE_BYTES)
-            .setLogCacheShared(false)
-            .setLogCacheUseSoftReferences(false)
-            .setLogCacheUseNio(false)
-            .setGcEnabled(false)
-            .setEnvGatherStatistics(false)
-            .setManagementEnabled(false)
-            .setEnvMonitorTxnsTimeout(0)
-            .setLogLockTimeout(0);
+                .setLogDurableWrite(true)
+                .setLogFileSize(FILE_KB)
+                .setLogCachePageSize(PAGE_BYTES)
+                .setMemoryUsage(CACHE_BYTES)
+                .setLogCacheShared(false)
+                .setLogCacheUseSoftReferences(false)
+                .setLogCacheUseNio(false)
+                .setGcEnabled(false)
+                .setEnvGatherStatistics(false)
+                .setManagementEnabled(false)
+                .setEnvMonitorTxnsTimeout(0)
+                .setLogLockTimeout(0);
         environment = Environments.newInstance(folder.toFile(), config);
-        store = environment.computeInTransaction(txn ->
-            environment.openStore(STORE, StoreConfig.WITHOUT_DUPLICATES, txn));
+        store = environment.computeInTransaction(
+                txn -> environment.openStore(STORE, StoreConfig.WITHOUT_DUPLICATES, txn));
     }
 
     /** Opens what is in a folder, or begins anew where there is nothing that can be read. */
--- a/src/main/java/gorsemast/wilhelminadorp/DiskException.java
+++ b/src/main/java/gorsemast/wilhelminadorp/DiskException.java
@@ -5,7 +5,11 @@
     private static final long serialVersionUID = 1L;
 
     /** What failed. */
-    public enum Code { OPEN, READ, WRITE }
+    public enum Code {
+        OPEN,
+        READ,
+        WRITE
+    }
 
     private final Code code;
 
--- a/src/main/java/gorsemast/wilhelminadorp/Snapshot.java
+++ b/src/main/java/gorsemast/wilhelminadorp/Snapshot.java
@@ -47,8 +47,8 @@
 
     /** Replaces it; throws {@link DiskException} where the disk refuses, and then the old one stands. */
     public void write(byte[] record) {
-        try (FileChannel channel = FileChannel.open(next, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-            StandardOpenOption.TRUNCATE_EXISTING)) {
+        try (FileChannel channel = FileChannel.open(
+                next, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
             ByteBuffer bytes = ByteBuffer.allocate(CHECK_BYTES + record.length);
             bytes.putInt(check(record)).put(record).flip();
             while (bytes.hasRemaining()) {
--- a/src/test/java/anisebend/AdapterTest.java
+++ b/src/test/java/anisebend/AdapterTest.java
@@ -11,7 +11,8 @@
 import org.junit.jupiter.api.Test;
 
 class AdapterTest {
-    private static final String BEGIN = """
+    private static final String BEGIN =
+            """
         {"event_type":"sync","clock_ms":1000.5,"frame":1}
         {"event_type":"begin","proxy_id":3,"random_seed":9223372036854775807,"env":{"fleet_size":2,"locality":0,\
         "discovery":"ask","novelty":[1,{"a":null}],"allowed":{"send_cap":3,"may_cancel":true,"retry_after":true,\
@@ -23,7 +24,8 @@
         {"event_type":"view","proxy_id":3,"stamp":1,"scope":2,"page":0}
         {"event_type":"go"}
         """;
-    private static final String ASK = """
+    private static final String ASK =
+            """
         {"event_type":"sync","clock_ms":1005.5,"frame":2}
         {"event_type":"ask","proxy_id":3,"xid":"r1","kind":0,"org":0,"resource":"k:a","give_up_at_ms":3005.5,\
         "work_hint_ms":null,"resent":false,"is_write":false,"later":{"x":[1]}}
@@ -34,8 +36,11 @@
     private int run(String input, StringBuilder output) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
-        int code = new Adapter(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out,
-            new PrintStream(err, true, StandardCharsets.UTF_8)).run();
+        int code = new Adapter(
+                        new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)),
+                        out,
+                        new PrintStream(err, true, StandardCharsets.UTF_8))
+                .run();
         output.append(out.toString(StandardCharsets.UTF_8));
         errors = err.toString(StandardCharsets.UTF_8);
         return code;
@@ -44,7 +49,8 @@
     @Test
     void carriesARequestToItsAnswer() throws IOException {
         StringBuilder out = new StringBuilder();
-        String result = """
+        String result =
+                """
             {"event_type":"sync","clock_ms":1105.5,"frame":3}
             {"event_type":"result","proxy_id":3,"xid":"r1","leg":0,"node":"10.0.0.1:5000","code":"Ok",\
             "duration_ms":100.0,"last":true,"info":1,"usage":[0.5]}
@@ -56,8 +62,10 @@
         String[] lines = out.toString().split("\n");
         assertEquals("{\"event_type\":\"observe\",\"proxy_id\":3,\"want\":true}", lines[0]);
         assertEquals("{\"event_type\":\"finished\",\"frame\":1}", lines[1]);
-        assertTrue(lines[2].startsWith("{\"event_type\":\"dispatch\",\"proxy_id\":3,\"xid\":\"r1\","
-            + "\"node\":\"10.0.0.1:5000\",\"until_ms\":"), lines[2]);
+        assertTrue(
+                lines[2].startsWith("{\"event_type\":\"dispatch\",\"proxy_id\":3,\"xid\":\"r1\","
+                        + "\"node\":\"10.0.0.1:5000\",\"until_ms\":"),
+                lines[2]);
         assertTrue(out.toString().endsWith("{\"event_type\":\"finished\",\"frame\":3}\n"));
     }
 
@@ -75,8 +83,9 @@
         assertFault("{\"event_type\":\"sync\",\"clock_ms\":1,\"frame\":1}\n", "input ends inside a batch");
         String sync = "{\"event_type\":\"sync\",\"clock_ms\":1,\"frame\":1}\n";
         assertFault(sync + sync, "line 2: sync inside a batch");
-        assertFault(sync + "{\"event_type\":\"bell\",\"proxy_id\":1,\"nonce\":1}\n",
-            "line 2: bell for an instance that has not begun");
+        assertFault(
+                sync + "{\"event_type\":\"bell\",\"proxy_id\":1,\"nonce\":1}\n",
+                "line 2: bell for an instance that has not begun");
         assertFault(BEGIN + ASK.replace("\"xid\":\"r1\",", ""), "line 7: ask without xid");
         assertFault(BEGIN + ASK.replace("\"kind\":0", "\"kind\":\"x\""), "line 7: kind must be an integer");
         assertFault(BEGIN + ASK.replace("\"ask\"", "\"axe\""), "line 7: unknown event axe");
--- a/src/test/java/anisebend/DecideTest.java
+++ b/src/test/java/anisebend/DecideTest.java
@@ -31,10 +31,25 @@
     @Test
     void refusesSettingsItCannotWorkWith() {
         Balancer.Settings s = World.settings(false);
-        Balancer.Settings bad = new Balancer.Settings(s.balancers(), s.zone(), s.originKind(), List.of(),
-            s.tenants(), s.overShareWorth(), s.maxAttempts(), s.mayCancel(), s.mayProbe(), s.retryAfter(),
-            s.maxRetryAfter(), s.listMustBeAsked(), s.listAskWithin(),
-            s.coldShare(), s.coldTime(), 0, 0, 0);
+        Balancer.Settings bad = new Balancer.Settings(
+                s.balancers(),
+                s.zone(),
+                s.originKind(),
+                List.of(),
+                s.tenants(),
+                s.overShareWorth(),
+                s.maxAttempts(),
+                s.mayCancel(),
+                s.mayProbe(),
+                s.retryAfter(),
+                s.maxRetryAfter(),
+                s.listMustBeAsked(),
+                s.listAskWithin(),
+                s.coldShare(),
+                s.coldTime(),
+                0,
+                0,
+                0);
         assertRefused("classes", bad);
         assertRefused("freeResends", World.rationed(s, -1, 0.1, 1000));
         assertRefused("resendShare", World.rationed(s, 1, -0.1, 1000));
@@ -43,15 +58,15 @@
     }
 
     private static void assertRefused(String setting, Balancer.Settings bad) {
-        String message = assertThrows(IllegalArgumentException.class,
-            () -> new Decide(new Recorder()).start(0, 1, bad)).getMessage();
+        String message = assertThrows(IllegalArgumentException.class, () -> new Decide(new Recorder()).start(0, 1, bad))
+                .getMessage();
         assertTrue(message.contains(setting), message);
     }
 
     @Test
     void furtherAttemptsStayWithinTheRation() {
         World few = new World(false, 7, World.rationed(World.settings(false), 2, 0.1, 5000 * MS))
-            .list(ListKind.FULL, "a1", "a2", "b3");
+                .list(ListKind.FULL, "a1", "a2", "b3");
         for (int i = 0; i < 10; i++) {
             few.ask("e" + i, READ, "k" + i).answer("e" + i, Code.ERROR).pass(20 * MS);
         }
@@ -66,7 +81,7 @@
     @Test
     void anAttemptAfterAMissIsOutsideTheRation() {
         World none = new World(true, 7, World.rationed(World.settings(true), 0, 0.001, 5000 * MS))
-            .list(ListKind.FULL, "a1", "a2", "origin");
+                .list(ListKind.FULL, "a1", "a2", "origin");
         for (int i = 0; i < 5; i++) {
             none.ask("m" + i, READ, "k" + i).answer("m" + i, Code.MISS).pass(20 * MS);
             assertEquals("origin", none.serverOf("m" + i));
@@ -80,7 +95,12 @@
         for (int i = 0; i < 20; i++) {
             world.ask("r" + i, READ, "k").answer("r" + i, Code.OK).pass(20 * MS);
         }
-        assertEquals(1, world.recorder.sent.stream().map(Recorder.Sent::server).distinct().count());
+        assertEquals(
+                1,
+                world.recorder.sent.stream()
+                        .map(Recorder.Sent::server)
+                        .distinct()
+                        .count());
     }
 
     @Test
@@ -200,7 +220,12 @@
         String second = world.serverOf("r");
         assertNotEquals(home, second);
         world.answer("r", Code.FULL).pass(100 * MS);
-        assertEquals(3, world.recorder.sent.stream().map(Recorder.Sent::server).distinct().count());
+        assertEquals(
+                3,
+                world.recorder.sent.stream()
+                        .map(Recorder.Sent::server)
+                        .distinct()
+                        .count());
         world.answer("r", Code.OK).ask("s", READ, "k");
         assertEquals(home, world.serverOf("s"));
     }
@@ -218,7 +243,10 @@
         world.answer("v", Code.OK).answer("s", Code.OK).pass(3000 * MS);
         world.pass(World.COLD_TIME).ask("w", CHARGE, "k");
         assertEquals(home, world.serverOf("w"), "a paced trial");
-        world.answer("w", Code.OK).pass(2 * World.COLD_TIME).ask("x", CHARGE, "k").answer("x", Code.OK);
+        world.answer("w", Code.OK)
+                .pass(2 * World.COLD_TIME)
+                .ask("x", CHARGE, "k")
+                .answer("x", Code.OK);
         world.ask("y", CHARGE, "k").ask("z", CHARGE, "k");
         assertEquals(home, world.serverOf("y"));
         assertEquals(home, world.serverOf("z"), "no trial any more");
@@ -257,7 +285,9 @@
     @Test
     void failingFetchesArePacedAndKeptOnesAreNot() {
         for (int i = 0; i < 20; i++) {
-            world.ask("w" + i, READ, "kept" + i).answer("w" + i, Code.OK, 50 * MS, Note.MISS).pass(20 * MS);
+            world.ask("w" + i, READ, "kept" + i)
+                    .answer("w" + i, Code.OK, 50 * MS, Note.MISS)
+                    .pass(20 * MS);
         }
         for (int i = 0; i < 40; i++) {
             world.ask("f" + i, READ, "new" + i);
@@ -332,8 +362,11 @@
             world.ask("f" + i, READ, "new" + i, i % 2).pass(100 * MS);
             for (; met < world.recorder.sent.size(); met++) {
                 boolean hit = met % 3 > 0;
-                world.answer(world.recorder.sent.get(met).request(), hit ? Code.OK : Code.ERROR, 50 * MS,
-                    hit ? Note.HIT : Note.NONE);
+                world.answer(
+                        world.recorder.sent.get(met).request(),
+                        hit ? Code.OK : Code.ERROR,
+                        50 * MS,
+                        hit ? Note.HIT : Note.NONE);
             }
             rest += restOfTheLedger(world);
         }
@@ -364,8 +397,11 @@
                 Recorder.Sent sent = one.recorder.sent.get(answered);
                 boolean hit = i > 100 && Integer.parseInt(sent.request().substring(1)) % 4 > 0;
                 boolean bad = i > 500 && fails.test(sent.server(), hit);
-                one.answer(sent.request(), bad ? Code.ERROR : Code.OK, 200 * MS,
-                    bad ? Note.NONE : hit ? Note.HIT : Note.MISS);
+                one.answer(
+                        sent.request(),
+                        bad ? Code.ERROR : Code.OK,
+                        200 * MS,
+                        bad ? Note.NONE : hit ? Note.HIT : Note.MISS);
             }
             rest += restOfTheLedger(one);
         }
@@ -412,13 +448,19 @@
     @Test
     void lateFetchesLeaveTheServersLanesAlone() {
         for (int i = 0; i < 30; i++) {
-            world.ask("w" + i, READ, "k").answer("w" + i, Code.OK, 450 * MS, Note.MISS).pass(20 * MS);
+            world.ask("w" + i, READ, "k")
+                    .answer("w" + i, Code.OK, 450 * MS, Note.MISS)
+                    .pass(20 * MS);
         }
         long longest = world.balancer.view(world.now).servers().stream()
-            .mapToLong(Balancer.ServerView::meanInterval).max().orElseThrow();
+                .mapToLong(Balancer.ServerView::meanInterval)
+                .max()
+                .orElseThrow();
         assertEquals(0, longest);
         for (int i = 0; i < 30; i++) {
-            world.ask("l" + i, READ, "k").answer("l" + i, Code.OK, 450 * MS, Note.HIT).pass(20 * MS);
+            world.ask("l" + i, READ, "k")
+                    .answer("l" + i, Code.OK, 450 * MS, Note.HIT)
+                    .pass(20 * MS);
         }
         assertTrue(world.balancer.view(world.now).servers().stream().anyMatch(s -> s.meanInterval() > 0));
     }
@@ -497,11 +539,13 @@
         two.ask("f", READ, "k").ask("g", READ, "k").answer("f", Code.FULL).answer("g", Code.FULL);
         two.ask("r", READ, "k");
         assertEquals(0, two.sends("r"));
-        two.list(ListKind.CHANGES, List.of(World.server("a1", State.DRAINING, 0),
-            World.server("b2", State.READY, 0)));
+        two.list(ListKind.CHANGES, List.of(World.server("a1", State.DRAINING, 0), World.server("b2", State.READY, 0)));
         assertEquals("b2", two.serverOf("r"));
         two.pass(3000 * MS);
-        long late = two.recorder.sent.stream().skip(2).filter(s -> s.server().equals("a1")).count();
+        long late = two.recorder.sent.stream()
+                .skip(2)
+                .filter(s -> s.server().equals("a1"))
+                .count();
         assertEquals(0, late);
     }
 
@@ -552,7 +596,9 @@
     /** A pause of our own looks like silence on all sides; moving most keys would make it worse. */
     @Test
     void noMoreThanAThirdOfTheServersAreSuspect() {
-        World world = new World(false).list(ListKind.FULL, "a1", "a2", "b3", "a4", "b5", "a6", "b7", "a8", "b9").pass(MS);
+        World world = new World(false)
+                .list(ListKind.FULL, "a1", "a2", "b3", "a4", "b5", "a6", "b7", "a8", "b9")
+                .pass(MS);
         for (int i = 0; i < 60; i++) {
             world.ask("r" + i, READ, "k" + i);
         }
@@ -568,7 +614,8 @@
         }
         List<String> all = new ArrayList<>(lost);
         all.addAll(kept);
-        World world = new World(false).list(ListKind.FULL, all.toArray(String[]::new)).pass(MS);
+        World world =
+                new World(false).list(ListKind.FULL, all.toArray(String[]::new)).pass(MS);
         for (int i = 0; i < 200; i++) {
             world.ask("w" + i, READ, "warm" + i).answer("w" + i, Code.OK).pass(5 * MS);
         }
@@ -588,13 +635,15 @@
         List<String> lost = new ArrayList<>();
         List<String> kept = new ArrayList<>();
         World world = zoneLost(lost, kept);
-        assertTrue(world.recorder.has("log server silent: zone " + World.server("a0", State.READY, 0).zone()));
+        assertTrue(world.recorder.has(
+                "log server silent: zone " + World.server("a0", State.READY, 0).zone()));
         assertTrue(world.recorder.has("cancel r79 0") || kept.contains(world.serverOf("r79")));
         int there = 0;
         for (int i = 0; i < 60; i++) {
             world.ask("s" + i, READ, "new" + i);
             there += lost.contains(world.serverOf("s" + i)) ? 1 : 0;
-            world.answer("s" + i, lost.contains(world.serverOf("s" + i)) ? Code.CONNECT_FAILED : Code.OK).pass(20 * MS);
+            world.answer("s" + i, lost.contains(world.serverOf("s" + i)) ? Code.CONNECT_FAILED : Code.OK)
+                    .pass(20 * MS);
         }
         assertTrue(there >= 1 && there <= 5, "paced trials only, not " + there + " of 60");
     }
@@ -624,7 +673,9 @@
     /** An answer from the zone, or silence on all sides, says that it is not the zone. */
     @Test
     void aZoneIsNotLeftForSilenceOfSomeOfItsServersOrOnAllSides() {
-        World world = new World(false).list(ListKind.FULL, "a1", "a2", "a3", "a4", "a5", "b1", "b2", "b3", "b4", "b5").pass(MS);
+        World world = new World(false)
+                .list(ListKind.FULL, "a1", "a2", "a3", "a4", "a5", "b1", "b2", "b3", "b4", "b5")
+                .pass(MS);
         for (int i = 0; i < 200; i++) {
             world.ask("r" + i, READ, "k" + i);
             if (world.serverOf("r" + i) != null && !world.serverOf("r" + i).matches("a[123]")) {
@@ -661,10 +712,12 @@
         assertNotEquals(gone, many.serverOf("r"));
         many.answer("r", Code.OK);
         for (int i = 0; i < 40; i++) {
-            many.ask("s" + i, READ, "k").answer("s" + i, many.serverOf("s" + i).equals(gone)
-                ? Code.CONNECT_FAILED : Code.OK).pass(3000 * MS);
+            many.ask("s" + i, READ, "k")
+                    .answer("s" + i, many.serverOf("s" + i).equals(gone) ? Code.CONNECT_FAILED : Code.OK)
+                    .pass(3000 * MS);
         }
-        long trials = many.recorder.sent.stream().filter(s -> s.server().equals(gone)).count() - 1;
+        long trials =
+                many.recorder.sent.stream().filter(s -> s.server().equals(gone)).count() - 1;
         assertTrue(trials >= 2 && trials <= 4, "one request in ten, though its own pace allows all: " + trials);
     }
 
@@ -677,7 +730,9 @@
         for (int i = 0; i < 100; i++) {
             world.ask("c" + i, READ, "new" + i).answer("c" + i, Code.OK).pass(10 * MS);
         }
-        long cold = world.recorder.sent.stream().filter(s -> s.server().equals("a9")).count();
+        long cold = world.recorder.sent.stream()
+                .filter(s -> s.server().equals("a9"))
+                .count();
         assertTrue(cold > 0 && cold <= 100 / 4 * 0.4 + 1, "a part of a fair quarter of 100, was " + cold);
     }
 
@@ -688,12 +743,16 @@
         for (int b = 0; b < 300; b++) {
             World quiet = new World(false, b).list(ListKind.FULL, "a1", "a2", "b3");
             for (int i = 0; i < 20; i++) {
-                quiet.ask("w" + i, READ, "k" + b + "-" + i).answer("w" + i, Code.OK).pass(500 * MS);
+                quiet.ask("w" + i, READ, "k" + b + "-" + i)
+                        .answer("w" + i, Code.OK)
+                        .pass(500 * MS);
             }
             quiet.list(ListKind.CHANGES, List.of(World.server("a9", State.READY, quiet.now)));
             int before = quiet.recorder.sent.size();
             for (int i = 0; i < 6; i++) {
-                quiet.ask("c" + i, READ, "new" + b + "-" + i).answer("c" + i, Code.OK).pass(500 * MS);
+                quiet.ask("c" + i, READ, "new" + b + "-" + i)
+                        .answer("c" + i, Code.OK)
+                        .pass(500 * MS);
             }
             for (Recorder.Sent sent : quiet.recorder.sent.subList(before, quiet.recorder.sent.size())) {
                 cold += sent.server().equals("a9") ? 1 : 0;
@@ -717,7 +776,9 @@
         for (int i = 0; i < 200; i++) {
             world.ask("c" + i, READ, "new" + i).answer("c" + i, Code.OK).pass(10 * MS);
         }
-        long cold = world.recorder.sent.stream().filter(s -> s.server().length() == 3).count();
+        long cold = world.recorder.sent.stream()
+                .filter(s -> s.server().length() == 3)
+                .count();
         double part = 200 / 3.0 * 0.4 * 1.5; // of a warm server's two seconds, at two seconds' warmth and room
         assertTrue(cold > 100, "nine cold servers take most of the new keys, was " + cold);
         assertTrue(cold < 9 * part * 1.2, "and none more than its part, was " + cold);
@@ -727,7 +788,11 @@
     void missesOfOneKeyShareAFetch() {
         World aside = new World(true).list(ListKind.FULL, "a1", "a2", "origin");
         aside.ask("r", READ, "k").ask("s", READ, "k").answer("r", Code.MISS).answer("s", Code.MISS);
-        assertEquals(1, aside.recorder.sent.stream().filter(x -> x.server().equals("origin")).count());
+        assertEquals(
+                1,
+                aside.recorder.sent.stream()
+                        .filter(x -> x.server().equals("origin"))
+                        .count());
         aside.ask("t", READ, "k");
         assertEquals(0, aside.sends("t"), "waits for the fetch that is out");
         aside.answer("r", Code.OK);
@@ -750,7 +815,7 @@
     @Test
     void aRationIsNotSpentOnCallBacks() {
         World few = new World(false, 7, World.rationed(World.settings(false), 2, 0.1, 5000 * MS))
-            .list(ListKind.FULL, "a1", "a2", "b3");
+                .list(ListKind.FULL, "a1", "a2", "b3");
         for (int i = 0; i < 30; i++) {
             few.ask("w" + i, READ, "k").answer("w" + i, Code.OK).pass(50 * MS);
         }
@@ -776,7 +841,10 @@
         for (int i = 0; i < 20; i++) {
             one.ask("s" + i, READ, "k", 0).answer("s" + i, Code.OK, 450 * MS);
         }
-        one.ask("over", READ, "k", 1).ask("over2", READ, "k", 1).ask("within", READ, "k", 0).pass(1000 * MS);
+        one.ask("over", READ, "k", 1)
+                .ask("over2", READ, "k", 1)
+                .ask("within", READ, "k", 0)
+                .pass(1000 * MS);
         assertTrue(one.recorder.has("refuse over2"));
         assertEquals(1, one.sends("within"));
     }
@@ -829,8 +897,7 @@
     void strayEventsAreHarmless() {
         world.ask("r", READ, "k");
         int before = world.recorder.sent.size();
-        world.balancer.outcome(world.now, new Balancer.Outcome("r", 5, Code.FULL, 0, false, Balancer.Note.NONE,
-            null));
+        world.balancer.outcome(world.now, new Balancer.Outcome("r", 5, Code.FULL, 0, false, Balancer.Note.NONE, null));
         world.balancer.outcome(world.now, new Balancer.Outcome("x", 0, Code.OK, 0, true, Balancer.Note.NONE, null));
         world.balancer.timer(world.now, 123);
         world.balancer.abandoned(world.now, "y");
@@ -931,7 +998,9 @@
     /** A world whose balancer knows that answers tell what was fetched. */
     private static World telling() {
         World one = new World(false).list(ListKind.FULL, "a1");
-        one.ask("first", READ, "other").answer("first", Code.OK, 50 * MS, Note.MISS).pass(1_000 * MS);
+        one.ask("first", READ, "other")
+                .answer("first", Code.OK, 50 * MS, Note.MISS)
+                .pass(1_000 * MS);
         return one;
     }
 
@@ -953,10 +1022,14 @@
     @Test
     void whoFollowsAFetchGoesOnWhenItFailsOrItsClientLeaves() {
         World one = telling();
-        one.ask("leaves", READ, "k").ask("fails", READ, "k").ask("last", READ, "k").pass(5 * MS);
+        one.ask("leaves", READ, "k")
+                .ask("fails", READ, "k")
+                .ask("last", READ, "k")
+                .pass(5 * MS);
         one.balancer.abandoned(one.now, "leaves");
         one.answer("leaves", Code.CANCELLED, 5 * MS, Note.NONE).pass(300 * MS);
-        List<String> second = Stream.of("fails", "last").filter(id -> one.sends(id) == 1).toList();
+        List<String> second =
+                Stream.of("fails", "last").filter(id -> one.sends(id) == 1).toList();
         assertEquals(1, second.size(), "one of the two fetches now");
         one.answer(second.get(0), Code.ERROR, 50 * MS, Note.MISS).pass(400 * MS);
         assertTrue(one.sends("fails") >= 1 && one.sends("last") >= 1, "the other did not wait for its retry");
--- a/src/test/java/anisebend/ExampleTest.java
+++ b/src/test/java/anisebend/ExampleTest.java
@@ -20,15 +20,38 @@
         Balancer balancer = new Decide(actions);
         long now = 0; // microseconds, from any origin
         var read = new Balancer.RequestClass(Effect.SAFE, Group.ALL, 0, 500_000, 2_000_000, 1);
-        balancer.start(now, 42, new Balancer.Settings(3, 0, -1, List.of(read), List.of(), 1, 4, true, false,
-            true, 2_000_000, false, 0, 0.3, 8_000_000, 0, 0, 0));
-        balancer.servers(now, ListKind.FULL, List.of(
-            new Balancer.Server("10.0.0.1:80", 0, 0, 0, State.READY, 1, 0)));
+        balancer.start(
+                now,
+                42,
+                new Balancer.Settings(
+                        3,
+                        0,
+                        -1,
+                        List.of(read),
+                        List.of(),
+                        1,
+                        4,
+                        true,
+                        false,
+                        true,
+                        2_000_000,
+                        false,
+                        0,
+                        0.3,
+                        8_000_000,
+                        0,
+                        0,
+                        0));
+        balancer.servers(now, ListKind.FULL, List.of(new Balancer.Server("10.0.0.1:80", 0, 0, 0, State.READY, 1, 0)));
         balancer.request(now, new Balancer.Request("r1", 0, 0, "key", now + 1_000_000, false));
         balancer.outcome(now + 20_000, new Balancer.Outcome("r1", 0, Code.OK, 20_000, true, Note.HIT, null));
 
-        assertEquals("send r1 10.0.0.1:80", actions.lines.stream().filter(l -> l.startsWith("send")).findFirst()
-            .orElseThrow());
+        assertEquals(
+                "send r1 10.0.0.1:80",
+                actions.lines.stream()
+                        .filter(l -> l.startsWith("send"))
+                        .findFirst()
+                        .orElseThrow());
         assertEquals(0, actions.count("refuse") + actions.count("fail"));
     }
 }
--- a/src/test/java/anisebend/RandomEvents.java
+++ b/src/test/java/anisebend/RandomEvents.java
@@ -127,8 +127,10 @@
         ask.missed = code == Code.MISS;
         boolean over = ask.ended || code == Code.OK;
         ask.ended = over;
-        world.balancer.outcome(world.now, new Balancer.Outcome(id, ask.attempts - 1, code, world.now - ask.sentAt,
-            over, Balancer.Note.NONE, null));
+        world.balancer.outcome(
+                world.now,
+                new Balancer.Outcome(
+                        id, ask.attempts - 1, code, world.now - ask.sentAt, over, Balancer.Note.NONE, null));
         world.collectTimers();
     }
 
@@ -143,12 +145,12 @@
                 case "refuse" -> {
                     answeredOnce(words[1], ask);
                     boolean mayRun = ask.ranSince >= 0 || ask.out != null;
-                    assertFalse(mayRun && (ask.type == World.CHARGE || ask.type == World.SAVE_IN_ZONE),
-                        "untrue refusal of " + words[1]);
+                    assertFalse(
+                            mayRun && (ask.type == World.CHARGE || ask.type == World.SAVE_IN_ZONE),
+                            "untrue refusal of " + words[1]);
                 }
                 case "fail" -> answeredOnce(words[1], ask);
-                default -> {
-                }
+                default -> {}
             }
         }
     }
@@ -168,8 +170,9 @@
         if (ask.ranSince >= 0 && ask.type != World.READ) {
             assertTrue(ask.type != World.CHARGE, "unsafe sent twice: " + id);
             assertTrue(at - ask.ranSince <= 900 * World.MS, "outside the window: " + id);
-            assertTrue(ask.type != World.SAVE_IN_ZONE || server.charAt(0) % 2 == ask.ranZone % 2,
-                "outside the group: " + id);
+            assertTrue(
+                    ask.type != World.SAVE_IN_ZONE || server.charAt(0) % 2 == ask.ranZone % 2,
+                    "outside the group: " + id);
         }
         if (ask.attempts > 0 && !ask.missed && span > 0) {
             resent.add(at);
--- a/src/test/java/anisebend/Recorder.java
+++ b/src/test/java/anisebend/Recorder.java
@@ -7,8 +7,7 @@
 
 /** Keeps the actions of a balancer, each as a line of text and the sends as records too. */
 final class Recorder implements Balancer.Actions {
-    record Sent(String request, String server, long until) {
-    }
+    record Sent(String request, String server, long until) {}
 
     final List<String> lines = new ArrayList<>();
     private final Map<String, Long> comeBack = new HashMap<>();
@@ -16,6 +15,7 @@
     final List<Long> timers = new ArrayList<>();
     /** When each line was noted. */
     final List<Long> times = new ArrayList<>();
+
     long now;
 
     private void note(String line) {
--- a/src/test/java/anisebend/RetuneTest.java
+++ b/src/test/java/anisebend/RetuneTest.java
@@ -20,10 +20,25 @@
         Balancer.Settings s = World.settings(false);
         List<Balancer.RequestClass> classes = new ArrayList<>(s.classes());
         classes.addAll(List.of(further));
-        return new Balancer.Settings(s.balancers(), s.zone(), s.originKind(), classes, s.tenants(),
-            s.overShareWorth(), maxAttempts, s.mayCancel(), s.mayProbe(), s.retryAfter(), s.maxRetryAfter(),
-            s.listMustBeAsked(), s.listAskWithin(), s.coldShare(), s.coldTime(), s.freeResends(), s.resendShare(),
-            s.resendSpan());
+        return new Balancer.Settings(
+                s.balancers(),
+                s.zone(),
+                s.originKind(),
+                classes,
+                s.tenants(),
+                s.overShareWorth(),
+                maxAttempts,
+                s.mayCancel(),
+                s.mayProbe(),
+                s.retryAfter(),
+                s.maxRetryAfter(),
+                s.listMustBeAsked(),
+                s.listAskWithin(),
+                s.coldShare(),
+                s.coldTime(),
+                s.freeResends(),
+                s.resendShare(),
+                s.resendSpan());
     }
 
     private static Balancer.RequestClass unsafe(long deadline) {
@@ -64,10 +79,27 @@
     private static int refusedOverShare(int balancers) {
         World one = new World(false).list(ListKind.FULL, "a1");
         Balancer.Settings s = World.settings(false);
-        one.balancer.retune(one.now, new Balancer.Settings(balancers, s.zone(), s.originKind(), s.classes(), s.tenants(),
-            s.overShareWorth(), s.maxAttempts(), s.mayCancel(), s.mayProbe(), s.retryAfter(), s.maxRetryAfter(),
-            s.listMustBeAsked(), s.listAskWithin(), s.coldShare(), s.coldTime(), s.freeResends(), s.resendShare(),
-            s.resendSpan()));
+        one.balancer.retune(
+                one.now,
+                new Balancer.Settings(
+                        balancers,
+                        s.zone(),
+                        s.originKind(),
+                        s.classes(),
+                        s.tenants(),
+                        s.overShareWorth(),
+                        s.maxAttempts(),
+                        s.mayCancel(),
+                        s.mayProbe(),
+                        s.retryAfter(),
+                        s.maxRetryAfter(),
+                        s.listMustBeAsked(),
+                        s.listAskWithin(),
+                        s.coldShare(),
+                        s.coldTime(),
+                        s.freeResends(),
+                        s.resendShare(),
+                        s.resendSpan()));
         for (int i = 0; i < 60; i++) {
             one.ask("r" + i, READ, "k", 1).answer("r" + i, Code.OK, 450 * MS).pass(200 * MS);
         }
--- a/src/test/java/anisebend/SizeTest.java
+++ b/src/test/java/anisebend/SizeTest.java
@@ -16,7 +16,9 @@
     @Test
     void theModuleStaysReviewable() throws IOException {
         String policy = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
-            .filter(line -> line.startsWith("policy")).findFirst().orElseThrow();
+                .filter(line -> line.startsWith("policy"))
+                .findFirst()
+                .orElseThrow();
         long filled = 0;
         int files = 0;
         for (Matcher file = FILE.matcher(policy); file.find(); files++) {
--- a/src/test/java/anisebend/World.java
+++ b/src/test/java/anisebend/World.java
@@ -37,20 +37,52 @@
     }
 
     static Balancer.Settings rationed(Balancer.Settings s, double free, double share, long span) {
-        return new Balancer.Settings(s.balancers(), s.zone(), s.originKind(), s.classes(), s.tenants(),
-            s.overShareWorth(), s.maxAttempts(), s.mayCancel(), s.mayProbe(), s.retryAfter(), s.maxRetryAfter(),
-            s.listMustBeAsked(), s.listAskWithin(), s.coldShare(), s.coldTime(), free, share, span);
+        return new Balancer.Settings(
+                s.balancers(),
+                s.zone(),
+                s.originKind(),
+                s.classes(),
+                s.tenants(),
+                s.overShareWorth(),
+                s.maxAttempts(),
+                s.mayCancel(),
+                s.mayProbe(),
+                s.retryAfter(),
+                s.maxRetryAfter(),
+                s.listMustBeAsked(),
+                s.listAskWithin(),
+                s.coldShare(),
+                s.coldTime(),
+                free,
+                share,
+                span);
     }
 
     static Balancer.Settings settings(boolean aside) {
         List<Balancer.RequestClass> classes = List.of(
-            type(Balancer.Effect.SAFE, Balancer.Group.ALL, 1),
-            type(Balancer.Effect.UNSAFE, Balancer.Group.ALL, 10),
-            type(Balancer.Effect.KEYED, Balancer.Group.ALL, 2),
-            type(Balancer.Effect.KEYED, Balancer.Group.ZONE, 2));
-        return new Balancer.Settings(2, 0, aside ? 1 : -1, classes,
-            List.of(new Balancer.Tenant(0.5, 20), new Balancer.Tenant(0.5, 20)), 0.1, 4, true, false, true,
-            2000 * MS, true, 10_000 * MS, 0.3, COLD_TIME, 0, 0, 0);
+                type(Balancer.Effect.SAFE, Balancer.Group.ALL, 1),
+                type(Balancer.Effect.UNSAFE, Balancer.Group.ALL, 10),
+                type(Balancer.Effect.KEYED, Balancer.Group.ALL, 2),
+                type(Balancer.Effect.KEYED, Balancer.Group.ZONE, 2));
+        return new Balancer.Settings(
+                2,
+                0,
+                aside ? 1 : -1,
+                classes,
+                List.of(new Balancer.Tenant(0.5, 20), new Balancer.Tenant(0.5, 20)),
+                0.1,
+                4,
+                true,
+                false,
+                true,
+                2000 * MS,
+                true,
+                10_000 * MS,
+                0.3,
+                COLD_TIME,
+                0,
+                0,
+                0);
     }
 
     private static Balancer.RequestClass type(Balancer.Effect effect, Balancer.Group group, double worth) {
@@ -94,10 +126,10 @@
     }
 
     World answer(String id, Balancer.Code code, long elapsed, Balancer.Note note) {
-        long attempts = recorder.sent.stream().filter(s -> s.request().equals(id)).count();
+        long attempts =
+                recorder.sent.stream().filter(s -> s.request().equals(id)).count();
         boolean over = code == Balancer.Code.OK;
-        balancer.outcome(now, new Balancer.Outcome(id, (int) attempts - 1, code, elapsed, over,
-            note, null));
+        balancer.outcome(now, new Balancer.Outcome(id, (int) attempts - 1, code, elapsed, over, note, null));
         collectTimers();
         return this;
     }
--- a/src/test/java/anisebend/net/LongAnswerTest.java
+++ b/src/test/java/anisebend/net/LongAnswerTest.java
@@ -38,6 +38,7 @@
 
     @TempDir
     Path folder;
+
     private Server node;
     private Server discovery;
     private ProxyServer proxy;
@@ -46,9 +47,14 @@
     @BeforeEach
     void open() throws IOException {
         node = new Server((request, socket) -> script.answer(request, socket));
-        discovery = new Server((request, socket) -> { });
-        proxy = ProxyServer.of(Loopback.environment(folder, discovery.address(), 100, 60_000,
-            list(1, true, entry("s-1", node.address(), "Ready", 0)))).start();
+        discovery = new Server((request, socket) -> {});
+        proxy = ProxyServer.of(Loopback.environment(
+                        folder,
+                        discovery.address(),
+                        100,
+                        60_000,
+                        list(1, true, entry("s-1", node.address(), "Ready", 0))))
+                .start();
     }
 
     @AfterEach
--- a/src/test/java/anisebend/net/LongBodyTest.java
+++ b/src/test/java/anisebend/net/LongBodyTest.java
@@ -40,6 +40,7 @@
 
     @TempDir
     Path folder;
+
     private Server node;
     private Server discovery;
     private ProxyServer proxy;
@@ -48,9 +49,15 @@
     @BeforeEach
     void open() throws IOException {
         node = new Server((request, socket) -> script.answer(request, socket));
-        discovery = new Server((request, socket) -> { });
-        proxy = ProxyServer.of(Loopback.environment(folder, discovery.address(), 200, 60_000,
-            list(1, true, entry("s-1", node.address(), "Ready", 0)))).bodies(ROOM).start();
+        discovery = new Server((request, socket) -> {});
+        proxy = ProxyServer.of(Loopback.environment(
+                        folder,
+                        discovery.address(),
+                        200,
+                        60_000,
+                        list(1, true, entry("s-1", node.address(), "Ready", 0))))
+                .bodies(ROOM)
+                .start();
     }
 
     @AfterEach
@@ -71,11 +78,14 @@
     }
 
     private static String chunked(String type, String body, int size) {
-        StringBuilder text = new StringBuilder(request("PUT", "/api/k", type, LONG, "")
-            .replace("Content-Length: 0", "Transfer-Encoding: chunked"));
+        StringBuilder text = new StringBuilder(
+                request("PUT", "/api/k", type, LONG, "").replace("Content-Length: 0", "Transfer-Encoding: chunked"));
         for (int at = 0; at < body.length(); at += size) {
             String part = body.substring(at, Math.min(body.length(), at + size));
-            text.append(Integer.toHexString(part.length())).append("\r\n").append(part).append("\r\n");
+            text.append(Integer.toHexString(part.length()))
+                    .append("\r\n")
+                    .append(part)
+                    .append("\r\n");
         }
         return text.append("0\r\n\r\n").toString();
     }
@@ -88,13 +98,23 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"65535, once", "65536, keyed", "65537, once", "65537, keyed", "131072, once", "700000, once",
-        "1048576, keyed"})
+    @CsvSource({
+        "65535, once",
+        "65536, keyed",
+        "65537, once",
+        "65537, keyed",
+        "131072, once",
+        "700000, once",
+        "1048576, keyed"
+    })
     void passesBodiesUnchangedInAnyFraming(int length, String type) throws Exception {
         String body = text(length);
-        script = (request, socket) -> write(socket, answer(200, "", request.body().equals(body) ? "same" : "other"));
+        script = (request, socket) ->
+                write(socket, answer(200, "", request.body().equals(body) ? "same" : "other"));
         try (Client client = client()) {
-            assertEquals("same", client.ask(request("PUT", "/api/k", type, LONG, body)).body());
+            assertEquals(
+                    "same",
+                    client.ask(request("PUT", "/api/k", type, LONG, body)).body());
             assertEquals("same", client.ask(chunked(type, body, 50_000)).body());
             assertEquals("same", client.ask(chunked(type, body, 1_000_000)).body());
         }
@@ -187,8 +207,14 @@
             breaker.setDaemon(true);
             breaker.start();
             proxy.stop();
-            proxy = ProxyServer.of(Loopback.environment(folder, discovery.address(), 200, 60_000,
-                list(1, true, entry("s-0", "127.0.0.1:" + breaking.getLocalPort(), "Ready", 0)))).bodies(ROOM).start();
+            proxy = ProxyServer.of(Loopback.environment(
+                            folder,
+                            discovery.address(),
+                            200,
+                            60_000,
+                            list(1, true, entry("s-0", "127.0.0.1:" + breaking.getLocalPort(), "Ready", 0))))
+                    .bodies(ROOM)
+                    .start();
             try (Client client = client()) {
                 Thread writer = new Thread(() -> {
                     try {
@@ -208,8 +234,11 @@
     @Test
     void turnsAwayWhatCanNeverHaveRoom() throws Exception {
         try (Client client = client()) {
-            assertEquals(413, client.ask(request("PUT", "/api/k", "once", LONG, "x")
-                .replace("Content-Length: 1\r", "Content-Length: " + (ROOM + 1) + "\r")).status());
+            assertEquals(
+                    413,
+                    client.ask(request("PUT", "/api/k", "once", LONG, "x")
+                                    .replace("Content-Length: 1\r", "Content-Length: " + (ROOM + 1) + "\r"))
+                            .status());
             assertNull(client.answer());
         }
         assertEquals(0, node.requests.size());
@@ -219,8 +248,10 @@
     @Test
     void letsExpectantClientsGoOnOnceThereIsRoom() throws Exception {
         String body = text(ROOM);
-        try (Client first = client(); Client second = client()) {
-            String one = request("PUT", "/api/k", "once", LONG, body).replace("Host: app.svc", "Host: app.svc\r\nExpect: 100-continue");
+        try (Client first = client();
+                Client second = client()) {
+            String one = request("PUT", "/api/k", "once", LONG, body)
+                    .replace("Host: app.svc", "Host: app.svc\r\nExpect: 100-continue");
             String head = one.substring(0, one.indexOf("\r\n\r\n") + 4);
             write(first.socket, head);
             assertEquals(100, first.answer().status());
--- a/src/test/java/anisebend/net/Loopback.java
+++ b/src/test/java/anisebend/net/Loopback.java
@@ -25,11 +25,11 @@
 final class Loopback {
     /** How long a test waits for what must come; it says nothing of speed. */
     static final int PATIENCE_SECONDS = 30;
+
     private static final AtomicInteger REQUESTS = new AtomicInteger();
     static final InetAddress HOST = InetAddress.getLoopbackAddress();
 
-    private Loopback() {
-    }
+    private Loopback() {}
 
     /** A message: its first line, its headers (names in lower case) and its body. */
     record Message(String first, Map<String, String> headers, String body) {
@@ -51,7 +51,9 @@
         Map<String, String> headers = new TreeMap<>();
         for (String line = line(in); line != null && !line.isEmpty(); line = line(in)) {
             int colon = line.indexOf(':');
-            headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).trim());
+            headers.put(
+                    line.substring(0, colon).toLowerCase(Locale.ROOT),
+                    line.substring(colon + 1).trim());
         }
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
         byte[] body = in.readNBytes(length);
@@ -189,15 +191,15 @@
 
     static String request(String method, String path, String type, double seconds, String body) {
         return method + " " + path + " HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: id-"
-            + REQUESTS.incrementAndGet() + "\r\n"
-            + "X-Service-Class: " + type + "\r\nX-Account: acme\r\nX-Time-Left: " + seconds + "\r\n"
-            + (body == null ? "" : "Idempotency-Key: key-7\r\nContent-Length: " + body.length() + "\r\n") + "\r\n"
-            + (body == null ? "" : body);
+                + REQUESTS.incrementAndGet() + "\r\n"
+                + "X-Service-Class: " + type + "\r\nX-Account: acme\r\nX-Time-Left: " + seconds + "\r\n"
+                + (body == null ? "" : "Idempotency-Key: key-7\r\nContent-Length: " + body.length() + "\r\n") + "\r\n"
+                + (body == null ? "" : body);
     }
 
     static String entry(String host, String dial, String health, long born) {
         return "{\"host\":\"" + host + "\",\"dial\":\"" + dial + "\",\"site\":\"a\",\"class\":\"m\",\"block\":0,"
-            + "\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":" + born + ",\"later\":[{}]}";
+                + "\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":" + born + ",\"later\":[{}]}";
     }
 
     static String list(int seq, boolean whole, String... entries) {
@@ -206,7 +208,7 @@
 
     /** The same with a second address, as the platform tells of it. */
     static Map<String, String> served(Path folder, String discovery, int sockets, long idleMillis, String known)
-        throws IOException {
+            throws IOException {
         Map<String, String> env = new HashMap<>(environment(folder, discovery, sockets, idleMillis, known));
         env.put("PROXY_ADMIN", "127.0.0.1:0");
         env.put("TMPDIR", folder.toString());
@@ -215,9 +217,11 @@
 
     /** The environment of a proxy whose configuration is a file in {@code folder}. */
     static Map<String, String> environment(Path folder, String discovery, int sockets, long idleMillis, String known)
-        throws IOException {
+            throws IOException {
         Path file = folder.resolve("config.json");
-        Files.writeString(file, """
+        Files.writeString(
+                file,
+                """
             {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964","new":{"x":[1]},
              "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,
              "settings":{"fleet_size":1,"locality":0,"failure_domains":["a"],"shapes":["m"],"discovery":"ask",
@@ -230,7 +234,8 @@
                 "aim_ms":6000.0,"hard_limit_ms":60000.0,"credit":2.0}],
               "realms":[{"name":"acme","fraction":1.0,"quota_rps":1000.0}],
               "rules":{"ask_within_ms":1000.0,"cold_from":0.32,"cold_ms":100.0}}}
-            """.formatted(discovery, sockets, known, idleMillis));
+            """
+                        .formatted(discovery, sockets, known, idleMillis));
         return Map.of("PROXY_CONFIG", file.toString());
     }
 }
