--- a/src/test/java/anisebend/net/ProcessTest.java
+++ b/src/test/java/anisebend/net/ProcessTest.java
@@ -28,8 +28,12 @@
     Path folder;
 
     private Process serve(Map<String, String> environment) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-cp", System.getProperty("java.class.path"), Main.class.getName(), "serve");
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp",
+                System.getProperty("java.class.path"),
+                Main.class.getName(),
+                "serve");
         builder.environment().putAll(environment);
         return builder.redirectErrorStream(true).start();
     }
@@ -48,7 +52,8 @@
 
     @Test
     void saysThatTheConfigurationIsMissing() throws Exception {
-        Process process = serve(Map.of("PROXY_CONFIG", folder.resolve("none.json").toString()));
+        Process process =
+                serve(Map.of("PROXY_CONFIG", folder.resolve("none.json").toString()));
         String output = new String(process.getInputStream().readAllBytes());
         assertEquals(1, process.waitFor());
         assertEquals(1, output.lines().count(), output);
@@ -58,9 +63,9 @@
     @Test
     void endsWithOneWhereItCanNotListen() throws Exception {
         try (ServerSocket taken = new ServerSocket(0, 1, Loopback.HOST);
-             Server discovery = new Server((request, socket) -> { })) {
-            Map<String, String> environment = new HashMap<>(Loopback.served(folder, discovery.address(), 100, 60_000,
-                Loopback.list(1, true)));
+                Server discovery = new Server((request, socket) -> {})) {
+            Map<String, String> environment =
+                    new HashMap<>(Loopback.served(folder, discovery.address(), 100, 60_000, Loopback.list(1, true)));
             environment.put("PROXY_ADMIN", "127.0.0.1:" + taken.getLocalPort());
             Process process = serve(environment);
             String output = new String(process.getInputStream().readAllBytes());
@@ -76,10 +81,10 @@
         try (ServerSocket free = new ServerSocket(0, 1, Loopback.HOST)) {
             port = free.getLocalPort();
         }
-        try (Server discovery = new Server((request, socket) -> { });
-             Server next = new Server((request, socket) -> { })) {
-            Map<String, String> environment = new HashMap<>(Loopback.environment(folder, discovery.address(), 100,
-                60_000, Loopback.list(1, true)));
+        try (Server discovery = new Server((request, socket) -> {});
+                Server next = new Server((request, socket) -> {})) {
+            Map<String, String> environment = new HashMap<>(
+                    Loopback.environment(folder, discovery.address(), 100, 60_000, Loopback.list(1, true)));
             environment.put("PROXY_LISTEN", "127.0.0.1:" + port);
             environment.put("PROXY_DISCOVERY", discovery.address()); // the file, being newer, wins over it
             Process process = serve(environment);
@@ -88,7 +93,11 @@
                 awaitReady(process, port);
                 Loopback.environment(folder, next.address(), 100, 60_000, Loopback.list(1, true));
                 for (int i = 0; i < 3; i++) {
-                    assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+                    assertEquals(
+                            0,
+                            new ProcessBuilder("kill", "-HUP", Long.toString(process.pid()))
+                                    .start()
+                                    .waitFor());
                 }
                 assertNotNull(next.next());
                 process.destroy();
@@ -111,9 +120,9 @@
             port = free.getLocalPort();
         }
         Path loaded = folder.resolve("loaded.txt");
-        try (Server discovery = new Server((request, socket) -> { })) {
-            Map<String, String> environment = new HashMap<>(Loopback.environment(folder, discovery.address(), 100,
-                60_000, Loopback.list(1, true)));
+        try (Server discovery = new Server((request, socket) -> {})) {
+            Map<String, String> environment = new HashMap<>(
+                    Loopback.environment(folder, discovery.address(), 100, 60_000, Loopback.list(1, true)));
             environment.put("PROXY_LISTEN", "127.0.0.1:" + port);
             environment.put("JDK_JAVA_OPTIONS", "-Djava.library.path=target/native -Xlog:class+load:file=" + loaded);
             Process process = serve(environment);
@@ -127,8 +136,11 @@
         String classes = Files.readString(loaded);
         assertTrue(classes.contains("anisebend.net.Warmup "), "it did not get ready");
         assertTrue(classes.contains("io.netty.channel.epoll.EpollSocketChannel "), "it waits by the JDK's selector");
-        for (String slow : List.of("java.util.logging.LogManager", "java.util.Formatter",
-            "java.security.SecureRandom", "java.lang.runtime.ObjectMethods")) {
+        for (String slow : List.of(
+                "java.util.logging.LogManager",
+                "java.util.Formatter",
+                "java.security.SecureRandom",
+                "java.lang.runtime.ObjectMethods")) {
             assertFalse(classes.contains(slow + " "), slow + " is loaded at the start");
         }
     }
@@ -137,7 +149,9 @@
         boolean ready = false;
         while (!ready && process.isAlive()) {
             try (Client client = new Client(port)) {
-                ready = client.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status() == 200;
+                ready = client.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+                                .status()
+                        == 200;
             } catch (IOException e) {
                 Thread.sleep(10); // not listening yet
             }
--- a/src/test/java/anisebend/net/ProxyTest.java
+++ b/src/test/java/anisebend/net/ProxyTest.java
@@ -41,6 +41,7 @@
 
     @TempDir
     Path folder;
+
     private Server node;
     private Server discovery;
     private final BlockingQueue<String> news = new LinkedBlockingQueue<>();
@@ -76,7 +77,8 @@
     }
 
     private Client start(int sockets, long idleMillis, String known) throws IOException {
-        proxy = ProxyServer.of(Loopback.environment(folder, discovery.address(), sockets, idleMillis, known)).start();
+        proxy = ProxyServer.of(Loopback.environment(folder, discovery.address(), sockets, idleMillis, known))
+                .start();
         return client();
     }
 
@@ -87,8 +89,8 @@
     @Test
     void passesRequestAndAnswerUnchanged() throws Exception {
         try (Client client = start()) {
-            Message got = client.ask(withId(request("PUT", "/api/card-1?x=a%20b", "keyed", LONG, "amount=5"),
-                "9b1f03aa5c7e2d41"));
+            Message got = client.ask(
+                    withId(request("PUT", "/api/card-1?x=a%20b", "keyed", LONG, "amount=5"), "9b1f03aa5c7e2d41"));
             assertEquals(200, got.status());
             assertEquals("value", got.body());
             Message sent = node.next();
@@ -105,7 +107,10 @@
     void keepsConnectionsOnBothSides() throws Exception {
         try (Client client = start()) {
             for (int i = 0; i < 3; i++) {
-                assertEquals(200, client.ask(request("GET", "/api/card-" + i, "read", LONG, null)).status());
+                assertEquals(
+                        200,
+                        client.ask(request("GET", "/api/card-" + i, "read", LONG, null))
+                                .status());
             }
             assertEquals(1, node.connections.size());
         }
@@ -114,39 +119,56 @@
     @Test
     void answersReadinessProbe() throws Exception {
         try (Client client = start()) {
-            assertEquals(200, client.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status());
+            assertEquals(
+                    200,
+                    client.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status());
         }
     }
 
     /** Bad input must never reach the module: a class or tenant that it does not know would be a fault there. */
     @ParameterizedTest
     @CsvSource({
-        "GET, /api/k, X-Service-Class, odd, 400", "GET, /api/k, X-Service-Class, , 400",
-        "GET, /api/k, X-Account, odd, 400", "GET, /api/k, X-Account, , 400",
-        "GET, /api/k, X-Correlation-Id, , 400", "GET, /api/k, X-Time-Left, soon, 400",
-        "GET, /api/k, X-Time-Left, 0, 400", "GET, /api/k, X-Time-Left, -1, 400",
-        "GET, /api/k, X-Time-Left, NaN, 400", "GET, /api/k, X-Time-Left, , 400",
-        "GET, /api/k, X-Time-Left, 1d, 400", "GET, /api/k, X-Time-Left, 0x1p3, 400", "GET, /api/k, X-Time-Left, 1e3, 400",
-        "GET, /api/k, X-Time-Left, .5, 400", "GET, /api/k, X-Time-Left, 999999999999, 200",
+        "GET, /api/k, X-Service-Class, odd, 400",
+        "GET, /api/k, X-Service-Class, , 400",
+        "GET, /api/k, X-Account, odd, 400",
+        "GET, /api/k, X-Account, , 400",
+        "GET, /api/k, X-Correlation-Id, , 400",
+        "GET, /api/k, X-Time-Left, soon, 400",
+        "GET, /api/k, X-Time-Left, 0, 400",
+        "GET, /api/k, X-Time-Left, -1, 400",
+        "GET, /api/k, X-Time-Left, NaN, 400",
+        "GET, /api/k, X-Time-Left, , 400",
+        "GET, /api/k, X-Time-Left, 1d, 400",
+        "GET, /api/k, X-Time-Left, 0x1p3, 400",
+        "GET, /api/k, X-Time-Left, 1e3, 400",
+        "GET, /api/k, X-Time-Left, .5, 400",
+        "GET, /api/k, X-Time-Left, 999999999999, 200",
         "GET, /api/k, X-Account, 'acme\r\nX-Account: acme', 400",
-        "POST, /api/k, X-Other, 1, 405", "DELETE, /api/k, X-Other, 1, 405", "GET, /else, X-Other, 1, 404",
-        "GET, /api/k, X-Facts, 'a=1,b=2', 200"})
+        "POST, /api/k, X-Other, 1, 405",
+        "DELETE, /api/k, X-Other, 1, 405",
+        "GET, /else, X-Other, 1, 404",
+        "GET, /api/k, X-Facts, 'a=1,b=2', 200"
+    })
     void checksRequests(String method, String path, String header, String value, int status) throws Exception {
         try (Client client = start()) {
-            String text = request(method, path, "read", LONG, null)
-                .replaceFirst(header + ": [^\r]*\r\n", "");
+            String text = request(method, path, "read", LONG, null).replaceFirst(header + ": [^\r]*\r\n", "");
             text = text.replaceFirst("\r\n", "\r\n" + (value == null ? "" : header + ": " + value + "\r\n"));
             assertEquals(status, client.ask(text).status());
             assertEquals(status == 200 ? 1 : 0, node.requests.size());
             // The connection is as good as before.
-            assertEquals(200, client.ask(request("GET", "/api/k", "read", LONG, null)).status());
+            assertEquals(
+                    200,
+                    client.ask(request("GET", "/api/k", "read", LONG, null)).status());
         }
     }
 
     @Test
     void endsConnectionWhoseFramingIsInDoubt() throws Exception {
         try (Client client = start()) {
-            assertEquals(400, client.ask("GET /api/k HTTP/1.1\r\nContent-Length: many\r\n\r\nGET ").status());
+            assertEquals(
+                    400,
+                    client.ask("GET /api/k HTTP/1.1\r\nContent-Length: many\r\n\r\nGET ")
+                            .status());
             assertNull(client.answer());
         }
     }
@@ -155,8 +177,10 @@
     void refusesLongBodies() throws Exception {
         try (Client client = start()) {
             String text = request("PUT", "/api/k", "keyed", LONG, "x");
-            assertEquals(413, client.ask(text.replace("Content-Length: 1\r", "Content-Length: " + ((32 << 20) + 1) + "\r"))
-                .status());
+            assertEquals(
+                    413,
+                    client.ask(text.replace("Content-Length: 1\r", "Content-Length: " + ((32 << 20) + 1) + "\r"))
+                            .status());
             assertNull(client.answer());
             assertEquals(0, node.requests.size());
         }
@@ -177,7 +201,8 @@
             }
         };
         try (Client client = start()) {
-            assertEquals(502, client.ask(request("PUT", "/api/k", "once", LONG, "5")).status());
+            assertEquals(
+                    502, client.ask(request("PUT", "/api/k", "once", LONG, "5")).status());
             assertEquals(1, node.requests.size());
         }
     }
@@ -190,7 +215,9 @@
             write(socket, first ? answer(status, "X-Unprocessed: 1\r\n", "") : answer(200, "", "done"));
         };
         try (Client client = start()) {
-            assertEquals("done", client.ask(request("PUT", "/api/k", "once", LONG, "5")).body());
+            assertEquals(
+                    "done",
+                    client.ask(request("PUT", "/api/k", "once", LONG, "5")).body());
             assertEquals(2, node.requests.size());
         }
     }
@@ -207,7 +234,9 @@
             }
         };
         try (Client client = start()) {
-            assertEquals("whole", client.ask(request("GET", "/api/k", "read", LONG, null)).body());
+            assertEquals(
+                    "whole",
+                    client.ask(request("GET", "/api/k", "read", LONG, null)).body());
         }
     }
 
@@ -219,20 +248,24 @@
             socket.close();
         };
         try (Client client = start()) {
-            assertEquals(502, client.ask(request("PUT", "/api/k", "once", LONG, "5")).status());
+            assertEquals(
+                    502, client.ask(request("PUT", "/api/k", "once", LONG, "5")).status());
         }
     }
 
     /** A silent node: one answer before the client's time is up, and the attempt is closed with it. */
     @Test
     void failsInTimeWhenNodeIsSilent() throws Exception {
-        node.script = (request, socket) -> { };
+        node.script = (request, socket) -> {};
         try (Client client = start()) {
-            assertEquals(502, client.ask(request("PUT", "/api/k", "once", 3, "5")).status());
+            assertEquals(
+                    502, client.ask(request("PUT", "/api/k", "once", 3, "5")).status());
             assertNotNull(node.ended.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
             assertEquals(1, node.requests.size());
             node.script = (request, socket) -> write(socket, answer(200, "", "again"));
-            assertEquals("again", client.ask(request("GET", "/api/k", "read", LONG, null)).body());
+            assertEquals(
+                    "again",
+                    client.ask(request("GET", "/api/k", "read", LONG, null)).body());
         }
     }
 
@@ -245,13 +278,14 @@
             }
         };
         try (Client client = start(SOCKETS, IDLE_MILLIS, gone)) {
-            assertEquals(503, client.ask(request("PUT", "/api/k", "once", 0.5, "5")).status());
+            assertEquals(
+                    503, client.ask(request("PUT", "/api/k", "once", 0.5, "5")).status());
         }
     }
 
     @Test
     void closesAttemptOfClientThatHasGone() throws Exception {
-        node.script = (request, socket) -> { };
+        node.script = (request, socket) -> {};
         try (Client client = start()) {
             write(client.socket, request("GET", "/api/k", "read", LONG, null));
             assertNotNull(node.next());
@@ -267,8 +301,10 @@
     @ValueSource(strings = {"/api/a", "/none"})
     void turnsFloodAwayUnsent(String path) throws Exception {
         try (Client client = start()) {
-            write(client.socket, request("GET", path, "read", LONG, null)
-                + request("GET", "/api/b", "read", LONG, null).repeat(100));
+            write(
+                    client.socket,
+                    request("GET", path, "read", LONG, null)
+                            + request("GET", "/api/b", "read", LONG, null).repeat(100));
             int status = client.answer().status();
             assertTrue(status >= 400 && status < 500, "status " + status);
             while (client.answer() != null) {
@@ -304,14 +340,21 @@
     void refusesIdThatIsOpen() throws Exception {
         BlockingQueue<Socket> held = new LinkedBlockingQueue<>();
         node.script = (request, socket) -> held.add(socket);
-        try (Client client = start(); Client other = client()) {
+        try (Client client = start();
+                Client other = client()) {
             write(client.socket, withId(request("GET", "/api/a", "read", LONG, null), "same"));
             Socket waiting = held.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
-            assertEquals(409, other.ask(withId(request("GET", "/api/a", "read", LONG, null), "same")).status());
+            assertEquals(
+                    409,
+                    other.ask(withId(request("GET", "/api/a", "read", LONG, null), "same"))
+                            .status());
             write(waiting, answer(200, "", "first"));
             assertEquals("first", client.answer().body());
             node.script = (request, socket) -> write(socket, answer(200, "", "again"));
-            assertEquals("again", client.ask(withId(request("GET", "/api/a", "read", LONG, null), "same")).body());
+            assertEquals(
+                    "again",
+                    client.ask(withId(request("GET", "/api/a", "read", LONG, null), "same"))
+                            .body());
             assertEquals(2, node.requests.size());
         }
     }
@@ -322,15 +365,29 @@
 
     /** Whatever can be read in two ways may hide a request from one of two readers: an error, then the close. */
     @ParameterizedTest
-    @ValueSource(strings = {"Content-Length: 5\r\nTransfer-Encoding: chunked", "Content-Length: 5\r\nContent-Length: 5",
-        "Content-Length: 5\r\nContent-Length: 0", "Content-Length: +5", "Content-Length: -5", "Content-Length: 5 5",
-        "Content-Length: 0x5", "Content-Length: 99999999999999999999", "Transfer-Encoding: gzip, chunked",
-        "Transfer-Encoding: identity", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
-        "a line with no colon", "Content-Length : 5", "Content-Length: 62914560"})
+    @ValueSource(
+            strings = {
+                "Content-Length: 5\r\nTransfer-Encoding: chunked",
+                "Content-Length: 5\r\nContent-Length: 5",
+                "Content-Length: 5\r\nContent-Length: 0",
+                "Content-Length: +5",
+                "Content-Length: -5",
+                "Content-Length: 5 5",
+                "Content-Length: 0x5",
+                "Content-Length: 99999999999999999999",
+                "Transfer-Encoding: gzip, chunked",
+                "Transfer-Encoding: identity",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                "a line with no colon",
+                "Content-Length : 5",
+                "Content-Length: 62914560"
+            })
     void turnsAwayDoubtfulFraming(String header) throws Exception {
         try (Client client = start()) {
-            write(client.socket, request("PUT", "/api/k", "keyed", LONG, null).replaceFirst("\r\n\r\n",
-                "\r\n" + header + "\r\n\r\n") + "0\r\n\r\n");
+            write(
+                    client.socket,
+                    request("PUT", "/api/k", "keyed", LONG, null).replaceFirst("\r\n\r\n", "\r\n" + header + "\r\n\r\n")
+                            + "0\r\n\r\n");
             int status = client.answer().status();
             assertTrue(status == 400 || status == 413, "status " + status);
             assertNull(client.answer());
@@ -340,8 +397,12 @@
 
     /** Half a head, half a body and silence hold a descriptor each, and must not for ever. */
     @ParameterizedTest
-    @CsvSource({"'', 0", "'GET /api/k HT', 408", "'PUT /api/k HTTP/1.1\nX-Correlation-Id: i\nX-Service-Class: keyed\n"
-        + "X-Account: acme\nX-Time-Left: 9\nContent-Length: 9\n\nhalf', 408"})
+    @CsvSource({
+        "'', 0",
+        "'GET /api/k HT', 408",
+        "'PUT /api/k HTTP/1.1\nX-Correlation-Id: i\nX-Service-Class: keyed\n"
+                + "X-Account: acme\nX-Time-Left: 9\nContent-Length: 9\n\nhalf', 408"
+    })
     void endsWhatNeverGetsWhole(String text, int status) throws Exception {
         try (Client client = start()) {
             write(client.socket, text.replace("\n", "\r\n"));
@@ -361,7 +422,9 @@
             silent.add(client());
         }
         try (Client client = client()) {
-            assertEquals(200, client.ask(request("GET", "/api/k", "read", LONG, null)).status());
+            assertEquals(
+                    200,
+                    client.ask(request("GET", "/api/k", "read", LONG, null)).status());
         }
         for (Client client : silent) {
             client.close();
@@ -376,18 +439,23 @@
             socket.close();
         };
         try (Client client = start()) {
-            assertEquals(200, client.ask(request("GET", "/api/k", "read", LONG, null)).status());
+            assertEquals(
+                    200,
+                    client.ask(request("GET", "/api/k", "read", LONG, null)).status());
             assertNotNull(node.ended.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
             // The close has been sent before this exchange, which goes through the same loop.
             client.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n");
-            assertEquals(200, client.ask(request("PUT", "/api/k", "once", LONG, "5")).status());
+            assertEquals(
+                    200, client.ask(request("PUT", "/api/k", "once", LONG, "5")).status());
         }
     }
 
     @Test
     void closesIdleConnectionsBeforeTheNodeDoes() throws Exception {
         try (Client client = start(SOCKETS, 1000, known())) {
-            assertEquals(200, client.ask(request("GET", "/api/k", "read", LONG, null)).status());
+            assertEquals(
+                    200,
+                    client.ask(request("GET", "/api/k", "read", LONG, null)).status());
             assertNotNull(node.ended.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
         }
     }
@@ -401,7 +469,10 @@
             for (int i = 1; i < SOCKETS * 4 / 10; i++) {
                 Client other = client();
                 others.add(other);
-                assertEquals(200, other.ask(request("GET", "/api/card-" + i, "read", LONG, null)).status());
+                assertEquals(
+                        200,
+                        other.ask(request("GET", "/api/card-" + i, "read", LONG, null))
+                                .status());
             }
             assertNull(first.answer(), "the longest idle one has gone, with places left");
             for (Client other : others) {
@@ -414,11 +485,15 @@
     @Test
     void makesRoomAtTheBoundOnConnections() throws Exception {
         try (Client first = start(10, IDLE_MILLIS, known())) {
-            assertEquals(200, first.ask(request("GET", "/api/k", "read", LONG, null)).status());
+            assertEquals(
+                    200, first.ask(request("GET", "/api/k", "read", LONG, null)).status());
             Client[] more = new Client[8];
             for (int i = 0; i < more.length; i++) {
                 more[i] = client();
-                assertEquals(200, more[i].ask(request("GET", "/api/k", "read", LONG, null)).status());
+                assertEquals(
+                        200,
+                        more[i].ask(request("GET", "/api/k", "read", LONG, null))
+                                .status());
             }
             assertNull(first.answer());
             for (Client client : more) {
@@ -455,25 +530,36 @@
     @Test
     void asksAgainWhenTheWatchIsSilent() throws Exception {
         try (Client client = start()) {
-            assertEquals(200, client.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status());
+            assertEquals(
+                    200,
+                    client.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status());
             for (int calls = 0; calls < 2; ) {
                 calls += discovery.next().first().contains("after=1") ? 1 : 0;
             }
         }
         try (Client client = client()) { // the first one has been idle for long
-            assertEquals("value", client.ask(request("GET", "/api/k", "read", LONG, null)).body());
+            assertEquals(
+                    "value",
+                    client.ask(request("GET", "/api/k", "read", LONG, null)).body());
         }
     }
 
     @Test
     void movesAwayFromDrainingNodeAsSoonAsToldAndClosesItsConnections() throws Exception {
         try (Server other = new Server((request, socket) -> write(socket, answer(200, "", "other")));
-             Client client = start()) {
-            assertEquals("value", client.ask(request("GET", "/api/k", "read", LONG, null)).body());
-            news.add(list(2, false, entry("s-1", node.address(), "Terminating", 0),
-                entry("s-2", other.address(), "Ready", 0)));
+                Client client = start()) {
+            assertEquals(
+                    "value",
+                    client.ask(request("GET", "/api/k", "read", LONG, null)).body());
+            news.add(list(
+                    2,
+                    false,
+                    entry("s-1", node.address(), "Terminating", 0),
+                    entry("s-2", other.address(), "Ready", 0)));
             assertNotNull(node.ended.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
-            assertEquals("other", client.ask(request("GET", "/api/k", "read", LONG, null)).body());
+            assertEquals(
+                    "other",
+                    client.ask(request("GET", "/api/k", "read", LONG, null)).body());
             assertEquals(1, node.requests.size());
         }
     }
@@ -482,7 +568,9 @@
     @Test
     void discardsConnectionsOfNodeThatStartedAnew() throws Exception {
         try (Client client = start()) {
-            assertEquals(200, client.ask(request("GET", "/api/k", "read", LONG, null)).status());
+            assertEquals(
+                    200,
+                    client.ask(request("GET", "/api/k", "read", LONG, null)).status());
             news.add(list(2, false, entry("s-1", node.address(), "Ready", System.currentTimeMillis())));
             assertNotNull(node.ended.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
         }
@@ -497,7 +585,9 @@
                 call = discovery.next().first();
             }
             assertTrue(discovery.next().first().contains("after=1"));
-            assertEquals("value", client.ask(request("GET", "/api/k", "read", LONG, null)).body());
+            assertEquals(
+                    "value",
+                    client.ask(request("GET", "/api/k", "read", LONG, null)).body());
         }
     }
 
@@ -514,7 +604,9 @@
             for (int i = 0; i < 3; i++) {
                 assertNotNull(discovery.next());
             }
-            assertEquals("value", client.ask(request("GET", "/api/k", "read", LONG, null)).body());
+            assertEquals(
+                    "value",
+                    client.ask(request("GET", "/api/k", "read", LONG, null)).body());
         }
     }
 
@@ -526,8 +618,8 @@
     void turnsToDiscoveryOfNewConfiguration() throws Exception {
         BlockingQueue<Socket> asked = new LinkedBlockingQueue<>();
         try (Server other = new Server((request, socket) -> write(socket, answer(200, "", "other")));
-             Server next = new Server((request, socket) -> asked.add(socket));
-             Client client = start()) {
+                Server next = new Server((request, socket) -> asked.add(socket));
+                Client client = start()) {
             Files.writeString(folder.resolve("config.json"), "{");
             proxy.reload();
             Loopback.environment(folder, next.address(), SOCKETS, IDLE_MILLIS, known());
@@ -535,10 +627,14 @@
             proxy.reload();
             Socket call = asked.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
             assertEquals("GET /registry/instances HTTP/1.1", next.next().first());
-            assertEquals("value", client.ask(request("GET", "/api/k", "read", LONG, null)).body());
+            assertEquals(
+                    "value",
+                    client.ask(request("GET", "/api/k", "read", LONG, null)).body());
             write(call, answer(200, "", list(9, true, entry("s-2", other.address(), "Ready", 0))));
             assertTrue(next.next().first().contains("after=9"));
-            assertEquals("other", client.ask(request("GET", "/api/k", "read", LONG, null)).body());
+            assertEquals(
+                    "other",
+                    client.ask(request("GET", "/api/k", "read", LONG, null)).body());
             assertEquals(1, next.connections.size());
         }
     }
@@ -550,14 +646,17 @@
     @Test
     void warmsUpByItselfAlone() throws Exception {
         proxy = ProxyServer.of(Loopback.environment(folder, discovery.address(), SOCKETS, IDLE_MILLIS, known()))
-            .startWarm();
+                .startWarm();
         try (Client early = client()) {
-            assertEquals("value", early.ask(request("GET", "/api/k", "read", LONG, null)).body());
+            assertEquals(
+                    "value",
+                    early.ask(request("GET", "/api/k", "read", LONG, null)).body());
         }
         int status = 0;
         while (status != 200) {
             try (Client client = client()) {
-                status = client.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status();
+                status = client.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+                        .status();
             }
         }
         assertEquals(1, node.requests.size());
@@ -574,15 +673,21 @@
                 case 0 -> write(socket, answer(200, "", "value"));
                 case 1 -> write(socket, "noise\r\n\r\n");
                 case 2 -> socket.close();
-                default -> { } // silent
+                default -> {} // silent
             }
         };
         List<Client> asking = new ArrayList<>();
         asking.add(start());
         for (int i = 0; i < 24; i++) {
             asking.add(client());
-            write(asking.get(i).socket, request(i % 2 == 0 ? "GET" : "PUT", "/api/k" + i, i % 2 == 0 ? "read" : "once", 2,
-                i % 2 == 0 ? null : "5"));
+            write(
+                    asking.get(i).socket,
+                    request(
+                            i % 2 == 0 ? "GET" : "PUT",
+                            "/api/k" + i,
+                            i % 2 == 0 ? "read" : "once",
+                            2,
+                            i % 2 == 0 ? null : "5"));
             if (i % 3 == 0) {
                 asking.get(i).close();
             }
@@ -614,13 +719,18 @@
         try (Client asks = start()) {
             for (int i = 0; i < 15; i++) {
                 clients.add(client());
-                assertEquals(200, clients.get(i).ask(request("GET", "/api/k", "read", LONG, null)).status());
+                assertEquals(
+                        200,
+                        clients.get(i)
+                                .ask(request("GET", "/api/k", "read", LONG, null))
+                                .status());
             }
             for (int i = 0; i < 9; i++) {
                 write(clients.get(i).socket, request("GET", "/api/held-" + i, "read", LONG, null));
                 assertNotNull(held.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
             }
-            assertEquals(200, asks.ask(request("GET", "/api/k", "read", LONG, null)).status());
+            assertEquals(
+                    200, asks.ask(request("GET", "/api/k", "read", LONG, null)).status());
             Thread draining = new Thread(proxy::drain);
             draining.start();
             Message got = asks.ask(request("GET", "/api/k", "read", LONG, null));
@@ -629,7 +739,8 @@
             }
             assertEquals(503, got.status());
             assertNotNull(got.header("Retry-After"));
-            assertEquals(200, asks.ask(request("PUT", "/api/k", "once", LONG, "5")).status(), "worth more");
+            assertEquals(
+                    200, asks.ask(request("PUT", "/api/k", "once", LONG, "5")).status(), "worth more");
             for (Client client : clients) {
                 client.close();
             }
@@ -642,9 +753,13 @@
     void drains() throws Exception {
         BlockingQueue<Socket> held = new LinkedBlockingQueue<>();
         node.script = (request, socket) -> held.add(socket);
-        try (Client client = start(); Client idle = client(); Client late = client();
-             Client silent = client()) {
-            assertEquals(200, idle.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status());
+        try (Client client = start();
+                Client idle = client();
+                Client late = client();
+                Client silent = client()) {
+            assertEquals(
+                    200,
+                    idle.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status());
             write(client.socket, request("PUT", "/api/k", "once", LONG, "5"));
             Socket waiting = held.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
             Thread draining = new Thread(proxy::drain);
@@ -657,7 +772,9 @@
                 Message got = next.ask(request("GET", "/api/l", "read", LONG, null));
                 assertEquals("late", got.body());
                 assertNull(got.header("Connection"), "a client told to close could not come back");
-                assertEquals("late", next.ask(request("GET", "/api/l", "read", LONG, null)).body());
+                assertEquals(
+                        "late",
+                        next.ask(request("GET", "/api/l", "read", LONG, null)).body());
                 assertNull(next.answer());
             }
             assertNull(idle.answer());
@@ -697,7 +814,7 @@
     /** A kill follows a drain in any case: what is still held then has failed, and the client is told. */
     @Test
     void failsWhatIsHeldBeforeTheKill() throws Exception {
-        node.script = (request, socket) -> { };
+        node.script = (request, socket) -> {};
         try (Client client = start()) {
             write(client.socket, request("PUT", "/api/k", "once", LONG, "5"));
             assertNotNull(node.next());
@@ -710,7 +827,18 @@
     @ParameterizedTest
     @CsvSource({"0,0,true", "0,1700000000000,false"})
     void knowsWhetherTheServiceOnlyBegins(long born, long other, boolean begins) throws Exception {
-        assertEquals(begins, ProxyConfig.load(Loopback.environment(folder, "127.0.0.1:1", 100, 60_000, list(1, true,
-            entry("s-1", "127.0.0.1:2", "Ready", born), entry("s-2", "127.0.0.1:3", "Ready", other)))).begins());
+        assertEquals(
+                begins,
+                ProxyConfig.load(Loopback.environment(
+                                folder,
+                                "127.0.0.1:1",
+                                100,
+                                60_000,
+                                list(
+                                        1,
+                                        true,
+                                        entry("s-1", "127.0.0.1:2", "Ready", born),
+                                        entry("s-2", "127.0.0.1:3", "Ready", other))))
+                        .begins());
     }
 }
--- a/src/test/java/anisebend/net/ServiceTest.java
+++ b/src/test/java/anisebend/net/ServiceTest.java
@@ -46,6 +46,7 @@
 
     @TempDir
     Path folder;
+
     private Server node;
     private Server discovery;
     private Map<String, String> env;
@@ -62,9 +63,9 @@
                 write(socket, answer(200, "X-Lookup: hit\r\n", "value"));
             }
         });
-        discovery = new Server((request, socket) -> { });
-        env = Loopback.served(folder, discovery.address(), 400, 60_000,
-            list(1, true, entry("s-1", node.address(), "Ready", 0)));
+        discovery = new Server((request, socket) -> {});
+        env = Loopback.served(
+                folder, discovery.address(), 400, 60_000, list(1, true, entry("s-1", node.address(), "Ready", 0)));
     }
 
     @AfterEach
@@ -90,9 +91,13 @@
     }
 
     private static long figure(ProxyServer proxy, String name) throws IOException {
-        return call(proxy, "counters").lines().filter(line -> line.startsWith("edge_proxy." + name + ":"))
-            .map(line -> line.substring(line.indexOf(':') + 1, line.indexOf('|'))).mapToLong(Long::parseLong)
-            .findFirst().orElseThrow(() -> new AssertionError("no figure " + name));
+        return call(proxy, "counters")
+                .lines()
+                .filter(line -> line.startsWith("edge_proxy." + name + ":"))
+                .map(line -> line.substring(line.indexOf(':') + 1, line.indexOf('|')))
+                .mapToLong(Long::parseLong)
+                .findFirst()
+                .orElseThrow(() -> new AssertionError("no figure " + name));
     }
 
     /** Asks again until the figure says so; a signal is heard on a thread of its own. */
@@ -113,11 +118,16 @@
     @Test
     void countsWhatClientsWereTold() throws Exception {
         ProxyServer proxy = start();
-        try (Client client = new Client(proxy.address().getPort()); Client other = new Client(proxy.address().getPort())) {
+        try (Client client = new Client(proxy.address().getPort());
+                Client other = new Client(proxy.address().getPort())) {
             for (int i = 0; i < 3; i++) {
-                assertEquals(200, client.ask(request("GET", "/api/k", "read", LONG, null)).status());
+                assertEquals(
+                        200,
+                        client.ask(request("GET", "/api/k", "read", LONG, null)).status());
             }
-            assertEquals(404, client.ask(request("GET", "/other", "read", LONG, null)).status());
+            assertEquals(
+                    404,
+                    client.ask(request("GET", "/other", "read", LONG, null)).status());
             write(other.socket, request("PUT", "/api/hold", "once", LONG, "body"));
             Socket waiting = held.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
             assertNotNull(waiting);
@@ -140,15 +150,21 @@
     void emptiesAndTakesClientsAgain() throws Exception {
         ProxyServer proxy = start();
         int port = proxy.address().getPort();
-        try (Client idle = new Client(port); Client busy = new Client(port); Client silent = new Client(port)) {
-            assertEquals(200, idle.ask(request("GET", "/api/k", "read", LONG, null)).status());
+        try (Client idle = new Client(port);
+                Client busy = new Client(port);
+                Client silent = new Client(port)) {
+            assertEquals(
+                    200, idle.ask(request("GET", "/api/k", "read", LONG, null)).status());
             write(busy.socket, request("PUT", "/api/hold", "once", LONG, "body"));
             Socket waiting = held.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
             assertTrue(call(proxy, "health").startsWith("200"));
             assertTrue(call(proxy, "quiesce").startsWith("200"));
             assertTrue(call(proxy, "health").startsWith("400"));
             try (Client probe = new Client(port)) {
-                assertEquals(503, probe.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status());
+                assertEquals(
+                        503,
+                        probe.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+                                .status());
             }
             assertNull(idle.answer(), "idle connections go");
             assertNull(silent.answer(), "so do those on which nothing was ever asked");
@@ -164,7 +180,10 @@
             }
             assertTrue(call(proxy, "resume").startsWith("200"));
             try (Client back = new Client(port)) {
-                assertEquals(200, back.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status());
+                assertEquals(
+                        200,
+                        back.ask("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+                                .status());
                 Message served = back.ask(request("GET", "/api/k", "read", LONG, null));
                 assertFalse("close".equals(served.header("Connection")));
             }
@@ -175,8 +194,11 @@
     @Test
     void anOpenRequestKeepsTheRulesItCameUnder() throws Exception {
         ProxyServer proxy = start();
-        try (Client before = new Client(proxy.address().getPort()); Client after = new Client(proxy.address().getPort())) {
-            assertEquals(400, after.ask(request("GET", "/api/k", "later", LONG, null)).status());
+        try (Client before = new Client(proxy.address().getPort());
+                Client after = new Client(proxy.address().getPort())) {
+            assertEquals(
+                    400,
+                    after.ask(request("GET", "/api/k", "later", LONG, null)).status());
             write(before.socket, request("PUT", "/api/hold", "once", LONG, "body"));
             Socket waiting = held.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
             rewrite("{\"name\":\"once\",\"repeat\":\"non_idempotent\"", "{\"name\":\"once\",\"repeat\":\"read_like\"");
@@ -191,19 +213,34 @@
             assertNotNull(again, "under its new rules it may be repeated");
             write(again, answer(200, "", "second"));
             assertEquals("second", after.answer().body());
-            assertEquals("value", after.ask(request("GET", "/api/k", "later", LONG, null)).body());
-            assertEquals(400, before.ask(request("GET", "/api/k", "read", LONG, null)).status());
+            assertEquals(
+                    "value",
+                    after.ask(request("GET", "/api/k", "later", LONG, null)).body());
+            assertEquals(
+                    400,
+                    before.ask(request("GET", "/api/k", "read", LONG, null)).status());
             assertEquals(1, figure(proxy, "requests.later.served"));
         }
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = ';', value = {
-        "\"send_cap\":6; \"send_cap\":0", "\"send_cap\":6; \"send_cap\":-1", "\"send_cap\":6; \"send_cap\":\"6\"",
-        "\"send_cap\":6; \"other\":6", "\"aim_ms\":6000.0,\"hard_limit_ms\":60000.0; \"aim_ms\":6000.0",
-        "\"hard_limit_ms\":60000.0; \"hard_limit_ms\":0", "\"hard_limit_ms\":60000.0; \"hard_limit_ms\":-5",
-        "\"name\":\"once\"; \"name\":\"read\"", "\"repeat\":\"read_like\"; \"repeat\":\"perhaps\"",
-        "\"rules\"; \"roles\"", "\"name\":\"n0\",; ", "\"fraction\":1.0,; ", "\"shapes\":[\"m\"]; \"shapes\":[]"})
+    @CsvSource(
+            delimiter = ';',
+            value = {
+                "\"send_cap\":6; \"send_cap\":0",
+                "\"send_cap\":6; \"send_cap\":-1",
+                "\"send_cap\":6; \"send_cap\":\"6\"",
+                "\"send_cap\":6; \"other\":6",
+                "\"aim_ms\":6000.0,\"hard_limit_ms\":60000.0; \"aim_ms\":6000.0",
+                "\"hard_limit_ms\":60000.0; \"hard_limit_ms\":0",
+                "\"hard_limit_ms\":60000.0; \"hard_limit_ms\":-5",
+                "\"name\":\"once\"; \"name\":\"read\"",
+                "\"repeat\":\"read_like\"; \"repeat\":\"perhaps\"",
+                "\"rules\"; \"roles\"",
+                "\"name\":\"n0\",; ",
+                "\"fraction\":1.0,; ",
+                "\"shapes\":[\"m\"]; \"shapes\":[]"
+            })
     void takesNothingFromABrokenFile(String from, String to) throws Exception {
         ProxyServer proxy = start();
         rewrite(from, to == null ? "" : to);
@@ -212,8 +249,11 @@
         await(proxy, "reloads_failed", 1);
         assertEquals(0, figure(proxy, "reloads_ok"));
         try (Client client = new Client(proxy.address().getPort())) {
-            assertEquals("value", client.ask(request("PUT", "/api/k", "keyed", LONG, "x")).body());
-            assertEquals(400, client.ask(request("PUT", "/api/k", "new", LONG, "x")).status());
+            assertEquals(
+                    "value",
+                    client.ask(request("PUT", "/api/k", "keyed", LONG, "x")).body());
+            assertEquals(
+                    400, client.ask(request("PUT", "/api/k", "new", LONG, "x")).status());
         }
     }
 
@@ -223,10 +263,13 @@
         ProxyServer old = start();
         int port = old.address().getPort();
         rewrite("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + port + "\"");
-        try (Client busy = new Client(port); Client idle = new Client(port)) {
+        try (Client busy = new Client(port);
+                Client idle = new Client(port)) {
             write(busy.socket, request("PUT", "/api/hold", "once", LONG, "body"));
             Socket waiting = held.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
-            assertEquals("value", idle.ask(request("GET", "/api/k", "read", LONG, null)).body());
+            assertEquals(
+                    "value",
+                    idle.ask(request("GET", "/api/k", "read", LONG, null)).body());
             ProxyServer next = ProxyServer.of(env);
             proxies.add(next);
             next.startWarm();
@@ -258,7 +301,9 @@
         int port = proxy.address().getPort();
         for (int i = 0; i < 3; i++) {
             try (Client idle = new Client(port)) {
-                assertEquals(200, idle.ask(request("GET", "/api/k", "read", LONG, null)).status());
+                assertEquals(
+                        200,
+                        idle.ask(request("GET", "/api/k", "read", LONG, null)).status());
                 assertTrue(call(proxy, "quiesce").startsWith("200"));
                 assertEquals(Phase.EMPTYING, proxy.phase());
                 assertNull(idle.answer());
@@ -297,16 +342,23 @@
     void servesOnUntilItsSuccessorTakesClients() throws Exception {
         ProxyServer old = start();
         int port = old.address().getPort();
-        try (Succession warming = new Succession(folder.resolve("gorsemast-n0")); Client idle = new Client(port)) {
-            assertEquals("value", idle.ask(request("GET", "/api/k", "read", LONG, null)).body());
+        try (Succession warming = new Succession(folder.resolve("gorsemast-n0"));
+                Client idle = new Client(port)) {
+            assertEquals(
+                    "value",
+                    idle.ask(request("GET", "/api/k", "read", LONG, null)).body());
             Thread leaving = new Thread(old::drain);
             leaving.start();
             while (call(old, "health").startsWith("200")) {
                 Thread.onSpinWait(); // the signal is heard on a thread of its own
             }
-            assertEquals("value", idle.ask(request("GET", "/api/k", "read", LONG, null)).body());
+            assertEquals(
+                    "value",
+                    idle.ask(request("GET", "/api/k", "read", LONG, null)).body());
             try (Client late = new Client(port)) {
-                assertEquals("value", late.ask(request("GET", "/api/k", "read", LONG, null)).body());
+                assertEquals(
+                        "value",
+                        late.ask(request("GET", "/api/k", "read", LONG, null)).body());
             }
             warming.tell(Generations.Standing.SERVING);
             assertNull(idle.answer(), "it leaves at once then");
@@ -347,7 +399,8 @@
             write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n");
             socket.getOutputStream().write(new byte[length]);
         };
-        try (Succession next = new Succession(folder.resolve("gorsemast-n0")); Socket slow = new Socket()) {
+        try (Succession next = new Succession(folder.resolve("gorsemast-n0"));
+                Socket slow = new Socket()) {
             next.tell(Generations.Standing.SERVING);
             slow.setReceiveBufferSize(64 << 10);
             slow.connect(old.address());
--- a/src/test/java/anisebend/net/StormBench.java
+++ b/src/test/java/anisebend/net/StormBench.java
@@ -19,14 +19,14 @@
 final class StormBench {
     /** Six nodes with four places each and 20 ms a request. */
     private static final int CAPACITY = 1_200;
+
     private static final double[] OFFERED = {0.5, 0.75, 1, 1.5, 2, 3, 4};
     private static final int SOCKETS = 384;
     private static final int SETTLE = 4;
     private static final int MEASURED = 8;
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
-    private StormBench() {
-    }
+    private StormBench() {}
 
     public static void main(String[] args) throws Exception {
         Path folder = Files.createTempDirectory("storm-bench");
@@ -41,7 +41,8 @@
             }
         } finally {
             try (Stream<Path> files = Files.walk(folder)) {
-                files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+                files.sorted(Comparator.reverseOrder())
+                        .forEach(file -> file.toFile().delete());
             }
         }
         System.exit(0); // loops may still hold connections that are coming up
@@ -56,8 +57,12 @@
             }
             double best = served.stream().max(Comparator.naturalOrder()).get();
             for (int i = 0; i < OFFERED.length; i++) {
-                System.out.printf(Locale.ROOT, "offered %.2f of capacity: served %.2f, %.2f of the best%n", OFFERED[i],
-                    served.get(i), served.get(i) / best);
+                System.out.printf(
+                        Locale.ROOT,
+                        "offered %.2f of capacity: served %.2f, %.2f of the best%n",
+                        OFFERED[i],
+                        served.get(i),
+                        served.get(i) / best);
             }
             System.out.printf(Locale.ROOT, "back at %.2f: served %.2f%n", OFFERED[0], served(rig, OFFERED[0]));
             System.out.println("top-ups begun twice: " + rig.repeated().size());
@@ -102,9 +107,16 @@
             double[] refusing = perSecond(rig, proxy);
             rig.hindered = false;
             double refusal = (refusing[0] - idle - refusing[1] * answer) / refusing[2];
-            System.out.printf(Locale.ROOT, "an answer costs %.0f us of the loop, a refusal %.0f us: %.2f of it"
-                + " (%.0f answers a second in the first, %.0f answers and %.0f refusals in the second)%n",
-                answer / 1_000, refusal / 1_000, refusal / answer, answering[1], refusing[1], refusing[2]);
+            System.out.printf(
+                    Locale.ROOT,
+                    "an answer costs %.0f us of the loop, a refusal %.0f us: %.2f of it"
+                            + " (%.0f answers a second in the first, %.0f answers and %.0f refusals in the second)%n",
+                    answer / 1_000,
+                    refusal / 1_000,
+                    refusal / answer,
+                    answering[1],
+                    refusing[1],
+                    refusing[2]);
         }
     }
 
@@ -116,7 +128,10 @@
         int refusals = rig.clients.refusals.get();
         settle(rig, MEASURED);
         double seconds = (System.nanoTime() - begun) / 1e9;
-        return new double[] {(cpu(proxy) - cpu) / seconds, (rig.clients.answers.get() - answers) / seconds,
-            (rig.clients.refusals.get() - refusals) / seconds};
+        return new double[] {
+            (cpu(proxy) - cpu) / seconds,
+            (rig.clients.answers.get() - answers) / seconds,
+            (rig.clients.refusals.get() - refusals) / seconds
+        };
     }
 }
--- a/src/test/java/anisebend/net/StormRig.java
+++ b/src/test/java/anisebend/net/StormRig.java
@@ -58,16 +58,20 @@
     private static final int DEADLINE_MILLIS = 1_000;
     /** A client holds so many connections to a proxy at most, a third of the proxy's descriptors. */
     private static final int CLIENT_PART = 3;
+
     private static final long TURN_MILLIS = 5;
     /** Kept copies live so long; asked for evenly, so a quarter of the reads are fetched. */
     private static final long KEPT_MILLIS = 6_000;
+
     private static final int KEYS = 600;
     /** The ledger's places and the time of a fetch: 200 a second, twice what is usual; what waits for it, waits. */
     private static final int LEDGER_SLOTS = 8;
+
     private static final long LEDGER_MICROS = 40_000;
     private static final int LEDGER_QUEUE = 400;
     /** One of so many requests is a top-up. */
     private static final int TOPUPS = 20;
+
     static final long WINDOW_MILLIS = 500;
     private static final long STAY_MILLIS = 2_000;
 
@@ -82,6 +86,7 @@
     volatile boolean hindered;
     /** Belongs to the nodes' loop. */
     private final Deque<Runnable> ledgerQueue = new ArrayDeque<>();
+
     private int ledgerBusy;
     private final Path folder;
     private final int sockets;
@@ -108,8 +113,12 @@
     }
 
     private String list() {
-        return Loopback.list(1, true, nodes.stream()
-            .map(node -> Loopback.entry(node.id, "127.0.0.1:" + node.port, "Ready", 0)).toArray(String[]::new));
+        return Loopback.list(
+                1,
+                true,
+                nodes.stream()
+                        .map(node -> Loopback.entry(node.id, "127.0.0.1:" + node.port, "Ready", 0))
+                        .toArray(String[]::new));
     }
 
     /** A list from before: half of the nodes that it names are gone, and nobody listens there. */
@@ -117,8 +126,9 @@
         String[] entries = new String[NODES];
         for (int i = 0; i < NODES; i++) {
             Node node = nodes.get(i);
-            entries[i] = i % 2 == 0 ? Loopback.entry(node.id, "127.0.0.1:" + node.port, "Ready", 0)
-                : Loopback.entry("gone-" + i, "127.0.0.1:1", "Ready", 0);
+            entries[i] = i % 2 == 0
+                    ? Loopback.entry(node.id, "127.0.0.1:" + node.port, "Ready", 0)
+                    : Loopback.entry("gone-" + i, "127.0.0.1:1", "Ready", 0);
         }
         return Loopback.list(0, true, entries);
     }
@@ -129,7 +139,9 @@
             proxies.get(index).stop();
         }
         Path file = Files.createDirectories(folder.resolve("p" + index)).resolve("config.json");
-        Files.writeString(file, """
+        Files.writeString(
+                file,
+                """
             {"name":"n%d","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be96%d",
              "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,
              "settings":{"fleet_size":%d,"locality":0,"failure_domains":["a"],"shapes":["m"],"discovery":"ask",
@@ -140,9 +152,18 @@
                {"name":"once","repeat":"non_idempotent","aim_ms":500.0,"hard_limit_ms":%d.0,"credit":10.0}],
               "realms":[{"name":"acme","fraction":1.0,"quota_rps":100000.0}],
               "rules":{"ask_within_ms":2000.0,"cold_from":0.3,"cold_ms":2000.0}}}
-            """.formatted(index, register.address(), index, sockets, known, proxies.size(), DEADLINE_MILLIS,
-            DEADLINE_MILLIS));
-        proxies.set(index, ProxyServer.of(Map.of("PROXY_CONFIG", file.toString())).start());
+            """
+                        .formatted(
+                                index,
+                                register.address(),
+                                index,
+                                sockets,
+                                known,
+                                proxies.size(),
+                                DEADLINE_MILLIS,
+                                DEADLINE_MILLIS));
+        proxies.set(
+                index, ProxyServer.of(Map.of("PROXY_CONFIG", file.toString())).start());
     }
 
     /** Takes nine tenths of a proxy's time until {@link #hindered} is off again. */
@@ -155,7 +176,10 @@
 
     /** Top-ups that began more than once. */
     List<String> repeated() {
-        return begun.entrySet().stream().filter(e -> e.getValue() > 1).map(Map.Entry::getKey).toList();
+        return begun.entrySet().stream()
+                .filter(e -> e.getValue() > 1)
+                .map(Map.Entry::getKey)
+                .toList();
     }
 
     @Override
@@ -175,14 +199,17 @@
     private void fetch(Runnable done, Runnable failed) {
         Runnable work = () -> {
             ledgerBusy++;
-            nodeLoop.schedule(() -> {
-                ledgerBusy--;
-                done.run();
-                Runnable next = ledgerQueue.poll();
-                if (next != null) {
-                    next.run();
-                }
-            }, LEDGER_MICROS, TimeUnit.MICROSECONDS);
+            nodeLoop.schedule(
+                    () -> {
+                        ledgerBusy--;
+                        done.run();
+                        Runnable next = ledgerQueue.poll();
+                        if (next != null) {
+                            next.run();
+                        }
+                    },
+                    LEDGER_MICROS,
+                    TimeUnit.MICROSECONDS);
         };
         if (ledgerBusy < LEDGER_SLOTS) {
             work.run();
@@ -203,6 +230,7 @@
         private int busy;
         /** By key, until when it is kept. */
         private final Map<String, Long> kept = new HashMap<>();
+
         private volatile boolean silent;
         private volatile long coldUntil;
 
@@ -216,14 +244,20 @@
         }
 
         private int listen(int at) throws Exception {
-            listener = new ServerBootstrap().group(nodeLoop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 16), new Serving());
-                    }
-                }).bind(Loopback.HOST, at).sync().channel();
+            listener = new ServerBootstrap()
+                    .group(nodeLoop)
+                    .channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_REUSEADDR, true)
+                    .childHandler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel ch) {
+                            ch.pipeline()
+                                    .addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 16), new Serving());
+                        }
+                    })
+                    .bind(Loopback.HOST, at)
+                    .sync()
+                    .channel();
             return ((InetSocketAddress) listener.localAddress()).getPort();
         }
 
@@ -279,7 +313,8 @@
                     return;
                 }
                 String topup = request.method().equals(HttpMethod.PUT)
-                    ? request.content().toString(StandardCharsets.US_ASCII) : null;
+                        ? request.content().toString(StandardCharsets.US_ASCII)
+                        : null;
                 Runnable work = () -> {
                     if (!ctx.channel().isActive()) { // called off while it waited
                         Runnable next = queue.poll();
@@ -298,20 +333,25 @@
                     } else if (kept.getOrDefault(key, 0L) < System.nanoTime()) {
                         // What nobody waits for any more is not kept.
                         busy--;
-                        fetch(() -> {
-                            if (ctx.channel().isActive()) {
-                                kept.put(key, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(KEPT_MILLIS));
-                                ctx.writeAndFlush(reply(HttpResponseStatus.OK, "v", "miss"));
-                            }
-                        }, () -> ctx.writeAndFlush(reply(HttpResponseStatus.INTERNAL_SERVER_ERROR, "", "miss")));
+                        fetch(
+                                () -> {
+                                    if (ctx.channel().isActive()) {
+                                        kept.put(key, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(KEPT_MILLIS));
+                                        ctx.writeAndFlush(reply(HttpResponseStatus.OK, "v", "miss"));
+                                    }
+                                },
+                                () -> ctx.writeAndFlush(reply(HttpResponseStatus.INTERNAL_SERVER_ERROR, "", "miss")));
                         next();
                         return;
                     }
                     long micros = System.nanoTime() < coldUntil ? 4 * SERVICE_MICROS : SERVICE_MICROS;
-                    nodeLoop.schedule(() -> {
-                        ctx.writeAndFlush(reply(HttpResponseStatus.OK, "v", "hit"));
-                        end();
-                    }, micros, TimeUnit.MICROSECONDS);
+                    nodeLoop.schedule(
+                            () -> {
+                                ctx.writeAndFlush(reply(HttpResponseStatus.OK, "v", "hit"));
+                                end();
+                            },
+                            micros,
+                            TimeUnit.MICROSECONDS);
                 };
                 if (busy < SLOTS) {
                     work.run();
@@ -362,6 +402,7 @@
         volatile boolean stay;
         /** How often each request is tried. */
         volatile int tries = TRIES;
+
         final AtomicInteger answers = new AtomicInteger();
         final AtomicInteger refusals = new AtomicInteger();
         private final long start = System.nanoTime();
@@ -470,46 +511,64 @@
             void open(Request first) {
                 request = first;
                 held.merge(proxy, 1, Integer::sum);
-                channel = new Bootstrap().group(clientLoop).channel(NioSocketChannel.class)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 500)
-                    .handler(new ChannelInitializer<Channel>() {
-                        @Override
-                        protected void initChannel(Channel ch) {
-                            ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(1 << 16),
-                                Connection.this);
-                        }
-                    }).connect(proxies.get(proxy).address()).addListener(done -> {
-                        if (done.isSuccess()) {
-                            channel.closeFuture().addListener(closed -> gone());
-                            carry(first);
-                        } else {
-                            gone();
-                        }
-                    }).channel();
+                channel = new Bootstrap()
+                        .group(clientLoop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 500)
+                        .handler(new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel ch) {
+                                ch.pipeline()
+                                        .addLast(
+                                                new HttpClientCodec(),
+                                                new HttpObjectAggregator(1 << 16),
+                                                Connection.this);
+                            }
+                        })
+                        .connect(proxies.get(proxy).address())
+                        .addListener(done -> {
+                            if (done.isSuccess()) {
+                                channel.closeFuture().addListener(closed -> gone());
+                                carry(first);
+                            } else {
+                                gone();
+                            }
+                        })
+                        .channel();
             }
 
             void carry(Request next) {
                 request = next;
                 sent = true;
                 boolean topup = next.topup;
-                ByteBuf body = topup ? Unpooled.copiedBuffer("topup-" + next.number, StandardCharsets.US_ASCII)
-                    : Unpooled.EMPTY_BUFFER;
-                FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-                    topup ? HttpMethod.PUT : HttpMethod.GET, "/api/card-" + next.number * 31L % KEYS, body);
-                message.headers().set("Host", "app.svc").set("X-Correlation-Id", "c" + ids++)
-                    .set("X-Service-Class", topup ? "once" : "read").set("X-Account", "acme")
-                    .set("X-Time-Left", DEADLINE_MILLIS / 1000.0 + "");
+                ByteBuf body = topup
+                        ? Unpooled.copiedBuffer("topup-" + next.number, StandardCharsets.US_ASCII)
+                        : Unpooled.EMPTY_BUFFER;
+                FullHttpRequest message = new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        topup ? HttpMethod.PUT : HttpMethod.GET,
+                        "/api/card-" + next.number * 31L % KEYS,
+                        body);
+                message.headers()
+                        .set("Host", "app.svc")
+                        .set("X-Correlation-Id", "c" + ids++)
+                        .set("X-Service-Class", topup ? "once" : "read")
+                        .set("X-Account", "acme")
+                        .set("X-Time-Left", DEADLINE_MILLIS / 1000.0 + "");
                 if (topup) {
                     message.headers().set("Content-Length", body.readableBytes());
                 }
                 channel.writeAndFlush(message);
                 // Reads are given up early, as clients do; what may have run is waited for.
-                limit = clientLoop.schedule(() -> {
-                    if (topup) {
-                        next.window.lost.incrementAndGet(); // no answer, long after its deadline
-                    }
-                    channel.close();
-                }, topup ? 3 * DEADLINE_MILLIS : DEADLINE_MILLIS * 6L / 10, TimeUnit.MILLISECONDS);
+                limit = clientLoop.schedule(
+                        () -> {
+                            if (topup) {
+                                next.window.lost.incrementAndGet(); // no answer, long after its deadline
+                            }
+                            channel.close();
+                        },
+                        topup ? 3 * DEADLINE_MILLIS : DEADLINE_MILLIS * 6L / 10,
+                        TimeUnit.MILLISECONDS);
             }
 
             @Override
@@ -524,9 +583,12 @@
                 sent = false;
                 boolean keep = !"close".equalsIgnoreCase(answer.headers().get("Connection"));
                 if (keep && stay) {
-                    clientLoop.schedule(() -> {
-                        ctx.close();
-                    }, STAY_MILLIS, TimeUnit.MILLISECONDS);
+                    clientLoop.schedule(
+                            () -> {
+                                ctx.close();
+                            },
+                            STAY_MILLIS,
+                            TimeUnit.MILLISECONDS);
                 } else if (keep) {
                     idle.get(proxy).addLast(this);
                 } else {
--- a/src/test/java/anisebend/net/StormTest.java
+++ b/src/test/java/anisebend/net/StormTest.java
@@ -1,7 +1,6 @@
 package anisebend.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import anisebend.net.StormRig.Node;
 import anisebend.net.StormRig.Window;
@@ -23,6 +22,7 @@
     private static final double LEVEL = 0.95;
     /** In windows of half a second. */
     private static final int WITHIN = 60;
+
     private static final int TRIGGER = 3;
     private static final int SOCKETS = 384;
 
@@ -39,7 +39,8 @@
 
     private void storm(String name, int sockets, int times, Act trigger, Act end) throws Exception {
         try (StormRig rig = new StormRig(folder, 2, sockets)) {
-            double before = rig.clients.window(good(rig, 0.99, name + ", before")).share();
+            double before =
+                    rig.clients.window(good(rig, 0.99, name + ", before")).share();
             for (int i = 0; i < times; i++) {
                 trigger.run(rig);
                 Window worst = rig.clients.ended(rig.clients.now() + TRIGGER - 1);
@@ -47,8 +48,8 @@
                 int from = rig.clients.now();
                 int back = good(rig, LEVEL * before, name);
                 System.out.println("storm: " + name + ": " + before + " before, " + worst + " at its end, "
-                    + rig.clients.window(back).share() + " in the window that ends after "
-                    + (back + 1 - from) * StormRig.WINDOW_MILLIS + " ms");
+                        + rig.clients.window(back).share() + " in the window that ends after "
+                        + (back + 1 - from) * StormRig.WINDOW_MILLIS + " ms");
             }
             assertEquals(List.of(), rig.repeated());
             int lost = 0;
@@ -96,58 +97,73 @@
 
     @Test
     void allNodesSilent() throws Exception {
-        storm("all accept and never answer", rig -> rig.nodes.forEach(node -> node.silent(true)),
-            rig -> rig.nodes.forEach(node -> node.silent(false)));
+        storm(
+                "all accept and never answer",
+                rig -> rig.nodes.forEach(node -> node.silent(true)),
+                rig -> rig.nodes.forEach(node -> node.silent(false)));
     }
 
     @Test
     void allNodesRefuseConnections() throws Exception {
-        storm("all refuse", rig -> {
-            for (Node node : rig.nodes) {
-                node.refuse();
-            }
-        }, rig -> {
-            for (Node node : rig.nodes) {
-                node.accept();
-            }
-        });
+        storm(
+                "all refuse",
+                rig -> {
+                    for (Node node : rig.nodes) {
+                        node.refuse();
+                    }
+                },
+                rig -> {
+                    for (Node node : rig.nodes) {
+                        node.accept();
+                    }
+                });
     }
 
     @Test
     void allNodesColdAtOnce() throws Exception {
-        storm("all cold", rig -> rig.nodes.forEach(node -> node.cool(TRIGGER * StormRig.WINDOW_MILLIS)), rig -> { });
+        storm("all cold", rig -> rig.nodes.forEach(node -> node.cool(TRIGGER * StormRig.WINDOW_MILLIS)), rig -> {});
     }
 
     @Test
     void halfOfTheProxiesRestartedWithAnOldList() throws Exception {
-        storm("a proxy restarted with an old list", rig -> rig.restart(1, rig.oldList()), rig -> { });
+        storm("a proxy restarted with an old list", rig -> rig.restart(1, rig.oldList()), rig -> {});
     }
 
     @Test
     void aProxyWithATenthOfACore() throws Exception {
-        storm("a tenth of a core", rig -> {
-            rig.hindered = true;
-            rig.proxies.get(0).loop().execute(() -> rig.hinder(rig.proxies.get(0)));
-        }, rig -> rig.hindered = false);
+        storm(
+                "a tenth of a core",
+                rig -> {
+                    rig.hindered = true;
+                    rig.proxies.get(0).loop().execute(() -> rig.hinder(rig.proxies.get(0)));
+                },
+                rig -> rig.hindered = false);
     }
 
     @Test
     void registerDownWhileAThirdIsSilent() throws Exception {
-        storm("a third silent, register down", rig -> {
-            rig.registerDown = true;
-            rig.register.connections.forEach(StormTest::close);
-            third(rig, true);
-        }, rig -> third(rig, false));
+        storm(
+                "a third silent, register down",
+                rig -> {
+                    rig.registerDown = true;
+                    rig.register.connections.forEach(StormTest::close);
+                    third(rig, true);
+                },
+                rig -> third(rig, false));
     }
 
     @Test
     void aThousandSilentConnections() throws Exception {
         List<Socket> crowd = new ArrayList<>();
-        storm("1,000 connections that say nothing", rig -> {
-            for (int i = 0; i < 1_000; i++) {
-                crowd.add(new Socket(Loopback.HOST, rig.proxies.get(i % 2).address().getPort()));
-            }
-        }, rig -> crowd.forEach(StormTest::close));
+        storm(
+                "1,000 connections that say nothing",
+                rig -> {
+                    for (int i = 0; i < 1_000; i++) {
+                        crowd.add(new Socket(
+                                Loopback.HOST, rig.proxies.get(i % 2).address().getPort()));
+                    }
+                },
+                rig -> crowd.forEach(StormTest::close));
     }
 
     @Test
@@ -157,19 +173,21 @@
 
     @Test
     void twoTriggersAtOnce() throws Exception {
-        storm("load times four and a third silent", rig -> {
-            rig.clients.rate *= 4;
-            third(rig, true);
-        }, rig -> {
-            rig.clients.rate /= 4;
-            third(rig, false);
-        });
+        storm(
+                "load times four and a third silent",
+                rig -> {
+                    rig.clients.rate *= 4;
+                    third(rig, true);
+                },
+                rig -> {
+                    rig.clients.rate /= 4;
+                    third(rig, false);
+                });
     }
 
     @Test
     void theTriggerComesBack() throws Exception {
-        storm("load times four, three times", SOCKETS, 3, rig -> rig.clients.rate *= 4,
-            rig -> rig.clients.rate /= 4);
+        storm("load times four, three times", SOCKETS, 3, rig -> rig.clients.rate *= 4, rig -> rig.clients.rate /= 4);
     }
 
     /**
@@ -178,25 +196,31 @@
      */
     @Test
     void clientsThatAskOnceAndStay() throws Exception {
-        storm("clients that ask once and stay", rig -> {
-            rig.clients.stay = true;
-            rig.clients.ended(rig.clients.now() + 2 * TRIGGER);
-        }, rig -> { });
+        storm(
+                "clients that ask once and stay",
+                rig -> {
+                    rig.clients.stay = true;
+                    rig.clients.ended(rig.clients.now() + 2 * TRIGGER);
+                },
+                rig -> {});
     }
 
     /** Nobody asks for a while, so that most copies grow old and the first who ask again are fetched for at once. */
     @Test
     void aPauseAfterWhichMostIsFetched() throws Exception {
-        storm("a pause", rig -> {
-            rig.clients.rate = 0;
-            rig.clients.ended(rig.clients.now() + 2 * TRIGGER);
-        }, rig -> rig.clients.rate = 400);
+        storm(
+                "a pause",
+                rig -> {
+                    rig.clients.rate = 0;
+                    rig.clients.ended(rig.clients.now() + 2 * TRIGGER);
+                },
+                rig -> rig.clients.rate = 400);
     }
 
     /** All caches are emptied at once, and the ledger is asked for twice what it can do. */
     @Test
     void allCachesEmptied() throws Exception {
-        storm("all caches emptied", StormRig::forgetAll, rig -> { });
+        storm("all caches emptied", StormRig::forgetAll, rig -> {});
     }
 
     private static void close(Socket socket) {
--- a/src/test/java/anisebend/net/UpstreamTest.java
+++ b/src/test/java/anisebend/net/UpstreamTest.java
@@ -44,13 +44,13 @@
 class UpstreamTest {
     private static final long LONG_MICROS = 60_000_000;
 
-    private record Ended(Code code, Note note) {
-    }
+    private record Ended(Code code, Note note) {}
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final BlockingQueue<Ended> endings = new LinkedBlockingQueue<>();
     private volatile boolean ready = true;
-    private final Upstream upstream = new Upstream(group.next(), Upstream.IN_SERVICE, node -> ready, 4, 60_000, 2_000, 1);
+    private final Upstream upstream =
+            new Upstream(group.next(), Upstream.IN_SERVICE, node -> ready, 4, 60_000, 2_000, 1);
 
     @AfterEach
     void stop() {
@@ -66,19 +66,24 @@
     }
 
     private Upstream.Attempt send(int port, long waitMicros) throws Exception {
-        return send(port, waitMicros, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/k",
-            Unpooled.EMPTY_BUFFER), false);
+        return send(
+                port,
+                waitMicros,
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/k", Unpooled.EMPTY_BUFFER),
+                false);
     }
 
     private Upstream.Attempt send(int port, long waitMicros, FullHttpRequest request, boolean once) throws Exception {
-        return group.next().submit(() -> upstream.send(node(port), request, waitMicros, once,
-            (code, note, got) -> endings.add(new Ended(code, note)))).get();
+        return group.next()
+                .submit(() -> upstream.send(
+                        node(port), request, waitMicros, once, (code, note, got) -> endings.add(new Ended(code, note))))
+                .get();
     }
 
     /** A write that is to run once at most. */
     private FullHttpRequest once(String body) throws Exception {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.PUT, "/api/k",
-            Unpooled.copiedBuffer(body, StandardCharsets.US_ASCII));
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, HttpMethod.PUT, "/api/k", Unpooled.copiedBuffer(body, StandardCharsets.US_ASCII));
         request.headers().set("Content-Length", body.length());
         return request;
     }
@@ -88,10 +93,19 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"200, X-Lookup: hit, OK, HIT", "200, X-Lookup: miss, OK, MISS",
-        "200, X-Lookup: pending, OK, MISS_FETCHING", "200, X-Other: 1, OK, NONE", "500, X-Other: 1, ERROR, NONE",
-        "503, X-Unprocessed: 1, FULL, NONE", "504, X-Unprocessed: 1, FULL, NONE", "503, X-Other: 1, ERROR, NONE",
-        "504, X-Other: 1, ERROR, NONE", "500, X-Unprocessed: 1, ERROR, NONE", "302, X-Other: 1, ERROR, NONE"})
+    @CsvSource({
+        "200, X-Lookup: hit, OK, HIT",
+        "200, X-Lookup: miss, OK, MISS",
+        "200, X-Lookup: pending, OK, MISS_FETCHING",
+        "200, X-Other: 1, OK, NONE",
+        "500, X-Other: 1, ERROR, NONE",
+        "503, X-Unprocessed: 1, FULL, NONE",
+        "504, X-Unprocessed: 1, FULL, NONE",
+        "503, X-Other: 1, ERROR, NONE",
+        "504, X-Other: 1, ERROR, NONE",
+        "500, X-Unprocessed: 1, ERROR, NONE",
+        "302, X-Other: 1, ERROR, NONE"
+    })
     void tellsOutcomesByTheProtocolsTable(int status, String header, Code code, Note note) throws Exception {
         try (Server server = new Server((request, socket) -> write(socket, answer(status, header + "\r\n", "v")))) {
             send(port(server), LONG_MICROS);
@@ -191,14 +205,20 @@
             assertEquals(Code.OK, ended().code());
             assertEquals(body, server.next().body());
             FullHttpRequest next = once(body);
-            group.next().submit(() -> {
-                upstream.send(node(port(server)), next, LONG_MICROS, true,
-                    (code, note, got) -> endings.add(new Ended(code, note)));
-                asked.countDown();
-                return server.ended.poll(PATIENCE_SECONDS, TimeUnit.SECONDS); // while the loop is busy here
-            }).get();
+            group.next()
+                    .submit(() -> {
+                        upstream.send(
+                                node(port(server)),
+                                next,
+                                LONG_MICROS,
+                                true,
+                                (code, note, got) -> endings.add(new Ended(code, note)));
+                        asked.countDown();
+                        return server.ended.poll(PATIENCE_SECONDS, TimeUnit.SECONDS); // while the loop is busy here
+                    })
+                    .get();
             assertEquals(Code.NOT_SENT, ended().code());
-            group.next().schedule(() -> { }, 100, TimeUnit.MILLISECONDS).get(); // behind what was kept back
+            group.next().schedule(() -> {}, 100, TimeUnit.MILLISECONDS).get(); // behind what was kept back
             assertEquals(0, next.refCnt());
             assertNull(server.requests.peek());
             send(port(server), LONG_MICROS, once(body), true);
@@ -221,7 +241,7 @@
 
     @Test
     void silenceTimesOutAndClosesTheConnection() throws Exception {
-        try (Server server = new Server((request, socket) -> { })) {
+        try (Server server = new Server((request, socket) -> {})) {
             send(port(server), 300_000);
             assertNotNull(server.next());
             assertEquals(Code.TIMEOUT, ended().code());
@@ -232,7 +252,7 @@
     /** The drain grace counts from the first byte, so a connection that came up late is not written to. */
     @Test
     void withholdsWhatNodeIsNoLongerReadyFor() throws Exception {
-        try (Server server = new Server((request, socket) -> { })) {
+        try (Server server = new Server((request, socket) -> {})) {
             ready = false;
             send(port(server), LONG_MICROS);
             assertEquals(Code.NOT_SENT, ended().code());
@@ -243,13 +263,15 @@
 
     @Test
     void cancelledAttemptEndsOnceAndClosesItsConnection() throws Exception {
-        try (Server server = new Server((request, socket) -> { })) {
+        try (Server server = new Server((request, socket) -> {})) {
             Upstream.Attempt attempt = send(port(server), LONG_MICROS);
             assertNotNull(server.next());
-            group.next().submit(() -> {
-                attempt.cancel();
-                attempt.cancel();
-            }).get();
+            group.next()
+                    .submit(() -> {
+                        attempt.cancel();
+                        attempt.cancel();
+                    })
+                    .get();
             assertEquals(Code.CANCELLED, ended().code());
             assertNotNull(server.ended.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
             assertNull(endings.peek());
@@ -259,7 +281,7 @@
     /** Our own bound must not be held against a healthy node: who finds no room waits, and then is told so. */
     @Test
     void boundOnConnectionsLeavesAttemptsUnsent() throws Exception {
-        try (Server server = new Server((request, socket) -> { })) {
+        try (Server server = new Server((request, socket) -> {})) {
             for (int i = 0; i < 4; i++) {
                 send(port(server), LONG_MICROS);
                 assertNotNull(server.next());
@@ -317,7 +339,7 @@
             for (int i = 0; i < 3; i++) {
                 send(port(server), LONG_MICROS);
             }
-            group.next().submit(() -> { }).get();
+            group.next().submit(() -> {}).get();
             go.countDown();
             for (int i = 0; i < 4; i++) {
                 assertEquals(Code.OK, ended().code());
@@ -333,8 +355,8 @@
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", "\u0001\u0002noise\r\n\r\n", "noi"})
     void moreThanOneAnswerClosesTheConnection(String more) throws Exception {
-        try (Server server = new Server((request, socket) ->
-            write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx" + more))) {
+        try (Server server = new Server(
+                (request, socket) -> write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx" + more))) {
             send(port(server), LONG_MICROS);
             assertEquals(Code.OK, ended().code());
             send(port(server), LONG_MICROS);
@@ -357,14 +379,20 @@
 
     /** An answer that can't be trusted has run, serves nobody and takes its connection with it. */
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 2x0 OK\r\nContent-Length: 1\r\n\r\nx", "ICY 200 OK\r\nContent-Length: 1\r\n\r\nx",
-        "HTTP/1.1 OK 200\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 1\r\n\r\nx",
-        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 1\r\n\r\nx",
-        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
-        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\nzz\r\nx\r\n0\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx", "HTTP/1.1 101 Other\r\n\r\n",
-        "\u0001\u0002\u0003noise\r\n\r\n"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 2x0 OK\r\nContent-Length: 1\r\n\r\nx",
+                "ICY 200 OK\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 OK 200\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\nzz\r\nx\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx",
+                "HTTP/1.1 101 Other\r\n\r\n",
+                "\u0001\u0002\u0003noise\r\n\r\n"
+            })
     void spoiltAnswerMayHaveRunAndClosesTheConnection(String text) throws Exception {
         try (Server server = new Server((request, socket) -> write(socket, text))) {
             send(port(server), LONG_MICROS);
@@ -377,8 +405,8 @@
     @ParameterizedTest
     @CsvSource({"2, OK", "1000, RESET"})
     void skipsInterimAnswersButNotWithoutEnd(int count, Code code) throws Exception {
-        try (Server server = new Server((request, socket) -> write(socket,
-            "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n".repeat(count) + answer(200, "", "x")))) {
+        try (Server server = new Server((request, socket) ->
+                write(socket, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n".repeat(count) + answer(200, "", "x")))) {
             send(port(server), LONG_MICROS);
             assertEquals(code, ended().code());
         }
@@ -389,37 +417,39 @@
     void breaksOffALongAnswerOfANodeThatFellSilent() throws Exception {
         BlockingQueue<String> told = new LinkedBlockingQueue<>();
         try (Server server = new Server((request, socket) ->
-            write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + "x".repeat(1_000)))) {
-            FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/k",
-                Unpooled.EMPTY_BUFFER);
-            group.next().submit(() -> upstream.stalledAfter(20_000).send(node(port(server)), message, LONG_MICROS, false,
-                new Upstream.Ending() {
-                    @Override
-                    public void ended(Code code, Note note, FullHttpResponse answer) {
-                        told.add("ended " + code);
-                    }
-
-                    @Override
-                    public Passage begins(Note note, HttpResponse head, long length, Passage.Flow flow) {
-                        told.add("begins " + length);
-                        return new Passage() {
-                            @Override
-                            public void part(ByteBuf bytes) {
-                                bytes.skipBytes(bytes.readableBytes());
-                            }
-
-                            @Override
-                            public void ended() {
-                                told.add("whole");
-                            }
-
-                            @Override
-                            public void broken() {
-                                told.add("broken");
-                            }
-                        };
-                    }
-                })).get();
+                write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + "x".repeat(1_000)))) {
+            FullHttpRequest message =
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/k", Unpooled.EMPTY_BUFFER);
+            group.next()
+                    .submit(() -> upstream.stalledAfter(20_000)
+                            .send(node(port(server)), message, LONG_MICROS, false, new Upstream.Ending() {
+                                @Override
+                                public void ended(Code code, Note note, FullHttpResponse answer) {
+                                    told.add("ended " + code);
+                                }
+
+                                @Override
+                                public Passage begins(Note note, HttpResponse head, long length, Passage.Flow flow) {
+                                    told.add("begins " + length);
+                                    return new Passage() {
+                                        @Override
+                                        public void part(ByteBuf bytes) {
+                                            bytes.skipBytes(bytes.readableBytes());
+                                        }
+
+                                        @Override
+                                        public void ended() {
+                                            told.add("whole");
+                                        }
+
+                                        @Override
+                                        public void broken() {
+                                            told.add("broken");
+                                        }
+                                    };
+                                }
+                            }))
+                    .get();
             assertEquals("begins 1000000", told.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
             assertEquals("broken", told.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
             assertNotNull(server.ended.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
--- a/src/test/java/gorsemast/admin/AdminListenerTest.java
+++ b/src/test/java/gorsemast/admin/AdminListenerTest.java
@@ -29,30 +29,33 @@
 
     @BeforeEach
     void open() throws Exception {
-        listener = new AdminListener(new AdminListener.Calls() {
-            @Override
-            public boolean health() {
-                return serving;
-            }
-
-            @Override
-            public String counters() {
-                return "one:1|c\ntwo:2|g\n";
-            }
-
-            @Override
-            public boolean quiesce() {
-                serving = false;
-                return true;
-            }
-
-            @Override
-            public boolean resume() {
-                serving = true;
-                return true;
-            }
-        }, ch -> false);
-        listener.listen(group, group.next(), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync();
+        listener = new AdminListener(
+                new AdminListener.Calls() {
+                    @Override
+                    public boolean health() {
+                        return serving;
+                    }
+
+                    @Override
+                    public String counters() {
+                        return "one:1|c\ntwo:2|g\n";
+                    }
+
+                    @Override
+                    public boolean quiesce() {
+                        serving = false;
+                        return true;
+                    }
+
+                    @Override
+                    public boolean resume() {
+                        serving = true;
+                        return true;
+                    }
+                },
+                ch -> false);
+        listener.listen(group, group.next(), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .sync();
     }
 
     @AfterEach
@@ -78,8 +81,16 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"health, 200", "counters, 200", "quiesce, 200", "resume, 200", "Health, 400", "'', 400", "'health ', 400",
-        "flush, 400"})
+    @CsvSource({
+        "health, 200",
+        "counters, 200",
+        "quiesce, 200",
+        "resume, 200",
+        "Health, 400",
+        "'', 400",
+        "'health ', 400",
+        "flush, 400"
+    })
     void answersOneLineAndCloses(String call, String word) throws Exception {
         assertTrue(all(say(call + "\n")).startsWith(word));
         assertTrue(all(say(call + "\r\n")).startsWith(word));
--- a/src/test/java/gorsemast/admission/DoorTest.java
+++ b/src/test/java/gorsemast/admission/DoorTest.java
@@ -105,7 +105,9 @@
     void fewerPlacesMakeTheLongestIdleGo() {
         idle(0, KEPT);
         door.places(4);
-        assertEquals(List.of("c0", "c1", "c2", "c3", "c4", "c5", "c6", "c7"), door.surplus(now + Door.YOUNG_MICROS).subList(0, 8));
+        assertEquals(
+                List.of("c0", "c1", "c2", "c3", "c4", "c5", "c6", "c7"),
+                door.surplus(now + Door.YOUNG_MICROS).subList(0, 8));
     }
 
     /** Whatever happens: who is busy is never named, nobody is named twice, and what is over is named if idle. */
--- a/src/test/java/gorsemast/cabauw/PlacesTest.java
+++ b/src/test/java/gorsemast/cabauw/PlacesTest.java
@@ -12,8 +12,15 @@
     void whatIsGivenAwayIsThere(int sockets) {
         Places places = Places.of(sockets);
         int inbound = places.watched() == 0 ? 0 : 16;
-        assertThat(places.registries() + places.watched() + inbound + places.servers() + places.between() + places.asked()
-            + places.clients() + 5).isLessThanOrEqualTo(sockets);
+        assertThat(places.registries()
+                        + places.watched()
+                        + inbound
+                        + places.servers()
+                        + places.between()
+                        + places.asked()
+                        + places.clients()
+                        + 5)
+                .isLessThanOrEqualTo(sockets);
         assertThat(places.clients()).isGreaterThanOrEqualTo(2);
         assertThat(places.servers()).isGreaterThanOrEqualTo(2);
         assertThat(places.between()).isPositive();
--- a/src/test/java/gorsemast/debilt/PoolTest.java
+++ b/src/test/java/gorsemast/debilt/PoolTest.java
@@ -14,7 +14,10 @@
         for (int edge = 0; edge < 9; edge++) {
             pool.told(1_000, "e" + edge, Map.of("a", new double[] {1, 20}));
         }
-        pool.told(1_000, "liar", Map.of("a", new double[] {1e9, 1e9}, "b", new double[] {Double.NaN, 5}, "c", new double[] {1, -1}));
+        pool.told(
+                1_000,
+                "liar",
+                Map.of("a", new double[] {1e9, 1e9}, "b", new double[] {Double.NaN, 5}, "c", new double[] {1, -1}));
         Map<String, double[]> sum = pool.sum(2_000);
         assertThat(sum).containsOnlyKeys("a");
         assertThat(sum.get("a")[0]).isLessThan(1.4);
@@ -27,7 +30,9 @@
         pool.told(2_000, "e", Map.of("b", new double[] {2, 10}));
         assertThat(pool.changed()).isTrue();
         assertThat(pool.sum(3_000)).containsOnlyKeys("b");
-        assertThat(pool.changed()).as("who asks for the sum alone takes nobody else's").isTrue();
+        assertThat(pool.changed())
+                .as("who asks for the sum alone takes nobody else's")
+                .isTrue();
         pool.passedOn();
         assertThat(pool.changed()).isFalse();
         assertThat(pool.sum(2_001 + Pool.TOLD_MICROS)).isEmpty();
--- a/src/test/java/gorsemast/deelen/NetworkTest.java
+++ b/src/test/java/gorsemast/deelen/NetworkTest.java
@@ -23,6 +23,7 @@
 class NetworkTest {
     @TempDir
     static Path data;
+
     private static LoopbackNetwork network;
     private static int calls;
     private static int version = 1;
@@ -48,11 +49,15 @@
     }
 
     private static Answer operator(int core, String path, String body) {
-        return network.call(network.controls().get(core), "POST", path, Map.of(), body.getBytes(StandardCharsets.UTF_8));
+        return network.call(
+                network.controls().get(core), "POST", path, Map.of(), body.getBytes(StandardCharsets.UTF_8));
     }
 
     private static long runs(String uri) {
-        return network.servers().stream().flatMap(server -> server.runs().stream()).filter(run -> run.uri().equals(uri)).count();
+        return network.servers().stream()
+                .flatMap(server -> server.runs().stream())
+                .filter(run -> run.uri().equals(uri))
+                .count();
     }
 
     @Test
@@ -72,28 +77,33 @@
         assertThat(part.status()).isEqualTo(206);
         assertThat(part.text()).isEqualTo("/object");
         headers.put("Range", "bytes=4000-");
-        assertThat(network.call(network.fronts().get(0), "GET", "/objects/range", headers, null).status()).isEqualTo(416);
+        assertThat(network.call(network.fronts().get(0), "GET", "/objects/range", headers, null)
+                        .status())
+                .isEqualTo(416);
         assertThat(runs("/objects/range")).isEqualTo(1);
     }
 
     @Test
     void aPurgeByPathOrTagReachesAllEdges() {
-        for (String order : new String[] {"{\"hostname\":\"" + LoopbackNetwork.HOST + "\",\"path\":\"/objects/purged\"}",
-            "{\"tag\":\"all\"}"}) {
+        for (String order : new String[] {
+            "{\"hostname\":\"" + LoopbackNetwork.HOST + "\",\"path\":\"/objects/purged\"}", "{\"tag\":\"all\"}"
+        }) {
             ask(0, "GET", "/objects/purged", null);
             ask(1, "GET", "/objects/purged", null);
             network.servers().forEach(server -> server.change("/objects/purged"));
             assertThat(operator(1, "/v1/purge", order).status()).isEqualTo(200);
             for (int edge = 0; edge < 2; edge++) {
                 int at = edge;
-                LoopbackNetwork.until(() -> ask(at, "GET", "/objects/purged", null).text().equals(current()));
+                LoopbackNetwork.until(
+                        () -> ask(at, "GET", "/objects/purged", null).text().equals(current()));
             }
         }
     }
 
     private static String current() {
         // the stand-ins count changes alike, so any of them tells
-        return network.call(network.servers().get(0).address(), "GET", "/objects/purged", Map.of(), null).text();
+        return network.call(network.servers().get(0).address(), "GET", "/objects/purged", Map.of(), null)
+                .text();
     }
 
     @Test
@@ -133,28 +143,51 @@
     @Test
     void invalidConfigurationsAreRefusedAndNeverHold() {
         String valid = new String(LoopbackNetwork.configuration(0x7fff, "20s"), StandardCharsets.UTF_8);
-        String[] broken = {valid.substring(0, valid.length() - 2), valid.replace("\"backend\":\"orders\"", "\"backend\":\"none\""),
-            valid.replace("\"weight\":1", "\"weight\":0"), valid.replace("\"weight\":1", "\"weight\":-1"),
-            valid.replace("\"maxAttempts\":2", "\"maxAttempts\":0"), valid + "x", "[]", "",
+        String[] broken = {
+            valid.substring(0, valid.length() - 2),
+            valid.replace("\"backend\":\"orders\"", "\"backend\":\"none\""),
+            valid.replace("\"weight\":1", "\"weight\":0"),
+            valid.replace("\"weight\":1", "\"weight\":-1"),
+            valid.replace("\"maxAttempts\":2", "\"maxAttempts\":0"),
+            valid + "x",
+            "[]",
+            "",
             valid.replace("\"configVersion\":\"00007fff\"", "\"configVersion\":\"7fff\""),
-            valid.replace("\"timeout\":\"1500ms\"", "\"timeout\":\"soon\"")};
+            valid.replace("\"timeout\":\"1500ms\"", "\"timeout\":\"soon\"")
+        };
         for (String body : broken) {
-            assertThat(operator(0, "/v1/configuration/replace", body).status()).as(body).isEqualTo(400);
+            assertThat(operator(0, "/v1/configuration/replace", body).status())
+                    .as(body)
+                    .isEqualTo(400);
         }
-        assertThat(network.call(network.controls().get(2), "GET", "/v1/configuration/read", Map.of(), null).text())
-            .doesNotContain("00007fff");
+        assertThat(network.call(network.controls().get(2), "GET", "/v1/configuration/read", Map.of(), null)
+                        .text())
+                .doesNotContain("00007fff");
     }
 
     @Test
     void theHighestVersionHoldsWhereverItIsSent() {
         for (int core = 0; core < 3; core++) {
             byte[] next = LoopbackNetwork.configuration(++version, LoopbackNetwork.FIRST_TTL);
-            assertThat(network.call(network.controls().get(core), "POST", "/v1/configuration/replace", Map.of(), next).status())
-                .isEqualTo(200);
-            assertThat(network.call(network.controls().get((core + 1) % 3), "POST", "/v1/configuration/replace", Map.of(),
-                LoopbackNetwork.configuration(1, "9s")).status()).isEqualTo(200);
-            assertThat(network.call(network.controls().get((core + 2) % 3), "GET", "/v1/configuration/read", Map.of(), null)
-                .body()).isEqualTo(next);
+            assertThat(network.call(network.controls().get(core), "POST", "/v1/configuration/replace", Map.of(), next)
+                            .status())
+                    .isEqualTo(200);
+            assertThat(network.call(
+                                    network.controls().get((core + 1) % 3),
+                                    "POST",
+                                    "/v1/configuration/replace",
+                                    Map.of(),
+                                    LoopbackNetwork.configuration(1, "9s"))
+                            .status())
+                    .isEqualTo(200);
+            assertThat(network.call(
+                                    network.controls().get((core + 2) % 3),
+                                    "GET",
+                                    "/v1/configuration/read",
+                                    Map.of(),
+                                    null)
+                            .body())
+                    .isEqualTo(next);
         }
     }
 
@@ -166,21 +199,29 @@
             return !leaving.runs().isEmpty();
         });
         leaving.drain();
-        LoopbackNetwork.until(() -> network.call(network.controls().get(0), "POST", "/v1/nodes/i-leaving/deregister", Map.of(),
-            new byte[0]).status() == 200);
+        LoopbackNetwork.until(() ->
+                network.call(network.controls().get(0), "POST", "/v1/nodes/i-leaving/deregister", Map.of(), new byte[0])
+                                .status()
+                        == 200);
         int before = leaving.runs().size();
-        assertThat(operator(1, "/v1/nodes/i-leaving/heartbeat", beat(leaving, "ready", 100_000)).status()).isEqualTo(200);
-        Set<Integer> statuses = java.util.stream.IntStream.range(0, 40).map(i -> ask(0, "GET", "/orders/late" + i, null).status())
-            .boxed().collect(Collectors.toSet());
+        assertThat(operator(1, "/v1/nodes/i-leaving/heartbeat", beat(leaving, "ready", 100_000))
+                        .status())
+                .isEqualTo(200);
+        Set<Integer> statuses = java.util.stream.IntStream.range(0, 40)
+                .map(i -> ask(0, "GET", "/orders/late" + i, null).status())
+                .boxed()
+                .collect(Collectors.toSet());
         assertThat(statuses).containsExactly(200);
         assertThat(leaving.runs()).hasSize(before);
         leaving.close();
     }
 
     private static String beat(StandInServer server, String state, long seq) {
-        return "{\"backend\":\"orders\",\"address\":\"" + server.address().getAddress().getHostAddress() + ':'
-            + server.address().getPort() + "\",\"zone\":\"here\",\"configVersion\":\"v1\",\"capacity\":8,\"state\":\"" + state
-            + "\",\"warmupLeft\":\"0ms\",\"callSeq\":" + seq + '}';
+        return "{\"backend\":\"orders\",\"address\":\""
+                + server.address().getAddress().getHostAddress() + ':'
+                + server.address().getPort()
+                + "\",\"zone\":\"here\",\"configVersion\":\"v1\",\"capacity\":8,\"state\":\"" + state
+                + "\",\"warmupLeft\":\"0ms\",\"callSeq\":" + seq + '}';
     }
 
     @Test
@@ -202,7 +243,9 @@
             }
         });
         for (int i = 0; i < 60; i++) {
-            assertThat(ask(i % 2, i % 2 == 0 ? "GET" : "POST", "/orders/pay/reuse" + i, null).status()).isIn(200, 503);
+            assertThat(ask(i % 2, i % 2 == 0 ? "GET" : "POST", "/orders/pay/reuse" + i, null)
+                            .status())
+                    .isIn(200, 503);
         }
         assertThat(next[0].runs()).isEmpty();
         next[0].close();
@@ -222,7 +265,8 @@
         network.servers().forEach(server -> server.manner(Manner.ANSWERS_LATE_AGAIN));
         for (int i = 0; i < 12; i++) {
             String uri = i % 2 == 0 ? "/orders/again" + i : "/orders/pay/again" + i;
-            assertThat(ask(0, i % 2 == 0 ? "GET" : "POST", uri, null).text()).isEqualTo("object " + uri + " version 0\n");
+            assertThat(ask(0, i % 2 == 0 ? "GET" : "POST", uri, null).text())
+                    .isEqualTo("object " + uri + " version 0\n");
             assertThat(runs(uri)).isEqualTo(1);
         }
     }
@@ -232,8 +276,13 @@
         network.servers().get(2).work(60_000);
         StringBuilder all = new StringBuilder();
         for (int i = 0; i < 6; i++) {
-            all.append("GET /orders/p").append(i).append(" HTTP/1.1\r\nHost: ").append(LoopbackNetwork.HOST)
-                .append("\r\nAttempt-Id: pipe").append(i).append("\r\nTime-Budget: 1500\r\n\r\n");
+            all.append("GET /orders/p")
+                    .append(i)
+                    .append(" HTTP/1.1\r\nHost: ")
+                    .append(LoopbackNetwork.HOST)
+                    .append("\r\nAttempt-Id: pipe")
+                    .append(i)
+                    .append("\r\nTime-Budget: 1500\r\n\r\n");
         }
         String got = raw(all.toString(), "/orders/p5 version");
         int at = -1;
@@ -248,9 +297,14 @@
     void badInputHarmsNobodyElse() throws IOException {
         assertThat(raw("GET / HTTP/1.1\r\nHost : x\r\n\r\n", "400")).contains("400");
         assertThat(raw("GARBAGE\r\n\r\n", "400")).contains("400");
-        assertThat(raw("POST /orders/pay/z HTTP/1.1\r\nHost: " + LoopbackNetwork.HOST + "\r\nAttempt-Id: s\r\nContent-Length: 3\r\n"
-            + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled", "400")).contains("400");
-        assertThat(raw("GET /none/ HTTP/1.1\r\nHost: " + LoopbackNetwork.HOST + "\r\n\r\n", "404")).contains("404");
+        assertThat(raw(
+                        "POST /orders/pay/z HTTP/1.1\r\nHost: " + LoopbackNetwork.HOST
+                                + "\r\nAttempt-Id: s\r\nContent-Length: 3\r\n"
+                                + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled",
+                        "400"))
+                .contains("400");
+        assertThat(raw("GET /none/ HTTP/1.1\r\nHost: " + LoopbackNetwork.HOST + "\r\n\r\n", "404"))
+                .contains("404");
         try (Socket foreign = new Socket(network.fronts().get(0).getAddress(), network.linkPort())) {
             foreign.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             foreign.setSoTimeout(10_000);
@@ -261,12 +315,15 @@
     }
 
     private static String raw(String text, String until) throws IOException {
-        try (Socket socket = new Socket(network.fronts().get(0).getAddress(), network.fronts().get(0).getPort())) {
+        try (Socket socket = new Socket(
+                network.fronts().get(0).getAddress(), network.fronts().get(0).getPort())) {
             socket.setSoTimeout(10_000);
             socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
             StringBuilder got = new StringBuilder();
             byte[] buffer = new byte[4_096];
-            for (int n = socket.getInputStream().read(buffer); n > 0; n = socket.getInputStream().read(buffer)) {
+            for (int n = socket.getInputStream().read(buffer);
+                    n > 0;
+                    n = socket.getInputStream().read(buffer)) {
                 got.append(new String(buffer, 0, n, StandardCharsets.US_ASCII));
                 if (got.indexOf(until) >= 0) {
                     break;
--- a/src/test/java/gorsemast/deelen/ProcessesTest.java
+++ b/src/test/java/gorsemast/deelen/ProcessesTest.java
@@ -23,8 +23,10 @@
 /** Real processes of all three programs: killed between an acknowledgement and the next, disks lost, asked to leave. */
 class ProcessesTest {
     private static final String NET = "127.0.89";
+
     @TempDir
     Path data;
+
     private int port;
     private LoopbackNetwork network;
     private final Map<String, Process> running = new HashMap<>();
@@ -45,7 +47,8 @@
         servers.add(network.newServer("i-0", "objects", 40));
         servers.add(network.newServer("i-1", "orders", 41));
         put(1);
-        LoopbackNetwork.until(() -> ask("/orders/first").status() == 200 && ask("/objects/first").status() == 200);
+        LoopbackNetwork.until(() ->
+                ask("/orders/first").status() == 200 && ask("/objects/first").status() == 200);
     }
 
     @AfterEach
@@ -65,10 +68,18 @@
     private void run(String name, String program, String settings) throws IOException {
         Path file = data.resolve(name + ".yaml");
         Files.writeString(file, settings);
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Xmx64m", "-cp", System.getProperty("java.class.path"),
-            "gorsemast.arcen.Main", program).redirectErrorStream(true)
-            .redirectOutput(ProcessBuilder.Redirect.appendTo(data.resolve(name + ".log").toFile()));
+        ProcessBuilder builder = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-XX:TieredStopAtLevel=1",
+                        "-XX:+UseSerialGC",
+                        "-Xmx64m",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "gorsemast.arcen.Main",
+                        program)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                        data.resolve(name + ".log").toFile()));
         builder.environment().put("GORSEMAST_CONFIG", file.toString());
         running.put(name, builder.start());
     }
@@ -90,8 +101,14 @@
         int[] by = {0};
         LoopbackNetwork.until(() -> {
             by[0] = by[0] % 3 + 1;
-            return network.call(network.controls().get(by[0] - 1), "POST", "/v1/configuration/replace", Map.of(),
-                LoopbackNetwork.configuration(version, "20s")).status() == 200;
+            return network.call(
+                                    network.controls().get(by[0] - 1),
+                                    "POST",
+                                    "/v1/configuration/replace",
+                                    Map.of(),
+                                    LoopbackNetwork.configuration(version, "20s"))
+                            .status()
+                    == 200;
         });
         return by[0];
     }
@@ -111,7 +128,8 @@
     private void wipe(int core) throws IOException {
         for (String program : new String[] {"vlissingen", "debilt"}) {
             try (Stream<Path> files = Files.walk(data.resolve(program + core))) {
-                for (Path file : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
+                for (Path file :
+                        files.sorted(java.util.Comparator.reverseOrder()).toList()) {
                     Files.delete(file);
                 }
             }
@@ -138,7 +156,8 @@
         try (Stream<Path> files = Files.list(data)) {
             StringBuilder all = new StringBuilder();
             for (Path file : files.filter(path -> path.getFileName().toString().startsWith(of)
-                && path.toString().endsWith(".log")).toList()) {
+                            && path.toString().endsWith(".log"))
+                    .toList()) {
                 all.append(Files.readString(file));
             }
             return all.toString();
@@ -148,8 +167,12 @@
     }
 
     private long taken() {
-        return log("vlissingen").lines().filter(line -> line.contains("takes in")).map(line -> line.replaceAll(".* takes in ", ""))
-            .distinct().count();
+        return log("vlissingen")
+                .lines()
+                .filter(line -> line.contains("takes in"))
+                .map(line -> line.replaceAll(".* takes in ", ""))
+                .distinct()
+                .count();
     }
 
     @Test
@@ -171,9 +194,10 @@
     @Test
     void anEdgeThatIsToLeaveFinishesWhatItHas() throws Exception {
         servers.get(1).work(400_000);
-        java.util.concurrent.CompletableFuture<Answer> slow = java.util.concurrent.CompletableFuture.supplyAsync(() ->
-            network.call(front, "POST", "/orders/pay/slow", LoopbackNetwork.client("slow"), new byte[10]));
-        LoopbackNetwork.until(() -> servers.get(1).runs().stream().anyMatch(run -> run.uri().equals("/orders/pay/slow")));
+        java.util.concurrent.CompletableFuture<Answer> slow = java.util.concurrent.CompletableFuture.supplyAsync(
+                () -> network.call(front, "POST", "/orders/pay/slow", LoopbackNetwork.client("slow"), new byte[10]));
+        LoopbackNetwork.until(
+                () -> servers.get(1).runs().stream().anyMatch(run -> run.uri().equals("/orders/pay/slow")));
         running.get("edge").destroy();
         assertThat(slow.get(20, TimeUnit.SECONDS).status()).isEqualTo(200);
         assertThat(running.get("edge").waitFor(20, TimeUnit.SECONDS)).isTrue();
@@ -182,7 +206,10 @@
 
     @Test
     void settingsThatCantBeWorkedWithEndItWithTheirPlace() throws Exception {
-        run("bad", "debilt", network.settings(NET + ".9", "bad", true, false, null).replace("internalPorts:", "inner:"));
+        run(
+                "bad",
+                "debilt",
+                network.settings(NET + ".9", "bad", true, false, null).replace("internalPorts:", "inner:"));
         assertThat(running.get("bad").waitFor(20, TimeUnit.SECONDS)).isTrue();
         assertThat(running.get("bad").exitValue()).isEqualTo(1);
         assertThat(log("bad")).contains("internalPorts: wants a list");
--- a/src/test/java/gorsemast/deelen/TranscriptTest.java
+++ b/src/test/java/gorsemast/deelen/TranscriptTest.java
@@ -25,8 +25,10 @@
 class TranscriptTest {
     private static final Path APPROVED = Path.of("src/test/resources/transcripts");
     private static final Path RECEIVED = Path.of("target/transcripts");
+
     @TempDir
     static Path data;
+
     private static LoopbackNetwork network;
 
     @BeforeAll
@@ -56,11 +58,13 @@
     private static String play(String request) throws IOException {
         int head = request.indexOf('\n');
         String[] to = request.substring("==> ".length(), head).split(" ");
-        InetSocketAddress at = (to[0].equals("edge") ? network.fronts() : network.controls()).get(Integer.parseInt(to[1]));
+        InetSocketAddress at =
+                (to[0].equals("edge") ? network.fronts() : network.controls()).get(Integer.parseInt(to[1]));
         String text = request.substring(head + 1).replaceFirst("\n$", "");
         int blank = text.indexOf("\n\n");
         String body = blank < 0 ? "" : told(text.substring(blank + 2));
-        String lines = (blank < 0 ? text : text.substring(0, blank)).replace("Content-Length: @", "Content-Length: " + body.length());
+        String lines = (blank < 0 ? text : text.substring(0, blank))
+                .replace("Content-Length: @", "Content-Length: " + body.length());
         String sent = lines.replace("\n", "\r\n").replace("HOST", LoopbackNetwork.HOST) + "\r\n\r\n" + body;
         try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
             socket.setSoTimeout(10_000);
@@ -73,7 +77,8 @@
     private static String told(String body) {
         if (body.startsWith("@configuration ")) {
             String[] words = body.trim().split(" ");
-            return new String(LoopbackNetwork.configuration(Integer.parseInt(words[1]), words[2]), StandardCharsets.UTF_8);
+            return new String(
+                    LoopbackNetwork.configuration(Integer.parseInt(words[1]), words[2]), StandardCharsets.UTF_8);
         }
         return body;
     }
@@ -102,8 +107,10 @@
 
     /** As it is approved: lines for the eye, and names in the place of what differs from run to run. */
     private static String shown(String answer) {
-        String told = answer.replace("\r\n", "\n").replaceAll("Edge-Seal: i-[0-9]", "Edge-Seal: SERVER")
-            .replaceAll("(?i)retry-after: [0-9.]+", "Retry-After: SOME").stripTrailing();
+        String told = answer.replace("\r\n", "\n")
+                .replaceAll("Edge-Seal: i-[0-9]", "Edge-Seal: SERVER")
+                .replaceAll("(?i)retry-after: [0-9.]+", "Retry-After: SOME")
+                .stripTrailing();
         for (int version = 1; version < 10; version++) {
             String body = new String(LoopbackNetwork.configuration(version, "20s"), StandardCharsets.UTF_8);
             told = told.replace(body, "@configuration " + version + " 20s");
--- a/src/test/java/gorsemast/eelde/ContentTest.java
+++ b/src/test/java/gorsemast/eelde/ContentTest.java
@@ -22,7 +22,9 @@
         shelf.put(KEY, copy(1_000_000));
         assertThat(shelf.get(10_999_999, KEY, 60_000_000)).isNotNull();
         assertThat(shelf.get(11_000_000, KEY, 60_000_000)).isNull();
-        assertThat(shelf.get(3_000_000, KEY, 2_000_000)).as("the route's time became shorter").isNull();
+        assertThat(shelf.get(3_000_000, KEY, 2_000_000))
+                .as("the route's time became shorter")
+                .isNull();
     }
 
     @Test
@@ -36,12 +38,17 @@
         assertThat(shelf.purgedSince(after, KEY, copy(0))).isFalse();
         assertThat(shelf.purgedSince(after, KEY, copy(0, "red"))).isTrue();
         assertThat(shelf.purgedSince(shelf.number(), KEY, copy(0, "red"))).isFalse();
-        assertThat(shelf.purgedSince(before, Shelf.key("a.example", "/x/1?q"), copy(0))).as("with a query too").isTrue();
-        assertThat(shelf.purgedSince(before, Shelf.key("a.example", "/x/12"), copy(0))).isFalse();
+        assertThat(shelf.purgedSince(before, Shelf.key("a.example", "/x/1?q"), copy(0)))
+                .as("with a query too")
+                .isTrue();
+        assertThat(shelf.purgedSince(before, Shelf.key("a.example", "/x/12"), copy(0)))
+                .isFalse();
         for (int i = 0; i < 5_000; i++) {
             shelf.purge(new PurgeNews("n" + i, "b.example", "/" + i, ""));
         }
-        assertThat(shelf.purgedSince(after, KEY, copy(0))).as("more purges than are remembered").isTrue();
+        assertThat(shelf.purgedSince(after, KEY, copy(0)))
+                .as("more purges than are remembered")
+                .isTrue();
     }
 
     @Test
@@ -62,14 +69,19 @@
     void aHomeThatFailsIsPassedOverAndTriedByOneRequestAtATime() {
         Homes homes = new Homes("self", "here");
         homes.edges(Map.of("self", "there", "other", "here"));
-        String key = java.util.stream.IntStream.range(0, 100).mapToObj(i -> "k" + i)
-            .filter(k -> homes.of(0, k, false).equals("other")).findFirst().orElseThrow();
+        String key = java.util.stream.IntStream.range(0, 100)
+                .mapToObj(i -> "k" + i)
+                .filter(k -> homes.of(0, k, false).equals("other"))
+                .findFirst()
+                .orElseThrow();
         homes.failed(1_000_000, "other");
         assertThat(homes.of(1_100_000, key, false)).isEqualTo("self");
         assertThat(homes.of(2_000_000, key, false)).as("a trial").isEqualTo("other");
         assertThat(homes.of(2_000_001, key, false)).as("and only one").isEqualTo("self");
         homes.failed(2_150_000, "other");
-        assertThat(homes.of(2_700_000, key, false)).as("for longer after another failure").isEqualTo("self");
+        assertThat(homes.of(2_700_000, key, false))
+                .as("for longer after another failure")
+                .isEqualTo("self");
         homes.answered("other");
         assertThat(homes.of(2_700_001, key, false)).isEqualTo("other");
     }
@@ -101,8 +113,9 @@
         }
         for (int i = 0; i < count; i++) {
             int from = i;
-            long inWindow = java.util.Arrays.stream(taken, 0, count).filter(at -> at >= taken[from] && at < taken[from] + 5_000_000)
-                .count();
+            long inWindow = java.util.Arrays.stream(taken, 0, count)
+                    .filter(at -> at >= taken[from] && at < taken[from] + 5_000_000)
+                    .count();
             assertThat((double) inWindow).as("from " + taken[from]).isLessThanOrEqualTo(part * 5 * 1.1);
         }
         assertThat(count).as("and not much less than it").isGreaterThan((int) (25 * part * 0.7));
@@ -133,7 +146,9 @@
             patience.answered(i % 2 == 0 ? 20_000 : 200_000);
         }
         assertThat(patience.micros(0)).isEqualTo(Patience.MOST_MICROS);
-        assertThat(new Patience().micros(600_000)).as("a home that fetches is waited for while that is of use").isEqualTo(720_000);
+        assertThat(new Patience().micros(600_000))
+                .as("a home that fetches is waited for while that is of use")
+                .isEqualTo(720_000);
     }
 
     @Test
@@ -154,11 +169,13 @@
             homes.addAll(told);
         }
         assertThat(homes).hasSize(10);
-        long fetching = edges.keySet().stream().filter(edge -> {
-            Homes mine = new Homes(edge, "z0");
-            mine.edges(edges);
-            return mine.fetches("objects", 10);
-        }).count();
+        long fetching = edges.keySet().stream()
+                .filter(edge -> {
+                    Homes mine = new Homes(edge, "z0");
+                    mine.edges(edges);
+                    return mine.fetches("objects", 10);
+                })
+                .count();
         assertThat(fetching).isEqualTo(10);
     }
 }
--- a/src/test/java/gorsemast/eelde/FetchingTest.java
+++ b/src/test/java/gorsemast/eelde/FetchingTest.java
@@ -21,11 +21,10 @@
 /** Where objects come from, with homes and servers that answer when the test says so. */
 class FetchingTest implements Fetching.Ways<String> {
     private static final long TTL = 10_000_000;
-    private static final Route ROUTE = new Route("r", "h", "/o/", Route.Kind.CACHEABLE, 1_500_000, 200_000, 1,
-        List.of(new Route.Weighted("s", 1)), 2, TTL);
+    private static final Route ROUTE = new Route(
+            "r", "h", "/o/", Route.Kind.CACHEABLE, 1_500_000, 200_000, 1, List.of(new Route.Weighted("s", 1)), 2, TTL);
 
-    private record Asked(String edge, int hop, long step, FromHome<String> ending) {
-    }
+    private record Asked(String edge, int hop, long step, FromHome<String> ending) {}
 
     private final Board board = new Board();
     private final Shelf shelf = new Shelf(1 << 20);
@@ -51,7 +50,7 @@
 
     /** An object whose home is this edge, or another one; and whether this edge is to fetch for others. */
     private Wanted wanted(boolean here) {
-        for (int i = 0;; i++) {
+        for (int i = 0; ; i++) {
             Wanted what = new Wanted(ROUTE, "h", "/o/" + i);
             if (homes.of(now, what.key(), false).equals("e0") == here) {
                 return what;
@@ -144,13 +143,17 @@
     @Test
     void whereFewFetchAHomeAsksOneOfThem() {
         fetchers = 2;
-        assertThat(homes.fetches("s", 2)).as("what follows is about an edge that does not").isFalse();
+        assertThat(homes.fetches("s", 2))
+                .as("what follows is about an edge that does not")
+                .isFalse();
         ask(wanted(true), Fetching.ASKED_AS_HOME);
         Asked one = asked.poll();
         assertThat(one.hop).isEqualTo(Fetching.ASKED_AS_FETCHER);
         one.ending.useless();
         Asked other = asked.poll();
-        assertThat(other.hop).as("not the servers, of which it has hardly a part").isEqualTo(Fetching.ASKED_AS_FETCHER);
+        assertThat(other.hop)
+                .as("not the servers, of which it has hardly a part")
+                .isEqualTo(Fetching.ASKED_AS_FETCHER);
         other.ending.copy(copy());
         assertThat(told).containsExactly("here");
         ask(wanted(false), Fetching.ASKED_AS_FETCHER);
@@ -163,7 +166,9 @@
         ask(what, Fetching.ASKED_BY_CLIENT);
         assertThat(asked).hasSize(1);
         ask(what, Fetching.ASKED_AS_FETCHER);
-        assertThat(fetched).as("the home asks back, and is not to wait for itself").hasSize(1);
+        assertThat(fetched)
+                .as("the home asks back, and is not to wait for itself")
+                .hasSize(1);
         ask(what, Fetching.ASKED_BY_CLIENT);
         fetched.poll().copy(copy());
         assertThat(told).containsExactly("here", "here");
--- a/src/test/java/gorsemast/emulator/ClusterTest.java
+++ b/src/test/java/gorsemast/emulator/ClusterTest.java
@@ -23,14 +23,18 @@
     @EnumSource(Day.class)
     void theFourRulesHoldAndServiceComesBack(Day day) {
         Cluster.Result result = cluster(3).play(day);
-        assertTrue(result.referee().holds(), () -> result.line() + "\n" + String.join("\n", result.referee().findings()));
+        assertTrue(
+                result.referee().holds(),
+                () -> result.line() + "\n" + String.join("\n", result.referee().findings()));
         assertTrue(result.back() >= 0 && result.back() <= BACK_WITHIN_SECONDS, result::line);
         assertTrue(result.before() > 0.95, result::line);
     }
 
     /** Without the zone as one that falls silent: 0.77 and 0.85. */
     @ParameterizedTest
-    @EnumSource(value = Day.class, names = {"SPLIT", "ZONE"})
+    @EnumSource(
+            value = Day.class,
+            names = {"SPLIT", "ZONE"})
     void aSilentZoneCostsLittleThoughEachProxySeesLittleOfIt(Day day) {
         Cluster.Result result = cluster(3).play(day);
         assertTrue(result.during() > 0.88, result::line);
@@ -48,19 +52,18 @@
         Cluster cluster = cluster(1);
         CacheNode node = cluster.serving().get(0);
         node.restart();
-        for (int i = 0; i < 3 * CacheNode.FALL_MULTIPLE * node.capacity() && node.condition() == CacheNode.Condition.UP; i++) {
-            node.request("k", false, 1_000, () -> { }, new CacheNode.Reply() {
+        for (int i = 0;
+                i < 3 * CacheNode.FALL_MULTIPLE * node.capacity() && node.condition() == CacheNode.Condition.UP;
+                i++) {
+            node.request("k", false, 1_000, () -> {}, new CacheNode.Reply() {
                 @Override
-                public void served(anisebend.Balancer.Note note) {
-                }
+                public void served(anisebend.Balancer.Note note) {}
 
                 @Override
-                public void error() {
-                }
+                public void error() {}
 
                 @Override
-                public void turnedAway() {
-                }
+                public void turnedAway() {}
             });
         }
         assertEquals(1, cluster.referee.fallen());
--- a/src/test/java/gorsemast/fleet/ClaimTest.java
+++ b/src/test/java/gorsemast/fleet/ClaimTest.java
@@ -64,9 +64,11 @@
         assertThrows(IllegalArgumentException.class, () -> new ProcessId("a b", 1));
         assertThrows(IllegalArgumentException.class, () -> new ProcessId("", 1));
         assertThrows(IllegalArgumentException.class, () -> new ProcessId("a", -1));
-        assertThrows(IllegalArgumentException.class, () -> new Claim(ID, "h:1", Claim.MAX_INCARNATION + 1, Claim.State.ALIVE,
-            0, new TreeMap<>()));
-        assertThrows(IllegalArgumentException.class, () -> new Claim(ID, "h:1", 0, Claim.State.ALIVE, 0,
-            new TreeMap<>(Map.of("k", "x".repeat(300)))));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> new Claim(ID, "h:1", Claim.MAX_INCARNATION + 1, Claim.State.ALIVE, 0, new TreeMap<>()));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> new Claim(ID, "h:1", 0, Claim.State.ALIVE, 0, new TreeMap<>(Map.of("k", "x".repeat(300)))));
     }
 }
--- a/src/test/java/gorsemast/fleet/FleetDefectsTest.java
+++ b/src/test/java/gorsemast/fleet/FleetDefectsTest.java
@@ -29,26 +29,57 @@
 
     /** A line of the module, what stands there instead, and the test that finds it. */
     enum Defect {
-        NO_REFUTATION("Fleet.java", "boolean worse = claim.state() != State.ALIVE", "boolean worse = now < 0",
-            FLEET, "stoppedForHalfAMinuteAndBackFullOfOldBeliefs"),
-        GENERATION_NOT_RAISED("Fleet.java", "rejuvenate(claim.id().generation() + 1);", "",
-            FLEET, "aRestartEndsItsOldSelfAtOnceEvenWithItsClockSetBack"),
-        DEAD_FORGOTTEN_AT_ONCE("Roster.java", "members.size() - live > remembered", "members.size() > live",
-            FLEET, "allSeedsDeadAndTheRestStillHeals"),
-        FACTS_BY_ARRIVAL("Claim.java", "Claim told = author(other) >= 0 ? this : other;", "Claim told = other;",
-            CLAIM, "anyOrderAndAnyRepetitionComesToTheSame"),
-        STATE_BY_ARRIVAL("Claim.java", "Claim word = standing(other) >= 0 ? this : other;", "Claim word = other;",
-            CLAIM, "joinsAreCommutativeAssociativeAndIdempotent"),
-        NOBODY_ELSE_IS_ASKED("Fleet.java", "draw(settings.indirect(), probe.target)", "draw(0, probe.target)",
-            FLEET, "aOneWayCutBetweenTwoHurtsNobody"),
-        THE_DEAD_ARE_NOT_TRIED("Fleet.java", "            tryDead();\n", "",
-            FLEET, "allSeedsDeadAndTheRestStillHeals"),
-        NO_DIFFERENCES_SEEN("Fleet.java", "                compare(sender, message.view());\n", "",
-            FLEET, "mostAreGoneForAMinuteAndBackAtOnce"),
-        A_LEAVE_IS_NOT_TOLD("Fleet.java", "draw(settings.fanout() * 2, self)", "draw(0, self)",
-            FLEET, "whoLeavesIsGoneAtOnce"),
-        AN_ADDRESS_HAS_TWO("Fleet.java", "if (old.address().equals(claim.address())) {", "if (now < 0) {",
-            FLEET, "aLaterGenerationAtAnAddressEndsTheEarlierByHearsay");
+        NO_REFUTATION(
+                "Fleet.java",
+                "boolean worse = claim.state() != State.ALIVE",
+                "boolean worse = now < 0",
+                FLEET,
+                "stoppedForHalfAMinuteAndBackFullOfOldBeliefs"),
+        GENERATION_NOT_RAISED(
+                "Fleet.java",
+                "rejuvenate(claim.id().generation() + 1);",
+                "",
+                FLEET,
+                "aRestartEndsItsOldSelfAtOnceEvenWithItsClockSetBack"),
+        DEAD_FORGOTTEN_AT_ONCE(
+                "Roster.java",
+                "members.size() - live > remembered",
+                "members.size() > live",
+                FLEET,
+                "allSeedsDeadAndTheRestStillHeals"),
+        FACTS_BY_ARRIVAL(
+                "Claim.java",
+                "Claim told = author(other) >= 0 ? this : other;",
+                "Claim told = other;",
+                CLAIM,
+                "anyOrderAndAnyRepetitionComesToTheSame"),
+        STATE_BY_ARRIVAL(
+                "Claim.java",
+                "Claim word = standing(other) >= 0 ? this : other;",
+                "Claim word = other;",
+                CLAIM,
+                "joinsAreCommutativeAssociativeAndIdempotent"),
+        NOBODY_ELSE_IS_ASKED(
+                "Fleet.java",
+                "draw(settings.indirect(), probe.target)",
+                "draw(0, probe.target)",
+                FLEET,
+                "aOneWayCutBetweenTwoHurtsNobody"),
+        THE_DEAD_ARE_NOT_TRIED("Fleet.java", "            tryDead();\n", "", FLEET, "allSeedsDeadAndTheRestStillHeals"),
+        NO_DIFFERENCES_SEEN(
+                "Fleet.java",
+                "                compare(sender, message.view());\n",
+                "",
+                FLEET,
+                "mostAreGoneForAMinuteAndBackAtOnce"),
+        A_LEAVE_IS_NOT_TOLD(
+                "Fleet.java", "draw(settings.fanout() * 2, self)", "draw(0, self)", FLEET, "whoLeavesIsGoneAtOnce"),
+        AN_ADDRESS_HAS_TWO(
+                "Fleet.java",
+                "if (old.address().equals(claim.address())) {",
+                "if (now < 0) {",
+                FLEET,
+                "aLaterGenerationAtAnAddressEndsTheEarlierByHearsay");
 
         private final String file;
         private final String there;
@@ -85,14 +116,15 @@
     private Path compiled(Defect defect) throws IOException {
         Path source = Files.createTempDirectory(folder, "source");
         Path classes = Files.createTempDirectory(folder, "classes");
-        List<String> files = new ArrayList<>(List.of("-nowarn", "-proc:none", "-d", classes.toString(), "-cp",
-            System.getProperty("java.class.path")));
+        List<String> files = new ArrayList<>(List.of(
+                "-nowarn", "-proc:none", "-d", classes.toString(), "-cp", System.getProperty("java.class.path")));
         try (Stream<Path> all = Files.list(SOURCES)) {
             for (Path file : all.toList()) {
                 String text = Files.readString(file);
                 String name = file.getFileName().toString();
                 if (name.equals(defect.file)) {
-                    assertEquals(text.indexOf(defect.there), text.lastIndexOf(defect.there), "not there once: " + defect);
+                    assertEquals(
+                            text.indexOf(defect.there), text.lastIndexOf(defect.there), "not there once: " + defect);
                     assertTrue(text.contains(defect.there), "not there: " + defect);
                     text = text.replace(defect.there, defect.instead);
                 }
--- a/src/test/java/gorsemast/fleet/FleetTest.java
+++ b/src/test/java/gorsemast/fleet/FleetTest.java
@@ -49,8 +49,11 @@
     }
 
     private static Claim.State state(VirtualFleet fleet, int at, String name) {
-        return fleet.machine(at).view().members().stream().filter(m -> m.id().name().equals(name))
-            .reduce((a, b) -> b).orElseThrow().state();
+        return fleet.machine(at).view().members().stream()
+                .filter(m -> m.id().name().equals(name))
+                .reduce((a, b) -> b)
+                .orElseThrow()
+                .state();
     }
 
     @Test
@@ -112,8 +115,12 @@
     void cutInThreeAndHealedInAnotherOrder() {
         VirtualFleet fleet = fleet(12, 8);
         fleet.split(n -> n % 3);
-        assertTrue(fleet.await(90 * SECOND, f -> f.agree(n -> n % 3 == 0) && f.agree(n -> n % 3 == 1)
-            && f.agree(n -> n % 3 == 2)) >= 0, "thirds");
+        assertTrue(
+                fleet.await(
+                                90 * SECOND,
+                                f -> f.agree(n -> n % 3 == 0) && f.agree(n -> n % 3 == 1) && f.agree(n -> n % 3 == 2))
+                        >= 0,
+                "thirds");
         fleet.split(n -> n % 3 == 2 ? 1 : 0);
         assertTrue(fleet.await(60 * SECOND, f -> f.agree(n -> n % 3 != 2)) >= 0, "two thirds");
         fleet.heal();
@@ -178,7 +185,8 @@
                 for (int about = 0; about < 12; about++) {
                     int of = about;
                     boolean dead = fleet.machine(other).view().members().stream()
-                        .anyMatch(m -> m.id().name().equals("p" + of) && !m.state().live());
+                            .anyMatch(m ->
+                                    m.id().name().equals("p" + of) && !m.state().live());
                     assertTrue(about == 3 || !dead, "p" + other + " calls p" + about + " dead after " + i + " s");
                 }
             }
@@ -204,11 +212,37 @@
         Recorded actions = new Recorded();
         twin[0] = new Fleet(SETTINGS, new ProcessId("p1", Long.MAX_VALUE / 2), "10.0.0.99:1", 1, actions);
         FleetView before = fleet.machine(0).view();
-        fleet.machine(0).fleet().received(fleet.now(), "10.0.0.99:1", new Message(Message.Kind.GOSSIP, twin[0].self(), null,
-            0, "", null, 0, java.util.List.of(), java.util.List.of(new Message.Rumor(Claim.first(twin[0].self(),
-                "10.0.0.99:1"), "p1"))));
-        fleet.machine(0).fleet().received(fleet.now(), "10.0.0.99:1", new Message(Message.Kind.GOSSIP, twin[0].self(), null,
-            0, "", null, 0, java.util.List.of(), java.util.List.of()));
+        fleet.machine(0)
+                .fleet()
+                .received(
+                        fleet.now(),
+                        "10.0.0.99:1",
+                        new Message(
+                                Message.Kind.GOSSIP,
+                                twin[0].self(),
+                                null,
+                                0,
+                                "",
+                                null,
+                                0,
+                                java.util.List.of(),
+                                java.util.List.of(
+                                        new Message.Rumor(Claim.first(twin[0].self(), "10.0.0.99:1"), "p1"))));
+        fleet.machine(0)
+                .fleet()
+                .received(
+                        fleet.now(),
+                        "10.0.0.99:1",
+                        new Message(
+                                Message.Kind.GOSSIP,
+                                twin[0].self(),
+                                null,
+                                0,
+                                "",
+                                null,
+                                0,
+                                java.util.List.of(),
+                                java.util.List.of()));
         assertEquals(before.live() + 1, fleet.machine(0).view().live(), "one ended the other");
         fleet.run(SECOND * 3);
         assertTrue(fleet.lines().stream().anyMatch(line -> line.contains("name p1 is used at")), "not reported");
@@ -220,12 +254,26 @@
         one.start(0, java.util.List.of());
         for (long generation : new long[] {5, 7, 6}) {
             Claim claim = Claim.first(new ProcessId("p", generation), "10.0.0.7:1");
-            one.received(generation, "10.0.0.8:1", new Message(Message.Kind.GOSSIP, new ProcessId("q", 1), null, 0, "", null, 0,
-                java.util.List.of(), java.util.List.of(new Message.Rumor(claim, "p"))));
+            one.received(
+                    generation,
+                    "10.0.0.8:1",
+                    new Message(
+                            Message.Kind.GOSSIP,
+                            new ProcessId("q", 1),
+                            null,
+                            0,
+                            "",
+                            null,
+                            0,
+                            java.util.List.of(),
+                            java.util.List.of(new Message.Rumor(claim, "p"))));
         }
         FleetView view = one.view(9);
         assertEquals(2, view.live());
-        assertTrue(view.members().stream().anyMatch(m -> m.id().generation() == 7 && m.state().live()), view.toString());
+        assertTrue(
+                view.members().stream()
+                        .anyMatch(m -> m.id().generation() == 7 && m.state().live()),
+                view.toString());
     }
 
     @Test
@@ -237,14 +285,27 @@
         for (int i = 1; i <= 300; i++) {
             ProcessId id = new ProcessId("n" + i, i);
             Claim claim = Claim.first(id, "10.0.1." + i + ":1");
-            one.received(i * 1_000, claim.address(), new Message(Message.Kind.GOSSIP, id, null, 0, "", null, 0,
-                java.util.List.of(), java.util.List.of(new Message.Rumor(claim, id.name()))));
+            one.received(
+                    i * 1_000,
+                    claim.address(),
+                    new Message(
+                            Message.Kind.GOSSIP,
+                            id,
+                            null,
+                            0,
+                            "",
+                            null,
+                            0,
+                            java.util.List.of(),
+                            java.util.List.of(new Message.Rumor(claim, id.name()))));
             if (i > 12) {
                 one.refused(i * 1_000, "10.0.1." + (i - 12) + ":1");
             }
         }
         assertEquals(13, one.view(300_000).live());
-        assertTrue(one.view(300_000).members().size() <= 13 + 40, "remembers " + one.view(300_000).members().size());
+        assertTrue(
+                one.view(300_000).members().size() <= 13 + 40,
+                "remembers " + one.view(300_000).members().size());
     }
 
     @Test
@@ -254,7 +315,8 @@
         fleet.run(SECOND / 2);
         fleet.machine(3).fleet().facts(fleet.now(), Map.of("phase", "serving", "list", ""));
         assertTrue(fleet.await(10 * SECOND, f -> f.machines().stream().allMatch(m -> m.view().members().stream()
-            .anyMatch(v -> v.id().name().equals("p3") && v.facts().equals(Map.of("phase", "serving"))))) >= 0);
+                        .anyMatch(v -> v.id().name().equals("p3") && v.facts().equals(Map.of("phase", "serving")))))
+                >= 0);
     }
 
     @Test
@@ -276,15 +338,12 @@
 
     private static final class Recorded implements Fleet.Actions {
         @Override
-        public void send(String address, Message message) {
-        }
+        public void send(String address, Message message) {}
 
         @Override
-        public void changed() {
-        }
+        public void changed() {}
 
         @Override
-        public void log(String text) {
-        }
+        public void log(String text) {}
     }
 }
--- a/src/test/java/gorsemast/fleet/FleetWalkTest.java
+++ b/src/test/java/gorsemast/fleet/FleetWalkTest.java
@@ -62,7 +62,11 @@
             assertTrue(fleet.await(10 * SECOND, VirtualFleet::agree) >= 0);
             if (happening == Happening.HEAL) {
                 fleet.split(n -> n == 2 ? 1 : 0);
-                assertTrue(fleet.await(60 * SECOND, f -> f.machine(0).view().live() == 2 && f.machine(2).view().live() == 1) >= 0);
+                assertTrue(fleet.await(
+                                60 * SECOND,
+                                f -> f.machine(0).view().live() == 2
+                                        && f.machine(2).view().live() == 1)
+                        >= 0);
             }
             long from = fleet.messages();
             fleet.fates(number -> number - from < DEPTH ? fates[(int) (number - from)] : Fate.ARRIVES);
@@ -71,11 +75,17 @@
                 fleet.run(SECOND);
                 assertEquals(0, fleet.falselyDead(), () -> happening + " " + Arrays.toString(fates));
             }
-            assertTrue(fleet.await(90 * SECOND, VirtualFleet::agree) >= 0, () -> happening + " " + Arrays.toString(fates)
-                + String.join("\n", fleet.lines()));
+            assertTrue(
+                    fleet.await(90 * SECOND, VirtualFleet::agree) >= 0,
+                    () -> happening + " " + Arrays.toString(fates) + String.join("\n", fleet.lines()));
             if (happening == Happening.FACTS) {
-                assertTrue(fleet.await(40 * SECOND, f -> f.machines().subList(0, 3).stream().allMatch(m -> m.view().members()
-                    .stream().anyMatch(v -> "2".equals(v.facts().get("k"))))) >= 0, () -> Arrays.toString(fates));
+                assertTrue(
+                        fleet.await(40 * SECOND, f -> f.machines().subList(0, 3).stream()
+                                        .allMatch(
+                                                m -> m.view().members().stream().anyMatch(v -> "2"
+                                                        .equals(v.facts().get("k")))))
+                                >= 0,
+                        () -> Arrays.toString(fates));
             }
         }
     }
--- a/src/test/java/gorsemast/fleet/LearningTest.java
+++ b/src/test/java/gorsemast/fleet/LearningTest.java
@@ -21,8 +21,14 @@
         List<MemberView> members = new ArrayList<>();
         members.add(new MemberView(self, "h:0", Claim.State.ALIVE, 0, 0, "", new TreeMap<>()));
         for (int i = 0; i < versions.length; i++) {
-            members.add(new MemberView(new ProcessId("p" + i, 1), "h:" + (i + 1), Claim.State.ALIVE, 0, 0, "",
-                new TreeMap<>(Map.of(Learning.LIST, Long.toString(versions[i]), Learning.ADMIN, "a" + i))));
+            members.add(new MemberView(
+                    new ProcessId("p" + i, 1),
+                    "h:" + (i + 1),
+                    Claim.State.ALIVE,
+                    0,
+                    0,
+                    "",
+                    new TreeMap<>(Map.of(Learning.LIST, Long.toString(versions[i]), Learning.ADMIN, "a" + i))));
         }
         return new FleetView(self, 0, 0, true, 0, members);
     }
@@ -33,7 +39,9 @@
 
     @Test
     void theThreeWithTheNewestListsAreAskedOnce() {
-        assertEquals(List.of("a1", "a3", "a4"), learning.ask(0, view(5, 9, 4, 8, 7), 4, false).stream().sorted().toList());
+        assertEquals(
+                List.of("a1", "a3", "a4"),
+                learning.ask(0, view(5, 9, 4, 8, 7), 4, false).stream().sorted().toList());
         assertEquals(List.of(), learning.ask(1, view(5, 9, 4, 8, 7), 4, false));
     }
 
--- a/src/test/java/gorsemast/fleet/PortionTest.java
+++ b/src/test/java/gorsemast/fleet/PortionTest.java
@@ -34,7 +34,8 @@
             double sum = 0;
             for (int m = 0; m < portions.size(); m++) {
                 if (fleet.machine(m).running()) {
-                    sum += 1.0 / portions.get(m).of(fleet.now(), fleet.machine(m).view());
+                    sum += 1.0
+                            / portions.get(m).of(fleet.now(), fleet.machine(m).view());
                 }
             }
             most = Math.max(most, sum);
--- a/src/test/java/gorsemast/hupsel/CrowdTest.java
+++ b/src/test/java/gorsemast/hupsel/CrowdTest.java
@@ -32,11 +32,17 @@
                     Crowd crowd = new Crowd(edges, servers, most, 1_000);
                     Map<String, Integer> given = new HashMap<>();
                     for (String edge : names("10.1.0.", edges)) {
-                        Crowd.chosen(edge, names("i-", servers), crowd.reach()).forEach(id -> given.merge(id, crowd.part(), Integer::sum));
+                        Crowd.chosen(edge, names("i-", servers), crowd.reach())
+                                .forEach(id -> given.merge(id, crowd.part(), Integer::sum));
                     }
-                    double mean = given.values().stream().mapToInt(Integer::intValue).average().orElseThrow();
+                    double mean = given.values().stream()
+                            .mapToInt(Integer::intValue)
+                            .average()
+                            .orElseThrow();
                     boolean enough = (double) servers * most >= (double) Crowd.LEAST_SERVERS * edges;
-                    assertThat(mean).as(edges + " edges, " + servers + " servers of " + most).isLessThanOrEqualTo(enough ? most : Double.MAX_VALUE);
+                    assertThat(mean)
+                            .as(edges + " edges, " + servers + " servers of " + most)
+                            .isLessThanOrEqualTo(enough ? most : Double.MAX_VALUE);
                 }
             }
         }
@@ -63,6 +69,8 @@
         List<String> before = Crowd.chosen("edge", servers, 8);
         servers.remove(before.get(3));
         List<String> after = Crowd.chosen("edge", servers, 8);
-        assertThat(after).containsAll(before.stream().filter(servers::contains).toList()).hasSize(8);
+        assertThat(after)
+                .containsAll(before.stream().filter(servers::contains).toList())
+                .hasSize(8);
     }
 }
--- a/src/test/java/gorsemast/hupsel/SpeedsTest.java
+++ b/src/test/java/gorsemast/hupsel/SpeedsTest.java
@@ -23,7 +23,9 @@
         }
         double part = speeds.factor(0, "slow") / speeds.factor(0, "quick");
         assertThat(part).isBetween(0.02, 0.2);
-        assertThat(speeds.changed(0, "slow")).as("the module has just been told").isFalse();
+        assertThat(speeds.changed(0, "slow"))
+                .as("the module has just been told")
+                .isFalse();
         answers("slow", 30, 60_000);
         assertThat(speeds.changed(0, "slow")).isTrue();
     }
--- a/src/test/java/gorsemast/lelystad/HuntTest.java
+++ b/src/test/java/gorsemast/lelystad/HuntTest.java
@@ -19,18 +19,25 @@
     @Test
     void noRuleIsBrokenOnDrawnDays() {
         Hunt.Result result = Hunt.run(3, 4, 1, 160, Plant.NONE, 1);
-        assertThat(result.found()).extracting(found -> found.broken().getMessage() + found.day().asTest()).isEmpty();
+        assertThat(result.found())
+                .extracting(found -> found.broken().getMessage() + found.day().asTest())
+                .isEmpty();
         assertThat(result.days()).isEqualTo(160);
     }
 
     @Test
     void norWithFourCoreMachines() {
         Hunt.Result result = Hunt.run(4, 6, 5_000, 40, Plant.NONE, 1);
-        assertThat(result.found()).extracting(found -> found.broken().getMessage() + found.day().asTest()).isEmpty();
+        assertThat(result.found())
+                .extracting(found -> found.broken().getMessage() + found.day().asTest())
+                .isEmpty();
     }
 
     @ParameterizedTest
-    @EnumSource(value = Plant.class, mode = EnumSource.Mode.EXCLUDE, names = {"NONE", "ACKS_ALONE"})
+    @EnumSource(
+            value = Plant.class,
+            mode = EnumSource.Mode.EXCLUDE,
+            names = {"NONE", "ACKS_ALONE"})
     void plantedDefectsAreFound(Plant plant) {
         assertThat(Hunt.run(3, 4, 1, 160, plant, 1).found()).isNotEmpty();
     }
@@ -44,14 +51,28 @@
     }
 
     private Day struckAfterAPurge(int number) {
-        return new Day(3, 4, 40 + number, 14_000_000L, List.of(new Trouble(Trouble.Kind.POWER_AFTER_ACK, 3_900_000L, 600_000L, 0),
-            new Trouble(Trouble.Kind.PURGE, 4_000_000L, 0L, 1)), Trouble.Closing.NONE);
+        return new Day(
+                3,
+                4,
+                40 + number,
+                14_000_000L,
+                List.of(
+                        new Trouble(Trouble.Kind.POWER_AFTER_ACK, 3_900_000L, 600_000L, 0),
+                        new Trouble(Trouble.Kind.PURGE, 4_000_000L, 0L, 1)),
+                Trouble.Closing.NONE);
     }
 
     @Test
     void anEdgeThatStartsInAStormOfPurgesIsReadyAtOnce() {
-        Day day = new Day(3, 40, 11, 8_000_000, List.of(new Trouble(Trouble.Kind.PURGE_STORM, 1_500_000, 4_000_000, 3),
-            new Trouble(Trouble.Kind.KILL_EDGE, 2_000_000, 0, 5)), Trouble.Closing.NONE);
+        Day day = new Day(
+                3,
+                40,
+                11,
+                8_000_000,
+                List.of(
+                        new Trouble(Trouble.Kind.PURGE_STORM, 1_500_000, 4_000_000, 3),
+                        new Trouble(Trouble.Kind.KILL_EDGE, 2_000_000, 0, 5)),
+                Trouble.Closing.NONE);
         Outcome outcome = day.play(Plant.NONE);
         List<Long> readies = outcome.times().get(Outcome.READY);
         assertThat(readies).hasSize(41);
@@ -62,21 +83,29 @@
     /** Found by a hunt: edges that were killed in a storm of purges came back with their whole part of the ceiling. */
     @Test
     void aHerdThatComesBackStaysUnderTheCeiling() {
-        Day day = new Day(3, 4, 300_135L, 24_000_000L, List.of(
-            new Trouble(Trouble.Kind.SLOW_SERVER, 1_798_893L, 2_941_120L, 182),
-            new Trouble(Trouble.Kind.DRAIN, 7_223_553L, 0L, 686),
-            new Trouble(Trouble.Kind.CONFIG, 8_317_149L, 0L, 0),
-            new Trouble(Trouble.Kind.PURGE_STORM, 9_074_239L, 4_717_284L, 572),
-            new Trouble(Trouble.Kind.HERD, 10_781_721L, 4_491_893L, 887)), Trouble.Closing.KILL_ALL);
+        Day day = new Day(
+                3,
+                4,
+                300_135L,
+                24_000_000L,
+                List.of(
+                        new Trouble(Trouble.Kind.SLOW_SERVER, 1_798_893L, 2_941_120L, 182),
+                        new Trouble(Trouble.Kind.DRAIN, 7_223_553L, 0L, 686),
+                        new Trouble(Trouble.Kind.CONFIG, 8_317_149L, 0L, 0),
+                        new Trouble(Trouble.Kind.PURGE_STORM, 9_074_239L, 4_717_284L, 572),
+                        new Trouble(Trouble.Kind.HERD, 10_781_721L, 4_491_893L, 887)),
+                Trouble.Closing.KILL_ALL);
         assertThat(day.play(Plant.NONE).served()).isPositive();
     }
 
     @Test
     void aDayIsTheSameFromTheSameSeedAndCutDownToWhatItTakes() {
-        Hunt.Found found = Hunt.run(3, 4, 1, 60, Plant.SENDS_TO_LEAVING, 1).found().get(0);
+        Hunt.Found found =
+                Hunt.run(3, 4, 1, 60, Plant.SENDS_TO_LEAVING, 1).found().get(0);
         Hunt.Found least = Hunt.shortest(found, Plant.SENDS_TO_LEAVING);
         assertThat(least.broken().rule()).isEqualTo("DRAIN");
-        assertThat(least.day().troubles().size()).isLessThanOrEqualTo(found.day().troubles().size());
+        assertThat(least.day().troubles().size())
+                .isLessThanOrEqualTo(found.day().troubles().size());
         Hunt.Found again = Hunt.shortest(found, Plant.SENDS_TO_LEAVING);
         assertThat(again.story()).isEqualTo(least.story());
     }
--- a/src/test/java/gorsemast/maintenance/MaintenanceDay.java
+++ b/src/test/java/gorsemast/maintenance/MaintenanceDay.java
@@ -5,7 +5,6 @@
 import gorsemast.maintenance.Work.Phase;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -19,7 +18,16 @@
  */
 final class MaintenanceDay {
     /** What can be done wrong. */
-    enum Plant { NONE, LOOSE_LIST, OBEYS_OLDER, SAYS_EMPTIED, SENDS_ON, DEAD_AT_ONCE, NO_RELEASE, SILENCE_IS_BACK }
+    enum Plant {
+        NONE,
+        LOOSE_LIST,
+        OBEYS_OLDER,
+        SAYS_EMPTIED,
+        SENDS_ON,
+        DEAD_AT_ONCE,
+        NO_RELEASE,
+        SILENCE_IS_BACK
+    }
 
     private static final long MINUTE = 60_000;
     private static final int PROCESSES = 7;
@@ -54,11 +62,13 @@
                 if (entry.command instanceof Command.Grant c) {
                     obey(c.machine(), entry.token, true);
                     int mine = generation;
-                    time.after(random.nextLong(90 * MINUTE), () -> { // the same word again, by another way
-                        if (up && generation == mine) {
-                            obey(c.machine(), entry.token, true);
-                        }
-                    });
+                    time.after(
+                            random.nextLong(90 * MINUTE),
+                            () -> { // the same word again, by another way
+                                if (up && generation == mine) {
+                                    obey(c.machine(), entry.token, true);
+                                }
+                            });
                 } else if (entry.command instanceof Command.Warm c) {
                     obey(c.machine(), c.token(), false);
                 }
@@ -107,8 +117,7 @@
         }
     }
 
-    private record Entry(Command command, long token, boolean accepted) {
-    }
+    private record Entry(Command command, long token, boolean accepted) {}
 
     private final SplittableRandom random;
     private final Plant plant;
@@ -132,11 +141,18 @@
         Bounds bounds = drawn.bounds();
         this.history = new History(drawn.machines(), bounds, drawn.demand());
         this.list = new WorksList();
-        list.apply(1, new Command.Bind(0, plant == Plant.LOOSE_LIST ? new Bounds(9, 9, 9, 0, 1e9) : bounds,
-            plant == Plant.LOOSE_LIST ? 0 : drawn.demand()));
+        list.apply(
+                1,
+                new Command.Bind(
+                        0,
+                        plant == Plant.LOOSE_LIST ? new Bounds(9, 9, 9, 0, 1e9) : bounds,
+                        plant == Plant.LOOSE_LIST ? 0 : drawn.demand()));
         drawn.machines().forEach(machine -> list.apply(list.index() + 1, new Command.Describe(0, machine)));
-        drawn.works().stream().limit(WORKS).forEach(work -> list.apply(list.index() + 1, new Command.Want(0, work.id(),
-            work.machine(), "crew", 0, Long.MAX_VALUE, work.minutes())));
+        drawn.works().stream()
+                .limit(WORKS)
+                .forEach(work -> list.apply(
+                        list.index() + 1,
+                        new Command.Want(0, work.id(), work.machine(), "crew", 0, Long.MAX_VALUE, work.minutes())));
         for (int i = 0; i < PROCESSES; i++) {
             processes.add(new Process("p" + i));
         }
@@ -163,10 +179,12 @@
         } else if (command instanceof Command.Overdue c && plant == Plant.SILENCE_IS_BACK) {
             append(new Command.Found(wall(), c.machine(), c.token(), "nobody"));
         } else if (command instanceof Command.Warm c) {
-            list.works().stream().filter(work -> work.machine().equals(c.machine()) && work.phase() == Phase.BACK)
-                .forEach(work -> history.done(work.key()));
+            list.works().stream()
+                    .filter(work -> work.machine().equals(c.machine()) && work.phase() == Phase.BACK)
+                    .forEach(work -> history.done(work.key()));
         }
-        if (!(command instanceof Command.Emptied) && random.nextInt(3) == 0) { // whatever has just been settled, somebody may die of it
+        if (!(command instanceof Command.Emptied)
+                && random.nextInt(3) == 0) { // whatever has just been settled, somebody may die of it
             time.after(random.nextLong(400), this::fault);
         }
         int upTo = log.size();
@@ -187,12 +205,15 @@
         }
         givenAway.put(machine, token);
         history.released(time.now(), machine, token, "crew");
-        Work work = list.works().stream().filter(w -> w.machine().equals(machine)).findFirst().orElseThrow();
+        Work work = list.works().stream()
+                .filter(w -> w.machine().equals(machine))
+                .findFirst()
+                .orElseThrow();
         int luck = faults ? random.nextInt(10) : 9;
         long takes = work.minutes() * MINUTE * (luck < 2 ? 8 : 1) / 2 + random.nextLong(MINUTE);
         time.after(takes, () -> {
-            if (plant == Plant.NO_RELEASE && list.works().stream().noneMatch(w -> w.machine().equals(machine)
-                && w.phase() == Phase.OUT)) {
+            if (plant == Plant.NO_RELEASE
+                    && list.works().stream().noneMatch(w -> w.machine().equals(machine) && w.phase() == Phase.OUT)) {
                 history.returned(time.now(), machine, token);
                 givenAway.remove(machine);
                 return;
@@ -211,22 +232,26 @@
         Conductor leader = leaders[(int) (time.now() / (17 * MINUTE)) % 2];
         Set<String> live = new TreeSet<>();
         processes.stream().filter(process -> process.up).forEach(process -> live.add(process.id()));
-        List<Command> proposals = leader.propose(list, new Conductor.Processes() {
-            @Override
-            public Set<String> live() {
-                return live;
-            }
+        List<Command> proposals = leader.propose(
+                list,
+                new Conductor.Processes() {
+                    @Override
+                    public Set<String> live() {
+                        return live;
+                    }
 
-            @Override
-            public Set<String> dead() {
-                return dead;
-            }
+                    @Override
+                    public Set<String> dead() {
+                        return dead;
+                    }
 
-            @Override
-            public boolean sure() {
-                return sure;
-            }
-        }, time.now(), wall());
+                    @Override
+                    public boolean sure() {
+                        return sure;
+                    }
+                },
+                time.now(),
+                wall());
         if (faults && random.nextInt(5) == 0) {
             paused.addAll(proposals); // stopped with them in its hand
         } else {
--- a/src/test/java/gorsemast/maintenance/PlannerTest.java
+++ b/src/test/java/gorsemast/maintenance/PlannerTest.java
@@ -15,7 +15,8 @@
 /** Whatever a planner says, the bounds hold in each of its minutes, and nothing that could go is left. */
 class PlannerTest {
     static Stream<Planner> planners() {
-        return Stream.concat(Stream.of(ListPlanner.Rule.values()).map(ListPlanner::new), Stream.of(new SolverPlanner(2_000)));
+        return Stream.concat(
+                Stream.of(ListPlanner.Rule.values()).map(ListPlanner::new), Stream.of(new SolverPlanner(2_000)));
     }
 
     private static void holds(WorksList list, Plan plan) {
@@ -24,8 +25,9 @@
             Set<Machine> refilling = new HashSet<>();
             for (Slot other : plan.slots()) {
                 // Of two that go in the same minute one is the first.
-                if (other != one && other.out(one.start()) && (other.start() < one.start()
-                    || other.key().compareTo(one.key()) < 0)) {
+                if (other != one
+                        && other.out(one.start())
+                        && (other.start() < one.start() || other.key().compareTo(one.key()) < 0)) {
                     out.add(other.machine());
                     if (other.refilling(one.start())) {
                         refilling.add(other.machine());
@@ -35,11 +37,17 @@
             String against = list.bounds().against(one.machine(), list.machines(), out, refilling, list.demand());
             assertNull(against, () -> plan.by() + " lets " + one.key() + " go at " + one.start() + ": " + against);
         }
-        for (Slot one : plan.slots()) { // warming up later must not meet another's emptying beyond what the ledger bears
-            double sum = plan.slots().stream().filter(slot -> slot.refilling(one.given())).mapToDouble(slot
-                -> slot.machine().refill()).sum();
+        for (Slot one :
+                plan.slots()) { // warming up later must not meet another's emptying beyond what the ledger bears
+            double sum = plan.slots().stream()
+                    .filter(slot -> slot.refilling(one.given()))
+                    .mapToDouble(slot -> slot.machine().refill())
+                    .sum();
             if (plan.by().equals("solver")) {
-                assertTrue(sum <= list.bounds().ledger() + 1e-6 || sum == one.machine().refill(), () -> "ledger " + sum);
+                assertTrue(
+                        sum <= list.bounds().ledger() + 1e-6
+                                || sum == one.machine().refill(),
+                        () -> "ledger " + sum);
             }
         }
     }
@@ -52,7 +60,8 @@
             Plan plan = planner.plan(list, 0);
             holds(list, plan);
             assertEquals(12, plan.slots().size() + plan.left().size(), plan.left()::toString);
-            assertEquals(plan.slots(), planner.plan(PlanStudy.works(12, seed), 0).slots(), "the same list, the same plan");
+            assertEquals(
+                    plan.slots(), planner.plan(PlanStudy.works(12, seed), 0).slots(), "the same list, the same plan");
         }
     }
 
@@ -62,7 +71,8 @@
         WorksList list = PlanStudy.works(12, 1);
         String first = planner.plan(list, 0).now().get(0).machine().name();
         String zone = list.machine(first).zone();
-        assertTrue(list.apply(list.index() + 1, new Command.Grant(0, "w", first)).accepted());
+        assertTrue(
+                list.apply(list.index() + 1, new Command.Grant(0, "w", first)).accepted());
         for (Slot slot : planner.plan(list, 0).now()) {
             assertTrue(list.bounds().perZone() > 1 || !slot.machine().zone().equals(zone), slot.key());
         }
--- a/src/test/java/gorsemast/maintenance/WorksListWalkTest.java
+++ b/src/test/java/gorsemast/maintenance/WorksListWalkTest.java
@@ -24,6 +24,7 @@
 class WorksListWalkTest {
     /** Commands in a row after the fleet has been described; three machines wanted are the first of them. */
     private static final int DEPTH = 9;
+
     private static final int MOST_STATES = 400_000;
     private static final long MINUTE = 60_000;
     private static final List<String> PROCESSES = List.of(WorksList.process("p1", 1), WorksList.process("p2", 1));
@@ -34,6 +35,7 @@
         final Map<String, Long> inHand = new HashMap<>();
         /** Each process's word, as the process itself knows it: machine and token. */
         final Set<String> said = new HashSet<>();
+
         long index;
         String wrong;
 
@@ -68,7 +70,9 @@
             } else if (command instanceof Command.Found c) {
                 gone(c.machine(), c.token());
             }
-            long inZoneA = inHand.keySet().stream().filter(name -> name.startsWith("a")).count();
+            long inZoneA = inHand.keySet().stream()
+                    .filter(name -> name.startsWith("a"))
+                    .count();
             if (inZoneA > 1) {
                 wrong = "both machines of zone a are in the crews' hands";
             }
@@ -85,9 +89,13 @@
         String state() {
             StringBuilder s = new StringBuilder();
             Map<Long, Integer> tokens = new HashMap<>(); // which is older is what matters, not the numbers
-            list.works().forEach(work -> s.append(work.key()).append(work.phase()).append(work.next())
-                .append(work.token() == 0 ? 0 : tokens.computeIfAbsent(work.token(), token -> tokens.size() + 1))
-                .append(list.emptied(work.token())).append(Math.min(2, work.tries())).append(' '));
+            list.works().forEach(work -> s.append(work.key())
+                    .append(work.phase())
+                    .append(work.next())
+                    .append(work.token() == 0 ? 0 : tokens.computeIfAbsent(work.token(), token -> tokens.size() + 1))
+                    .append(list.emptied(work.token()))
+                    .append(Math.min(2, work.tries()))
+                    .append(' '));
             return s.append(inHand.keySet()).toString();
         }
     }
@@ -115,7 +123,11 @@
     }
 
     private static long token(Watched w, String machine, boolean old) {
-        long present = w.list.works().stream().filter(work -> work.machine().equals(machine)).mapToLong(Work::token).max().orElse(0);
+        long present = w.list.works().stream()
+                .filter(work -> work.machine().equals(machine))
+                .mapToLong(Work::token)
+                .max()
+                .orElse(0);
         return old ? Math.max(1, present - 1) : present;
     }
 
@@ -156,20 +168,30 @@
     @Test
     void aWorkGoesItsWay() {
         Watched w = new Watched();
-        assertTrue(w.apply(new Command.Want(0, "w", "a1", "red", 0, Long.MAX_VALUE, 10)).accepted());
+        assertTrue(w.apply(new Command.Want(0, "w", "a1", "red", 0, Long.MAX_VALUE, 10))
+                .accepted());
         assertTrue(w.apply(new Command.Grant(0, "w", "a1")).accepted());
         long token = w.index;
-        assertEquals("w/a1 does not wait: EMPTYING", w.apply(new Command.Grant(0, "w", "a1")).why());
+        assertEquals(
+                "w/a1 does not wait: EMPTYING",
+                w.apply(new Command.Grant(0, "w", "a1")).why());
         w.apply(new Command.Want(0, "w", "a2", "red", 0, Long.MAX_VALUE, 10));
-        assertEquals("zone a has 1 out, 1 at most", w.apply(new Command.Grant(0, "w", "a2")).why());
+        assertEquals(
+                "zone a has 1 out, 1 at most",
+                w.apply(new Command.Grant(0, "w", "a2")).why());
         w.apply(new Command.Emptied(0, "a1", token, "p1", 1));
-        assertEquals("a1 is not emptied by p2#1", w.apply(new Command.Release(0, "a1", token, PROCESSES)).why());
+        assertEquals(
+                "a1 is not emptied by p2#1",
+                w.apply(new Command.Release(0, "a1", token, PROCESSES)).why());
         w.apply(new Command.Emptied(0, "a1", token, "p2", 1));
         assertTrue(w.apply(new Command.Release(0, "a1", token, PROCESSES)).accepted());
-        assertEquals("blue has not got a1 under token " + token,
-            w.apply(new Command.Done(0, "a1", token, "blue", true, "")).why());
+        assertEquals(
+                "blue has not got a1 under token " + token,
+                w.apply(new Command.Done(0, "a1", token, "blue", true, "")).why());
         assertTrue(w.apply(new Command.Done(0, "a1", token, "red", true, "")).accepted());
-        assertEquals("zone a has 1 out, 1 at most", w.apply(new Command.Grant(0, "w", "a2")).why());
+        assertEquals(
+                "zone a has 1 out, 1 at most",
+                w.apply(new Command.Grant(0, "w", "a2")).why());
         assertTrue(w.apply(new Command.Warm(0, "a1", token)).accepted());
         assertTrue(w.apply(new Command.Grant(0, "w", "a2")).accepted());
     }
@@ -183,10 +205,14 @@
         w.apply(new Command.Emptied(0, "a1", token, "p1", 1));
         w.apply(new Command.Emptied(0, "a1", token, "p2", 1));
         w.apply(new Command.Release(0, "a1", token, PROCESSES));
-        assertEquals("a1 is not overdue under token " + token, w.apply(new Command.Overdue(30 * MINUTE - 1, "a1", token)).why());
+        assertEquals(
+                "a1 is not overdue under token " + token,
+                w.apply(new Command.Overdue(30 * MINUTE - 1, "a1", token)).why());
         assertTrue(w.apply(new Command.Overdue(30 * MINUTE, "a1", token)).accepted());
         w.apply(new Command.Want(0, "w", "a2", "red", 0, Long.MAX_VALUE, 10));
-        assertEquals("zone a has 1 out, 1 at most", w.apply(new Command.Grant(40 * MINUTE, "w", "a2")).why());
+        assertEquals(
+                "zone a has 1 out, 1 at most",
+                w.apply(new Command.Grant(40 * MINUTE, "w", "a2")).why());
         assertTrue(w.apply(new Command.Found(50 * MINUTE, "a1", token, "op")).accepted());
         assertTrue(w.apply(new Command.Warm(60 * MINUTE, "a1", token)).accepted());
         assertEquals(Phase.WAITING, w.list.works().iterator().next().phase(), "the work was not done");
@@ -199,13 +225,21 @@
         w.apply(new Command.Want(0, "w", "b1", "blue", 0, Long.MAX_VALUE, 10));
         w.apply(new Command.Grant(0, "w", "a1"));
         w.apply(new Command.Bind(0, new Bounds(1, 1, 1, 0, 100), 35));
-        assertEquals("class m has 1 out, 1 at most", w.apply(new Command.Grant(0, "w", "b1")).why());
+        assertEquals(
+                "class m has 1 out, 1 at most",
+                w.apply(new Command.Grant(0, "w", "b1")).why());
         w.apply(new Command.Bind(0, new Bounds(1, 1, 2, 0, 100), 35));
-        assertEquals("capacity left 20/s is under 35/s, the demand with its reserve", w.apply(new Command.Grant(0, "w", "b1")).why());
+        assertEquals(
+                "capacity left 20/s is under 35/s, the demand with its reserve",
+                w.apply(new Command.Grant(0, "w", "b1")).why());
         w.apply(new Command.Bind(0, new Bounds(1, 1, 2, 0, 8), 10));
-        assertEquals("the ledger would have to refill 10/s, it bears 8/s", w.apply(new Command.Grant(0, "w", "b1")).why());
+        assertEquals(
+                "the ledger would have to refill 10/s, it bears 8/s",
+                w.apply(new Command.Grant(0, "w", "b1")).why());
         assertTrue(w.apply(new Command.Hold(0, true, "op")).accepted());
-        assertEquals("grants are held by op", w.apply(new Command.Grant(0, "w", "b1")).why());
+        assertEquals(
+                "grants are held by op",
+                w.apply(new Command.Grant(0, "w", "b1")).why());
         assertEquals(Phase.EMPTYING, w.list.works().iterator().next().phase());
     }
 }
--- a/src/test/java/gorsemast/marknesse/SettingsTest.java
+++ b/src/test/java/gorsemast/marknesse/SettingsTest.java
@@ -13,7 +13,8 @@
 
 /** The platform's settings file: what is read, and where a faulty one is faulty. */
 class SettingsTest {
-    private static final String GOOD = """
+    private static final String GOOD =
+            """
         nodeName: "edge-1"
         role: "x"
         serves:
@@ -56,28 +57,59 @@
         assertThat(settings.number("retryBudgetRatio", 0)).isEqualTo(0.2);
         assertThat(settings.dataDir()).isNull();
         assertThat(settings.firstBoot()).isTrue();
-        assertThat(Settings.parse(GOOD.replace("dataDir: null", "dataDir: \"/data/x\"")).dataDir()).isEqualTo(Path.of("/data/x"));
+        assertThat(Settings.parse(GOOD.replace("dataDir: null", "dataDir: \"/data/x\""))
+                        .dataDir())
+                .isEqualTo(Path.of("/data/x"));
     }
 
     @Test
     void thePlainReaderSaysWhatTheLibrarySays() {
-        assertThat((Object) PlainYaml.read(GOOD)).isEqualTo(new Load(LoadSettings.builder().build()).loadFromString(GOOD));
+        assertThat((Object) PlainYaml.read(GOOD))
+                .isEqualTo(new Load(LoadSettings.builder().build()).loadFromString(GOOD));
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"a: 'x'", "a: \"x\\n\"", "a: [1, 2]", "a: x", "a: 0x10", "a: 010", "a: 1e3", "a:\n  - b: 1", "a: |\n  x",
-        "a: 1 # no", "a: 1\na: 2", "? a", "a: ~", "a: \"x\" # y", " a: 1", "a: -1", "a:", "true: 1", "- 1", ""})
+    @ValueSource(
+            strings = {
+                "a: 'x'",
+                "a: \"x\\n\"",
+                "a: [1, 2]",
+                "a: x",
+                "a: 0x10",
+                "a: 010",
+                "a: 1e3",
+                "a:\n  - b: 1",
+                "a: |\n  x",
+                "a: 1 # no",
+                "a: 1\na: 2",
+                "? a",
+                "a: ~",
+                "a: \"x\" # y",
+                " a: 1",
+                "a: -1",
+                "a:",
+                "true: 1",
+                "- 1",
+                ""
+            })
     void whatIsNotPlainIsLeftToTheLibrary(String text) {
         assertThat((Object) PlainYaml.read(text)).isNull();
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"nodeName: \"edge-1\"|# gone|nodeName: is missing",
-        "  - 7675|  - 70000|internalPorts: wants two ports", "heartbeat: \"1500ms\"|heartbeat: \"soon\"|heartbeat: wants a time",
-        "10.1.0.39:8146|here:1|seedNodes: wants ip:port", "drain: \"2s\"|drain: \"2 s\"|timingBounds.drain: wants a time",
-        "listenAddrs:|listenAddrs: [|line 1"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "nodeName: \"edge-1\"|# gone|nodeName: is missing",
+                "  - 7675|  - 70000|internalPorts: wants two ports",
+                "heartbeat: \"1500ms\"|heartbeat: \"soon\"|heartbeat: wants a time",
+                "10.1.0.39:8146|here:1|seedNodes: wants ip:port",
+                "drain: \"2s\"|drain: \"2 s\"|timingBounds.drain: wants a time",
+                "listenAddrs:|listenAddrs: [|line 1"
+            })
     void aFaultIsToldWithItsPlace(String from, String to, String told) {
-        assertThatThrownBy(() -> Settings.parse(GOOD.replace(from, to))).isInstanceOf(SettingsException.class)
-            .hasMessageContaining(told.equals("line 1") ? "line " : told);
+        assertThatThrownBy(() -> Settings.parse(GOOD.replace(from, to)))
+                .isInstanceOf(SettingsException.class)
+                .hasMessageContaining(told.equals("line 1") ? "line " : told);
     }
 }
--- a/src/test/java/gorsemast/observe/CountersTest.java
+++ b/src/test/java/gorsemast/observe/CountersTest.java
@@ -18,14 +18,16 @@
         counters.list("read");
         StringBuilder text = new StringBuilder();
         counters.write(text);
-        assertEquals("""
+        assertEquals(
+                """
             edge_proxy.requests.read.served:2|c
             edge_proxy.requests.read.refused:0|c
             edge_proxy.requests.read.failed:0|c
             edge_proxy.requests.top%20%up.served:0|c
             edge_proxy.requests.top%20%up.refused:0|c
             edge_proxy.requests.top%20%up.failed:1|c
-            """, text.toString());
+            """,
+                text.toString());
     }
 
     @Test
--- a/src/test/java/gorsemast/peers/FleetCodecTest.java
+++ b/src/test/java/gorsemast/peers/FleetCodecTest.java
@@ -14,9 +14,9 @@
 import gorsemast.lab.VirtualFleet;
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** Datagrams as they are, cut, forged, of others, and of any size. */
@@ -25,9 +25,26 @@
 
     private static Message message() {
         ProcessId id = new ProcessId("p1", 77);
-        return new Message(Kind.SYNC_REPLY, id, new ProcessId("p2", Long.MAX_VALUE), 12, "10.0.0.9:1", id, -5,
-            List.of(Long.MIN_VALUE, 3L), List.of(new Rumor(new Claim(id, "[fe80::1]:9", 4, Claim.State.SUSPECT, 2,
-                new TreeMap<>(Map.of("phase", "serving"))), "p9"), new Rumor(Claim.first(id, "10.0.0.1:2"), "p1")));
+        return new Message(
+                Kind.SYNC_REPLY,
+                id,
+                new ProcessId("p2", Long.MAX_VALUE),
+                12,
+                "10.0.0.9:1",
+                id,
+                -5,
+                List.of(Long.MIN_VALUE, 3L),
+                List.of(
+                        new Rumor(
+                                new Claim(
+                                        id,
+                                        "[fe80::1]:9",
+                                        4,
+                                        Claim.State.SUSPECT,
+                                        2,
+                                        new TreeMap<>(Map.of("phase", "serving"))),
+                                "p9"),
+                        new Rumor(Claim.first(id, "10.0.0.1:2"), "p1")));
     }
 
     @Test
@@ -86,7 +103,8 @@
     /** With the longest names, addresses and facts, and a fleet in which everything changes. */
     @Test
     void noDatagramIsLongerThanItsBound() {
-        VirtualFleet fleet = new VirtualFleet(30, FleetSettings.of(1_000_000), 3, m -> CODEC.encode(m).length).startAll();
+        VirtualFleet fleet =
+                new VirtualFleet(30, FleetSettings.of(1_000_000), 3, m -> CODEC.encode(m).length).startAll();
         String fact = "x".repeat(120);
         for (int i = 0; i < 30; i++) {
             fleet.machine(i).fleet().facts(fleet.now(), Map.of("phase", fact, "more", fact));
--- a/src/test/java/gorsemast/rig/HerdTest.java
+++ b/src/test/java/gorsemast/rig/HerdTest.java
@@ -14,7 +14,8 @@
 
     @Test
     void mostOfTheProcessesAreKilledUnderLoadAndComeBackToOtherNodes() throws Exception {
-        Herd.Result result = new Herd(6, 3, 60, 400, folder, line -> { }).untilListed().play(true);
+        Herd.Result result =
+                new Herd(6, 3, 60, 400, folder, line -> {}).untilListed().play(true);
         String said = result.line() + "\n" + String.join("\n", result.findings());
         assertEquals(0, result.lost(), said);
         assertEquals(0, result.twice(), said);
--- a/src/test/java/gorsemast/rig/LearnListTest.java
+++ b/src/test/java/gorsemast/rig/LearnListTest.java
@@ -17,14 +17,14 @@
     private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(60);
     /** A node that went long ago, and one that is known to drain. */
     private static final String OLD = "{\"seq\":0,\"whole\":true,\"hosts\":[{\"host\":\"c0\",\"dial\":\"127.0.0.1:9\","
-        + "\"site\":\"a\",\"class\":\"m\",\"block\":0,\"health\":\"Terminating\",\"share\":1.0,\"born_ms\":0},{\"host\":\"gone\",\"dial\":\"127.0.0.1:9\","
-        + "\"site\":\"a\",\"class\":\"m\",\"block\":0,\"health\":\"Ready\",\"share\":1.0,\"born_ms\":0}]}";
+            + "\"site\":\"a\",\"class\":\"m\",\"block\":0,\"health\":\"Terminating\",\"share\":1.0,\"born_ms\":0},{\"host\":\"gone\",\"dial\":\"127.0.0.1:9\","
+            + "\"site\":\"a\",\"class\":\"m\",\"block\":0,\"health\":\"Ready\",\"share\":1.0,\"born_ms\":0}]}";
 
     @TempDir
     Path folder;
 
     private static boolean await(BooleanSupplier holds) {
-        for (long end = System.nanoTime() + PATIENCE_NANOS; System.nanoTime() < end;) {
+        for (long end = System.nanoTime() + PATIENCE_NANOS; System.nanoTime() < end; ) {
             if (holds.getAsBoolean()) {
                 return true;
             }
@@ -39,8 +39,9 @@
 
     @Test
     void theListComesFromTheOthersWhileTheRegisterIsDown() throws Exception {
-        try (Relay relay = new Relay(1); StandIns stands = new StandIns(4);
-             Proxies proxies = new Proxies(4, folder, relay, stands)) {
+        try (Relay relay = new Relay(1);
+                StandIns stands = new StandIns(4);
+                Proxies proxies = new Proxies(4, folder, relay, stands)) {
             for (Proxies.Proxy proxy : proxies.all) {
                 proxy.start();
             }
@@ -50,13 +51,17 @@
             last.kill(false);
             last.known = OLD;
             last.start();
-            assertTrue(await(() -> last.call("counters").contains("cache_nodes_known:4|g")),
-                () -> "it knows " + last.call("counters"));
-            assertTrue(last.call("counters").contains("cache_nodes_excluded:1|g"), "a drain is undone: " + last.call("counters"));
+            assertTrue(
+                    await(() -> last.call("counters").contains("cache_nodes_known:4|g")),
+                    () -> "it knows " + last.call("counters"));
+            assertTrue(
+                    last.call("counters").contains("cache_nodes_excluded:1|g"),
+                    "a drain is undone: " + last.call("counters"));
             assertEquals("200 none\n", last.call("list"), "it passes on what it has not from the register");
             assertTrue(Files.readString(last.log()).contains("list 1 learned from "));
             Clients clients = new Clients(proxies, 4, 1);
-            assertTrue(await(() -> clients.asked.stream().anyMatch(a -> a.proxy() == 3 && a.end() == Clients.End.SERVED)));
+            assertTrue(
+                    await(() -> clients.asked.stream().anyMatch(a -> a.proxy() == 3 && a.end() == Clients.End.SERVED)));
             clients.end();
             for (Proxies.Proxy proxy : proxies.all) {
                 assertFalse(Files.readString(proxy.log()).contains("fault: "), Files.readString(proxy.log()));
--- a/src/test/java/gorsemast/rig/RigTest.java
+++ b/src/test/java/gorsemast/rig/RigTest.java
@@ -53,8 +53,9 @@
 
     @Test
     void aViewThatTheRigKeepsFromSettlingIsFound() throws Exception {
-        Rig.Result result = play(new Day(3, 1, List.of(new Event(Kind.CUT, List.of(), 2), new Event(Kind.HEAL, List.of(), 0))),
-            "unsettled");
+        Rig.Result result = play(
+                new Day(3, 1, List.of(new Event(Kind.CUT, List.of(), 2), new Event(Kind.HEAL, List.of(), 0))),
+                "unsettled");
         assertFalse(result.holds());
         assertEquals(2, result.settled(), result.line());
         assertEquals(3, result.faults());
@@ -67,8 +68,13 @@
         day.write(file);
         assertEquals(day, Day.read(file));
         assertEquals(day, Day.draw(7, 99, 60));
-        assertEquals(Kind.values().length, day.events().stream().map(Event::kind).distinct().count(), day.toString());
+        assertEquals(
+                Kind.values().length,
+                day.events().stream().map(Event::kind).distinct().count(),
+                day.toString());
         Files.writeString(file, "{\"processes\": 3, \"seed\": 1, \"events\": [ {\"kind\": \"KILL\", \"how\": 3} ]}");
-        assertTrue(assertThrows(IOException.class, () -> Day.read(file)).getMessage().contains("day.json:1:"));
+        assertTrue(assertThrows(IOException.class, () -> Day.read(file))
+                .getMessage()
+                .contains("day.json:1:"));
     }
 }
--- a/src/test/java/gorsemast/settings/GorsemastSettingsTest.java
+++ b/src/test/java/gorsemast/settings/GorsemastSettingsTest.java
@@ -10,8 +10,11 @@
 
 class GorsemastSettingsTest {
     private static List<String> faults(String text) {
-        return assertThrows(GorsemastSettings.FaultyException.class, () -> GorsemastSettings.parse("f", text)).faults()
-            .stream().map(Fault::toString).toList();
+        return assertThrows(GorsemastSettings.FaultyException.class, () -> GorsemastSettings.parse("f", text))
+                .faults()
+                .stream()
+                .map(Fault::toString)
+                .toList();
     }
 
     @Test
@@ -23,7 +26,9 @@
 
     @Test
     void json5IsReadAsItIsWritten() throws Exception {
-        GorsemastSettings settings = GorsemastSettings.parse("f", """
+        GorsemastSettings settings = GorsemastSettings.parse(
+                "f",
+                """
             // a comment
             { log: {form: 'json', level: "warn",}, /* and one more */
               'peers': {listen: '127.0.0.1:0', seeds: ['127.0.0.1:1', '[::1]:2',], period_ms: +200, suspicion_least: .5e1}, }
@@ -36,18 +41,20 @@
 
     @Test
     void allFaultsComeAtOnceWithTheirPlaces() {
-        assertEquals(List.of(
-            "1:8: log: is a text; an object { … }",
-            "2:11: peers.listen: is \"localhost:7946\"; an address and port in numbers, like 127.0.0.1:7946",
-            "2:38: peers.seeds[0]: is a number; a text \"…\"",
-            "2:41: peers.seeds[1]: is \"x\"; an address and port in numbers, like 127.0.0.1:7946",
-            "3:14: peers.period_ms: is 5; between 10 and 60000",
-            "3:29: peers.timeout_ms: is 2000; less than period_ms, which is 1000",
-            "4:13: peers.perriod: is not a setting; one of advertise, cluster, fanout, forget_s, indirect, learn, listen, period_ms, "
-                + "remembered, secret, seeds, settle_ms, share, suspicion_least, suspicion_most, sync_periods, timeout_ms",
-            "5:8: peer: is not a setting; one of log, peers"),
-            faults("{ log: 'loud', peers: {\n  listen: 'localhost:7946', seeds: [ 7, 'x'],\n  period_ms: 5, timeout_ms: 2000,\n"
-                + "   perriod: 1},\n peer: {} }"));
+        assertEquals(
+                List.of(
+                        "1:8: log: is a text; an object { … }",
+                        "2:11: peers.listen: is \"localhost:7946\"; an address and port in numbers, like 127.0.0.1:7946",
+                        "2:38: peers.seeds[0]: is a number; a text \"…\"",
+                        "2:41: peers.seeds[1]: is \"x\"; an address and port in numbers, like 127.0.0.1:7946",
+                        "3:14: peers.period_ms: is 5; between 10 and 60000",
+                        "3:29: peers.timeout_ms: is 2000; less than period_ms, which is 1000",
+                        "4:13: peers.perriod: is not a setting; one of advertise, cluster, fanout, forget_s, indirect, learn, listen, period_ms, "
+                                + "remembered, secret, seeds, settle_ms, share, suspicion_least, suspicion_most, sync_periods, timeout_ms",
+                        "5:8: peer: is not a setting; one of log, peers"),
+                faults(
+                        "{ log: 'loud', peers: {\n  listen: 'localhost:7946', seeds: [ 7, 'x'],\n  period_ms: 5, timeout_ms: 2000,\n"
+                                + "   perriod: 1},\n peer: {} }"));
     }
 
     @Test
--- a/src/test/java/gorsemast/terschelling/BoardTest.java
+++ b/src/test/java/gorsemast/terschelling/BoardTest.java
@@ -19,12 +19,21 @@
     private static List<Item> drawn(Random random) {
         List<Item> items = new ArrayList<>();
         for (int i = 0; i < 200; i++) {
-            items.add(switch (random.nextInt(3)) {
-                case 0 -> new PurgeNews("p" + random.nextInt(40), "h", "/" + i, "").item(random.nextInt(1_000));
-                case 1 -> server("i" + random.nextInt(20), State.values()[random.nextInt(4)], random.nextInt(9)).item(0);
-                default -> new MachineNews("10.0.0." + random.nextInt(9), "z", "", random.nextBoolean(), random.nextInt(5))
-                    .item(Kind.EDGE, 0);
-            });
+            items.add(
+                    switch (random.nextInt(3)) {
+                        case 0 -> new PurgeNews("p" + random.nextInt(40), "h", "/" + i, "").item(random.nextInt(1_000));
+                        case 1 ->
+                            server("i" + random.nextInt(20), State.values()[random.nextInt(4)], random.nextInt(9))
+                                    .item(0);
+                        default ->
+                            new MachineNews(
+                                            "10.0.0." + random.nextInt(9),
+                                            "z",
+                                            "",
+                                            random.nextBoolean(),
+                                            random.nextInt(5))
+                                    .item(Kind.EDGE, 0);
+                    });
         }
         return items;
     }
@@ -39,7 +48,8 @@
             Collections.shuffle(items, random);
             Board other = new Board();
             items.forEach(item -> other.merge(1_000, item));
-            items.forEach(item -> assertThat(other.merge(1_000, item)).as("again").isFalse());
+            items.forEach(
+                    item -> assertThat(other.merge(1_000, item)).as("again").isFalse());
             assertThat(other.differing(one.digest())).isZero();
             assertThat(other.purgeDigest()).isEqualTo(one.purgeDigest());
         }
@@ -70,7 +80,10 @@
         board.forget(10 * Board.HORIZON_MICROS);
         assertThat(board.all(Kind.SERVER)).extracting(Item::key).containsExactly("stays", "leaves");
         assertThat(board.purgeDigest()).isEqualTo(empty);
-        assertThat(board.merge(10 * Board.HORIZON_MICROS, server("gone", State.GONE, 1).item(0))).as("told late").isFalse();
+        assertThat(board.merge(
+                        10 * Board.HORIZON_MICROS, server("gone", State.GONE, 1).item(0)))
+                .as("told late")
+                .isFalse();
     }
 
     @Test
@@ -78,7 +91,9 @@
         Board board = new Board();
         board.merge(0, server("a", State.DRAINING, 5).item(0));
         assertThat(board.merge(1, server("a", State.READY, 4).item(1))).isFalse();
-        assertThat(board.merge(1, server("a", State.SILENT, 5).item(1))).as("silence is weaker than what it said").isFalse();
+        assertThat(board.merge(1, server("a", State.SILENT, 5).item(1)))
+                .as("silence is weaker than what it said")
+                .isFalse();
         board.merge(2, server("a", State.GONE, 5).item(2));
         assertThat(board.merge(3, server("a", State.READY, 9).item(3))).isFalse();
     }
--- a/src/test/java/gorsemast/terschelling/DutyTest.java
+++ b/src/test/java/gorsemast/terschelling/DutyTest.java
@@ -16,8 +16,7 @@
 
 /** Never two at once, and seconds at most without, over drawn cuts, freezes and restarts in virtual time. */
 class DutyTest {
-    private record Said(long at, String from, String to, Word word, long term, long stamp) {
-    }
+    private record Said(long at, String from, String to, Word word, long term, long stamp) {}
 
     private final Map<String, Duty> duties = new HashMap<>();
     private final Set<String> cuts = new HashSet<>();
@@ -28,8 +27,11 @@
     private long now = 5_000_000;
 
     private Duty duty(String name) {
-        return new Duty(name, random.nextLong(), (to, word, term, at) ->
-            way.add(new Said(now + 200 + random.nextLong(40_000), name, to, word, term, at)));
+        return new Duty(
+                name,
+                random.nextLong(),
+                (to, word, term, at) ->
+                        way.add(new Said(now + 200 + random.nextLong(40_000), name, to, word, term, at)));
     }
 
     private boolean awake(String name) {
@@ -37,7 +39,9 @@
     }
 
     private List<String> acting() {
-        return names.stream().filter(name -> awake(name) && duties.get(name).acts(now, names.size())).toList();
+        return names.stream()
+                .filter(name -> awake(name) && duties.get(name).acts(now, names.size()))
+                .toList();
     }
 
     private void step() {
@@ -45,15 +49,21 @@
         while (!way.isEmpty() && way.peek().at <= now) {
             Said said = way.poll();
             if (!awake(said.to)) {
-                way.add(new Said(frozenUntil.get(said.to) + 1_000, said.from, said.to, said.word, said.term, said.stamp));
+                way.add(new Said(
+                        frozenUntil.get(said.to) + 1_000, said.from, said.to, said.word, said.term, said.stamp));
             } else if (!cuts.contains(said.from + said.to)) {
                 duties.get(said.to).said(now, said.from, said.word, said.term, said.stamp, names.size());
             }
         }
         for (String name : names) {
             if (awake(name) && now % 100_000 < 10_000) {
-                duties.get(name).tick(now, names.stream().filter(other -> !other.equals(name)
-                    && !cuts.contains(other + name)).toList(), names.size());
+                duties.get(name)
+                        .tick(
+                                now,
+                                names.stream()
+                                        .filter(other -> !other.equals(name) && !cuts.contains(other + name))
+                                        .toList(),
+                                names.size());
             }
         }
         assertThat(acting()).hasSizeLessThanOrEqualTo(1);
--- a/src/test/java/gorsemast/upgrade/GenerationsTest.java
+++ b/src/test/java/gorsemast/upgrade/GenerationsTest.java
@@ -26,8 +26,8 @@
 
     @Test
     void aThirdCountsWhereTheSecondIsStoppedBeforeItIsReady() {
-        second.seen(List.of(new Member(1, Standing.LEAVING), new Member(3, Standing.LEAVING),
-            new Member(4, Standing.SERVING)));
+        second.seen(List.of(
+                new Member(1, Standing.LEAVING), new Member(3, Standing.LEAVING), new Member(4, Standing.SERVING)));
         assertEquals(4, second.processes());
         assertTrue(second.succeeded());
     }
--- a/src/test/java/gorsemast/upgrade/SuccessionTest.java
+++ b/src/test/java/gorsemast/upgrade/SuccessionTest.java
@@ -20,12 +20,12 @@
 class SuccessionTest {
     @TempDir
     Path folder;
+
     private final List<Process> others = new ArrayList<>();
 
     /** Says what it found, takes clients as soon as it is told to, and stays until it is killed. */
     public static final class Other {
-        private Other() {
-        }
+        private Other() {}
 
         public static void main(String[] args) throws Exception {
             Succession succession = new Succession(Path.of(args[0]));
@@ -39,8 +39,13 @@
 
     /** Starts another process; returns how many it found to be there. */
     private int startOther() throws IOException {
-        Process other = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-            System.getProperty("java.class.path"), Other.class.getName(), folder.toString()).start();
+        Process other = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        Other.class.getName(),
+                        folder.toString())
+                .start();
         others.add(other);
         return Integer.parseInt(other.inputReader().readLine());
     }
