--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * The policy. Events, actions and records: {@code Balancer}; what each defence covers: docs/design/module.md.
@@ -67,7 +68,6 @@
     /** Weight of a server of the own zone in the order of a key with copies. */
     private static final double NEAR = 8;
 
-    private static final double MICROS = 1e6;
     /** What a cold server may get over its part of a warm one's usual work. */
     private static final double COLD_ROOM = 1.5;
     /** So many wanted times after its arrival a request that has only waited leaves no more. */
@@ -180,23 +180,16 @@
         }
 
         ServerView view() {
-            long sum = lanes.stream().mapToLong(lane -> lane.currentInterval).sum();
+            long mean = lanes.stream().mapToLong(lane -> lane.currentInterval).sum() / lanes.size();
             int out = (int) faults.stream().filter(fault -> fault.out).count();
+            int waiting = queue.size();
+            int sent = inFlight.size();
             return new ServerView(
-                    id,
-                    entry.state(),
-                    suspect || zone != null && zone.suspect,
-                    warmth(),
-                    lanes.size(),
-                    sum / lanes.size(),
-                    queue.size(),
-                    inFlight.size(),
-                    out,
-                    slowness);
+                    id, entry.state(), silent(), warmth(), lanes.size(), mean, waiting, sent, out, slowness);
         }
 
         boolean silent() {
-            return suspect || zone.suspect;
+            return suspect || zone != null && zone.suspect;
         }
 
         /** Whether that is this server, or one of this zone. */
@@ -221,9 +214,8 @@
         }
 
         boolean room() {
-            return this != ledger
-                    || originTime.samples < ENOUGH
-                    || fetching.room(now, rate.peak, shortestAim, shortestDeadline);
+            boolean bounded = this == ledger && originTime.samples >= ENOUGH;
+            return !bounded || fetching.room(now, rate.peak, shortestAim, shortestDeadline);
         }
 
         /** When a request with {@code ahead} others before it may leave. */
@@ -234,9 +226,9 @@
                 sum += lane.currentInterval + (lane.currentInterval > 0 ? (long) answer : 0);
                 first = Math.min(first, lane.restSince + lane.currentInterval);
             }
-            double full = room() ? 0 : ahead * MICROS / Math.max(1, rate.at(now));
-            return Math.max(Math.max(now, first), coldWait())
-                    + Math.max((long) full, ahead * sum / lanes.size() / lanes.size());
+            double full = room() ? 0 : ahead * Measures.MICROS / Math.max(1, rate.at(now));
+            long queued = Math.max((long) full, ahead * sum / lanes.size() / lanes.size());
+            return Math.max(Math.max(now, first), coldWait()) + queued;
         }
 
         /** Keeps as many lanes as carry the usual rate at the longest interval and the time of an answer. */
@@ -245,7 +237,7 @@
             answer = answer == 0 ? elapsed : Measures.smooth(answer, elapsed);
             double usual = Math.min(answer, PRESSED * shortestAim);
             double least = this == ledger ? LEDGER_LEAST : 1;
-            if (least * rate.peak * (lanes.get(0).maxInterval + usual) > lanes.size() * MICROS) {
+            if (least * rate.peak * (lanes.get(0).maxInterval + usual) > lanes.size() * Measures.MICROS) {
                 lanes.add(new Lane(random, shortestDeadline));
             }
         }
@@ -276,12 +268,11 @@
                 return 0;
             }
             double usual = warmWeights > 0 ? carried.at(now) / warmWeights : arrivals.at(now) / allWeights;
-            double perMicro = COLD_ROOM * warmth() * usual * entry.weight() / MICROS;
+            double perMicro = COLD_ROOM * warmth() * usual * entry.weight() / Measures.MICROS;
             credit = Math.min(1, credit + (now - creditAt) * perMicro);
             creditAt = now;
-            return credit >= 1
-                    ? 0
-                    : (long) Math.min(coldSince + settings.coldTime(), now + 1 + (1 - credit) / perMicro);
+            double earned = now + 1 + (1 - credit) / perMicro;
+            return credit >= 1 ? 0 : (long) Math.min(coldSince + settings.coldTime(), earned);
         }
 
         /** The part of its full capacity that a server can be trusted with, 1 when warm. */
@@ -311,9 +302,9 @@
             return sum >= CONVICTED;
         }
 
-        void leaveOut(boolean is) {
-            if (is != out) {
-                out = is;
+        void leaveOutIfFailing(boolean allowed) {
+            if (out != (allowed && failing())) {
+                out = !out;
                 trials.currentInterval = 0;
                 trialAt = 0;
                 rest();
@@ -353,7 +344,7 @@
         void servedOne(long now, double part) {
             interval = served == 0 ? 0 : interval == 0 ? now - served : (interval + now - served) / 2;
             served = now;
-            if (interval > 0 && part * MICROS > HOT * copies * interval) {
+            if (interval > 0 && part * Measures.MICROS > HOT * copies * interval) {
                 copies *= 2;
                 target = null;
             }
@@ -363,7 +354,7 @@
     /** A request that is owed an answer or has an attempt out. */
     private static final class Held {
         static final Comparator<Held> LEAVING =
-                (a, b) -> a.worth == b.worth ? Long.compare(b.order, a.order) : Double.compare(b.worth, a.worth);
+                (a, b) -> a.worth == b.worth ? Long.compare(b.order, a.order) : a.worth > b.worth ? -1 : 1;
         final Request request;
         final RequestClass type;
         final long order;
@@ -413,12 +404,11 @@
     private void take(Settings given) {
         given.check(Lane.INITIAL_PART);
         settings = given;
-        shortestDeadline =
-                given.classes().stream().mapToLong(RequestClass::deadline).min().getAsLong();
-        shortestAim =
-                given.classes().stream().mapToLong(RequestClass::aim).min().getAsLong();
-        while (cacheTimes.size() < given.classes().size()) {
-            cacheTimes.add(new Estimate(given.classes().get(cacheTimes.size()).aim() / 4.0));
+        List<RequestClass> all = given.classes();
+        shortestDeadline = all.stream().mapToLong(RequestClass::deadline).min().getAsLong();
+        shortestAim = all.stream().mapToLong(RequestClass::aim).min().getAsLong();
+        while (cacheTimes.size() < all.size()) {
+            cacheTimes.add(new Estimate(all.get(cacheTimes.size()).aim() / 4.0));
         }
     }
 
@@ -502,7 +492,7 @@
             } else {
                 targets.put(entry.id(), target);
                 target.zone = zones.computeIfAbsent(
-                        entry.zone(), zone -> new Target(new Server("zone " + zone, zone, 0, 0, State.READY, 1, 0)));
+                        entry.zone(), z -> new Target(new Server("zone " + z, z, 0, 0, State.READY, 1, 0)));
                 if (entry.startedAt() > 0) {
                     target.cool(entry.startedAt());
                 }
@@ -527,8 +517,8 @@
         RequestClass type = settings.classes().get(request.requestClass());
         boolean over = shares.over(now, request.tenant());
         double worth = type.worth() * (over ? settings.overShareWorth() : 1);
-        Held held = new Held(
-                request, type, sequence++, worth, over, Math.min(request.giveUp(), (long) (now + LATE * type.aim())));
+        long useful = Math.min(request.giveUp(), (long) (now + LATE * type.aim()));
+        Held held = new Held(request, type, sequence++, worth, over, useful);
         held.most = settings.maxAttempts();
         open.put(request.id(), held);
         arrivals.add(now);
@@ -591,9 +581,10 @@
     @Override
     public View view(long time) {
         now = time;
-        List<Target> all = new ArrayList<>(targets.values());
-        all.addAll(ledger == null ? List.of() : List.of(ledger));
-        return new View(all.stream().map(Target::view).toList(), homeless.size(), open.size(), retries, given.clone());
+        List<ServerView> views =
+                new ArrayList<>(targets.values().stream().map(Target::view).toList());
+        views.addAll(ledger == null ? List.of() : List.of(ledger.view()));
+        return new View(views, homeless.size(), open.size(), retries, given.clone());
     }
 
     // ---- the way of a request
@@ -609,13 +600,12 @@
         }
         boolean aside = settings.originKind() >= 0;
         Target target = aside && (held.request.write() || held.missed) ? origin : choose(held);
-        if (aside && !held.request.write() && key != null) {
-            if (follows(held)) {
-                return;
-            }
-            if (held.missed) {
-                fetches.put(key, held);
-            }
+        boolean shared = aside && !held.request.write() && key != null;
+        if (shared && follows(held)) {
+            return;
+        }
+        if (shared && held.missed) {
+            fetches.put(key, held);
         }
         if (target == null || !target.ready()) {
             homeless.add(held);
@@ -642,19 +632,22 @@
         held.queuedAt = target;
         boolean free = target.room() && target.earliest().readyAt() <= now;
         int ahead = free ? 0 : target.queue.headSet(held).size();
-        if (target.leaves(ahead) > held.until() - typical(held, target)) {
+        if (tooLate(held, target, ahead)) {
             conclude(held, Why.NO_ROOM);
             return;
         }
         pump(target);
         // The newest leave first, so one more may be one too many for those behind: they are told at once.
-        while (!target.queue.isEmpty()
-                && target.leaves(target.queue.size() - 1)
-                        > target.queue.last().until() - typical(target.queue.last(), target)) {
+        while (!target.queue.isEmpty() && tooLate(target.queue.last(), target, target.queue.size() - 1)) {
             conclude(target.queue.last(), Why.NO_ROOM);
         }
     }
 
+    /** Whether a request with {@code ahead} others before it leaves too late to be answered in time. */
+    private boolean tooLate(Held held, Target target, int ahead) {
+        return target.leaves(ahead) > held.until() - typical(held, target);
+    }
+
     /** Refuses what waits and could only come too late; looks again where less is expected than before. */
     private void unsent(Held held) {
         long last = held.until() - typical(held, null);
@@ -668,9 +661,8 @@
     /** Whether a read of this key will probably be a fetch at that server; known only where answers tell. */
     private boolean fetched(Held held, Target target) {
         Home home = held.request.write() || held.request.key() == null ? null : table.get(held.request.key());
-        return tells
-                && home != null
-                && (home.kept != target || home.keptAt < target.coldSince || now - home.keptAt > keeps);
+        boolean known = tells && home != null;
+        return known && (home.kept != target || home.keptAt < target.coldSince || now - home.keptAt > keeps);
     }
 
     /** Waits for a fetch of its key that is out from here already, if one is. */
@@ -725,13 +717,11 @@
             held.queuedAt = null;
             if (now + typical(held, target) > held.until() || !mayRepeat(held) || !mayResend(held)) {
                 conclude(held, Why.NO_ROOM);
-            } else if (target == ledger && follows(held)) {
-                continue;
-            } else if (target == ledger) {
+            } else if (target != ledger) {
+                send(held, target, lane);
+            } else if (!follows(held)) {
                 hold(held, lane);
                 route(held);
-            } else {
-                send(held, target, lane);
             }
         }
     }
@@ -758,8 +748,8 @@
             target.credit -= 1;
             Estimate usual = cacheTimes.get(held.request.requestClass());
             // The first guess knows nothing of the way and of new connections.
-            long patience = (long)
-                    Math.max(usual.mean + PATIENCE * usual.deviation, usual.samples < ENOUGH ? held.type.aim() : 0);
+            long guess = usual.samples < ENOUGH ? held.type.aim() : 0;
+            long patience = (long) Math.max(usual.mean + PATIENCE * usual.deviation, guess);
             if (target.suspect && held.type.effect() == Effect.SAFE) {
                 until = Math.min(until, now + patience);
             }
@@ -780,11 +770,10 @@
         Code code = o.code();
         boolean fetch = o.note() == Note.MISS || o.note() == Note.MISS_FETCHING;
         // Late answers are failures: a long waiting room never says "full". Fetches tell of the ledger.
-        boolean failed = code == Code.FULL
-                || code == Code.CONNECT_FAILED
-                || code == Code.ERROR && target == origin
-                || code == Code.TIMEOUT && (held.fetch == null || target.lastAnswer < held.sentAt)
-                || code == Code.OK && !fetch && target.late(o.elapsed(), held.type.aim());
+        boolean failed = code == Code.FULL || code == Code.CONNECT_FAILED;
+        failed |= code == Code.ERROR && target == origin;
+        failed |= code == Code.TIMEOUT && (held.fetch == null || target.lastAnswer < held.sentAt);
+        failed |= code == Code.OK && !fetch && target.late(o.elapsed(), held.type.aim());
         if (failed) {
             held.lane.goUp();
         } else if (!code.calledOff && code != Code.TIMEOUT && code != Code.RESET && code != Code.ERROR) {
@@ -814,7 +803,8 @@
         if (code == Code.OK || code == Code.FULL || code == Code.ERROR || code == Code.MISS) {
             heard(target);
         } else if (!o.code().calledOff) {
-            doubt(target, held.sentAt, code == Code.CONNECT_FAILED ? REFUSED : code == Code.RESET ? BROKEN : SILENT);
+            int weight = code == Code.RESET ? BROKEN : SILENT;
+            doubt(target, held.sentAt, code == Code.CONNECT_FAILED ? REFUSED : weight);
         }
         if (code == Code.ERROR) {
             fault(held, target, SILENT);
@@ -822,7 +812,7 @@
         if (code == Code.OK || code == Code.MISS) {
             Faults faults = target.faults(held.request.requestClass());
             faults.sum /= 2;
-            faults.leaveOut(faults.out && faults.failing());
+            faults.leaveOutIfFailing(faults.out);
             target.servedOne(o.elapsed());
             if (target != origin && target.warmth() == 1) {
                 carried.add(now);
@@ -878,28 +868,23 @@
 
     /** Rule: what may have run is sent again only within what its class allows. */
     private boolean mayRepeat(Held held) {
-        return held.ranAt == null
-                || held.type.effect() == Effect.SAFE
-                || held.type.effect() == Effect.KEYED && now < held.ranSince + held.type.window();
+        boolean within = held.type.effect() == Effect.KEYED && now < held.ranSince + held.type.window();
+        return held.ranAt == null || held.type.effect() == Effect.SAFE || within;
     }
 
     /** Rule: the ration of further attempts, checked before the wait and at each send. */
     private boolean mayResend(Held held) {
         long since = now - settings.resendSpan();
-        return settings.resendSpan() == 0
-                || held.attempts == 0
-                || held.unrationed
-                || resent.countAfter(since - 1)
-                        < Math.floor(settings.freeResends() + settings.resendShare() * taken.countAfter(since));
+        boolean free = settings.resendSpan() == 0 || held.attempts == 0 || held.unrationed;
+        double most = settings.freeResends() + settings.resendShare() * (free ? 0 : taken.countAfter(since));
+        return free || resent.countAfter(since - 1) < Math.floor(most);
     }
 
     private boolean sameGroup(Held held, Target target) {
-        return held.ranAt == null
-                || held.type.effect() != Effect.KEYED
-                || held.type.group() == Group.ALL
-                || (held.type.group() == Group.ZONE
-                        ? held.ranAt.zone() == target.entry.zone()
-                        : held.ranAt.cell() == target.entry.cell());
+        Server ran = held.type.effect() == Effect.KEYED ? held.ranAt : null;
+        boolean any = ran == null || held.type.group() == Group.ALL;
+        boolean zone = held.type.group() == Group.ZONE;
+        return any || (zone ? ran.zone() == target.entry.zone() : ran.cell() == target.entry.cell());
     }
 
     /** The final answer to a request that was not served: a refusal where that is true, else a failure. */
@@ -914,9 +899,8 @@
         } else if (held.out != null && held.out.lastAnswer >= held.sentAt) {
             fault(held, held.out, BROKEN); // waited to the end, while others got answers
         }
-        boolean refusable = held.ranAt == null && held.out == null
-                || held.type.effect() == Effect.SAFE
-                || held.type.effect() == Effect.KEYED && held.type.group() == Group.ALL;
+        boolean refusable = held.ranAt == null && held.out == null || held.type.effect() == Effect.SAFE;
+        refusable |= held.type.effect() == Effect.KEYED && held.type.group() == Group.ALL;
         if (refusable) {
             Target at = held.queuedAt;
             long wait = at == null ? 0 : Math.max(0, at.leaves(at.queue.size()) - now);
@@ -1007,26 +991,23 @@
             int type = held.request.requestClass();
             target.faults(type).sum = Math.min(2 * CONVICTED, target.faults(type).sum + weight);
             boolean alike = alike(type);
-            targets.values().forEach(t -> t.faults(type)
-                    .leaveOut(!alike && t.faults(type).failing()));
+            targets.values().forEach(t -> t.faults(type).leaveOutIfFailing(!alike));
         }
     }
 
     /** Whether so many servers fail a class that it comes from behind them. */
     private boolean alike(int type) {
-        long bad = targets.values().stream()
-                .filter(t -> t.ready() && t.faults(type).failing())
-                .count();
-        return FAULTY_PART * bad
-                > targets.values().stream().filter(Target::ready).count();
+        return FAULTY_PART * ready(t -> t.faults(type).failing()) > ready(t -> true);
+    }
+
+    private long ready(Predicate<Target> which) {
+        return targets.values().stream().filter(t -> t.ready() && which.test(t)).count();
     }
 
     /** A silent server or zone counts as displaced until a trial is answered; its work is called back. */
     private void suspect(Target target) {
-        long listed = targets.values().stream().filter(Target::ready).count();
-        long suspects =
-                targets.values().stream().filter(t -> t.ready() && t.suspect).count();
-        if (target.zone != null && SUSPECT_PART * (suspects + 1) > Math.max(listed, SUSPECT_PART)) {
+        long suspects = ready(t -> t.suspect);
+        if (target.zone != null && SUSPECT_PART * (suspects + 1) > Math.max(ready(t -> true), SUSPECT_PART)) {
             return; // Silence on many sides is overload or our own pause; moving their keys would add to it.
         }
         actions.log("server silent: " + target.id);
@@ -1099,27 +1080,21 @@
             return home.target = fewest(held, home, usable, mean, null);
         }
         boolean crowded = target.load() > Math.max(HIGH * mean, HIGH_FLOOR / unit);
-        Target other = !crowded && fits(held, target)
-                ? null // a copy elsewhere saves a fetch
-                : !crowded && usable.contains(home.kept) && fits(held, home.kept)
-                        ? home.kept
-                        : fewest(held, home, usable, mean, target);
-        if (other == null) {
+        if (!crowded && fits(held, target)) {
             return target;
         }
+        boolean copied = !crowded && usable.contains(home.kept) && fits(held, home.kept); // saves a fetch
+        Target other = copied ? home.kept : fewest(held, home, usable, mean, target);
+        other = other == null ? target : other;
         if (crowded && other.load() < Math.max(mean, LOW_FLOOR / unit)) {
             home.target = other;
         }
         return crowded ? home.target : other;
     }
 
-    private boolean fits(Held held, Target target) {
-        return target.ready()
-                && !target.silent()
-                && sameGroup(held, target)
-                && target.coldWait() <= now
-                && !target.faults(held.request.requestClass()).shut()
-                && !held.failedAt.contains(target);
+    private boolean fits(Held held, Target to) {
+        boolean free = to.ready() && !to.silent() && sameGroup(held, to) && to.coldWait() <= now;
+        return free && !to.faults(held.request.requestClass()).shut() && !held.failedAt.contains(to);
     }
 
     /** The server with fewest held and in flight; under the low bound the key's rendezvous decides. */
--- a/src/main/java/anisebend/FetchLimit.java
+++ b/src/main/java/anisebend/FetchLimit.java
@@ -13,7 +13,6 @@
     private static final double CHANCE = 4;
 
     private static final int LEAST = 2;
-    private static final double MICROS = 1e6;
 
     /** One that has been sent. */
     static final class Fetch {
@@ -52,7 +51,7 @@
         while (!sent.isEmpty() && (sent.peek().over || sent.peek().sentAt <= gone)) {
             over(sent.poll());
         }
-        double usual = perSecond * aim / MICROS;
+        double usual = perSecond * aim / Measures.MICROS;
         return out < LEAST + usual + CHANCE * Math.sqrt(usual);
     }
 }
--- a/src/main/java/anisebend/Measures.java
+++ b/src/main/java/anisebend/Measures.java
@@ -5,7 +5,8 @@
 /** Arithmetic without decisions: smoothed figures and hashes. */
 final class Measures {
     private static final double SMOOTHING = 0.125;
-    private static final double MICROS = 1e6;
+    /** Microseconds in a second. */
+    static final double MICROS = 1e6;
 
     private Measures() {}
 
--- a/src/main/java/anisebend/Shares.java
+++ b/src/main/java/anisebend/Shares.java
@@ -12,8 +12,6 @@
     /** How far a tenant's part of the traffic here must exceed its fraction before it is over its share. */
     private static final double OVER = 1.25;
 
-    private static final double MICROS = 1e6;
-
     private final class Use {
         final Rate rate = new Rate(span);
         double tokens;
@@ -47,8 +45,8 @@
         }
         Balancer.Tenant t = tenants.get(tenant);
         Use use = uses[tenant];
-        double perMicro = t.quotaPerSecond() / balancers / MICROS;
-        use.tokens = Math.min(perMicro * MICROS, use.tokens + (now - use.last) * perMicro);
+        double perMicro = t.quotaPerSecond() / balancers / Measures.MICROS;
+        use.tokens = Math.min(perMicro * Measures.MICROS, use.tokens + (now - use.last) * perMicro);
         use.last = now;
         use.rate.add(now);
         if (use.tokens >= 1) {
--- a/src/main/java/anisebend/Sleeper.java
+++ b/src/main/java/anisebend/Sleeper.java
@@ -24,7 +24,7 @@
     }
 
     void goUp() {
-        currentInterval = currentInterval == 0 ? initialInterval : Math.min(maxInterval, draw(currentInterval * UP));
+        currentInterval = currentInterval == 0 ? initialInterval : draw(currentInterval * UP);
     }
 
     void success() {
@@ -41,6 +41,6 @@
 
     private long draw(double interval) {
         double delta = Math.min(RANDOMIZATION * interval, maxInterval / 2.0);
-        return (long) (interval - delta + 2 * delta * random.nextDouble());
+        return (long) Math.min(maxInterval, interval - delta + 2 * delta * random.nextDouble());
     }
 }
