--- a/src/main/java/gorsemast/wilhelminadorp/Disk.java
+++ b/src/main/java/gorsemast/storage/Disk.java
@@ -1,7 +1,7 @@
-package gorsemast.wilhelminadorp;
+package gorsemast.storage;
 
 import gorsemast.marknesse.Log;
-import gorsemast.wilhelminadorp.DiskException.Code;
+import gorsemast.storage.DiskException.Code;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -38,7 +38,7 @@
     private static final int CACHE_BYTES = 2 << 20;
     private static final int PAGE_BYTES = 16 << 10;
     private static final int CHECK_BYTES = 4;
-    private static final Log LOG = new Log("wilhelminadorp");
+    private static final Log LOG = new Log("storage");
 
     private final Environment environment;
     private final Path folder;
--- a/src/main/java/gorsemast/wilhelminadorp/DiskException.java
+++ b/src/main/java/gorsemast/storage/DiskException.java
@@ -1,4 +1,4 @@
-package gorsemast.wilhelminadorp;
+package gorsemast.storage;
 
 /** The disk could not be read or written. */
 public final class DiskException extends RuntimeException {
--- a/src/main/java/gorsemast/wilhelminadorp/Snapshot.java
+++ b/src/main/java/gorsemast/storage/Snapshot.java
@@ -1,4 +1,4 @@
-package gorsemast.wilhelminadorp;
+package gorsemast.storage;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
