--- a/src/main/java/gorsemast/cabauw/Visitor.java
+++ b/src/main/java/gorsemast/cabauw/Visitor.java
@@ -2,7 +2,7 @@
 
 import gorsemast.exchange.BodyBuffer;
 import gorsemast.exchange.Passage;
-import gorsemast.marknesse.Log;
+import gorsemast.logging.Log;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
--- a/src/main/java/gorsemast/command/Check.java
+++ b/src/main/java/gorsemast/command/Check.java
@@ -1,8 +1,8 @@
 package gorsemast.command;
 
 import gorsemast.exchange.NettyLog;
-import gorsemast.marknesse.Settings;
-import gorsemast.marknesse.SettingsException;
+import gorsemast.node.Settings;
+import gorsemast.node.SettingsException;
 import gorsemast.schiphol.Configuration;
 import gorsemast.schiphol.ConfigurationException;
 import gorsemast.settings.GorsemastSettings;
--- a/src/main/java/gorsemast/debilt/ControlServer.java
+++ b/src/main/java/gorsemast/debilt/ControlServer.java
@@ -1,7 +1,7 @@
 package gorsemast.debilt;
 
 import gorsemast.exchange.StrictHttp;
-import gorsemast.marknesse.Log;
+import gorsemast.logging.Log;
 import gorsemast.transport.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
--- a/src/main/java/gorsemast/debilt/Office.java
+++ b/src/main/java/gorsemast/debilt/Office.java
@@ -5,7 +5,7 @@
 import gorsemast.lauwersoog.Neighbours;
 import gorsemast.lauwersoog.Record;
 import gorsemast.lauwersoog.Record.Program;
-import gorsemast.marknesse.Log;
+import gorsemast.logging.Log;
 import gorsemast.schiphol.Configuration;
 import gorsemast.terschelling.Board;
 import gorsemast.terschelling.Duty;
--- a/src/main/java/gorsemast/deelen/LoopbackNetwork.java
+++ b/src/main/java/gorsemast/deelen/LoopbackNetwork.java
@@ -2,7 +2,7 @@
 
 import gorsemast.cabauw.Cabauw;
 import gorsemast.debilt.Debilt;
-import gorsemast.marknesse.Settings;
+import gorsemast.node.Settings;
 import gorsemast.transport.Transport;
 import gorsemast.vlissingen.Vlissingen;
 import io.netty.channel.EventLoop;
--- a/src/main/java/gorsemast/hupsel/Sender.java
+++ b/src/main/java/gorsemast/hupsel/Sender.java
@@ -8,7 +8,7 @@
 import gorsemast.exchange.Passage;
 import gorsemast.exchange.Turns;
 import gorsemast.exchange.Upstream;
-import gorsemast.marknesse.Log;
+import gorsemast.logging.Log;
 import gorsemast.schiphol.Route;
 import gorsemast.terschelling.ServerNews;
 import io.netty.buffer.ByteBuf;
--- a/src/main/java/gorsemast/lauwersoog/Link.java
+++ b/src/main/java/gorsemast/lauwersoog/Link.java
@@ -1,6 +1,6 @@
 package gorsemast.lauwersoog;
 
-import gorsemast.marknesse.Log;
+import gorsemast.logging.Log;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufInputStream;
 import io.netty.buffer.ByteBufOutputStream;
--- a/src/main/java/gorsemast/lauwersoog/Ports.java
+++ b/src/main/java/gorsemast/lauwersoog/Ports.java
@@ -1,6 +1,6 @@
 package gorsemast.lauwersoog;
 
-import gorsemast.marknesse.Settings;
+import gorsemast.node.Settings;
 import java.net.InetSocketAddress;
 
 /** Which of the ports between processes each program listens at, on every machine alike. */
--- a/src/main/java/gorsemast/lelystad/Hunt.java
+++ b/src/main/java/gorsemast/lelystad/Hunt.java
@@ -1,7 +1,7 @@
 package gorsemast.lelystad;
 
 import gorsemast.lelystad.Trouble.Closing;
-import gorsemast.marknesse.Log;
+import gorsemast.logging.Log;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
--- a/src/main/java/gorsemast/marknesse/Log.java
+++ b/src/main/java/gorsemast/logging/Log.java
@@ -1,4 +1,4 @@
-package gorsemast.marknesse;
+package gorsemast.logging;
 
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
--- a/src/main/java/gorsemast/marknesse/Seed.java
+++ b/src/main/java/gorsemast/node/Seed.java
@@ -1,4 +1,4 @@
-package gorsemast.marknesse;
+package gorsemast.node;
 
 import java.io.DataInputStream;
 import java.io.IOException;
--- a/src/main/java/gorsemast/marknesse/Settings.java
+++ b/src/main/java/gorsemast/node/Settings.java
@@ -1,6 +1,6 @@
-package gorsemast.marknesse;
+package gorsemast.node;
 
-import gorsemast.marknesse.SettingsException.Code;
+import gorsemast.node.SettingsException.Code;
 import gorsemast.transport.Address;
 import java.io.IOException;
 import java.net.InetSocketAddress;
--- a/src/main/java/gorsemast/marknesse/SettingsException.java
+++ b/src/main/java/gorsemast/node/SettingsException.java
@@ -1,4 +1,4 @@
-package gorsemast.marknesse;
+package gorsemast.node;
 
 /** Settings that can't be worked with: why, and at which key. */
 public final class SettingsException extends RuntimeException {
--- a/src/main/java/gorsemast/storage/Disk.java
+++ b/src/main/java/gorsemast/storage/Disk.java
@@ -1,6 +1,6 @@
 package gorsemast.storage;
 
-import gorsemast.marknesse.Log;
+import gorsemast.logging.Log;
 import gorsemast.storage.DiskException.Code;
 import java.io.IOException;
 import java.nio.ByteBuffer;
--- a/src/main/java/gorsemast/vlissingen/Teller.java
+++ b/src/main/java/gorsemast/vlissingen/Teller.java
@@ -4,7 +4,7 @@
 import gorsemast.lauwersoog.Neighbours;
 import gorsemast.lauwersoog.Record;
 import gorsemast.lauwersoog.Record.Program;
-import gorsemast.marknesse.Log;
+import gorsemast.logging.Log;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
--- a/src/test/java/gorsemast/marknesse/SettingsTest.java
+++ b/src/test/java/gorsemast/node/SettingsTest.java
@@ -1,4 +1,4 @@
-package gorsemast.marknesse;
+package gorsemast.node;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
