--- a/src/main/java/gorsemast/cabauw/Cabauw.java
+++ b/src/main/java/gorsemast/cabauw/Cabauw.java
@@ -1,5 +1,7 @@
 package gorsemast.cabauw;
 
+import gorsemast.configuration.Configuration;
+import gorsemast.configuration.Route;
 import gorsemast.eelde.Fetching;
 import gorsemast.eelde.Shelf;
 import gorsemast.exchange.StrictHttp;
@@ -16,8 +18,6 @@
 import gorsemast.node.Daemon;
 import gorsemast.node.Seed;
 import gorsemast.node.Settings;
-import gorsemast.schiphol.Configuration;
-import gorsemast.schiphol.Route;
 import gorsemast.terschelling.Item;
 import gorsemast.terschelling.ServerNews;
 import gorsemast.transport.Transport;
--- a/src/main/java/gorsemast/cabauw/Front.java
+++ b/src/main/java/gorsemast/cabauw/Front.java
@@ -1,5 +1,7 @@
 package gorsemast.cabauw;
 
+import gorsemast.configuration.Configuration;
+import gorsemast.configuration.Route;
 import gorsemast.exchange.Passage;
 import gorsemast.exchange.StrictHttp;
 import gorsemast.hupsel.Call;
@@ -7,8 +9,6 @@
 import gorsemast.hupsel.Hops;
 import gorsemast.hupsel.Network;
 import gorsemast.hupsel.Sender;
-import gorsemast.schiphol.Configuration;
-import gorsemast.schiphol.Route;
 import gorsemast.transport.Transport;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
--- a/src/main/java/gorsemast/cabauw/Lookout.java
+++ b/src/main/java/gorsemast/cabauw/Lookout.java
@@ -1,5 +1,7 @@
 package gorsemast.cabauw;
 
+import gorsemast.configuration.Configuration;
+import gorsemast.configuration.ConfigurationException;
 import gorsemast.eelde.Homes;
 import gorsemast.lauwersoog.Gossip;
 import gorsemast.lauwersoog.Neighbour;
@@ -7,8 +9,6 @@
 import gorsemast.lauwersoog.Record;
 import gorsemast.lauwersoog.Record.Program;
 import gorsemast.logging.Log;
-import gorsemast.schiphol.Configuration;
-import gorsemast.schiphol.ConfigurationException;
 import gorsemast.terschelling.Board;
 import gorsemast.terschelling.Hash;
 import gorsemast.terschelling.Item;
--- a/src/main/java/gorsemast/cabauw/ObjectDesk.java
+++ b/src/main/java/gorsemast/cabauw/ObjectDesk.java
@@ -2,6 +2,8 @@
 
 import anisebend.Balancer.Code;
 import anisebend.Balancer.Note;
+import gorsemast.configuration.Configuration;
+import gorsemast.configuration.Route;
 import gorsemast.eelde.Copy;
 import gorsemast.eelde.Fetching;
 import gorsemast.eelde.Fetching.FromHome;
@@ -15,8 +17,6 @@
 import gorsemast.hupsel.Hops;
 import gorsemast.hupsel.Network;
 import gorsemast.hupsel.Sender;
-import gorsemast.schiphol.Configuration;
-import gorsemast.schiphol.Route;
 import gorsemast.terschelling.Board;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
--- a/src/main/java/gorsemast/cabauw/ObjectsServer.java
+++ b/src/main/java/gorsemast/cabauw/ObjectsServer.java
@@ -1,12 +1,12 @@
 package gorsemast.cabauw;
 
+import gorsemast.configuration.Configuration;
+import gorsemast.configuration.Route;
 import gorsemast.eelde.Copy;
 import gorsemast.eelde.Fetching;
 import gorsemast.eelde.Fetching.Wanted;
 import gorsemast.exchange.StrictHttp;
 import gorsemast.hupsel.Hops;
-import gorsemast.schiphol.Configuration;
-import gorsemast.schiphol.Route;
 import gorsemast.terschelling.Board;
 import gorsemast.transport.Transport;
 import io.netty.buffer.ByteBuf;
--- a/src/main/java/gorsemast/command/Check.java
+++ b/src/main/java/gorsemast/command/Check.java
@@ -1,10 +1,10 @@
 package gorsemast.command;
 
+import gorsemast.configuration.Configuration;
+import gorsemast.configuration.ConfigurationException;
 import gorsemast.exchange.NettyLog;
 import gorsemast.node.Settings;
 import gorsemast.node.SettingsException;
-import gorsemast.schiphol.Configuration;
-import gorsemast.schiphol.ConfigurationException;
 import gorsemast.settings.GorsemastSettings;
 import gorsemast.stavoren.Plant;
 import gorsemast.stavoren.StoreCheck;
--- a/src/main/java/gorsemast/schiphol/Configuration.java
+++ b/src/main/java/gorsemast/configuration/Configuration.java
@@ -1,11 +1,11 @@
-package gorsemast.schiphol;
+package gorsemast.configuration;
 
 import com.dslplatform.json.DslJson;
 import com.dslplatform.json.JsonReader;
 import com.dslplatform.json.ObjectConverter;
+import gorsemast.configuration.ConfigurationException.Code;
 import gorsemast.node.Settings;
 import gorsemast.node.SettingsException;
-import gorsemast.schiphol.ConfigurationException.Code;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/gorsemast/schiphol/ConfigurationException.java
+++ b/src/main/java/gorsemast/configuration/ConfigurationException.java
@@ -1,4 +1,4 @@
-package gorsemast.schiphol;
+package gorsemast.configuration;
 
 /** A configuration that is refused: why, and at which key. */
 public final class ConfigurationException extends RuntimeException {
--- a/src/main/java/gorsemast/schiphol/Route.java
+++ b/src/main/java/gorsemast/configuration/Route.java
@@ -1,4 +1,4 @@
-package gorsemast.schiphol;
+package gorsemast.configuration;
 
 import java.util.List;
 
--- a/src/main/java/gorsemast/schiphol/package-info.java
+++ b/src/main/java/gorsemast/configuration/package-info.java
@@ -2,4 +2,4 @@
  * The operator's configuration: read whole, checked, and held as an immutable snapshot; which route a request has.
  * No I/O, no clock, no threads. (Schiphol: a weather station; the operator's configuration.)
  */
-package gorsemast.schiphol;
+package gorsemast.configuration;
--- a/src/main/java/gorsemast/debilt/Command.java
+++ b/src/main/java/gorsemast/debilt/Command.java
@@ -1,6 +1,6 @@
 package gorsemast.debilt;
 
-import gorsemast.schiphol.Configuration;
+import gorsemast.configuration.Configuration;
 import gorsemast.terschelling.ServerNews;
 
 /** A call from outside, decoded; it is run elsewhere. Values; any thread. */
--- a/src/main/java/gorsemast/eelde/Fetching.java
+++ b/src/main/java/gorsemast/eelde/Fetching.java
@@ -1,6 +1,6 @@
 package gorsemast.eelde;
 
-import gorsemast.schiphol.Route;
+import gorsemast.configuration.Route;
 import gorsemast.terschelling.Board;
 import gorsemast.terschelling.Item;
 import gorsemast.terschelling.PurgeNews;
--- a/src/main/java/gorsemast/hupsel/Briefing.java
+++ b/src/main/java/gorsemast/hupsel/Briefing.java
@@ -1,7 +1,7 @@
 package gorsemast.hupsel;
 
 import anisebend.Balancer;
-import gorsemast.schiphol.Route;
+import gorsemast.configuration.Route;
 import gorsemast.terschelling.ServerNews;
 import java.util.ArrayList;
 import java.util.Collection;
--- a/src/main/java/gorsemast/hupsel/Call.java
+++ b/src/main/java/gorsemast/hupsel/Call.java
@@ -1,6 +1,6 @@
 package gorsemast.hupsel;
 
-import gorsemast.schiphol.Route;
+import gorsemast.configuration.Route;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
--- a/src/main/java/gorsemast/lelystad/Course.java
+++ b/src/main/java/gorsemast/lelystad/Course.java
@@ -1,8 +1,8 @@
 package gorsemast.lelystad;
 
+import gorsemast.configuration.Configuration;
 import gorsemast.lelystad.Servers.Server;
 import gorsemast.lelystad.Trouble.Closing;
-import gorsemast.schiphol.Configuration;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
--- a/src/main/java/gorsemast/lelystad/Edge.java
+++ b/src/main/java/gorsemast/lelystad/Edge.java
@@ -1,6 +1,8 @@
 package gorsemast.lelystad;
 
 import gorsemast.cabauw.Lookout;
+import gorsemast.configuration.Configuration;
+import gorsemast.configuration.Route;
 import gorsemast.eelde.Copy;
 import gorsemast.eelde.Fetching;
 import gorsemast.eelde.Fetching.FromHome;
@@ -12,8 +14,6 @@
 import gorsemast.lauwersoog.Neighbour;
 import gorsemast.lauwersoog.Record;
 import gorsemast.lauwersoog.Record.Program;
-import gorsemast.schiphol.Configuration;
-import gorsemast.schiphol.Route;
 import gorsemast.terschelling.Item;
 import gorsemast.terschelling.ServerNews;
 import java.nio.ByteBuffer;
--- a/src/test/java/gorsemast/eelde/FetchingTest.java
+++ b/src/test/java/gorsemast/eelde/FetchingTest.java
@@ -2,10 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import gorsemast.configuration.Route;
 import gorsemast.eelde.Fetching.FromHome;
 import gorsemast.eelde.Fetching.FromServers;
 import gorsemast.eelde.Fetching.Wanted;
-import gorsemast.schiphol.Route;
 import gorsemast.terschelling.Board;
 import gorsemast.terschelling.PurgeNews;
 import java.util.ArrayDeque;
