--- a/src/main/java/gorsemast/debilt/Office.java
+++ b/src/main/java/gorsemast/debilt/Office.java
@@ -1,12 +1,12 @@
 package gorsemast.debilt;
 
 import gorsemast.configuration.Configuration;
-import gorsemast.lauwersoog.Gossip;
-import gorsemast.lauwersoog.Neighbour;
-import gorsemast.lauwersoog.Neighbours;
-import gorsemast.lauwersoog.Record;
-import gorsemast.lauwersoog.Record.Program;
 import gorsemast.logging.Log;
+import gorsemast.peer.Gossip;
+import gorsemast.peer.Neighbour;
+import gorsemast.peer.Neighbours;
+import gorsemast.peer.Record;
+import gorsemast.peer.Record.Program;
 import gorsemast.terschelling.Board;
 import gorsemast.terschelling.Duty;
 import gorsemast.terschelling.Item;
--- a/src/main/java/gorsemast/lelystad/Codec.java
+++ b/src/main/java/gorsemast/lelystad/Codec.java
@@ -1,6 +1,6 @@
 package gorsemast.lelystad;
 
-import gorsemast.lauwersoog.Record;
+import gorsemast.peer.Record;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
--- a/src/main/java/gorsemast/lelystad/Course.java
+++ b/src/main/java/gorsemast/lelystad/Course.java
@@ -285,7 +285,7 @@
         for (Machine machine : world.machines(false)) {
             boolean well = machine.power
                     && machine.frozenUntil <= world.time.now()
-                    && world.process(gorsemast.lauwersoog.Record.Program.PROXY, machine) instanceof Edge edge
+                    && world.process(gorsemast.peer.Record.Program.PROXY, machine) instanceof Edge edge
                     && edge.ready();
             int misses = well ? 0 : missed.getOrDefault(machine, 0) + 1;
             missed.put(machine, misses);
@@ -325,8 +325,7 @@
         askedLate += late ? 1 : 0;
         long sentAt = world.time.now();
         world.time.after(world.way(1_000), () -> {
-            Edge edge = machine.power
-                            && world.process(gorsemast.lauwersoog.Record.Program.PROXY, machine) instanceof Edge one
+            Edge edge = machine.power && world.process(gorsemast.peer.Record.Program.PROXY, machine) instanceof Edge one
                     ? one
                     : null;
             if (edge == null) {
--- a/src/main/java/gorsemast/lelystad/Process.java
+++ b/src/main/java/gorsemast/lelystad/Process.java
@@ -1,9 +1,9 @@
 package gorsemast.lelystad;
 
-import gorsemast.lauwersoog.Neighbour;
-import gorsemast.lauwersoog.Neighbours;
-import gorsemast.lauwersoog.Record;
-import gorsemast.lauwersoog.Record.Program;
+import gorsemast.peer.Neighbour;
+import gorsemast.peer.Neighbours;
+import gorsemast.peer.Record;
+import gorsemast.peer.Record.Program;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
--- a/src/main/java/gorsemast/lelystad/Troubles.java
+++ b/src/main/java/gorsemast/lelystad/Troubles.java
@@ -1,8 +1,8 @@
 package gorsemast.lelystad;
 
-import gorsemast.lauwersoog.Record.Program;
 import gorsemast.lelystad.Servers.Server;
 import gorsemast.lelystad.Trouble.Closing;
+import gorsemast.peer.Record.Program;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
--- a/src/main/java/gorsemast/lelystad/World.java
+++ b/src/main/java/gorsemast/lelystad/World.java
@@ -2,10 +2,10 @@
 
 import gorsemast.emulator.VirtualTime;
 import gorsemast.hupsel.Briefing;
-import gorsemast.lauwersoog.Record.Program;
 import gorsemast.lelystad.CoreProcesses.Registry;
 import gorsemast.lelystad.CoreProcesses.Store;
 import gorsemast.lelystad.Trouble.Closing;
+import gorsemast.peer.Record.Program;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/gorsemast/lauwersoog/Gossip.java
+++ b/src/main/java/gorsemast/peer/Gossip.java
@@ -1,10 +1,10 @@
-package gorsemast.lauwersoog;
+package gorsemast.peer;
 
-import gorsemast.lauwersoog.Record.Digest;
-import gorsemast.lauwersoog.Record.Held;
-import gorsemast.lauwersoog.Record.News;
-import gorsemast.lauwersoog.Record.Program;
-import gorsemast.lauwersoog.Record.Summary;
+import gorsemast.peer.Record.Digest;
+import gorsemast.peer.Record.Held;
+import gorsemast.peer.Record.News;
+import gorsemast.peer.Record.Program;
+import gorsemast.peer.Record.Summary;
 import gorsemast.terschelling.Board;
 import gorsemast.terschelling.Item;
 import java.util.ArrayList;
--- a/src/main/java/gorsemast/lauwersoog/Link.java
+++ b/src/main/java/gorsemast/peer/Link.java
@@ -1,4 +1,4 @@
-package gorsemast.lauwersoog;
+package gorsemast.peer;
 
 import gorsemast.logging.Log;
 import io.netty.buffer.ByteBuf;
@@ -27,7 +27,7 @@
     /** A peer that reads nothing makes this process keep so much at most. */
     private static final long MOST_WAITING = 96L << 20;
 
-    private static final Log LOG = new Log("lauwersoog");
+    private static final Log LOG = new Log("peer");
 
     /** Who is told of links. */
     public interface Receiver {
--- a/src/main/java/gorsemast/lauwersoog/Links.java
+++ b/src/main/java/gorsemast/peer/Links.java
@@ -1,4 +1,4 @@
-package gorsemast.lauwersoog;
+package gorsemast.peer;
 
 import gorsemast.transport.Transport;
 import io.netty.bootstrap.Bootstrap;
--- a/src/main/java/gorsemast/lauwersoog/Neighbour.java
+++ b/src/main/java/gorsemast/peer/Neighbour.java
@@ -1,4 +1,4 @@
-package gorsemast.lauwersoog;
+package gorsemast.peer;
 
 /** Another process of the system, for as long as it is reached; on its holder's thread. */
 public interface Neighbour {
--- a/src/main/java/gorsemast/lauwersoog/Neighbours.java
+++ b/src/main/java/gorsemast/peer/Neighbours.java
@@ -1,4 +1,4 @@
-package gorsemast.lauwersoog;
+package gorsemast.peer;
 
 import java.util.Collection;
 import java.util.List;
--- a/src/main/java/gorsemast/lauwersoog/Ports.java
+++ b/src/main/java/gorsemast/peer/Ports.java
@@ -1,4 +1,4 @@
-package gorsemast.lauwersoog;
+package gorsemast.peer;
 
 import gorsemast.node.Settings;
 import java.net.InetSocketAddress;
--- a/src/main/java/gorsemast/lauwersoog/Record.java
+++ b/src/main/java/gorsemast/peer/Record.java
@@ -1,4 +1,4 @@
-package gorsemast.lauwersoog;
+package gorsemast.peer;
 
 import gorsemast.terschelling.Board;
 import gorsemast.terschelling.Duty;
--- a/src/main/java/gorsemast/lauwersoog/package-info.java
+++ b/src/main/java/gorsemast/peer/package-info.java
@@ -2,4 +2,4 @@
  * Links between the system's own processes: framed {@code DataOutputStream} records over TCP, one version byte, lengths
  * bounded. I/O and codec only. (Lauwersoog: a weather station; links.)
  */
-package gorsemast.lauwersoog;
+package gorsemast.peer;
--- a/src/main/java/gorsemast/vlissingen/Teller.java
+++ b/src/main/java/gorsemast/vlissingen/Teller.java
@@ -1,10 +1,10 @@
 package gorsemast.vlissingen;
 
-import gorsemast.lauwersoog.Neighbour;
-import gorsemast.lauwersoog.Neighbours;
-import gorsemast.lauwersoog.Record;
-import gorsemast.lauwersoog.Record.Program;
 import gorsemast.logging.Log;
+import gorsemast.peer.Neighbour;
+import gorsemast.peer.Neighbours;
+import gorsemast.peer.Record;
+import gorsemast.peer.Record.Program;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
--- a/src/main/java/gorsemast/vlissingen/Vlissingen.java
+++ b/src/main/java/gorsemast/vlissingen/Vlissingen.java
@@ -1,14 +1,14 @@
 package gorsemast.vlissingen;
 
-import gorsemast.lauwersoog.Link;
-import gorsemast.lauwersoog.Links;
-import gorsemast.lauwersoog.Neighbour;
-import gorsemast.lauwersoog.Ports;
-import gorsemast.lauwersoog.Record;
 import gorsemast.logging.Log;
 import gorsemast.node.Daemon;
 import gorsemast.node.Seed;
 import gorsemast.node.Settings;
+import gorsemast.peer.Link;
+import gorsemast.peer.Links;
+import gorsemast.peer.Neighbour;
+import gorsemast.peer.Ports;
+import gorsemast.peer.Record;
 import gorsemast.storage.Disk;
 import gorsemast.storage.DiskException;
 import gorsemast.transport.Transport;
