--- a/src/main/java/gorsemast/cabauw/Cabauw.java
+++ b/src/main/java/gorsemast/cabauw/Cabauw.java
@@ -6,6 +6,8 @@
 import gorsemast.eelde.Shelf;
 import gorsemast.exchange.StrictHttp;
 import gorsemast.exchange.Upstream;
+import gorsemast.gossip.Entry;
+import gorsemast.gossip.ServerNews;
 import gorsemast.hupsel.Briefing;
 import gorsemast.hupsel.Network;
 import gorsemast.hupsel.Sender;
@@ -18,8 +20,6 @@
 import gorsemast.peer.Neighbour;
 import gorsemast.peer.Ports;
 import gorsemast.peer.Record;
-import gorsemast.terschelling.Item;
-import gorsemast.terschelling.ServerNews;
 import gorsemast.transport.Transport;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -322,7 +322,7 @@
     }
 
     @Override
-    public void purged(Item purge) {
+    public void purged(Entry purge) {
         fetching.purged(purge);
     }
 
--- a/src/main/java/gorsemast/cabauw/Lookout.java
+++ b/src/main/java/gorsemast/cabauw/Lookout.java
@@ -3,19 +3,19 @@
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.ConfigurationException;
 import gorsemast.eelde.Homes;
+import gorsemast.gossip.Entry;
+import gorsemast.gossip.Entry.Kind;
+import gorsemast.gossip.GossipState;
+import gorsemast.gossip.Hash;
+import gorsemast.gossip.MachineNews;
+import gorsemast.gossip.ServerNews;
+import gorsemast.gossip.SpeedNews;
 import gorsemast.logging.Log;
 import gorsemast.peer.Gossip;
 import gorsemast.peer.Neighbour;
 import gorsemast.peer.Neighbours;
 import gorsemast.peer.Record;
 import gorsemast.peer.Record.Program;
-import gorsemast.terschelling.Board;
-import gorsemast.terschelling.Hash;
-import gorsemast.terschelling.Item;
-import gorsemast.terschelling.Item.Kind;
-import gorsemast.terschelling.MachineNews;
-import gorsemast.terschelling.ServerNews;
-import gorsemast.terschelling.SpeedNews;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -49,7 +49,7 @@
         void servers(Map<String, List<ServerNews>> by, Map<String, Long> coldUntil);
 
         /** A purge. */
-        void purged(Item purge);
+        void purged(Entry purge);
 
         /** What all edges together have seen of servers' speeds. */
         void speeds(Map<String, double[]> pooled);
@@ -68,7 +68,7 @@
     private final Neighbours neighbours;
     private final Supplier<Map<String, double[]>> seen;
     private final Follower follower;
-    private final Board board = new Board();
+    private final GossipState board = new GossipState();
     private final Homes homes;
     private final Gossip gossip;
     private final Map<String, Long> coldUntil = new HashMap<>();
@@ -124,7 +124,7 @@
     }
 
     /** All news; only to be read. */
-    public Board board() {
+    public GossipState board() {
         return board;
     }
 
@@ -176,7 +176,7 @@
     /** Addresses of the machines whose registries it wants links to. */
     public Set<String> wantedRegistries() {
         Set<String> cores = new LinkedHashSet<>();
-        for (Item item : board.all(Kind.CORE)) {
+        for (Entry item : board.all(Kind.CORE)) {
             MachineNews machine = MachineNews.of(item);
             if (machine != null && machine.up()) {
                 cores.add(machine.ip());
@@ -212,7 +212,7 @@
 
     // ---- news
 
-    private void changed(Item item) {
+    private void changed(Entry item) {
         switch (item.kind()) {
             case CONFIGURATION -> configured(item);
             case SERVER -> {
@@ -240,7 +240,7 @@
         }
     }
 
-    private void configured(Item item) {
+    private void configured(Entry item) {
         try {
             Configuration next = Configuration.parse(item.body());
             if (configuration != null && next.version() <= configuration.version()) {
@@ -279,7 +279,7 @@
         services.addAll(
                 configuration.services().keySet()); // what is still on its way to a dropped one goes by this too
         services.forEach(service -> by.put(service, new ArrayList<>()));
-        for (Item item : board.all(Kind.SERVER)) {
+        for (Entry item : board.all(Kind.SERVER)) {
             ServerNews server = ServerNews.of(item);
             if (server != null && by.containsKey(server.service())) {
                 by.get(server.service()).add(server);
@@ -295,7 +295,7 @@
             return edges;
         }
         Map<String, String> up = new HashMap<>();
-        for (Item item : board.all(Kind.EDGE)) {
+        for (Entry item : board.all(Kind.EDGE)) {
             MachineNews machine = MachineNews.of(item);
             if (machine != null && machine.up()) {
                 up.put(machine.ip(), machine.zone());
--- a/src/main/java/gorsemast/cabauw/ObjectDesk.java
+++ b/src/main/java/gorsemast/cabauw/ObjectDesk.java
@@ -11,13 +11,13 @@
 import gorsemast.eelde.Fetching.Wanted;
 import gorsemast.exchange.Passage;
 import gorsemast.exchange.Upstream;
+import gorsemast.gossip.GossipState;
 import gorsemast.hupsel.Call;
 import gorsemast.hupsel.Client;
 import gorsemast.hupsel.Crowd;
 import gorsemast.hupsel.Hops;
 import gorsemast.hupsel.Network;
 import gorsemast.hupsel.Sender;
-import gorsemast.terschelling.Board;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -340,7 +340,7 @@
                 ByteBufUtil.getBytes(body),
                 tags,
                 asked,
-                Math.min(ttl, Board.LONGEST_COPY_MICROS));
+                Math.min(ttl, GossipState.LONGEST_COPY_MICROS));
     }
 
     // ---- to clients
--- a/src/main/java/gorsemast/cabauw/ObjectsServer.java
+++ b/src/main/java/gorsemast/cabauw/ObjectsServer.java
@@ -6,8 +6,8 @@
 import gorsemast.eelde.Fetching;
 import gorsemast.eelde.Fetching.Wanted;
 import gorsemast.exchange.StrictHttp;
+import gorsemast.gossip.GossipState;
 import gorsemast.hupsel.Hops;
-import gorsemast.terschelling.Board;
 import gorsemast.transport.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -42,7 +42,7 @@
     private final LongSupplier clock;
     private final Supplier<Configuration> configuration;
     private final ObjectDesk desk;
-    private final Board board;
+    private final GossipState board;
     private final Doorman doorman;
 
     ObjectsServer(
@@ -50,7 +50,7 @@
             LongSupplier clock,
             Supplier<Configuration> configuration,
             ObjectDesk desk,
-            Board board,
+            GossipState board,
             int places) {
         this.loop = loop;
         this.clock = clock;
--- a/src/main/java/gorsemast/debilt/Command.java
+++ b/src/main/java/gorsemast/debilt/Command.java
@@ -1,7 +1,7 @@
 package gorsemast.debilt;
 
 import gorsemast.configuration.Configuration;
-import gorsemast.terschelling.ServerNews;
+import gorsemast.gossip.ServerNews;
 
 /** A call from outside, decoded; it is run elsewhere. Values; any thread. */
 public sealed interface Command {
--- a/src/main/java/gorsemast/debilt/Office.java
+++ b/src/main/java/gorsemast/debilt/Office.java
@@ -1,19 +1,19 @@
 package gorsemast.debilt;
 
 import gorsemast.configuration.Configuration;
+import gorsemast.election.LeaseElection;
+import gorsemast.gossip.Entry;
+import gorsemast.gossip.Entry.Kind;
+import gorsemast.gossip.GossipState;
+import gorsemast.gossip.MachineNews;
+import gorsemast.gossip.PurgeNews;
+import gorsemast.gossip.SpeedNews;
 import gorsemast.logging.Log;
 import gorsemast.peer.Gossip;
 import gorsemast.peer.Neighbour;
 import gorsemast.peer.Neighbours;
 import gorsemast.peer.Record;
 import gorsemast.peer.Record.Program;
-import gorsemast.terschelling.Board;
-import gorsemast.terschelling.Duty;
-import gorsemast.terschelling.Item;
-import gorsemast.terschelling.Item.Kind;
-import gorsemast.terschelling.MachineNews;
-import gorsemast.terschelling.PurgeNews;
-import gorsemast.terschelling.SpeedNews;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -80,12 +80,12 @@
     private final LongSupplier clock;
     private final Neighbours neighbours;
     private final Carrier carrier;
-    private final Board board = new Board();
+    private final GossipState board = new GossipState();
     private final Registry registry;
     private final Gossip gossip;
     private final Pool pool = new Pool();
     /** Telling who is silent: one registry does it for all. */
-    private final Duty telling;
+    private final LeaseElection telling;
 
     private final Map<Long, Waiting> waiting = new HashMap<>();
     private final Set<String> seeds = new LinkedHashSet<>();
@@ -125,7 +125,7 @@
         this.begun = clock.getAsLong();
         this.registry = new Registry(board, self.beatMicros);
         this.gossip = new Gossip(Program.REGISTRY, board, neighbours, clock, this::synced, this::news);
-        this.telling = new Duty(self.ip, random.nextLong(), (to, word, term, at) -> {
+        this.telling = new LeaseElection(self.ip, random.nextLong(), (to, word, term, at) -> {
             Neighbour one = neighbours.at(Program.REGISTRY, to);
             if (one != null) {
                 one.send(new Record.Ballot(word, term, at));
@@ -144,7 +144,7 @@
     }
 
     /** All that it knows; only to be read. */
-    public Board board() {
+    public GossipState board() {
         return board;
     }
 
@@ -161,7 +161,7 @@
         return storeKnown && (metSynced || now() - begun > 2 * self.beatMicros);
     }
 
-    private void news(Item item) {
+    private void news(Entry item) {
         changed |= item.kind().mended();
         if (item.kind() == Kind.SPEED) {
             SpeedNews speeds = SpeedNews.of(item);
@@ -180,7 +180,7 @@
         }
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(record))) {
             if (Record.read(in, now()) instanceof Record.News news) {
-                for (Item item : news.items()) {
+                for (Entry item : news.items()) {
                     board.merge(now(), item);
                     news(item);
                 }
@@ -200,7 +200,7 @@
         writing = true;
         writeAt = now + WRITE_MICROS;
         poolWriteAt = now + POOL_WRITE_MICROS;
-        List<Item> items = new ArrayList<>();
+        List<Entry> items = new ArrayList<>();
         for (Kind kind : Kind.values()) {
             items.addAll(board.all(kind));
         }
@@ -253,7 +253,7 @@
     /** Addresses of the machines whose registries it wants links to. */
     public Set<String> wanted() {
         Set<String> wanted = new LinkedHashSet<>(seeds);
-        for (Item item : board.all(Kind.CORE)) {
+        for (Entry item : board.all(Kind.CORE)) {
             MachineNews machine = MachineNews.of(item);
             if (machine != null && machine.up()) {
                 wanted.add(machine.ip());
@@ -274,7 +274,7 @@
         publish(registry.linked(now, Kind.CORE, self.ip, self.zone, self.control, self.life));
     }
 
-    private void publish(Item item) {
+    private void publish(Entry item) {
         if (item != null) {
             gossip.publish(item);
         }
@@ -305,7 +305,7 @@
 
     private void ask(Reply reply) {
         long call = ++lastCall;
-        Item held = reply == null ? board.get(Kind.CONFIGURATION, "") : null;
+        Entry held = reply == null ? board.get(Kind.CONFIGURATION, "") : null;
         waiting.put(call, new Waiting(null, reply, now() + (reply == null ? ASK_MICROS : CALL_MICROS)));
         if (!toStore(new Record.Get(call, held == null ? -1 : held.stamp())) && reply != null) {
             waiting.remove(call);
@@ -324,7 +324,7 @@
     private void answered(Record.Answer answer) {
         if (answer.call() == 0 && answer.body() != null && answer.version() > 0) {
             // What the store holds, acknowledged or not: it was valid, so it may be in force.
-            publish(new Item(Kind.CONFIGURATION, "", answer.version(), answer.body(), now()));
+            publish(new Entry(Kind.CONFIGURATION, "", answer.version(), answer.body(), now()));
             return;
         }
         Waiting call = waiting.remove(answer.call());
@@ -337,11 +337,11 @@
         }
         storeKnown = true;
         if (answer.body() != null && answer.version() > 0) {
-            publish(new Item(Kind.CONFIGURATION, "", answer.version(), answer.body(), now()));
+            publish(new Entry(Kind.CONFIGURATION, "", answer.version(), answer.body(), now()));
         }
         if (call != null && call.put != null) {
             if (answer.version() == call.put.version()) {
-                publish(new Item(Kind.CONFIGURATION, "", call.put.version(), call.put.body(), now()));
+                publish(new Entry(Kind.CONFIGURATION, "", call.put.version(), call.put.body(), now()));
             }
             call.reply.answer(200, null, null);
         } else if (read) {
@@ -385,7 +385,7 @@
             reply.answer(200, null, null);
             return;
         }
-        Item item = outcome.item();
+        Entry item = outcome.item();
         if (outcome.waits() && reached().size() < holders()) {
             gossip.publish(item); // it may be true, and those that hear of it may go by it; but nothing is promised
             reply.answer(503, "reaches no other registry", null);
--- a/src/main/java/gorsemast/debilt/Registry.java
+++ b/src/main/java/gorsemast/debilt/Registry.java
@@ -1,11 +1,11 @@
 package gorsemast.debilt;
 
-import gorsemast.terschelling.Board;
-import gorsemast.terschelling.Item;
-import gorsemast.terschelling.Item.Kind;
-import gorsemast.terschelling.MachineNews;
-import gorsemast.terschelling.ServerNews;
-import gorsemast.terschelling.ServerNews.State;
+import gorsemast.gossip.Entry;
+import gorsemast.gossip.Entry.Kind;
+import gorsemast.gossip.GossipState;
+import gorsemast.gossip.MachineNews;
+import gorsemast.gossip.ServerNews;
+import gorsemast.gossip.ServerNews.State;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -29,7 +29,7 @@
     /** A draining server that is not heard of any more has gone. */
     private static final long DRAINED_MICROS = 30_000_000;
 
-    private final Board board;
+    private final GossipState board;
     private final long beatMicros;
     private final Map<String, Long> heard = new HashMap<>();
     private final Map<String, Long> told = new HashMap<>();
@@ -37,25 +37,25 @@
     private final Set<String> safe = new HashSet<>();
 
     /** Over a board that it only reads. */
-    public Registry(Board board, long beatMicros) {
+    public Registry(GossipState board, long beatMicros) {
         this.board = board;
         this.beatMicros = beatMicros;
     }
 
     /** What is to be published for a beat, and whether others must hold it first. */
-    public record Outcome(Item item, boolean waits) {}
+    public record Outcome(Entry item, boolean waits) {}
 
     /** A server's own beat. Null where it is no news. */
     public Outcome beat(long now, ServerNews server) {
         heard.put(server.id(), now);
         told.merge(server.id(), server.seq(), Math::max);
         sinceTold.put(server.id(), told.get(server.id()));
-        Item held = board.get(Kind.SERVER, server.id());
+        Entry held = board.get(Kind.SERVER, server.id());
         ServerNews known = held == null ? null : ServerNews.of(held);
         if (known != null && known.state() == State.GONE) {
             return null; // it has left; this came late
         }
-        Item item = server.item(now);
+        Entry item = server.item(now);
         if (known != null
                 && (held.stamp() >= item.stamp()
                         || known.state() == server.state()
@@ -69,7 +69,7 @@
 
     /** A server has left. Null where all know. */
     public Outcome deregister(long now, String id) {
-        Item held = board.get(Kind.SERVER, id);
+        Entry held = board.get(Kind.SERVER, id);
         ServerNews known = held == null ? null : ServerNews.of(held);
         ServerNews gone =
                 known == null ? new ServerNews(id, "", "", "", 1, State.GONE, 0, 0) : known.in(State.GONE, known.seq());
@@ -79,7 +79,7 @@
         return new Outcome(gone.item(now), true);
     }
 
-    private boolean safe(Item item) {
+    private boolean safe(Entry item) {
         return safe.contains(item.key() + item.stamp());
     }
 
@@ -105,11 +105,11 @@
     }
 
     /** A machine that has a link to this registry now. Returns what is to be published, null for nothing. */
-    public Item linked(long now, Kind kind, String ip, String zone, String control, long life) {
+    public Entry linked(long now, Kind kind, String ip, String zone, String control, long life) {
         String key = kind + ip;
         heard.put(key, now);
         sinceTold.put(key, 0L);
-        Item held = board.get(kind, ip);
+        Entry held = board.get(kind, ip);
         MachineNews known = held == null ? null : MachineNews.of(held);
         if (known != null && known.up() && known.life() >= life) {
             return null;
@@ -119,9 +119,9 @@
     }
 
     /** What has been silent for too long; only for who can tell that, as it reaches most of the others. */
-    public List<Item> silent(long now) {
-        List<Item> found = new ArrayList<>();
-        for (Item item : board.all(Kind.SERVER)) {
+    public List<Entry> silent(long now) {
+        List<Entry> found = new ArrayList<>();
+        for (Entry item : board.all(Kind.SERVER)) {
             ServerNews server = ServerNews.of(item);
             long quiet = now - heard.computeIfAbsent(item.key(), key -> now);
             if (server == null) {
@@ -135,7 +135,7 @@
             }
         }
         for (Kind kind : List.of(Kind.EDGE, Kind.CORE)) {
-            for (Item item : board.all(kind)) {
+            for (Entry item : board.all(kind)) {
                 MachineNews machine = MachineNews.of(item);
                 if (machine != null
                         && machine.up()
--- a/src/main/java/gorsemast/eelde/Fetching.java
+++ b/src/main/java/gorsemast/eelde/Fetching.java
@@ -1,9 +1,9 @@
 package gorsemast.eelde;
 
 import gorsemast.configuration.Route;
-import gorsemast.terschelling.Board;
-import gorsemast.terschelling.Item;
-import gorsemast.terschelling.PurgeNews;
+import gorsemast.gossip.Entry;
+import gorsemast.gossip.GossipState;
+import gorsemast.gossip.PurgeNews;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -180,7 +180,7 @@
     private final LongSupplier clock;
     private final Shelf shelf;
     private final Homes homes;
-    private final Board board;
+    private final GossipState board;
     private final Ways<A> ways;
     private final String self;
     private final long window;
@@ -214,7 +214,7 @@
             LongSupplier clock,
             Shelf shelf,
             Homes homes,
-            Board board,
+            GossipState board,
             long window,
             long seed,
             Ways<A> ways) {
@@ -235,7 +235,7 @@
     }
 
     /** A purge has become known. */
-    public void purged(Item item) {
+    public void purged(Entry item) {
         PurgeNews purge = PurgeNews.of(item);
         if (purge != null) {
             shelf.purge(purge);
--- a/src/main/java/gorsemast/eelde/Homes.java
+++ b/src/main/java/gorsemast/eelde/Homes.java
@@ -1,6 +1,6 @@
 package gorsemast.eelde;
 
-import gorsemast.terschelling.Hash;
+import gorsemast.gossip.Hash;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
--- a/src/main/java/gorsemast/eelde/Shelf.java
+++ b/src/main/java/gorsemast/eelde/Shelf.java
@@ -1,6 +1,6 @@
 package gorsemast.eelde;
 
-import gorsemast.terschelling.PurgeNews;
+import gorsemast.gossip.PurgeNews;
 import java.util.ArrayDeque;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
--- a/src/main/java/gorsemast/terschelling/Duty.java
+++ b/src/main/java/gorsemast/election/LeaseElection.java
@@ -1,4 +1,4 @@
-package gorsemast.terschelling;
+package gorsemast.election;
 
 import java.util.Collection;
 import java.util.HashMap;
@@ -20,7 +20,7 @@
  *
  * <p>Nothing is kept on disk. Times in microseconds of a clock that never goes back; one thread. O(n) a tick.
  */
-public final class Duty {
+public final class LeaseElection {
     static final long TELL_MICROS = 300_000;
     static final long LEASE_MICROS = 1_000_000;
     static final long VACANT_MICROS = 1_500_000;
@@ -67,7 +67,7 @@
     private long asked;
 
     /** Of the process with this name. */
-    public Duty(String self, long seed, Out out) {
+    public LeaseElection(String self, long seed, Out out) {
         this.self = self;
         this.random = new SplittableRandom(seed);
         this.out = out;
--- a/src/main/java/gorsemast/terschelling/Item.java
+++ b/src/main/java/gorsemast/gossip/Entry.java
@@ -1,4 +1,4 @@
-package gorsemast.terschelling;
+package gorsemast.gossip;
 
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -11,7 +11,7 @@
  * @param body a record of its kind; not to be written to
  * @param born when it was first told, by the clock of the process that holds it, in microseconds
  */
-public record Item(Kind kind, String key, long stamp, byte[] body, long born) {
+public record Entry(Kind kind, String key, long stamp, byte[] body, long born) {
     /** What it is about. */
     public enum Kind {
         /** The operator's configuration; one key, stamped with its version. */
@@ -66,7 +66,7 @@
     }
 
     /** Reads what {@link #write} wrote. */
-    public static Item read(DataInputStream in, long now) throws IOException {
+    public static Entry read(DataInputStream in, long now) throws IOException {
         Kind kind = Kind.of(in.readUnsignedByte());
         String key = in.readUTF();
         long stamp = in.readLong();
@@ -77,6 +77,6 @@
         }
         byte[] body = new byte[length];
         in.readFully(body);
-        return new Item(kind, key, stamp, body, now - age);
+        return new Entry(kind, key, stamp, body, now - age);
     }
 }
--- a/src/main/java/gorsemast/terschelling/Board.java
+++ b/src/main/java/gorsemast/gossip/GossipState.java
@@ -1,6 +1,6 @@
-package gorsemast.terschelling;
+package gorsemast.gossip;
 
-import gorsemast.terschelling.Item.Kind;
+import gorsemast.gossip.Entry.Kind;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumMap;
@@ -20,7 +20,7 @@
  * lives longer than {@link #LONGEST_COPY_MICROS}, which is well before that. {@link #MOST_PURGES} purges are kept at
  * most. O(1) a merge; digests are kept up as items come. One thread.
  */
-public final class Board {
+public final class GossipState {
     /** Parts of the keys that digests are kept for. */
     public static final int BUCKETS = 16;
     /** After so long, what passes is forgotten and not taken in again. */
@@ -35,24 +35,24 @@
     /** A key and its stamp, which is what digests and summaries are of. */
     public record Stamp(Kind kind, String key, long stamp) {}
 
-    private final Map<Kind, Map<String, Item>> items = new EnumMap<>(Kind.class);
+    private final Map<Kind, Map<String, Entry>> items = new EnumMap<>(Kind.class);
     private final long[] digests = new long[BUCKETS];
     private long purges;
 
     /** An empty one. */
-    public Board() {
+    public GossipState() {
         for (Kind kind : Kind.values()) {
             items.put(kind, new LinkedHashMap<>());
         }
     }
 
     /** Takes an item in. Returns whether it was news. */
-    public boolean merge(long now, Item item) {
+    public boolean merge(long now, Entry item) {
         if (item.passes() && now - item.born() > HORIZON_MICROS - FADING_MICROS) {
             return false;
         }
-        Map<String, Item> of = items.get(item.kind());
-        Item held = of.get(item.key());
+        Map<String, Entry> of = items.get(item.kind());
+        Entry held = of.get(item.key());
         if (held != null && held.stamp() >= item.stamp()) {
             return false;
         }
@@ -62,7 +62,7 @@
         of.put(item.key(), item);
         toggle(item);
         if (item.kind() == Kind.PURGE && of.size() > MOST_PURGES) {
-            Item oldest = of.values().iterator().next();
+            Entry oldest = of.values().iterator().next();
             toggle(oldest);
             of.remove(oldest.key());
         }
@@ -82,7 +82,7 @@
         }
     }
 
-    private void toggle(Item item) {
+    private void toggle(Entry item) {
         if (!item.kind().mended()) {
             return;
         }
@@ -94,12 +94,12 @@
     }
 
     /** What is held of a key; null for nothing. */
-    public Item get(Kind kind, String key) {
+    public Entry get(Kind kind, String key) {
         return items.get(kind).get(key);
     }
 
     /** All of a kind, oldest first; not to be changed. */
-    public Collection<Item> all(Kind kind) {
+    public Collection<Entry> all(Kind kind) {
         return items.get(kind).values();
     }
 
@@ -139,10 +139,10 @@
     }
 
     /** What is held here and newer than, or lacking in, the other's stamps of these parts. */
-    public List<Item> newerThan(int parts, List<Stamp> others) {
+    public List<Entry> newerThan(int parts, List<Stamp> others) {
         Map<String, Long> known = new LinkedHashMap<>();
         others.forEach(stamp -> known.put(stamp.kind().ordinal() + stamp.key(), stamp.stamp()));
-        List<Item> found = new ArrayList<>();
+        List<Entry> found = new ArrayList<>();
         items.values().forEach(of -> of.values().forEach(item -> {
             Long theirs = known.get(item.kind().ordinal() + item.key());
             if (item.kind().mended()
@@ -158,7 +158,7 @@
     public List<Stamp> wanted(List<Stamp> others) {
         List<Stamp> found = new ArrayList<>();
         for (Stamp stamp : others) {
-            Item held = get(stamp.kind(), stamp.key());
+            Entry held = get(stamp.kind(), stamp.key());
             if (held == null || held.stamp() < stamp.stamp()) {
                 found.add(stamp);
             }
--- a/src/main/java/gorsemast/terschelling/Hash.java
+++ b/src/main/java/gorsemast/gossip/Hash.java
@@ -1,4 +1,4 @@
-package gorsemast.terschelling;
+package gorsemast.gossip;
 
 import java.util.ArrayList;
 import java.util.Collection;
--- a/src/main/java/gorsemast/terschelling/MachineNews.java
+++ b/src/main/java/gorsemast/gossip/MachineNews.java
@@ -1,4 +1,4 @@
-package gorsemast.terschelling;
+package gorsemast.gossip;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -14,7 +14,7 @@
  */
 public record MachineNews(String ip, String zone, String control, boolean up, long life) {
     /** As a piece of news of this kind; what is told as down ranks above the life that it is told of. */
-    public Item item(Item.Kind kind, long now) {
+    public Entry item(Entry.Kind kind, long now) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (DataOutputStream out = new DataOutputStream(bytes)) {
             out.writeUTF(zone);
@@ -24,11 +24,11 @@
         } catch (IOException e) {
             throw new IllegalStateException(e); // memory does not fail
         }
-        return new Item(kind, ip, 2 * life + (up ? 0 : 1), bytes.toByteArray(), now);
+        return new Entry(kind, ip, 2 * life + (up ? 0 : 1), bytes.toByteArray(), now);
     }
 
     /** What {@link #item} made; null where it can't be read. */
-    public static MachineNews of(Item item) {
+    public static MachineNews of(Entry item) {
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(item.body()))) {
             return new MachineNews(item.key(), in.readUTF(), in.readUTF(), in.readBoolean(), in.readLong());
         } catch (IOException e) {
--- a/src/main/java/gorsemast/terschelling/PurgeNews.java
+++ b/src/main/java/gorsemast/gossip/PurgeNews.java
@@ -1,4 +1,4 @@
-package gorsemast.terschelling;
+package gorsemast.gossip;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -15,7 +15,7 @@
  */
 public record PurgeNews(String id, String host, String path, String tag) {
     /** As a piece of news. */
-    public Item item(long now) {
+    public Entry item(long now) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (DataOutputStream out = new DataOutputStream(bytes)) {
             out.writeUTF(host);
@@ -24,11 +24,11 @@
         } catch (IOException e) {
             throw new IllegalStateException(e); // memory does not fail
         }
-        return new Item(Item.Kind.PURGE, id, 1, bytes.toByteArray(), now);
+        return new Entry(Entry.Kind.PURGE, id, 1, bytes.toByteArray(), now);
     }
 
     /** What {@link #item} made; null where it can't be read. */
-    public static PurgeNews of(Item item) {
+    public static PurgeNews of(Entry item) {
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(item.body()))) {
             return new PurgeNews(item.key(), in.readUTF(), in.readUTF(), in.readUTF());
         } catch (IOException e) {
--- a/src/main/java/gorsemast/terschelling/ServerNews.java
+++ b/src/main/java/gorsemast/gossip/ServerNews.java
@@ -1,4 +1,4 @@
-package gorsemast.terschelling;
+package gorsemast.gossip;
 
 import gorsemast.transport.Address;
 import java.io.ByteArrayInputStream;
@@ -58,7 +58,7 @@
     }
 
     /** As a piece of news. */
-    public Item item(long now) {
+    public Entry item(long now) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (DataOutputStream out = new DataOutputStream(bytes)) {
             out.writeUTF(service);
@@ -71,11 +71,11 @@
         } catch (IOException e) {
             throw new IllegalStateException(e); // memory does not fail
         }
-        return new Item(Item.Kind.SERVER, id, stamp(), bytes.toByteArray(), now);
+        return new Entry(Entry.Kind.SERVER, id, stamp(), bytes.toByteArray(), now);
     }
 
     /** What {@link #item} made; null where it can't be read. */
-    public static ServerNews of(Item item) {
+    public static ServerNews of(Entry item) {
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(item.body()))) {
             return new ServerNews(
                     item.key(),
--- a/src/main/java/gorsemast/terschelling/SpeedNews.java
+++ b/src/main/java/gorsemast/gossip/SpeedNews.java
@@ -1,4 +1,4 @@
-package gorsemast.terschelling;
+package gorsemast.gossip;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -16,18 +16,18 @@
     private static final int MOST = 4_096;
 
     /** As a piece of news; the later one of an edge holds. */
-    public Item item(long now, long stamp) {
+    public Entry item(long now, long stamp) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (DataOutputStream out = new DataOutputStream(bytes)) {
             write(out, servers);
         } catch (IOException e) {
             throw new IllegalStateException(e); // memory does not fail
         }
-        return new Item(Item.Kind.SPEED, edge, stamp, bytes.toByteArray(), now);
+        return new Entry(Entry.Kind.SPEED, edge, stamp, bytes.toByteArray(), now);
     }
 
     /** What {@link #item} made; null where it can't be read. */
-    public static SpeedNews of(Item item) {
+    public static SpeedNews of(Entry item) {
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(item.body()))) {
             return new SpeedNews(item.key(), read(in));
         } catch (IOException e) {
--- a/src/main/java/gorsemast/terschelling/package-info.java
+++ b/src/main/java/gorsemast/gossip/package-info.java
@@ -2,4 +2,4 @@
  * News: what all processes of the delivery network come to know, merged the same way everywhere, passed on to a few and
  * mended by digests. No I/O, no clock, no threads. (Terschelling: a weather station; news.)
  */
-package gorsemast.terschelling;
+package gorsemast.gossip;
--- a/src/main/java/gorsemast/hupsel/Briefing.java
+++ b/src/main/java/gorsemast/hupsel/Briefing.java
@@ -2,7 +2,7 @@
 
 import anisebend.Balancer;
 import gorsemast.configuration.Route;
-import gorsemast.terschelling.ServerNews;
+import gorsemast.gossip.ServerNews;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
--- a/src/main/java/gorsemast/hupsel/Crowd.java
+++ b/src/main/java/gorsemast/hupsel/Crowd.java
@@ -1,6 +1,6 @@
 package gorsemast.hupsel;
 
-import gorsemast.terschelling.Hash;
+import gorsemast.gossip.Hash;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
--- a/src/main/java/gorsemast/hupsel/Server.java
+++ b/src/main/java/gorsemast/hupsel/Server.java
@@ -1,7 +1,7 @@
 package gorsemast.hupsel;
 
 import gorsemast.exchange.Upstream;
-import gorsemast.terschelling.ServerNews;
+import gorsemast.gossip.ServerNews;
 import java.net.InetSocketAddress;
 
 /** One life of a server, as it may be sent to. */
--- a/src/main/java/gorsemast/lelystad/Edge.java
+++ b/src/main/java/gorsemast/lelystad/Edge.java
@@ -9,13 +9,13 @@
 import gorsemast.eelde.Fetching.FromServers;
 import gorsemast.eelde.Fetching.Wanted;
 import gorsemast.eelde.Shelf;
+import gorsemast.gossip.Entry;
+import gorsemast.gossip.ServerNews;
 import gorsemast.hupsel.Briefing;
 import gorsemast.hupsel.Crowd;
 import gorsemast.peer.Neighbour;
 import gorsemast.peer.Record;
 import gorsemast.peer.Record.Program;
-import gorsemast.terschelling.Item;
-import gorsemast.terschelling.ServerNews;
 import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -330,7 +330,7 @@
     }
 
     @Override
-    public void purged(Item purge) {
+    public void purged(Entry purge) {
         fetching.purged(purge);
     }
 
--- a/src/main/java/gorsemast/peer/Gossip.java
+++ b/src/main/java/gorsemast/peer/Gossip.java
@@ -1,12 +1,12 @@
 package gorsemast.peer;
 
+import gorsemast.gossip.Entry;
+import gorsemast.gossip.GossipState;
 import gorsemast.peer.Record.Digest;
 import gorsemast.peer.Record.Held;
 import gorsemast.peer.Record.News;
 import gorsemast.peer.Record.Program;
 import gorsemast.peer.Record.Summary;
-import gorsemast.terschelling.Board;
-import gorsemast.terschelling.Item;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -28,12 +28,12 @@
  * tick, and is answered: a registry's own turn comes seldom where it has many links. One thread.
  */
 public final class Gossip {
-    private final Board board;
+    private final GossipState board;
     private final Neighbours links;
     private final Program program;
     private final LongSupplier clock;
     private final BooleanSupplier synced;
-    private final Consumer<Item> changed;
+    private final Consumer<Entry> changed;
     private final Map<Long, Order> orders = new HashMap<>();
     private boolean caughtUp;
     private long lastOrder;
@@ -59,11 +59,11 @@
      */
     public Gossip(
             Program program,
-            Board board,
+            GossipState board,
             Neighbours links,
             LongSupplier clock,
             BooleanSupplier synced,
-            Consumer<Item> changed) {
+            Consumer<Entry> changed) {
         this.program = program;
         this.board = board;
         this.links = links;
@@ -78,12 +78,12 @@
     }
 
     /** Something of this process's own, to be known by all. Returns whether it was news. */
-    public boolean publish(Item item) {
+    public boolean publish(Entry item) {
         return publish(item, 0, () -> {});
     }
 
     /** The same; {@code done} runs once so many registries on other machines hold it, or never. */
-    public boolean publish(Item item, int holders, Runnable done) {
+    public boolean publish(Entry item, int holders, Runnable done) {
         boolean fresh = board.merge(clock.getAsLong(), item);
         long order = 0;
         if (holders > 0) {
@@ -127,7 +127,7 @@
                 link.send(new Summary(parts, true, board.stamps(parts)));
             }
         } else if (record instanceof Summary summary) {
-            List<Item> newer = board.newerThan(summary.parts(), summary.stamps());
+            List<Entry> newer = board.newerThan(summary.parts(), summary.stamps());
             if (!newer.isEmpty()) {
                 link.send(new News(0, newer));
             }
@@ -150,8 +150,8 @@
 
     private void take(Neighbour from, News news) {
         long now = clock.getAsLong();
-        List<Item> fresh = new ArrayList<>();
-        for (Item item : news.items()) {
+        List<Entry> fresh = new ArrayList<>();
+        for (Entry item : news.items()) {
             if (board.merge(now, item)) {
                 fresh.add(item);
             }
--- a/src/main/java/gorsemast/peer/Record.java
+++ b/src/main/java/gorsemast/peer/Record.java
@@ -1,9 +1,9 @@
 package gorsemast.peer;
 
-import gorsemast.terschelling.Board;
-import gorsemast.terschelling.Duty;
-import gorsemast.terschelling.Item;
-import gorsemast.terschelling.SpeedNews;
+import gorsemast.election.LeaseElection;
+import gorsemast.gossip.Entry;
+import gorsemast.gossip.GossipState;
+import gorsemast.gossip.SpeedNews;
 import gorsemast.vlissingen.Message;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -31,10 +31,10 @@
     record Digest(boolean synced, long[] buckets) implements Record {}
 
     /** The stamps of some parts; whoever gets it tells what it has newer and, where {@code asks}, what it lacks. */
-    record Summary(int parts, boolean asks, List<Board.Stamp> stamps) implements Record {}
+    record Summary(int parts, boolean asks, List<GossipState.Stamp> stamps) implements Record {}
 
     /** News; told back by {@link Held} where {@code order} is not 0. */
-    record News(long order, List<Item> items) implements Record {}
+    record News(long order, List<Entry> items) implements Record {}
 
     /** The news of this order is held by the sender too. */
     record Held(long order) implements Record {}
@@ -58,7 +58,7 @@
     record Between(Message message) implements Record {}
 
     /** Registry to registry: a ballot on who does what one does for all. */
-    record Ballot(Duty.Word word, long term, long at) implements Record {}
+    record Ballot(LeaseElection.Word word, long term, long at) implements Record {}
 
     /** Registry to proxy: what all edges together have seen of servers' speeds, as {@link SpeedNews} has it. */
     record Pooled(Map<String, double[]> servers) implements Record {}
@@ -91,7 +91,7 @@
             out.writeInt(summary.parts);
             out.writeBoolean(summary.asks);
             out.writeInt(summary.stamps.size());
-            for (Board.Stamp stamp : summary.stamps) {
+            for (GossipState.Stamp stamp : summary.stamps) {
                 out.writeByte(stamp.kind().ordinal());
                 out.writeUTF(stamp.key());
                 out.writeLong(stamp.stamp());
@@ -100,7 +100,7 @@
             out.writeByte(5);
             out.writeLong(news.order);
             out.writeInt(news.items.size());
-            for (Item item : news.items) {
+            for (Entry item : news.items) {
                 item.write(out, now);
             }
         } else if (this instanceof Held held) {
@@ -159,7 +159,7 @@
             case 2 -> new Ping();
             case 3 -> {
                 boolean synced = in.readBoolean();
-                long[] buckets = new long[Board.BUCKETS];
+                long[] buckets = new long[GossipState.BUCKETS];
                 for (int i = 0; i < buckets.length; i++) {
                     buckets[i] = in.readLong();
                 }
@@ -169,18 +169,19 @@
                 int parts = in.readInt();
                 boolean asks = in.readBoolean();
                 int count = count(in);
-                List<Board.Stamp> stamps = new ArrayList<>();
+                List<GossipState.Stamp> stamps = new ArrayList<>();
                 for (int i = 0; i < count; i++) {
-                    stamps.add(new Board.Stamp(Item.Kind.of(in.readUnsignedByte()), in.readUTF(), in.readLong()));
+                    stamps.add(
+                            new GossipState.Stamp(Entry.Kind.of(in.readUnsignedByte()), in.readUTF(), in.readLong()));
                 }
                 yield new Summary(parts, asks, stamps);
             }
             case 5 -> {
                 long order = in.readLong();
                 int count = count(in);
-                List<Item> items = new ArrayList<>();
+                List<Entry> items = new ArrayList<>();
                 for (int i = 0; i < count; i++) {
-                    items.add(Item.read(in, now));
+                    items.add(Entry.read(in, now));
                 }
                 yield new News(order, items);
             }
@@ -198,7 +199,7 @@
             case 10 -> new Answer(in.readLong(), in.readBoolean(), in.readLong(), bytes(in));
             case 11 -> new Between(Message.read(in));
             case 12 -> {
-                Duty.Word word = Duty.Word.of(in.readUnsignedByte());
+                LeaseElection.Word word = LeaseElection.Word.of(in.readUnsignedByte());
                 if (word == null) {
                     throw new IOException("no such word");
                 }
--- a/src/test/java/gorsemast/eelde/ContentTest.java
+++ b/src/test/java/gorsemast/eelde/ContentTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import gorsemast.terschelling.PurgeNews;
+import gorsemast.gossip.PurgeNews;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
--- a/src/test/java/gorsemast/eelde/FetchingTest.java
+++ b/src/test/java/gorsemast/eelde/FetchingTest.java
@@ -6,8 +6,8 @@
 import gorsemast.eelde.Fetching.FromHome;
 import gorsemast.eelde.Fetching.FromServers;
 import gorsemast.eelde.Fetching.Wanted;
-import gorsemast.terschelling.Board;
-import gorsemast.terschelling.PurgeNews;
+import gorsemast.gossip.GossipState;
+import gorsemast.gossip.PurgeNews;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -26,7 +26,7 @@
 
     private record Asked(String edge, int hop, long step, FromHome<String> ending) {}
 
-    private final Board board = new Board();
+    private final GossipState board = new GossipState();
     private final Shelf shelf = new Shelf(1 << 20);
     private final Homes homes = new Homes("e0", "z");
     private final Deque<Asked> asked = new ArrayDeque<>();
--- a/src/test/java/gorsemast/terschelling/DutyTest.java
+++ b/src/test/java/gorsemast/election/LeaseElectionTest.java
@@ -1,8 +1,8 @@
-package gorsemast.terschelling;
+package gorsemast.election;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import gorsemast.terschelling.Duty.Word;
+import gorsemast.election.LeaseElection.Word;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -15,10 +15,10 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Never two at once, and seconds at most without, over drawn cuts, freezes and restarts in virtual time. */
-class DutyTest {
+class LeaseElectionTest {
     private record Said(long at, String from, String to, Word word, long term, long stamp) {}
 
-    private final Map<String, Duty> duties = new HashMap<>();
+    private final Map<String, LeaseElection> duties = new HashMap<>();
     private final Set<String> cuts = new HashSet<>();
     private final Map<String, Long> frozenUntil = new HashMap<>();
     private final PriorityQueue<Said> way = new PriorityQueue<>((a, b) -> Long.compare(a.at, b.at));
@@ -26,8 +26,8 @@
     private SplittableRandom random;
     private long now = 5_000_000;
 
-    private Duty duty(String name) {
-        return new Duty(
+    private LeaseElection duty(String name) {
+        return new LeaseElection(
                 name,
                 random.nextLong(),
                 (to, word, term, at) ->
--- a/src/test/java/gorsemast/terschelling/BoardTest.java
+++ b/src/test/java/gorsemast/gossip/GossipStateTest.java
@@ -1,9 +1,9 @@
-package gorsemast.terschelling;
+package gorsemast.gossip;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import gorsemast.terschelling.Item.Kind;
-import gorsemast.terschelling.ServerNews.State;
+import gorsemast.gossip.Entry.Kind;
+import gorsemast.gossip.ServerNews.State;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -11,13 +11,13 @@
 import org.junit.jupiter.api.Test;
 
 /** Merging in any order, mending by digests, and what is forgotten. */
-class BoardTest {
+class GossipStateTest {
     private static ServerNews server(String id, State state, long seq) {
         return new ServerNews(id, "s", "10.0.0.1:80", "z", 4, state, seq, 0);
     }
 
-    private static List<Item> drawn(Random random) {
-        List<Item> items = new ArrayList<>();
+    private static List<Entry> drawn(Random random) {
+        List<Entry> items = new ArrayList<>();
         for (int i = 0; i < 200; i++) {
             items.add(
                     switch (random.nextInt(3)) {
@@ -42,11 +42,11 @@
     void allOrdersComeToTheSameAndDigestsSaySo() {
         Random random = new Random(3);
         for (int round = 0; round < 50; round++) {
-            List<Item> items = drawn(random);
-            Board one = new Board();
+            List<Entry> items = drawn(random);
+            GossipState one = new GossipState();
             items.forEach(item -> one.merge(1_000, item));
             Collections.shuffle(items, random);
-            Board other = new Board();
+            GossipState other = new GossipState();
             items.forEach(item -> other.merge(1_000, item));
             items.forEach(
                     item -> assertThat(other.merge(1_000, item)).as("again").isFalse());
@@ -58,8 +58,8 @@
     @Test
     void partsThatDifferAreMendedBothWays() {
         Random random = new Random(4);
-        Board one = new Board();
-        Board other = new Board();
+        GossipState one = new GossipState();
+        GossipState other = new GossipState();
         drawn(random).forEach(item -> (random.nextBoolean() ? one : other).merge(1_000, item));
         int parts = one.differing(other.digest());
         assertThat(parts).isNotZero();
@@ -70,25 +70,26 @@
 
     @Test
     void aServerThatStillServesIsNotForgottenAndOneThatLeftIs() {
-        Board board = new Board();
+        GossipState board = new GossipState();
         board.merge(0, server("stays", State.READY, 1).item(0));
         board.merge(0, server("leaves", State.DRAINING, 1).item(0));
         board.merge(0, server("gone", State.GONE, 1).item(0));
         board.merge(0, server("silent", State.SILENT, 1).item(0));
         board.merge(0, new PurgeNews("p", "h", "/", "").item(0));
-        long empty = new Board().purgeDigest();
-        board.forget(10 * Board.HORIZON_MICROS);
-        assertThat(board.all(Kind.SERVER)).extracting(Item::key).containsExactly("stays", "leaves");
+        long empty = new GossipState().purgeDigest();
+        board.forget(10 * GossipState.HORIZON_MICROS);
+        assertThat(board.all(Kind.SERVER)).extracting(Entry::key).containsExactly("stays", "leaves");
         assertThat(board.purgeDigest()).isEqualTo(empty);
         assertThat(board.merge(
-                        10 * Board.HORIZON_MICROS, server("gone", State.GONE, 1).item(0)))
+                        10 * GossipState.HORIZON_MICROS,
+                        server("gone", State.GONE, 1).item(0)))
                 .as("told late")
                 .isFalse();
     }
 
     @Test
     void lateCallsChangeNothing() {
-        Board board = new Board();
+        GossipState board = new GossipState();
         board.merge(0, server("a", State.DRAINING, 5).item(0));
         assertThat(board.merge(1, server("a", State.READY, 4).item(1))).isFalse();
         assertThat(board.merge(1, server("a", State.SILENT, 5).item(1)))
