--- a/src/main/java/gorsemast/arcen/Main.java
+++ b/src/main/java/gorsemast/arcen/Main.java
@@ -8,7 +8,7 @@
 import gorsemast.node.Daemon;
 import gorsemast.node.Settings;
 import gorsemast.node.SettingsException;
-import gorsemast.vlissingen.Vlissingen;
+import gorsemast.store.StoreProgram;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
@@ -36,7 +36,7 @@
                     switch (word) {
                         case "cabauw" -> new Cabauw(settings);
                         case "debilt" -> new Debilt(settings);
-                        default -> new Vlissingen(settings);
+                        default -> new StoreProgram(settings);
                     };
             program.start();
             // Behind the start, which somebody may be waiting for; heard of by reflection, it takes a tenth of that.
--- a/src/main/java/gorsemast/deelen/LoopbackNetwork.java
+++ b/src/main/java/gorsemast/deelen/LoopbackNetwork.java
@@ -3,8 +3,8 @@
 import gorsemast.cabauw.Cabauw;
 import gorsemast.debilt.Debilt;
 import gorsemast.node.Settings;
+import gorsemast.store.StoreProgram;
 import gorsemast.transport.Transport;
-import gorsemast.vlissingen.Vlissingen;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
@@ -110,7 +110,7 @@
             Path disk = data.resolve("core-" + i);
             Files.createDirectories(disk);
             Settings settings = Settings.parse(settings(net + '.' + i, "core-" + i, true, true, disk));
-            new Vlissingen(settings).start();
+            new StoreProgram(settings).start();
             new Debilt(settings).start();
         }
         for (int i = 0; i < edges; i++) {
--- a/src/main/java/gorsemast/exchange/Upstream.java
+++ b/src/main/java/gorsemast/exchange/Upstream.java
@@ -53,7 +53,7 @@
     static final long MAX_ANSWER = 64L << 20;
     /** A node that sends nothing more of an answer that is being passed on, for this long, has broken it off. */
     private static final long STALLED_MICROS = 10_000_000;
-    /** Kept connections are closed at this part of the cache nodes' own limit, so as never to race it. */
+    /** StoredVersion connections are closed at this part of the cache nodes' own limit, so as never to race it. */
     private static final int IDLE_PART = 2;
     /**
      * A request that may not be repeated keeps its last byte back for the time that its connection took to come up,
--- a/src/main/java/gorsemast/lelystad/CoreProcesses.java
+++ b/src/main/java/gorsemast/lelystad/CoreProcesses.java
@@ -6,8 +6,8 @@
 import gorsemast.peer.Neighbour;
 import gorsemast.peer.Record;
 import gorsemast.peer.Record.Program;
-import gorsemast.vlissingen.Saved;
-import gorsemast.vlissingen.Teller;
+import gorsemast.store.ReplicaState;
+import gorsemast.store.StoreNode;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.LinkedHashSet;
@@ -91,9 +91,9 @@
 
     /** A store. */
     static final class Store extends Process {
-        private record Save(Saved state, long token) {}
+        private record Save(ReplicaState state, long token) {}
 
-        final Teller teller;
+        final StoreNode teller;
         private final Machine.Disk disk;
         private final Deque<Save> saves = new ArrayDeque<>();
 
@@ -101,11 +101,11 @@
             super(world, machine, Program.STORE);
             this.disk = machine.disk;
             if (disk.saved == null) {
-                disk.saved = Saved.fresh(machine.ip, world.seeds(), firstBoot, world.random.nextLong());
+                disk.saved = ReplicaState.fresh(machine.ip, world.seeds(), firstBoot, world.random.nextLong());
             }
-            this.teller = new Teller(
+            this.teller = new StoreNode(
                     machine.ip, world.seeds(), disk.saved, 1, world.random.nextLong(), this::now, this, this::save);
-            each(Teller.TICK_MICROS, this::tick);
+            each(StoreNode.TICK_MICROS, this::tick);
         }
 
         private void tick() {
@@ -115,7 +115,7 @@
             keep(wanted);
         }
 
-        private void save(Saved state, boolean keptToo, long token) {
+        private void save(ReplicaState state, boolean keptToo, long token) {
             saves.add(new Save(state, token));
             if (world.plant == Plant.SAVED_TOO_EARLY) {
                 run(() -> after(0, () -> teller.saved(token)));
@@ -152,7 +152,7 @@
 
         @Override
         Record.Hello hello() {
-            return Teller.hello(machine.ip, machine.zone);
+            return StoreNode.hello(machine.ip, machine.zone);
         }
 
         @Override
--- a/src/main/java/gorsemast/lelystad/Machine.java
+++ b/src/main/java/gorsemast/lelystad/Machine.java
@@ -1,6 +1,6 @@
 package gorsemast.lelystad;
 
-import gorsemast.vlissingen.Saved;
+import gorsemast.store.ReplicaState;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -12,7 +12,7 @@
     /** What is on its disk; null for nothing. */
     static final class Disk {
         byte[] known;
-        Saved saved;
+        ReplicaState saved;
     }
 
     final String ip;
--- a/src/main/java/gorsemast/peer/Record.java
+++ b/src/main/java/gorsemast/peer/Record.java
@@ -4,7 +4,7 @@
 import gorsemast.gossip.Entry;
 import gorsemast.gossip.GossipState;
 import gorsemast.gossip.SpeedNews;
-import gorsemast.vlissingen.Message;
+import gorsemast.store.Message;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
--- a/src/main/java/gorsemast/stavoren/World.java
+++ b/src/main/java/gorsemast/stavoren/World.java
@@ -1,12 +1,12 @@
 package gorsemast.stavoren;
 
-import gorsemast.vlissingen.Keeper;
-import gorsemast.vlissingen.Kept;
-import gorsemast.vlissingen.Member;
-import gorsemast.vlissingen.Message;
-import gorsemast.vlissingen.Message.Kind;
-import gorsemast.vlissingen.Saved;
-import gorsemast.vlissingen.View;
+import gorsemast.store.Member;
+import gorsemast.store.Message;
+import gorsemast.store.Message.Kind;
+import gorsemast.store.Replica;
+import gorsemast.store.ReplicaState;
+import gorsemast.store.StoredVersion;
+import gorsemast.store.View;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -40,17 +40,17 @@
     private static final long STEP_MICROS = 25_000;
     private static final long LONG_MICROS = 20_000_000;
 
-    private record Save(Saved state, long token, Keeper of) {}
+    private record Save(ReplicaState state, long token, Replica of) {}
 
     private record Asked(boolean put, long version, long floor) {}
 
     /** One machine. */
-    private final class Machine implements Keeper.Out {
+    private final class Machine implements Replica.Out {
         private final String ip;
-        private Saved disk;
-        private Saved earlier;
+        private ReplicaState disk;
+        private ReplicaState earlier;
         private final Deque<Save> saves = new ArrayDeque<>();
-        private Keeper keeper;
+        private Replica keeper;
         private boolean frozen;
 
         Machine(String ip) {
@@ -59,13 +59,13 @@
 
         void start() {
             if (disk == null) {
-                disk = new Saved(
+                disk = new ReplicaState(
                         new Member(ip + "#" + (plant == Plant.WIPED_KEEPS_ITS_NAME ? 0 : ++lives), ip),
                         0,
-                        plant == Plant.WIPED_KEEPS_ITS_NAME ? Keeper.first(firstMembers) : Keeper.first(List.of()),
-                        Kept.NONE);
+                        plant == Plant.WIPED_KEEPS_ITS_NAME ? Replica.first(firstMembers) : Replica.first(List.of()),
+                        StoredVersion.NONE);
             }
-            keeper = new Keeper(disk, plant == Plant.NO_BACKUP ? 0 : 1, random.nextLong(), this);
+            keeper = new Replica(disk, plant == Plant.NO_BACKUP ? 0 : 1, random.nextLong(), this);
             if (plant == Plant.WIPED_KEEPS_ITS_NAME && disk.me().id().endsWith("#0")) {
                 lives++;
             }
@@ -126,7 +126,7 @@
         }
 
         private void forge(Member to, Kind kind, Message of) {
-            Keeper mine = keeper;
+            Replica mine = keeper;
             Message forged = new Message(kind, to, of.epoch(), of.number(), false, null, null);
             later.add(() -> {
                 if (keeper == mine) {
@@ -143,7 +143,8 @@
                             : m;
                 case INSTALL_WITHOUT_KEPT ->
                     m.kind() == Kind.INSTALL
-                            ? new Message(m.kind(), m.from(), m.epoch(), m.number(), m.flag(), m.view(), Kept.NONE)
+                            ? new Message(
+                                    m.kind(), m.from(), m.epoch(), m.number(), m.flag(), m.view(), StoredVersion.NONE)
                             : m;
                 case REFUSAL_COUNTS_AS_VOTE ->
                     m.kind() == Kind.NO ? new Message(Kind.VOTE, m.from(), lastAsked, 0, false, null, null) : m;
@@ -165,7 +166,7 @@
                                     m.kept())
                             : m;
                 case EPOCHS_IGNORED -> {
-                    Keeper keeperNow = keeper;
+                    Replica keeperNow = keeper;
                     yield (m.kind() == Kind.COPIED || m.kind() == Kind.CONFIRMED || m.kind() == Kind.INSTALLED)
                                     && keeperNow != null
                             ? new Message(m.kind(), m.from(), m.epoch(), m.number(), m.flag(), null, null)
@@ -177,7 +178,7 @@
                                             Long.MAX_VALUE / 4,
                                             m.flag(),
                                             m.view(),
-                                            new Kept(Long.MAX_VALUE / 4, 0, new byte[0]))
+                                            new StoredVersion(Long.MAX_VALUE / 4, 0, new byte[0]))
                                     : m;
                 }
                 default -> m;
@@ -185,10 +186,10 @@
         }
 
         @Override
-        public void save(Saved state, boolean keptToo, long token) {
+        public void save(ReplicaState state, boolean keptToo, long token) {
             saves.add(new Save(state, token, keeper));
             if (plant == Plant.SAVED_TOO_EARLY && keeper != null) {
-                Keeper mine = keeper;
+                Replica mine = keeper;
                 later.add(() -> {
                     if (keeper == mine) {
                         mine.saved(now, token);
@@ -198,7 +199,7 @@
         }
 
         @Override
-        public void answer(long call, boolean done, Kept kept) {
+        public void answer(long call, boolean done, StoredVersion kept) {
             Asked asked = calls.remove(call);
             if (asked == null || !done) {
                 return;
@@ -220,7 +221,7 @@
         }
 
         @Override
-        public void committed(Kept kept) {
+        public void committed(StoredVersion kept) {
             // told to registries; what holds for answers holds for these
         }
 
@@ -288,7 +289,7 @@
         }
         for (int i = 0; i < members; i++) {
             Machine machine = machines.get(ips.get(i));
-            machine.disk = new Saved(firstMembers.get(i), 0, Keeper.first(firstMembers), Kept.NONE);
+            machine.disk = new ReplicaState(firstMembers.get(i), 0, Replica.first(firstMembers), StoredVersion.NONE);
         }
         for (int i = 0; i < members; i++) {
             machines.get(ips.get(i)).start();
--- a/src/main/java/gorsemast/vlissingen/Member.java
+++ b/src/main/java/gorsemast/store/Member.java
@@ -1,4 +1,4 @@
-package gorsemast.vlissingen;
+package gorsemast.store;
 
 /**
  * A member of the store: one life of one disk. A machine whose disk comes back empty is another member at the same
--- a/src/main/java/gorsemast/vlissingen/Message.java
+++ b/src/main/java/gorsemast/store/Message.java
@@ -1,4 +1,4 @@
-package gorsemast.vlissingen;
+package gorsemast.store;
 
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -14,7 +14,7 @@
  * @param view null where the kind has none
  * @param kept null where the kind has none
  */
-public record Message(Kind kind, Member from, long epoch, long number, boolean flag, View view, Kept kept) {
+public record Message(Kind kind, Member from, long epoch, long number, boolean flag, View view, StoredVersion kept) {
     /** Its sort. */
     public enum Kind {
         /** A sign of life, with the epoch promised and the view's. */
@@ -74,6 +74,6 @@
                 in.readLong(),
                 in.readBoolean(),
                 in.readBoolean() ? View.read(in) : null,
-                in.readBoolean() ? Kept.read(in) : null);
+                in.readBoolean() ? StoredVersion.read(in) : null);
     }
 }
--- a/src/main/java/gorsemast/vlissingen/Keeper.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -1,6 +1,6 @@
-package gorsemast.vlissingen;
+package gorsemast.store;
 
-import gorsemast.vlissingen.Message.Kind;
+import gorsemast.store.Message.Kind;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -31,7 +31,7 @@
  * <p><b>Threading and time.</b> One caller; times in microseconds of a clock that never goes back. Nothing here does
  * I/O: {@link Out} is told what to send, save and answer, and calls {@link #saved} when a save is on disk, in order.
  */
-public final class Keeper {
+public final class Replica {
     /** How often members say that they live. */
     static final long PING_MICROS = 150_000;
     /** A primary that was not heard for this long is followed by another: four signs of life. */
@@ -50,14 +50,14 @@
         /** Sends a message; it may be lost. */
         void send(Member to, Message message);
 
-        /** Puts this on disk, synced; {@link Keeper#saved} is to be called with the token then, in the order of saves. */
-        void save(Saved state, boolean keptToo, long token);
+        /** Puts this on disk, synced; {@link Replica#saved} is to be called with the token then, in the order of saves. */
+        void save(ReplicaState state, boolean keptToo, long token);
 
         /** The end of a call: done, with the version that holds; or unknown. */
-        void answer(long call, boolean done, Kept kept);
+        void answer(long call, boolean done, StoredVersion kept);
 
         /** A configuration that is acknowledged from now on, here as primary. */
-        void committed(Kept kept);
+        void committed(StoredVersion kept);
 
         /** A call that only the primary can do, and this is not it. */
         void forward(long call, Member primary);
@@ -81,14 +81,14 @@
     private Member me;
     private long promised;
     private View view;
-    private Kept kept;
+    private StoredVersion kept;
     private Role role = Role.FOLLOWER;
     private long now;
     private long roundUntil;
     private long standBackUntil;
     private long pingAt;
     private View proposed;
-    private Kept best;
+    private StoredVersion best;
     private final Set<String> granted = new HashSet<>();
     private final Set<String> installed = new HashSet<>();
     /** When each was last heard, by id, and what it said of itself. */
@@ -103,7 +103,7 @@
     private long round;
     private boolean onDisk;
     /** What all backups of this epoch hold. */
-    private Kept agreed = Kept.NONE;
+    private StoredVersion agreed = StoredVersion.NONE;
 
     private boolean copies;
     private boolean begun;
@@ -115,7 +115,7 @@
      *
      * @param losses how many disks may be lost at the same time: so many backups
      */
-    public Keeper(Saved saved, int losses, long seed, Out out) {
+    public Replica(ReplicaState saved, int losses, long seed, Out out) {
         this.me = saved.me();
         this.promised = saved.promised();
         this.view = saved.view();
@@ -148,7 +148,7 @@
     }
 
     /** What it keeps now. */
-    public Kept kept() {
+    public StoredVersion kept() {
         return kept;
     }
 
@@ -169,14 +169,14 @@
         }
         calls.removeIf(call -> {
             if (now > call.until) {
-                out.answer(call.id, false, Kept.NONE);
+                out.answer(call.id, false, StoredVersion.NONE);
             }
             return now > call.until;
         });
         if (working != null && now > working.until) {
             Call over = working;
             working = null;
-            out.answer(over.id, false, Kept.NONE);
+            out.answer(over.id, false, StoredVersion.NONE);
             next();
         }
         if (!view.has(me.id())) {
@@ -292,7 +292,7 @@
                                         view.epoch(),
                                         false,
                                         null,
-                                        new Kept(kept.version(), kept.epoch(), new byte[0])));
+                                        new StoredVersion(kept.version(), kept.epoch(), new byte[0])));
                     }
                 }
                 elect(epoch);
@@ -405,7 +405,7 @@
             return;
         }
         yieldTo(m.epoch());
-        Kept mine = kept.compareTo(m.kept()) > 0 ? kept : null;
+        StoredVersion mine = kept.compareTo(m.kept()) > 0 ? kept : null;
         save(false, () -> {
             if (promised == m.epoch()) {
                 send(m.from(), new Message(Kind.VOTE, me, m.epoch(), 0, false, null, mine));
@@ -569,7 +569,7 @@
             return;
         }
         if (role != Role.PRIMARY && !reachesMost()) {
-            out.answer(call.id, false, Kept.NONE); // cut off: whoever asks had better ask elsewhere
+            out.answer(call.id, false, StoredVersion.NONE); // cut off: whoever asks had better ask elsewhere
             return;
         }
         calls.add(call); // also where nobody leads: an election is a matter of a moment
@@ -593,7 +593,7 @@
         long mine = round;
         boolean writes = working.put && working.version > kept.version();
         if (writes) {
-            kept = new Kept(working.version, view.epoch(), working.body);
+            kept = new StoredVersion(working.version, view.epoch(), working.body);
         }
         copies = kept != agreed; // also what an earlier call that was given up has left half told
         if (copies) {
@@ -640,7 +640,7 @@
 
     private void fail() {
         if (working != null) {
-            out.answer(working.id, false, Kept.NONE);
+            out.answer(working.id, false, StoredVersion.NONE);
             working = null;
         }
     }
@@ -650,7 +650,7 @@
     private void save(boolean keptToo, Runnable then) {
         long mine = ++token;
         saving.put(mine, then);
-        out.save(new Saved(me, promised, view, kept), keptToo, mine);
+        out.save(new ReplicaState(me, promised, view, kept), keptToo, mine);
     }
 
     /** This and all earlier saves are on disk. */
--- a/src/main/java/gorsemast/vlissingen/Saved.java
+++ b/src/main/java/gorsemast/store/ReplicaState.java
@@ -1,4 +1,4 @@
-package gorsemast.vlissingen;
+package gorsemast.store;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -14,23 +14,23 @@
  *
  * @param promised no epoch below this, nor this one for anybody else, has its word any more
  */
-public record Saved(Member me, long promised, View view, Kept kept) {
+public record ReplicaState(Member me, long promised, View view, StoredVersion kept) {
     /**
      * What a machine begins with whose disk is empty. Only at the first start of all is that as it should be, and the
      * seeds are the first members; any other empty disk belongs to a new member, which has no vote yet.
      *
      * @param life a number that no other disk was given
      */
-    public static Saved fresh(String ip, Collection<String> seeds, boolean firstBoot, long life) {
+    public static ReplicaState fresh(String ip, Collection<String> seeds, boolean firstBoot, long life) {
         List<Member> members = new ArrayList<>();
         if (firstBoot) {
             seeds.forEach(seed -> members.add(new Member(seed + "#0", seed)));
         }
-        return new Saved(
+        return new ReplicaState(
                 new Member(ip + "#" + (firstBoot ? "0" : Long.toHexString(life)), ip),
                 0,
-                Keeper.first(members),
-                Kept.NONE);
+                Replica.first(members),
+                StoredVersion.NONE);
     }
 
     /** As a record, without what is kept. */
@@ -60,13 +60,14 @@
     }
 
     /** What both records say; throws where they are none. */
-    public static Saved of(byte[] state, byte[] configuration) throws IOException {
+    public static ReplicaState of(byte[] state, byte[] configuration) throws IOException {
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(state));
                 DataInputStream more = new DataInputStream(new ByteArrayInputStream(configuration))) {
             if (in.readUnsignedByte() != 1) {
                 throw new IOException("another form of state");
             }
-            return new Saved(new Member(in.readUTF(), in.readUTF()), in.readLong(), View.read(in), Kept.read(more));
+            return new ReplicaState(
+                    new Member(in.readUTF(), in.readUTF()), in.readLong(), View.read(in), StoredVersion.read(more));
         }
     }
 }
--- a/src/main/java/gorsemast/vlissingen/Teller.java
+++ b/src/main/java/gorsemast/store/StoreNode.java
@@ -1,4 +1,4 @@
-package gorsemast.vlissingen;
+package gorsemast.store;
 
 import gorsemast.logging.Log;
 import gorsemast.peer.Neighbour;
@@ -12,21 +12,21 @@
 import java.util.function.LongSupplier;
 
 /**
- * Everything that a store decides: its {@link Keeper}, whose call each of the keeper's calls is, and who is passed on to
+ * Everything that a store decides: its {@link Replica}, whose call each of the keeper's calls is, and who is passed on to
  * the primary. No I/O, no clock of its own, no threads; one caller; times in microseconds.
  */
-public final class Teller implements Keeper.Out {
+public final class StoreNode implements Replica.Out {
     /** To be called so often. */
     public static final long TICK_MICROS = 25_000;
     /** Longer than any call may take here or at the store that it is passed on to. */
     private static final long ASKED_MICROS = 6_000_000;
 
-    private static final Log LOG = new Log("vlissingen");
+    private static final Log LOG = new Log("store");
 
-    /** Puts a state on disk, synced, and has {@link Teller#saved} called then, in the order of saves. */
+    /** Puts a state on disk, synced, and has {@link StoreNode#saved} called then, in the order of saves. */
     public interface Saver {
         /** @param keptToo whether the configuration may differ from the last one saved */
-        void save(Saved state, boolean keptToo, long token);
+        void save(ReplicaState state, boolean keptToo, long token);
     }
 
     /** Who waits for a call's answer: a registry, or a store that passed it on. */
@@ -36,7 +36,7 @@
     private final LongSupplier clock;
     private final Neighbours neighbours;
     private final Saver saver;
-    private final Keeper keeper;
+    private final Replica keeper;
     private final Map<Long, Asker> askers = new HashMap<>();
     private final Set<String> seeds;
     private long lastCall;
@@ -47,10 +47,10 @@
      * @param saved what its disk has, or had drawn for an empty one
      * @param losses how many disks may be lost at the same time
      */
-    public Teller(
+    public StoreNode(
             String ip,
             Set<String> seeds,
-            Saved saved,
+            ReplicaState saved,
             int losses,
             long seed,
             LongSupplier clock,
@@ -61,7 +61,7 @@
         this.clock = clock;
         this.neighbours = neighbours;
         this.saver = saver;
-        this.keeper = new Keeper(saved, Math.max(1, losses), seed, this);
+        this.keeper = new Replica(saved, Math.max(1, losses), seed, this);
     }
 
     /** The first word on each of its links. */
@@ -70,7 +70,7 @@
     }
 
     /** What it keeps, and whether it leads. */
-    public Keeper keeper() {
+    public Replica keeper() {
         return keeper;
     }
 
@@ -147,12 +147,12 @@
     }
 
     @Override
-    public void save(Saved state, boolean keptToo, long token) {
+    public void save(ReplicaState state, boolean keptToo, long token) {
         saver.save(state, keptToo, token);
     }
 
     @Override
-    public void answer(long call, boolean done, Kept kept) {
+    public void answer(long call, boolean done, StoredVersion kept) {
         Asker asker = askers.remove(call);
         if (asker != null) {
             boolean body = done && !asker.put && kept.version() != asker.known;
@@ -168,7 +168,7 @@
         }
         Neighbour store = neighbours.at(Program.STORE, primary.ip());
         if (store == null) {
-            answer(call, false, Kept.NONE);
+            answer(call, false, StoredVersion.NONE);
         } else if (asker.put) {
             store.send(new Record.Put(call, asker.version, asker.body));
         } else {
@@ -177,7 +177,7 @@
     }
 
     @Override
-    public void committed(Kept kept) {
+    public void committed(StoredVersion kept) {
         if (kept.version() > 0) {
             for (Neighbour one : neighbours.up(Program.REGISTRY)) {
                 one.send(new Record.Answer(0, true, kept.version(), kept.body()));
--- a/src/main/java/gorsemast/vlissingen/Vlissingen.java
+++ b/src/main/java/gorsemast/store/StoreProgram.java
@@ -1,4 +1,4 @@
-package gorsemast.vlissingen;
+package gorsemast.store;
 
 import gorsemast.logging.Log;
 import gorsemast.node.Daemon;
@@ -24,14 +24,14 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The store's program round its {@link Teller}: links to the other stores and from registries on one event loop, and the
+ * The store's program round its {@link StoreNode}: links to the other stores and from registries on one event loop, and the
  * disk on a thread of its own that may wait.
  */
-public final class Vlissingen implements Daemon, Link.Receiver {
+public final class StoreProgram implements Daemon, Link.Receiver {
     private static final long DISK_AGAIN_MILLIS = 100;
     private static final String STATE = "state";
     private static final String CONFIGURATION = "configuration";
-    private static final Log LOG = new Log("vlissingen");
+    private static final Log LOG = new Log("store");
 
     private final Settings settings;
     private final EventLoop loop;
@@ -43,13 +43,13 @@
     private final long origin = System.nanoTime();
     private final Links links;
     private Disk disk;
-    private Teller teller;
+    private StoreNode teller;
 
     /** By the platform's settings; nothing begins yet. */
-    public Vlissingen(Settings settings) {
+    public StoreProgram(Settings settings) {
         this.settings = settings;
         this.loop = new MultiThreadIoEventLoopGroup(1, Transport.handlers()).next();
-        this.links = new Links(loop, this::now, () -> Teller.hello(settings.ip(), settings.zone()), this);
+        this.links = new Links(loop, this::now, () -> StoreNode.hello(settings.ip(), settings.zone()), this);
     }
 
     private long now() {
@@ -62,8 +62,8 @@
             throw new IOException("dataDir: the store needs a disk");
         }
         disk = Disk.open(settings.dataDir());
-        Saved saved = recover(disk.load());
-        teller = new Teller(
+        ReplicaState saved = recover(disk.load());
+        teller = new StoreNode(
                 settings.ip(),
                 settings.seedIps(),
                 saved,
@@ -74,12 +74,12 @@
                 this::save);
         links.listen(Ports.STORE.at(settings, settings.ip()));
         loop.execute(this::tick);
-        loop.scheduleWithFixedDelay(this::tick, Teller.TICK_MICROS, Teller.TICK_MICROS, TimeUnit.MICROSECONDS);
+        loop.scheduleWithFixedDelay(this::tick, StoreNode.TICK_MICROS, StoreNode.TICK_MICROS, TimeUnit.MICROSECONDS);
     }
 
-    private Saved recover(Map<String, byte[]> records) throws IOException {
+    private ReplicaState recover(Map<String, byte[]> records) throws IOException {
         if (records.containsKey(STATE) && records.containsKey(CONFIGURATION)) {
-            Saved saved = Saved.of(records.get(STATE), records.get(CONFIGURATION));
+            ReplicaState saved = ReplicaState.of(records.get(STATE), records.get(CONFIGURATION));
             LOG.info("has version " + Long.toHexString(saved.kept().version()) + " of epoch "
                     + saved.kept().epoch() + ", promised " + saved.promised());
             return saved;
@@ -87,7 +87,7 @@
         if (!settings.firstBoot()) {
             LOG.warn("has an empty disk and asks to be taken in");
         }
-        Saved fresh = Saved.fresh(settings.ip(), settings.seedIps(), settings.firstBoot(), Seed.fresh());
+        ReplicaState fresh = ReplicaState.fresh(settings.ip(), settings.seedIps(), settings.firstBoot(), Seed.fresh());
         disk.save(Map.of(STATE, fresh.state(), CONFIGURATION, fresh.configuration()));
         return fresh;
     }
@@ -146,7 +146,7 @@
 
     // ---- the disk
 
-    private void save(Saved state, boolean keptToo, long token) {
+    private void save(ReplicaState state, boolean keptToo, long token) {
         byte[] record = state.state();
         byte[] kept = keptToo ? state.configuration() : null;
         writer.execute(() -> {
--- a/src/main/java/gorsemast/vlissingen/Kept.java
+++ b/src/main/java/gorsemast/store/StoredVersion.java
@@ -1,4 +1,4 @@
-package gorsemast.vlissingen;
+package gorsemast.store;
 
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -12,12 +12,12 @@
  *              acknowledged
  * @param body not to be written to
  */
-public record Kept(long version, long epoch, byte[] body) implements Comparable<Kept> {
+public record StoredVersion(long version, long epoch, byte[] body) implements Comparable<StoredVersion> {
     /** Nothing yet. */
-    public static final Kept NONE = new Kept(0, 0, new byte[0]);
+    public static final StoredVersion NONE = new StoredVersion(0, 0, new byte[0]);
 
     @Override
-    public int compareTo(Kept other) {
+    public int compareTo(StoredVersion other) {
         return version != other.version ? Long.compare(version, other.version) : Long.compare(epoch, other.epoch);
     }
 
@@ -28,7 +28,7 @@
         out.write(body);
     }
 
-    static Kept read(DataInputStream in) throws IOException {
+    static StoredVersion read(DataInputStream in) throws IOException {
         long version = in.readLong();
         long epoch = in.readLong();
         int length = in.readInt();
@@ -37,6 +37,6 @@
         }
         byte[] body = new byte[length];
         in.readFully(body);
-        return new Kept(version, epoch, body);
+        return new StoredVersion(version, epoch, body);
     }
 }
--- a/src/main/java/gorsemast/vlissingen/View.java
+++ b/src/main/java/gorsemast/store/View.java
@@ -1,4 +1,4 @@
-package gorsemast.vlissingen;
+package gorsemast.store;
 
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
--- a/src/main/java/gorsemast/vlissingen/package-info.java
+++ /dev/null
@@ -1,6 +0,0 @@
-/**
- * The store of the operator's configuration: who of its members may acknowledge, and what outlives them. The decisions
- * ({@link gorsemast.vlissingen.Keeper}) have no I/O, no clock and no threads; {@code Store} is the program round them.
- * (Vlissingen: a weather station; the store.)
- */
-package gorsemast.vlissingen;
