--- a/src/main/java/gorsemast/arcen/Main.java
+++ b/src/main/java/gorsemast/arcen/Main.java
@@ -1,13 +1,13 @@
 package gorsemast.arcen;
 
 import gorsemast.cabauw.Cabauw;
-import gorsemast.debilt.Debilt;
 import gorsemast.exchange.NettyLog;
 import gorsemast.exchange.Signals;
 import gorsemast.logging.Log;
 import gorsemast.node.Daemon;
 import gorsemast.node.Settings;
 import gorsemast.node.SettingsException;
+import gorsemast.registry.RegistryProgram;
 import gorsemast.store.StoreProgram;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -35,7 +35,7 @@
             Daemon program =
                     switch (word) {
                         case "cabauw" -> new Cabauw(settings);
-                        case "debilt" -> new Debilt(settings);
+                        case "debilt" -> new RegistryProgram(settings);
                         default -> new StoreProgram(settings);
                     };
             program.start();
--- a/src/main/java/gorsemast/deelen/LoopbackNetwork.java
+++ b/src/main/java/gorsemast/deelen/LoopbackNetwork.java
@@ -1,8 +1,8 @@
 package gorsemast.deelen;
 
 import gorsemast.cabauw.Cabauw;
-import gorsemast.debilt.Debilt;
 import gorsemast.node.Settings;
+import gorsemast.registry.RegistryProgram;
 import gorsemast.store.StoreProgram;
 import gorsemast.transport.Transport;
 import io.netty.channel.EventLoop;
@@ -111,7 +111,7 @@
             Files.createDirectories(disk);
             Settings settings = Settings.parse(settings(net + '.' + i, "core-" + i, true, true, disk));
             new StoreProgram(settings).start();
-            new Debilt(settings).start();
+            new RegistryProgram(settings).start();
         }
         for (int i = 0; i < edges; i++) {
             String ip = net + '.' + (20 + i);
--- a/src/main/java/gorsemast/lelystad/CoreProcesses.java
+++ b/src/main/java/gorsemast/lelystad/CoreProcesses.java
@@ -1,11 +1,11 @@
 package gorsemast.lelystad;
 
-import gorsemast.debilt.CallException;
-import gorsemast.debilt.Calls;
-import gorsemast.debilt.Office;
 import gorsemast.peer.Neighbour;
 import gorsemast.peer.Record;
 import gorsemast.peer.Record.Program;
+import gorsemast.registry.CallException;
+import gorsemast.registry.Calls;
+import gorsemast.registry.RegistryNode;
 import gorsemast.store.ReplicaState;
 import gorsemast.store.StoreNode;
 import java.util.ArrayDeque;
@@ -18,13 +18,13 @@
     private CoreProcesses() {}
 
     /** A registry. */
-    static final class Registry extends Process implements Office.Carrier {
-        final Office office;
+    static final class HeartbeatTable extends Process implements RegistryNode.Carrier {
+        final RegistryNode office;
 
-        Registry(World world, Machine machine) {
+        HeartbeatTable(World world, Machine machine) {
             super(world, machine, Program.REGISTRY);
-            this.office = new Office(
-                    new Office.Self(machine.ip, machine.zone, machine.ip + ":80", wall(), World.BEAT_MICROS, 1),
+            this.office = new RegistryNode(
+                    new RegistryNode.Self(machine.ip, machine.zone, machine.ip + ":80", wall(), World.BEAT_MICROS, 1),
                     world.seeds(),
                     true,
                     world.random.nextLong(),
@@ -32,7 +32,7 @@
                     this,
                     this);
             office.recall(machine.disk.known);
-            each(Office.TICK_MICROS, this::tick);
+            each(RegistryNode.TICK_MICROS, this::tick);
         }
 
         private void tick() {
@@ -44,7 +44,7 @@
         }
 
         /** A call from outside. */
-        void call(String method, String path, byte[] body, Office.Reply reply) {
+        void call(String method, String path, byte[] body, RegistryNode.Reply reply) {
             try {
                 office.run(Calls.decode(method, path, body), body.length, reply);
             } catch (CallException e) {
--- a/src/main/java/gorsemast/lelystad/World.java
+++ b/src/main/java/gorsemast/lelystad/World.java
@@ -2,7 +2,7 @@
 
 import gorsemast.emulator.VirtualTime;
 import gorsemast.hupsel.Briefing;
-import gorsemast.lelystad.CoreProcesses.Registry;
+import gorsemast.lelystad.CoreProcesses.HeartbeatTable;
 import gorsemast.lelystad.CoreProcesses.Store;
 import gorsemast.lelystad.Trouble.Closing;
 import gorsemast.peer.Record.Program;
@@ -121,7 +121,7 @@
             return false;
         }
         return machines(true).stream()
-                .anyMatch(core -> process(Program.REGISTRY, core) instanceof Registry registry
+                .anyMatch(core -> process(Program.REGISTRY, core) instanceof HeartbeatTable registry
                         && registry.office.synced()
                         && registry.office
                                         .board()
@@ -196,7 +196,7 @@
                 return;
             }
             if (machine.core) {
-                machine.processes.add(new Registry(this, machine));
+                machine.processes.add(new HeartbeatTable(this, machine));
                 machine.processes.add(new Store(this, machine, firstBoot));
             } else {
                 Edge edge = new Edge(this, machine);
@@ -344,7 +344,7 @@
                 }
                 return;
             }
-            process.run(() -> ((Registry) process)
+            process.run(() -> ((HeartbeatTable) process)
                     .call(method, path, body.getBytes(StandardCharsets.UTF_8), (status, text, bytes) -> {
                         if (status == 200 && method.equals("POST") && !path.endsWith("heartbeat")) {
                             onAck.accept(to);
--- a/src/main/java/gorsemast/peer/Record.java
+++ b/src/main/java/gorsemast/peer/Record.java
@@ -45,10 +45,10 @@
     /** One of those. */
     record Beat(String id, long seq) {}
 
-    /** Registry to store: keep this version. */
+    /** HeartbeatTable to store: keep this version. */
     record Put(long call, long version, byte[] body) implements Record {}
 
-    /** Registry to store: the newest version, with its body where it is not {@code known}. */
+    /** HeartbeatTable to store: the newest version, with its body where it is not {@code known}. */
     record Get(long call, long known) implements Record {}
 
     /** Store to registry; {@code done} where it is certain. Version 0 stands for none. */
@@ -57,10 +57,10 @@
     /** Store to store, between members; what it says is decided elsewhere. */
     record Between(Message message) implements Record {}
 
-    /** Registry to registry: a ballot on who does what one does for all. */
+    /** HeartbeatTable to registry: a ballot on who does what one does for all. */
     record Ballot(LeaseElection.Word word, long term, long at) implements Record {}
 
-    /** Registry to proxy: what all edges together have seen of servers' speeds, as {@link SpeedNews} has it. */
+    /** HeartbeatTable to proxy: what all edges together have seen of servers' speeds, as {@link SpeedNews} has it. */
     record Pooled(Map<String, double[]> servers) implements Record {}
 
     /** The first byte of each record; another one is another form of them. */
--- a/src/main/java/gorsemast/debilt/CallException.java
+++ b/src/main/java/gorsemast/registry/CallException.java
@@ -1,4 +1,4 @@
-package gorsemast.debilt;
+package gorsemast.registry;
 
 /** A call that is turned away, with the status that says why. */
 public final class CallException extends RuntimeException {
--- a/src/main/java/gorsemast/debilt/Calls.java
+++ b/src/main/java/gorsemast/registry/Calls.java
@@ -1,14 +1,14 @@
-package gorsemast.debilt;
+package gorsemast.registry;
 
 import com.dslplatform.json.DslJson;
 import com.dslplatform.json.JsonReader;
 import com.dslplatform.json.ObjectConverter;
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.ConfigurationException;
-import gorsemast.debilt.CallException.Code;
 import gorsemast.gossip.ServerNews;
 import gorsemast.node.Settings;
 import gorsemast.node.SettingsException;
+import gorsemast.registry.CallException.Code;
 import gorsemast.transport.Address;
 import java.io.IOException;
 import java.util.Map;
--- a/src/main/java/gorsemast/debilt/Command.java
+++ b/src/main/java/gorsemast/registry/Command.java
@@ -1,4 +1,4 @@
-package gorsemast.debilt;
+package gorsemast.registry;
 
 import gorsemast.configuration.Configuration;
 import gorsemast.gossip.ServerNews;
--- a/src/main/java/gorsemast/debilt/ControlServer.java
+++ b/src/main/java/gorsemast/registry/ControlServer.java
@@ -1,4 +1,4 @@
-package gorsemast.debilt;
+package gorsemast.registry;
 
 import gorsemast.exchange.StrictHttp;
 import gorsemast.logging.Log;
@@ -35,11 +35,11 @@
 final class ControlServer {
     private static final int MOST_BODY = 16 << 20;
     private static final int IDLE_SECONDS = 30;
-    private static final Log LOG = new Log("debilt");
+    private static final Log LOG = new Log("registry");
 
     /** Runs a command; the reply may come later, on the loop. */
     interface Runner {
-        void run(Command command, int size, Office.Reply reply);
+        void run(Command command, int size, RegistryNode.Reply reply);
     }
 
     private final EventLoop loop;
--- a/src/main/java/gorsemast/debilt/Registry.java
+++ b/src/main/java/gorsemast/registry/HeartbeatTable.java
@@ -1,4 +1,4 @@
-package gorsemast.debilt;
+package gorsemast.registry;
 
 import gorsemast.gossip.Entry;
 import gorsemast.gossip.Entry.Kind;
@@ -21,7 +21,7 @@
  * when it changes, a beat alone does not. Who is not heard by any registry for some beats is taken for silent, not for
  * gone: its next beat brings it back. O(1) a beat. Times in microseconds; one thread.
  */
-public final class Registry {
+public final class HeartbeatTable {
     /** After so many beats that did not come a server is taken for silent. */
     private static final double MISSED = 3.5;
     /** After so long without a link an edge or a core machine is taken for down. */
@@ -37,7 +37,7 @@
     private final Set<String> safe = new HashSet<>();
 
     /** Over a board that it only reads. */
-    public Registry(GossipState board, long beatMicros) {
+    public HeartbeatTable(GossipState board, long beatMicros) {
         this.board = board;
         this.beatMicros = beatMicros;
     }
--- a/src/main/java/gorsemast/debilt/Pool.java
+++ b/src/main/java/gorsemast/registry/Pool.java
@@ -1,4 +1,4 @@
-package gorsemast.debilt;
+package gorsemast.registry;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/gorsemast/debilt/Office.java
+++ b/src/main/java/gorsemast/registry/RegistryNode.java
@@ -1,4 +1,4 @@
-package gorsemast.debilt;
+package gorsemast.registry;
 
 import gorsemast.configuration.Configuration;
 import gorsemast.election.LeaseElection;
@@ -36,7 +36,7 @@
  * <p><b>Acknowledged</b> are drains, departures and purges when {@link #holders} other core machines hold them, and
  * configurations when the store says so. One caller; times in microseconds of a clock that never goes back.
  */
-public final class Office {
+public final class RegistryNode {
     /** To be called so often. */
     public static final long TICK_MICROS = 250_000;
     /** A caller looks elsewhere after a second; the answer that nothing is certain has to come before. */
@@ -53,7 +53,7 @@
     private static final long POOL_MICROS = 1_000_000;
 
     private static final long POOL_WRITE_MICROS = 5_000_000;
-    private static final Log LOG = new Log("debilt");
+    private static final Log LOG = new Log("registry");
 
     /** One answer to a call; a second one is let be. */
     public interface Reply {
@@ -81,7 +81,7 @@
     private final Neighbours neighbours;
     private final Carrier carrier;
     private final GossipState board = new GossipState();
-    private final Registry registry;
+    private final HeartbeatTable registry;
     private final Gossip gossip;
     private final Pool pool = new Pool();
     /** Telling who is silent: one registry does it for all. */
@@ -108,7 +108,7 @@
      * @param seeds addresses of core machines as the operator's list had them
      * @param remembers whether there is a disk to write to
      */
-    public Office(
+    public RegistryNode(
             Self self,
             Set<String> seeds,
             boolean remembers,
@@ -123,7 +123,7 @@
         this.remembers = remembers;
         this.random = new SplittableRandom(seed);
         this.begun = clock.getAsLong();
-        this.registry = new Registry(board, self.beatMicros);
+        this.registry = new HeartbeatTable(board, self.beatMicros);
         this.gossip = new Gossip(Program.REGISTRY, board, neighbours, clock, this::synced, this::news);
         this.telling = new LeaseElection(self.ip, random.nextLong(), (to, word, term, at) -> {
             Neighbour one = neighbours.at(Program.REGISTRY, to);
@@ -365,7 +365,8 @@
         } else if (command instanceof Command.Purge purge) {
             String id = Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
             publish(
-                    new Registry.Outcome(new PurgeNews(id, purge.host(), purge.path(), purge.tag()).item(now), true),
+                    new HeartbeatTable.Outcome(
+                            new PurgeNews(id, purge.host(), purge.path(), purge.tag()).item(now), true),
                     reply);
         } else if (command instanceof Command.Read) {
             ask(reply);
@@ -380,7 +381,7 @@
         }
     }
 
-    private void publish(Registry.Outcome outcome, Reply reply) {
+    private void publish(HeartbeatTable.Outcome outcome, Reply reply) {
         if (outcome == null) {
             reply.answer(200, null, null);
             return;
--- a/src/main/java/gorsemast/debilt/Debilt.java
+++ b/src/main/java/gorsemast/registry/RegistryProgram.java
@@ -1,4 +1,4 @@
-package gorsemast.debilt;
+package gorsemast.registry;
 
 import gorsemast.logging.Log;
 import gorsemast.node.Daemon;
@@ -24,16 +24,16 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The registry's program round its {@link Office}: the listener for servers and operators, links to the other registries,
+ * The registry's program round its {@link RegistryNode}: the listener for servers and operators, links to the other registries,
  * to the store on its own machine, and from the proxies that have chosen it, and the disk. One event loop.
  */
-public final class Debilt implements Daemon, Link.Receiver, Office.Carrier {
-    private static final Log LOG = new Log("debilt");
+public final class RegistryProgram implements Daemon, Link.Receiver, RegistryNode.Carrier {
+    private static final Log LOG = new Log("registry");
 
     private final Settings settings;
     private final EventLoop loop;
     private final Links links;
-    private final Office office;
+    private final RegistryNode office;
     private final long origin = System.nanoTime();
     private final ExecutorService writer = Executors.newSingleThreadExecutor(task -> {
         Thread thread = new Thread(task, "disk");
@@ -43,12 +43,12 @@
     private Snapshot snapshot;
 
     /** By the platform's settings; nothing begins yet. */
-    public Debilt(Settings settings) {
+    public RegistryProgram(Settings settings) {
         this.settings = settings;
         this.loop = new MultiThreadIoEventLoopGroup(1, Transport.handlers()).next();
         this.links = new Links(loop, this::now, this::hello, this);
-        this.office = new Office(
-                new Office.Self(
+        this.office = new RegistryNode(
+                new RegistryNode.Self(
                         settings.ip(),
                         settings.zone(),
                         control(),
@@ -90,7 +90,8 @@
         links.listen(Ports.REGISTRY.at(settings, settings.ip()));
         new ControlServer(loop, office::run).listen(control);
         loop.execute(this::tick);
-        loop.scheduleWithFixedDelay(this::tick, Office.TICK_MICROS, Office.TICK_MICROS, TimeUnit.MICROSECONDS);
+        loop.scheduleWithFixedDelay(
+                this::tick, RegistryNode.TICK_MICROS, RegistryNode.TICK_MICROS, TimeUnit.MICROSECONDS);
     }
 
     @Override
--- a/src/test/java/gorsemast/debilt/PoolTest.java
+++ b/src/test/java/gorsemast/registry/PoolTest.java
@@ -1,4 +1,4 @@
-package gorsemast.debilt;
+package gorsemast.registry;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
