--- a/src/main/java/gorsemast/stavoren/Plant.java
+++ b/src/main/java/gorsemast/modelcheck/Plant.java
@@ -1,4 +1,4 @@
-package gorsemast.stavoren;
+package gorsemast.modelcheck;
 
 /** Defects that can be planted between the members' decisions and the world, to see that the referee finds each. */
 public enum Plant {
--- a/src/main/java/gorsemast/stavoren/StoreCheck.java
+++ b/src/main/java/gorsemast/modelcheck/StoreCheck.java
@@ -1,4 +1,4 @@
-package gorsemast.stavoren;
+package gorsemast.modelcheck;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/gorsemast/stavoren/World.java
+++ b/src/main/java/gorsemast/modelcheck/World.java
@@ -1,4 +1,4 @@
-package gorsemast.stavoren;
+package gorsemast.modelcheck;
 
 import gorsemast.store.Member;
 import gorsemast.store.Message;
--- a/src/test/java/gorsemast/stavoren/StoreCheckTest.java
+++ b/src/test/java/gorsemast/modelcheck/StoreCheckTest.java
@@ -1,4 +1,4 @@
-package gorsemast.stavoren;
+package gorsemast.modelcheck;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
