--- a/src/main/java/gorsemast/command/HuntCommand.java
+++ b/src/main/java/gorsemast/command/HuntCommand.java
@@ -1,9 +1,9 @@
 package gorsemast.command;
 
 import gorsemast.exchange.NettyLog;
-import gorsemast.lelystad.Hunt;
-import gorsemast.lelystad.Outcome;
-import gorsemast.lelystad.Plant;
+import gorsemast.simulation.Hunt;
+import gorsemast.simulation.Outcome;
+import gorsemast.simulation.Plant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
--- a/src/main/java/gorsemast/lelystad/Broken.java
+++ b/src/main/java/gorsemast/simulation/Broken.java
@@ -1,4 +1,4 @@
-package gorsemast.lelystad;
+package gorsemast.simulation;
 
 /** A rule was broken, or a promise not kept. */
 public final class Broken extends RuntimeException {
--- a/src/main/java/gorsemast/lelystad/Codec.java
+++ b/src/main/java/gorsemast/simulation/Codec.java
@@ -1,4 +1,4 @@
-package gorsemast.lelystad;
+package gorsemast.simulation;
 
 import gorsemast.peer.Record;
 import java.io.ByteArrayInputStream;
--- a/src/main/java/gorsemast/lelystad/Course.java
+++ b/src/main/java/gorsemast/simulation/Course.java
@@ -1,8 +1,8 @@
-package gorsemast.lelystad;
+package gorsemast.simulation;
 
 import gorsemast.configuration.Configuration;
-import gorsemast.lelystad.Servers.Server;
-import gorsemast.lelystad.Trouble.Closing;
+import gorsemast.simulation.Servers.Server;
+import gorsemast.simulation.Trouble.Closing;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
--- a/src/main/java/gorsemast/lelystad/Day.java
+++ b/src/main/java/gorsemast/simulation/Day.java
@@ -1,7 +1,7 @@
-package gorsemast.lelystad;
+package gorsemast.simulation;
 
-import gorsemast.lelystad.Trouble.Closing;
-import gorsemast.lelystad.Trouble.Kind;
+import gorsemast.simulation.Trouble.Closing;
+import gorsemast.simulation.Trouble.Kind;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
--- a/src/main/java/gorsemast/lelystad/Edge.java
+++ b/src/main/java/gorsemast/simulation/Edge.java
@@ -1,4 +1,4 @@
-package gorsemast.lelystad;
+package gorsemast.simulation;
 
 import gorsemast.cabauw.Lookout;
 import gorsemast.configuration.Configuration;
--- a/src/main/java/gorsemast/lelystad/EdgeSender.java
+++ b/src/main/java/gorsemast/simulation/EdgeSender.java
@@ -1,4 +1,4 @@
-package gorsemast.lelystad;
+package gorsemast.simulation;
 
 import anisebend.Balancer;
 import anisebend.Balancer.Code;
--- a/src/main/java/gorsemast/lelystad/Hunt.java
+++ b/src/main/java/gorsemast/simulation/Hunt.java
@@ -1,7 +1,7 @@
-package gorsemast.lelystad;
+package gorsemast.simulation;
 
-import gorsemast.lelystad.Trouble.Closing;
 import gorsemast.logging.Log;
+import gorsemast.simulation.Trouble.Closing;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
--- a/src/main/java/gorsemast/lelystad/Plant.java
+++ b/src/main/java/gorsemast/simulation/Plant.java
@@ -1,4 +1,4 @@
-package gorsemast.lelystad;
+package gorsemast.simulation;
 
 /** Defects that can be planted round the decisions, to see that the referee finds each. */
 public enum Plant {
--- a/src/main/java/gorsemast/lelystad/Servers.java
+++ b/src/main/java/gorsemast/simulation/Servers.java
@@ -1,4 +1,4 @@
-package gorsemast.lelystad;
+package gorsemast.simulation;
 
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/gorsemast/lelystad/Trouble.java
+++ b/src/main/java/gorsemast/simulation/Trouble.java
@@ -1,4 +1,4 @@
-package gorsemast.lelystad;
+package gorsemast.simulation;
 
 import java.util.Locale;
 
--- a/src/main/java/gorsemast/lelystad/Troubles.java
+++ b/src/main/java/gorsemast/simulation/Troubles.java
@@ -1,8 +1,8 @@
-package gorsemast.lelystad;
+package gorsemast.simulation;
 
-import gorsemast.lelystad.Servers.Server;
-import gorsemast.lelystad.Trouble.Closing;
 import gorsemast.peer.Record.Program;
+import gorsemast.simulation.Servers.Server;
+import gorsemast.simulation.Trouble.Closing;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
--- a/src/main/java/gorsemast/lelystad/World.java
+++ b/src/main/java/gorsemast/simulation/World.java
@@ -1,11 +1,11 @@
-package gorsemast.lelystad;
+package gorsemast.simulation;
 
 import gorsemast.emulator.VirtualTime;
 import gorsemast.hupsel.Briefing;
-import gorsemast.lelystad.CoreProcesses.HeartbeatTable;
-import gorsemast.lelystad.CoreProcesses.Store;
-import gorsemast.lelystad.Trouble.Closing;
 import gorsemast.peer.Record.Program;
+import gorsemast.simulation.CoreProcesses.HeartbeatTable;
+import gorsemast.simulation.CoreProcesses.Store;
+import gorsemast.simulation.Trouble.Closing;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/gorsemast/lelystad/package-info.java
+++ b/src/main/java/gorsemast/simulation/package-info.java
@@ -3,4 +3,4 @@
  * servers, operators and clients are modelled round them; troubles strike by a plan; a referee judges what was seen by the
  * operators' rules. From one seed comes one course. (Lelystad: a weather station; the proving ground.)
  */
-package gorsemast.lelystad;
+package gorsemast.simulation;
--- a/src/test/java/gorsemast/lelystad/HuntTest.java
+++ b/src/test/java/gorsemast/simulation/HuntTest.java
@@ -1,4 +1,4 @@
-package gorsemast.lelystad;
+package gorsemast.simulation;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
