--- a/deploy/system-archive.sh
+++ b/deploy/system-archive.sh
@@ -15,7 +15,7 @@
 java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx128m -XX:-UsePerfData -Djava.library.path=target/native \
     -Dio.netty.allocator.type=unpooled -Dio.netty.noPreferDirect=true -Dio.netty.machineId=00:00:00:00:00:01 \
     -Dio.netty.processId=1 -Dio.netty.initialSeedUniquifier=1 -Dio.netty.jfr.enabled=false -Dslf4j.internal.verbosity=ERROR -Xlog:disable \
-    -Xshare:off -XX:DumpLoadedClassList=target/system.classes -cp "$path" gorsemast.deelen.Training target \
+    -Xshare:off -XX:DumpLoadedClassList=target/system.classes -cp "$path" gorsemast.standin.Training target \
     > target/system-archive.log 2>&1 || true
 # The archived heap is written by G1 only; a serial collector reads it all the same.
 java -Xshare:dump -XX:+UseG1GC -XX:SharedClassListFile=target/system.classes -XX:SharedArchiveFile=target/system.jsa \
--- a/src/main/java/gorsemast/command/NetworkCommand.java
+++ b/src/main/java/gorsemast/command/NetworkCommand.java
@@ -1,7 +1,7 @@
 package gorsemast.command;
 
-import gorsemast.deelen.LoopbackNetwork;
 import gorsemast.exchange.NettyLog;
+import gorsemast.standin.LoopbackNetwork;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
--- a/src/main/java/gorsemast/deelen/HttpCall.java
+++ b/src/main/java/gorsemast/standin/HttpCall.java
@@ -1,4 +1,4 @@
-package gorsemast.deelen;
+package gorsemast.standin;
 
 import gorsemast.transport.Transport;
 import io.netty.bootstrap.Bootstrap;
--- a/src/main/java/gorsemast/deelen/LoopbackNetwork.java
+++ b/src/main/java/gorsemast/standin/LoopbackNetwork.java
@@ -1,4 +1,4 @@
-package gorsemast.deelen;
+package gorsemast.standin;
 
 import gorsemast.cabauw.Cabauw;
 import gorsemast.node.Settings;
--- a/src/main/java/gorsemast/deelen/StandInServer.java
+++ b/src/main/java/gorsemast/standin/StandInServer.java
@@ -1,4 +1,4 @@
-package gorsemast.deelen;
+package gorsemast.standin;
 
 import gorsemast.exchange.StrictHttp;
 import gorsemast.transport.Transport;
--- a/src/main/java/gorsemast/deelen/Training.java
+++ b/src/main/java/gorsemast/standin/Training.java
@@ -1,4 +1,4 @@
-package gorsemast.deelen;
+package gorsemast.standin;
 
 import gorsemast.exchange.NettyLog;
 import gorsemast.exchange.Signals;
--- a/src/main/java/gorsemast/deelen/package-info.java
+++ b/src/main/java/gorsemast/standin/package-info.java
@@ -2,4 +2,4 @@
  * Stand-ins on loopback for what the delivery network meets outside: servers that beat, an operator, clients; and a whole
  * network of real programs among them. (Deelen: a weather station; stand-ins.)
  */
-package gorsemast.deelen;
+package gorsemast.standin;
--- a/src/test/java/gorsemast/deelen/NetworkTest.java
+++ b/src/test/java/gorsemast/standin/NetworkTest.java
@@ -1,9 +1,9 @@
-package gorsemast.deelen;
+package gorsemast.standin;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import gorsemast.deelen.LoopbackNetwork.Answer;
-import gorsemast.deelen.StandInServer.Manner;
+import gorsemast.standin.LoopbackNetwork.Answer;
+import gorsemast.standin.StandInServer.Manner;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
--- a/src/test/java/gorsemast/deelen/ProcessesTest.java
+++ b/src/test/java/gorsemast/standin/ProcessesTest.java
@@ -1,8 +1,8 @@
-package gorsemast.deelen;
+package gorsemast.standin;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import gorsemast.deelen.LoopbackNetwork.Answer;
+import gorsemast.standin.LoopbackNetwork.Answer;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
--- a/src/test/java/gorsemast/deelen/TranscriptTest.java
+++ b/src/test/java/gorsemast/standin/TranscriptTest.java
@@ -1,4 +1,4 @@
-package gorsemast.deelen;
+package gorsemast.standin;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
