--- a/src/main/java/gorsemast/arcen/Main.java
+++ b/src/main/java/gorsemast/arcen/Main.java
@@ -1,12 +1,12 @@
 package gorsemast.arcen;
 
-import gorsemast.cabauw.Cabauw;
 import gorsemast.exchange.NettyLog;
 import gorsemast.exchange.Signals;
 import gorsemast.logging.Log;
 import gorsemast.node.Daemon;
 import gorsemast.node.Settings;
 import gorsemast.node.SettingsException;
+import gorsemast.proxy.ProxyProgram;
 import gorsemast.registry.RegistryProgram;
 import gorsemast.store.StoreProgram;
 import java.io.IOException;
@@ -34,7 +34,7 @@
             Settings settings = Settings.read(Path.of(file));
             Daemon program =
                     switch (word) {
-                        case "cabauw" -> new Cabauw(settings);
+                        case "cabauw" -> new ProxyProgram(settings);
                         case "debilt" -> new RegistryProgram(settings);
                         default -> new StoreProgram(settings);
                     };
--- a/src/main/java/gorsemast/cabauw/Visitor.java
+++ b/src/main/java/gorsemast/proxy/ClientConnection.java
@@ -1,4 +1,4 @@
-package gorsemast.cabauw;
+package gorsemast.proxy;
 
 import gorsemast.exchange.BodyBuffer;
 import gorsemast.exchange.Passage;
@@ -37,7 +37,7 @@
  * as it comes, up to {@link #AHEAD} at a time; what may not is begun only when nothing is before it, since what stands
  * behind an answer that closes the connection is sent again. All on the event loop.
  */
-final class Visitor extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter {
     /** So many requests of one connection are in hand at a time; of more, nothing is read. */
     private static final int AHEAD = 16;
     /** A body may take so much longer as this many bytes a second would. */
@@ -46,7 +46,7 @@
     static final long SWEEP_MICROS = 250_000;
     private static final long STALLED_MICROS = 10_000_000;
     private static final long FORGOTTEN_MICROS = 1_000_000;
-    private static final Log LOG = new Log("cabauw");
+    private static final Log LOG = new Log("proxy");
 
     /** What the listener does for all connections. */
     interface Owner {
@@ -71,9 +71,9 @@
 
         void take(Turn turn);
 
-        void opened(Visitor visitor);
+        void opened(ClientConnection visitor);
 
-        void closed(Visitor visitor);
+        void closed(ClientConnection visitor);
     }
 
     private final Channel channel;
@@ -87,7 +87,7 @@
     private boolean closing;
     private boolean broken;
 
-    Visitor(Channel channel, Owner owner) {
+    ClientConnection(Channel channel, Owner owner) {
         this.channel = channel;
         this.owner = owner;
     }
--- a/src/main/java/gorsemast/cabauw/Doorman.java
+++ b/src/main/java/gorsemast/proxy/Doorman.java
@@ -1,4 +1,4 @@
-package gorsemast.cabauw;
+package gorsemast.proxy;
 
 import io.netty.channel.Channel;
 import io.netty.channel.MaxMessagesRecvByteBufAllocator;
--- a/src/main/java/gorsemast/cabauw/Front.java
+++ b/src/main/java/gorsemast/proxy/Front.java
@@ -1,4 +1,4 @@
-package gorsemast.cabauw;
+package gorsemast.proxy;
 
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.Route;
@@ -37,7 +37,7 @@
  * Where clients come in: finds each request's route in the newest configuration and hands it to whoever serves it. All
  * on one event loop.
  */
-final class Front implements Visitor.Owner {
+final class Front implements ClientConnection.Owner {
     /** When to come back where nothing better is known. */
     static final long LATER_MICROS = 300_000;
     /** Before the client's own time is over, by as much as an answer takes to it. */
@@ -64,7 +64,7 @@
     private final boolean closes;
 
     private final SplittableRandom random;
-    private final Set<Visitor> visitors = new LinkedHashSet<>();
+    private final Set<ClientConnection> visitors = new LinkedHashSet<>();
     private boolean closing;
     private long bodies;
     private int open;
@@ -92,8 +92,8 @@
     Channel listen(InetSocketAddress at, int headBytes) throws IOException {
         loop.scheduleWithFixedDelay(
                 () -> List.copyOf(visitors).forEach(visitor -> visitor.sweep(now())),
-                Visitor.SWEEP_MICROS,
-                Visitor.SWEEP_MICROS,
+                ClientConnection.SWEEP_MICROS,
+                ClientConnection.SWEEP_MICROS,
                 TimeUnit.MICROSECONDS);
         Channel listener = Transport.listen(loop, at, new ChannelInitializer<Channel>() {
             @Override
@@ -104,7 +104,10 @@
                         ? headBytes
                         : Math.max(headBytes, Math.min(MOST_HEAD, now.limits().headerBytes()));
                 ch.pipeline()
-                        .addLast(new StrictHttp.Requests(head), new HttpResponseEncoder(), new Visitor(ch, Front.this));
+                        .addLast(
+                                new StrictHttp.Requests(head),
+                                new HttpResponseEncoder(),
+                                new ClientConnection(ch, Front.this));
             }
         });
         doorman.at(listener);
@@ -118,7 +121,7 @@
 
     /** Ends what nobody asks anything on. Returns how many connections are left. */
     int closeIdle() {
-        for (Visitor visitor : List.copyOf(visitors)) {
+        for (ClientConnection visitor : List.copyOf(visitors)) {
             if (visitor.idle()) {
                 visitor.close();
             }
@@ -128,7 +131,7 @@
 
     /** The longest idle one makes room for who waits. */
     private void makeRoom() {
-        for (Visitor visitor : visitors) {
+        for (ClientConnection visitor : visitors) {
             if (visitor.forgotten(now())) {
                 visitor.close();
                 return;
@@ -192,12 +195,12 @@
     }
 
     @Override
-    public void opened(Visitor visitor) {
+    public void opened(ClientConnection visitor) {
         visitors.add(visitor);
     }
 
     @Override
-    public void closed(Visitor visitor) {
+    public void closed(ClientConnection visitor) {
         visitors.remove(visitor);
     }
 
--- a/src/main/java/gorsemast/cabauw/ObjectDesk.java
+++ b/src/main/java/gorsemast/proxy/ObjectDesk.java
@@ -1,4 +1,4 @@
-package gorsemast.cabauw;
+package gorsemast.proxy;
 
 import anisebend.Balancer.Code;
 import anisebend.Balancer.Note;
--- a/src/main/java/gorsemast/cabauw/ObjectsServer.java
+++ b/src/main/java/gorsemast/proxy/ObjectsServer.java
@@ -1,4 +1,4 @@
-package gorsemast.cabauw;
+package gorsemast.proxy;
 
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.Route;
--- a/src/main/java/gorsemast/cabauw/Places.java
+++ b/src/main/java/gorsemast/proxy/Places.java
@@ -1,4 +1,4 @@
-package gorsemast.cabauw;
+package gorsemast.proxy;
 
 /**
  * How an edge divides its sockets between all who want some.
--- a/src/main/java/gorsemast/cabauw/Lookout.java
+++ b/src/main/java/gorsemast/proxy/ProxyNode.java
@@ -1,4 +1,4 @@
-package gorsemast.cabauw;
+package gorsemast.proxy;
 
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.ConfigurationException;
@@ -31,14 +31,14 @@
  *
  * <p>Links go to a few registries and other edges, named by rendezvous, whatever the number of machines. It is ready once it holds what a synced registry holds. One caller; times in microseconds.
  */
-public final class Lookout {
+public final class ProxyNode {
     /** To be called so often. */
     public static final long TICK_MICROS = 250_000;
     /** What was seen of servers' speeds is told so often; by more than so many edges seldomer, the same for all together. */
     private static final long SPEEDS_MICROS = 1_000_000;
 
     private static final int SPEEDS_EDGES = 20;
-    private static final Log LOG = new Log("cabauw");
+    private static final Log LOG = new Log("proxy");
 
     /** Who goes by it; all are called on the caller's thread, after what is told is merged. */
     public interface Follower {
@@ -92,7 +92,7 @@
      * @param life higher for a later start of the machine
      * @param seen what was seen here of servers' speeds, as {@link SpeedNews} has it
      */
-    public Lookout(
+    public ProxyNode(
             String ip,
             String zone,
             int registries,
--- a/src/main/java/gorsemast/cabauw/Cabauw.java
+++ b/src/main/java/gorsemast/proxy/ProxyProgram.java
@@ -1,4 +1,4 @@
-package gorsemast.cabauw;
+package gorsemast.proxy;
 
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.Route;
@@ -51,10 +51,10 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The proxy's program round its {@link Lookout}: links to a few registries and proxies, the listeners, and a sender for each
+ * The proxy's program round its {@link ProxyNode}: links to a few registries and proxies, the listeners, and a sender for each
  * service. One event loop.
  */
-public final class Cabauw implements Daemon, Link.Receiver, Lookout.Follower {
+public final class ProxyProgram implements Daemon, Link.Receiver, ProxyNode.Follower {
     /** Of the descriptors, so many are the platform's. */
     private static final int RESERVED = 200;
 
@@ -70,14 +70,14 @@
     /** While it leaves, it looks so often for what is over. */
     private static final long LEAVING_MICROS = 60_000;
 
-    private static final Log LOG = new Log("cabauw");
+    private static final Log LOG = new Log("proxy");
 
     private final Settings settings;
     private final EventLoop loop;
     private final Shelf shelf = new Shelf(SHELF_BYTES);
     private final Links links;
     private final Places places;
-    private final Lookout lookout;
+    private final ProxyNode lookout;
     private final Upstream servers;
     private final Upstream between;
     private final ObjectDesk desk;
@@ -89,12 +89,12 @@
     private boolean stopping;
 
     /** By the platform's settings; nothing begins yet. */
-    public Cabauw(Settings settings) {
+    public ProxyProgram(Settings settings) {
         this.settings = settings;
         this.loop = new MultiThreadIoEventLoopGroup(1, Transport.handlers()).next();
         this.links = new Links(loop, this::now, this::hello, this);
         this.places = Places.of(Math.max(16, settings.descriptors() - RESERVED));
-        this.lookout = new Lookout(
+        this.lookout = new ProxyNode(
                 settings.ip(),
                 settings.zone(),
                 places.registries(),
@@ -185,7 +185,7 @@
                 .listen(Ports.OBJECTS.at(settings, settings.ip()));
         listenForProbes(probes);
         loop.execute(this::tick);
-        loop.scheduleWithFixedDelay(this::tick, Lookout.TICK_MICROS, Lookout.TICK_MICROS, TimeUnit.MICROSECONDS);
+        loop.scheduleWithFixedDelay(this::tick, ProxyNode.TICK_MICROS, ProxyNode.TICK_MICROS, TimeUnit.MICROSECONDS);
     }
 
     private void listenForProbes(InetSocketAddress at) throws IOException {
--- a/src/main/java/gorsemast/cabauw/Turn.java
+++ b/src/main/java/gorsemast/proxy/Turn.java
@@ -1,4 +1,4 @@
-package gorsemast.cabauw;
+package gorsemast.proxy;
 
 import gorsemast.exchange.Passage;
 import io.netty.buffer.ByteBuf;
--- a/src/main/java/gorsemast/simulation/Edge.java
+++ b/src/main/java/gorsemast/simulation/Edge.java
@@ -1,6 +1,5 @@
 package gorsemast.simulation;
 
-import gorsemast.cabauw.Lookout;
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.Route;
 import gorsemast.eelde.Copy;
@@ -16,6 +15,7 @@
 import gorsemast.peer.Neighbour;
 import gorsemast.peer.Record;
 import gorsemast.peer.Record.Program;
+import gorsemast.proxy.ProxyNode;
 import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -25,10 +25,10 @@
 import java.util.function.Consumer;
 
 /**
- * An edge's program round its decisions: {@link Lookout}, {@link Fetching}, and a sender for each service. Requests and
+ * An edge's program round its decisions: {@link ProxyNode}, {@link Fetching}, and a sender for each service. Requests and
  * answers between edges and servers are calls in virtual time where HTTP stands in service.
  */
-final class Edge extends Process implements Lookout.Follower, Fetching.Ways<String> {
+final class Edge extends Process implements ProxyNode.Follower, Fetching.Ways<String> {
     private static final long OBJECT_MICROS = 1_500_000;
 
     /** How a client's request ended. */
@@ -42,7 +42,7 @@
     /** What a client is told: of an object the version, and whether a copy was served. */
     record Answer(Told told, long version, boolean copy) {}
 
-    final Lookout lookout;
+    final ProxyNode lookout;
     private final Fetching<String> fetching;
     private final Map<String, EdgeSender> senders = new HashMap<>();
     boolean leaving;
@@ -52,7 +52,7 @@
     Edge(World world, Machine machine) {
         super(world, machine, Program.PROXY);
         this.lookout =
-                new Lookout(machine.ip, machine.zone, 2, 2, wall(), world.seeds(), this::now, this, this::seen, this);
+                new ProxyNode(machine.ip, machine.zone, 2, 2, wall(), world.seeds(), this::now, this, this::seen, this);
         this.fetching = new Fetching<>(
                 machine.ip,
                 this::now,
@@ -62,7 +62,7 @@
                 World.WINDOW_MICROS,
                 world.random.nextLong(),
                 this);
-        each(Lookout.TICK_MICROS, this::tick);
+        each(ProxyNode.TICK_MICROS, this::tick);
     }
 
     private void tick() {
--- a/src/main/java/gorsemast/standin/LoopbackNetwork.java
+++ b/src/main/java/gorsemast/standin/LoopbackNetwork.java
@@ -1,7 +1,7 @@
 package gorsemast.standin;
 
-import gorsemast.cabauw.Cabauw;
 import gorsemast.node.Settings;
+import gorsemast.proxy.ProxyProgram;
 import gorsemast.registry.RegistryProgram;
 import gorsemast.store.StoreProgram;
 import gorsemast.transport.Transport;
@@ -115,7 +115,7 @@
         }
         for (int i = 0; i < edges; i++) {
             String ip = net + '.' + (20 + i);
-            new Cabauw(Settings.parse(settings(ip, "edge-" + i, false, true, null))).start();
+            new ProxyProgram(Settings.parse(settings(ip, "edge-" + i, false, true, null))).start();
             fronts.add(new InetSocketAddress(ip, port + 1));
             probes.add(new InetSocketAddress(ip, port + 2));
         }
--- a/src/test/java/gorsemast/cabauw/PlacesTest.java
+++ b/src/test/java/gorsemast/proxy/PlacesTest.java
@@ -1,4 +1,4 @@
-package gorsemast.cabauw;
+package gorsemast.proxy;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
