--- a/src/main/java/gorsemast/arcen/Main.java
+++ b/src/main/java/gorsemast/launcher/Main.java
@@ -1,4 +1,4 @@
-package gorsemast.arcen;
+package gorsemast.launcher;
 
 import gorsemast.exchange.NettyLog;
 import gorsemast.exchange.Signals;
@@ -13,7 +13,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 
-/** Starts {@code cabauw}, {@code debilt} or {@code vlissingen} by the settings at {@value Settings#VARIABLE}. */
+/** Starts {@code proxy}, {@code registry} or {@code store} by the settings at {@value Settings#VARIABLE}. */
 public final class Main {
     private Main() {}
 
@@ -23,8 +23,8 @@
         String word = args.length == 1 ? args[0] : "";
         Log log = new Log(word.isEmpty() ? "arcen" : word);
         String file = System.getenv(Settings.VARIABLE);
-        if (file == null || !word.equals("cabauw") && !word.equals("debilt") && !word.equals("vlissingen")) {
-            log.warn("usage: " + Settings.VARIABLE + "=FILE gorsemast cabauw|debilt|vlissingen");
+        if (file == null || !word.equals("proxy") && !word.equals("registry") && !word.equals("store")) {
+            log.warn("usage: " + Settings.VARIABLE + "=FILE gorsemast proxy|registry|store");
             Log.flush();
             System.exit(2);
         }
@@ -34,8 +34,8 @@
             Settings settings = Settings.read(Path.of(file));
             Daemon program =
                     switch (word) {
-                        case "cabauw" -> new ProxyProgram(settings);
-                        case "debilt" -> new RegistryProgram(settings);
+                        case "proxy" -> new ProxyProgram(settings);
+                        case "registry" -> new RegistryProgram(settings);
                         default -> new StoreProgram(settings);
                     };
             program.start();
--- a/src/main/java/gorsemast/standin/Training.java
+++ b/src/main/java/gorsemast/standin/Training.java
@@ -19,9 +19,9 @@
     public static void main(String[] args) throws IOException, ClassNotFoundException {
         NettyLog.install();
         // What only the entry point uses: one class that is not in the archive has the jar opened at each start.
-        Class.forName("gorsemast.arcen.Main");
-        Class.forName("gorsemast.arcen.Main$Leaving");
-        Class.forName("gorsemast.arcen.Main$Rereading");
+        Class.forName("gorsemast.launcher.Main");
+        Class.forName("gorsemast.launcher.Main$Leaving");
+        Class.forName("gorsemast.launcher.Main$Rereading");
         Signals.onHangup(() -> {});
         Path data = Files.createTempDirectory(Path.of(args[0]), "training");
         int port = 21_000 + (int) (ProcessHandle.current().pid() % 20_000);
--- a/src/test/java/gorsemast/standin/ProcessesTest.java
+++ b/src/test/java/gorsemast/standin/ProcessesTest.java
@@ -43,7 +43,7 @@
         for (int core = 1; core <= 3; core++) {
             core(core, true);
         }
-        run("edge", "cabauw", network.settings(NET + ".20", "edge", false, true, null));
+        run("edge", "proxy", network.settings(NET + ".20", "edge", false, true, null));
         servers.add(network.newServer("i-0", "objects", 40));
         servers.add(network.newServer("i-1", "orders", 41));
         put(1);
@@ -58,7 +58,7 @@
     }
 
     private void core(int number, boolean first) throws IOException {
-        for (String program : new String[] {"vlissingen", "debilt"}) {
+        for (String program : new String[] {"store", "registry"}) {
             Path disk = data.resolve(program + number);
             Files.createDirectories(disk);
             run(program + number, program, network.settings(NET + "." + number, "core-" + number, true, first, disk));
@@ -75,7 +75,7 @@
                         "-Xmx64m",
                         "-cp",
                         System.getProperty("java.class.path"),
-                        "gorsemast.arcen.Main",
+                        "gorsemast.launcher.Main",
                         program)
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(
@@ -85,7 +85,7 @@
     }
 
     private void kill(int core) {
-        for (String program : new String[] {"vlissingen", "debilt"}) {
+        for (String program : new String[] {"store", "registry"}) {
             Process process = running.remove(program + core);
             process.destroyForcibly();
             process.onExit().join();
@@ -126,7 +126,7 @@
     }
 
     private void wipe(int core) throws IOException {
-        for (String program : new String[] {"vlissingen", "debilt"}) {
+        for (String program : new String[] {"store", "registry"}) {
             try (Stream<Path> files = Files.walk(data.resolve(program + core))) {
                 for (Path file :
                         files.sorted(java.util.Comparator.reverseOrder()).toList()) {
@@ -148,7 +148,7 @@
             core(by, false);
             put(++version); // taken in again, or not yet: the other two are enough
             int lives = turn;
-            LoopbackNetwork.until(() -> log("vlissingen").contains("takes in") && taken() > lives);
+            LoopbackNetwork.until(() -> log("store").contains("takes in") && taken() > lives);
         }
     }
 
@@ -167,7 +167,7 @@
     }
 
     private long taken() {
-        return log("vlissingen")
+        return log("store")
                 .lines()
                 .filter(line -> line.contains("takes in"))
                 .map(line -> line.replaceAll(".* takes in ", ""))
@@ -208,7 +208,7 @@
     void settingsThatCantBeWorkedWithEndItWithTheirPlace() throws Exception {
         run(
                 "bad",
-                "debilt",
+                "registry",
                 network.settings(NET + ".9", "bad", true, false, null).replace("internalPorts:", "inner:"));
         assertThat(running.get("bad").waitFor(20, TimeUnit.SECONDS)).isTrue();
         assertThat(running.get("bad").exitValue()).isEqualTo(1);
