--- a/src/main/java/gorsemast/hupsel/Briefing.java
+++ b/src/main/java/gorsemast/dispatch/Briefing.java
@@ -1,4 +1,4 @@
-package gorsemast.hupsel;
+package gorsemast.dispatch;
 
 import anisebend.Balancer;
 import gorsemast.configuration.Route;
--- a/src/main/java/gorsemast/hupsel/Call.java
+++ b/src/main/java/gorsemast/dispatch/Call.java
@@ -1,4 +1,4 @@
-package gorsemast.hupsel;
+package gorsemast.dispatch;
 
 import gorsemast.configuration.Route;
 import io.netty.buffer.ByteBuf;
--- a/src/main/java/gorsemast/hupsel/Client.java
+++ b/src/main/java/gorsemast/dispatch/Client.java
@@ -1,4 +1,4 @@
-package gorsemast.hupsel;
+package gorsemast.dispatch;
 
 import gorsemast.exchange.Passage;
 import io.netty.handler.codec.http.FullHttpResponse;
--- a/src/main/java/gorsemast/hupsel/Crowd.java
+++ b/src/main/java/gorsemast/dispatch/Crowd.java
@@ -1,4 +1,4 @@
-package gorsemast.hupsel;
+package gorsemast.dispatch;
 
 import gorsemast.gossip.Hash;
 import java.util.ArrayList;
--- a/src/main/java/gorsemast/hupsel/Hops.java
+++ b/src/main/java/gorsemast/dispatch/Hops.java
@@ -1,4 +1,4 @@
-package gorsemast.hupsel;
+package gorsemast.dispatch;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
--- a/src/main/java/gorsemast/hupsel/Network.java
+++ b/src/main/java/gorsemast/dispatch/Network.java
@@ -1,4 +1,4 @@
-package gorsemast.hupsel;
+package gorsemast.dispatch;
 
 import anisebend.Balancer.Code;
 import gorsemast.exchange.Upstream;
--- a/src/main/java/gorsemast/hupsel/Sender.java
+++ b/src/main/java/gorsemast/dispatch/Sender.java
@@ -1,4 +1,4 @@
-package gorsemast.hupsel;
+package gorsemast.dispatch;
 
 import anisebend.Balancer;
 import anisebend.Balancer.Code;
@@ -43,7 +43,7 @@
     /** The module's own end comes so much before that. */
     private static final long MARGIN_MICROS = 12_000;
 
-    private static final Log LOG = new Log("hupsel");
+    private static final Log LOG = new Log("dispatch");
 
     private final class Exchange {
         private final String id;
--- a/src/main/java/gorsemast/hupsel/Server.java
+++ b/src/main/java/gorsemast/dispatch/Server.java
@@ -1,4 +1,4 @@
-package gorsemast.hupsel;
+package gorsemast.dispatch;
 
 import gorsemast.exchange.Upstream;
 import gorsemast.gossip.ServerNews;
--- a/src/main/java/gorsemast/hupsel/Speeds.java
+++ b/src/main/java/gorsemast/dispatch/Speeds.java
@@ -1,4 +1,4 @@
-package gorsemast.hupsel;
+package gorsemast.dispatch;
 
 import java.util.Collection;
 import java.util.HashMap;
--- a/src/main/java/gorsemast/hupsel/package-info.java
+++ b/src/main/java/gorsemast/dispatch/package-info.java
@@ -3,4 +3,4 @@
  * of. The module decides which server, when, whether again, and what is refused; what stands here carries that out and
  * keeps each request's one final answer. (Hupsel: a weather station; sending.)
  */
-package gorsemast.hupsel;
+package gorsemast.dispatch;
--- a/src/main/java/gorsemast/proxy/Front.java
+++ b/src/main/java/gorsemast/proxy/Front.java
@@ -2,13 +2,13 @@
 
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.Route;
+import gorsemast.dispatch.Call;
+import gorsemast.dispatch.Client;
+import gorsemast.dispatch.Hops;
+import gorsemast.dispatch.Network;
+import gorsemast.dispatch.Sender;
 import gorsemast.exchange.Passage;
 import gorsemast.exchange.StrictHttp;
-import gorsemast.hupsel.Call;
-import gorsemast.hupsel.Client;
-import gorsemast.hupsel.Hops;
-import gorsemast.hupsel.Network;
-import gorsemast.hupsel.Sender;
 import gorsemast.transport.Transport;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
--- a/src/main/java/gorsemast/proxy/ObjectsServer.java
+++ b/src/main/java/gorsemast/proxy/ObjectsServer.java
@@ -2,12 +2,12 @@
 
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.Route;
+import gorsemast.dispatch.Hops;
 import gorsemast.eelde.Copy;
 import gorsemast.eelde.Fetching;
 import gorsemast.eelde.Fetching.Wanted;
 import gorsemast.exchange.StrictHttp;
 import gorsemast.gossip.GossipState;
-import gorsemast.hupsel.Hops;
 import gorsemast.transport.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/gorsemast/proxy/ProxyProgram.java
+++ b/src/main/java/gorsemast/proxy/ProxyProgram.java
@@ -2,15 +2,15 @@
 
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.Route;
+import gorsemast.dispatch.Briefing;
+import gorsemast.dispatch.Network;
+import gorsemast.dispatch.Sender;
 import gorsemast.eelde.Fetching;
 import gorsemast.eelde.Shelf;
 import gorsemast.exchange.StrictHttp;
 import gorsemast.exchange.Upstream;
 import gorsemast.gossip.Entry;
 import gorsemast.gossip.ServerNews;
-import gorsemast.hupsel.Briefing;
-import gorsemast.hupsel.Network;
-import gorsemast.hupsel.Sender;
 import gorsemast.logging.Log;
 import gorsemast.node.Daemon;
 import gorsemast.node.Seed;
--- a/src/main/java/gorsemast/simulation/Edge.java
+++ b/src/main/java/gorsemast/simulation/Edge.java
@@ -2,6 +2,8 @@
 
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.Route;
+import gorsemast.dispatch.Briefing;
+import gorsemast.dispatch.Crowd;
 import gorsemast.eelde.Copy;
 import gorsemast.eelde.Fetching;
 import gorsemast.eelde.Fetching.FromHome;
@@ -10,8 +12,6 @@
 import gorsemast.eelde.Shelf;
 import gorsemast.gossip.Entry;
 import gorsemast.gossip.ServerNews;
-import gorsemast.hupsel.Briefing;
-import gorsemast.hupsel.Crowd;
 import gorsemast.peer.Neighbour;
 import gorsemast.peer.Record;
 import gorsemast.peer.Record.Program;
--- a/src/main/java/gorsemast/simulation/World.java
+++ b/src/main/java/gorsemast/simulation/World.java
@@ -1,7 +1,7 @@
 package gorsemast.simulation;
 
+import gorsemast.dispatch.Briefing;
 import gorsemast.emulator.VirtualTime;
-import gorsemast.hupsel.Briefing;
 import gorsemast.peer.Record.Program;
 import gorsemast.simulation.CoreProcesses.HeartbeatTable;
 import gorsemast.simulation.CoreProcesses.Store;
--- a/src/test/java/gorsemast/hupsel/SpeedsTest.java
+++ b/src/test/java/gorsemast/dispatch/SpeedsTest.java
@@ -1,4 +1,4 @@
-package gorsemast.hupsel;
+package gorsemast.dispatch;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
