--- a/src/main/java/gorsemast/eelde/Ceiling.java
+++ b/src/main/java/gorsemast/cache/Ceiling.java
@@ -1,4 +1,4 @@
-package gorsemast.eelde;
+package gorsemast.cache;
 
 /**
  * How many requests one edge may send to the servers of a service that bear only so many a second from all edges.
--- a/src/main/java/gorsemast/eelde/Copy.java
+++ b/src/main/java/gorsemast/cache/Copy.java
@@ -1,4 +1,4 @@
-package gorsemast.eelde;
+package gorsemast.cache;
 
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/gorsemast/eelde/Shelf.java
+++ b/src/main/java/gorsemast/cache/CopyCache.java
@@ -1,4 +1,4 @@
-package gorsemast.eelde;
+package gorsemast.cache;
 
 import gorsemast.gossip.PurgeNews;
 import java.util.ArrayDeque;
@@ -16,7 +16,7 @@
  * <p><b>Bounds.</b> {@code most} bytes, {@link #PURGES} purges. O(1) but for purges and {@link #sweep}, which look at
  * all that is held. One thread; times in microseconds.
  */
-public final class Shelf {
+public final class CopyCache {
     private static final int PURGES = 4_096;
     /** A copy of more than this part of all room is not held. */
     private static final int LARGEST_PART = 8;
@@ -30,7 +30,7 @@
     private long number;
 
     /** With room for so many bytes. */
-    public Shelf(long most) {
+    public CopyCache(long most) {
         this.most = most;
     }
 
--- a/src/main/java/gorsemast/eelde/Demand.java
+++ b/src/main/java/gorsemast/cache/Demand.java
@@ -1,4 +1,4 @@
-package gorsemast.eelde;
+package gorsemast.cache;
 
 /**
  * How much is asked for of one service's objects at this edge, and what follows for their homes.
--- a/src/main/java/gorsemast/eelde/Fetching.java
+++ b/src/main/java/gorsemast/cache/Fetching.java
@@ -1,4 +1,4 @@
-package gorsemast.eelde;
+package gorsemast.cache;
 
 import gorsemast.configuration.Route;
 import gorsemast.gossip.Entry;
@@ -22,7 +22,7 @@
  * on the shelf, and given at most to those who had asked by then. Fetches from servers count at this edge's part of what the
  * service bears; those that nobody waits for have half of it.
  *
- * <p><b>Bounds.</b> {@link Shelf}'s and as many fetches as there are requests. No I/O, no clock of its own, no threads:
+ * <p><b>Bounds.</b> {@link CopyCache}'s and as many fetches as there are requests. No I/O, no clock of its own, no threads:
  * {@link Ways} carry out. One caller; times in microseconds.
  *
  * @param <A> an answer that is no copy, passed on as it is
@@ -55,7 +55,7 @@
     public record Wanted(Route route, String host, String uri) {
         /** What it is held under. */
         public String key() {
-            return Shelf.key(host, uri);
+            return CopyCache.key(host, uri);
         }
     }
 
@@ -178,7 +178,7 @@
     }
 
     private final LongSupplier clock;
-    private final Shelf shelf;
+    private final CopyCache shelf;
     private final Homes homes;
     private final GossipState board;
     private final Ways<A> ways;
@@ -212,7 +212,7 @@
     public Fetching(
             String self,
             LongSupplier clock,
-            Shelf shelf,
+            CopyCache shelf,
             Homes homes,
             GossipState board,
             long window,
@@ -240,8 +240,8 @@
         if (purge != null) {
             shelf.purge(purge);
             if (purge.tag().isEmpty()) {
-                fetches.forEach(
-                        of -> of.keySet().removeIf(key -> Shelf.path(purge, key))); // who asks from now on gets another
+                fetches.forEach(of ->
+                        of.keySet().removeIf(key -> CopyCache.path(purge, key))); // who asks from now on gets another
             }
         }
     }
--- a/src/main/java/gorsemast/eelde/Homes.java
+++ b/src/main/java/gorsemast/cache/Homes.java
@@ -1,4 +1,4 @@
-package gorsemast.eelde;
+package gorsemast.cache;
 
 import gorsemast.gossip.Hash;
 import java.util.ArrayList;
--- a/src/main/java/gorsemast/eelde/Patience.java
+++ b/src/main/java/gorsemast/cache/Patience.java
@@ -1,4 +1,4 @@
-package gorsemast.eelde;
+package gorsemast.cache;
 
 /**
  * How long to wait for another edge before its object is fetched elsewhere: what answers usually take and some of their
--- a/src/main/java/gorsemast/proxy/ObjectsServer.java
+++ b/src/main/java/gorsemast/proxy/ObjectsServer.java
@@ -1,11 +1,11 @@
 package gorsemast.proxy;
 
+import gorsemast.cache.Copy;
+import gorsemast.cache.Fetching;
+import gorsemast.cache.Fetching.Wanted;
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.Route;
 import gorsemast.dispatch.Hops;
-import gorsemast.eelde.Copy;
-import gorsemast.eelde.Fetching;
-import gorsemast.eelde.Fetching.Wanted;
 import gorsemast.exchange.StrictHttp;
 import gorsemast.gossip.GossipState;
 import gorsemast.transport.Transport;
--- a/src/main/java/gorsemast/proxy/ProxyNode.java
+++ b/src/main/java/gorsemast/proxy/ProxyNode.java
@@ -1,8 +1,8 @@
 package gorsemast.proxy;
 
+import gorsemast.cache.Homes;
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.ConfigurationException;
-import gorsemast.eelde.Homes;
 import gorsemast.gossip.Entry;
 import gorsemast.gossip.Entry.Kind;
 import gorsemast.gossip.GossipState;
--- a/src/main/java/gorsemast/proxy/ProxyProgram.java
+++ b/src/main/java/gorsemast/proxy/ProxyProgram.java
@@ -1,12 +1,12 @@
 package gorsemast.proxy;
 
+import gorsemast.cache.CopyCache;
+import gorsemast.cache.Fetching;
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.Route;
 import gorsemast.dispatch.Briefing;
 import gorsemast.dispatch.Network;
 import gorsemast.dispatch.Sender;
-import gorsemast.eelde.Fetching;
-import gorsemast.eelde.Shelf;
 import gorsemast.exchange.StrictHttp;
 import gorsemast.exchange.Upstream;
 import gorsemast.gossip.Entry;
@@ -74,7 +74,7 @@
 
     private final Settings settings;
     private final EventLoop loop;
-    private final Shelf shelf = new Shelf(SHELF_BYTES);
+    private final CopyCache shelf = new CopyCache(SHELF_BYTES);
     private final Links links;
     private final Places places;
     private final ProxyNode lookout;
--- a/src/main/java/gorsemast/simulation/Edge.java
+++ b/src/main/java/gorsemast/simulation/Edge.java
@@ -1,15 +1,15 @@
 package gorsemast.simulation;
 
+import gorsemast.cache.Copy;
+import gorsemast.cache.CopyCache;
+import gorsemast.cache.Fetching;
+import gorsemast.cache.Fetching.FromHome;
+import gorsemast.cache.Fetching.FromServers;
+import gorsemast.cache.Fetching.Wanted;
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.Route;
 import gorsemast.dispatch.Briefing;
 import gorsemast.dispatch.Crowd;
-import gorsemast.eelde.Copy;
-import gorsemast.eelde.Fetching;
-import gorsemast.eelde.Fetching.FromHome;
-import gorsemast.eelde.Fetching.FromServers;
-import gorsemast.eelde.Fetching.Wanted;
-import gorsemast.eelde.Shelf;
 import gorsemast.gossip.Entry;
 import gorsemast.gossip.ServerNews;
 import gorsemast.peer.Neighbour;
@@ -56,7 +56,7 @@
         this.fetching = new Fetching<>(
                 machine.ip,
                 this::now,
-                new Shelf(1 << 20),
+                new CopyCache(1 << 20),
                 lookout.homes(),
                 lookout.board(),
                 World.WINDOW_MICROS,
--- a/src/test/java/gorsemast/eelde/ContentTest.java
+++ b/src/test/java/gorsemast/cache/ContentTest.java
@@ -1,4 +1,4 @@
-package gorsemast.eelde;
+package gorsemast.cache;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -10,7 +10,7 @@
 
 /** Copies and purges, homes that fail, and a ceiling that holds over any window. */
 class ContentTest {
-    private static final String KEY = Shelf.key("a.example", "/x/1");
+    private static final String KEY = CopyCache.key("a.example", "/x/1");
 
     private static Copy copy(long asked, String... tags) {
         return new Copy(200, List.of(), new byte[1_000], Set.of(tags), asked, 10_000_000);
@@ -18,7 +18,7 @@
 
     @Test
     void aCopyIsServedForItsTimeFromWhenItWasAskedFor() {
-        Shelf shelf = new Shelf(1 << 20);
+        CopyCache shelf = new CopyCache(1 << 20);
         shelf.put(KEY, copy(1_000_000));
         assertThat(shelf.get(10_999_999, KEY, 60_000_000)).isNotNull();
         assertThat(shelf.get(11_000_000, KEY, 60_000_000)).isNull();
@@ -29,7 +29,7 @@
 
     @Test
     void aPurgeHoldsAgainstWhatWasAskedForBeforeIt() {
-        Shelf shelf = new Shelf(1 << 20);
+        CopyCache shelf = new CopyCache(1 << 20);
         long before = shelf.number();
         shelf.purge(new PurgeNews("p", "a.example", "/x/1", ""));
         long after = shelf.number();
@@ -38,10 +38,10 @@
         assertThat(shelf.purgedSince(after, KEY, copy(0))).isFalse();
         assertThat(shelf.purgedSince(after, KEY, copy(0, "red"))).isTrue();
         assertThat(shelf.purgedSince(shelf.number(), KEY, copy(0, "red"))).isFalse();
-        assertThat(shelf.purgedSince(before, Shelf.key("a.example", "/x/1?q"), copy(0)))
+        assertThat(shelf.purgedSince(before, CopyCache.key("a.example", "/x/1?q"), copy(0)))
                 .as("with a query too")
                 .isTrue();
-        assertThat(shelf.purgedSince(before, Shelf.key("a.example", "/x/12"), copy(0)))
+        assertThat(shelf.purgedSince(before, CopyCache.key("a.example", "/x/12"), copy(0)))
                 .isFalse();
         for (int i = 0; i < 5_000; i++) {
             shelf.purge(new PurgeNews("n" + i, "b.example", "/" + i, ""));
@@ -53,7 +53,7 @@
 
     @Test
     void copiesAreHeldWithinTheirRoomAndPurgedByTag() {
-        Shelf shelf = new Shelf(100_000);
+        CopyCache shelf = new CopyCache(100_000);
         for (int i = 0; i < 1_000; i++) {
             shelf.put("k" + i, copy(0, i % 2 == 0 ? "even" : "odd"));
             assertThat(shelf.bytes()).isLessThanOrEqualTo(100_000);
--- a/src/test/java/gorsemast/eelde/FetchingTest.java
+++ b/src/test/java/gorsemast/cache/FetchingTest.java
@@ -1,11 +1,11 @@
-package gorsemast.eelde;
+package gorsemast.cache;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import gorsemast.cache.Fetching.FromHome;
+import gorsemast.cache.Fetching.FromServers;
+import gorsemast.cache.Fetching.Wanted;
 import gorsemast.configuration.Route;
-import gorsemast.eelde.Fetching.FromHome;
-import gorsemast.eelde.Fetching.FromServers;
-import gorsemast.eelde.Fetching.Wanted;
 import gorsemast.gossip.GossipState;
 import gorsemast.gossip.PurgeNews;
 import java.util.ArrayDeque;
@@ -27,7 +27,7 @@
     private record Asked(String edge, int hop, long step, FromHome<String> ending) {}
 
     private final GossipState board = new GossipState();
-    private final Shelf shelf = new Shelf(1 << 20);
+    private final CopyCache shelf = new CopyCache(1 << 20);
     private final Homes homes = new Homes("e0", "z");
     private final Deque<Asked> asked = new ArrayDeque<>();
     private final Deque<FromServers<String>> fetched = new ArrayDeque<>();
