--- a/src/main/java/anisebend/net/ClientConnection.java
+++ b/src/main/java/anisebend/net/ClientConnection.java
@@ -1,8 +1,8 @@
 package anisebend.net;
 
-import gorsemast.exchange.BodyBuffer;
-import gorsemast.exchange.Passage;
-import gorsemast.exchange.StrictHttp;
+import gorsemast.http.BodyBuffer;
+import gorsemast.http.Passage;
+import gorsemast.http.StrictHttp;
 import gorsemast.retention.BodyBudget;
 import gorsemast.transport.Transport;
 import io.netty.buffer.ByteBuf;
--- a/src/main/java/anisebend/net/Discovery.java
+++ b/src/main/java/anisebend/net/Discovery.java
@@ -3,7 +3,7 @@
 import anisebend.Balancer.ListKind;
 import anisebend.Balancer.Server;
 import anisebend.Balancer.State;
-import gorsemast.exchange.Upstream;
+import gorsemast.http.Upstream;
 import gorsemast.register.ListWatch;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
--- a/src/main/java/anisebend/net/Trace.java
+++ b/src/main/java/anisebend/net/Trace.java
@@ -4,7 +4,7 @@
 import anisebend.Balancer.Code;
 import anisebend.Balancer.ServerView;
 import anisebend.Balancer.Why;
-import gorsemast.exchange.Traffic;
+import gorsemast.http.Traffic;
 import java.lang.management.ManagementFactory;
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/anisebend/net/Warmup.java
+++ b/src/main/java/anisebend/net/Warmup.java
@@ -1,7 +1,7 @@
 package anisebend.net;
 
-import gorsemast.exchange.StrictHttp;
-import gorsemast.exchange.Upstream;
+import gorsemast.http.StrictHttp;
+import gorsemast.http.Upstream;
 import gorsemast.retention.BodyBudget;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
--- a/src/main/java/gorsemast/command/Check.java
+++ b/src/main/java/gorsemast/command/Check.java
@@ -2,7 +2,7 @@
 
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.ConfigurationException;
-import gorsemast.exchange.NettyLog;
+import gorsemast.http.NettyLog;
 import gorsemast.modelcheck.Plant;
 import gorsemast.modelcheck.StoreCheck;
 import gorsemast.node.Settings;
--- a/src/main/java/gorsemast/command/HuntCommand.java
+++ b/src/main/java/gorsemast/command/HuntCommand.java
@@ -1,6 +1,6 @@
 package gorsemast.command;
 
-import gorsemast.exchange.NettyLog;
+import gorsemast.http.NettyLog;
 import gorsemast.simulation.Hunt;
 import gorsemast.simulation.Outcome;
 import gorsemast.simulation.Plant;
--- a/src/main/java/gorsemast/command/NetworkCommand.java
+++ b/src/main/java/gorsemast/command/NetworkCommand.java
@@ -1,6 +1,6 @@
 package gorsemast.command;
 
-import gorsemast.exchange.NettyLog;
+import gorsemast.http.NettyLog;
 import gorsemast.standin.LoopbackNetwork;
 import java.io.IOException;
 import java.net.InetSocketAddress;
--- a/src/main/java/gorsemast/dispatch/Client.java
+++ b/src/main/java/gorsemast/dispatch/Client.java
@@ -1,6 +1,6 @@
 package gorsemast.dispatch;
 
-import gorsemast.exchange.Passage;
+import gorsemast.http.Passage;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
 
--- a/src/main/java/gorsemast/dispatch/Network.java
+++ b/src/main/java/gorsemast/dispatch/Network.java
@@ -1,7 +1,7 @@
 package gorsemast.dispatch;
 
 import anisebend.Balancer.Code;
-import gorsemast.exchange.Upstream;
+import gorsemast.http.Upstream;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 
--- a/src/main/java/gorsemast/dispatch/Server.java
+++ b/src/main/java/gorsemast/dispatch/Server.java
@@ -1,7 +1,7 @@
 package gorsemast.dispatch;
 
-import gorsemast.exchange.Upstream;
 import gorsemast.gossip.ServerNews;
+import gorsemast.http.Upstream;
 import java.net.InetSocketAddress;
 
 /** One life of a server, as it may be sent to. */
--- a/src/main/java/gorsemast/exchange/BodyBuffer.java
+++ b/src/main/java/gorsemast/http/BodyBuffer.java
@@ -1,4 +1,4 @@
-package gorsemast.exchange;
+package gorsemast.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
--- a/src/main/java/gorsemast/exchange/NettyLog.java
+++ b/src/main/java/gorsemast/http/NettyLog.java
@@ -1,4 +1,4 @@
-package gorsemast.exchange;
+package gorsemast.http;
 
 import io.netty.util.internal.logging.AbstractInternalLogger;
 import io.netty.util.internal.logging.InternalLogger;
--- a/src/main/java/gorsemast/exchange/Signals.java
+++ b/src/main/java/gorsemast/http/Signals.java
@@ -1,4 +1,4 @@
-package gorsemast.exchange;
+package gorsemast.http;
 
 import java.lang.reflect.Proxy;
 
--- a/src/main/java/gorsemast/exchange/StrictHttp.java
+++ b/src/main/java/gorsemast/http/StrictHttp.java
@@ -1,4 +1,4 @@
-package gorsemast.exchange;
+package gorsemast.http;
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
--- a/src/main/java/gorsemast/exchange/Turns.java
+++ b/src/main/java/gorsemast/http/Turns.java
@@ -1,4 +1,4 @@
-package gorsemast.exchange;
+package gorsemast.http;
 
 import java.util.ArrayDeque;
 import java.util.Queue;
--- a/src/main/java/gorsemast/exchange/Upstream.java
+++ b/src/main/java/gorsemast/http/Upstream.java
@@ -1,4 +1,4 @@
-package gorsemast.exchange;
+package gorsemast.http;
 
 import anisebend.Balancer.Code;
 import anisebend.Balancer.Note;
--- a/src/main/java/gorsemast/launcher/Main.java
+++ b/src/main/java/gorsemast/launcher/Main.java
@@ -1,7 +1,7 @@
 package gorsemast.launcher;
 
-import gorsemast.exchange.NettyLog;
-import gorsemast.exchange.Signals;
+import gorsemast.http.NettyLog;
+import gorsemast.http.Signals;
 import gorsemast.logging.Log;
 import gorsemast.node.Daemon;
 import gorsemast.node.Settings;
--- a/src/main/java/gorsemast/proxy/ClientConnection.java
+++ b/src/main/java/gorsemast/proxy/ClientConnection.java
@@ -1,7 +1,7 @@
 package gorsemast.proxy;
 
-import gorsemast.exchange.BodyBuffer;
-import gorsemast.exchange.Passage;
+import gorsemast.http.BodyBuffer;
+import gorsemast.http.Passage;
 import gorsemast.logging.Log;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -467,7 +467,7 @@
     }
 
     private static boolean decoderHasBytes(ChannelHandlerContext ctx) {
-        return !ctx.pipeline().get(gorsemast.exchange.StrictHttp.Requests.class).empty();
+        return !ctx.pipeline().get(gorsemast.http.StrictHttp.Requests.class).empty();
     }
 
     @Override
--- a/src/main/java/gorsemast/proxy/Turn.java
+++ b/src/main/java/gorsemast/proxy/Turn.java
@@ -1,6 +1,6 @@
 package gorsemast.proxy;
 
-import gorsemast.exchange.Passage;
+import gorsemast.http.Passage;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
--- a/src/main/java/gorsemast/registry/ControlServer.java
+++ b/src/main/java/gorsemast/registry/ControlServer.java
@@ -1,6 +1,6 @@
 package gorsemast.registry;
 
-import gorsemast.exchange.StrictHttp;
+import gorsemast.http.StrictHttp;
 import gorsemast.logging.Log;
 import gorsemast.transport.Transport;
 import io.netty.buffer.ByteBuf;
--- a/src/main/java/gorsemast/standin/StandInServer.java
+++ b/src/main/java/gorsemast/standin/StandInServer.java
@@ -1,6 +1,6 @@
 package gorsemast.standin;
 
-import gorsemast.exchange.StrictHttp;
+import gorsemast.http.StrictHttp;
 import gorsemast.transport.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
--- a/src/main/java/gorsemast/standin/Training.java
+++ b/src/main/java/gorsemast/standin/Training.java
@@ -1,7 +1,7 @@
 package gorsemast.standin;
 
-import gorsemast.exchange.NettyLog;
-import gorsemast.exchange.Signals;
+import gorsemast.http.NettyLog;
+import gorsemast.http.Signals;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/test/java/gorsemast/simulation/HuntTest.java
+++ b/src/test/java/gorsemast/simulation/HuntTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import gorsemast.exchange.NettyLog;
+import gorsemast.http.NettyLog;
 import java.util.List;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
