Make the store's messages records of a sealed interface; epochs are terms

Message was one record with a kind, a number and a flag whose meaning hung on the kind. Heartbeat, RequestVote, Vote, VoteRefused, Install, InstallAck, ViewChange, Append, AppendAck, Confirm and ConfirmAck are records of their own now, with a codec beside them (MessageCodec), and Replica has one short method for each. The model's defects in messages stand in SpoiledMessages.

--- a/src/main/java/gorsemast/modelcheck/Plant.java
+++ b/src/main/java/gorsemast/modelcheck/Plant.java
@@ -10,7 +10,7 @@
     WIPED_KEEPS_ITS_NAME,
     /** A voter does not hand over what it holds. */
     VOTE_WITHOUT_KEPT,
-    /** A backup is installed without what the epoch begins with. */
+    /** A backup is installed without what the term begins with. */
     INSTALL_WITHOUT_KEPT,
     /** The primary acknowledges with no backup. */
     NO_BACKUP,
@@ -18,14 +18,14 @@
     REFUSAL_COUNTS_AS_VOTE,
     /** A backup's word that it holds a version comes although the version was lost on the way. */
     COPIED_WITHOUT_COPY,
-    /** A backup's word that the epoch still stands comes from nobody. */
+    /** A backup's word that the term still stands comes from nobody. */
     CONFIRMED_BY_NOBODY,
     /** Half of the members is enough. */
     VIEW_OF_ONE,
     /** A disk that lost power has what it held one save earlier. */
     DISK_FORGETS_THE_LAST,
-    /** A backup answers the primary of an epoch that it has given up. */
-    ANSWERS_ANY_EPOCH,
-    /** What is asked for by epoch is taken in any epoch. */
-    EPOCHS_IGNORED
+    /** A backup answers the primary of a term that it has given up. */
+    ANSWERS_ANY_TERM,
+    /** What is asked for by term is taken in any term. */
+    TERMS_IGNORED
 }
--- /dev/null
+++ b/src/main/java/gorsemast/modelcheck/SpoiledMessages.java
@@ -0,0 +1,74 @@
+package gorsemast.modelcheck;
+
+import gorsemast.store.Member;
+import gorsemast.store.Message;
+import gorsemast.store.Message.Append;
+import gorsemast.store.Message.AppendAck;
+import gorsemast.store.Message.Confirm;
+import gorsemast.store.Message.ConfirmAck;
+import gorsemast.store.Message.Install;
+import gorsemast.store.Message.RequestVote;
+import gorsemast.store.Message.ViewChange;
+import gorsemast.store.Message.Vote;
+import gorsemast.store.Message.VoteRefused;
+import gorsemast.store.StoredVersion;
+import gorsemast.store.View;
+import java.util.List;
+
+/** The planted defects that lie in messages: what is sent in place of the right one. No state; any thread. */
+final class SpoiledMessages {
+    private static final long FAR = Long.MAX_VALUE / 4;
+    private static final long TERMS_AHEAD = 1_000;
+
+    private SpoiledMessages() {}
+
+    /**
+     * What is sent in place of a message; null for nothing.
+     *
+     * @param lastAsked the term that was last asked for by anybody
+     */
+    static Message spoiled(Plant plant, Message message, long lastAsked) {
+        if (plant == Plant.VOTE_WITHOUT_KEPT && message instanceof Vote vote) {
+            return new Vote(vote.from(), vote.term(), null);
+        }
+        if (plant == Plant.INSTALL_WITHOUT_KEPT && message instanceof Install install) {
+            return new Install(install.from(), install.term(), install.view(), StoredVersion.NONE);
+        }
+        if (plant == Plant.REFUSAL_COUNTS_AS_VOTE && message instanceof VoteRefused refused) {
+            return new Vote(refused.from(), lastAsked, null);
+        }
+        if (plant == Plant.COPIED_WITHOUT_COPY && message instanceof Append) {
+            return null;
+        }
+        if (plant == Plant.VIEW_OF_ONE && message instanceof ViewChange change) {
+            return new ViewChange(change.from(), ofOne(change.view()));
+        }
+        if (plant == Plant.VIEW_OF_ONE && message instanceof Install install) {
+            return new Install(install.from(), install.term(), ofOne(install.view()), install.held());
+        }
+        if (plant == Plant.TERMS_IGNORED && message instanceof RequestVote request) {
+            return new RequestVote(
+                    request.from(), request.term() + TERMS_AHEAD, FAR, new StoredVersion(FAR, 0, new byte[0]));
+        }
+        return message;
+    }
+
+    private static View ofOne(View view) {
+        return new View(
+                view.term(), view.primary(), view.backups(), view.members().subList(0, 1), List.of());
+    }
+
+    /** The answer of a backup that looks at no term; null where that defect is not planted, or nothing is asked. */
+    static Message answerInAnyTerm(Plant plant, Message message, Member backup) {
+        if (plant != Plant.ANSWERS_ANY_TERM) {
+            return null;
+        }
+        if (message instanceof Append append) {
+            return new AppendAck(backup, append.term(), append.round());
+        }
+        if (message instanceof Confirm confirm) {
+            return new ConfirmAck(backup, confirm.term(), confirm.round());
+        }
+        return null;
+    }
+}
--- a/src/main/java/gorsemast/modelcheck/World.java
+++ b/src/main/java/gorsemast/modelcheck/World.java
@@ -2,11 +2,14 @@
 
 import gorsemast.store.Member;
 import gorsemast.store.Message;
-import gorsemast.store.Message.Kind;
+import gorsemast.store.Message.Append;
+import gorsemast.store.Message.AppendAck;
+import gorsemast.store.Message.Confirm;
+import gorsemast.store.Message.ConfirmAck;
+import gorsemast.store.Message.RequestVote;
 import gorsemast.store.Replica;
 import gorsemast.store.ReplicaState;
 import gorsemast.store.StoredVersion;
-import gorsemast.store.View;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -112,22 +115,21 @@
             if (to.ip().equals(ip)) {
                 return;
             }
-            Message sent = spoiled(message);
+            Message sent = SpoiledMessages.spoiled(plant, message, lastAsked);
             if (sent != null) {
                 links.computeIfAbsent(ip + ">" + to.ip(), pair -> new ArrayDeque<>())
                         .add(sent);
             }
-            if (message.kind() == Kind.COPY && plant == Plant.COPIED_WITHOUT_COPY) {
-                forge(to, Kind.COPIED, message);
+            if (message instanceof Append append && plant == Plant.COPIED_WITHOUT_COPY) {
+                forge(new AppendAck(to, append.term(), append.round()));
             }
-            if (message.kind() == Kind.CONFIRM && plant == Plant.CONFIRMED_BY_NOBODY) {
-                forge(to, Kind.CONFIRMED, message);
+            if (message instanceof Confirm confirm && plant == Plant.CONFIRMED_BY_NOBODY) {
+                forge(new ConfirmAck(to, confirm.term(), confirm.round()));
             }
         }
 
-        private void forge(Member to, Kind kind, Message of) {
+        private void forge(Message forged) {
             Replica mine = keeper;
-            Message forged = new Message(kind, to, of.epoch(), of.number(), false, null, null);
             later.add(() -> {
                 if (keeper == mine) {
                     mine.message(now, forged);
@@ -135,56 +137,6 @@
             });
         }
 
-        private Message spoiled(Message m) {
-            return switch (plant) {
-                case VOTE_WITHOUT_KEPT ->
-                    m.kind() == Kind.VOTE
-                            ? new Message(m.kind(), m.from(), m.epoch(), m.number(), m.flag(), m.view(), null)
-                            : m;
-                case INSTALL_WITHOUT_KEPT ->
-                    m.kind() == Kind.INSTALL
-                            ? new Message(
-                                    m.kind(), m.from(), m.epoch(), m.number(), m.flag(), m.view(), StoredVersion.NONE)
-                            : m;
-                case REFUSAL_COUNTS_AS_VOTE ->
-                    m.kind() == Kind.NO ? new Message(Kind.VOTE, m.from(), lastAsked, 0, false, null, null) : m;
-                case COPIED_WITHOUT_COPY -> m.kind() == Kind.COPY ? null : m;
-                case VIEW_OF_ONE ->
-                    m.kind() == Kind.VIEW || m.kind() == Kind.INSTALL
-                            ? new Message(
-                                    m.kind(),
-                                    m.from(),
-                                    m.epoch(),
-                                    m.number(),
-                                    m.flag(),
-                                    new View(
-                                            m.view().epoch(),
-                                            m.view().primary(),
-                                            m.view().backups(),
-                                            m.view().members().subList(0, 1),
-                                            List.of()),
-                                    m.kept())
-                            : m;
-                case EPOCHS_IGNORED -> {
-                    Replica keeperNow = keeper;
-                    yield (m.kind() == Kind.COPIED || m.kind() == Kind.CONFIRMED || m.kind() == Kind.INSTALLED)
-                                    && keeperNow != null
-                            ? new Message(m.kind(), m.from(), m.epoch(), m.number(), m.flag(), null, null)
-                            : m.kind() == Kind.ASK
-                                    ? new Message(
-                                            m.kind(),
-                                            m.from(),
-                                            m.epoch() + 1_000,
-                                            Long.MAX_VALUE / 4,
-                                            m.flag(),
-                                            m.view(),
-                                            new StoredVersion(Long.MAX_VALUE / 4, 0, new byte[0]))
-                                    : m;
-                }
-                default -> m;
-            };
-        }
-
         @Override
         public void save(ReplicaState state, boolean keptToo, long token) {
             saves.add(new Save(state, token, keeper));
@@ -369,20 +321,13 @@
             return false;
         }
         Message message = row.poll();
-        if (message.kind() == Kind.ASK) {
-            lastAsked = message.epoch();
+        if (message instanceof RequestVote request) {
+            lastAsked = request.term();
         }
         at.keeper.message(now, message);
-        if (plant == Plant.ANSWERS_ANY_EPOCH && (message.kind() == Kind.COPY || message.kind() == Kind.CONFIRM)) {
+        Message answer = SpoiledMessages.answerInAnyTerm(plant, message, at.disk.me());
+        if (answer != null) {
             Machine asker = machines.get(from);
-            Message answer = new Message(
-                    message.kind() == Kind.COPY ? Kind.COPIED : Kind.CONFIRMED,
-                    at.disk.me(),
-                    message.epoch(),
-                    message.number(),
-                    false,
-                    null,
-                    null);
             later.add(() -> {
                 if (asker.keeper != null && !asker.frozen) {
                     asker.keeper.message(now, answer);
--- a/src/main/java/gorsemast/peer/Record.java
+++ b/src/main/java/gorsemast/peer/Record.java
@@ -5,6 +5,7 @@
 import gorsemast.gossip.GossipState;
 import gorsemast.gossip.SpeedNews;
 import gorsemast.store.Message;
+import gorsemast.store.MessageCodec;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
@@ -130,7 +131,7 @@
             bytes(out, answer.body);
         } else if (this instanceof Between between) {
             out.writeByte(11);
-            between.message.write(out);
+            MessageCodec.write(out, between.message);
         } else if (this instanceof Ballot ballot) {
             out.writeByte(12);
             out.writeByte(ballot.word.ordinal());
@@ -197,7 +198,7 @@
             case 8 -> new Put(in.readLong(), in.readLong(), bytes(in));
             case 9 -> new Get(in.readLong(), in.readLong());
             case 10 -> new Answer(in.readLong(), in.readBoolean(), in.readLong(), bytes(in));
-            case 11 -> new Between(Message.read(in));
+            case 11 -> new Between(MessageCodec.read(in));
             case 12 -> {
                 LeaseElection.Word word = LeaseElection.Word.of(in.readUnsignedByte());
                 if (word == null) {
--- a/src/main/java/gorsemast/store/Message.java
+++ b/src/main/java/gorsemast/store/Message.java
@@ -1,79 +1,64 @@
 package gorsemast.store;
 
-import java.io.DataInputStream;
-import java.io.DataOutputStream;
-import java.io.IOException;
-
 /**
- * What members say to each other.
+ * A message between two replicas of the store; written to a link by {@link MessageCodec}. Values; any thread.
  *
- * @param from who says it
- * @param epoch the epoch it is about
- * @param number which version or call it is about, or the epoch of the sender's view in a {@link Kind#PING}
- * @param flag of a {@link Kind#PING}: the sender acknowledges now
- * @param view null where the kind has none
- * @param kept null where the kind has none
+ * <p>Messages of one term of the primary carry that term; a receiver that has promised a later one drops them.
  */
-public record Message(Kind kind, Member from, long epoch, long number, boolean flag, View view, StoredVersion kept) {
-    /** Its sort. */
-    public enum Kind {
-        /** A sign of life, with the epoch promised and the view's. */
-        PING,
-        /** A candidate asks for this epoch; says its view and what it holds, without the body. */
-        ASK,
-        /** The vote, with what the voter holds where that is newer. */
-        VOTE,
-        /** No vote; with the voter's promise and view. */
-        NO,
-        /** The elected to a backup: hold this from here on. */
-        INSTALL,
-        /** It is on disk there. */
-        INSTALLED,
-        /** The view as it holds, for those that keep nothing but epochs. */
-        VIEW,
-        /** Primary to backup: a new version. */
-        COPY,
-        /** It is on disk there. */
-        COPIED,
-        /** Primary to backup: is this epoch still the last you know? */
-        CONFIRM,
-        /** It is. */
-        CONFIRMED;
+public sealed interface Message {
+    /** The member that says it. */
+    Member from();
+
+    /**
+     * A sign of life.
+     *
+     * @param promised the highest term that the sender has promised
+     * @param viewTerm the term of the sender's view
+     * @param primary whether the sender acknowledges orders now
+     */
+    record Heartbeat(Member from, long promised, long viewTerm, boolean primary) implements Message {}
+
+    /**
+     * A candidate asks for the vote of a term.
+     *
+     * @param viewTerm the term of the candidate's view; voters with a later view refuse
+     * @param held what the candidate holds, without its body
+     */
+    record RequestVote(Member from, long term, long viewTerm, StoredVersion held) implements Message {}
+
+    /**
+     * A vote, sent once the promise is on the voter's disk.
+     *
+     * @param newer what the voter holds where that is newer than what the candidate holds, else null
+     */
+    record Vote(Member from, long term, StoredVersion newer) implements Message {}
+
+    /**
+     * A refused vote.
+     *
+     * @param promised the highest term that the sender has promised
+     * @param view the sender's view, from which a member with an older one learns
+     */
+    record VoteRefused(Member from, long promised, View view) implements Message {}
+
+    /** The elected primary to a backup: the view of its term and the newest version that any voter held. */
+    record Install(Member from, long term, View view, StoredVersion held) implements Message {}
+
+    /** View and version of an {@link Install} are on the backup's disk. */
+    record InstallAck(Member from, long term) implements Message {}
+
+    /** The view of the primary's term, for witnesses and for members that were away. */
+    record ViewChange(Member from, View view) implements Message {}
+
+    /** The primary to a backup: a new version. {@code round} numbers the primary's calls. */
+    record Append(Member from, long term, long round, StoredVersion held) implements Message {}
 
-        private static final Kind[] ALL = values();
-    }
+    /** The version of an {@link Append} is on the backup's disk. */
+    record AppendAck(Member from, long term, long round) implements Message {}
 
-    /** Writes it. */
-    public void write(DataOutputStream out) throws IOException {
-        out.writeByte(kind.ordinal());
-        out.writeUTF(from.id());
-        out.writeUTF(from.ip());
-        out.writeLong(epoch);
-        out.writeLong(number);
-        out.writeBoolean(flag);
-        out.writeBoolean(view != null);
-        if (view != null) {
-            view.write(out);
-        }
-        out.writeBoolean(kept != null);
-        if (kept != null) {
-            kept.write(out);
-        }
-    }
+    /** The primary to a backup: does the backup know of no later term? */
+    record Confirm(Member from, long term, long round) implements Message {}
 
-    /** Reads one. */
-    public static Message read(DataInputStream in) throws IOException {
-        int kind = in.readUnsignedByte();
-        if (kind >= Kind.ALL.length) {
-            throw new IOException("no message " + kind);
-        }
-        return new Message(
-                Kind.ALL[kind],
-                new Member(in.readUTF(), in.readUTF()),
-                in.readLong(),
-                in.readLong(),
-                in.readBoolean(),
-                in.readBoolean() ? View.read(in) : null,
-                in.readBoolean() ? StoredVersion.read(in) : null);
-    }
+    /** The backup knows of no term later than that of the {@link Confirm}. */
+    record ConfirmAck(Member from, long term, long round) implements Message {}
 }
--- /dev/null
+++ b/src/main/java/gorsemast/store/MessageCodec.java
@@ -0,0 +1,113 @@
+package gorsemast.store;
+
+import gorsemast.store.Message.Append;
+import gorsemast.store.Message.AppendAck;
+import gorsemast.store.Message.Confirm;
+import gorsemast.store.Message.ConfirmAck;
+import gorsemast.store.Message.Heartbeat;
+import gorsemast.store.Message.Install;
+import gorsemast.store.Message.InstallAck;
+import gorsemast.store.Message.RequestVote;
+import gorsemast.store.Message.ViewChange;
+import gorsemast.store.Message.Vote;
+import gorsemast.store.Message.VoteRefused;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+
+/** The form of a {@link Message} on a link: a byte for its type, its sender, and its fields in order. Any thread. */
+public final class MessageCodec {
+    private static final int HEARTBEAT = 0;
+    private static final int REQUEST_VOTE = 1;
+    private static final int VOTE = 2;
+    private static final int VOTE_REFUSED = 3;
+    private static final int INSTALL = 4;
+    private static final int INSTALL_ACK = 5;
+    private static final int VIEW_CHANGE = 6;
+    private static final int APPEND = 7;
+    private static final int APPEND_ACK = 8;
+    private static final int CONFIRM = 9;
+    private static final int CONFIRM_ACK = 10;
+
+    private MessageCodec() {}
+
+    /** Writes a message. */
+    public static void write(DataOutputStream out, Message message) throws IOException {
+        if (message instanceof Heartbeat heartbeat) {
+            begin(out, HEARTBEAT, message);
+            out.writeLong(heartbeat.promised());
+            out.writeLong(heartbeat.viewTerm());
+            out.writeBoolean(heartbeat.primary());
+        } else if (message instanceof RequestVote request) {
+            begin(out, REQUEST_VOTE, message);
+            out.writeLong(request.term());
+            out.writeLong(request.viewTerm());
+            request.held().write(out);
+        } else if (message instanceof Vote vote) {
+            begin(out, VOTE, message);
+            out.writeLong(vote.term());
+            out.writeBoolean(vote.newer() != null);
+            if (vote.newer() != null) {
+                vote.newer().write(out);
+            }
+        } else if (message instanceof VoteRefused refused) {
+            begin(out, VOTE_REFUSED, message);
+            out.writeLong(refused.promised());
+            refused.view().write(out);
+        } else if (message instanceof Install install) {
+            begin(out, INSTALL, message);
+            out.writeLong(install.term());
+            install.view().write(out);
+            install.held().write(out);
+        } else if (message instanceof InstallAck ack) {
+            begin(out, INSTALL_ACK, message);
+            out.writeLong(ack.term());
+        } else if (message instanceof ViewChange change) {
+            begin(out, VIEW_CHANGE, message);
+            change.view().write(out);
+        } else if (message instanceof Append append) {
+            begin(out, APPEND, message);
+            round(out, append.term(), append.round());
+            append.held().write(out);
+        } else if (message instanceof AppendAck ack) {
+            begin(out, APPEND_ACK, message);
+            round(out, ack.term(), ack.round());
+        } else if (message instanceof Confirm confirm) {
+            begin(out, CONFIRM, message);
+            round(out, confirm.term(), confirm.round());
+        } else if (message instanceof ConfirmAck ack) {
+            begin(out, CONFIRM_ACK, message);
+            round(out, ack.term(), ack.round());
+        }
+    }
+
+    private static void begin(DataOutputStream out, int type, Message message) throws IOException {
+        out.writeByte(type);
+        message.from().write(out);
+    }
+
+    private static void round(DataOutputStream out, long term, long round) throws IOException {
+        out.writeLong(term);
+        out.writeLong(round);
+    }
+
+    /** Reads a message; throws {@link IOException} on anything that is none. */
+    public static Message read(DataInputStream in) throws IOException {
+        int type = in.readUnsignedByte();
+        Member from = Member.read(in);
+        return switch (type) {
+            case HEARTBEAT -> new Heartbeat(from, in.readLong(), in.readLong(), in.readBoolean());
+            case REQUEST_VOTE -> new RequestVote(from, in.readLong(), in.readLong(), StoredVersion.read(in));
+            case VOTE -> new Vote(from, in.readLong(), in.readBoolean() ? StoredVersion.read(in) : null);
+            case VOTE_REFUSED -> new VoteRefused(from, in.readLong(), View.read(in));
+            case INSTALL -> new Install(from, in.readLong(), View.read(in), StoredVersion.read(in));
+            case INSTALL_ACK -> new InstallAck(from, in.readLong());
+            case VIEW_CHANGE -> new ViewChange(from, View.read(in));
+            case APPEND -> new Append(from, in.readLong(), in.readLong(), StoredVersion.read(in));
+            case APPEND_ACK -> new AppendAck(from, in.readLong(), in.readLong());
+            case CONFIRM -> new Confirm(from, in.readLong(), in.readLong());
+            case CONFIRM_ACK -> new ConfirmAck(from, in.readLong(), in.readLong());
+            default -> throw new IOException("no message " + type);
+        };
+    }
+}
--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -1,6 +1,16 @@
 package gorsemast.store;
 
-import gorsemast.store.Message.Kind;
+import gorsemast.store.Message.Append;
+import gorsemast.store.Message.AppendAck;
+import gorsemast.store.Message.Confirm;
+import gorsemast.store.Message.ConfirmAck;
+import gorsemast.store.Message.Heartbeat;
+import gorsemast.store.Message.Install;
+import gorsemast.store.Message.InstallAck;
+import gorsemast.store.Message.RequestVote;
+import gorsemast.store.Message.ViewChange;
+import gorsemast.store.Message.Vote;
+import gorsemast.store.Message.VoteRefused;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -15,7 +25,7 @@
  * The decisions of one member of the store.
  *
  * <p><b>Idea.</b> One primary writes to its backups before it answers; the other members are witnesses that keep
- * epochs only. A new epoch is granted by more than half of the members, each of which has its promise on disk before it
+ * terms only. A new term is granted by more than half of the members, each of which has its promise on disk before it
  * votes; a voter hands over what it holds, and the elected installs the newest of that at its backups before it
  * acknowledges anything. There are as many backups as losses are to be borne, so of {@code 2f + 1} members any majority
  * meets primary or backups. This is Viewstamped Replication's change of views (Oki and Liskov 1988, Liskov and Cowling
@@ -23,9 +33,9 @@
  * Members are exchanged one at a time through a view in which both lists must grant (joint consensus, Ongaro and
  * Ousterhout 2014).
  *
- * <p><b>Why two never acknowledge at once.</b> A primary answers only after all its backups have said, in its epoch,
- * that they hold it. Who wins a later epoch has the promise of a majority, and so of the primary or of a backup; that
- * one takes no part in the older epoch any more. What was acknowledged is held by all of primary and backups, so that
+ * <p><b>Why two never acknowledge at once.</b> A primary answers only after all its backups have said, in its term,
+ * that they hold it. Who wins a later term has the promise of a majority, and so of the primary or of a backup; that
+ * one takes no part in the older term any more. What was acknowledged is held by all of primary and backups, so that
  * voter hands it over, or something newer.
  *
  * <p><b>Threading and time.</b> One caller; times in microseconds of a clock that never goes back. Nothing here does
@@ -102,7 +112,7 @@
     private final Set<String> told = new HashSet<>();
     private long round;
     private boolean onDisk;
-    /** What all backups of this epoch hold. */
+    /** What all backups of this term hold. */
     private StoredVersion agreed = StoredVersion.NONE;
 
     private boolean copies;
@@ -201,7 +211,7 @@
 
     /** A sign of life, for whoever has just come. */
     public Message greeting() {
-        return new Message(Kind.PING, me, promised, view.epoch(), role == Role.PRIMARY, null, null);
+        return new Heartbeat(me, promised, view.term(), role == Role.PRIMARY);
     }
 
     private void lead() {
@@ -220,7 +230,7 @@
                 out.log("takes in " + joining.id() + " for " + gone.id());
                 stand(members);
             } else {
-                out.log("has lost a backup of epoch " + view.epoch());
+                out.log("has lost a backup of term " + view.term());
                 stand(null);
             }
         }
@@ -260,164 +270,185 @@
 
     private void standBack() {
         boolean first = me.id().equals(view.primary())
-                || view.epoch() == 0
+                || view.term() == 0
                         && !view.members().isEmpty()
                         && view.members().get(0).equals(me);
         standBackUntil = now + (first ? 0 : STAND_BACK_MICROS / 5) + random.nextLong(STAND_BACK_MICROS);
     }
 
-    /** Asks for the next epoch, with other members where they are given. */
+    /** Asks for the next term, with other members where they are given. */
     private void stand(List<Member> members) {
         role = Role.CANDIDATE;
         roundUntil = now + ROUND_MICROS;
         promised = promised + 1;
-        long epoch = promised;
-        out.log("stands for epoch " + epoch);
+        long term = promised;
+        out.log("stands for term " + term);
         granted.clear();
         best = kept;
         proposed = members == null
                 ? view
-                : new View(view.epoch(), view.primary(), view.backups(), List.copyOf(members), view.members());
+                : new View(view.term(), view.primary(), view.backups(), List.copyOf(members), view.members());
         save(false, () -> {
-            if (role == Role.CANDIDATE && promised == epoch) {
+            if (role == Role.CANDIDATE && promised == term) {
                 granted.add(me.id());
                 for (Member member : view.all()) {
                     if (!member.equals(me)) {
-                        send(
-                                member,
-                                new Message(
-                                        Kind.ASK,
-                                        me,
-                                        epoch,
-                                        view.epoch(),
-                                        false,
-                                        null,
-                                        new StoredVersion(kept.version(), kept.epoch(), new byte[0])));
+                        send(member, new RequestVote(me, term, view.term(), kept.withoutBody()));
                     }
                 }
-                elect(epoch);
+                elect(term);
             }
         });
     }
 
-    /** Something from another member, or from one that wants to be one. */
-    public void message(long time, Message m) {
+    /** A message from another member, or from a machine that asks to be one. */
+    public void message(long time, Message message) {
         now = time;
-        String from = m.from().id();
-        heard.put(from, now);
-        known.put(from, m.from());
-        switch (m.kind()) {
-            case PING -> ping(m);
-            case ASK -> ask(m);
-            case VOTE -> {
-                if (role == Role.CANDIDATE && m.epoch() == promised) {
-                    granted.add(from);
-                    best = m.kept() != null && m.kept().compareTo(best) > 0 ? m.kept() : best;
-                    elect(promised);
-                }
-            }
-            case NO -> {
-                // One refusal is none of the others': the round goes on until its time is over, unless it can't be won.
-                if (role == Role.CANDIDATE && (m.epoch() > promised || m.view().epoch() > view.epoch())) {
-                    role = Role.FOLLOWER;
-                    standBack();
-                    adopt(m.view());
-                    promised = Math.max(promised, m.epoch());
-                    save(false, () -> {});
-                }
-            }
-            case INSTALL -> install(m);
-            case INSTALLED -> {
-                if (role == Role.INSTALLING && m.epoch() == view.epoch()) {
-                    installed.add(from);
-                    begin();
-                }
-            }
-            case VIEW -> adopt(m.view());
-            case COPY -> {
-                if (promised == m.epoch() && view.epoch() == m.epoch() && role == Role.FOLLOWER) {
-                    boolean newer = m.kept().compareTo(kept) > 0;
-                    kept = newer ? m.kept() : kept;
-                    save(newer, () -> {
-                        if (promised == m.epoch()) {
-                            send(m.from(), new Message(Kind.COPIED, me, m.epoch(), m.number(), false, null, null));
-                        }
-                    });
-                }
-            }
-            case CONFIRM -> {
-                if (promised == m.epoch() && view.epoch() == m.epoch()) {
-                    send(m.from(), new Message(Kind.CONFIRMED, me, m.epoch(), m.number(), false, null, null));
-                }
-            }
-            case COPIED, CONFIRMED -> {
-                if (role == Role.PRIMARY && m.epoch() == view.epoch() && m.number() == round) {
-                    told.add(from);
-                    finish();
-                }
-            }
-        }
-    }
-
-    private void ping(Message m) {
-        if (role == Role.PRIMARY && m.number() > view.epoch()) {
-            yieldTo(Math.max(promised, m.number())); // a later epoch has begun while this one was not heard
-        }
-        if (role == Role.PRIMARY
-                && m.epoch() > view.epoch()
-                && view.backups().contains(m.from().id())) {
-            // It has promised more than this epoch and holds nothing in it any more: a later one brings it back.
-            promised = Math.max(promised, m.epoch());
+        heard.put(message.from().id(), now);
+        known.put(message.from().id(), message.from());
+        if (message instanceof Heartbeat heartbeat) {
+            heartbeat(heartbeat);
+        } else if (message instanceof RequestVote request) {
+            requestVote(request);
+        } else if (message instanceof Vote vote) {
+            vote(vote);
+        } else if (message instanceof VoteRefused refused) {
+            voteRefused(refused);
+        } else if (message instanceof Install install) {
+            install(install);
+        } else if (message instanceof InstallAck ack) {
+            installAck(ack);
+        } else if (message instanceof ViewChange change) {
+            adopt(change.view());
+        } else if (message instanceof Append append) {
+            append(append);
+        } else if (message instanceof Confirm confirm) {
+            confirm(confirm);
+        } else if (message instanceof AppendAck ack) {
+            acknowledged(ack.from(), ack.term(), ack.round());
+        } else if (message instanceof ConfirmAck ack) {
+            acknowledged(ack.from(), ack.term(), ack.round());
+        }
+    }
+
+    private void heartbeat(Heartbeat heartbeat) {
+        String from = heartbeat.from().id();
+        boolean backup = view.backups().contains(from);
+        if (role == Role.PRIMARY && heartbeat.viewTerm() > view.term()) {
+            yieldTo(Math.max(promised, heartbeat.viewTerm())); // a later term has begun while this one was not heard
+        }
+        if (role == Role.PRIMARY && heartbeat.promised() > view.term() && backup) {
+            // It has promised more than this term and holds nothing in it any more: a later one brings it back.
+            promised = Math.max(promised, heartbeat.promised());
             stand(null);
             return;
         }
-        if (m.flag() && m.number() >= view.epoch() && role != Role.PRIMARY) {
-            activePrimary = m.from().id();
+        if (heartbeat.primary() && heartbeat.viewTerm() >= view.term() && role != Role.PRIMARY) {
+            activePrimary = from;
             activeAt = now;
             next();
         }
-        if (role == Role.PRIMARY
-                && m.number() < view.epoch()
-                && !view.backups().contains(m.from().id())) {
-            send(m.from(), new Message(Kind.VIEW, me, view.epoch(), 0, false, view, null));
+        if (role == Role.PRIMARY && heartbeat.viewTerm() < view.term() && !backup) {
+            send(heartbeat.from(), new ViewChange(me, view));
         }
     }
 
-    private void ask(Message m) {
+    private void requestVote(RequestVote request) {
         if (!view.has(me.id())) {
             return; // a life that nobody has taken in yet: what stood here before had a vote, this has none
         }
+        String refusal = refusal(request);
+        if (refusal != null) {
+            out.log("grants " + request.from().id() + " no term " + request.term() + ": " + refusal);
+            send(request.from(), new VoteRefused(me, promised, view));
+            return;
+        }
+        yieldTo(request.term());
+        StoredVersion newer = kept.compareTo(request.held()) > 0 ? kept : null;
+        save(false, () -> {
+            if (promised == request.term()) {
+                send(request.from(), new Vote(me, request.term(), newer));
+            }
+        });
+    }
+
+    /** Why a candidate does not get this member's vote; null where it does. */
+    private String refusal(RequestVote request) {
+        String candidate = request.from().id();
         boolean leads = role == Role.PRIMARY
-                && !m.from().equals(me)
+                && !candidate.equals(me.id())
                 && view.backups().stream().allMatch(id -> now - lastHeard(id) < SILENT_MICROS);
-        boolean led = !activePrimary.equals(m.from().id()) && now - activeAt < SILENT_MICROS;
-        boolean no = !view.has(m.from().id()) || m.number() < view.epoch() || m.epoch() <= promised || leads || led;
-        if (no) {
-            out.log("grants " + m.from().id() + " no epoch " + m.epoch() + ": "
-                    + (!view.has(m.from().id())
-                            ? "no member"
-                            : m.number() < view.epoch()
-                                    ? "an old view"
-                                    : m.epoch() <= promised
-                                            ? "promised " + promised
-                                            : "epoch " + view.epoch() + " is led"));
-            send(m.from(), new Message(Kind.NO, me, promised, 0, false, view, null));
+        boolean led = !activePrimary.equals(candidate) && now - activeAt < SILENT_MICROS;
+        if (!view.has(candidate)) {
+            return "no member";
+        }
+        if (request.viewTerm() < view.term()) {
+            return "an old view";
+        }
+        if (request.term() <= promised) {
+            return "promised " + promised;
+        }
+        return leads || led ? "term " + view.term() + " is led" : null;
+    }
+
+    private void vote(Vote vote) {
+        if (role == Role.CANDIDATE && vote.term() == promised) {
+            granted.add(vote.from().id());
+            best = vote.newer() != null && vote.newer().compareTo(best) > 0 ? vote.newer() : best;
+            elect(promised);
+        }
+    }
+
+    /** One refusal is none of the others': the round goes on until its time is over, unless it can't be won. */
+    private void voteRefused(VoteRefused refused) {
+        boolean lost = refused.promised() > promised || refused.view().term() > view.term();
+        if (role == Role.CANDIDATE && lost) {
+            role = Role.FOLLOWER;
+            standBack();
+            adopt(refused.view());
+            promised = Math.max(promised, refused.promised());
+            save(false, () -> {});
+        }
+    }
+
+    private void installAck(InstallAck ack) {
+        if (role == Role.INSTALLING && ack.term() == view.term()) {
+            installed.add(ack.from().id());
+            begin();
+        }
+    }
+
+    private void append(Append append) {
+        if (promised != append.term() || view.term() != append.term() || role != Role.FOLLOWER) {
             return;
         }
-        yieldTo(m.epoch());
-        StoredVersion mine = kept.compareTo(m.kept()) > 0 ? kept : null;
-        save(false, () -> {
-            if (promised == m.epoch()) {
-                send(m.from(), new Message(Kind.VOTE, me, m.epoch(), 0, false, null, mine));
+        boolean newer = append.held().compareTo(kept) > 0;
+        kept = newer ? append.held() : kept;
+        save(newer, () -> {
+            if (promised == append.term()) {
+                send(append.from(), new AppendAck(me, append.term(), append.round()));
             }
         });
     }
 
-    /** Promises a later epoch, which ends whatever this one was about. */
-    private void yieldTo(long epoch) {
-        promised = epoch;
+    private void confirm(Confirm confirm) {
+        if (promised == confirm.term() && view.term() == confirm.term()) {
+            send(confirm.from(), new ConfirmAck(me, confirm.term(), confirm.round()));
+        }
+    }
+
+    private void acknowledged(Member from, long term, long ofRound) {
+        if (role == Role.PRIMARY && term == view.term() && ofRound == round) {
+            told.add(from.id());
+            finish();
+        }
+    }
+
+    /** Promises a later term, which ends whatever this one was about. */
+    private void yieldTo(long term) {
+        promised = term;
         if (role == Role.PRIMARY) {
-            out.log("is primary no more, for epoch " + epoch);
+            out.log("is primary no more, for term " + term);
         }
         if (role != Role.FOLLOWER) {
             standBack();
@@ -426,7 +457,7 @@
         fail();
     }
 
-    private void elect(long epoch) {
+    private void elect(long term) {
         if (!view.majority(granted)) {
             return;
         }
@@ -443,7 +474,7 @@
             return; // nobody to hold it beside this one
         }
         View next = new View(
-                epoch,
+                term,
                 me.id(),
                 List.copyOf(backups.subList(0, wanted)),
                 proposed.members(),
@@ -455,21 +486,12 @@
         boolean newer = best.compareTo(kept) > 0;
         kept = best;
         save(newer, () -> {
-            if (role == Role.INSTALLING && view == next && promised == epoch) {
+            if (role == Role.INSTALLING && view == next && promised == term) {
                 installed.add(me.id());
                 for (Member member : next.all()) {
                     if (!member.equals(me)) {
                         boolean backup = next.backups().contains(member.id());
-                        send(
-                                member,
-                                new Message(
-                                        backup ? Kind.INSTALL : Kind.VIEW,
-                                        me,
-                                        epoch,
-                                        0,
-                                        false,
-                                        next,
-                                        backup ? kept : null));
+                        send(member, backup ? new Install(me, term, next, kept) : new ViewChange(me, next));
                     }
                 }
                 begin();
@@ -486,21 +508,21 @@
         }
     }
 
-    private void install(Message m) {
-        if (m.epoch() < promised || m.view() == null || m.kept() == null || m.epoch() < view.epoch()) {
+    private void install(Install install) {
+        if (install.term() < promised || install.term() < view.term()) {
             return;
         }
-        if (m.epoch() > promised || role != Role.FOLLOWER) {
-            yieldTo(m.epoch());
+        if (install.term() > promised || role != Role.FOLLOWER) {
+            yieldTo(install.term());
         }
-        view = m.view();
-        boolean newer = m.kept().compareTo(kept) > 0;
-        kept = newer ? m.kept() : kept;
-        activePrimary = m.from().id();
+        view = install.view();
+        boolean newer = install.held().compareTo(kept) > 0;
+        kept = newer ? install.held() : kept;
+        activePrimary = install.from().id();
         activeAt = now;
         save(newer, () -> {
-            if (promised == m.epoch()) {
-                send(m.from(), new Message(Kind.INSTALLED, me, m.epoch(), 0, false, null, null));
+            if (promised == install.term()) {
+                send(install.from(), new InstallAck(me, install.term()));
             }
         });
     }
@@ -510,17 +532,17 @@
         if (newer != null
                 && role != Role.PRIMARY
                 && role != Role.INSTALLING
-                && (newer.epoch() > view.epoch()
-                        || newer.epoch() == view.epoch()
+                && (newer.term() > view.term()
+                        || newer.term() == view.term()
                                 && newer.before().isEmpty()
                                 && !view.before().isEmpty())) {
             view = newer;
-            promised = Math.max(promised, newer.epoch());
+            promised = Math.max(promised, newer.term());
             save(false, () -> {});
         }
     }
 
-    /** The epoch begins once all backups hold what it begins with. */
+    /** The term begins once all backups hold what it begins with. */
     private void begin() {
         Set<String> needed = new HashSet<>(view.backups());
         needed.add(me.id());
@@ -530,18 +552,18 @@
         role = Role.PRIMARY;
         agreed = kept;
         if (working != null) {
-            calls.addFirst(working); // what this epoch began with may hold it already
+            calls.addFirst(working); // what this term began with may hold it already
             working = null;
         }
-        out.log("is primary of epoch " + view.epoch() + " with " + view.backups());
+        out.log("is primary of term " + view.term() + " with " + view.backups());
         if (!view.before().isEmpty()) {
             // Backups and primary have both lists on disk: no majority of the old one alone is left.
-            view = new View(view.epoch(), view.primary(), view.backups(), view.members(), List.of());
+            view = new View(view.term(), view.primary(), view.backups(), view.members(), List.of());
             save(false, () -> {});
         }
         for (Member member : view.members()) {
             if (!member.equals(me)) {
-                send(member, new Message(Kind.VIEW, me, view.epoch(), 0, false, view, null));
+                send(member, new ViewChange(me, view));
             }
         }
         pingAt = now;
@@ -593,7 +615,7 @@
         long mine = round;
         boolean writes = working.put && working.version > kept.version();
         if (writes) {
-            kept = new StoredVersion(working.version, view.epoch(), working.body);
+            kept = new StoredVersion(working.version, view.term(), working.body);
         }
         copies = kept != agreed; // also what an earlier call that was given up has left half told
         if (copies) {
@@ -609,22 +631,13 @@
         }
         for (Member member : view.members()) {
             if (view.backups().contains(member.id())) {
-                send(
-                        member,
-                        new Message(
-                                copies ? Kind.COPY : Kind.CONFIRM,
-                                me,
-                                view.epoch(),
-                                mine,
-                                false,
-                                null,
-                                copies ? kept : null));
+                send(member, copies ? new Append(me, view.term(), mine, kept) : new Confirm(me, view.term(), mine));
             }
         }
         finish();
     }
 
-    /** A call is done when all that hold what is acknowledged have told so in this epoch. */
+    /** A call is done when all that hold what is acknowledged have told so in this term. */
     private void finish() {
         if (working != null && onDisk && told.containsAll(view.backups())) {
             Call done = working;
--- a/src/main/java/gorsemast/store/ReplicaState.java
+++ b/src/main/java/gorsemast/store/ReplicaState.java
@@ -12,7 +12,7 @@
 /**
  * All that a member has on its disk.
  *
- * @param promised no epoch below this, nor this one for anybody else, has its word any more
+ * @param promised no term below this, nor this one for anybody else, has its word any more
  */
 public record ReplicaState(Member me, long promised, View view, StoredVersion kept) {
     /**
@@ -38,8 +38,7 @@
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (DataOutputStream out = new DataOutputStream(bytes)) {
             out.writeByte(1);
-            out.writeUTF(me.id());
-            out.writeUTF(me.ip());
+            me.write(out);
             out.writeLong(promised);
             view.write(out);
         } catch (IOException e) {
@@ -66,8 +65,7 @@
             if (in.readUnsignedByte() != 1) {
                 throw new IOException("another form of state");
             }
-            return new ReplicaState(
-                    new Member(in.readUTF(), in.readUTF()), in.readLong(), View.read(in), StoredVersion.read(more));
+            return new ReplicaState(Member.read(in), in.readLong(), View.read(in), StoredVersion.read(more));
         }
     }
 }
--- a/src/main/java/gorsemast/store/StoreProgram.java
+++ b/src/main/java/gorsemast/store/StoreProgram.java
@@ -80,8 +80,8 @@
     private ReplicaState recover(Map<String, byte[]> records) throws IOException {
         if (records.containsKey(STATE) && records.containsKey(CONFIGURATION)) {
             ReplicaState saved = ReplicaState.of(records.get(STATE), records.get(CONFIGURATION));
-            LOG.info("has version " + Long.toHexString(saved.kept().version()) + " of epoch "
-                    + saved.kept().epoch() + ", promised " + saved.promised());
+            LOG.info("has version " + Long.toHexString(saved.kept().version()) + " of term "
+                    + saved.kept().term() + ", promised " + saved.promised());
             return saved;
         }
         if (!settings.firstBoot()) {
--- a/src/main/java/gorsemast/store/View.java
+++ b/src/main/java/gorsemast/store/View.java
@@ -7,15 +7,15 @@
 import java.util.List;
 
 /**
- * Who does what from one epoch on.
+ * Who does what from one term on.
  *
- * @param epoch never two with the same
+ * @param term never two with the same
  * @param primary the id of the one that acknowledges; empty before the first
  * @param backups ids of those that hold all that is acknowledged, before it is
  * @param members who may vote; those that are neither primary nor backup are witnesses
  * @param before who could vote until this one's members have taken over; empty where they have
  */
-public record View(long epoch, String primary, List<String> backups, List<Member> members, List<Member> before) {
+public record View(long term, String primary, List<String> backups, List<Member> members, List<Member> before) {
     private static final int MOST = 64;
 
     /** Whether these ids are more than half of the members, and of those before them. */
@@ -41,7 +41,7 @@
     }
 
     void write(DataOutputStream out) throws IOException {
-        out.writeLong(epoch);
+        out.writeLong(term);
         out.writeUTF(primary);
         out.writeByte(backups.size());
         for (String backup : backups) {
@@ -50,14 +50,13 @@
         for (List<Member> list : List.of(members, before)) {
             out.writeByte(list.size());
             for (Member member : list) {
-                out.writeUTF(member.id());
-                out.writeUTF(member.ip());
+                member.write(out);
             }
         }
     }
 
     static View read(DataInputStream in) throws IOException {
-        long epoch = in.readLong();
+        long term = in.readLong();
         String primary = in.readUTF();
         List<String> backups = new ArrayList<>();
         for (int i = count(in); i > 0; i--) {
@@ -67,11 +66,11 @@
         for (int l = 0; l < 2; l++) {
             List<Member> list = new ArrayList<>();
             for (int i = count(in); i > 0; i--) {
-                list.add(new Member(in.readUTF(), in.readUTF()));
+                list.add(Member.read(in));
             }
             lists.add(list);
         }
-        return new View(epoch, primary, List.copyOf(backups), List.copyOf(lists.get(0)), List.copyOf(lists.get(1)));
+        return new View(term, primary, List.copyOf(backups), List.copyOf(lists.get(0)), List.copyOf(lists.get(1)));
     }
 
     private static int count(DataInputStream in) throws IOException {
