--- a/src/main/java/gorsemast/configuration/package-info.java
+++ b/src/main/java/gorsemast/configuration/package-info.java
@@ -1,5 +1,5 @@
 /**
  * The operator's configuration: read whole, checked, and held as an immutable snapshot; which route a request has.
- * No I/O, no clock, no threads. (Schiphol: a weather station; the operator's configuration.)
+ * No I/O, no clock, no threads.
  */
 package gorsemast.configuration;
--- a/src/main/java/gorsemast/peer/package-info.java
+++ b/src/main/java/gorsemast/peer/package-info.java
@@ -1,5 +1,5 @@
 /**
  * Links between the system's own processes: framed {@code DataOutputStream} records over TCP, one version byte, lengths
- * bounded. I/O and codec only. (Lauwersoog: a weather station; links.)
+ * bounded. I/O and codec only.
  */
 package gorsemast.peer;
--- a/src/main/java/gorsemast/proxy/package-info.java
+++ b/src/main/java/gorsemast/proxy/package-info.java
@@ -1,5 +1,5 @@
 /**
  * The proxy of the delivery network, on every edge machine: listeners, wiring, signals. What it decides stands in other
- * rooms. (ProxyProgram: a weather station; the proxy.)
+ * rooms.
  */
 package gorsemast.proxy;
--- a/src/main/java/gorsemast/registry/package-info.java
+++ b/src/main/java/gorsemast/registry/package-info.java
@@ -2,6 +2,5 @@
  * The registry: takes every call from servers and operators, keeps who there is, and passes the rest on.
  * {@link gorsemast.registry.RegistryNode} and {@link gorsemast.registry.HeartbeatTable} decide without I/O; {@code RegistryProgram} is the program round
  * them.
- * (De Bilt: a weather station; the registry.)
  */
 package gorsemast.registry;
--- a/src/main/java/gorsemast/storage/package-info.java
+++ b/src/main/java/gorsemast/storage/package-info.java
@@ -1,5 +1,4 @@
 /**
  * The disk: a few named records that are replaced whole and are safe once a save has returned, over Xodus.
- * (Wilhelminadorp: a weather station; the disk.)
  */
 package gorsemast.storage;
