--- a/src/main/java/gorsemast/peer/Record.java
+++ b/src/main/java/gorsemast/peer/Record.java
@@ -46,10 +46,10 @@
     /** One of those. */
     record Beat(String id, long seq) {}
 
-    /** HeartbeatTable to store: keep this version. */
+    /** Registry to store: keep this version. */
     record Put(long call, long version, byte[] body) implements Record {}
 
-    /** HeartbeatTable to store: the newest version, with its body where it is not {@code known}. */
+    /** Registry to store: the newest version, with its body where it is not {@code known}. */
     record Get(long call, long known) implements Record {}
 
     /** Store to registry; {@code done} where it is certain. Version 0 stands for none. */
@@ -58,10 +58,10 @@
     /** Store to store, between members; what it says is decided elsewhere. */
     record Between(Message message) implements Record {}
 
-    /** HeartbeatTable to registry: a ballot on who does what one does for all. */
+    /** Registry to registry: a ballot on who does what one does for all. */
     record Ballot(LeaseElection.Word word, long term, long at) implements Record {}
 
-    /** HeartbeatTable to proxy: what all edges together have seen of servers' speeds, as {@link SpeedNews} has it. */
+    /** Registry to proxy: what all edges together have seen of servers' speeds, as {@link SpeedNews} has it. */
     record Pooled(Map<String, double[]> servers) implements Record {}
 
     /** The first byte of each record; another one is another form of them. */
--- a/src/main/java/gorsemast/simulation/CoreProcesses.java
+++ b/src/main/java/gorsemast/simulation/CoreProcesses.java
@@ -18,10 +18,10 @@
     private CoreProcesses() {}
 
     /** A registry. */
-    static final class HeartbeatTable extends Process implements RegistryNode.Carrier {
+    static final class Registry extends Process implements RegistryNode.Carrier {
         final RegistryNode office;
 
-        HeartbeatTable(World world, Machine machine) {
+        Registry(World world, Machine machine) {
             super(world, machine, Program.REGISTRY);
             this.office = new RegistryNode(
                     new RegistryNode.Self(machine.ip, machine.zone, machine.ip + ":80", wall(), World.BEAT_MICROS, 1),
--- a/src/main/java/gorsemast/simulation/Process.java
+++ b/src/main/java/gorsemast/simulation/Process.java
@@ -13,7 +13,7 @@
 import java.util.Set;
 
 /**
- * One process of the system on a machine, with links as {@code lauwersoog.Links} keeps them: dialled anew when they end,
+ * One process of the system on a machine, with links as {@code peer.Links} keeps them: dialled anew when they end,
  * closed when nothing has come for long. What falls due while its machine stands still runs, in order, when it wakes. One
  * thread; {@link #now} is its own steady clock, which begins anew with each life.
  */
--- a/src/main/java/gorsemast/simulation/Troubles.java
+++ b/src/main/java/gorsemast/simulation/Troubles.java
@@ -215,7 +215,7 @@
                     process.run(() -> {
                         if (process instanceof Edge edge) {
                             edge.lookout.seeds(seeds);
-                        } else if (process instanceof CoreProcesses.HeartbeatTable registry) {
+                        } else if (process instanceof CoreProcesses.Registry registry) {
                             registry.office.seeds(seeds);
                         } else if (process instanceof CoreProcesses.Store store) {
                             store.teller.seeds(seeds);
--- a/src/main/java/gorsemast/simulation/World.java
+++ b/src/main/java/gorsemast/simulation/World.java
@@ -3,7 +3,7 @@
 import gorsemast.dispatch.Briefing;
 import gorsemast.emulator.VirtualTime;
 import gorsemast.peer.Record.Program;
-import gorsemast.simulation.CoreProcesses.HeartbeatTable;
+import gorsemast.simulation.CoreProcesses.Registry;
 import gorsemast.simulation.CoreProcesses.Store;
 import gorsemast.simulation.Trouble.Closing;
 import java.nio.charset.StandardCharsets;
@@ -121,7 +121,7 @@
             return false;
         }
         return machines(true).stream()
-                .anyMatch(core -> process(Program.REGISTRY, core) instanceof HeartbeatTable registry
+                .anyMatch(core -> process(Program.REGISTRY, core) instanceof Registry registry
                         && registry.office.synced()
                         && registry.office
                                         .board()
@@ -196,7 +196,7 @@
                 return;
             }
             if (machine.core) {
-                machine.processes.add(new HeartbeatTable(this, machine));
+                machine.processes.add(new Registry(this, machine));
                 machine.processes.add(new Store(this, machine, firstBoot));
             } else {
                 Edge edge = new Edge(this, machine);
@@ -344,7 +344,7 @@
                 }
                 return;
             }
-            process.run(() -> ((HeartbeatTable) process)
+            process.run(() -> ((Registry) process)
                     .call(method, path, body.getBytes(StandardCharsets.UTF_8), (status, text, bytes) -> {
                         if (status == 200 && method.equals("POST") && !path.endsWith("heartbeat")) {
                             onAck.accept(to);
