--- a/src/main/java/gorsemast/launcher/Main.java
+++ b/src/main/java/gorsemast/launcher/Main.java
@@ -21,7 +21,7 @@
     public static void main(String[] args) {
         NettyLog.install();
         String word = args.length == 1 ? args[0] : "";
-        Log log = new Log(word.isEmpty() ? "arcen" : word);
+        Log log = new Log(word.isEmpty() ? "launcher" : word);
         String file = System.getenv(Settings.VARIABLE);
         if (file == null || !word.equals("proxy") && !word.equals("registry") && !word.equals("store")) {
             log.warn("usage: " + Settings.VARIABLE + "=FILE gorsemast proxy|registry|store");
