--- a/src/main/java/gorsemast/command/Gorsemast.java
+++ b/src/main/java/gorsemast/command/Gorsemast.java
@@ -25,6 +25,7 @@
             LabCommand.class,
             NetworkCommand.class,
             HuntCommand.class,
+            ScaleCommand.class,
             Gorsemast.VersionCommand.class,
             CommandLine.HelpCommand.class
         })
--- a/src/main/java/gorsemast/simulation/Course.java
+++ b/src/main/java/gorsemast/simulation/Course.java
@@ -57,6 +57,9 @@
             server("orders", 6);
             server("other", 6);
         }
+        for (int i = 0; i < world.extraServers; i++) {
+            server("orders", 6);
+        }
         long begun = world.time.now();
         configure(null);
         world.time.run(begun + LEAD_MICROS);
@@ -116,7 +119,7 @@
                 + "}]}]}";
     }
 
-    private static String rule(String name, String prefix, String type, String service) {
+    static String rule(String name, String prefix, String type, String service) {
         return "{\"name\":\"" + name + "\",\"pathPrefix\":\"" + prefix + "\",\"routeType\":\"" + type
                 + "\",\"timeout\":\"1500ms\","
                 + "\"targetLatency\":\"200ms\",\"priority\":1,\"maxAttempts\":2,\"backend\":\"" + service + "\"";
@@ -126,7 +129,7 @@
     void configure(Consumer<Long> acknowledged) {
         version += 1 + world.random.nextInt(3);
         long mine = version;
-        String body = configuration(mine);
+        String body = world.inflated(configuration(mine));
         contents.put(mine, body);
         order("/v1/configuration/replace", body, "version " + mine, ACK_MICROS, Long.MAX_VALUE, () -> {
             world.referee.acknowledged(mine);
--- a/src/main/java/gorsemast/simulation/Process.java
+++ b/src/main/java/gorsemast/simulation/Process.java
@@ -63,7 +63,7 @@
                 return;
             }
             byte[] bytes = Codec.bytes(record, now());
-            world.count(Process.this, bytes.length);
+            world.traffic.count(program, other.program, bytes.length);
             way.add(bytes);
             long at = Math.max(lastArrival, world.time.now() + world.delay(machine, other.machine));
             lastArrival = at;
@@ -189,6 +189,8 @@
         }
         if (machine.frozenUntil > world.time.now()) {
             world.time.after(machine.frozenUntil - world.time.now(), () -> run(task));
+        } else if (world.processorTime != null) {
+            world.processorTime.run(program, task);
         } else {
             task.run();
         }
--- a/src/main/java/gorsemast/simulation/World.java
+++ b/src/main/java/gorsemast/simulation/World.java
@@ -51,6 +51,14 @@
     final Plant plant;
     final Referee referee = new Referee(this);
     final Servers servers = new Servers(this);
+    /** What went over links since traffic began. */
+    final LinkTraffic traffic = new LinkTraffic();
+    /** Where a study measures it; null else. */
+    ProcessorTime processorTime;
+    /** Servers beside the nine that each day has. */
+    int extraServers;
+    /** Routes beside the four that each configuration has. */
+    int extraRoutes;
     /** Versions of objects that have changed. */
     final Map<String, Long> objects = new HashMap<>();
 
@@ -61,8 +69,7 @@
     private final Set<String> cuts = new HashSet<>();
     private List<String> seeds = new ArrayList<>();
     private Consumer<Machine> onAck = machine -> {};
-    private long edgeBytes;
-    private long edgeRecords;
+    private long countedSince;
     private int coreTroubles;
     private long coreCalmSince;
     private int addresses;
@@ -132,19 +139,37 @@
     Outcome outcome(int asked, int served, long from) {
         long edges = machines.values().stream().filter(one -> !one.core).count();
         double seconds = Math.max(1, (time.now() - from) / 1e6) * edges;
-        return new Outcome(asked, served, times, edgeBytes / seconds, edgeRecords / seconds);
+        return new Outcome(
+                asked,
+                served,
+                times,
+                traffic.bytesFrom(Program.PROXY) / seconds,
+                traffic.recordsFrom(Program.PROXY) / seconds);
     }
 
     void countFromNow() {
-        edgeBytes = 0;
-        edgeRecords = 0;
+        countedSince = time.now();
+        traffic.reset();
+        if (processorTime != null) {
+            processorTime.reset();
+        }
+    }
+
+    /** Since when costs are counted until now. */
+    long countedMicros() {
+        return time.now() - countedSince;
     }
 
-    void count(Process from, int bytes) {
-        if (from.program == Program.PROXY) {
-            edgeBytes += bytes + Integer.BYTES;
-            edgeRecords++;
+    /** A configuration with so many routes more. */
+    String inflated(String configuration) {
+        StringBuilder more = new StringBuilder();
+        for (int i = 0; i < extraRoutes; i++) {
+            more.append(',')
+                    .append(Course.rule("extra-" + i, "/extra/" + i + "/", "idempotent", "orders"))
+                    .append('}');
         }
+        int end = configuration.lastIndexOf("]}]}");
+        return configuration.substring(0, end) + more + configuration.substring(end);
     }
 
     // ---- machines
