--- a/src/main/java/gorsemast/proxy/ProxyProgram.java
+++ b/src/main/java/gorsemast/proxy/ProxyProgram.java
@@ -262,6 +262,11 @@
         }
     }
 
+    @Override
+    public void close() {
+        Daemon.end(loop);
+    }
+
     private void tick() {
         try {
             lookout.tick();
--- a/src/main/java/gorsemast/registry/RegistryProgram.java
+++ b/src/main/java/gorsemast/registry/RegistryProgram.java
@@ -104,6 +104,12 @@
         // Nothing here outlives the process by intent: what is acknowledged is held elsewhere already.
     }
 
+    @Override
+    public void close() {
+        Daemon.end(loop);
+        Daemon.end(writer);
+    }
+
     private void tick() {
         try {
             Set<InetSocketAddress> wanted = new LinkedHashSet<>();
@@ -131,7 +137,9 @@
             } catch (DiskException e) {
                 LOG.warn("can't write down what it knows: " + e.getMessage());
             }
-            loop.execute(done);
+            if (!loop.isShuttingDown()) {
+                loop.execute(done);
+            }
         });
     }
 
--- a/src/main/java/gorsemast/standin/LoopbackNetwork.java
+++ b/src/main/java/gorsemast/standin/LoopbackNetwork.java
@@ -1,5 +1,6 @@
 package gorsemast.standin;
 
+import gorsemast.node.Daemon;
 import gorsemast.node.Settings;
 import gorsemast.proxy.ProxyProgram;
 import gorsemast.registry.RegistryProgram;
@@ -8,7 +9,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -25,7 +28,7 @@
  * stand-in servers of an object service and of another one. For a first look, for tests, and for the archive of classes
  * that halves the programs' start.
  */
-public final class LoopbackNetwork {
+public final class LoopbackNetwork implements AutoCloseable {
     /** A host whose paths below {@code /objects/} are held, and below {@code /orders/} are not. */
     public static final String HOST = "demo.example";
     /** How long objects are held by the first configuration: longer than anybody waits for anything here. */
@@ -34,6 +37,10 @@
     private static final int CORES = 3;
     private static final long BEAT_MILLIS = 400;
     private static final long PATIENCE_SECONDS = 20;
+    /** From the first to the last port of a machine. */
+    private static final int LAST_PORT = 8;
+    /** Starts on other ports after one that was taken meanwhile. */
+    private static final int TRIES = 5;
 
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, Transport.handlers()).next();
     private final String net;
@@ -43,6 +50,7 @@
     private final List<InetSocketAddress> fronts = new ArrayList<>();
     private final List<InetSocketAddress> probes = new ArrayList<>();
     private final List<StandInServer> servers = new ArrayList<>();
+    private final List<Daemon> programs = new ArrayList<>();
 
     /**
      * One that is not started.
@@ -60,6 +68,44 @@
         }
     }
 
+    /**
+     * One that runs on ports that the system gives, as by {@link #start}; on others where one of them is taken meanwhile.
+     *
+     * @param net the first three numbers of its machines' addresses
+     * @param data where the stores' disks are, in a folder for each try
+     * @throws IOException where it can't be started on any ports that were tried
+     */
+    public static LoopbackNetwork started(String net, Path data, int edges) throws IOException {
+        return started(net, () -> freePort(net), data, edges);
+    }
+
+    /** Names the first port of a network. */
+    interface PortSource {
+        /** Another one at each call. */
+        int next() throws IOException;
+    }
+
+    static LoopbackNetwork started(String net, PortSource ports, Path data, int edges) throws IOException {
+        IOException taken = null;
+        for (int i = 0; i < TRIES; i++) {
+            LoopbackNetwork network = new LoopbackNetwork(net, ports.next(), data.resolve("ports-" + i));
+            try {
+                network.start(edges);
+                return network;
+            } catch (IOException e) {
+                taken = e;
+            }
+        }
+        throw new IOException("no free ports in " + TRIES + " tries: " + taken.getMessage(), taken);
+    }
+
+    /** A port that is free on the first machine, with room for those that follow it. */
+    public static int freePort(String net) throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(net + ".1"))) {
+            return Math.min(free.getLocalPort(), 0xffff - LAST_PORT);
+        }
+    }
+
     /** The settings of one machine, as the platform writes them. */
     public String settings(String ip, String name, boolean core, boolean first, Path disk) {
         StringBuilder text = new StringBuilder();
@@ -85,7 +131,7 @@
         text.append("internalPorts:\n  - ")
                 .append(port + 3)
                 .append("\n  - ")
-                .append(port + 8)
+                .append(port + LAST_PORT)
                 .append("\nseedNodes:\n");
         controls.forEach(control -> text.append("  - \"")
                 .append(control.getAddress().getHostAddress())
@@ -104,18 +150,47 @@
         return text.toString();
     }
 
-    /** Starts it all, and returns when an edge is ready with the first configuration. */
+    /**
+     * Starts it all, and returns when all edges are ready with the first configuration. Where that fails, what had been started
+     * is ended before it throws.
+     *
+     * @throws IOException where an address is taken
+     * @throws IllegalStateException where it does not become ready
+     */
     public void start(int edges) throws IOException {
+        try {
+            startAll(edges);
+        } catch (IOException | RuntimeException e) {
+            close();
+            throw e;
+        }
+    }
+
+    private void run(Daemon program) throws IOException {
+        programs.add(program);
+        program.start();
+    }
+
+    /** Ends all programs and servers with their threads and sockets; their disks are written no more when it returns. */
+    @Override
+    public void close() {
+        servers.forEach(StandInServer::close);
+        programs.forEach(Daemon::close);
+        programs.clear();
+        Daemon.end(loop);
+    }
+
+    private void startAll(int edges) throws IOException {
         for (int i = 1; i <= CORES; i++) {
             Path disk = data.resolve("core-" + i);
             Files.createDirectories(disk);
             Settings settings = Settings.parse(settings(net + '.' + i, "core-" + i, true, true, disk));
-            new StoreProgram(settings).start();
-            new RegistryProgram(settings).start();
+            run(new StoreProgram(settings));
+            run(new RegistryProgram(settings));
         }
         for (int i = 0; i < edges; i++) {
             String ip = net + '.' + (20 + i);
-            new ProxyProgram(Settings.parse(settings(ip, "edge-" + i, false, true, null))).start();
+            run(new ProxyProgram(Settings.parse(settings(ip, "edge-" + i, false, true, null))));
             fronts.add(new InetSocketAddress(ip, port + 1));
             probes.add(new InetSocketAddress(ip, port + 2));
         }
--- a/src/main/java/gorsemast/store/StoreProgram.java
+++ b/src/main/java/gorsemast/store/StoreProgram.java
@@ -112,6 +112,15 @@
         }
     }
 
+    @Override
+    public void close() {
+        Daemon.end(loop);
+        Daemon.end(writer);
+        if (disk != null) {
+            disk.close();
+        }
+    }
+
     private void tick() {
         try {
             teller.tick();
@@ -162,7 +171,9 @@
                     throw e;
                 }
             }
-            loop.execute(() -> teller.saved(token));
+            if (!loop.isShuttingDown()) {
+                loop.execute(() -> teller.saved(token));
+            }
         });
     }
 
--- a/src/test/java/gorsemast/standin/NetworkTest.java
+++ b/src/test/java/gorsemast/standin/NetworkTest.java
@@ -5,8 +5,6 @@
 import gorsemast.standin.LoopbackNetwork.Answer;
 import gorsemast.standin.StandInServer.Manner;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -14,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -30,10 +29,12 @@
 
     @BeforeAll
     static void start() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.88.1"))) {
-            network = new LoopbackNetwork("127.0.88", Math.min(60_000, free.getLocalPort()), data);
-        }
-        network.start(2);
+        network = LoopbackNetwork.started("127.0.88", data, 2);
+    }
+
+    @AfterAll
+    static void end() {
+        network.close();
     }
 
     @BeforeEach
--- a/src/test/java/gorsemast/standin/ProcessesTest.java
+++ b/src/test/java/gorsemast/standin/ProcessesTest.java
@@ -4,9 +4,7 @@
 
 import gorsemast.standin.LoopbackNetwork.Answer;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -35,9 +33,7 @@
 
     @BeforeEach
     void start() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(NET + ".1"))) {
-            port = Math.min(60_000, free.getLocalPort());
-        }
+        port = LoopbackNetwork.freePort(NET);
         network = new LoopbackNetwork(NET, port, data);
         front = new InetSocketAddress(NET + ".20", port + 1);
         for (int core = 1; core <= 3; core++) {
@@ -55,6 +51,8 @@
     void stop() {
         servers.forEach(StandInServer::close);
         running.values().forEach(Process::destroyForcibly);
+        running.values().forEach(process -> process.onExit().join()); // their folders are deleted next
+        network.close();
     }
 
     private void core(int number, boolean first) throws IOException {
--- a/src/test/java/gorsemast/standin/TranscriptTest.java
+++ b/src/test/java/gorsemast/standin/TranscriptTest.java
@@ -5,13 +5,12 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -33,10 +32,12 @@
 
     @BeforeAll
     static void start() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.87.1"))) {
-            network = new LoopbackNetwork("127.0.87", Math.min(60_000, free.getLocalPort()), data);
-        }
-        network.start(1);
+        network = LoopbackNetwork.started("127.0.87", data, 1);
+    }
+
+    @AfterAll
+    static void end() {
+        network.close();
     }
 
     @ParameterizedTest
