gorsemast network opens with its own lines

Cause: the disk's library logs by slf4j, and on the product's class path stands Logback, which without settings writes DEBUG and a stack trace of 36 lines. The verb sets it to warnings on standard error; a test reads the first lines of the real process.

--- a/src/main/java/gorsemast/command/Logs.java
+++ b/src/main/java/gorsemast/command/Logs.java
@@ -15,6 +15,11 @@
 final class Logs {
     private Logs() {}
 
+    /** Lets libraries say warnings and errors only, on standard error, where no settings tell how to log. */
+    static void quiet() {
+        install(new GorsemastSettings.Log(false, "warn"));
+    }
+
     static void install(GorsemastSettings.Log log) {
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
         context.reset();
--- a/src/main/java/gorsemast/command/NetworkCommand.java
+++ b/src/main/java/gorsemast/command/NetworkCommand.java
@@ -44,6 +44,7 @@
             return Gorsemast.USAGE;
         }
         NettyLog.install();
+        Logs.quiet();
         Path data = Files.createTempDirectory("gorsemast");
         LoopbackNetwork network = new LoopbackNetwork(net, port, data);
         network.start(edges);
