KNOWN-RED.txt: named tests alone may fail, at most three, each printed

Lines of "package.ClassTest#method | cause | issue" at the root. Tests of JUnit's own engine only; a property of jqwik can't be listed. Without the file all is as before.

--- /dev/null
+++ b/src/test/java/gorsemast/knownred/KnownRed.java
@@ -0,0 +1,106 @@
+package gorsemast.knownred;
+
+import java.io.IOException;
+import java.lang.reflect.Method;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Disabled;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestTemplate;
+import org.junit.platform.commons.support.AnnotationSupport;
+
+/**
+ * The tests that may fail for a known fault, from a file of lines {@code package.ClassTest#method | cause | issue}. A file that
+ * is wrong in any way excuses nothing. Immutable.
+ */
+final class KnownRed {
+    /** Where the list is, at the root; no file is an empty list. */
+    static final String FILE = "KNOWN-RED.txt";
+    /** So many tests at most. */
+    static final int MOST = 3;
+
+    /** One test, as {@code package.ClassTest#method}, why it fails, and the number of its issue. */
+    record Entry(String test, String cause, String issue) {}
+
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final List<String> faults = new ArrayList<>();
+
+    private KnownRed(List<String> lines) {
+        if (lines.size() > MOST) {
+            faults.add(lines.size() + " lines, where " + MOST + " are allowed");
+        }
+        lines.forEach(this::read);
+    }
+
+    /** Reads a file. */
+    static KnownRed of(Path file) {
+        try {
+            return new KnownRed(Files.exists(file) ? Files.readAllLines(file) : List.of());
+        } catch (IOException e) {
+            KnownRed none = new KnownRed(List.of());
+            none.faults.add("can't be read: " + e.getMessage());
+            return none;
+        }
+    }
+
+    private void read(String line) {
+        String[] parts = line.split("\\|", -1);
+        if (parts.length != 3 || Arrays.stream(parts).anyMatch(String::isBlank)) {
+            faults.add("not 'test | cause | issue': " + line);
+            return;
+        }
+        Entry entry = new Entry(parts[0].strip(), parts[1].strip(), parts[2].strip());
+        if (!entry.issue.matches("\\d+")) {
+            faults.add("no number of an issue: " + line);
+        }
+        String wrong = wrong(entry.test);
+        if (wrong != null) {
+            faults.add(wrong + ": " + entry.test);
+        }
+        if (entries.put(entry.test, entry) != null) {
+            faults.add("named twice: " + entry.test);
+        }
+    }
+
+    /** What is wrong with the name of a test; null for nothing. */
+    private static String wrong(String test) {
+        int hash = test.indexOf('#');
+        if (hash < 0) {
+            return "not of the form package.ClassTest#method";
+        }
+        Class<?> in;
+        try {
+            in = Class.forName(test.substring(0, hash), false, KnownRed.class.getClassLoader());
+        } catch (ClassNotFoundException | LinkageError e) {
+            return "no such class";
+        }
+        String method = test.substring(hash + 1);
+        List<Method> tests = Arrays.stream(in.getDeclaredMethods())
+                .filter(one -> one.getName().equals(method))
+                .filter(one -> AnnotationSupport.isAnnotated(one, Test.class)
+                        || AnnotationSupport.isAnnotated(one, TestTemplate.class))
+                .toList();
+        if (tests.isEmpty()) {
+            return "no such test";
+        }
+        return tests.stream().anyMatch(one -> AnnotationSupport.isAnnotated(one, Disabled.class))
+                        || AnnotationSupport.isAnnotated(in, Disabled.class)
+                ? "does not run"
+                : null;
+    }
+
+    /** All that is wrong with the file. */
+    List<String> faults() {
+        return List.copyOf(faults);
+    }
+
+    /** The entry of a test; null where it may not fail, as none may by a file with faults. */
+    Entry entry(String test) {
+        return faults.isEmpty() ? entries.get(test) : null;
+    }
+}
