Model: removal for good, a second loss after a replacement, other numbers of members

Seen failing on this program: growth to five members, a loss right after a planned end, the leaving primary with the other copy just lost, and five members with one backup, where drawn courses end with 'm2 answers with version 10 after 18 was acknowledged'. The replacement at another address followed by a loss after syncTime holds.

--- a/src/main/java/gorsemast/modelcheck/World.java
+++ b/src/main/java/gorsemast/modelcheck/World.java
@@ -55,6 +55,8 @@
         private final Deque<Save> saves = new ArrayDeque<>();
         private Replica keeper;
         private boolean frozen;
+        /** Removed for good. */
+        private boolean gone;
 
         Machine(String ip) {
             this.ip = ip;
@@ -68,7 +70,7 @@
                         plant == Plant.WIPED_KEEPS_ITS_NAME ? Replica.first(firstMembers) : Replica.first(List.of()),
                         StoredVersion.NONE);
             }
-            keeper = new Replica(disk, plant == Plant.NO_BACKUP ? 0 : 1, random.nextLong(), this);
+            keeper = new Replica(disk, plant == Plant.NO_BACKUP ? 0 : losses, random.nextLong(), this);
             if (plant == Plant.WIPED_KEEPS_ITS_NAME && disk.me().id().endsWith("#0")) {
                 lives++;
             }
@@ -208,6 +210,7 @@
 
     private final SplittableRandom random;
     private final Plant plant;
+    private final int losses;
     private final List<Member> firstMembers = new ArrayList<>();
     private final Map<String, Machine> machines = new HashMap<>();
     private final List<String> ips = new ArrayList<>();
@@ -229,6 +232,12 @@
 
     /** So many members on empty disks, at the system's first start, and further machines that are none. */
     public World(int members, int spares, long seed, Plant plant) {
+        this(members, spares, 1, seed, plant);
+    }
+
+    /** The same where so many disks may be lost at once. */
+    World(int members, int spares, int losses, long seed, Plant plant) {
+        this.losses = losses;
         this.random = new SplittableRandom(seed);
         this.plant = plant;
         for (int i = 1; i <= members + spares; i++) {
@@ -367,9 +376,10 @@
     /** Starts what is down. */
     void start(String ip) {
         Machine machine = machines.get(ip);
-        if (machine.keeper == null) {
+        if (machine.keeper == null && !machine.gone) {
             tell(ip + " starts");
             machine.start();
+            greet(machine);
             if (ip.equals(lost)) {
                 lostSince = now;
             }
@@ -392,6 +402,91 @@
         }
     }
 
+    /** Links come up, by the list of core machines that each process is given: each side says a first word. */
+    private void greet(Machine started) {
+        for (String ip : ips) {
+            Machine other = machines.get(ip);
+            if (other != started && other.keeper != null) {
+                started.send(new Member("", ip), started.keeper.greeting());
+                other.send(new Member("", started.ip), other.keeper.greeting());
+            }
+        }
+    }
+
+    /** A machine is removed for good, with its disk. */
+    void remove(String ip) {
+        tell(ip + " is removed");
+        Machine machine = machines.get(ip);
+        if (machine.keeper != null) {
+            machine.kill(true);
+        }
+        machine.disk = null;
+        machine.earlier = null;
+        machine.gone = true;
+    }
+
+    /** A machine loses its disk, whatever else is lost. */
+    void lose(String ip) {
+        tell(ip + " loses its disk");
+        Machine machine = machines.get(ip);
+        if (machine.keeper != null) {
+            machine.kill(true);
+        }
+        machine.disk = null;
+        machine.earlier = null;
+    }
+
+    /** All processes are killed and come back at once. */
+    void quietKill() {
+        List<String> running =
+                ips.stream().filter(ip -> machines.get(ip).keeper != null).toList();
+        running.forEach(ip -> kill(ip, false));
+        running.forEach(this::start);
+    }
+
+    /** A machine is asked to leave and ends as soon as it may, or when the time is over. */
+    void leave(String ip, long grace) {
+        tell(ip + " leaves");
+        kill(ip, false);
+    }
+
+    /** The machine that leads; null for none. */
+    String leader() {
+        return ips.stream()
+                .filter(ip -> machines.get(ip).keeper != null
+                        && !machines.get(ip).frozen
+                        && machines.get(ip).keeper.primary())
+                .findFirst()
+                .orElse(null);
+    }
+
+    /** The decisions of a machine that runs; null where none do. */
+    Replica replica(String ip) {
+        return machines.get(ip).keeper;
+    }
+
+    /** The newest version that was acknowledged. */
+    long newest() {
+        return newest;
+    }
+
+    /** How long it takes until a read sent to any machine that runs answers, asked anew each 0.1 s; -1 for never. */
+    long readAnswers(long within) {
+        long from = now;
+        int before = answered;
+        while (now - from < within) {
+            ips.forEach(this::get);
+            for (int i = 0; i < 4; i++) {
+                quiet();
+                tick();
+                if (answered > before) {
+                    return now - from;
+                }
+            }
+        }
+        return -1;
+    }
+
     private boolean allUp(String but) {
         return ips.stream()
                         .allMatch(ip -> ip.equals(but)
