Store: leaving in order, growth, placement by zones, joint changes by both majorities

Cause: on SIGTERM a member ended without a word, so that for 2.5 s a planned replacement left two of three, and a loss then left no majority for good; the first three members never grew where two losses are borne; with five members and one backup a majority met no copy; a change of members counted once the backups had it; faultTolerance's zones and regions were not read.

Change: Leave, a primary's backup stands at once, a spare is taken in for the leaving one, which serves until then; choices in MembershipPlanner, what is heard in Liveness (forgets after 10 s); a joint view is installed at more than half of the old and of the new members before the term begins; backups are so many that each majority meets a copy; a candidate that learns a later view gives up its candidacy; Settings reads faultTolerance, lossCounted, activeContracts, configMode.

--- a/src/main/java/gorsemast/modelcheck/Plant.java
+++ b/src/main/java/gorsemast/modelcheck/Plant.java
@@ -27,5 +27,15 @@
     /** A backup answers the primary of a term that it has given up. */
     ANSWERS_ANY_TERM,
     /** What is asked for by term is taken in any term. */
-    TERMS_IGNORED
+    TERMS_IGNORED,
+    /** A member that is asked to leave ends before its successor holds anything. */
+    LEAVES_AT_ONCE,
+    /** A machine that is taken in counts as a copy and as a member before it has been told anything. */
+    JOINS_EMPTY,
+    /** A change of members is over when backups know of it: a second one may begin while most go by the old list. */
+    CHANGES_OVERLAP,
+    /** Copies and members are placed as though all machines stood in one zone. */
+    ZONES_UNKNOWN,
+    /** A machine that is no member votes in the name of a member that is down. */
+    OUTSIDER_VOTES
 }
--- a/src/main/java/gorsemast/modelcheck/SpoiledMessages.java
+++ b/src/main/java/gorsemast/modelcheck/SpoiledMessages.java
@@ -37,7 +37,7 @@
         if (plant == Plant.REFUSAL_COUNTS_AS_VOTE && message instanceof VoteRefused refused) {
             return new Vote(refused.from(), lastAsked, null);
         }
-        if (plant == Plant.COPIED_WITHOUT_COPY && message instanceof Append) {
+        if ((plant == Plant.COPIED_WITHOUT_COPY || plant == Plant.NO_BACKUP) && message instanceof Append) {
             return null;
         }
         if (plant == Plant.VIEW_OF_ONE && message instanceof ViewChange change) {
--- a/src/main/java/gorsemast/modelcheck/World.java
+++ b/src/main/java/gorsemast/modelcheck/World.java
@@ -1,12 +1,17 @@
 package gorsemast.modelcheck;
 
+import gorsemast.node.FaultTolerance;
 import gorsemast.store.Member;
 import gorsemast.store.Message;
 import gorsemast.store.Message.Append;
 import gorsemast.store.Message.AppendAck;
 import gorsemast.store.Message.Confirm;
 import gorsemast.store.Message.ConfirmAck;
+import gorsemast.store.Message.Install;
+import gorsemast.store.Message.InstallAck;
 import gorsemast.store.Message.RequestVote;
+import gorsemast.store.Message.Vote;
+import gorsemast.store.Place;
 import gorsemast.store.Replica;
 import gorsemast.store.ReplicaState;
 import gorsemast.store.StoredVersion;
@@ -70,7 +75,12 @@
                         plant == Plant.WIPED_KEEPS_ITS_NAME ? Replica.first(firstMembers) : Replica.first(List.of()),
                         StoredVersion.NONE);
             }
-            keeper = new Replica(disk, plant == Plant.NO_BACKUP ? 0 : losses, random.nextLong(), this);
+            keeper = new Replica(
+                    disk,
+                    tolerance,
+                    plant == Plant.ZONES_UNKNOWN ? Place.UNKNOWN : places.getOrDefault(ip, Place.UNKNOWN),
+                    random.nextLong(),
+                    this);
             if (plant == Plant.WIPED_KEEPS_ITS_NAME && disk.me().id().endsWith("#0")) {
                 lives++;
             }
@@ -117,19 +127,49 @@
             if (to.ip().equals(ip)) {
                 return;
             }
+            if (message instanceof Install install && untold(install, machines.get(to.ip()))) {
+                forge(new InstallAck(to, install.term()));
+                return;
+            }
+            if (message instanceof RequestVote request && plant == Plant.OUTSIDER_VOTES && outsider(to)) {
+                forge(new Vote(to, request.term(), null));
+            }
             Message sent = SpoiledMessages.spoiled(plant, message, lastAsked);
             if (sent != null) {
                 links.computeIfAbsent(ip + ">" + to.ip(), pair -> new ArrayDeque<>())
                         .add(sent);
             }
-            if (message instanceof Append append && plant == Plant.COPIED_WITHOUT_COPY) {
+            boolean uncopied = plant == Plant.COPIED_WITHOUT_COPY || plant == Plant.NO_BACKUP;
+            if (message instanceof Append append && uncopied) {
                 forge(new AppendAck(to, append.term(), append.round()));
             }
-            if (message instanceof Confirm confirm && plant == Plant.CONFIRMED_BY_NOBODY) {
+            boolean unconfirmed = plant == Plant.CONFIRMED_BY_NOBODY || plant == Plant.NO_BACKUP;
+            if (message instanceof Confirm confirm && unconfirmed) {
                 forge(new ConfirmAck(to, confirm.term(), confirm.round()));
             }
         }
 
+        /** Whether a planted defect has it that this one is not told, and counts all the same. */
+        private boolean untold(Install install, Machine to) {
+            return switch (plant) {
+                case NO_BACKUP -> true;
+                case JOINS_EMPTY ->
+                    to.disk != null && !to.disk.view().has(to.disk.me().id());
+                case CHANGES_OVERLAP ->
+                    !install.view().before().isEmpty()
+                            && install.view().backups().stream().noneMatch(id -> id.startsWith(to.ip + "#"));
+                default -> false;
+            };
+        }
+
+        /** Whether a machine that runs and is no member could speak for this one, which is down. */
+        private boolean outsider(Member silent) {
+            return machines.get(silent.ip()).keeper == null
+                    && machines.values().stream()
+                            .anyMatch(one -> one.keeper != null
+                                    && !one.keeper.view().has(one.disk.me().id()));
+        }
+
         private void forge(Message forged) {
             Replica mine = keeper;
             later.add(() -> {
@@ -210,7 +250,8 @@
 
     private final SplittableRandom random;
     private final Plant plant;
-    private final int losses;
+    private final FaultTolerance tolerance;
+    private final Map<String, Place> places;
     private final List<Member> firstMembers = new ArrayList<>();
     private final Map<String, Machine> machines = new HashMap<>();
     private final List<String> ips = new ArrayList<>();
@@ -232,12 +273,13 @@
 
     /** So many members on empty disks, at the system's first start, and further machines that are none. */
     public World(int members, int spares, long seed, Plant plant) {
-        this(members, spares, 1, seed, plant);
+        this(members, spares, FaultTolerance.ofMachines(1), Map.of(), seed, plant);
     }
 
-    /** The same where so many disks may be lost at once. */
-    World(int members, int spares, int losses, long seed, Plant plant) {
-        this.losses = losses;
+    /** The same where these losses are to be borne, with the places of machines, by name. */
+    World(int members, int spares, FaultTolerance tolerance, Map<String, Place> places, long seed, Plant plant) {
+        this.tolerance = tolerance;
+        this.places = Map.copyOf(places);
         this.random = new SplittableRandom(seed);
         this.plant = plant;
         for (int i = 1; i <= members + spares; i++) {
@@ -413,6 +455,29 @@
         }
     }
 
+    /** A further machine, not started yet; its name. */
+    String add() {
+        String ip = "m" + (ips.size() + 1);
+        ips.add(ip);
+        machines.put(ip, new Machine(ip));
+        return ip;
+    }
+
+    /** For this long, messages and disks come at drawn moments, not at once. */
+    void rough(long micros) {
+        long until = now + micros;
+        while (now < until) {
+            int what = random.nextInt(10);
+            if (what < 6) {
+                deliver(ips.get(random.nextInt(ips.size())), ips.get(random.nextInt(ips.size())));
+            } else if (what < 9) {
+                sync(ips.get(random.nextInt(ips.size())));
+            } else if (random.nextInt(4) == 0) {
+                tick();
+            }
+        }
+    }
+
     /** A machine is removed for good, with its disk. */
     void remove(String ip) {
         tell(ip + " is removed");
@@ -444,10 +509,19 @@
         running.forEach(this::start);
     }
 
-    /** A machine is asked to leave and ends as soon as it may, or when the time is over. */
-    void leave(String ip, long grace) {
+    /** A machine is asked to leave and ends as soon as it may, or when the time is over; how long that took. */
+    long leave(String ip, long grace) {
         tell(ip + " leaves");
+        long from = now;
+        Replica replica = machines.get(ip).keeper;
+        replica.leave(now);
+        settle();
+        do {
+            quiet();
+            tick();
+        } while (!(plant == Plant.LEAVES_AT_ONCE || replica.left(now)) && now - from < grace);
         kill(ip, false);
+        return now - from;
     }
 
     /** The machine that leads; null for none. */
--- a/src/main/java/gorsemast/node/Settings.java
+++ b/src/main/java/gorsemast/node/Settings.java
@@ -34,7 +34,10 @@
  * @param firstBoot whether the whole system starts for the first time, with empty disks
  * @param dataDir where it may keep files; null where it has no disk
  * @param beatMicros how often servers tell of themselves
- * @param losses how many counted machines may be lost at the same time
+ * @param tolerance what may be lost at the same time with every rule kept
+ * @param lossCounted whether this machine's loss is one of those
+ * @param activeContracts the parts of the rules in force
+ * @param configMode which of two configurations holds; {@code highest}: the one of the higher version
  * @param descriptors how many it may have open
  * @param bounds figures of the rules: times in microseconds, numbers as they are
  */
@@ -50,13 +53,21 @@
         boolean firstBoot,
         Path dataDir,
         long beatMicros,
-        int losses,
+        FaultTolerance tolerance,
+        boolean lossCounted,
+        Set<String> activeContracts,
+        String configMode,
         int descriptors,
         Map<String, Double> bounds) {
     /** Where the path of the file stands. */
     public static final String VARIABLE = "GORSEMAST_CONFIG";
 
+    /** The {@code configMode} that the system keeps; the store warns of another. */
+    public static final String HIGHEST = "highest";
+
     private static final double MICROS = 1e6;
+    /** More members than that could not be asked for sensibly: five machines lost at once want eleven. */
+    private static final int MOST_LOSSES = 5;
 
     /** The seeds' machines, without ports; a new set. */
     public Set<String> seedIps() {
@@ -128,11 +139,29 @@
                 Boolean.TRUE.equals(map.get("initialBoot")),
                 dir == null ? null : Path.of(String.valueOf(dir)),
                 micros("heartbeat", root.text("heartbeat")),
-                (int) root.section("faultTolerance").figure("machineLosses", 1),
+                tolerance(root.section("faultTolerance")),
+                root.flag("lossCounted", true),
+                root.words("activeContracts"),
+                root.map.get("configMode") == null ? HIGHEST : root.text("configMode"),
                 (int) limits.figure("fileDescriptors", 4096),
                 bounds);
     }
 
+    private static FaultTolerance tolerance(Section section) {
+        return new FaultTolerance(
+                section.count("machineLosses", 1), section.count("zones", 0), section.count("regionLosses", 0));
+    }
+
+    /** How many copies may be lost at the same time. */
+    public int losses() {
+        return tolerance.losses();
+    }
+
+    /** The region of the own zone; empty where the file names none. */
+    public String region() {
+        return zones.getOrDefault(zone, "");
+    }
+
     /** A time of the rules in microseconds, or what holds where the file has none. */
     public long time(String bound, long otherwise) {
         Double given = bounds.get(bound);
@@ -212,6 +241,41 @@
             return address;
         }
 
+        /** A whole number of machines, zones or regions that may be lost. */
+        int count(String key, int otherwise) {
+            Object value = map.get(key);
+            if (value == null) {
+                return otherwise;
+            }
+            if (!(value instanceof Integer count)) {
+                throw new SettingsException(Code.WRONG_TYPE, at(key), "wants a whole number, not \"" + value + '"');
+            }
+            if (count < 0 || count > MOST_LOSSES) {
+                throw new SettingsException(Code.OUT_OF_RANGE, at(key), "wants 0 to " + MOST_LOSSES + ", not " + count);
+            }
+            return count;
+        }
+
+        boolean flag(String key, boolean otherwise) {
+            Object value = map.get(key);
+            if (value == null) {
+                return otherwise;
+            }
+            if (value instanceof Boolean flag) {
+                return flag;
+            }
+            throw new SettingsException(Code.WRONG_TYPE, at(key), "wants true or false, not \"" + value + '"');
+        }
+
+        /** A list of words; empty where there is none. */
+        Set<String> words(String key) {
+            Set<String> words = new LinkedHashSet<>();
+            if (map.get(key) != null) {
+                list(key).forEach(word -> words.add(String.valueOf(word)));
+            }
+            return words;
+        }
+
         double figure(String key, double otherwise) {
             return map.get(key) == null ? otherwise : figure(key);
         }
--- a/src/main/java/gorsemast/simulation/CoreProcesses.java
+++ b/src/main/java/gorsemast/simulation/CoreProcesses.java
@@ -1,11 +1,13 @@
 package gorsemast.simulation;
 
+import gorsemast.node.FaultTolerance;
 import gorsemast.peer.Neighbour;
 import gorsemast.peer.Record;
 import gorsemast.peer.Record.Program;
 import gorsemast.registry.CallException;
 import gorsemast.registry.Calls;
 import gorsemast.registry.RegistryNode;
+import gorsemast.store.Place;
 import gorsemast.store.ReplicaState;
 import gorsemast.store.StoreNode;
 import java.util.ArrayDeque;
@@ -91,6 +93,9 @@
 
     /** A store. */
     static final class Store extends Process {
+        /** Of the platform's grace, what a store uses at most. */
+        private static final long LEAVE_MICROS = 4_500_000;
+
         private record Save(ReplicaState state, long token) {}
 
         final StoreNode teller;
@@ -104,7 +109,15 @@
                 disk.saved = ReplicaState.fresh(machine.ip, world.seeds(), firstBoot, world.random.nextLong());
             }
             this.teller = new StoreNode(
-                    machine.ip, world.seeds(), disk.saved, 1, world.random.nextLong(), this::now, this, this::save);
+                    machine.ip,
+                    world.seeds(),
+                    disk.saved,
+                    FaultTolerance.ofMachines(1),
+                    new Place(machine.zone, "", true),
+                    world.random.nextLong(),
+                    this::now,
+                    this,
+                    this::save);
             each(StoreNode.TICK_MICROS, this::tick);
         }
 
@@ -137,6 +150,21 @@
             }
         }
 
+        /** It ends once another member has its place, or nobody is there to take it. */
+        @Override
+        void leave() {
+            teller.leave();
+            awaitSuccessor(now() + LEAVE_MICROS);
+        }
+
+        private void awaitSuccessor(long until) {
+            if (teller.left() || now() > until) {
+                end(false);
+            } else {
+                after(StoreNode.TICK_MICROS, () -> awaitSuccessor(until));
+            }
+        }
+
         @Override
         void end(boolean power) {
             if (!alive) {
--- a/src/main/java/gorsemast/store/Message.java
+++ b/src/main/java/gorsemast/store/Message.java
@@ -15,8 +15,14 @@
      * @param promised the highest term that the sender has promised
      * @param viewTerm the term of the sender's view
      * @param primary whether the sender acknowledges orders now
+     * @param leaving whether its process was asked to end and waits for a successor
+     * @param place where it stands
      */
-    record Heartbeat(Member from, long promised, long viewTerm, boolean primary) implements Message {}
+    record Heartbeat(Member from, long promised, long viewTerm, boolean primary, boolean leaving, Place place)
+            implements Message {}
+
+    /** The sender's process was asked to end: a primary is followed at once, a member replaced by a spare. */
+    record Leave(Member from) implements Message {}
 
     /**
      * A candidate asks for the vote of a term.
--- a/src/main/java/gorsemast/store/MessageCodec.java
+++ b/src/main/java/gorsemast/store/MessageCodec.java
@@ -7,6 +7,7 @@
 import gorsemast.store.Message.Heartbeat;
 import gorsemast.store.Message.Install;
 import gorsemast.store.Message.InstallAck;
+import gorsemast.store.Message.Leave;
 import gorsemast.store.Message.RequestVote;
 import gorsemast.store.Message.ViewChange;
 import gorsemast.store.Message.Vote;
@@ -28,6 +29,7 @@
     private static final int APPEND_ACK = 8;
     private static final int CONFIRM = 9;
     private static final int CONFIRM_ACK = 10;
+    private static final int LEAVE = 15;
 
     private MessageCodec() {}
 
@@ -38,6 +40,10 @@
             out.writeLong(heartbeat.promised());
             out.writeLong(heartbeat.viewTerm());
             out.writeBoolean(heartbeat.primary());
+            out.writeBoolean(heartbeat.leaving());
+            heartbeat.place().write(out);
+        } else if (message instanceof Leave) {
+            begin(out, LEAVE, message);
         } else if (message instanceof RequestVote request) {
             begin(out, REQUEST_VOTE, message);
             out.writeLong(request.term());
@@ -96,7 +102,9 @@
         int type = in.readUnsignedByte();
         Member from = Member.read(in);
         return switch (type) {
-            case HEARTBEAT -> new Heartbeat(from, in.readLong(), in.readLong(), in.readBoolean());
+            case HEARTBEAT ->
+                new Heartbeat(from, in.readLong(), in.readLong(), in.readBoolean(), in.readBoolean(), Place.read(in));
+            case LEAVE -> new Leave(from);
             case REQUEST_VOTE -> new RequestVote(from, in.readLong(), in.readLong(), StoredVersion.read(in));
             case VOTE -> new Vote(from, in.readLong(), in.readBoolean() ? StoredVersion.read(in) : null);
             case VOTE_REFUSED -> new VoteRefused(from, in.readLong(), View.read(in));
--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -1,5 +1,7 @@
 package gorsemast.store;
 
+import gorsemast.node.FaultTolerance;
+import gorsemast.store.MembershipPlanner.Candidate;
 import gorsemast.store.Message.Append;
 import gorsemast.store.Message.AppendAck;
 import gorsemast.store.Message.Confirm;
@@ -7,6 +9,7 @@
 import gorsemast.store.Message.Heartbeat;
 import gorsemast.store.Message.Install;
 import gorsemast.store.Message.InstallAck;
+import gorsemast.store.Message.Leave;
 import gorsemast.store.Message.RequestVote;
 import gorsemast.store.Message.ViewChange;
 import gorsemast.store.Message.Vote;
@@ -16,6 +19,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -45,13 +49,17 @@
     /** How often members say that they live. */
     static final long PING_MICROS = 150_000;
     /** A primary that was not heard for this long is followed by another: four signs of life. */
-    static final long SILENT_MICROS = 650_000;
+    static final long SILENT_MICROS = Liveness.SILENT_MICROS;
     /** What an election or an installation may take before it is begun anew; a disk of 5 ms and two ways are 15. */
     static final long ROUND_MICROS = 400_000;
     /** Candidates stand back by up to this, so that they seldom meet. */
     static final long STAND_BACK_MICROS = 250_000;
-    /** A member that was not heard for this long may be replaced by a machine that asks to be one. */
-    static final long GONE_MICROS = 2_500_000;
+    /** Within this a candidate waits for votes that would give it better placed backups. */
+    static final long BETTER_MICROS = ROUND_MICROS / 2;
+    /** A primary looks for better placed backups, and for other members, no more often than this. */
+    static final long AGAIN_MICROS = 1_000_000;
+    /** What a leaving member that holds a copy waits for, at most, where nobody is there to take its place. */
+    static final long HAND_OVER_MICROS = 600_000;
     /** What is asked and can't be done by then is given up; whoever asked asks somebody else. */
     static final long CALL_MICROS = 2_500_000;
 
@@ -87,7 +95,9 @@
 
     private final Out out;
     private final SplittableRandom random;
-    private final int losses;
+    private final MembershipPlanner planner;
+    private final Liveness liveness = new Liveness();
+    private final Place place;
     private Member me;
     private long promised;
     private View view;
@@ -101,10 +111,10 @@
     private StoredVersion best;
     private final Set<String> granted = new HashSet<>();
     private final Set<String> installed = new HashSet<>();
-    /** When each was last heard, by id, and what it said of itself. */
-    private final Map<String, Long> heard = new HashMap<>();
-
-    private final Map<String, Member> known = new HashMap<>();
+    private boolean leaving;
+    private long leavingSince;
+    private long changeAt;
+    private String placedBadly = "";
     private String activePrimary = "";
     private long activeAt = Long.MIN_VALUE / 2;
     private final Deque<Call> calls = new ArrayDeque<>();
@@ -126,11 +136,22 @@
      * @param losses how many disks may be lost at the same time: so many backups
      */
     public Replica(ReplicaState saved, int losses, long seed, Out out) {
+        this(saved, FaultTolerance.ofMachines(losses), Place.UNKNOWN, seed, out);
+    }
+
+    /**
+     * A member as its disk has it.
+     *
+     * @param tolerance what may be lost at the same time
+     * @param place where its machine stands
+     */
+    public Replica(ReplicaState saved, FaultTolerance tolerance, Place place, long seed, Out out) {
         this.me = saved.me();
         this.promised = saved.promised();
         this.view = saved.view();
         this.kept = saved.kept();
-        this.losses = losses;
+        this.planner = new MembershipPlanner(tolerance);
+        this.place = place;
         this.random = new SplittableRandom(seed);
         this.out = out;
     }
@@ -150,11 +171,12 @@
         return view;
     }
 
-    /** All that it knows of, for whoever keeps links to them. */
+    /** All that it knows of, for whoever keeps links to them; one for each address, members of the view first. */
     public List<Member> known() {
-        List<Member> all = new ArrayList<>(view.all());
-        known.values().stream().filter(member -> !all.contains(member)).forEach(all::add);
-        return all;
+        Map<String, Member> all = new LinkedHashMap<>();
+        view.all().forEach(member -> all.putIfAbsent(member.ip(), member));
+        liveness.others(view).forEach(member -> all.putIfAbsent(member.ip(), member));
+        return new ArrayList<>(all.values());
     }
 
     /** What it keeps now. */
@@ -173,6 +195,7 @@
         }
         if (now >= pingAt) {
             pingAt = now + PING_MICROS;
+            liveness.forget(view, now);
             for (Member other : known()) {
                 send(other, greeting());
             }
@@ -195,7 +218,7 @@
         switch (role) {
             case FOLLOWER -> {
                 boolean quiet = now - activeAt > SILENT_MICROS;
-                if (quiet && now >= standBackUntil && reachesMost()) {
+                if (quiet && !leaving && now >= standBackUntil && reachesMost()) {
                     stand(null);
                 }
             }
@@ -203,6 +226,8 @@
                 if (now > roundUntil) {
                     role = Role.FOLLOWER;
                     standBack();
+                } else if (role == Role.CANDIDATE) {
+                    elect(promised);
                 }
             }
             case PRIMARY -> lead();
@@ -211,60 +236,117 @@
 
     /** A sign of life, for whoever has just come. */
     public Message greeting() {
-        return new Heartbeat(me, promised, view.term(), role == Role.PRIMARY);
+        return new Heartbeat(me, promised, view.term(), role == Role.PRIMARY, leaving, place);
     }
 
+    /** What a primary does for the membership: one change at a time, and none before the last one is over. */
     private void lead() {
-        boolean lacking = view.backups().stream().anyMatch(id -> now - lastHeard(id) > SILENT_MICROS);
-        Member joining = known.values().stream()
-                .filter(member -> !view.has(member.id())
-                        && now - lastHeard(member.id()) < SILENT_MICROS
-                        && replaceable(member) != null)
-                .findFirst()
-                .orElse(null);
-        if ((lacking || joining != null) && view.before().isEmpty() && reachesMost()) {
-            if (joining != null) {
-                Member gone = replaceable(joining);
-                List<Member> members = new ArrayList<>(view.members());
-                members.set(members.indexOf(gone), joining);
-                out.log("takes in " + joining.id() + " for " + gone.id());
-                stand(members);
-            } else {
+        if (leaving || !view.before().isEmpty() || !reachesMost()) {
+            return;
+        }
+        List<Candidate> members = candidates(view.members());
+        List<Member> change = now < changeAt ? null : planner.change(me, members, candidates(liveness.others(view)));
+        if (change != null) {
+            changeAt = now + AGAIN_MICROS;
+            out.log("changes the members from " + ids(view.members()) + " to " + ids(change));
+            stand(change);
+        } else if (view.backups().stream().anyMatch(id -> !liveness.alive(id, now))) {
+            if (view.backups().stream().anyMatch(id -> liveness.silence(id, now) > SILENT_MICROS)) {
                 out.log("has lost a backup of term " + view.term());
                 stand(null);
             }
+        } else if (now >= changeAt && !planner.sound(me.id(), members, view.backups())) {
+            changeAt = now + AGAIN_MICROS;
+            List<String> better = planner.backups(me.id(), members, liveness.alive(now), view.backups());
+            if (planner.sound(me.id(), members, better)) {
+                out.log("moves its copies to " + better);
+                stand(null);
+            } else {
+                tellPlacement("copies of " + me.id() + " with " + view.backups() + " can't be placed better");
+            }
+        }
+        if (role == Role.PRIMARY
+                && members.stream().allMatch(one -> one.place() != null)
+                && !planner.majoritySurvives(
+                        members.stream().map(Candidate::place).toList())) {
+            tellPlacement("members " + ids(view.members()) + " don't keep a majority after each loss to be borne: "
+                    + planner.members() + " are wanted, spread over zones or regions");
         }
     }
 
-    /** Whose place a machine that asks may have: that of its own lost disk, or of one that has been away for long. */
-    private Member replaceable(Member joining) {
-        for (Member member : view.members()) {
-            if (member.ip().equals(joining.ip())) {
-                return member;
-            }
+    /** Says once what the machines do not allow. */
+    private void tellPlacement(String sentence) {
+        if (!placedBadly.equals(sentence)) {
+            placedBadly = sentence;
+            out.log(sentence);
         }
-        Member longest = null;
-        for (Member member : view.members()) {
-            if (!member.equals(me)
-                    && now - lastHeard(member.id()) > GONE_MICROS
-                    && (longest == null || lastHeard(member.id()) < lastHeard(longest.id()))) {
-                longest = member;
-            }
+    }
+
+    private static List<String> ids(List<Member> members) {
+        return members.stream().map(Member::id).toList();
+    }
+
+    private List<Candidate> candidates(List<Member> of) {
+        return of.stream()
+                .map(one -> one.equals(me)
+                        ? new Candidate(me, 0, leaving, place)
+                        : new Candidate(
+                                one,
+                                liveness.silence(one.id(), now),
+                                liveness.leaving(one.id()),
+                                liveness.place(one.id())))
+                .toList();
+    }
+
+    // ---- leaving
+
+    /** Its process was asked to end: others follow it, and it serves on until {@link #left}. */
+    public void leave(long time) {
+        now = time;
+        leaving = true;
+        leavingSince = time;
+        out.log("leaves as " + role + " of term " + view.term());
+        for (Member other : known()) {
+            send(other, new Leave(me));
+        }
+    }
+
+    /**
+     * Whether its process may end: it is no member any more; or nobody is there to take its place, and it holds no copy
+     * that is counted on, or has waited {@link #HAND_OVER_MICROS} for others to take over.
+     */
+    public boolean left(long time) {
+        now = time;
+        if (!view.has(me.id())) {
+            return true;
+        }
+        if (candidates(liveness.others(view)).stream().anyMatch(Candidate::joins)) {
+            return false;
         }
-        return longest;
+        boolean copy = role != Role.FOLLOWER
+                || me.id().equals(view.primary())
+                || view.backups().contains(me.id());
+        boolean others = view.all().stream().anyMatch(one -> liveness.alive(one.id(), now));
+        return !copy || !others || now - leavingSince > HAND_OVER_MICROS;
     }
 
-    private long lastHeard(String id) {
-        return heard.computeIfAbsent(id, one -> now); // given its time from when it is first missed
+    /** Another one leaves: if it led, its first backup stands at once, and the others a moment later. */
+    private void leave(Leave leave) {
+        String from = leave.from().id();
+        liveness.leaves(from);
+        if (!view.has(from)) {
+            send(leave.from(), new ViewChange(me, view));
+        } else if (from.equals(activePrimary)) {
+            activeAt = Long.MIN_VALUE / 2;
+            boolean first = !view.backups().isEmpty() && view.backups().get(0).equals(me.id());
+            standBackUntil = now + (first ? 0 : STAND_BACK_MICROS / 5 + random.nextLong(STAND_BACK_MICROS));
+        }
+        changeAt = now;
     }
 
     private boolean reachesMost() {
-        Set<String> alive = new HashSet<>(Set.of(me.id()));
-        heard.forEach((id, at) -> {
-            if (now - at < SILENT_MICROS) {
-                alive.add(id);
-            }
-        });
+        Set<String> alive = liveness.alive(now);
+        alive.add(me.id());
         return view.majority(alive);
     }
 
@@ -304,10 +386,11 @@
     /** A message from another member, or from a machine that asks to be one. */
     public void message(long time, Message message) {
         now = time;
-        heard.put(message.from().id(), now);
-        known.put(message.from().id(), message.from());
+        liveness.heard(message.from(), now);
         if (message instanceof Heartbeat heartbeat) {
             heartbeat(heartbeat);
+        } else if (message instanceof Leave leave) {
+            leave(leave);
         } else if (message instanceof RequestVote request) {
             requestVote(request);
         } else if (message instanceof Vote vote) {
@@ -333,6 +416,7 @@
 
     private void heartbeat(Heartbeat heartbeat) {
         String from = heartbeat.from().id();
+        liveness.told(from, heartbeat.place(), heartbeat.leaving());
         boolean backup = view.backups().contains(from);
         if (role == Role.PRIMARY && heartbeat.viewTerm() > view.term()) {
             yieldTo(Math.max(promised, heartbeat.viewTerm())); // a later term has begun while this one was not heard
@@ -343,12 +427,18 @@
             stand(null);
             return;
         }
-        if (heartbeat.primary() && heartbeat.viewTerm() >= view.term() && role != Role.PRIMARY) {
+        if (heartbeat.primary()
+                && !heartbeat.leaving()
+                && heartbeat.viewTerm() >= view.term()
+                && role != Role.PRIMARY) {
             activePrimary = from;
             activeAt = now;
             next();
         }
-        if (role == Role.PRIMARY && heartbeat.viewTerm() < view.term() && !backup) {
+        boolean old = heartbeat.viewTerm() < view.term();
+        boolean tells = view.has(me.id()) && !(role == Role.PRIMARY && backup);
+        if (tells && (old || heartbeat.leaving() && !view.has(from))) {
+            // Any member does: whoever was away, or joins, may reach this one alone.
             send(heartbeat.from(), new ViewChange(me, view));
         }
     }
@@ -376,8 +466,9 @@
     private String refusal(RequestVote request) {
         String candidate = request.from().id();
         boolean leads = role == Role.PRIMARY
+                && !leaving
                 && !candidate.equals(me.id())
-                && view.backups().stream().allMatch(id -> now - lastHeard(id) < SILENT_MICROS);
+                && view.backups().stream().allMatch(id -> liveness.silence(id, now) < SILENT_MICROS);
         boolean led = !activePrimary.equals(candidate) && now - activeAt < SILENT_MICROS;
         if (!view.has(candidate)) {
             return "no member";
@@ -461,22 +552,18 @@
         if (!view.majority(granted)) {
             return;
         }
-        // The nearest thing to a free choice: whoever was backup stays, as it has most of what is to be held.
-        List<String> backups = new ArrayList<>();
-        for (String id : view.backups()) {
-            pick(backups, id);
-        }
-        for (Member member : view.all()) {
-            pick(backups, member.id());
-        }
-        int wanted = Math.min(losses, view.members().size() - 1);
-        if (backups.size() < wanted) {
-            return; // nobody to hold it beside this one
+        boolean joint = proposed != view || !view.before().isEmpty();
+        List<Candidate> members = candidates(proposed.members());
+        List<String> backups = planner.backups(me.id(), members, able(), view.backups());
+        int wanted = planner.backups(proposed.members().size());
+        boolean waits = now < roundUntil - ROUND_MICROS + BETTER_MICROS && !granted.containsAll(aliveMembers());
+        if (backups.size() < wanted || waits && !planner.sound(me.id(), members, backups)) {
+            return; // nobody to hold it beside this one, or nobody who should
         }
         View next = new View(
                 term,
                 me.id(),
-                List.copyOf(backups.subList(0, wanted)),
+                List.copyOf(backups),
                 proposed.members(),
                 proposed == view ? view.before() : proposed.before());
         role = Role.INSTALLING;
@@ -491,7 +578,7 @@
                 for (Member member : next.all()) {
                     if (!member.equals(me)) {
                         boolean backup = next.backups().contains(member.id());
-                        send(member, backup ? new Install(me, term, next, kept) : new ViewChange(me, next));
+                        send(member, backup || joint ? new Install(me, term, next, kept) : new ViewChange(me, next));
                     }
                 }
                 begin();
@@ -499,13 +586,19 @@
         });
     }
 
-    private void pick(List<String> backups, String id) {
-        if (granted.contains(id)
-                && !id.equals(me.id())
-                && !backups.contains(id)
-                && proposed.members().stream().anyMatch(member -> member.id().equals(id))) {
-            backups.add(id);
-        }
+    /** Who may hold copies: who has voted, and who joins, as that has given no promise that it could break. */
+    private Set<String> able() {
+        Set<String> able = new HashSet<>(granted);
+        proposed.members().stream()
+                .filter(one -> !view.has(one.id()) && liveness.alive(one.id(), now))
+                .forEach(one -> able.add(one.id()));
+        return able;
+    }
+
+    private Set<String> aliveMembers() {
+        Set<String> alive = liveness.alive(now);
+        alive.retainAll(ids(view.all()));
+        return alive;
     }
 
     private void install(Install install) {
@@ -536,17 +629,25 @@
                         || newer.term() == view.term()
                                 && newer.before().isEmpty()
                                 && !view.before().isEmpty())) {
+            if (role == Role.CANDIDATE) {
+                role = Role.FOLLOWER; // it was asked for by an older view, and may propose members of before that
+                standBack();
+            }
             view = newer;
             promised = Math.max(promised, newer.term());
             save(false, () -> {});
         }
     }
 
-    /** The term begins once all backups hold what it begins with. */
+    /**
+     * The term begins once all backups hold what it begins with; where members change, also more than half of the old
+     * and of the new ones, so that no majority is left that goes by the old list alone.
+     */
     private void begin() {
         Set<String> needed = new HashSet<>(view.backups());
         needed.add(me.id());
-        if (role != Role.INSTALLING || !installed.containsAll(needed)) {
+        boolean joint = !view.before().isEmpty();
+        if (role != Role.INSTALLING || !installed.containsAll(needed) || joint && !view.majority(installed)) {
             return;
         }
         role = Role.PRIMARY;
@@ -556,14 +657,14 @@
             working = null;
         }
         out.log("is primary of term " + view.term() + " with " + view.backups());
-        if (!view.before().isEmpty()) {
-            // Backups and primary have both lists on disk: no majority of the old one alone is left.
+        List<Member> all = view.all();
+        if (joint) {
             view = new View(view.term(), view.primary(), view.backups(), view.members(), List.of());
             save(false, () -> {});
         }
-        for (Member member : view.members()) {
+        for (Member member : all) {
             if (!member.equals(me)) {
-                send(member, new ViewChange(me, view));
+                send(member, new ViewChange(me, view)); // also to whoever has just lost its place
             }
         }
         pingAt = now;
@@ -587,7 +688,7 @@
 
     private void take(Call call) {
         if (role == Role.FOLLOWER && !activePrimary.equals(me.id()) && now - activeAt < SILENT_MICROS) {
-            out.forward(call.id, known.getOrDefault(activePrimary, new Member(activePrimary, "")));
+            out.forward(call.id, liveness.member(activePrimary));
             return;
         }
         if (role != Role.PRIMARY && !reachesMost()) {
@@ -600,8 +701,8 @@
 
     private void next() {
         if (role == Role.FOLLOWER && now - activeAt < SILENT_MICROS && !activePrimary.equals(me.id())) {
-            Member to = known.get(activePrimary);
-            while (to != null && !calls.isEmpty()) {
+            Member to = liveness.member(activePrimary);
+            while (!calls.isEmpty()) {
                 out.forward(calls.poll().id, to);
             }
             return;
--- a/src/main/java/gorsemast/store/StoreNode.java
+++ b/src/main/java/gorsemast/store/StoreNode.java
@@ -1,6 +1,7 @@
 package gorsemast.store;
 
 import gorsemast.logging.Log;
+import gorsemast.node.FaultTolerance;
 import gorsemast.peer.Neighbour;
 import gorsemast.peer.Neighbours;
 import gorsemast.peer.Record;
@@ -45,13 +46,15 @@
      * Of one process, from its start on.
      *
      * @param saved what its disk has, or had drawn for an empty one
-     * @param losses how many disks may be lost at the same time
+     * @param tolerance what may be lost at the same time; one machine at the least
+     * @param place where its machine stands
      */
     public StoreNode(
             String ip,
             Set<String> seeds,
             ReplicaState saved,
-            int losses,
+            FaultTolerance tolerance,
+            Place place,
             long seed,
             LongSupplier clock,
             Neighbours neighbours,
@@ -61,7 +64,9 @@
         this.clock = clock;
         this.neighbours = neighbours;
         this.saver = saver;
-        this.keeper = new Replica(saved, Math.max(1, losses), seed, this);
+        FaultTolerance borne =
+                new FaultTolerance(Math.max(1, tolerance.machines()), tolerance.zones(), tolerance.regions());
+        this.keeper = new Replica(saved, borne, place, seed, this);
     }
 
     /** The first word on each of its links. */
@@ -74,9 +79,20 @@
         return keeper;
     }
 
-    /** Another list of core machines. */
-    public void seeds(Set<String> more) {
-        seeds.addAll(more);
+    /** Another list of core machines, in place of the last one: members are known by the view. */
+    public void seeds(Set<String> others) {
+        seeds.clear();
+        seeds.addAll(others);
+    }
+
+    /** The process is asked to end. */
+    public void leave() {
+        keeper.leave(clock.getAsLong());
+    }
+
+    /** Whether it may end now, after {@link #leave}. */
+    public boolean left() {
+        return keeper.left(clock.getAsLong());
     }
 
     /** Addresses of the machines whose stores it wants links to. */
--- a/src/main/java/gorsemast/store/StoreProgram.java
+++ b/src/main/java/gorsemast/store/StoreProgram.java
@@ -19,6 +19,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +30,11 @@
  */
 public final class StoreProgram implements Daemon, Link.Receiver {
     private static final long DISK_AGAIN_MILLIS = 100;
+    /** Where the settings name no {@code grace}. */
+    private static final long GRACE_MICROS = 6_000_000;
+    /** Kept back of it for the disk and the end itself. */
+    private static final long GRACE_LEFT_MICROS = 1_500_000;
+
     private static final String STATE = "state";
     private static final String CONFIGURATION = "configuration";
     private static final Log LOG = new Log("store");
@@ -44,6 +50,8 @@
     private final Links links;
     private Disk disk;
     private StoreNode teller;
+    /** Set once the process is asked to end, and opened when it may; the loop's. */
+    private CountDownLatch left;
 
     /** By the platform's settings; nothing begins yet. */
     public StoreProgram(Settings settings) {
@@ -61,13 +69,17 @@
         if (settings.dataDir() == null) {
             throw new IOException("dataDir: the store needs a disk");
         }
+        if (!settings.configMode().equals(Settings.HIGHEST)) {
+            LOG.warn("configMode: keeps the highest version, not \"" + settings.configMode() + '"');
+        }
         disk = Disk.open(settings.dataDir());
         ReplicaState saved = recover(disk.load());
         teller = new StoreNode(
                 settings.ip(),
                 settings.seedIps(),
                 saved,
-                settings.losses(),
+                settings.tolerance(),
+                new Place(settings.zone(), settings.region(), settings.lossCounted()),
                 Seed.fresh(),
                 this::now,
                 links,
@@ -100,8 +112,22 @@
         });
     }
 
+    /** Ends once another member has its place, or nobody is there to take it; shortly before the platform's patience ends. */
     @Override
     public void stop() {
+        long grace = Math.max(0, settings.time("grace", GRACE_MICROS) - GRACE_LEFT_MICROS);
+        CountDownLatch over = new CountDownLatch(1);
+        loop.execute(() -> {
+            teller.leave();
+            left = over;
+        });
+        try {
+            if (!over.await(grace, TimeUnit.MICROSECONDS)) {
+                LOG.warn("ends without a successor: grace is over");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         writer.shutdown();
         try {
             if (writer.awaitTermination(1, TimeUnit.SECONDS)) {
@@ -116,6 +142,9 @@
         try {
             teller.tick();
             dial();
+            if (left != null && teller.left()) {
+                left.countDown();
+            }
         } catch (RuntimeException e) {
             LOG.fault(e);
         }
--- a/src/main/java/gorsemast/store/View.java
+++ b/src/main/java/gorsemast/store/View.java
@@ -28,7 +28,7 @@
     }
 
     /** Whether it may vote. */
-    boolean has(String id) {
+    public boolean has(String id) {
         return members.stream().anyMatch(m -> m.id().equals(id))
                 || before.stream().anyMatch(m -> m.id().equals(id));
     }
--- a/src/test/java/gorsemast/modelcheck/MembershipTest.java
+++ b/src/test/java/gorsemast/modelcheck/MembershipTest.java
@@ -2,8 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import gorsemast.node.FaultTolerance;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** What was acknowledged outlives each loss that is to be borne, also where the membership has just changed. */
@@ -14,7 +16,8 @@
 
     /** A world that has run, with an acknowledged version. */
     private static World settled(int members, int spares, int losses, long seed) {
-        World world = new World(members, spares, losses, seed, Plant.NONE).telling();
+        World world =
+                new World(members, spares, FaultTolerance.ofMachines(losses), Map.of(), seed, Plant.NONE).telling();
         world.calm(SECOND);
         for (int i = members + 1; i <= members + spares; i++) {
             world.start("m" + i);
@@ -63,7 +66,7 @@
                     if (lost.equals(removed)) {
                         continue;
                     }
-                    World world = new World(3, 1, 1, seed, Plant.NONE).telling();
+                    World world = new World(3, 1, seed, Plant.NONE).telling();
                     world.calm(6 * SECOND);
                     world.remove(removed);
                     world.calm(SECOND);
--- a/src/test/java/gorsemast/node/SettingsTest.java
+++ b/src/test/java/gorsemast/node/SettingsTest.java
@@ -40,6 +40,13 @@
         heartbeat: "1500ms"
         faultTolerance:
           machineLosses: 1
+          zones: 0
+          regionLosses: 1
+        lossCounted: false
+        activeContracts:
+          - "base"
+          - "drain"
+        configMode: "highest"
         timingBounds:
           drain: "2s"
           retryBudgetRatio: 0.2
@@ -55,6 +62,11 @@
         assertThat(settings.beatMicros()).isEqualTo(1_500_000);
         assertThat(settings.time("drain", 0)).isEqualTo(2_000_000);
         assertThat(settings.number("retryBudgetRatio", 0)).isEqualTo(0.2);
+        assertThat(settings.tolerance()).isEqualTo(new FaultTolerance(1, 0, 1));
+        assertThat(settings.region()).isEqualTo("west");
+        assertThat(settings.lossCounted()).isFalse();
+        assertThat(settings.activeContracts()).containsExactly("base", "drain");
+        assertThat(settings.configMode()).isEqualTo("highest");
         assertThat(settings.dataDir()).isNull();
         assertThat(settings.firstBoot()).isTrue();
         assertThat(Settings.parse(GOOD.replace("dataDir: null", "dataDir: \"/data/x\""))
@@ -105,6 +117,10 @@
                 "heartbeat: \"1500ms\"|heartbeat: \"soon\"|heartbeat: wants a time",
                 "10.1.0.39:8146|here:1|seedNodes: wants ip:port",
                 "drain: \"2s\"|drain: \"2 s\"|timingBounds.drain: wants a time",
+                "machineLosses: 1|machineLosses: -1|faultTolerance.machineLosses: wants 0 to",
+                "zones: 0|zones: \"no\"|faultTolerance.zones: wants a whole number",
+                "regionLosses: 1|regionLosses: 1.5|faultTolerance.regionLosses: wants a whole number",
+                "lossCounted: false|lossCounted: 0|lossCounted: wants true or false",
                 "listenAddrs:|listenAddrs: [|line 1"
             })
     void aFaultIsToldWithItsPlace(String from, String to, String told) {
