--- a/src/main/java/gorsemast/modelcheck/World.java
+++ b/src/main/java/gorsemast/modelcheck/World.java
@@ -1,12 +1,17 @@
 package gorsemast.modelcheck;
 
+import gorsemast.node.FaultTolerance;
 import gorsemast.store.Member;
 import gorsemast.store.Message;
 import gorsemast.store.Message.Append;
 import gorsemast.store.Message.AppendAck;
 import gorsemast.store.Message.Confirm;
 import gorsemast.store.Message.ConfirmAck;
+import gorsemast.store.Message.Install;
+import gorsemast.store.Message.InstallAck;
 import gorsemast.store.Message.RequestVote;
+import gorsemast.store.Message.Vote;
+import gorsemast.store.Place;
 import gorsemast.store.Replica;
 import gorsemast.store.ReplicaState;
 import gorsemast.store.StoredVersion;
@@ -56,6 +61,8 @@
         private final Map<Member, Append> inHand = new HashMap<>();
         private Replica keeper;
         private boolean frozen;
+        /** Removed for good. */
+        private boolean gone;
 
         Machine(String ip) {
             this.ip = ip;
@@ -70,10 +77,10 @@
                         plant == Plant.WIPED_KEEPS_ITS_NAME ? Replica.first(firstMembers) : Replica.first(List.of()),
                         StoredVersion.NONE));
             }
-            int losses = plant == Plant.NO_BACKUP ? 0 : 1;
+            Place place = plant == Plant.ZONES_UNKNOWN ? Place.UNKNOWN : places.getOrDefault(ip, Place.UNKNOWN);
             keeper = plant == Plant.WAITS_FOR_ANY_DISK
-                    ? new Replica(disk.held(), losses, random.nextLong(), LONG_MICROS * LONG_MICROS, this)
-                    : new Replica(disk.held(), losses, random.nextLong(), this);
+                    ? new Replica(disk.held(), tolerance, place, random.nextLong(), LONG_MICROS * LONG_MICROS, this)
+                    : new Replica(disk.held(), tolerance, place, random.nextLong(), this);
             if (plant == Plant.WIPED_KEEPS_ITS_NAME && disk.held().me().id().endsWith("#0")) {
                 lives++;
             }
@@ -100,6 +107,13 @@
             if (to.ip().equals(ip)) {
                 return;
             }
+            if (message instanceof Install install && untold(install, machines.get(to.ip()))) {
+                forge(new InstallAck(to, install.term()));
+                return;
+            }
+            if (message instanceof RequestVote request && plant == Plant.OUTSIDER_VOTES && outsider(to)) {
+                forge(new Vote(to, request.term(), null));
+            }
             Message sent = SpoiledMessages.spoiled(plant, message, lastAsked);
             if (sent != null) {
                 links.computeIfAbsent(ip + ">" + to.ip(), pair -> new ArrayDeque<>())
@@ -108,14 +122,40 @@
             if (message instanceof Append append) {
                 inHand.put(to, append);
             }
-            if (message instanceof Append append && plant == Plant.COPIED_WITHOUT_COPY) {
+            boolean uncopied = plant == Plant.COPIED_WITHOUT_COPY || plant == Plant.NO_BACKUP;
+            if (message instanceof Append append && uncopied) {
                 forge(new AppendAck(to, append.term(), append.round()));
             }
-            if (message instanceof Confirm confirm && plant == Plant.CONFIRMED_BY_NOBODY) {
+            boolean unconfirmed = plant == Plant.CONFIRMED_BY_NOBODY || plant == Plant.NO_BACKUP;
+            if (message instanceof Confirm confirm && unconfirmed) {
                 forge(new ConfirmAck(to, confirm.term(), confirm.round()));
             }
         }
 
+        /** Whether a planted defect has it that this one is not told, and counts all the same. */
+        private boolean untold(Install install, Machine to) {
+            return switch (plant) {
+                case NO_BACKUP -> true;
+                case JOINS_EMPTY ->
+                    to.disk.held() != null
+                            && !to.disk.held().view().has(to.disk.held().me().id());
+                case CHANGES_OVERLAP ->
+                    !install.view().before().isEmpty()
+                            && install.view().backups().stream().noneMatch(id -> id.startsWith(to.ip + "#"));
+                default -> false;
+            };
+        }
+
+        /** Whether a machine that runs and is no member could speak for this one, which is down. */
+        private boolean outsider(Member silent) {
+            return machines.get(silent.ip()).keeper == null
+                    && machines.values().stream()
+                            .anyMatch(one -> one.keeper != null
+                                    && !one.keeper
+                                            .view()
+                                            .has(one.disk.held().me().id()));
+        }
+
         private void forge(Message forged) {
             Replica mine = keeper;
             later.add(() -> {
@@ -199,6 +239,8 @@
 
     private final SplittableRandom random;
     private final Plant plant;
+    private final FaultTolerance tolerance;
+    private final Map<String, Place> places;
     private final List<Member> firstMembers = new ArrayList<>();
     private final Map<String, Machine> machines = new HashMap<>();
     private final List<String> ips = new ArrayList<>();
@@ -221,6 +263,13 @@
 
     /** So many members on empty disks, at the system's first start, and further machines that are none. */
     public World(int members, int spares, long seed, Plant plant) {
+        this(members, spares, FaultTolerance.ofMachines(1), Map.of(), seed, plant);
+    }
+
+    /** The same where these losses are to be borne, with the places of machines, by name. */
+    World(int members, int spares, FaultTolerance tolerance, Map<String, Place> places, long seed, Plant plant) {
+        this.tolerance = tolerance;
+        this.places = Map.copyOf(places);
         this.random = new SplittableRandom(seed);
         this.plant = plant;
         for (int i = 1; i <= members + spares; i++) {
@@ -379,9 +428,10 @@
     /** Starts what is down. */
     void start(String ip) {
         Machine machine = machines.get(ip);
-        if (machine.keeper == null) {
+        if (machine.keeper == null && !machine.gone) {
             tell(ip + " starts");
             machine.start();
+            greet(machine);
             if (ip.equals(lost)) {
                 lostSince = now;
             }
@@ -403,6 +453,121 @@
         }
     }
 
+    /** Links come up, by the list of core machines that each process is given: each side says a first word. */
+    private void greet(Machine started) {
+        for (String ip : ips) {
+            Machine other = machines.get(ip);
+            if (other != started && other.keeper != null) {
+                started.send(new Member("", ip), started.keeper.greeting());
+                other.send(new Member("", started.ip), other.keeper.greeting());
+            }
+        }
+    }
+
+    /** A further machine, not started yet; its name. */
+    String add() {
+        String ip = "m" + (ips.size() + 1);
+        ips.add(ip);
+        machines.put(ip, new Machine(ip));
+        return ip;
+    }
+
+    /** For this long, messages and disks come at drawn moments, not at once. */
+    void rough(long micros) {
+        long until = now + micros;
+        while (now < until) {
+            int what = random.nextInt(10);
+            if (what < 6) {
+                deliver(ips.get(random.nextInt(ips.size())), ips.get(random.nextInt(ips.size())));
+            } else if (what < 9) {
+                sync(ips.get(random.nextInt(ips.size())));
+            } else if (random.nextInt(4) == 0) {
+                tick();
+            }
+        }
+    }
+
+    /** A machine is removed for good, with its disk. */
+    void remove(String ip) {
+        tell(ip + " is removed");
+        Machine machine = machines.get(ip);
+        if (machine.keeper != null) {
+            machine.kill(true);
+        }
+        machine.disk.wipe();
+        machine.gone = true;
+    }
+
+    /** A machine loses its disk, whatever else is lost. */
+    void lose(String ip) {
+        tell(ip + " loses its disk");
+        Machine machine = machines.get(ip);
+        if (machine.keeper != null) {
+            machine.kill(true);
+        }
+        machine.disk.wipe();
+    }
+
+    /** All processes are killed and come back at once. */
+    void quietKill() {
+        List<String> running =
+                ips.stream().filter(ip -> machines.get(ip).keeper != null).toList();
+        running.forEach(ip -> kill(ip, false));
+        running.forEach(this::start);
+    }
+
+    /** A machine is asked to leave and ends as soon as it may, or when the time is over; how long that took. */
+    long leave(String ip, long grace) {
+        tell(ip + " leaves");
+        long from = now;
+        Replica replica = machines.get(ip).keeper;
+        replica.leave(now);
+        settle();
+        do {
+            quiet();
+            tick();
+        } while (!(plant == Plant.LEAVES_AT_ONCE || replica.left(now)) && now - from < grace);
+        kill(ip, false);
+        return now - from;
+    }
+
+    /** The machine that leads; null for none. */
+    String leader() {
+        return ips.stream()
+                .filter(ip -> machines.get(ip).keeper != null
+                        && !machines.get(ip).frozen
+                        && machines.get(ip).keeper.primary())
+                .findFirst()
+                .orElse(null);
+    }
+
+    /** The decisions of a machine that runs; null where none do. */
+    Replica replica(String ip) {
+        return machines.get(ip).keeper;
+    }
+
+    /** The newest version that was acknowledged. */
+    long newest() {
+        return newest;
+    }
+
+    /** How long it takes until a read sent to any machine that runs answers, asked anew each 0.1 s; -1 for never. */
+    long readAnswers(long within) {
+        long from = now;
+        int before = answered;
+        while (now - from < within) {
+            ips.forEach(this::get);
+            for (int i = 0; i < 4; i++) {
+                quiet();
+                tick();
+                if (answered > before) {
+                    return now - from;
+                }
+            }
+        }
+        return -1;
+    }
+
     private boolean allUp(String but) {
         return ips.stream()
                         .allMatch(ip -> ip.equals(but)
