--- a/src/main/java/gorsemast/simulation/World.java
+++ b/src/main/java/gorsemast/simulation/World.java
@@ -3,7 +3,7 @@
 import gorsemast.dispatch.Briefing;
 import gorsemast.emulator.VirtualTime;
 import gorsemast.peer.Record.Program;
-import gorsemast.simulation.CoreProcesses.HeartbeatTable;
+import gorsemast.simulation.CoreProcesses.Registry;
 import gorsemast.simulation.CoreProcesses.Store;
 import gorsemast.simulation.Trouble.Closing;
 import java.nio.charset.StandardCharsets;
@@ -51,6 +51,14 @@
     final Plant plant;
     final Referee referee = new Referee(this);
     final Servers servers = new Servers(this);
+    /** What went over links since traffic began. */
+    final LinkTraffic traffic = new LinkTraffic();
+    /** Where a study measures it; null else. */
+    ProcessorTime processorTime;
+    /** Servers beside the nine that each day has. */
+    int extraServers;
+    /** Routes beside the four that each configuration has. */
+    int extraRoutes;
     /** Versions of objects that have changed. */
     final Map<String, Long> objects = new HashMap<>();
 
@@ -61,8 +69,7 @@
     private final Set<String> cuts = new HashSet<>();
     private List<String> seeds = new ArrayList<>();
     private Consumer<Machine> onAck = machine -> {};
-    private long edgeBytes;
-    private long edgeRecords;
+    private long countedSince;
     private int coreTroubles;
     private long coreCalmSince;
     private int addresses;
@@ -121,7 +128,7 @@
             return false;
         }
         return machines(true).stream()
-                .anyMatch(core -> process(Program.REGISTRY, core) instanceof HeartbeatTable registry
+                .anyMatch(core -> process(Program.REGISTRY, core) instanceof Registry registry
                         && registry.office.synced()
                         && registry.office
                                         .board()
@@ -132,19 +139,37 @@
     Outcome outcome(int asked, int served, long from) {
         long edges = machines.values().stream().filter(one -> !one.core).count();
         double seconds = Math.max(1, (time.now() - from) / 1e6) * edges;
-        return new Outcome(asked, served, times, edgeBytes / seconds, edgeRecords / seconds);
+        return new Outcome(
+                asked,
+                served,
+                times,
+                traffic.bytesFrom(Program.PROXY) / seconds,
+                traffic.recordsFrom(Program.PROXY) / seconds);
     }
 
     void countFromNow() {
-        edgeBytes = 0;
-        edgeRecords = 0;
+        countedSince = time.now();
+        traffic.reset();
+        if (processorTime != null) {
+            processorTime.reset();
+        }
+    }
+
+    /** Since when costs are counted until now. */
+    long countedMicros() {
+        return time.now() - countedSince;
     }
 
-    void count(Process from, int bytes) {
-        if (from.program == Program.PROXY) {
-            edgeBytes += bytes + Integer.BYTES;
-            edgeRecords++;
+    /** A configuration with so many routes more. */
+    String inflated(String configuration) {
+        StringBuilder more = new StringBuilder();
+        for (int i = 0; i < extraRoutes; i++) {
+            more.append(',')
+                    .append(Course.rule("extra-" + i, "/extra/" + i + "/", "idempotent", "orders"))
+                    .append('}');
         }
+        int end = configuration.lastIndexOf("]}]}");
+        return configuration.substring(0, end) + more + configuration.substring(end);
     }
 
     // ---- machines
@@ -196,7 +221,7 @@
                 return;
             }
             if (machine.core) {
-                machine.processes.add(new HeartbeatTable(this, machine));
+                machine.processes.add(new Registry(this, machine));
                 machine.processes.add(new Store(this, machine, firstBoot));
             } else {
                 Edge edge = new Edge(this, machine);
@@ -344,7 +369,7 @@
                 }
                 return;
             }
-            process.run(() -> ((HeartbeatTable) process)
+            process.run(() -> ((Registry) process)
                     .call(method, path, body.getBytes(StandardCharsets.UTF_8), (status, text, bytes) -> {
                         if (status == 200 && method.equals("POST") && !path.endsWith("heartbeat")) {
                             onAck.accept(to);
