--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -248,7 +248,12 @@
         List<Member> change = now < changeAt ? null : planner.change(me, members, candidates(liveness.others(view)));
         if (change != null) {
             changeAt = now + AGAIN_MICROS;
-            out.log("changes the members from " + ids(view.members()) + " to " + ids(change));
+            List<String> joining = ids(change);
+            joining.removeAll(ids(view.members()));
+            List<String> going = ids(view.members());
+            going.removeAll(ids(change));
+            out.log("takes in " + String.join(", ", joining)
+                    + (going.isEmpty() ? " as one more" : " for " + String.join(", ", going)));
             stand(change);
         } else if (view.backups().stream().anyMatch(id -> !liveness.alive(id, now))) {
             if (view.backups().stream().anyMatch(id -> liveness.silence(id, now) > SILENT_MICROS)) {
@@ -283,7 +288,7 @@
     }
 
     private static List<String> ids(List<Member> members) {
-        return members.stream().map(Member::id).toList();
+        return new ArrayList<>(members.stream().map(Member::id).toList());
     }
 
     private List<Candidate> candidates(List<Member> of) {
