--- a/src/main/java/gorsemast/simulation/CoreProcesses.java
+++ b/src/main/java/gorsemast/simulation/CoreProcesses.java
@@ -153,6 +153,10 @@
         /** It ends once another member has its place, or nobody is there to take it. */
         @Override
         void leave() {
+            if (world.plant == Plant.LEAVES_AT_ONCE) {
+                end(false);
+                return;
+            }
             teller.leave();
             awaitSuccessor(now() + LEAVE_MICROS);
         }
--- a/src/main/java/gorsemast/simulation/Plant.java
+++ b/src/main/java/gorsemast/simulation/Plant.java
@@ -10,6 +10,8 @@
     MENDS_NOTHING,
     /** A store counts a save before it is on disk. */
     SAVED_TOO_EARLY,
+    /** A store that is asked to leave ends at once, without a word. */
+    LEAVES_AT_ONCE,
     /** An edge goes by the configuration that it is told last. */
     GOES_BACK,
     /** An edge sends to servers that leave. */
--- a/src/main/java/gorsemast/simulation/Trouble.java
+++ b/src/main/java/gorsemast/simulation/Trouble.java
@@ -32,6 +32,12 @@
         RELOAD,
         /** A core machine is replaced by an empty one at another address. */
         REPLACE_CORE,
+        /** An empty one comes first; then the old one is asked to leave, and is gone when its processes have ended. */
+        REPLACE_CORE_PLANNED,
+        /** The same, for the one that leads; and at once the one that leads then, if any, or the oldest loses its disk. */
+        REPLACE_PRIMARY_THEN_WIPE,
+        /** Core machines are asked to leave in turn and start again. */
+        ROLL_CORES,
         /** A server ends without a word. */
         CRASH_SERVER,
         /** It does, and its address goes to another service. */
--- a/src/main/java/gorsemast/simulation/Troubles.java
+++ b/src/main/java/gorsemast/simulation/Troubles.java
@@ -11,6 +11,10 @@
 final class Troubles {
     private static final long AGAIN_MICROS = 500_000;
     private static final long RESTART_MICROS = 300_000;
+    /** From SIGTERM to SIGKILL. */
+    private static final long GRACE_MICROS = 6_000_000;
+
+    private static final long ENDED_MICROS = 10_000;
 
     private final World world;
     private final Course course;
@@ -40,6 +44,9 @@
         boolean counted =
                 switch (trouble.kind()) {
                     case REPLACE_CORE,
+                            REPLACE_CORE_PLANNED,
+                            REPLACE_PRIMARY_THEN_WIPE,
+                            ROLL_CORES,
                             KILL_CORE,
                             POWER_CORE,
                             FREEZE_CORE,
@@ -62,8 +69,12 @@
             primaryLost(
                     trouble.kind().toString(),
                     switch (trouble.kind()) {
-                        case POWER_AFTER_ACK, WIPE_AFTER_ACK, KILL_CORES, STALL ->
-                            null; // told where they strike, or nobody takes over
+                        case POWER_AFTER_ACK,
+                                WIPE_AFTER_ACK,
+                                KILL_CORES,
+                                STALL,
+                                ROLL_CORES,
+                                REPLACE_PRIMARY_THEN_WIPE -> null; // told where they strike, or nobody takes over
                         default -> core(trouble.pick());
                     });
         }
@@ -79,6 +90,15 @@
             case ROLL -> roll(0);
             case RELOAD -> reload();
             case REPLACE_CORE -> replace(core(n));
+            case REPLACE_CORE_PLANNED -> replacePlanned(core(n), false);
+            case REPLACE_PRIMARY_THEN_WIPE -> {
+                Machine primary = world.primaryBut(null);
+                replacePlanned(primary == null ? core(n) : primary, true);
+            }
+            case ROLL_CORES -> {
+                world.coreTrouble();
+                rollCores(world.machines(true));
+            }
             case CRASH_SERVER -> crash(n, false);
             case REUSE -> crash(n, true);
             case LOSE_ANSWERS -> lose(n, trouble.span());
@@ -240,6 +260,68 @@
         });
     }
 
+    /** The new one has its time, then the old one is asked to leave and is gone when its processes have ended. */
+    private void replacePlanned(Machine old, boolean wipes) {
+        world.coreTrouble();
+        Machine next = world.add(old.zone, true);
+        world.say(next.ip + " comes for " + old.ip);
+        world.start(next, false);
+        world.listLater();
+        world.time.after(
+                World.SYNC_MICROS,
+                () -> asked(old, () -> {
+                    world.stop(old, true);
+                    old.gone = true;
+                    world.listLater();
+                    world.coreCalm();
+                    Machine leads = world.primaryBut(old);
+                    Machine struck = leads != null ? leads : core(0);
+                    if (wipes) {
+                        world.say(struck.ip + " loses its disk");
+                        bounce(struck, true, 1_000_000);
+                        struck.disk = new Machine.Disk();
+                    }
+                }));
+    }
+
+    /** Asks the processes of a machine to leave; then, when they have ended or the platform's patience has. */
+    private void asked(Machine machine, Runnable then) {
+        world.say(machine.ip + " is asked to leave");
+        if (world.primaryBut(null) == machine) {
+            world.watch(Outcome.TAKEN_OVER + "SIGTERM", () -> world.primaryBut(machine) != null);
+        }
+        long until = world.time.now() + GRACE_MICROS;
+        List.copyOf(machine.processes).forEach(process -> process.run(process::leave));
+        ended(machine, until, then);
+    }
+
+    private void ended(Machine machine, long until, Runnable then) {
+        if (world.time.now() >= until || machine.processes.stream().noneMatch(process -> process.alive)) {
+            then.run();
+        } else {
+            world.time.after(ENDED_MICROS, () -> ended(machine, until, then));
+        }
+    }
+
+    private void rollCores(List<Machine> left) {
+        if (left.isEmpty()) {
+            world.coreCalm();
+            return;
+        }
+        Machine machine = left.get(0);
+        machine.trouble();
+        asked(machine, () -> {
+            world.stop(machine, false);
+            world.time.after(RESTART_MICROS, () -> {
+                if (!machine.gone) {
+                    world.start(machine, false);
+                }
+                machine.calm(world.time.now());
+            });
+            world.time.after(1_000_000, () -> rollCores(left.subList(1, left.size())));
+        });
+    }
+
     private void afterAck(boolean wipes, long down) {
         world.onAck(machine -> world.time.after(world.random.nextLong(4_000), () -> {
             if (!world.mayLose() || machine.gone) {
