--- a/src/main/java/gorsemast/storage/package-info.java
+++ b/src/main/java/gorsemast/storage/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The disk: a few named records that are replaced whole and are safe once a save has returned, over Xodus.
+ * The disk: records that are replaced whole and are safe once a save has returned, in files of a fixed number.
  * (Wilhelminadorp: a weather station; the disk.)
  */
 package gorsemast.storage;
--- a/src/main/java/gorsemast/store/StoreProgram.java
+++ b/src/main/java/gorsemast/store/StoreProgram.java
@@ -10,14 +10,12 @@
 import gorsemast.peer.Ports;
 import gorsemast.peer.Record;
 import gorsemast.storage.Disk;
-import gorsemast.storage.DiskException;
 import gorsemast.transport.Transport;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -29,8 +27,6 @@
  */
 public final class StoreProgram implements Daemon, Link.Receiver {
     private static final long DISK_AGAIN_MILLIS = 100;
-    private static final String STATE = "state";
-    private static final String CONFIGURATION = "configuration";
     private static final Log LOG = new Log("store");
 
     private final Settings settings;
@@ -42,7 +38,6 @@
     });
     private final long origin = System.nanoTime();
     private final Links links;
-    private Disk disk;
     private StoreNode teller;
 
     /** By the platform's settings; nothing begins yet. */
@@ -61,8 +56,10 @@
         if (settings.dataDir() == null) {
             throw new IOException("dataDir: the store needs a disk");
         }
-        disk = Disk.open(settings.dataDir());
-        ReplicaState saved = recover(disk.load());
+        Disk disk = Disk.open(settings.dataDir(), Seed.fresh());
+        ReplicaState saved = recover(disk);
+        StateWriter states =
+                new StateWriter(disk::save, writer, loop, token -> teller.saved(token), StoreProgram::pause);
         teller = new StoreNode(
                 settings.ip(),
                 settings.seedIps(),
@@ -71,15 +68,16 @@
                 Seed.fresh(),
                 this::now,
                 links,
-                this::save);
+                states::save);
         links.listen(Ports.STORE.at(settings, settings.ip()));
         loop.execute(this::tick);
         loop.scheduleWithFixedDelay(this::tick, StoreNode.TICK_MICROS, StoreNode.TICK_MICROS, TimeUnit.MICROSECONDS);
     }
 
-    private ReplicaState recover(Map<String, byte[]> records) throws IOException {
-        if (records.containsKey(STATE) && records.containsKey(CONFIGURATION)) {
-            ReplicaState saved = ReplicaState.of(records.get(STATE), records.get(CONFIGURATION));
+    private ReplicaState recover(Disk disk) throws IOException {
+        Disk.Saved records = disk.load();
+        if (records != null) {
+            ReplicaState saved = ReplicaState.of(records.state(), records.configuration());
             LOG.info("has version " + Long.toHexString(saved.kept().version()) + " of term "
                     + saved.kept().term() + ", promised " + saved.promised());
             return saved;
@@ -88,7 +86,7 @@
             LOG.warn("has an empty disk and asks to be taken in");
         }
         ReplicaState fresh = ReplicaState.fresh(settings.ip(), settings.seedIps(), settings.firstBoot(), Seed.fresh());
-        disk.save(Map.of(STATE, fresh.state(), CONFIGURATION, fresh.configuration()));
+        disk.save(fresh.state(), fresh.configuration());
         return fresh;
     }
 
@@ -104,8 +102,8 @@
     public void stop() {
         writer.shutdown();
         try {
-            if (writer.awaitTermination(1, TimeUnit.SECONDS)) {
-                disk.close();
+            if (!writer.awaitTermination(1, TimeUnit.SECONDS)) {
+                LOG.warn("ends with a save under way");
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -146,26 +144,6 @@
 
     // ---- the disk
 
-    private void save(ReplicaState state, boolean keptToo, long token) {
-        byte[] record = state.state();
-        byte[] kept = keptToo ? state.configuration() : null;
-        writer.execute(() -> {
-            while (true) {
-                try {
-                    disk.save(kept == null ? Map.of(STATE, record) : Map.of(STATE, record, CONFIGURATION, kept));
-                    break;
-                } catch (DiskException e) {
-                    LOG.warn("can't write, tries again: " + e.getMessage());
-                    pause();
-                } catch (Error e) {
-                    LOG.fault(e);
-                    throw e;
-                }
-            }
-            loop.execute(() -> teller.saved(token));
-        });
-    }
-
     private static void pause() {
         try {
             TimeUnit.MILLISECONDS.sleep(DISK_AGAIN_MILLIS); // on the disk's own thread, which has nothing else to do
