--- a/src/main/java/gorsemast/storage/package-info.java
+++ b/src/main/java/gorsemast/storage/package-info.java
@@ -1,5 +1,4 @@
 /**
  * The disk: records that are replaced whole and are safe once a save has returned, in files of a fixed number.
- * (Wilhelminadorp: a weather station; the disk.)
  */
 package gorsemast.storage;
