Play 600 changes with members troubled in each tenth, or one away for all of them

Ruled out: old state that leads. What is acknowledged is on primary and backup, a member that was away votes with what it holds and is handed the newest; it is a copy only from an Install that is on its disk.

--- a/src/main/java/gorsemast/modelcheck/StoreCheck.java
+++ b/src/main/java/gorsemast/modelcheck/StoreCheck.java
@@ -73,6 +73,58 @@
         return new Result(courses, answered, null, List.of());
     }
 
+    /**
+     * So many changes, with one member without power for all of them and another one killed, frozen, stalled or without
+     * power in each tenth. Then the first comes back, another loses its disk, all others lose power, and a read has to
+     * answer with the last change.
+     */
+    public static Result away(int members, int spares, long seed, int courses, int changes, Plant plant) {
+        long answered = 0;
+        SplittableRandom random = new SplittableRandom(seed);
+        for (int c = 0; c < courses; c++) {
+            World world = new World(members, spares, random.nextLong(), plant).telling();
+            try {
+                world.calm(2_000_000);
+                int away = random.nextInt(members);
+                world.kill(world.machines().get(away), true);
+                for (int change = 0; change < changes; change++) {
+                    if (change % Math.max(1, changes / 10) == 3) {
+                        trouble(
+                                world,
+                                world.machines().get((away + 1 + random.nextInt(members - 1)) % members),
+                                random);
+                    }
+                    world.order(world.machines().get(random.nextInt(members)));
+                }
+                world.start(world.machines().get(away));
+                world.calm(6_000_000);
+                world.order(world.machines().get(away));
+                world.strikeAll(world.machines().get((away + random.nextInt(members)) % members));
+                world.heal();
+            } catch (World.Broken e) {
+                return new Result(c + 1, answered, e.getMessage(), world.story());
+            }
+            answered += world.answered();
+        }
+        return new Result(courses, answered, null, List.of());
+    }
+
+    private static void trouble(World world, String ip, SplittableRandom random) {
+        int what = random.nextInt(4);
+        world.put(ip, false);
+        switch (what) {
+            case 0 -> world.freeze(ip, true);
+            case 1 -> world.stall(ip, true);
+            default -> world.kill(ip, what == 2);
+        }
+        world.put(ip, false);
+        world.calm(1_000_000 + random.nextLong(2_000_000));
+        world.freeze(ip, false);
+        world.stall(ip, false);
+        world.start(ip);
+        world.calm(2_000_000);
+    }
+
     private interface Event {
         void happen(World world);
     }
--- a/src/main/java/gorsemast/modelcheck/World.java
+++ b/src/main/java/gorsemast/modelcheck/World.java
@@ -512,6 +512,14 @@
         get(ips.get(random.nextInt(ips.size())));
     }
 
+    /** A disk is lost, and all others lose power with it. */
+    void strikeAll(String wiped) {
+        wipe(wiped);
+        for (String ip : ips) {
+            kill(ip, true);
+        }
+    }
+
     /** One stands still while another takes over and acknowledges, wakes, and is asked before it has heard of that. */
     void sleep() {
         String sleeper = ips.get(random.nextInt(ips.size()));
--- a/src/test/java/gorsemast/modelcheck/StoreCheckTest.java
+++ b/src/test/java/gorsemast/modelcheck/StoreCheckTest.java
@@ -39,6 +39,23 @@
                 .contains("is not acknowledged in 4000 ms");
     }
 
+    @Test
+    void aMemberThatWasAwayForSixHundredChangesNeverLeadsWithOldState() {
+        StoreCheck.Result three = StoreCheck.away(3, 0, 21, 12, 600, Plant.NONE);
+        assertThat(three.broken()).as(String.join("\n", three.story())).isNull();
+        assertThat(three.answered()).isGreaterThan(12 * 600);
+        StoreCheck.Result spare = StoreCheck.away(3, 1, 22, 12, 600, Plant.NONE);
+        assertThat(spare.broken()).as(String.join("\n", spare.story())).isNull();
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = Plant.class,
+            names = {"VOTE_WITHOUT_KEPT", "STATE_WITHOUT_VERSION", "FOLDER_NOT_SYNCED", "NO_BACKUP"})
+    void oldStateThatLeadsIsFound(Plant plant) {
+        assertThat(StoreCheck.away(3, 0, 23, 40, 60, plant).broken()).isNotNull();
+    }
+
     @ParameterizedTest
     @EnumSource(
             value = Plant.class,
