Keep a server's 408, 429 and 503 from clients whose call may have run

Cause: a status that promises that a request has not run and never will was passed on from a server as it came, also without Not-Executed, the one word that makes it true. A call that may run once and had run was told 503, 429 or 408; its client then sent it again under the same right. Seen with a stand-in that runs what comes and answers so: three of three statuses reached the client.

Change: CallState keeps, for one call over all its attempts, whether any may have run; it says whether another may be sent, whether a refusal is true and whether a status may be passed on. Sender and the simulation's sender go by the same class (both kept these fields by hand). 408, 429 and 503 without Not-Executed are failures of the server, as 500 is, so what may be repeated is tried elsewhere; the client of a call that may run once gets 502.

Ruled out: the decision module; it does not repeat or refuse what may have run.

--- /dev/null
+++ b/src/main/java/gorsemast/dispatch/CallState.java
@@ -0,0 +1,107 @@
+package gorsemast.dispatch;
+
+import anisebend.Balancer.Code;
+
+/**
+ * What is known of one call over all of its attempts: whether one is out, whether any may have run, and so whether
+ * another may be sent and what its client may be told. No I/O, no clock; one thread.
+ *
+ * <p>Carried out by {@link Sender} over sockets and by the simulation's sender in virtual time. The decision module goes
+ * by the same outcomes; this is the second lock: what the module would get wrong is withheld here.
+ */
+public class CallState {
+    /** The rest of a call's time is kept for its answer's way, in microseconds. */
+    public static final long BACKSTOP_MICROS = 8_000;
+    /** The module's own end comes so much before that, in microseconds. */
+    public static final long MARGIN_MICROS = 12_000;
+
+    private static final int NONE = -1;
+    private static final int REQUEST_TIMEOUT = 408;
+    private static final int MISDIRECTED = 421;
+    private static final int TOO_MANY = 429;
+    private static final int UNAVAILABLE = 503;
+
+    private final boolean repeatable;
+    private int attempts;
+    private int out = NONE;
+    private boolean mayHaveRun;
+    private boolean answered;
+
+    /** Of a call that may run more than once, or not. */
+    public CallState(boolean repeatable) {
+        this.repeatable = repeatable;
+    }
+
+    /** Whether a status promises its client that the request has not run and never will. */
+    public static boolean promises(int status) {
+        return status == REQUEST_TIMEOUT || status == MISDIRECTED || status == TOO_MANY || status == UNAVAILABLE;
+    }
+
+    /** Counts an attempt that the module has asked for; returns its number, from 0 on. */
+    public final int next() {
+        return attempts++;
+    }
+
+    /** Whether another attempt may be sent now: none is out, and what may have run may also be repeated. */
+    public boolean maySend() {
+        return !answered && out == NONE && (repeatable || !mayHaveRun);
+    }
+
+    /** That attempt is on its way. */
+    public final void sent(int attempt) {
+        out = attempt;
+    }
+
+    /** It has ended so; false where it is not the one that is out, and nothing follows from it. */
+    public final boolean ended(int attempt, Code code) {
+        if (out != attempt) {
+            return false;
+        }
+        out = NONE;
+        mayHaveRun |= mayHaveRun(code);
+        return true;
+    }
+
+    /** Whether an attempt that ended so may have run. */
+    protected boolean mayHaveRun(Code code) {
+        return code.mayHaveRun;
+    }
+
+    /** Whether this attempt is out. */
+    public final boolean isOut(int attempt) {
+        return out == attempt && out != NONE;
+    }
+
+    /** Whether any is out. */
+    public final boolean isOut() {
+        return out != NONE;
+    }
+
+    /** The number of the attempt that was asked for last; -1 before the first. */
+    public final int last() {
+        return attempts - 1;
+    }
+
+    /** Its client has been told; nothing is sent from now on. */
+    public final void answered() {
+        answered = true;
+    }
+
+    /** Whether its client has been told. */
+    public final boolean isAnswered() {
+        return answered;
+    }
+
+    /** Whether a refusal, which promises that it never runs, is true. */
+    public boolean mayRefuse() {
+        return repeatable || !mayHaveRun && out == NONE;
+    }
+
+    /**
+     * Whether a server's answer with this status may be passed on. Who answered without {@code Not-Executed} may have run
+     * it; a status that would promise the opposite is kept from a client whose call may run once.
+     */
+    public boolean mayPass(int status) {
+        return repeatable || !promises(status);
+    }
+}
--- a/src/main/java/gorsemast/dispatch/Network.java
+++ b/src/main/java/gorsemast/dispatch/Network.java
@@ -32,7 +32,8 @@
         if (answer.headers().contains(NOT_RUN)) {
             return Code.FULL;
         }
-        return status >= FAILED ? Code.ERROR : Code.OK;
+        // A status that promises, without the word that it has not run, is a failure: it may have run.
+        return status >= FAILED || CallState.promises(status) ? Code.ERROR : Code.OK;
     }
 
     @Override
--- a/src/main/java/gorsemast/dispatch/Sender.java
+++ b/src/main/java/gorsemast/dispatch/Sender.java
@@ -28,6 +28,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.ToIntFunction;
 
@@ -39,9 +40,7 @@
  */
 public final class Sender implements Balancer.Actions {
     /** What the module has left unanswered fails this long before the client's time is over. */
-    private static final long BACKSTOP_MICROS = 8_000;
-    /** The module's own end comes so much before that. */
-    private static final long MARGIN_MICROS = 12_000;
+    private static final long BACKSTOP_MICROS = CallState.BACKSTOP_MICROS;
 
     private static final Log LOG = new Log("dispatch");
 
@@ -52,10 +51,10 @@
         private ScheduledFuture<?> backstop;
         private Upstream.Attempt out;
         private FullHttpResponse last;
-        private int attempts;
-        private boolean answered;
+        private final CallState state;
 
         Exchange(String id, Call call, Client client) {
+            this.state = new CallState(call.route().repeatable());
             this.id = id;
             this.call = call;
             this.client = client;
@@ -163,20 +162,20 @@
             turns.event(() -> module.retune(now(), briefing.settings()));
         }
         Balancer.Request request = new Balancer.Request(
-                x.id, number, 0, call.key(), call.giveUp() - BACKSTOP_MICROS - MARGIN_MICROS, false);
+                x.id, number, 0, call.key(), call.giveUp() - BACKSTOP_MICROS - CallState.MARGIN_MICROS, false);
         turns.event(() -> module.request(now(), request));
         return () -> gone(x);
     }
 
     private void gone(Exchange x) {
-        if (!x.answered) {
+        if (!x.state.isAnswered()) {
             conclude(x);
             abandon(x);
         }
     }
 
     private void giveUp(Exchange x) {
-        if (!x.answered) {
+        if (!x.state.isAnswered()) {
             conclude(x);
             finalAnswer(x, () -> x.client.failed(true));
             abandon(x);
@@ -192,15 +191,17 @@
 
     /** Where a server has answered, though with a failure, its answer is what the client gets. */
     private void finalAnswer(Exchange x, Runnable otherwise) {
-        if (x.last != null) {
+        if (x.last != null && x.state.mayPass(x.last.status().code())) {
             x.client.answered(x.last);
+        } else if (x.last != null) {
+            x.client.failed(false);
         } else {
             otherwise.run();
         }
     }
 
     private void conclude(Exchange x) {
-        x.answered = true;
+        x.state.answered();
         x.backstop.cancel(false);
         if (x.out != null) {
             x.out.cancel();
@@ -208,7 +209,7 @@
     }
 
     private void forget(Exchange x) {
-        if (x.answered && x.out == null && open.remove(x.id) != null) {
+        if (x.state.isAnswered() && x.out == null && open.remove(x.id) != null) {
             x.call.body().release();
             if (x.last != null) {
                 x.last.release();
@@ -225,7 +226,7 @@
 
     private void sendNow(String request, String id, long until) {
         Exchange x = open.get(request);
-        int attempt = x.attempts++;
+        int attempt = x.state.next();
         long sentAt = now();
         Server server = briefing.server(id);
         long wait = Math.min(until, x.call.giveUp() - BACKSTOP_MICROS) - sentAt;
@@ -233,10 +234,11 @@
             x.out.cancel(); // never two at once, whatever the module says
         }
         boolean counted = attempt == 0 && x.call.counted();
-        if (x.answered || server == null || wait <= 0 || !counted && !ceiling.getAsBoolean()) {
+        if (!x.state.maySend() || server == null || wait <= 0 || !counted && !ceiling.getAsBoolean()) {
             told(x, attempt, sentAt, Code.NOT_SENT);
             return;
         }
+        x.state.sent(attempt);
         Upstream.Attempt[] mine = new Upstream.Attempt[1];
         boolean[] over = new boolean[1];
         mine[0] = upstream.send(
@@ -249,6 +251,7 @@
                     @Override
                     public void ended(Code code, Note note, FullHttpResponse answer) {
                         over[0] = true;
+                        x.state.ended(attempt, code);
                         if (x.out == mine[0]) {
                             x.out = null;
                         }
@@ -261,9 +264,10 @@
                     @Override
                     public Passage begins(Note note, HttpResponse head, long length, Passage.Flow flow) {
                         over[0] = true;
+                        x.state.ended(attempt, Code.OK);
                         x.out = null;
                         Passage taker = null;
-                        if (!x.answered) {
+                        if (!x.state.isAnswered()) {
                             conclude(x);
                             taker = x.client.begins(head, length, flow);
                         }
@@ -294,10 +298,10 @@
     }
 
     private void ended(Exchange x, int attempt, long sentAt, Code code, FullHttpResponse answer) {
-        if (code == Code.OK && !x.answered) {
+        if (code == Code.OK && !x.state.isAnswered()) {
             conclude(x);
             x.client.answered(answer);
-        } else if (code == Code.ERROR && answer != null && !x.answered) {
+        } else if (code == Code.ERROR && answer != null && !x.state.isAnswered()) {
             if (x.last != null) {
                 x.last.release();
             }
@@ -307,7 +311,7 @@
     }
 
     private void told(Exchange x, int attempt, long sentAt, Code code) {
-        boolean over = x.answered;
+        boolean over = x.state.isAnswered();
         turns.event(() -> {
             long now = now();
             module.outcome(now, new Balancer.Outcome(x.id, attempt, code, now - sentAt, over, Note.NONE, null));
@@ -317,20 +321,26 @@
 
     @Override
     public void refuse(String request, long retryAfter) {
-        answer(request, client -> client.refused(retryAfter));
+        answer(request, x -> {
+            if (x.state.mayRefuse()) {
+                x.client.refused(retryAfter);
+            } else {
+                x.client.failed(false);
+            }
+        });
     }
 
     @Override
     public void fail(String request) {
-        answer(request, client -> client.failed(false));
+        answer(request, x -> x.client.failed(false));
     }
 
-    private void answer(String request, java.util.function.Consumer<Client> how) {
+    private void answer(String request, Consumer<Exchange> how) {
         turns.action(() -> {
             Exchange x = open.get(request);
-            if (x != null && !x.answered) {
+            if (x != null && !x.state.isAnswered()) {
                 conclude(x);
-                finalAnswer(x, () -> how.accept(x.client));
+                finalAnswer(x, () -> how.accept(x));
                 forget(x);
             }
         });
@@ -340,7 +350,7 @@
     public void cancel(String request, int attempt) {
         turns.action(() -> {
             Exchange x = open.get(request);
-            if (x != null && x.out != null && x.attempts - 1 == attempt) {
+            if (x != null && x.out != null && x.state.last() == attempt) {
                 x.out.cancel();
             }
         });
--- a/src/main/java/gorsemast/simulation/EdgeSender.java
+++ b/src/main/java/gorsemast/simulation/EdgeSender.java
@@ -7,6 +7,7 @@
 import anisebend.Decide;
 import gorsemast.configuration.Route;
 import gorsemast.dispatch.Briefing;
+import gorsemast.dispatch.CallState;
 import gorsemast.dispatch.Server;
 import gorsemast.gossip.ServerNews;
 import gorsemast.http.Turns;
@@ -29,8 +30,7 @@
     /** An end, with an object's version where it was served. */
     record Result(End code, long version) {}
 
-    private static final long BACKSTOP_MICROS = 8_000;
-    private static final long MARGIN_MICROS = 12_000;
+    private static final long BACKSTOP_MICROS = CallState.BACKSTOP_MICROS;
 
     private static final class Exchange {
         private final String id;
@@ -40,9 +40,7 @@
         private final long giveUp;
         private final boolean counted;
         private final Consumer<Result> client;
-        private int attempts;
-        private int out = -1;
-        private boolean answered;
+        private final CallState state;
         private boolean erred;
 
         Exchange(
@@ -52,7 +50,9 @@
                 String path,
                 long giveUp,
                 boolean counted,
+                CallState state,
                 Consumer<Result> client) {
+            this.state = state;
             this.counted = counted;
             this.id = id;
             this.attempt = attempt;
@@ -104,10 +104,10 @@
 
     /** @param counted whether its first attempt has room at the service's ceiling already */
     void take(String attempt, Route route, String path, long giveUp, boolean counted, Consumer<Result> client) {
-        Exchange x = new Exchange("r" + sequence++, attempt, route, path, giveUp, counted, client);
+        Exchange x = new Exchange("r" + sequence++, attempt, route, path, giveUp, counted, state(route), client);
         open.put(x.id, x);
         edge.after(Math.max(0, giveUp - BACKSTOP_MICROS - edge.now()), () -> {
-            if (!x.answered) {
+            if (!x.state.isAnswered()) {
                 conclude(x, x.erred ? End.ANSWERED_ERROR : End.FAILED, 0);
                 turns.event(() -> {
                     module.abandoned(edge.now(), x.id);
@@ -125,18 +125,25 @@
                 number,
                 0,
                 route.kind() == Route.Kind.CACHEABLE ? path : null,
-                giveUp - BACKSTOP_MICROS - MARGIN_MICROS,
+                giveUp - BACKSTOP_MICROS - CallState.MARGIN_MICROS,
                 false);
         turns.event(() -> module.request(edge.now(), request));
     }
 
+    /** Planted defects take out this lock too, which would hide them from the referee. */
+    private CallState state(Route route) {
+        Plant plant = edge.world.plant;
+        boolean open = plant == Plant.REPEATS_ALL || plant == Plant.REFUSES_WHAT_RAN;
+        return new CallState(route.repeatable() || open);
+    }
+
     private void conclude(Exchange x, End end, long version) {
-        x.answered = true;
+        x.state.answered();
         x.client.accept(new Result(end, version));
     }
 
     private void forget(Exchange x) {
-        if (x.answered && x.out < 0) {
+        if (x.state.isAnswered() && !x.state.isOut()) {
             open.remove(x.id);
         }
     }
@@ -150,16 +157,16 @@
 
     private void sendNow(String request, String id, long until) {
         Exchange x = open.get(request);
-        int attempt = x.attempts++;
+        int attempt = x.state.next();
         long sentAt = edge.now();
         Server server = briefing.server(id);
         long wait = Math.min(until, x.giveUp - BACKSTOP_MICROS) - sentAt;
         boolean counted = attempt == 0 && x.counted;
-        if (x.answered || server == null || wait <= 0 || !counted && !edge.another(service)) {
+        if (!x.state.maySend() || server == null || wait <= 0 || !counted && !edge.another(service)) {
             told(x, attempt, sentAt, Code.NOT_SENT);
             return;
         }
-        x.out = attempt;
+        x.state.sent(attempt);
         String address = server.dial().getAddress().getHostAddress() + ":"
                 + server.dial().getPort();
         edge.after(wait, () -> ended(x, attempt, sentAt, Code.TIMEOUT, 0));
@@ -190,11 +197,10 @@
     }
 
     private void ended(Exchange x, int attempt, long sentAt, Code code, long version) {
-        if (x.out != attempt) {
+        if (!x.state.ended(attempt, code)) {
             return;
         }
-        x.out = -1;
-        if (code == Code.OK && !x.answered) {
+        if (code == Code.OK && !x.state.isAnswered()) {
             conclude(x, End.SERVED, version);
         }
         x.erred |= code == Code.ERROR;
@@ -203,7 +209,7 @@
     }
 
     private void told(Exchange x, int attempt, long sentAt, Code code) {
-        boolean over = x.answered;
+        boolean over = x.state.isAnswered();
         turns.event(() -> {
             long now = edge.now();
             module.outcome(now, new Balancer.Outcome(x.id, attempt, code, now - sentAt, over, Note.NONE, null));
@@ -224,8 +230,9 @@
     private void answer(String request, End end) {
         turns.action(() -> {
             Exchange x = open.get(request);
-            if (x != null && !x.answered) {
-                conclude(x, x.erred ? End.ANSWERED_ERROR : end, 0);
+            if (x != null && !x.state.isAnswered()) {
+                End may = end == End.REFUSED && !x.state.mayRefuse() ? End.FAILED : end;
+                conclude(x, x.erred ? End.ANSWERED_ERROR : may, 0);
                 forget(x);
             }
         });
@@ -235,7 +242,7 @@
     public void cancel(String request, int attempt) {
         turns.action(() -> {
             Exchange x = open.get(request);
-            if (x != null && x.out == attempt) {
+            if (x != null && x.state.isOut(attempt)) {
                 ended(x, attempt, edge.now(), Code.CANCELLED, 0);
             }
         });
--- a/src/main/java/gorsemast/standin/StandInServer.java
+++ b/src/main/java/gorsemast/standin/StandInServer.java
@@ -64,6 +64,7 @@
     private volatile String state = "ready";
     private volatile boolean beating = true;
     private volatile long workMicros;
+    private volatile int failure = HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
     private Channel listener;
     private long calls;
     private int turn;
@@ -114,6 +115,12 @@
         manner = next;
     }
 
+    /** Runs what comes and answers it with this status, without a word that it has not run. */
+    public void failsWith(int status) {
+        failure = status;
+        manner = Manner.FAILS;
+    }
+
     /** How long it works on each request. */
     public void work(long micros) {
         workMicros = micros;
@@ -208,7 +215,7 @@
                     // the caller finds out
                 }
                 case RESETS -> ctx.close();
-                case FAILS -> write(ctx, HttpResponseStatus.INTERNAL_SERVER_ERROR, attempt, "failed", true);
+                case FAILS -> write(ctx, HttpResponseStatus.valueOf(failure), attempt, "failed", true);
                 case CUTS_SHORT -> {
                     byte[] whole = ("HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nEdge-Seal: " + id
                                     + "\r\nContent-Length: " + (body.length() + 10) + "\r\n\r\n" + body)
--- a/src/test/java/gorsemast/standin/NetworkTest.java
+++ b/src/test/java/gorsemast/standin/NetworkTest.java
@@ -18,6 +18,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The whole path over real sockets: three core machines, two edges, stand-in servers that do wrong. */
 class NetworkTest {
@@ -117,6 +119,17 @@
         }
     }
 
+    /** Only {@code Not-Executed} says that it has not run: a status alone must not become our promise. */
+    @ParameterizedTest
+    @ValueSource(ints = {408, 429, 503})
+    void aStatusThatPromisesIsKeptFromWhoseCallMayHaveRun(int status) {
+        network.servers().forEach(server -> server.failsWith(status));
+        String uri = "/orders/pay/promise" + status;
+        Answer answer = ask(0, "POST", uri, "pay".getBytes(StandardCharsets.UTF_8));
+        assertThat(runs(uri)).isEqualTo(1);
+        assertThat(answer.status()).isEqualTo(502);
+    }
+
     @Test
     void aSurplusAnswerIsNobodysAnswer() {
         network.servers().forEach(server -> server.manner(Manner.ANSWERS_TWICE));
