Whose is this answer, and may it have run: one decision class, carried out by Upstream

An early word of its own counts now: success and failure as may have run, Not-Executed as not. - Half a line that came on an idle connection stayed in the decoder and would have begun the next answer. - A success without Edge-Seal reached the client. A HEAD's answer with a length was waited for in vain. - A call that may run once and has no body went whole on a connection that its server had forgotten: its worth was lost. Its head's end is kept back as a body's last byte was, and it goes on the connection that was used last. - Keep-Alive was not read. Who waited for the only connection waited for half of its time after that had closed. - Between edges an answer belonged to its question by place alone, so whoever has a former edge's address could answer. Each question carries a number, which the answer carries back; an edge that asks ahead is cut off.

The program in service has no names in its answers and keeps its behaviour (Whose.BY_PLACE; nothing is held back of what has no body).

Ruled out: that a late answer after a time-out reaches the next request (its connection is closed before anything follows), that a reset after the last byte counts as not run, that a second answer in one read is kept: these held.

--- a/src/main/java/gorsemast/dispatch/Network.java
+++ b/src/main/java/gorsemast/dispatch/Network.java
@@ -1,15 +1,18 @@
 package gorsemast.dispatch;
 
 import anisebend.Balancer.Code;
-import gorsemast.http.Upstream;
+import gorsemast.http.Dialect;
+import gorsemast.http.KeepAlive;
+import gorsemast.http.Whose;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 
 /**
  * What the delivery network and its servers say to each other above HTTP: whether a request has run is told by
  * {@code Not-Executed}, and whose an answer is by {@code Attempt-Id}.
  */
-public final class Network implements Upstream.Dialect {
+public final class Network implements Dialect {
     /** The id of a client's try. */
     public static final String ATTEMPT = "Attempt-Id";
     /** Milliseconds that are left. */
@@ -36,10 +39,27 @@
         return status >= FAILED || CallState.promises(status) ? Code.ERROR : Code.OK;
     }
 
+    /** Every answer of a server carries its attempt's id, and a success the server's seal; what lacks them is none. */
     @Override
-    public boolean answers(HttpRequest request, HttpResponse answer) {
-        String asked = request.headers().get(ATTEMPT);
+    public Whose whose(HttpRequest request, HttpResponse answer) {
         String told = answer.headers().get(ATTEMPT);
-        return asked == null || told == null || asked.equals(told);
+        if (told == null) {
+            return Whose.NOBODY;
+        }
+        if (!told.equals(request.headers().get(ATTEMPT))) {
+            return Whose.OTHER;
+        }
+        boolean success = answer.status().codeClass() == HttpStatusClass.SUCCESS;
+        return success && !answer.headers().contains(SEAL) ? Whose.NOBODY : Whose.NAMED;
+    }
+
+    @Override
+    public long keepsMillis(HttpResponse answer) {
+        return KeepAlive.millis(answer.headers().get("Keep-Alive"));
+    }
+
+    @Override
+    public boolean forgets() {
+        return true;
     }
 }
--- /dev/null
+++ b/src/main/java/gorsemast/http/ConnectionState.java
@@ -0,0 +1,206 @@
+package gorsemast.http;
+
+/**
+ * Whose is this answer, and may this attempt have run: the rule for one connection to a server, with one attempt on it at
+ * a time. Events in, verdicts out; no I/O, no clock, no threads. {@link UpstreamConnection} carries it out.
+ *
+ * <p>An attempt <em>may have run</em> from the moment at which its last byte may have left this process, or from the
+ * first word of its server on it that is not "not run". Only a whole answer that is its own ends an attempt as answered;
+ * every other ending closes the connection, so that what comes late reaches nobody. A connection on which anything came
+ * that was not due is <em>spoilt</em>: the attempt on it may yet get its own answer, no later one is put on it.
+ */
+class ConnectionState {
+    /** So many 1xx may come ahead of an answer; an endless row of them is none. */
+    static final int MAX_INTERIM = 16;
+
+    /** What is to be done with a part of an answer. */
+    enum Take {
+        /** It is the answer to the attempt on this connection. */
+        OWN,
+        /** A 1xx ahead of it: skipped. */
+        INTERIM,
+        /** It belongs to no attempt here: dropped. */
+        SURPLUS,
+        /** The connection is of no use any more: the attempt on it ends as lost, nothing more is read. */
+        BROKEN
+    }
+
+    /** What follows from the end of a read. */
+    enum Done {
+        /** Nothing yet. */
+        MORE,
+        /** The answer is whole: its attempt ends with it. */
+        WHOLE,
+        /** Bytes that belong to nothing: the connection is closed. */
+        CLOSE
+    }
+
+    private boolean carries;
+    private boolean left;
+    private boolean early;
+    private boolean passing;
+    private boolean answering;
+    private boolean whole;
+    private boolean spoilt;
+    private boolean closed;
+    private Take reading;
+    private int interim;
+
+    /** Whether the next attempt may be put on it. */
+    boolean mayCarry() {
+        return !carries && !passing && !answering && !spoilt && !closed && reading == null;
+    }
+
+    /** An attempt is put on it; nothing of it has left yet. */
+    void carry() {
+        if (!mayCarry()) {
+            throw new IllegalStateException("this connection is not free");
+        }
+        carries = true;
+        left = false;
+        early = false;
+        interim = 0;
+    }
+
+    /** The last byte of its request is handed over: from here on it may have run. */
+    void lastByteLeaves() {
+        left = true;
+    }
+
+    /** The system did not take it after all, and never will: the connection is closed. */
+    void lastByteStayed() {
+        left = false;
+    }
+
+    /** Whether the attempt on it may have run, where it ends now without a word of its server. */
+    boolean mayHaveRun() {
+        return left || early;
+    }
+
+    /**
+     * The head of an answer.
+     *
+     * @param interim whether it is a 1xx, but for 101
+     * @param notRun whether it says that its request has not run
+     * @param served whether it says that it has, with success
+     */
+    Take head(Whose whose, boolean interim, boolean notRun, boolean served) {
+        if (answering || closed) {
+            spoilt = true; // a second answer behind a whole one
+            return Take.SURPLUS;
+        }
+        if (!carries) {
+            return Take.BROKEN;
+        }
+        if (interim) {
+            reading = Take.INTERIM;
+            return ++this.interim > MAX_INTERIM ? Take.BROKEN : reading;
+        }
+        boolean another = !left && served && whose == Whose.BY_PLACE; // to what was asked here before, most likely
+        if (whose == Whose.NOBODY || another) {
+            return Take.BROKEN;
+        }
+        if (whose == Whose.OTHER) {
+            spoilt = true;
+            reading = Take.SURPLUS;
+            return reading;
+        }
+        if (!left) {
+            spoilt = true; // answered before all of the request was read: what is withheld is never sent
+            early = !notRun;
+        }
+        answering = true;
+        reading = Take.OWN;
+        return reading;
+    }
+
+    /** Some of an answer's body, or its end. */
+    Take part(boolean last) {
+        Take now = reading;
+        if (now == null || whole || closed) {
+            spoilt = true;
+            return Take.SURPLUS;
+        }
+        if (last) {
+            whole = now == Take.OWN;
+            reading = null;
+        }
+        return now;
+    }
+
+    /** The attempt ends with its head as answered; the rest is passed on from here as it comes. */
+    void passes() {
+        carries = false;
+        passing = true;
+    }
+
+    /** Whether an answer of the attempt, or that is being passed on, has begun and is not concluded. */
+    boolean isAnswering() {
+        return answering;
+    }
+
+    /** Whether all of it has come. */
+    boolean isWhole() {
+        return whole;
+    }
+
+    /**
+     * All that came at once has been read.
+     *
+     * @param rest whether bytes of a further message have come
+     */
+    Done readDone(boolean rest) {
+        if (whole) {
+            spoilt |= rest;
+            return Done.WHOLE;
+        }
+        if (rest && !carries && !passing) {
+            spoilt = true;
+            return Done.CLOSE;
+        }
+        return Done.MORE;
+    }
+
+    /**
+     * The attempt ends with its whole answer, or what was passed on has ended.
+     *
+     * @param keeps whether the server keeps the connection
+     * @return whether it may be used again; else it is closed
+     */
+    boolean answered(boolean keeps) {
+        boolean again = whole && !spoilt && !closed && keeps;
+        carries = false;
+        passing = false;
+        answering = false;
+        whole = false;
+        closed |= !again;
+        return again;
+    }
+
+    /** The attempt ends in any other way, or nobody wants what is passed on. Returns whether it may be used again. */
+    boolean abandoned() {
+        carries = false;
+        passing = false;
+        answering = false;
+        whole = false;
+        closed = true;
+        return false;
+    }
+
+    /** What has come of its answer can't be read: it is none, though it may look whole. */
+    void broken() {
+        whole = false;
+        closed = true;
+    }
+
+    /** It has ended. What was whole by then counts. */
+    void closes() {
+        closed = true;
+    }
+
+    /** All that it goes by, for a model's table of states. */
+    @Override
+    public String toString() {
+        return "" + carries + left + early + passing + answering + whole + spoilt + closed + reading + interim;
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/http/Dialect.java
@@ -0,0 +1,35 @@
+package gorsemast.http;
+
+import anisebend.Balancer.Code;
+import anisebend.Balancer.Note;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+
+/** What the two sides of a connection to a server say to each other above HTTP. */
+public interface Dialect {
+    /** What an answer says of its attempt. */
+    Code code(HttpResponse answer);
+
+    /** What it says of other fetches. */
+    default Note note(HttpResponse answer) {
+        return Note.NONE;
+    }
+
+    /** Whose it is, where this request is out on its connection. */
+    default Whose whose(HttpRequest request, HttpResponse answer) {
+        return Whose.BY_PLACE;
+    }
+
+    /** For how long its server keeps the connection idle behind it, in milliseconds; -1 where it does not say. */
+    default long keepsMillis(HttpResponse answer) {
+        return -1;
+    }
+
+    /**
+     * Whether servers may forget an idle connection sooner than they say: what may run once then goes on the connection
+     * that was used last, and keeps its last byte back also where it has no body.
+     */
+    default boolean forgets() {
+        return false;
+    }
+}
--- /dev/null
+++ b/src/main/java/gorsemast/http/PendingAttempt.java
@@ -0,0 +1,102 @@
+package gorsemast.http;
+
+import anisebend.Balancer.Code;
+import anisebend.Balancer.Note;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/** One attempt: waiting for a connection, on one, or ended. It ends once. On the event loop. */
+final class PendingAttempt implements Upstream.Attempt {
+    final Upstream.Peer node;
+    final FullHttpRequest request;
+    /** Whether it may run once at most. */
+    final boolean once;
+    /** Up to how many bytes its answer is kept whole. */
+    final int most;
+
+    private final Upstream upstream;
+    private final Upstream.Ending ending;
+    private final Traffic passed;
+    private final long begunNanos = System.nanoTime();
+    ScheduledFuture<?> limit;
+    UpstreamConnection connection;
+    /** The request's reference has gone to the connection. */
+    boolean handedOver;
+
+    private boolean ended;
+
+    PendingAttempt(
+            Upstream upstream,
+            Upstream.Peer node,
+            FullHttpRequest request,
+            boolean once,
+            int most,
+            Upstream.Ending ending) {
+        this.upstream = upstream;
+        this.node = node;
+        this.request = request;
+        this.once = once;
+        this.most = most;
+        this.ending = ending;
+        this.passed = upstream.passed(node.host());
+    }
+
+    boolean isEnded() {
+        return ended;
+    }
+
+    private boolean mayHaveRun() {
+        return connection != null && connection.mayHaveRun();
+    }
+
+    @Override
+    public void cancel() {
+        end(mayHaveRun() ? Code.CANCELLED : Code.NOT_SENT, Note.NONE, null);
+    }
+
+    /** It has waited long enough for a connection: whoever chose the server may choose another. */
+    void tire() {
+        if (connection == null && upstream.pools.open(node.host()) > 0) {
+            end(Code.NOT_SENT, Note.NONE, null);
+        }
+    }
+
+    /** Its time is over. Waiting for a place at a node that has let others in says nothing of it. */
+    void expire() {
+        boolean waited = connection == null && upstream.pools.open(node.host()) > 0;
+        end(mayHaveRun() ? Code.TIMEOUT : waited ? Code.NOT_SENT : Code.CONNECT_FAILED, Note.NONE, null);
+    }
+
+    /** Its answer is too long to be kept: ends here, and the connection goes on. */
+    Passage begin(Note note, HttpResponse head, long length, Passage.Flow flow) {
+        ended = true;
+        passed.ended[Code.OK.ordinal()]++;
+        passed.okMicros += TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - begunNanos);
+        limit.cancel(false);
+        return ending.begins(note, head, length, flow);
+    }
+
+    /** Only a whole answer frees the connection; every other ending closes it, before anything follows. */
+    void end(Code code, Note note, FullHttpResponse answer) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        passed.ended[code.ordinal()]++;
+        if (code == Code.OK) {
+            passed.okMicros += TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - begunNanos);
+        }
+        limit.cancel(false);
+        if (connection != null) {
+            connection.freed(answer != null, answer != null && HttpUtil.isKeepAlive(answer));
+        }
+        if (!handedOver) {
+            request.release();
+        }
+        ending.ended(code, note, answer);
+    }
+}
--- a/src/main/java/gorsemast/http/StrictHttp.java
+++ b/src/main/java/gorsemast/http/StrictHttp.java
@@ -54,11 +54,23 @@
     }
 
     public static final class Responses extends HttpResponseDecoder {
+        private boolean answersHead;
+
         /** For one connection. */
         public Responses() {
             super(config());
         }
 
+        /** Whether what comes next answers a HEAD, so that no body follows whatever length it tells. */
+        void answersHead(boolean does) {
+            answersHead = does;
+        }
+
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            return answersHead || super.isContentAlwaysEmpty(message);
+        }
+
         @Override
         protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
             rejectTwoLengths();
--- a/src/main/java/gorsemast/proxy/ObjectDesk.java
+++ b/src/main/java/gorsemast/proxy/ObjectDesk.java
@@ -197,7 +197,8 @@
                 .set(HttpHeaderNames.HOST, what.host())
                 .set(STEP, Long.toHexString(step))
                 .set(LEFT, wait / 1_000)
-                .set(HOP, hop);
+                .set(HOP, hop)
+                .set(HomeDialect.CALL, Long.toHexString(random.nextLong()));
         HttpUtil.setKeepAlive(request, keeps);
         between.send(
                 new Home(edge, objects.apply(edge)), request, wait, false, LARGEST + (1 << 16), new Upstream.Ending() {
@@ -221,6 +222,7 @@
                         } else if (status == UNAVAILABLE && later != null) {
                             ending.refused(Front.micros(later));
                         } else if (status != OUT_OF_STEP && status < 500) {
+                            answer.headers().remove(HomeDialect.CALL);
                             ending.other(answer);
                         } else {
                             ending.useless();
@@ -238,7 +240,7 @@
         }
         HttpHeaders headers = new DefaultHttpHeaders();
         Hops.copy(answer.headers(), headers);
-        headers.remove(AGE).remove(LIFE);
+        headers.remove(AGE).remove(LIFE).remove(HomeDialect.CALL);
         try {
             // Its age counts from before it was asked for here: the way there and back is not known apart.
             return copy(OK, headers, answer.content(), begun - Long.parseLong(age), Long.parseLong(life));
--- a/src/main/java/gorsemast/proxy/ObjectsServer.java
+++ b/src/main/java/gorsemast/proxy/ObjectsServer.java
@@ -78,6 +78,8 @@
     /** One connection of another edge. */
     private final class Asker extends SimpleChannelInboundHandler<FullHttpRequest> {
         private boolean keep = true;
+        /** The number of the question that is in hand; null for none. */
+        private String call;
 
         private String inStep() {
             return Long.toHexString(board.purgeDigest());
@@ -88,10 +90,13 @@
             String host = request.headers().get(HttpHeaderNames.HOST);
             String step = request.headers().get(ObjectDesk.STEP);
             String left = request.headers().get(ObjectDesk.LEFT);
-            if (!request.decoderResult().isSuccess() || host == null || step == null || left == null) {
-                ctx.close();
+            String number = request.headers().get(HomeDialect.CALL);
+            boolean whole = host != null && step != null && left != null && number != null;
+            if (!request.decoderResult().isSuccess() || !whole || call != null) {
+                ctx.close(); // no edge, or one that asks ahead, whose answers could come in another order
                 return;
             }
+            call = number;
             Configuration now = configuration.get();
             String uri = request.uri();
             int query = uri.indexOf('?');
@@ -158,7 +163,11 @@
         private void write(ChannelHandlerContext ctx, int status, HttpHeaders headers, ByteBuf body) {
             FullHttpResponse answer =
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), body);
-            answer.headers().add(headers).set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            answer.headers()
+                    .add(headers)
+                    .set(HomeDialect.CALL, call)
+                    .set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            call = null;
             HttpUtil.setKeepAlive(answer, keep);
             ChannelFuture written = ctx.writeAndFlush(answer);
             if (!keep) {
--- a/src/main/java/gorsemast/proxy/ProxyProgram.java
+++ b/src/main/java/gorsemast/proxy/ProxyProgram.java
@@ -114,7 +114,7 @@
                 CONNECT_MILLIS,
                 random.nextLong());
         this.between = new Upstream(
-                loop, new Network(), peer -> true, places.between(), 20_000, CONNECT_MILLIS, random.nextLong());
+                loop, new HomeDialect(), peer -> true, places.between(), 20_000, CONNECT_MILLIS, random.nextLong());
         this.desk = new ObjectDesk(
                 loop,
                 this::now,
--- /dev/null
+++ b/src/test/java/gorsemast/dispatch/RawServer.java
@@ -0,0 +1,106 @@
+package gorsemast.dispatch;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A server that says what a test makes it say, byte by byte. Blocking; the port is the system's. */
+final class RawServer implements AutoCloseable {
+    private static final int PATIENCE_MILLIS = 20_000;
+
+    private final ServerSocket listener;
+    private final List<Socket> open = new ArrayList<>();
+
+    RawServer(int backlog) throws IOException {
+        listener = new ServerSocket(0, backlog, InetAddress.getLoopbackAddress());
+        listener.setSoTimeout(PATIENCE_MILLIS);
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.getLocalSocketAddress();
+    }
+
+    Connection accept() throws IOException {
+        Socket socket = listener.accept();
+        open.add(socket);
+        socket.setSoTimeout(PATIENCE_MILLIS);
+        return new Connection(socket);
+    }
+
+    /** Lets nobody in any more: who comes is not heard, as the queue of those who wait is full. */
+    void fill() throws IOException {
+        for (int i = 0; i < 20; i++) {
+            Socket socket = new Socket();
+            open.add(socket);
+            try {
+                socket.connect(address(), 300);
+            } catch (java.net.SocketTimeoutException e) {
+                return;
+            }
+        }
+        throw new IOException("this listener's queue does not fill");
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket socket : open) {
+            socket.close();
+        }
+    }
+
+    /** One connection. */
+    record Connection(Socket socket) {
+        /** The next request: its head and as much of a body as it tells; null at the end. */
+        String request() throws IOException {
+            InputStream in = socket.getInputStream();
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                int next = in.read();
+                if (next < 0) {
+                    return null;
+                }
+                head.append((char) next);
+            }
+            int at = head.toString().toLowerCase(java.util.Locale.ROOT).indexOf("content-length: ");
+            int length = at < 0
+                    ? 0
+                    : Integer.parseInt(
+                            head.substring(at + 16, head.indexOf("\r\n", at)).trim());
+            return head + new String(in.readNBytes(length), StandardCharsets.US_ASCII);
+        }
+
+        /** So many bytes of what has come; fewer at the end. */
+        String bytes(int count) throws IOException {
+            return new String(socket.getInputStream().readNBytes(count), StandardCharsets.US_ASCII);
+        }
+
+        void says(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        }
+
+        /** Whether the other side has closed it, with nothing more said. */
+        boolean isClosed() throws IOException {
+            try {
+                return socket.getInputStream().read() < 0;
+            } catch (java.net.SocketException e) {
+                return true;
+            }
+        }
+
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
+        void ends() throws IOException {
+            socket.close();
+        }
+    }
+}
