--- a/src/main/java/gorsemast/dispatch/Network.java
+++ b/src/main/java/gorsemast/dispatch/Network.java
@@ -53,6 +53,11 @@
         return success && !answer.headers().contains(SEAL) ? Whose.NOBODY : Whose.NAMED;
     }
 
+    @Override
+    public String name(HttpRequest request) {
+        return request.headers().get(ATTEMPT);
+    }
+
     @Override
     public long keepsMillis(HttpResponse answer) {
         return KeepAlive.millis(answer.headers().get("Keep-Alive"));
--- a/src/main/java/gorsemast/http/ConnectionState.java
+++ b/src/main/java/gorsemast/http/ConnectionState.java
@@ -1,5 +1,8 @@
 package gorsemast.http;
 
+import java.util.Set;
+import java.util.TreeSet;
+
 /**
  * Whose is this answer, and may this attempt have run: the rule for one connection to a server, with one attempt on it at
  * a time. Events in, verdicts out; no I/O, no clock, no threads. {@link UpstreamConnection} carries it out.
@@ -13,6 +16,9 @@
     /** So many 1xx may come ahead of an answer; an endless row of them is none. */
     static final int MAX_INTERIM = 16;
 
+    /** A connection that has turned away more of what may run once is not used again, as their names are kept. */
+    private static final int MAX_TURNED_AWAY = 32;
+
     /** What is to be done with a part of an answer. */
     enum Take {
         /** It is the answer to the attempt on this connection. */
@@ -45,17 +51,33 @@
     private boolean closed;
     private Take reading;
     private int interim;
+    private String name;
+    private boolean once;
+    /** Names of what may run once and was turned away here: a second copy of that word would say so of another try. */
+    private final Set<String> turnedAway = new TreeSet<>();
 
     /** Whether the next attempt may be put on it. */
     boolean mayCarry() {
         return !carries && !passing && !answering && !spoilt && !closed && reading == null;
     }
 
-    /** An attempt is put on it; nothing of it has left yet. */
-    void carry() {
-        if (!mayCarry()) {
+    /** Whether the attempt with this name may be: the same call was not turned away here before. */
+    boolean mayCarry(String called) {
+        return mayCarry() && (called == null || !turnedAway.contains(called));
+    }
+
+    /**
+     * An attempt is put on it; nothing of it has left yet.
+     *
+     * @param called what its answers name it by; null where they name nothing
+     * @param runsOnce whether its call may run once at most
+     */
+    void carry(String called, boolean runsOnce) {
+        if (!mayCarry(called)) {
             throw new IllegalStateException("this connection is not free");
         }
+        name = called;
+        once = runsOnce;
         carries = true;
         left = false;
         early = false;
@@ -98,6 +120,7 @@
         }
         boolean another = !left && served && whose == Whose.BY_PLACE; // to what was asked here before, most likely
         if (whose == Whose.NOBODY || another) {
+            early |= whose == Whose.NOBODY && !notRun;
             return Take.BROKEN;
         }
         if (whose == Whose.OTHER) {
@@ -109,6 +132,10 @@
             spoilt = true; // answered before all of the request was read: what is withheld is never sent
             early = !notRun;
         }
+        if (notRun && once && name != null) {
+            turnedAway.add(name);
+            spoilt |= turnedAway.size() > MAX_TURNED_AWAY;
+        }
         answering = true;
         reading = Take.OWN;
         return reading;
@@ -201,6 +228,7 @@
     /** All that it goes by, for a model's table of states. */
     @Override
     public String toString() {
-        return "" + carries + left + early + passing + answering + whole + spoilt + closed + reading + interim;
+        return "" + turnedAway + (carries ? name : "") + carries + left + early + passing + answering + whole + spoilt
+                + closed + reading + interim;
     }
 }
--- a/src/main/java/gorsemast/http/Dialect.java
+++ b/src/main/java/gorsemast/http/Dialect.java
@@ -20,6 +20,11 @@
         return Whose.BY_PLACE;
     }
 
+    /** What answers name this request by; null where they name nothing. */
+    default String name(HttpRequest request) {
+        return null;
+    }
+
     /** For how long its server keeps the connection idle behind it, in milliseconds; -1 where it does not say. */
     default long keepsMillis(HttpResponse answer) {
         return -1;
--- a/src/main/java/gorsemast/http/Upstream.java
+++ b/src/main/java/gorsemast/http/Upstream.java
@@ -296,6 +296,12 @@
         idle.computeIfAbsent(host, name -> new ArrayDeque<>()).addLast(connection);
     }
 
+    /** It waits again, before all others. */
+    void waitsFirst(PendingAttempt attempt) {
+        waiting.computeIfAbsent(attempt.node.host(), host -> new ArrayDeque<>()).addFirst(attempt);
+        grow(attempt.node);
+    }
+
     void idlesNoMore(String host, UpstreamConnection connection) {
         Deque<UpstreamConnection> kept = idle.get(host);
         if (kept != null && kept.remove(connection) && kept.isEmpty()) {
--- a/src/main/java/gorsemast/http/UpstreamConnection.java
+++ b/src/main/java/gorsemast/http/UpstreamConnection.java
@@ -123,9 +123,15 @@
 
     void carry(PendingAttempt next) {
         stopIdling();
+        String name = upstream.dialect.name(next.request);
+        if (!state.mayCarry(name)) {
+            close();
+            upstream.waitsFirst(next); // on another one
+            return;
+        }
         attempt = next;
         next.connection = this;
-        state.carry();
+        state.carry(name, next.once);
         upstream.pools.taken(Upstream.now(), node.host());
         // The node may have begun to drain while the connection came up: the drain grace counts from the first byte
         // sent, and what is withheld has never run.
--- a/src/test/java/gorsemast/dispatch/AnswerOwnerTest.java
+++ b/src/test/java/gorsemast/dispatch/AnswerOwnerTest.java
@@ -179,6 +179,17 @@
         }
     }
 
+    /** A second copy of Not-Executed would say it of the next try too, as both bear the client's id. */
+    @Test
+    void aCallThatWasTurnedAwayNeverGoesOnThatConnectionAgain() throws Exception {
+        Connection connection = asked("once", HttpMethod.POST);
+        connection.says(answer(503, "once", "Not-Executed: 1\r\n", ""));
+        assertThat(rig.told().code()).isEqualTo(Code.FULL);
+        Connection other = asked("once", HttpMethod.POST);
+        other.says(answer(200, "once", "", "own"));
+        assertThat(rig.told()).isEqualTo(new Told("once", Code.OK, "own"));
+    }
+
     /** Idle for no longer than half of what its server says, though the bound here is a minute. */
     @Test
     void keepAliveBoundsHowLongAConnectionIsIdle() throws Exception {
