Test whose an answer between edges is, by a home that is none any more

A home's answer, its surplus copy in the place of the next, and an answer of whoever has a former edge's address now: HomeAnswerTest by a raw socket server, NetworkTest against a running edge, which cuts off who asks ahead.

--- a/src/main/java/gorsemast/standin/LoopbackNetwork.java
+++ b/src/main/java/gorsemast/standin/LoopbackNetwork.java
@@ -215,6 +215,11 @@
         return port + 3;
     }
 
+    /** Where edges ask each other for objects. */
+    public int objectsPort() {
+        return port + 6;
+    }
+
     /** Where operators call. */
     public List<InetSocketAddress> controls() {
         return controls;
--- a/src/test/java/gorsemast/dispatch/RawServer.java
+++ b/src/test/java/gorsemast/dispatch/RawServer.java
@@ -11,22 +11,23 @@
 import java.util.List;
 
 /** A server that says what a test makes it say, byte by byte. Blocking; the port is the system's. */
-final class RawServer implements AutoCloseable {
+public final class RawServer implements AutoCloseable {
     private static final int PATIENCE_MILLIS = 20_000;
 
     private final ServerSocket listener;
     private final List<Socket> open = new ArrayList<>();
 
-    RawServer(int backlog) throws IOException {
+    /** @param backlog how many may wait to be let in */
+    public RawServer(int backlog) throws IOException {
         listener = new ServerSocket(0, backlog, InetAddress.getLoopbackAddress());
         listener.setSoTimeout(PATIENCE_MILLIS);
     }
 
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return (InetSocketAddress) listener.getLocalSocketAddress();
     }
 
-    Connection accept() throws IOException {
+    public Connection accept() throws IOException {
         Socket socket = listener.accept();
         open.add(socket);
         socket.setSoTimeout(PATIENCE_MILLIS);
@@ -34,7 +35,7 @@
     }
 
     /** Lets nobody in any more: who comes is not heard, as the queue of those who wait is full. */
-    void fill() throws IOException {
+    public void fill() throws IOException {
         for (int i = 0; i < 20; i++) {
             Socket socket = new Socket();
             open.add(socket);
@@ -56,9 +57,9 @@
     }
 
     /** One connection. */
-    record Connection(Socket socket) {
+    public record Connection(Socket socket) {
         /** The next request: its head and as much of a body as it tells; null at the end. */
-        String request() throws IOException {
+        public String request() throws IOException {
             InputStream in = socket.getInputStream();
             StringBuilder head = new StringBuilder();
             while (head.indexOf("\r\n\r\n") < 0) {
@@ -77,16 +78,16 @@
         }
 
         /** So many bytes of what has come; fewer at the end. */
-        String bytes(int count) throws IOException {
+        public String bytes(int count) throws IOException {
             return new String(socket.getInputStream().readNBytes(count), StandardCharsets.US_ASCII);
         }
 
-        void says(String text) throws IOException {
+        public void says(String text) throws IOException {
             socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
         }
 
         /** Whether the other side has closed it, with nothing more said. */
-        boolean isClosed() throws IOException {
+        public boolean isClosed() throws IOException {
             try {
                 return socket.getInputStream().read() < 0;
             } catch (java.net.SocketException e) {
@@ -94,12 +95,12 @@
             }
         }
 
-        void reset() throws IOException {
+        public void reset() throws IOException {
             socket.setSoLinger(true, 0);
             socket.close();
         }
 
-        void ends() throws IOException {
+        public void ends() throws IOException {
             socket.close();
         }
     }
--- /dev/null
+++ b/src/test/java/gorsemast/proxy/HomeAnswerTest.java
@@ -0,0 +1,116 @@
+package gorsemast.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import gorsemast.cache.Copy;
+import gorsemast.cache.Fetching;
+import gorsemast.cache.Fetching.FromHome;
+import gorsemast.configuration.Configuration;
+import gorsemast.configuration.Route;
+import gorsemast.dispatch.RawServer;
+import gorsemast.http.Upstream;
+import gorsemast.standin.LoopbackNetwork;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.FullHttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Whose an answer between edges is, where the home says something else or is no home any more. */
+class HomeAnswerTest {
+    private static final String COPY = "Edge-Seal: s\r\nHome-Age: 0\r\nHome-Life: 1000000\r\nContent-Length: 3\r\n\r\n";
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    private void ask(ObjectDesk desk, String uri) {
+        Route route =
+                Configuration.parse(LoopbackNetwork.configuration(1, "20s")).route(LoopbackNetwork.HOST, uri);
+        loop.execute(() ->
+                desk.home("edge", new Fetching.Wanted(route, route.host(), uri), 1, 0, 0, 10_000_000, new FromHome<>() {
+                    @Override
+                    public void copy(Copy copy) {
+                        told.add("copy " + new String(copy.body(), StandardCharsets.US_ASCII));
+                    }
+
+                    @Override
+                    public void other(FullHttpResponse answer) {
+                        told.add("other " + answer.status().code());
+                    }
+
+                    @Override
+                    public void refused(long retryAfterMicros) {
+                        told.add("refused");
+                    }
+
+                    @Override
+                    public void useless() {
+                        told.add("useless");
+                    }
+
+                    @Override
+                    public void silent(boolean ours) {
+                        told.add("silent");
+                    }
+                }));
+    }
+
+    private ObjectDesk desk(RawServer home) {
+        Upstream between = new Upstream(loop, new HomeDialect(), peer -> true, 4, 60_000, 2_000, 1);
+        return new ObjectDesk(
+                loop, () -> 0L, between, service -> null, edge -> home.address(), () -> null, () -> 1, true, 1);
+    }
+
+    private static String number(String question) {
+        int at = question.indexOf("Home-Call: ");
+        return question.substring(at, question.indexOf("\r\n", at) + 2);
+    }
+
+    /** Whoever has a former edge's address now: its answer is not the home's, and reaches no client. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 X\r\nEdge-Seal: s\r\nContent-Length: 5\r\n\r\nother",
+                "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 421 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            })
+    void anAnswerOfSomebodyElseIsNoHomes(String text) throws Exception {
+        try (RawServer home = new RawServer(4)) {
+            ask(desk(home), "/objects/a");
+            RawServer.Connection connection = home.accept();
+            connection.request();
+            connection.says(text);
+            assertThat(told.poll(20, TimeUnit.SECONDS)).isEqualTo("silent");
+            assertThat(connection.isClosed()).isTrue();
+        }
+    }
+
+    @Test
+    void aSurplusAnswerInThePlaceOfTheNextIsNobodys() throws Exception {
+        try (RawServer home = new RawServer(4)) {
+            ObjectDesk desk = desk(home);
+            ask(desk, "/objects/a");
+            RawServer.Connection connection = home.accept();
+            String first = number(connection.request());
+            connection.says("HTTP/1.1 200 X\r\n" + first + COPY + "one");
+            assertThat(told.poll(20, TimeUnit.SECONDS)).isEqualTo("copy one");
+            ask(desk, "/objects/b");
+            String second = number(connection.request());
+            connection.says("HTTP/1.1 200 X\r\n" + first + COPY + "one" + "HTTP/1.1 200 X\r\n" + second + COPY + "two");
+            assertThat(told.poll(20, TimeUnit.SECONDS)).isEqualTo("copy two");
+        }
+    }
+}
--- a/src/test/java/gorsemast/standin/NetworkTest.java
+++ b/src/test/java/gorsemast/standin/NetworkTest.java
@@ -327,9 +327,27 @@
         assertThat(ask(0, "GET", "/orders/after", null).status()).isEqualTo(200);
     }
 
+    /** A question between edges is answered under its number; who asks ahead has no answer in another's place. */
+    @Test
+    void aHomeAnswersEachQuestionUnderItsNumber() throws IOException {
+        String question = "GET /objects/home HTTP/1.1\r\nHost: " + LoopbackNetwork.HOST
+                + "\r\nHome-Step: 0\r\nHome-Budget: 1000\r\nHome-Hop: 1\r\nHome-Call: ";
+        assertThat(raw(network.objectsPort(), question + "7f\r\n\r\n", "\r\n\r\n"))
+                .contains("Home-Call: 7f\r\n");
+        network.servers().forEach(server -> server.work(100_000));
+        String two = raw(
+                network.objectsPort(),
+                question.replace("objects/home", "objects/home2") + "1\r\n\r\n" + question + "2\r\n\r\n",
+                "never");
+        assertThat(two).doesNotContain("Home-Call: 2");
+    }
+
     private static String raw(String text, String until) throws IOException {
-        try (Socket socket = new Socket(
-                network.fronts().get(0).getAddress(), network.fronts().get(0).getPort())) {
+        return raw(network.fronts().get(0).getPort(), text, until);
+    }
+
+    private static String raw(int port, String text, String until) throws IOException {
+        try (Socket socket = new Socket(network.fronts().get(0).getAddress(), port)) {
             socket.setSoTimeout(10_000);
             socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
             StringBuilder got = new StringBuilder();
