--- a/src/main/java/gorsemast/standin/LoopbackNetwork.java
+++ b/src/main/java/gorsemast/standin/LoopbackNetwork.java
@@ -290,6 +290,11 @@
         return port + 3;
     }
 
+    /** Where edges ask each other for objects. */
+    public int objectsPort() {
+        return port + 6;
+    }
+
     /** Where operators call. */
     public List<InetSocketAddress> controls() {
         return controls;
