--- a/src/main/java/gorsemast/store/StoreProgram.java
+++ b/src/main/java/gorsemast/store/StoreProgram.java
@@ -140,9 +140,6 @@
     public void close() {
         Daemon.end(loop);
         Daemon.end(writer);
-        if (disk != null) {
-            disk.close();
-        }
     }
 
     private void tick() {
