--- a/deploy/system-archive.sh
+++ b/deploy/system-archive.sh
@@ -28,4 +28,4 @@
 timeout -k 5 90 java -Xshare:dump -XX:+UseG1GC -XX:SharedClassListFile=target/system.classes \
     -XX:SharedArchiveFile=target/system.jsa -cp "$path" >> "$log" 2>&1 || failed dump $?
 rm -rf target/training*
-[ -f target/system.jsa ] || echo "no class archive was made; see $log" >&2
+[ -f target/system.jsa ] || echo "no class archive was made, see $log" >&2
