Mend what the linter finds: unread fields, implicit charsets, int products

Fields that were written and never read (fleet.Fleet, http.Upstream, proxy.ClientConnection, emulator.Connections), a set that was filled and never asked (maintenance.Bounds), bytes in the platform's charset, products of ints that become a long, inner classes that need no outer object, an assignment inside a return. No behaviour changes but the charset.

--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -1077,7 +1077,8 @@
         double mean = counts / weights;
         unit = weights / usable.size();
         if (target == null || !usable.contains(target)) {
-            return home.target = fewest(held, home, usable, mean, null);
+            home.target = fewest(held, home, usable, mean, null);
+            return home.target;
         }
         boolean crowded = target.load() > Math.max(HIGH * mean, HIGH_FLOOR / unit);
         if (!crowded && fits(held, target)) {
--- a/src/main/java/anisebend/net/Engine.java
+++ b/src/main/java/anisebend/net/Engine.java
@@ -85,7 +85,7 @@
     }
 
     /** A request from its arrival until it is answered and nothing of it is out. */
-    final class Exchange {
+    static final class Exchange {
         private final String id;
         private final Call call;
         private final Client client;
--- a/src/main/java/gorsemast/command/RigCommand.java
+++ b/src/main/java/gorsemast/command/RigCommand.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.function.Consumer;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -121,7 +122,8 @@
         }
         Path home = logs != null ? Files.createDirectories(logs) : Files.createTempDirectory("gorsemast-rig");
         System.out.println("seed " + day.seed() + ", " + day.processes() + " processes, logs in " + home);
-        try (Rig rig = new Rig(day, plant, home, System.out::println)) {
+        Consumer<String> lines = System.out::println;
+        try (Rig rig = new Rig(day, plant, home, lines)) {
             Runtime.getRuntime().addShutdownHook(new Thread(rig::endProcesses));
             Rig.Result result = rig.play(seconds);
             result.findings().forEach(System.out::println);
--- a/src/main/java/gorsemast/dispatch/Sender.java
+++ b/src/main/java/gorsemast/dispatch/Sender.java
@@ -45,7 +45,7 @@
 
     private static final Log LOG = new Log("dispatch");
 
-    private final class Exchange {
+    private static final class Exchange {
         private final String id;
         private final Call call;
         private final Client client;
--- a/src/main/java/gorsemast/emulator/Connections.java
+++ b/src/main/java/gorsemast/emulator/Connections.java
@@ -30,7 +30,6 @@
         final Server node;
         private final CacheNode end;
         private int endLife;
-        private boolean open;
         private boolean closed;
         Attempt attempt;
 
@@ -59,7 +58,6 @@
                 failed();
                 return;
             }
-            open = true;
             all.add(this);
             pools.up(node.id());
             offer(0);
--- a/src/main/java/gorsemast/emulator/Day.java
+++ b/src/main/java/gorsemast/emulator/Day.java
@@ -118,7 +118,7 @@
         int steps = (int) Math.max(1, (until - from) / STEP);
         for (int i = 0; i < many; i++) {
             CacheNode node = old.get(i);
-            at(cluster, from + (until - from) * (i * steps / many) / steps, () -> cluster.replace(node));
+            at(cluster, from + (until - from) * Math.floorDiv(i * steps, many) / steps, () -> cluster.replace(node));
         }
     }
 
--- a/src/main/java/gorsemast/emulator/Register.java
+++ b/src/main/java/gorsemast/emulator/Register.java
@@ -21,7 +21,7 @@
         void failed();
     }
 
-    private final class Call {
+    private static final class Call {
         final boolean whole;
         final long after;
         final Caller caller;
--- a/src/main/java/gorsemast/emulator/SimulatedProxy.java
+++ b/src/main/java/gorsemast/emulator/SimulatedProxy.java
@@ -30,7 +30,7 @@
     /** A dead process is up again after so long, and serves from then on. */
     private static final long START_MICROS = 700_000;
 
-    private final class Exchange {
+    private static final class Exchange {
         final Ask ask;
         Attempt out;
         int attempts;
--- a/src/main/java/gorsemast/fleet/Fleet.java
+++ b/src/main/java/gorsemast/fleet/Fleet.java
@@ -104,7 +104,6 @@
     private static final class Seed {
         long tryAt;
         long pause;
-        boolean answered;
     }
 
     private final FleetSettings settings;
@@ -269,7 +268,7 @@
                 }
             }
             case ACK -> {
-                answered(message.sequence(), message.about() == null ? message.from() : message.about(), at);
+                answered(message.sequence(), message.about() == null ? message.from() : message.about());
                 compare(sender, message.view());
             }
             case NACK -> {
@@ -427,7 +426,7 @@
         }
     }
 
-    private void answered(long answer, ProcessId from, String at) {
+    private void answered(long answer, ProcessId from) {
         if (probe != null && probe.sequence == answer) {
             if (probe.target.equals(from)) {
                 health.better();
@@ -441,10 +440,6 @@
                     asked.address(),
                     new Message(Kind.ACK, self, asked.asker(), asked.sequence(), "", from, 0, List.of(), List.of()));
         }
-        Seed seed = seeds.get(at);
-        if (seed != null) {
-            seed.answered = true;
-        }
     }
 
     private void relay(Message request, String at) {
--- a/src/main/java/gorsemast/http/Upstream.java
+++ b/src/main/java/gorsemast/http/Upstream.java
@@ -143,7 +143,6 @@
     private final Dialect dialect;
     private final Pools pools;
     private final long idleMillis;
-    private final long connectMillis;
     private final Map<String, Deque<Connection>> idle = new HashMap<>();
     /** Attempts that wait for a connection, in the order in which they came; some may have ended meanwhile. */
     private final Map<String, Deque<Attempt>> waiting = new HashMap<>();
@@ -173,7 +172,6 @@
         this.readiness = readiness;
         this.pools = new Pools(maxConnections, new SplittableRandom(seed));
         this.idleMillis = idleMillis / IDLE_PART;
-        this.connectMillis = connectMillis;
         this.bootstrap = client(loop, connectMillis);
     }
 
--- a/src/main/java/gorsemast/maintenance/Bounds.java
+++ b/src/main/java/gorsemast/maintenance/Bounds.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 
@@ -43,13 +42,11 @@
             return wanted.name() + " is not in full service itself";
         }
         Map<String, Integer> sums = new HashMap<>();
-        Set<String> outZones = new HashSet<>();
         for (Machine machine : out) {
             if (machine.kind() == wanted.kind()) {
                 sums.merge("zone " + machine.zone(), 1, Integer::sum);
                 sums.merge("block " + machine.zone() + "/" + machine.block(), 1, Integer::sum);
                 sums.merge("class " + machine.group(), 1, Integer::sum);
-                outZones.add(machine.zone());
             }
         }
         String full = over(sums, "zone " + wanted.zone(), perZone);
--- a/src/main/java/gorsemast/maintenance/Conductor.java
+++ b/src/main/java/gorsemast/maintenance/Conductor.java
@@ -86,7 +86,7 @@
                 }
                 case OUT -> {
                     owed.add(debt);
-                    if (owes(debt, ticks, WorksList.SILENT_FACTOR * work.minutes() * MINUTE)) {
+                    if (owes(debt, ticks, WorksList.SILENT_FACTOR * MINUTE * work.minutes())) {
                         commands.add(new Command.Overdue(
                                 Math.max(wall, WorksList.overdueAt(work)), work.machine(), work.token()));
                     }
--- a/src/main/java/gorsemast/maintenance/WorksList.java
+++ b/src/main/java/gorsemast/maintenance/WorksList.java
@@ -259,7 +259,7 @@
     public static long overdueAt(Work work) {
         return switch (work.phase()) {
             case EMPTYING -> work.since() + EMPTYING_MILLIS;
-            case OUT -> work.since() + SILENT_FACTOR * work.minutes() * MINUTE;
+            case OUT -> work.since() + SILENT_FACTOR * MINUTE * work.minutes();
             default -> Long.MAX_VALUE;
         };
     }
--- a/src/main/java/gorsemast/proxy/ClientConnection.java
+++ b/src/main/java/gorsemast/proxy/ClientConnection.java
@@ -108,7 +108,6 @@
         private boolean streaming;
         private boolean streamed;
         private boolean cut;
-        private long rest;
         private HttpResponse ready;
         private ByteBuf content = Unpooled.EMPTY_BUFFER;
         private Flow flow;
@@ -176,7 +175,6 @@
             answered = true;
             streaming = true;
             flow = source;
-            rest = length;
             drop();
             ready = new DefaultHttpResponse(HttpVersion.HTTP_1_1, start.status(), headers);
             if (length >= 0) {
@@ -191,7 +189,6 @@
 
         @Override
         public void part(ByteBuf part) {
-            rest -= part.readableBytes();
             if (requests.peek() == this && ready == null) {
                 channel.writeAndFlush(new DefaultHttpContent(part.retainedDuplicate()));
             } else {
--- a/src/main/java/gorsemast/registry/ControlServer.java
+++ b/src/main/java/gorsemast/registry/ControlServer.java
@@ -120,7 +120,8 @@
 
         private String quoted(String text) {
             StringBuilder quoted = new StringBuilder("\"");
-            for (char c : text.toCharArray()) {
+            for (int i = 0; i < text.length(); i++) {
+                char c = text.charAt(i);
                 if (c == '"' || c == '\\') {
                     quoted.append('\\');
                 }
--- a/src/main/java/gorsemast/rig/Proxies.java
+++ b/src/main/java/gorsemast/rig/Proxies.java
@@ -242,7 +242,7 @@
                 try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
                     return free.getLocalPort();
                 } catch (IOException e) {
-                    continue; // somebody has it
+                    // somebody has it
                 }
             }
         }
--- a/src/main/java/gorsemast/rig/Relay.java
+++ b/src/main/java/gorsemast/rig/Relay.java
@@ -119,9 +119,7 @@
                     forward(waiting.poll());
                 }
             } catch (IOException | RuntimeException e) {
-                if (!closed) {
-                    continue; // a front was closed under the look
-                }
+                // a front was closed under the look, or all of it
             }
         }
     }
--- a/src/main/java/gorsemast/standin/Training.java
+++ b/src/main/java/gorsemast/standin/Training.java
@@ -3,6 +3,7 @@
 import gorsemast.http.NettyLog;
 import gorsemast.http.Signals;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -92,8 +93,18 @@
             network.call(network.fronts().get(i % 3), "GET", "/orders/" + i, LoopbackNetwork.client("o" + i), null);
         }
         network.call(network.fronts().get(0), "GET", "/none", LoopbackNetwork.client("n"), null);
-        network.call(network.controls().get(1), "POST", "/v1/purge", Map.of(), "{\"tag\":\"all\"}".getBytes());
-        network.call(network.controls().get(1), "POST", "/v1/configuration/replace", Map.of(), "{".getBytes());
+        network.call(
+                network.controls().get(1),
+                "POST",
+                "/v1/purge",
+                Map.of(),
+                "{\"tag\":\"all\"}".getBytes(StandardCharsets.UTF_8));
+        network.call(
+                network.controls().get(1),
+                "POST",
+                "/v1/configuration/replace",
+                Map.of(),
+                "{".getBytes(StandardCharsets.UTF_8));
         network.call(
                 network.controls().get(2),
                 "POST",
--- a/src/test/java/anisebend/net/LongAnswerTest.java
+++ b/src/test/java/anisebend/net/LongAnswerTest.java
@@ -102,7 +102,7 @@
         assertEquals("HTTP/1.1 200 OK", line(in));
         int length = -1;
         for (String header = line(in); !header.isEmpty(); header = line(in)) {
-            if (header.toLowerCase().startsWith("content-length:")) {
+            if (header.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
                 length = Integer.parseInt(header.substring(15).trim());
             }
         }
--- a/src/test/java/anisebend/net/ProcessTest.java
+++ b/src/test/java/anisebend/net/ProcessTest.java
@@ -44,7 +44,7 @@
         Path file = folder.resolve("broken.json");
         Files.writeString(file, text);
         Process process = serve(Map.of("PROXY_CONFIG", file.toString()));
-        String output = new String(process.getInputStream().readAllBytes());
+        String output = new String(process.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
         assertEquals(1, process.waitFor());
         assertEquals(1, output.lines().count(), output);
         assertTrue(output.startsWith("anisebend: "), output);
@@ -54,7 +54,7 @@
     void saysThatTheConfigurationIsMissing() throws Exception {
         Process process =
                 serve(Map.of("PROXY_CONFIG", folder.resolve("none.json").toString()));
-        String output = new String(process.getInputStream().readAllBytes());
+        String output = new String(process.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
         assertEquals(1, process.waitFor());
         assertEquals(1, output.lines().count(), output);
     }
@@ -68,7 +68,8 @@
                     new HashMap<>(Loopback.served(folder, discovery.address(), 100, 60_000, Loopback.list(1, true)));
             environment.put("PROXY_ADMIN", "127.0.0.1:" + taken.getLocalPort());
             Process process = serve(environment);
-            String output = new String(process.getInputStream().readAllBytes());
+            String output =
+                    new String(process.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
             assertEquals(1, process.waitFor(), output);
             assertTrue(output.contains("anisebend: "), output);
         }
--- a/src/test/java/anisebend/net/ProxyTest.java
+++ b/src/test/java/anisebend/net/ProxyTest.java
@@ -308,7 +308,7 @@
             int status = client.answer().status();
             assertTrue(status >= 400 && status < 500, "status " + status);
             while (client.answer() != null) {
-                continue; // an error at most
+                // an error at most
             }
         }
         assertNull(node.requests.peek());
--- a/src/test/java/gorsemast/fleet/FleetTest.java
+++ b/src/test/java/gorsemast/fleet/FleetTest.java
@@ -286,7 +286,7 @@
             ProcessId id = new ProcessId("n" + i, i);
             Claim claim = Claim.first(id, "10.0.1." + i + ":1");
             one.received(
-                    i * 1_000,
+                    i * 1_000L,
                     claim.address(),
                     new Message(
                             Message.Kind.GOSSIP,
@@ -299,7 +299,7 @@
                             java.util.List.of(),
                             java.util.List.of(new Message.Rumor(claim, id.name()))));
             if (i > 12) {
-                one.refused(i * 1_000, "10.0.1." + (i - 12) + ":1");
+                one.refused(i * 1_000L, "10.0.1." + (i - 12) + ":1");
             }
         }
         assertEquals(13, one.view(300_000).live());
--- a/src/test/java/gorsemast/fleet/FleetWalkTest.java
+++ b/src/test/java/gorsemast/fleet/FleetWalkTest.java
@@ -20,6 +20,7 @@
     private static final long SECOND = 1_000_000;
 
     /** What happens, to a fleet of three that has settled. */
+    @SuppressWarnings("ImmutableEnumChecker") // what each does is a lambda without state
     enum Happening {
         JOIN(fleet -> fleet.machine(3).start(0)),
         CRASH(fleet -> fleet.machine(1).kill(true)),
--- a/src/test/java/gorsemast/peers/FleetCodecTest.java
+++ b/src/test/java/gorsemast/peers/FleetCodecTest.java
@@ -80,7 +80,8 @@
     void whateverIsSealedIsAMessageOrAnError() throws Exception {
         SplittableRandom random = new SplittableRandom(5);
         javax.crypto.Mac mac = javax.crypto.Mac.getInstance("HmacSHA256");
-        mac.init(new javax.crypto.spec.SecretKeySpec("one\nsecret".getBytes(), "HmacSHA256"));
+        mac.init(new javax.crypto.spec.SecretKeySpec(
+                "one\nsecret".getBytes(java.nio.charset.StandardCharsets.UTF_8), "HmacSHA256"));
         byte[] good = CODEC.encode(message());
         int read = 0;
         for (int i = 0; i < 20_000; i++) {
