--- a/src/main/java/anisebend/Decide.java
+++ b/src/main/java/anisebend/Decide.java
@@ -1087,9 +1087,7 @@
         boolean copied = !crowded && usable.contains(home.kept) && fits(held, home.kept); // saves a fetch
         Target other = copied ? home.kept : fewest(held, home, usable, mean, target);
         other = other == null ? target : other;
-        if (crowded && other.load() < Math.max(mean, LOW_FLOOR / unit)) {
-            home.target = other;
-        }
+        home.target = crowded && other.load() < Math.max(mean, LOW_FLOOR / unit) ? other : home.target;
         return crowded ? home.target : other;
     }
 
