--- a/src/main/java/gorsemast/store/MembershipPlanner.java
+++ b/src/main/java/gorsemast/store/MembershipPlanner.java
@@ -167,6 +167,9 @@
     }
 
     private static int largest(List<Place> members, Function<Place, String> domain, int lost) {
+        if (lost == 0) {
+            return 0;
+        }
         Map<String, Long> counts = members.stream().collect(Collectors.groupingBy(domain, Collectors.counting()));
         return (int) counts.values().stream()
                 .sorted(Comparator.reverseOrder())
--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -1,7 +1,6 @@
 package gorsemast.store;
 
 import gorsemast.node.FaultTolerance;
-import gorsemast.store.MembershipPlanner.Candidate;
 import gorsemast.store.Message.Append;
 import gorsemast.store.Message.AppendAck;
 import gorsemast.store.Message.Confirm;
@@ -56,10 +55,6 @@
     static final long STAND_BACK_MICROS = 250_000;
     /** Within this a candidate waits for votes that would give it better placed backups. */
     static final long BETTER_MICROS = ROUND_MICROS / 2;
-    /** A primary looks for better placed backups, and for other members, no more often than this. */
-    static final long AGAIN_MICROS = 1_000_000;
-    /** What a leaving member that holds a copy waits for, at most, where nobody is there to take its place. */
-    static final long HAND_OVER_MICROS = 600_000;
     /** What is asked and can't be done by then is given up; whoever asked asks somebody else. */
     static final long CALL_MICROS = 2_500_000;
 
@@ -95,9 +90,8 @@
 
     private final Out out;
     private final SplittableRandom random;
-    private final MembershipPlanner planner;
-    private final Liveness liveness = new Liveness();
-    private final Place place;
+    private final Membership membership;
+    private final Liveness liveness;
     private Member me;
     private long promised;
     private View view;
@@ -111,10 +105,6 @@
     private StoredVersion best;
     private final Set<String> granted = new HashSet<>();
     private final Set<String> installed = new HashSet<>();
-    private boolean leaving;
-    private long leavingSince;
-    private long changeAt;
-    private String placedBadly = "";
     private String activePrimary = "";
     private long activeAt = Long.MIN_VALUE / 2;
     private final Deque<Call> calls = new ArrayDeque<>();
@@ -150,8 +140,8 @@
         this.promised = saved.promised();
         this.view = saved.view();
         this.kept = saved.kept();
-        this.planner = new MembershipPlanner(tolerance);
-        this.place = place;
+        this.membership = new Membership(tolerance, place);
+        this.liveness = membership.liveness;
         this.random = new SplittableRandom(seed);
         this.out = out;
     }
@@ -196,6 +186,10 @@
         if (now >= pingAt) {
             pingAt = now + PING_MICROS;
             liveness.forget(view, now);
+            String lacks = role == Role.PRIMARY && view.before().isEmpty() ? membership.lacks(view, me, now) : null;
+            if (lacks != null) {
+                out.log(lacks);
+            }
             for (Member other : known()) {
                 send(other, greeting());
             }
@@ -218,7 +212,7 @@
         switch (role) {
             case FOLLOWER -> {
                 boolean quiet = now - activeAt > SILENT_MICROS;
-                if (quiet && !leaving && now >= standBackUntil && reachesMost()) {
+                if (quiet && !membership.leaving() && now >= standBackUntil && reachesMost()) {
                     stand(null);
                 }
             }
@@ -236,80 +230,24 @@
 
     /** A sign of life, for whoever has just come. */
     public Message greeting() {
-        return new Heartbeat(me, promised, view.term(), role == Role.PRIMARY, leaving, place);
+        return new Heartbeat(me, promised, view.term(), role == Role.PRIMARY, membership.leaving(), membership.place());
     }
 
     /** What a primary does for the membership: one change at a time, and none before the last one is over. */
     private void lead() {
-        if (leaving || !view.before().isEmpty() || !reachesMost()) {
-            return;
-        }
-        List<Candidate> members = candidates(view.members());
-        List<Member> change = now < changeAt ? null : planner.change(me, members, candidates(liveness.others(view)));
-        if (change != null) {
-            changeAt = now + AGAIN_MICROS;
-            List<String> joining = ids(change);
-            joining.removeAll(ids(view.members()));
-            List<String> going = ids(view.members());
-            going.removeAll(ids(change));
-            out.log("takes in " + String.join(", ", joining)
-                    + (going.isEmpty() ? " as one more" : " for " + String.join(", ", going)));
-            stand(change);
-        } else if (view.backups().stream().anyMatch(id -> !liveness.alive(id, now))) {
-            if (view.backups().stream().anyMatch(id -> liveness.silence(id, now) > SILENT_MICROS)) {
-                out.log("has lost a backup of term " + view.term());
-                stand(null);
-            }
-        } else if (now >= changeAt && !planner.sound(me.id(), members, view.backups())) {
-            changeAt = now + AGAIN_MICROS;
-            List<String> better = planner.backups(me.id(), members, liveness.alive(now), view.backups());
-            if (planner.sound(me.id(), members, better)) {
-                out.log("moves its copies to " + better);
-                stand(null);
-            } else {
-                tellPlacement("copies of " + me.id() + " with " + view.backups() + " can't be placed better");
-            }
-        }
-        if (role == Role.PRIMARY
-                && members.stream().allMatch(one -> one.place() != null)
-                && !planner.majoritySurvives(
-                        members.stream().map(Candidate::place).toList())) {
-            tellPlacement("members " + ids(view.members()) + " don't keep a majority after each loss to be borne: "
-                    + planner.members() + " are wanted, spread over zones or regions");
+        Membership.Step step = reachesMost() ? membership.step(view, me, now) : null;
+        if (step != null) {
+            out.log(step.reason());
+            stand(step.members());
         }
     }
 
-    /** Says once what the machines do not allow. */
-    private void tellPlacement(String sentence) {
-        if (!placedBadly.equals(sentence)) {
-            placedBadly = sentence;
-            out.log(sentence);
-        }
-    }
-
-    private static List<String> ids(List<Member> members) {
-        return new ArrayList<>(members.stream().map(Member::id).toList());
-    }
-
-    private List<Candidate> candidates(List<Member> of) {
-        return of.stream()
-                .map(one -> one.equals(me)
-                        ? new Candidate(me, 0, leaving, place)
-                        : new Candidate(
-                                one,
-                                liveness.silence(one.id(), now),
-                                liveness.leaving(one.id()),
-                                liveness.place(one.id())))
-                .toList();
-    }
-
     // ---- leaving
 
     /** Its process was asked to end: others follow it, and it serves on until {@link #left}. */
     public void leave(long time) {
         now = time;
-        leaving = true;
-        leavingSince = time;
+        membership.leave(now);
         out.log("leaves as " + role + " of term " + view.term());
         for (Member other : known()) {
             send(other, new Leave(me));
@@ -318,27 +256,20 @@
 
     /**
      * Whether its process may end: it is no member any more; or nobody is there to take its place, and it holds no copy
-     * that is counted on, or has waited {@link #HAND_OVER_MICROS} for others to take over.
+     * that is counted on, or has waited {@link Membership#HAND_OVER_MICROS} for others to take over.
      */
     public boolean left(long time) {
         now = time;
-        if (!view.has(me.id())) {
-            return true;
-        }
-        if (candidates(liveness.others(view)).stream().anyMatch(Candidate::joins)) {
-            return false;
-        }
         boolean copy = role != Role.FOLLOWER
                 || me.id().equals(view.primary())
                 || view.backups().contains(me.id());
-        boolean others = view.all().stream().anyMatch(one -> liveness.alive(one.id(), now));
-        return !copy || !others || now - leavingSince > HAND_OVER_MICROS;
+        return membership.left(view, me, copy, now);
     }
 
     /** Another one leaves: if it led, its first backup stands at once, and the others a moment later. */
     private void leave(Leave leave) {
         String from = leave.from().id();
-        liveness.leaves(from);
+        membership.leaves(from);
         if (!view.has(from)) {
             send(leave.from(), new ViewChange(me, view));
         } else if (from.equals(activePrimary)) {
@@ -346,7 +277,6 @@
             boolean first = !view.backups().isEmpty() && view.backups().get(0).equals(me.id());
             standBackUntil = now + (first ? 0 : STAND_BACK_MICROS / 5 + random.nextLong(STAND_BACK_MICROS));
         }
-        changeAt = now;
     }
 
     private boolean reachesMost() {
@@ -471,7 +401,7 @@
     private String refusal(RequestVote request) {
         String candidate = request.from().id();
         boolean leads = role == Role.PRIMARY
-                && !leaving
+                && !membership.leaving()
                 && !candidate.equals(me.id())
                 && view.backups().stream().allMatch(id -> liveness.silence(id, now) < SILENT_MICROS);
         boolean led = !activePrimary.equals(candidate) && now - activeAt < SILENT_MICROS;
@@ -558,12 +488,10 @@
             return;
         }
         boolean joint = proposed != view || !view.before().isEmpty();
-        List<Candidate> members = candidates(proposed.members());
-        List<String> backups = planner.backups(me.id(), members, able(), view.backups());
-        int wanted = planner.backups(proposed.members().size());
-        boolean waits = now < roundUntil - ROUND_MICROS + BETTER_MICROS && !granted.containsAll(aliveMembers());
-        if (backups.size() < wanted || waits && !planner.sound(me.id(), members, backups)) {
-            return; // nobody to hold it beside this one, or nobody who should
+        boolean patient = now < roundUntil - ROUND_MICROS + BETTER_MICROS;
+        List<String> backups = membership.backups(view, proposed.members(), me, granted, patient, now);
+        if (backups == null) {
+            return; // nobody to hold it beside this one, or nobody yet who should
         }
         View next = new View(
                 term,
@@ -591,21 +519,6 @@
         });
     }
 
-    /** Who may hold copies: who has voted, and who joins, as that has given no promise that it could break. */
-    private Set<String> able() {
-        Set<String> able = new HashSet<>(granted);
-        proposed.members().stream()
-                .filter(one -> !view.has(one.id()) && liveness.alive(one.id(), now))
-                .forEach(one -> able.add(one.id()));
-        return able;
-    }
-
-    private Set<String> aliveMembers() {
-        Set<String> alive = liveness.alive(now);
-        alive.retainAll(ids(view.all()));
-        return alive;
-    }
-
     private void install(Install install) {
         if (install.term() < promised || install.term() < view.term()) {
             return;
--- a/src/main/java/gorsemast/store/StoreProgram.java
+++ b/src/main/java/gorsemast/store/StoreProgram.java
@@ -32,8 +32,8 @@
     private static final long DISK_AGAIN_MILLIS = 100;
     /** Where the settings name no {@code grace}. */
     private static final long GRACE_MICROS = 6_000_000;
-    /** Kept back of it for the disk and the end itself. */
-    private static final long GRACE_LEFT_MICROS = 1_500_000;
+    /** Of it, what may be waited; the rest is for the disk and the end itself. */
+    private static final double GRACE_PART = 0.75;
 
     private static final String STATE = "state";
     private static final String CONFIGURATION = "configuration";
@@ -115,7 +115,7 @@
     /** Ends once another member has its place, or nobody is there to take it; shortly before the platform's patience ends. */
     @Override
     public void stop() {
-        long grace = Math.max(0, settings.time("grace", GRACE_MICROS) - GRACE_LEFT_MICROS);
+        long grace = (long) (GRACE_PART * settings.time("grace", GRACE_MICROS));
         CountDownLatch over = new CountDownLatch(1);
         loop.execute(() -> {
             teller.leave();
