--- a/src/test/java/gorsemast/simulation/CatchingUpTest.java
+++ b/src/test/java/gorsemast/simulation/CatchingUpTest.java
@@ -25,7 +25,7 @@
         NettyLog.install();
     }
 
-    /** A disk that ends nothing unsettles no core, so each order is held to its 4 s. */
+    /** Each order is held to its 4 s, as the referee counts a stalled disk as no trouble of the core. */
     @ParameterizedTest
     @ValueSource(ints = {0, 1, 2})
     void ordersAreAcknowledgedWhileADiskStallsForTwentySeconds(int disk) {
