--- a/src/main/java/gorsemast/storage/Disk.java
+++ b/src/main/java/gorsemast/storage/Disk.java
@@ -33,11 +33,7 @@
         snapshot = new Slots(folder, SNAPSHOT, life);
         state = new Slots(folder, STATE, life);
         folder.syncNames();
-        sequence = Math.max(sequence(snapshot), sequence(state));
-    }
-
-    private static long sequence(Slots slots) {
-        return slots.newest() == null ? 0 : slots.newest().sequence();
+        sequence = Math.max(snapshot.newest(), state.newest());
     }
 
     /**
@@ -64,16 +60,19 @@
 
     /** What was saved last; null where nothing whole is there. */
     public Saved load() {
-        if (snapshot.newest() == null) {
+        if (snapshot.newest() == 0) {
             return null;
         }
-        ByteBuffer both = ByteBuffer.wrap(snapshot.newest().content());
-        byte[] first = new byte[both.getInt()];
-        both.get(first);
-        byte[] configuration = new byte[both.remaining()];
-        both.get(configuration);
-        boolean later = sequence(state) > sequence(snapshot);
-        return new Saved(later ? state.newest().content() : first, configuration);
+        try {
+            ByteBuffer both = ByteBuffer.wrap(snapshot.content());
+            byte[] first = new byte[both.getInt()];
+            both.get(first);
+            byte[] configuration = new byte[both.remaining()];
+            both.get(configuration);
+            return new Saved(state.newest() > snapshot.newest() ? state.content() : first, configuration);
+        } catch (IOException e) {
+            throw new DiskException(Code.READ, e);
+        }
     }
 
     /**
@@ -81,7 +80,7 @@
      * {@link DiskException} where the disk refuses; then the save may be there or not, and has to be made again.
      */
     public void save(byte[] newState, byte[] configuration) {
-        if (configuration == null && snapshot.newest() == null) {
+        if (configuration == null && snapshot.newest() == 0) {
             throw new IllegalArgumentException("no configuration yet");
         }
         try {
--- a/src/main/java/gorsemast/storage/Slots.java
+++ b/src/main/java/gorsemast/storage/Slots.java
@@ -18,13 +18,14 @@
     private static final int MARK = 0x47_53_52_31;
     private static final int HEAD_BYTES = Integer.BYTES + 2 * Long.BYTES + 2 * Integer.BYTES;
 
-    /** A whole record. */
-    record Whole(long sequence, byte[] content) {}
+    private record Whole(long sequence, byte[] content) {}
 
     private final Folder folder;
     private final List<String> names;
     private final long life;
-    private Whole newest;
+    /** Of the newest whole record; 0 for none. */
+    private long newest;
+
     private int newestAt = 1;
 
     /**
@@ -45,8 +46,8 @@
                 folder.sync(names.get(at));
             }
             Whole whole = bytes == null ? null : whole(ByteBuffer.wrap(bytes));
-            if (whole != null && (newest == null || whole.sequence > newest.sequence)) {
-                newest = whole;
+            if (whole != null && whole.sequence > newest) {
+                newest = whole.sequence;
                 newestAt = at;
             }
         }
@@ -79,12 +80,22 @@
         return (int) crc.getValue();
     }
 
-    /** The newest whole record that was found or written; null for none. */
-    Whole newest() {
+    /** The number of the newest whole record that was found or written; 0 for none. */
+    long newest() {
         return newest;
     }
 
-    /** Replaces the record and returns once that is safe; where it throws, the one before stands. */
+    /** What that record holds, from its file. */
+    byte[] content() throws IOException {
+        byte[] bytes = folder.read(names.get(newestAt));
+        Whole whole = bytes == null ? null : whole(ByteBuffer.wrap(bytes));
+        if (whole == null || whole.sequence != newest) {
+            throw new IOException(names.get(newestAt) + " is not what it was");
+        }
+        return whole.content;
+    }
+
+    /** Replaces the record, under a number above all before, and returns once that is safe; where it throws, the one before stands. */
     void write(long sequence, byte[] content) throws IOException {
         ByteBuffer bytes = ByteBuffer.allocate(HEAD_BYTES + content.length);
         bytes.putInt(MARK).putLong(life).putLong(sequence).putInt(content.length);
@@ -92,6 +103,6 @@
         int at = 1 - newestAt;
         folder.write(names.get(at), bytes);
         newestAt = at;
-        newest = new Whole(sequence, content);
+        newest = sequence;
     }
 }
