Simulate connections to servers that answer late, twice, namelessly or reset, and forget idle ones

The simulated edge sends over connections that go by http.ConnectionState, as over sockets; a new trouble, CONFUSED, and a check of the answer's owner (MIXED) by the referee, who knows to which request each answer belongs. Before, no connection was modelled: an answer always reached its own caller.

HuntTest.confusedServersGiveNobodyAnothersAnswerAndRunNothingTwice: 120 days, none broken.

--- a/src/main/java/gorsemast/http/ConnectionState.java
+++ b/src/main/java/gorsemast/http/ConnectionState.java
@@ -12,15 +12,15 @@
  * every other ending closes the connection, so that what comes late reaches nobody. A connection on which anything came
  * that was not due is <em>spoilt</em>: the attempt on it may yet get its own answer, no later one is put on it.
  */
-class ConnectionState {
+public class ConnectionState {
     /** So many 1xx may come ahead of an answer; an endless row of them is none. */
-    static final int MAX_INTERIM = 16;
+    public static final int MAX_INTERIM = 16;
 
     /** A connection that has turned away more of what may run once is not used again, as their names are kept. */
     private static final int MAX_TURNED_AWAY = 32;
 
     /** What is to be done with a part of an answer. */
-    enum Take {
+    public enum Take {
         /** It is the answer to the attempt on this connection. */
         OWN,
         /** A 1xx ahead of it: skipped. */
@@ -32,7 +32,7 @@
     }
 
     /** What follows from the end of a read. */
-    enum Done {
+    public enum Done {
         /** Nothing yet. */
         MORE,
         /** The answer is whole: its attempt ends with it. */
@@ -57,12 +57,12 @@
     private final Set<String> turnedAway = new TreeSet<>();
 
     /** Whether the next attempt may be put on it. */
-    boolean mayCarry() {
+    public boolean mayCarry() {
         return !carries && !passing && !answering && !spoilt && !closed && reading == null;
     }
 
     /** Whether the attempt with this name may be: the same call was not turned away here before. */
-    boolean mayCarry(String called) {
+    public boolean mayCarry(String called) {
         return mayCarry() && (called == null || !turnedAway.contains(called));
     }
 
@@ -72,7 +72,7 @@
      * @param called what its answers name it by; null where they name nothing
      * @param runsOnce whether its call may run once at most
      */
-    void carry(String called, boolean runsOnce) {
+    public void carry(String called, boolean runsOnce) {
         if (!mayCarry(called)) {
             throw new IllegalStateException("this connection is not free");
         }
@@ -85,17 +85,17 @@
     }
 
     /** The last byte of its request is handed over: from here on it may have run. */
-    void lastByteLeaves() {
+    public void lastByteLeaves() {
         left = true;
     }
 
     /** The system did not take it after all, and never will: the connection is closed. */
-    void lastByteStayed() {
+    public void lastByteStayed() {
         left = false;
     }
 
     /** Whether the attempt on it may have run, where it ends now without a word of its server. */
-    boolean mayHaveRun() {
+    public boolean mayHaveRun() {
         return left || early;
     }
 
@@ -106,7 +106,7 @@
      * @param notRun whether it says that its request has not run
      * @param served whether it says that it has, with success
      */
-    Take head(Whose whose, boolean interim, boolean notRun, boolean served) {
+    public Take head(Whose whose, boolean interim, boolean notRun, boolean served) {
         if (answering || closed) {
             spoilt = true; // a second answer behind a whole one
             return Take.SURPLUS;
@@ -142,7 +142,7 @@
     }
 
     /** Some of an answer's body, or its end. */
-    Take part(boolean last) {
+    public Take part(boolean last) {
         Take now = reading;
         if (now == null || whole || closed) {
             spoilt = true;
@@ -156,18 +156,18 @@
     }
 
     /** The attempt ends with its head as answered; the rest is passed on from here as it comes. */
-    void passes() {
+    public void passes() {
         carries = false;
         passing = true;
     }
 
     /** Whether an answer of the attempt, or that is being passed on, has begun and is not concluded. */
-    boolean isAnswering() {
+    public boolean isAnswering() {
         return answering;
     }
 
     /** Whether all of it has come. */
-    boolean isWhole() {
+    public boolean isWhole() {
         return whole;
     }
 
@@ -176,7 +176,7 @@
      *
      * @param rest whether bytes of a further message have come
      */
-    Done readDone(boolean rest) {
+    public Done readDone(boolean rest) {
         if (whole) {
             spoilt |= rest;
             return Done.WHOLE;
@@ -194,7 +194,7 @@
      * @param keeps whether the server keeps the connection
      * @return whether it may be used again; else it is closed
      */
-    boolean answered(boolean keeps) {
+    public boolean answered(boolean keeps) {
         boolean again = whole && !spoilt && !closed && keeps;
         carries = false;
         passing = false;
@@ -205,7 +205,7 @@
     }
 
     /** The attempt ends in any other way, or nobody wants what is passed on. Returns whether it may be used again. */
-    boolean abandoned() {
+    public boolean abandoned() {
         carries = false;
         passing = false;
         answering = false;
@@ -215,13 +215,13 @@
     }
 
     /** What has come of its answer can't be read: it is none, though it may look whole. */
-    void broken() {
+    public void broken() {
         whole = false;
         closed = true;
     }
 
     /** It has ended. What was whole by then counts. */
-    void closes() {
+    public void closes() {
         closed = true;
     }
 
--- a/src/main/java/gorsemast/simulation/EdgeSender.java
+++ b/src/main/java/gorsemast/simulation/EdgeSender.java
@@ -41,6 +41,7 @@
         private final boolean counted;
         private final Consumer<Result> client;
         private final CallState state;
+        private EdgeConnections.Attempt out;
         private boolean erred;
 
         Exchange(
@@ -65,6 +66,7 @@
 
     final Briefing briefing;
     private final Edge edge;
+    private final EdgeConnections connections;
     private final String service;
     private final Balancer module = new Decide(this);
     private final Turns turns;
@@ -73,6 +75,7 @@
 
     EdgeSender(Edge edge, String service, Briefing briefing) {
         this.edge = edge;
+        this.connections = new EdgeConnections(edge);
         this.service = service;
         this.briefing = briefing;
         this.turns = new Turns(fault -> {
@@ -169,31 +172,13 @@
         x.state.sent(attempt);
         String address = server.dial().getAddress().getHostAddress() + ":"
                 + server.dial().getPort();
-        edge.after(wait, () -> ended(x, attempt, sentAt, Code.TIMEOUT, 0));
         Servers.Request message = new Servers.Request(x.attempt, id, x.path, !x.route.repeatable(), service);
-        edge.world.referee.sent(edge, message);
-        edge.world.servers.send(
-                edge.machine,
-                address,
-                message,
-                reply -> edge.run(() -> {
-                    if (reply.answer() == Servers.Answer.OK
-                            && briefing.answered(edge.now(), id, x.route, edge.now() - sentAt)) {
-                        tell();
-                    }
-                    ended(
-                            x,
-                            attempt,
-                            sentAt,
-                            switch (reply.answer()) {
-                                case OK -> Code.OK;
-                                case ERROR -> Code.ERROR;
-                                case FULL -> Code.FULL;
-                                case MISDIRECTED -> Code.CONNECT_FAILED;
-                            },
-                            reply.version());
-                }),
-                () -> edge.run(() -> ended(x, attempt, sentAt, Code.CONNECT_FAILED, 0)));
+        x.out = connections.send(address, message, wait, (code, reply) -> {
+            if (code == Code.OK && briefing.answered(edge.now(), id, x.route, edge.now() - sentAt)) {
+                tell();
+            }
+            ended(x, attempt, sentAt, code, reply == null ? 0 : reply.version());
+        });
     }
 
     private void ended(Exchange x, int attempt, long sentAt, Code code, long version) {
@@ -243,7 +228,7 @@
         turns.action(() -> {
             Exchange x = open.get(request);
             if (x != null && x.state.isOut(attempt)) {
-                ended(x, attempt, edge.now(), Code.CANCELLED, 0);
+                x.out.cancel();
             }
         });
     }
--- a/src/main/java/gorsemast/simulation/Plant.java
+++ b/src/main/java/gorsemast/simulation/Plant.java
@@ -18,6 +18,10 @@
     REPEATS_ALL,
     /** An edge calls refused what may have run. */
     REFUSES_WHAT_RAN,
+    /** An edge takes an answer that names nobody for the one that is due. */
+    TAKES_NAMELESS_ANSWERS,
+    /** An edge holds that what was reset has not run. */
+    RESET_NEVER_RAN,
     /** Edges share no ceiling. */
     NO_CEILING
 }
--- a/src/main/java/gorsemast/simulation/Referee.java
+++ b/src/main/java/gorsemast/simulation/Referee.java
@@ -173,6 +173,16 @@
 
     // ---- clients
 
+    /** An edge gives an attempt this answer as its own. */
+    void owns(Edge edge, Servers.Request asked, Servers.Reply reply) {
+        Servers.Request truth = reply.request();
+        if (!truth.attempt().equals(asked.attempt()) || !truth.path().equals(asked.path())) {
+            throw new Broken(
+                    "MIXED",
+                    edge.machine.ip + " takes the answer to " + truth.attempt() + " for that to " + asked.attempt());
+        }
+    }
+
     /** A client has its answer. */
     void answered(Edge edge, String attempt, String path, boolean unsafe, long sentAt, Edge.Answer answer) {
         switch (answer.told()) {
--- a/src/main/java/gorsemast/simulation/Servers.java
+++ b/src/main/java/gorsemast/simulation/Servers.java
@@ -13,17 +13,30 @@
         OK,
         ERROR,
         FULL,
-        MISDIRECTED
+        MISDIRECTED,
+        /** None: the connection breaks. */
+        RESET
     }
 
-    /** What an answer carries: an object's version, the number of the configuration that led here. */
-    record Reply(Answer answer, long version) {}
+    /**
+     * What an answer carries.
+     *
+     * @param version an object's
+     * @param told the attempt that it names; null for none
+     * @param request whose it is in truth, which only the referee knows
+     */
+    record Reply(Answer answer, long version, String told, Request request) {
+        Reply(Answer answer, long version, Request request) {
+            this(answer, version, request.attempt, request);
+        }
+    }
 
     /** What a server is sent. */
     record Request(String attempt, String target, String path, boolean unsafe, String service) {}
 
     private static final long CALL_MICROS = 1_000_000;
     private static final int QUEUE = 8;
+    private static final long LATE_MICROS = 2_000_000;
 
     private final World world;
     private final Map<String, Server> byAddress = new HashMap<>();
@@ -49,6 +62,10 @@
         double slow = 1;
         /** So many of its answers are lost after it has run what it was asked. */
         double loses;
+        /** So many of its answers come late, twice, without a name or not at all, with a reset in their place. */
+        double confuses;
+        /** So many of its idle connections are forgotten. */
+        double forgets;
 
         private int seq;
         private int at;
@@ -136,9 +153,9 @@
         private void take(Request request, Consumer<Reply> reply) {
             world.referee.arrived(this, request);
             if (!request.target.equals(id)) {
-                reply.accept(new Reply(Answer.MISDIRECTED, 0));
+                reply.accept(new Reply(Answer.MISDIRECTED, 0, request));
             } else if (busy >= slots && queue.size() >= QUEUE) {
-                reply.accept(new Reply(Answer.FULL, 0));
+                say(new Reply(Answer.FULL, 0, request), reply);
             } else if (busy >= slots) {
                 queue.add(() -> work(request, reply));
             } else {
@@ -157,10 +174,36 @@
                     queue.remove(0).run();
                 }
                 if (alive && world.random.nextDouble() >= loses) {
-                    reply.accept(new Reply(world.random.nextInt(300) == 0 ? Answer.ERROR : Answer.OK, version));
+                    Answer answer = world.random.nextInt(300) == 0 ? Answer.ERROR : Answer.OK;
+                    say(new Reply(answer, version, request), reply);
                 }
             });
         }
+
+        private void say(Reply answer, Consumer<Reply> reply) {
+            if (confuses == 0 || world.random.nextDouble() >= confuses) {
+                reply.accept(answer);
+                return;
+            }
+            long later = world.random.nextLong(LATE_MICROS);
+            Reply nameless = new Reply(answer.answer, answer.version, null, answer.request);
+            switch (world.random.nextInt(5)) {
+                case 0 -> world.time.after(later, () -> reply.accept(answer));
+                case 1 -> reply.accept(nameless);
+                case 2 -> reply.accept(new Reply(Answer.RESET, 0, answer.request));
+                default -> {
+                    reply.accept(answer);
+                    Reply again = world.random.nextBoolean() ? answer : nameless;
+                    world.time.after(later / 8, () -> reply.accept(again));
+                }
+            }
+        }
+    }
+
+    /** Whether the server there has forgotten a connection that was idle. */
+    boolean forgets(String address) {
+        Server server = byAddress.get(address);
+        return server != null && server.forgets > 0 && world.random.nextDouble() < server.forgets;
     }
 
     /** All that have not ended, of a service; of all where it is null. */
--- a/src/main/java/gorsemast/simulation/Trouble.java
+++ b/src/main/java/gorsemast/simulation/Trouble.java
@@ -38,6 +38,8 @@
         REUSE,
         /** Servers of one service run requests and lose the answers of some. */
         LOSE_ANSWERS,
+        /** Servers of one service answer late, twice, without a name, or reset; and forget idle connections. */
+        CONFUSED,
         /** A server turns slow. */
         SLOW_SERVER,
         /** An edge's process is killed. */
--- a/src/main/java/gorsemast/simulation/Troubles.java
+++ b/src/main/java/gorsemast/simulation/Troubles.java
@@ -82,6 +82,7 @@
             case CRASH_SERVER -> crash(n, false);
             case REUSE -> crash(n, true);
             case LOSE_ANSWERS -> lose(n, trouble.span());
+            case CONFUSED -> confuse(n, trouble.span());
             case SLOW_SERVER -> slow(n, trouble.span());
             case KILL_EDGE -> bounce(edge(n), false, RESTART_MICROS);
             case HERD ->
@@ -167,6 +168,20 @@
         world.time.after(span, () -> some.forEach(one -> one.loses = 0));
     }
 
+    private void confuse(int n, long span) {
+        List<Server> some = world.servers.of(n % 3 > 0 ? "orders" : World.OBJECTS);
+        some.forEach(one -> {
+            one.confuses = 0.2;
+            one.forgets = 0.2;
+        });
+        world.time.after(
+                span,
+                () -> some.forEach(one -> {
+                    one.confuses = 0;
+                    one.forgets = 0;
+                }));
+    }
+
     private void slow(int n, long span) {
         Server server = pick(world.servers.of(null), n);
         server.slow = 4;
--- a/src/test/java/gorsemast/http/AnswerModelTest.java
+++ b/src/test/java/gorsemast/http/AnswerModelTest.java
@@ -70,42 +70,42 @@
     private static ConnectionState broken(Defect defect) {
         return new ConnectionState() {
             @Override
-            boolean abandoned() {
+            public boolean abandoned() {
                 super.abandoned();
                 return defect == Defect.TIME_OUT_KEEPS_THE_CONNECTION;
             }
 
             @Override
-            boolean mayCarry() {
+            public boolean mayCarry() {
                 return defect == Defect.TIME_OUT_KEEPS_THE_CONNECTION || super.mayCarry();
             }
 
             @Override
-            boolean mayCarry(String called) {
+            public boolean mayCarry(String called) {
                 return defect == Defect.TURNED_AWAY_COMES_BACK ? mayCarry() : super.mayCarry(called);
             }
 
             @Override
-            boolean mayHaveRun() {
+            public boolean mayHaveRun() {
                 return defect != Defect.RESET_AFTER_THE_LAST_BYTE_NEVER_RAN && super.mayHaveRun();
             }
 
             private boolean whole;
 
             @Override
-            void lastByteLeaves() {
+            public void lastByteLeaves() {
                 super.lastByteLeaves();
                 whole = true;
             }
 
             @Override
-            void carry(String called, boolean runsOnce) {
+            public void carry(String called, boolean runsOnce) {
                 super.carry(called, runsOnce);
                 whole = false;
             }
 
             @Override
-            Take head(Whose whose, boolean interim, boolean notRun, boolean served) {
+            public Take head(Whose whose, boolean interim, boolean notRun, boolean served) {
                 boolean any = defect == Defect.IDS_ARE_NOT_COMPARED && whose == Whose.OTHER
                         || defect == Defect.NAMELESS_ANSWERS_COUNT && whose == Whose.NOBODY;
                 if (defect == Defect.EARLY_ANSWERS_NEVER_RAN && !whole) {
@@ -115,7 +115,7 @@
             }
 
             @Override
-            Done readDone(boolean rest) {
+            public Done readDone(boolean rest) {
                 return super.readDone(rest && defect != Defect.SURPLUS_BYTES_ARE_KEPT);
             }
         };
--- a/src/test/java/gorsemast/simulation/HuntTest.java
+++ b/src/test/java/gorsemast/simulation/HuntTest.java
@@ -62,6 +62,38 @@
                 Trouble.Closing.NONE);
     }
 
+    /** Servers answer late, twice, without a name, or reset, and forget idle connections, while machines are struck. */
+    @Test
+    void confusedServersGiveNobodyAnothersAnswerAndRunNothingTwice() {
+        Hunt.Result result = Hunt.run(this::confused, 120, Plant.NONE, 1);
+        assertThat(result.found())
+                .extracting(found -> found.broken().getMessage() + found.day().asTest())
+                .isEmpty();
+        assertThat(Hunt.run(this::confused, 120, Plant.TAKES_NAMELESS_ANSWERS, 1)
+                        .found())
+                .extracting(found -> found.broken().rule())
+                .contains("MIXED");
+        assertThat(Hunt.run(this::confused, 120, Plant.RESET_NEVER_RAN, 1).found())
+                .extracting(found -> found.broken().rule())
+                .contains("TWICE");
+    }
+
+    private Day confused(int number) {
+        Trouble.Kind[] kinds = {
+            Trouble.Kind.KILL_EDGE, Trouble.Kind.REUSE, Trouble.Kind.DRAIN, Trouble.Kind.ROLL, Trouble.Kind.CONFIG
+        };
+        return new Day(
+                3,
+                4,
+                7_000 + number,
+                14_000_000L,
+                List.of(
+                        new Trouble(Trouble.Kind.CONFUSED, 1_000_000L, 10_000_000L, 1),
+                        new Trouble(Trouble.Kind.CONFUSED, 3_000_000L, 6_000_000L, 3),
+                        new Trouble(kinds[number % kinds.length], 4_000_000L, 2_000_000L, number)),
+                Trouble.Closing.NONE);
+    }
+
     @Test
     void anEdgeThatStartsInAStormOfPurgesIsReadyAtOnce() {
         Day day = new Day(
