--- a/src/main/java/gorsemast/simulation/Process.java
+++ b/src/main/java/gorsemast/simulation/Process.java
@@ -13,7 +13,7 @@
 import java.util.Set;
 
 /**
- * One process of the system on a machine, with links as {@code lauwersoog.Links} keeps them: dialled anew when they end,
+ * One process of the system on a machine, with links as {@code peer.Links} keeps them: dialled anew when they end,
  * closed when nothing has come for long. What falls due while its machine stands still runs, in order, when it wakes. One
  * thread; {@link #now} is its own steady clock, which begins anew with each life.
  */
@@ -63,7 +63,7 @@
                 return;
             }
             byte[] bytes = Codec.bytes(record, now());
-            world.count(Process.this, bytes.length);
+            world.traffic.count(program, other.program, bytes.length);
             way.add(bytes);
             long at = Math.max(lastArrival, world.time.now() + world.delay(machine, other.machine));
             lastArrival = at;
@@ -189,6 +189,8 @@
         }
         if (machine.frozenUntil > world.time.now()) {
             world.time.after(machine.frozenUntil - world.time.now(), () -> run(task));
+        } else if (world.processorTime != null) {
+            world.processorTime.run(program, task);
         } else {
             task.run();
         }
