Judge a pipelined request by the configuration in force when it is begun

Cause: whether a request may be begun beside others of its connection was settled when its head came. A configuration that made its route non-idempotent before its last byte came left it to be begun behind an answer that may close the connection, after which the client sends it again. PipelineTest.aRouteThatMayNotRepeatAnyMoreIsNotBegunAhead failed before; the defect is kept in the test and found.

Held, with the tests now there: order of answers, what may not repeat begins with nothing before it, nothing is begun behind an answer that closes, a client's own close, or a request that can't be read.

--- a/src/main/java/gorsemast/proxy/ClientConnection.java
+++ b/src/main/java/gorsemast/proxy/ClientConnection.java
@@ -97,7 +97,9 @@
         private final HttpRequest head;
         private final BodyBuffer body = new BodyBuffer(channel.alloc());
         private final boolean keepAlive;
-        private final boolean repeatable;
+        /** As the configuration has it when it is begun; until then as it had it last. */
+        private boolean repeatable;
+
         private long bytes;
         private long headAt;
         private long arrival;
@@ -339,6 +341,9 @@
             if (!request.whole || broken) {
                 break;
             }
+            if (!request.started) {
+                request.repeatable = owner.repeatable(request.head); // a new configuration may have come since its head
+            }
             if (!request.started && (first || request.repeatable && alone)) {
                 request.started = true;
                 owner.take(request);
