--- a/src/test/java/gorsemast/dispatch/OnceTableTest.java
+++ b/src/test/java/gorsemast/dispatch/OnceTableTest.java
@@ -57,6 +57,8 @@
     @ParameterizedTest
     @CsvSource({
         // step, strike, how it ends, may it have run
+        "QUEUED, RESET, OK, true", // of the connection that it waits for: it goes on another
+        "QUEUED, CLOSE, OK, true",
         "QUEUED, SILENCE, NOT_SENT, false",
         "QUEUED, CLIENT_GONE, NOT_SENT, false",
         "QUEUED, UNLISTED, NOT_SENT, false",
@@ -65,6 +67,7 @@
         "COMING_UP, UNLISTED, NOT_SENT, false",
         "HELD, RESET, NOT_SENT, false",
         "HELD, CLOSE, NOT_SENT, false",
+        "HELD, SILENCE, CONNECT_FAILED, false",
         "HELD, CLIENT_GONE, NOT_SENT, false",
         "HELD, UNLISTED, OK, true",
         "HELD, EARLY_REFUSAL, FULL, false",
@@ -138,10 +141,25 @@
         taken.request();
         Upstream.Attempt attempt =
                 rig.send(server, "once", HttpMethod.POST, "pay", strike == Strike.SILENCE ? SHORT_MICROS : LONG_MICROS);
+        if (strike == Strike.RESET || strike == Strike.CLOSE) {
+            strikes(strike, taken);
+            assertThat(rig.told()).isEqualTo(new Told("before", Code.RESET, null));
+            Connection next = server.accept();
+            assertThat(next.request()).contains("/once");
+            next.says(answer(200, "once", "", "own"));
+        }
         here(strike, attempt, taken);
         return rig.told();
     }
 
+    private static void strikes(Strike strike, Connection connection) throws Exception {
+        if (strike == Strike.RESET) {
+            connection.reset();
+        } else {
+            connection.ends();
+        }
+    }
+
     private Told comingUp(Strike strike) throws Exception {
         server = new RawServer(1);
         server.fill();
@@ -160,12 +178,13 @@
         kept.says(answer(200, "before", "", "own"));
         rig.told();
         rig.onLoop(() -> {
-            Upstream.Attempt attempt = rig.start(server, "once", HttpMethod.POST, body, LONG_MICROS);
+            // Shorter than the least time for which a last byte is kept back.
+            long micros = strike == Strike.SILENCE ? 1_000 : LONG_MICROS;
+            Upstream.Attempt attempt = rig.start(server, "once", HttpMethod.POST, body, micros);
             int more = "POST /once".length() - "GET /before".length() + "once".length() - "before".length();
             kept.bytes(head + more + body.length() - 1);
             switch (strike) {
-                case RESET -> kept.reset();
-                case CLOSE -> kept.ends();
+                case RESET, CLOSE -> strikes(strike, kept);
                 case CLIENT_GONE -> attempt.cancel();
                 case EARLY_REFUSAL -> kept.says(answer(503, "once", "Not-Executed: 1\r\n", ""));
                 case EARLY_ERROR -> kept.says(answer(500, "once", "", ""));
@@ -197,10 +216,8 @@
         if (part > 0) {
             connection.says(whole.substring(0, part));
         }
-        if (strike == Strike.RESET) {
-            connection.reset();
-        } else if (strike == Strike.CLOSE) {
-            connection.ends();
+        if (strike == Strike.RESET || strike == Strike.CLOSE) {
+            strikes(strike, connection);
         } else {
             here(strike, attempt, connection);
         }
