--- a/src/test/java/gorsemast/http/AnswerModel.java
+++ b/src/test/java/gorsemast/http/AnswerModel.java
@@ -46,7 +46,7 @@
         }
     }
 
-    private final class Connection {
+    private static final class Connection {
         final ConnectionState state;
         final List<Asked> asked = new ArrayList<>();
         int call = -1;
