--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -94,6 +94,9 @@
     private final Liveness liveness;
     private Member me;
     private long promised;
+    /** The highest term that any member has said to have promised; a hint for the next one to ask for. */
+    private long highest;
+
     private View view;
     private StoredVersion kept;
     private Role role = Role.FOLLOWER;
@@ -297,7 +300,7 @@
     private void stand(List<Member> members) {
         role = Role.CANDIDATE;
         roundUntil = now + ROUND_MICROS;
-        promised = promised + 1;
+        promised = Math.max(promised, highest) + 1;
         long term = promised;
         out.log("stands for term " + term);
         granted.clear();
@@ -337,7 +340,7 @@
         } else if (message instanceof InstallAck ack) {
             installAck(ack);
         } else if (message instanceof ViewChange change) {
-            adopt(change.view());
+            viewChange(change);
         } else if (message instanceof Append append) {
             append(append);
         } else if (message instanceof Confirm confirm) {
@@ -353,6 +356,7 @@
         String from = heartbeat.from().id();
         liveness.told(from, heartbeat.place(), heartbeat.leaving());
         boolean backup = view.backups().contains(from);
+        highest = view.has(from) ? Math.max(highest, heartbeat.promised()) : highest;
         if (role == Role.PRIMARY && heartbeat.viewTerm() > view.term()) {
             yieldTo(Math.max(promised, heartbeat.viewTerm())); // a later term has begun while this one was not heard
         }
@@ -538,6 +542,15 @@
         });
     }
 
+    private void viewChange(ViewChange change) {
+        adopt(change.view());
+        String from = change.from().id();
+        if (role == Role.FOLLOWER && view.term() == change.view().term() && from.equals(view.primary())) {
+            activePrimary = from; // else a witness would stand against a term that has only just begun
+            activeAt = now;
+        }
+    }
+
     /** A witness, or one that was away, learns who is who. */
     private void adopt(View newer) {
         if (newer != null
