--- a/src/main/java/gorsemast/modelcheck/World.java
+++ b/src/main/java/gorsemast/modelcheck/World.java
@@ -528,6 +528,11 @@
         settle();
     }
 
+    /** Whether one that was asked to leave may end. */
+    boolean left(String ip) {
+        return machines.get(ip).keeper.left(now);
+    }
+
     /** A machine is asked to leave and ends as soon as it may, or when the time is over; how long that took. */
     long leave(String ip, long grace) {
         tell(ip + " leaves");
--- a/src/main/java/gorsemast/store/Membership.java
+++ b/src/main/java/gorsemast/store/Membership.java
@@ -53,6 +53,14 @@
         return leaving;
     }
 
+    /** Whether the own process leaves and another member, which stays, can lead in its place. */
+    boolean yields(View view, Member me, long now) {
+        return leaving
+                && view.members().stream()
+                        .anyMatch(
+                                one -> !one.equals(me) && liveness.alive(one.id(), now) && !liveness.leaving(one.id()));
+    }
+
     /** The own process was asked to end. */
     void leave(long now) {
         leaving = true;
@@ -68,7 +76,7 @@
 
     /** What a primary should do now for members and copies; null for nothing. */
     Step step(View view, Member me, long now) {
-        if (now < lookAt || leaving || !view.before().isEmpty()) {
+        if (now < lookAt || yields(view, me, now) || !view.before().isEmpty()) {
             return null;
         }
         lookAt = now + LOOK_MICROS;
--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -215,7 +215,7 @@
         switch (role) {
             case FOLLOWER -> {
                 boolean quiet = now - activeAt > SILENT_MICROS;
-                if (quiet && !membership.leaving() && now >= standBackUntil && reachesMost()) {
+                if (quiet && !membership.yields(view, me, now) && now >= standBackUntil && reachesMost()) {
                     stand(null);
                 }
             }
--- a/src/test/java/gorsemast/modelcheck/MembershipTest.java
+++ b/src/test/java/gorsemast/modelcheck/MembershipTest.java
@@ -140,6 +140,28 @@
         }
     }
 
+    /** Two or all three are replaced at the same moment; the others are lost one by one as soon as their time is over. */
+    @ParameterizedTest
+    @CsvSource({"2, 1", "2, 2", "2, 3", "3, 1", "3, 2", "3, 3"})
+    void severalAreReplacedAtOnce(int many, int seed) {
+        World world = settled(3, many, 1, seed, Plant.NONE);
+        List<String> old = new ArrayList<>(List.of("m1", "m2", "m3"));
+        while (old.size() > many) {
+            old.remove(seed % old.size());
+        }
+        old.forEach(world::ask);
+        long waited = 0;
+        while (!old.stream().allMatch(world::left) && waited < MembershipCheck.GRACE) {
+            world.calm(SECOND / 40);
+            waited += SECOND / 40;
+        }
+        assertThat(waited).as(String.join("\n", world.story())).isLessThan(MembershipCheck.GRACE);
+        old.forEach(world::remove);
+        reads(world);
+        world.lose("m4");
+        reads(world);
+    }
+
     @Test
     void nobodyWaitsForASuccessorThatIsNotThere() {
         for (String leaves : List.of("m1", "m2", "m3")) {
