--- a/src/main/java/gorsemast/modelcheck/Plant.java
+++ b/src/main/java/gorsemast/modelcheck/Plant.java
@@ -37,5 +37,15 @@
     /** A primary that wakes takes the order that it has in hand for done in its old term. */
     WAKES_AND_ACKNOWLEDGES,
     /** A primary leads on, and a backup stays one, however long its disk ends nothing. */
-    WAITS_FOR_ANY_DISK
+    WAITS_FOR_ANY_DISK,
+    /** A member that is asked to leave ends before its successor holds anything. */
+    LEAVES_AT_ONCE,
+    /** A machine that is taken in counts as a copy, and as a voter, before it holds anything. */
+    JOINS_EMPTY,
+    /** A change of members is over when backups know of it, while more than half of the members go by the old list. */
+    CHANGES_OVERLAP,
+    /** Copies and members are placed as though all machines stood in one zone. */
+    ZONES_UNKNOWN,
+    /** A machine that is no member votes in the name of a member that is down. */
+    OUTSIDER_VOTES
 }
--- a/src/main/java/gorsemast/store/StoreProgram.java
+++ b/src/main/java/gorsemast/store/StoreProgram.java
@@ -17,6 +17,7 @@
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +28,11 @@
  */
 public final class StoreProgram implements Daemon, Link.Receiver {
     private static final long DISK_AGAIN_MILLIS = 100;
+    /** Where the settings name no {@code grace}. */
+    private static final long GRACE_MICROS = 6_000_000;
+    /** Kept back of it for the disk and the end itself. */
+    private static final long GRACE_LEFT_MICROS = 1_500_000;
+
     private static final Log LOG = new Log("store");
 
     private final Settings settings;
@@ -39,6 +45,8 @@
     private final long origin = System.nanoTime();
     private final Links links;
     private StoreNode teller;
+    /** Set once the process is asked to end, and opened when it may; the loop's. */
+    private CountDownLatch left;
 
     /** By the platform's settings; nothing begins yet. */
     public StoreProgram(Settings settings) {
@@ -56,15 +64,19 @@
         if (settings.dataDir() == null) {
             throw new IOException("dataDir: the store needs a disk");
         }
+        if (!settings.configMode().equals(Settings.HIGHEST)) {
+            LOG.warn("configMode: keeps the highest version, not \"" + settings.configMode() + '"');
+        }
         Disk disk = Disk.open(settings.dataDir(), Seed.fresh());
         ReplicaState saved = recover(disk);
         StateWriter states =
-                new StateWriter(disk::save, writer, loop, token -> teller.saved(token), StoreProgram::pause);
+                new StateWriter(disk::save, writer, this::onLoop, token -> teller.saved(token), StoreProgram::pause);
         teller = new StoreNode(
                 settings.ip(),
                 settings.seedIps(),
                 saved,
-                settings.losses(),
+                settings.tolerance(),
+                new Place(settings.zone(), settings.region(), settings.lossCounted()),
                 Seed.fresh(),
                 this::now,
                 links,
@@ -98,8 +110,22 @@
         });
     }
 
+    /** Ends once another member has its place, or nobody is there to take it; shortly before the platform's patience ends. */
     @Override
     public void stop() {
+        long grace = Math.max(0, settings.time("grace", GRACE_MICROS) - GRACE_LEFT_MICROS);
+        CountDownLatch over = new CountDownLatch(1);
+        loop.execute(() -> {
+            teller.leave();
+            left = over;
+        });
+        try {
+            if (!over.await(grace, TimeUnit.MICROSECONDS)) {
+                LOG.warn("ends without a successor: grace is over");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         writer.shutdown();
         try {
             if (!writer.awaitTermination(1, TimeUnit.SECONDS)) {
@@ -110,10 +136,19 @@
         }
     }
 
+    @Override
+    public void close() {
+        Daemon.end(loop);
+        Daemon.end(writer);
+    }
+
     private void tick() {
         try {
             teller.tick();
             dial();
+            if (left != null && teller.left()) {
+                left.countDown();
+            }
         } catch (RuntimeException e) {
             LOG.fault(e);
         }
@@ -144,6 +179,13 @@
 
     // ---- the disk
 
+    /** Runs a task on the loop, unless that is being closed. */
+    private void onLoop(Runnable task) {
+        if (!loop.isShuttingDown()) {
+            loop.execute(task);
+        }
+    }
+
     private static void pause() {
         try {
             TimeUnit.MILLISECONDS.sleep(DISK_AGAIN_MILLIS); // on the disk's own thread, which has nothing else to do
