--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -104,6 +104,10 @@
     private long promised;
     /** The highest term that any member has said to have promised; a hint for the next one to ask for. */
     private long highest;
+    /** The term of the last view without an old list of members that is on disk; -1 for none. */
+    private long settled = -1;
+    /** In this life of the process it was a member, and has been replaced since: a joint view may need its vote yet. */
+    private boolean replaced;
 
     private View view;
     private StoredVersion kept;
@@ -158,6 +162,7 @@
         this.me = saved.me();
         this.promised = saved.promised();
         this.view = saved.view();
+        this.settled = view.before().isEmpty() ? view.term() : -1;
         this.kept = saved.kept();
         this.membership = new Membership(tolerance, place);
         this.liveness = membership.liveness;
@@ -249,7 +254,8 @@
 
     /** A sign of life, for whoever has just come. */
     public Message greeting() {
-        return new Heartbeat(me, promised, view.term(), role == Role.PRIMARY, membership.leaving(), membership.place());
+        return new Heartbeat(
+                me, promised, view.term(), settled, role == Role.PRIMARY, membership.leaving(), membership.place());
     }
 
     /** Whether the disk has not ended a save for long: it hangs, or is full. */
@@ -396,7 +402,7 @@
 
     private void heartbeat(Heartbeat heartbeat) {
         String from = heartbeat.from().id();
-        liveness.told(from, heartbeat.place(), heartbeat.leaving());
+        liveness.told(from, heartbeat.place(), heartbeat.leaving(), heartbeat.settled());
         boolean backup = view.backups().contains(from);
         highest = view.has(from) ? Math.max(highest, heartbeat.promised()) : highest;
         if (role == Role.PRIMARY && heartbeat.viewTerm() > view.term()) {
@@ -425,7 +431,7 @@
     }
 
     private void requestVote(RequestVote request) {
-        if (!view.has(me.id())) {
+        if (!view.has(me.id()) && !replaced) {
             return; // a life that nobody has taken in yet: what stood here before had a vote, this has none
         }
         String refusal = refusal(request);
@@ -606,6 +612,7 @@
                 role = Role.FOLLOWER; // it was asked for by an older view, and may propose members of before that
                 standBack();
             }
+            replaced = (replaced || view.has(me.id())) && !newer.has(me.id());
             view = newer;
             promised = Math.max(promised, newer.term());
             save(false, () -> {});
@@ -737,7 +744,15 @@
 
     private void save(boolean keptToo, Runnable then) {
         long mine = ++token;
-        saving.put(mine, new Saving(now, then));
+        View saved = view;
+        Runnable settles = () -> {
+            if (saved.before().isEmpty() && saved.term() > settled) {
+                settled = saved.term();
+                pingAt = Math.min(pingAt, now); // who has been replaced may wait for it
+            }
+            then.run();
+        };
+        saving.put(mine, new Saving(now, settles));
         out.save(new ReplicaState(me, promised, view, kept), keptToo, mine);
     }
 
