--- a/src/test/java/gorsemast/simulation/CatchingUpTest.java
+++ b/src/test/java/gorsemast/simulation/CatchingUpTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -25,27 +26,27 @@
         NettyLog.install();
     }
 
-    private static Day stalled(int disk) {
+    private static Day stalled(int cores, int disk) {
         List<Trouble> troubles = new ArrayList<>();
         troubles.add(new Trouble(Kind.STALL, 5 * SECOND, 20 * SECOND, disk));
         for (int order = 0; order < 20; order++) {
             troubles.add(new Trouble(Kind.CONFIG, (5 + order) * SECOND + 300_000, 0, 0));
         }
-        return new Day(3, 4, 71, 32 * SECOND, troubles, Closing.NONE);
+        return new Day(cores, 4, 71, 32 * SECOND, troubles, Closing.NONE);
     }
 
     /** Each order is held to its 4 s, as the referee counts a stalled disk as no trouble of the core. */
     @ParameterizedTest
-    @ValueSource(ints = {0, 1, 2})
-    void ordersAreAcknowledgedWhileADiskStallsForTwentySeconds(int disk) {
-        List<Long> took = stalled(disk).play(Plant.NONE).times().get(Outcome.ACKNOWLEDGED);
+    @CsvSource({"3, 0", "3, 1", "3, 2", "4, 0", "4, 1", "4, 2", "4, 3", "5, 0", "5, 2", "5, 4"})
+    void ordersAreAcknowledgedWhileADiskStallsForTwentySeconds(int cores, int disk) {
+        List<Long> took = stalled(cores, disk).play(Plant.NONE).times().get(Outcome.ACKNOWLEDGED);
         assertThat(took).hasSize(21);
         assertThat(Collections.max(took.subList(1, 21))).isLessThan(4 * SECOND);
     }
 
     @Test
     void aLeadThatWaitsForItsDiskIsFound() {
-        assertThat(IntStream.range(0, 3).filter(disk -> broken(stalled(disk), Plant.WAITS_FOR_ANY_DISK)))
+        assertThat(IntStream.range(0, 3).filter(disk -> broken(stalled(3, disk), Plant.WAITS_FOR_ANY_DISK)))
                 .hasSize(2);
     }
 
