--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -236,7 +236,11 @@
         switch (role) {
             case FOLLOWER -> {
                 boolean quiet = now - activeAt > SILENT_MICROS;
-                if (quiet && !membership.yields(view, me, now) && now >= standBackUntil && reachesMost() && !slowDisk()) {
+                if (quiet
+                        && !membership.yields(view, me, now)
+                        && now >= standBackUntil
+                        && reachesMost()
+                        && !slowDisk()) {
                     stand(null);
                 }
             }
