An order is its number and its content: 409 for another content under a taken number

Two configurations under one number, sent to two registries, were both acknowledged (HTTP test on the program before: 200, 200 in its first race): Replica.next wrote nothing for a number not above the held one and called any content done; RegistryNode.answered published its own copy of the call; entries of one stamp were never compared.

A replica keeps the last 512 taken numbers (number, term, digest: 32 bytes each), saved, installed and handed over with the configuration; an append carries only those since the last one.
The same content is acknowledged again; another one is a conflict, answered after the same round with the backups as an acknowledgement.
- Found by the model with contents: an elected member kept the term in which a configuration was first taken, so a stray of a term in between, on one disk only, replaced what had been acknowledged since.
What a term begins with is vouched for by that term.
- Answers of the store are done, conflict or uncertain and carry number, term, digest and body; a registry publishes that alone.
News of a configuration merge by number, then term; digests cover term and content.
- modelcheck: OrderReferee judges contents; rivals, orders sent again, outages and contended take-overs are drawn; all rows of three out of 20 events of orders (8,000).
Four planted defects: CONFLICT_SAYS_DONE, CONFLICT_BEFORE_THE_ROUND, NUMBERS_FORGOTTEN, FIRST_TERM_STAYS.

NetworkTest.theHighestVersionHoldsWhereverItIsSent asked that another content under number 1 be acknowledged; it now asks that the same one is, and that the other is a conflict.

--- a/src/main/java/gorsemast/gossip/GossipState.java
+++ b/src/main/java/gorsemast/gossip/GossipState.java
@@ -1,6 +1,10 @@
 package gorsemast.gossip;
 
+import gorsemast.configuration.ContentDigest;
 import gorsemast.gossip.Entry.Kind;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumMap;
@@ -11,7 +15,8 @@
 /**
  * All news that one process holds.
  *
- * <p><b>Idea.</b> Merging is idempotent, commutative and associative: the higher stamp of a key holds. So news may be
+ * <p><b>Idea.</b> Merging is idempotent, commutative and associative: the higher stamp of a key holds, and of two contents
+ * under one stamp that of the later term. So news may be
  * passed on by anybody to anybody, in any order and more than once, and all come to hold the same (state-based CRDTs,
  * Shapiro et al. 2011). Gaps are found by comparing digests, one for each of {@link #BUCKETS} parts of the keys, and
  * mended by telling the stamps of a part that differs (anti-entropy, Demers et al. 1987).
@@ -32,8 +37,36 @@
     /** In this last part of its time an item counts in no digest, as clocks that differ by little forget it in turn. */
     private static final long FADING_MICROS = 30_000_000;
 
-    /** A key and its stamp, which is what digests and summaries are of. */
-    public record Stamp(Kind kind, String key, long stamp) {}
+    /** A key with its stamp and origin, which is what digests and summaries are of. */
+    public record Stamp(Kind kind, String key, long stamp, Entry.Origin origin) {
+        /** Whether it holds against another one of the same key. */
+        boolean newerThan(Stamp other) {
+            return stamp != other.stamp ? stamp > other.stamp : origin.compareTo(other.origin) > 0;
+        }
+
+        /** Writes it; the origin only where there is one. */
+        public void write(DataOutputStream out) throws IOException {
+            out.writeByte(kind.ordinal());
+            out.writeUTF(key);
+            out.writeLong(stamp);
+            if (kind.hasOrigin()) {
+                out.writeLong(origin.term());
+                origin.digest().write(out);
+            }
+        }
+
+        /** Reads what {@link #write} wrote. */
+        public static Stamp read(DataInputStream in) throws IOException {
+            Kind kind = Kind.of(in.readUnsignedByte());
+            String key = in.readUTF();
+            long stamp = in.readLong();
+            return new Stamp(
+                    kind,
+                    key,
+                    stamp,
+                    kind.hasOrigin() ? new Entry.Origin(in.readLong(), ContentDigest.read(in)) : Entry.Origin.NONE);
+        }
+    }
 
     private final Map<Kind, Map<String, Entry>> items = new EnumMap<>(Kind.class);
     private final long[] digests = new long[BUCKETS];
@@ -53,7 +86,7 @@
         }
         Map<String, Entry> of = items.get(item.kind());
         Entry held = of.get(item.key());
-        if (held != null && held.stamp() >= item.stamp()) {
+        if (held != null && !item.mark().newerThan(held.mark())) {
             return false;
         }
         if (held != null) {
@@ -87,6 +120,10 @@
             return;
         }
         long hash = hash(item.kind(), item.key(), item.stamp());
+        if (item.kind().hasOrigin()) {
+            hash = Hash.mix(Hash.mix(hash ^ item.origin().term())
+                    ^ item.origin().digest().high());
+        }
         digests[bucket(item.kind(), item.key())] ^= hash;
         if (item.kind() == Kind.PURGE) {
             purges ^= hash;
@@ -132,7 +169,7 @@
         List<Stamp> found = new ArrayList<>();
         items.values().forEach(of -> of.values().forEach(item -> {
             if (item.kind().mended() && (parts >> bucket(item.kind(), item.key()) & 1) == 1) {
-                found.add(new Stamp(item.kind(), item.key(), item.stamp()));
+                found.add(item.mark());
             }
         }));
         return found;
@@ -140,14 +177,14 @@
 
     /** What is held here and newer than, or lacking in, the other's stamps of these parts. */
     public List<Entry> newerThan(int parts, List<Stamp> others) {
-        Map<String, Long> known = new LinkedHashMap<>();
-        others.forEach(stamp -> known.put(stamp.kind().ordinal() + stamp.key(), stamp.stamp()));
+        Map<String, Stamp> known = new LinkedHashMap<>();
+        others.forEach(stamp -> known.put(stamp.kind().ordinal() + stamp.key(), stamp));
         List<Entry> found = new ArrayList<>();
         items.values().forEach(of -> of.values().forEach(item -> {
-            Long theirs = known.get(item.kind().ordinal() + item.key());
+            Stamp theirs = known.get(item.kind().ordinal() + item.key());
             if (item.kind().mended()
                     && (parts >> bucket(item.kind(), item.key()) & 1) == 1
-                    && (theirs == null || theirs < item.stamp())) {
+                    && (theirs == null || item.mark().newerThan(theirs))) {
                 found.add(item);
             }
         }));
@@ -159,7 +196,7 @@
         List<Stamp> found = new ArrayList<>();
         for (Stamp stamp : others) {
             Entry held = get(stamp.kind(), stamp.key());
-            if (held == null || held.stamp() < stamp.stamp()) {
+            if (held == null || stamp.newerThan(held.mark())) {
                 found.add(stamp);
             }
         }
--- a/src/main/java/gorsemast/modelcheck/Plant.java
+++ b/src/main/java/gorsemast/modelcheck/Plant.java
@@ -27,5 +27,13 @@
     /** A backup answers the primary of a term that it has given up. */
     ANSWERS_ANY_TERM,
     /** What is asked for by term is taken in any term. */
-    TERMS_IGNORED
+    TERMS_IGNORED,
+    /** A number that is taken by another content is acknowledged. */
+    CONFLICT_SAYS_DONE,
+    /** An order is refused before the backups have said that what has its number holds. */
+    CONFLICT_BEFORE_THE_ROUND,
+    /** What is handed over at a take-over has no numbers but its own. */
+    NUMBERS_FORGOTTEN,
+    /** A configuration keeps the term in which it was first taken, whichever term acknowledges it. */
+    FIRST_TERM_STAYS
 }
--- a/src/main/java/gorsemast/modelcheck/SpoiledMessages.java
+++ b/src/main/java/gorsemast/modelcheck/SpoiledMessages.java
@@ -12,22 +12,32 @@
 import gorsemast.store.Message.Vote;
 import gorsemast.store.Message.VoteRefused;
 import gorsemast.store.StoredVersion;
+import gorsemast.store.TakenNumbers;
 import gorsemast.store.View;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.function.UnaryOperator;
 
-/** The planted defects that lie in messages: what is sent in place of the right one. No state; any thread. */
+/** The planted defects that lie in messages: what is sent in place of the right one. One thread. */
 final class SpoiledMessages {
     private static final long FAR = Long.MAX_VALUE / 4;
     private static final long TERMS_AHEAD = 1_000;
 
-    private SpoiledMessages() {}
+    private final Plant plant;
+    /** The term in which each content was first seen under its number. */
+    private final Map<String, Long> firstTerms = new HashMap<>();
+
+    SpoiledMessages(Plant plant) {
+        this.plant = plant;
+    }
 
     /**
      * What is sent in place of a message; null for nothing.
      *
      * @param lastAsked the term that was last asked for by anybody
      */
-    static Message spoiled(Plant plant, Message message, long lastAsked) {
+    Message spoiled(Message message, long lastAsked) {
         if (plant == Plant.VOTE_WITHOUT_KEPT && message instanceof Vote vote) {
             return new Vote(vote.from(), vote.term(), null);
         }
@@ -48,7 +58,36 @@
         }
         if (plant == Plant.TERMS_IGNORED && message instanceof RequestVote request) {
             return new RequestVote(
-                    request.from(), request.term() + TERMS_AHEAD, FAR, new StoredVersion(FAR, 0, new byte[0]));
+                    request.from(),
+                    request.term() + TERMS_AHEAD,
+                    FAR,
+                    new StoredVersion(FAR, 0, new byte[0], TakenNumbers.NONE));
+        }
+        if (plant == Plant.NUMBERS_FORGOTTEN) {
+            return handsOver(
+                    message, held -> new StoredVersion(held.version(), held.term(), held.body(), TakenNumbers.NONE));
+        }
+        if (plant == Plant.FIRST_TERM_STAYS) {
+            return handsOver(message, this::ofItsFirstTerm);
+        }
+        return message;
+    }
+
+    private StoredVersion ofItsFirstTerm(StoredVersion held) {
+        long first = firstTerms.computeIfAbsent(held.version() + " " + held.digest(), name -> held.term());
+        return new StoredVersion(held.version(), first, held.body(), held.numbers());
+    }
+
+    /** A message with another configuration in the place of the one that it hands over. */
+    private static Message handsOver(Message message, UnaryOperator<StoredVersion> spoil) {
+        if (message instanceof Vote vote && vote.newer() != null) {
+            return new Vote(vote.from(), vote.term(), spoil.apply(vote.newer()));
+        }
+        if (message instanceof Install install) {
+            return new Install(install.from(), install.term(), install.view(), spoil.apply(install.held()));
+        }
+        if (message instanceof Append append) {
+            return new Append(append.from(), append.term(), append.round(), spoil.apply(append.held()));
         }
         return message;
     }
@@ -59,7 +98,7 @@
     }
 
     /** The answer of a backup that looks at no term; null where that defect is not planted, or nothing is asked. */
-    static Message answerInAnyTerm(Plant plant, Message message, Member backup) {
+    Message answerInAnyTerm(Message message, Member backup) {
         if (plant != Plant.ANSWERS_ANY_TERM) {
             return null;
         }
--- a/src/main/java/gorsemast/modelcheck/StoreCheck.java
+++ b/src/main/java/gorsemast/modelcheck/StoreCheck.java
@@ -30,6 +30,10 @@
                         world.strike();
                     } else if (e % 400 == 199) {
                         world.sleep();
+                    } else if (e % 400 == 99) {
+                        world.outage();
+                    } else if (e % 400 == 299) {
+                        world.contend();
                     }
                 }
                 world.heal();
@@ -64,6 +68,37 @@
         events.add(world -> world.wipe("m2"));
         events.add(world -> world.calm(100_000));
         events.add(world -> world.calm(1_000_000));
+        return rows(members, depth, plant, events, world -> world.calm(25_000));
+    }
+
+    /**
+     * All orders of what operators send and of what holds it up: the same order to all at once, other contents under its
+     * number, orders that were overtaken, in a take-over and round a loss of power of all. Nothing arrives between two
+     * events unless an event says so.
+     */
+    public static Result orders(int members, int depth, Plant plant) {
+        List<Event> events = new ArrayList<>();
+        for (int i = 1; i <= members; i++) {
+            String a = "m" + i;
+            events.add(world -> world.rival(a, 0));
+            events.add(world -> world.again(a, 1));
+            events.add(world -> world.kill(a, true));
+        }
+        events.add(world -> world.put("m1", false));
+        events.add(world -> world.put("m2", false));
+        events.add(world -> world.machines().forEach(ip -> world.again(ip, 0)));
+        events.add(world -> world.machines().forEach(ip -> world.rival(ip, 0)));
+        events.add(world -> world.rival("m3", 1));
+        events.add(world -> world.isolate("m1", true));
+        events.add(world -> world.isolate("m1", false));
+        events.add(world -> world.breakLink("m1", "m2"));
+        events.add(World::quiet);
+        events.add(world -> world.calm(2_000_000));
+        events.add(World::restartAll);
+        return rows(members, depth, plant, events, world -> {});
+    }
+
+    private static Result rows(int members, int depth, Plant plant, List<Event> events, Event between) {
         int[] row = new int[depth];
         long courses = 0;
         long answered = 0;
@@ -75,7 +110,7 @@
                 world.calm(100_000);
                 for (int event : row) {
                     events.get(event).happen(world);
-                    world.calm(25_000);
+                    between.happen(world);
                 }
                 world.heal();
             } catch (World.Broken e) {
--- a/src/main/java/gorsemast/modelcheck/World.java
+++ b/src/main/java/gorsemast/modelcheck/World.java
@@ -1,5 +1,9 @@
 package gorsemast.modelcheck;
 
+import gorsemast.configuration.ContentDigest;
+import gorsemast.modelcheck.OrderReferee.Asked;
+import gorsemast.modelcheck.OrderReferee.Order;
+import gorsemast.store.CallOutcome;
 import gorsemast.store.Member;
 import gorsemast.store.Message;
 import gorsemast.store.Message.Append;
@@ -10,7 +14,6 @@
 import gorsemast.store.Replica;
 import gorsemast.store.ReplicaState;
 import gorsemast.store.StoredVersion;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -26,8 +29,8 @@
  * order, as on a link, but a link may break and lose what was on it. What is on its way to a disk when power is lost is
  * there or not; a process that dies leaves its writes behind.
  *
- * <p>The referee: what was acknowledged under a version is never answered with other content, a read never answers with
- * less than was acknowledged before it was asked for, and when all is well again a read answers, with at least the newest
+ * <p>The referee: what {@link OrderReferee} says of orders, a read never answers with less than was acknowledged before
+ * it was asked for, and when all is well again a read answers, with at least the newest
  * that was acknowledged. Deterministic by its seed.
  */
 public final class World {
@@ -42,10 +45,13 @@
 
     private static final long STEP_MICROS = 25_000;
     private static final long LONG_MICROS = 20_000_000;
+    /** Long enough for one to take over. */
+    private static final long QUIET_MICROS = 1_500_000;
 
-    private record Save(ReplicaState state, long token, Replica of) {}
+    /** Orders under so many contested numbers are sent again in the end. */
+    private static final int SENT_AGAIN = 4;
 
-    private record Asked(boolean put, long version, long floor) {}
+    private record Save(ReplicaState state, long token, Replica of) {}
 
     /** One machine. */
     private final class Machine implements Replica.Out {
@@ -74,6 +80,11 @@
             }
         }
 
+        private boolean refusesAtOnce(Order order) {
+            ContentDigest holds = keeper.kept().numbers().digest(order.version());
+            return holds != null && !holds.equals(ContentDigest.of(order.body()));
+        }
+
         void kill(boolean power) {
             // A process's writes are in the system's hands; power may take those that were not synced.
             while (!saves.isEmpty()) {
@@ -115,7 +126,7 @@
             if (to.ip().equals(ip)) {
                 return;
             }
-            Message sent = SpoiledMessages.spoiled(plant, message, lastAsked);
+            Message sent = spoiled.spoiled(message, lastAsked);
             if (sent != null) {
                 links.computeIfAbsent(ip + ">" + to.ip(), pair -> new ArrayDeque<>())
                         .add(sent);
@@ -151,30 +162,17 @@
         }
 
         @Override
-        public void answer(long call, boolean done, StoredVersion kept) {
+        public void answer(long call, CallOutcome outcome, StoredVersion kept) {
             Asked asked = calls.remove(call);
-            if (asked == null || !done) {
-                return;
-            }
-            answered++;
-            if (asked.put && kept.version() < asked.version) {
-                throw new Broken("version " + asked.version + " is acknowledged where " + kept.version() + " holds");
-            }
-            if (kept.version() < asked.floor) {
-                throw new Broken(
-                        ip + " answers with version " + kept.version() + " after " + asked.floor + " was acknowledged");
+            if (asked != null) {
+                boolean hides = plant == Plant.CONFLICT_SAYS_DONE && outcome == CallOutcome.CONFLICT;
+                orders.answers(ip, asked, hides ? CallOutcome.DONE : outcome, kept);
             }
-            String text = new String(kept.body(), StandardCharsets.UTF_8);
-            String before = acknowledged.putIfAbsent(kept.version(), text);
-            if (before != null && !before.equals(text)) {
-                throw new Broken("version " + kept.version() + " was acknowledged as " + before + " and as " + text);
-            }
-            newest = Math.max(newest, kept.version());
         }
 
         @Override
         public void committed(StoredVersion kept) {
-            // told to registries; what holds for answers holds for these
+            orders.tells(ip, kept);
         }
 
         @Override
@@ -215,22 +213,21 @@
     private final Set<String> cuts = new HashSet<>();
     private final Map<Long, Asked> calls = new HashMap<>();
     private final Map<Long, Integer> hops = new HashMap<>();
-    private final Map<Long, String> acknowledged = new HashMap<>();
+    private final OrderReferee orders = new OrderReferee();
+    private final SpoiledMessages spoiled;
     private final Deque<Runnable> later = new ArrayDeque<>();
     private List<String> story;
     private long now = 1_000_000;
-    private long newest;
-    private long versions;
     private long lastCall;
     private long lastAsked;
     private int lives;
-    private int answered;
     private String lost;
 
     /** So many members on empty disks, at the system's first start, and further machines that are none. */
     public World(int members, int spares, long seed, Plant plant) {
         this.random = new SplittableRandom(seed);
         this.plant = plant;
+        this.spoiled = new SpoiledMessages(plant);
         for (int i = 1; i <= members + spares; i++) {
             String ip = "m" + i;
             ips.add(ip);
@@ -246,7 +243,6 @@
         for (int i = 0; i < members; i++) {
             machines.get(ips.get(i)).start();
         }
-        acknowledged.put(0L, "");
     }
 
     /** Keeps what members say of themselves from now on. */
@@ -262,7 +258,7 @@
 
     /** Calls that were answered for certain. */
     public int answered() {
-        return answered;
+        return orders.answered();
     }
 
     private boolean cut(String from, String to) {
@@ -270,12 +266,12 @@
     }
 
     private void enter(Machine at, long call, Asked asked) {
-        if (asked.put) {
-            at.keeper.put(
-                    now,
-                    call,
-                    asked.version,
-                    ("content of " + asked.version + " by call " + call).getBytes(StandardCharsets.UTF_8));
+        if (asked.order() != null) {
+            if (plant == Plant.CONFLICT_BEFORE_THE_ROUND && at.refusesAtOnce(asked.order())) {
+                at.answer(call, CallOutcome.CONFLICT, at.keeper.kept());
+                return;
+            }
+            at.keeper.put(now, call, asked.order().version(), asked.order().body());
         } else {
             at.keeper.get(now, call);
         }
@@ -290,25 +286,38 @@
 
     // ---- what may happen
 
-    /** An operator sends the next version, or sends one again, to a machine. */
+    /** An operator sends the next version to a machine, or sends the last one again. */
     void put(String ip, boolean same) {
-        Machine at = machines.get(ip);
-        if (at.keeper != null && !at.frozen) {
-            long call = ++lastCall;
-            versions += same ? 0 : 1;
-            Asked asked = new Asked(true, versions, newest);
-            calls.put(call, asked);
-            enter(at, call, asked);
-        }
+        order(ip, same ? orders.again(0) : orders.next());
+    }
+
+    /** An operator sends an order again that was sent so many before the last. */
+    void again(String ip, int back) {
+        order(ip, orders.again(back));
+    }
+
+    /** Another operator sends a content of its own under a number that was sent so many numbers ago. */
+    void rival(String ip, int back) {
+        order(ip, orders.rival(back));
+    }
+
+    private void order(String ip, Order order) {
+        ask(ip, orders.ask(order));
     }
 
     /** An operator reads. */
     void get(String ip) {
+        ask(ip, orders.ask(null));
+    }
+
+    private void ask(String ip, Asked asked) {
         Machine at = machines.get(ip);
         if (at.keeper != null && !at.frozen) {
             long call = ++lastCall;
-            Asked asked = new Asked(false, 0, newest);
             calls.put(call, asked);
+            if (story != null && asked.order() != null) {
+                story.add(now / 1_000 + " " + ip + " is sent " + asked.order().content());
+            }
             enter(at, call, asked);
         }
     }
@@ -325,7 +334,7 @@
             lastAsked = request.term();
         }
         at.keeper.message(now, message);
-        Message answer = SpoiledMessages.answerInAnyTerm(plant, message, at.disk.me());
+        Message answer = spoiled.answerInAnyTerm(message, at.disk.me());
         if (answer != null) {
             Machine asker = machines.get(from);
             later.add(() -> {
@@ -418,6 +427,22 @@
         }
     }
 
+    /** A machine reaches no other one, both ways. */
+    void isolate(String ip, boolean does) {
+        for (String other : ips) {
+            if (!other.equals(ip)) {
+                cut(ip, other, does);
+                cut(other, ip, does);
+            }
+        }
+    }
+
+    /** All lose power at once and come back. */
+    void restartAll() {
+        ips.forEach(ip -> kill(ip, true));
+        ips.forEach(this::start);
+    }
+
     private void tell(String what) {
         steadySince = now;
         if (story != null) {
@@ -443,8 +468,12 @@
             sync(a);
         } else if (what < 860) {
             tick();
+        } else if (what < 890) {
+            put(a, false);
+        } else if (what < 900) {
+            again(a, random.nextInt(6));
         } else if (what < 910) {
-            put(a, random.nextInt(4) == 0);
+            rival(a, random.nextInt(4));
         } else if (what < 945) {
             get(a);
         } else if (what < 955) {
@@ -504,6 +533,62 @@
         }
     }
 
+    /**
+     * Two contents under one number, each on one disk only, in two terms; then the first one's machine leads again and
+     * acknowledges, and the second one's comes back in its place.
+     */
+    void contend() {
+        cuts.clear();
+        for (String ip : ips) {
+            machines.get(ip).frozen = false;
+            start(ip);
+        }
+        calm(QUIET_MICROS);
+        String first = primary();
+        isolate(first, true);
+        put(first, false);
+        calm(QUIET_MICROS);
+        String second = primary();
+        isolate(second, true);
+        rival(second, 0);
+        calm(25_000L * random.nextInt(3));
+        isolate(first, false);
+        isolate(second, true);
+        calm(QUIET_MICROS);
+        again(first, 1);
+        get(first);
+        calm(25_000L * random.nextInt(3));
+        isolate(second, false);
+        isolate(first, true);
+        calm(QUIET_MICROS);
+        again(second, random.nextInt(2));
+        get(second);
+        calm(25_000L * random.nextInt(3));
+        isolate(first, false);
+    }
+
+    private String primary() {
+        List<String> leading = ips.stream()
+                .filter(ip -> machines.get(ip).keeper != null
+                        && machines.get(ip).keeper.primary())
+                .toList();
+        return leading.isEmpty() ? ips.get(0) : leading.get(random.nextInt(leading.size()));
+    }
+
+    /** An order is on its way to the disks of those who answer it when all lose power. */
+    void outage() {
+        String asked = ips.get(random.nextInt(ips.size()));
+        put(asked, false);
+        for (int i = random.nextInt(20); i > 0; i--) {
+            if (random.nextInt(6) == 0) {
+                sync(ips.get(random.nextInt(ips.size())));
+            } else {
+                deliver(ips.get(random.nextInt(ips.size())), ips.get(random.nextInt(ips.size())));
+            }
+        }
+        restartAll();
+    }
+
     /** Everything works again, for so long that what is slow has come to its end; then a read must answer. */
     public void heal() {
         cuts.clear();
@@ -516,15 +601,28 @@
             quiet();
             tick();
         }
-        int before = answered;
-        get(ips.get(0));
-        for (int i = 0; i < 200 && answered == before; i++) {
+        if (!answers(() -> get(ips.get(0)))) {
+            throw new Broken("nobody answers though all is well");
+        }
+        List<Order> contested = orders.contested(SENT_AGAIN);
+        for (Order order : contested) {
+            // As an operator does: one that nobody has taken in yet may not know who leads, another one does.
+            int first = random.nextInt(ips.size());
+            if (!answers(() -> order(ips.get(first), order)) && !answers(() -> order(ips.get(0), order))) {
+                throw new Broken("nobody answers an order though all is well");
+            }
+        }
+        orders.end(contested);
+    }
+
+    private boolean answers(Runnable asks) {
+        int before = answered();
+        asks.run();
+        for (int i = 0; i < 200 && answered() == before; i++) {
             quiet();
             tick();
         }
-        if (answered == before) {
-            throw new Broken("nobody answers though all is well");
-        }
+        return answered() > before;
     }
 
     /** Everything that is on its way arrives. */
--- a/src/main/java/gorsemast/peer/Record.java
+++ b/src/main/java/gorsemast/peer/Record.java
@@ -1,9 +1,11 @@
 package gorsemast.peer;
 
+import gorsemast.configuration.ContentDigest;
 import gorsemast.election.LeaseElection;
 import gorsemast.gossip.Entry;
 import gorsemast.gossip.GossipState;
 import gorsemast.gossip.SpeedNews;
+import gorsemast.store.CallOutcome;
 import gorsemast.store.Message;
 import gorsemast.store.MessageCodec;
 import java.io.DataInputStream;
@@ -49,11 +51,22 @@
     /** HeartbeatTable to store: keep this version. */
     record Put(long call, long version, byte[] body) implements Record {}
 
-    /** HeartbeatTable to store: the newest version, with its body where it is not {@code known}. */
-    record Get(long call, long known) implements Record {}
+    /** HeartbeatTable to store: the newest version, with its body where it is not the known one of the known term. */
+    record Get(long call, long known, long knownTerm) implements Record {}
 
-    /** Store to registry; {@code done} where it is certain. Version 0 stands for none. */
-    record Answer(long call, boolean done, long version, byte[] body) implements Record {}
+    /**
+     * Store to registry, or to the store that passed the call on: what holds now. Version 0 stands for none.
+     *
+     * @param digest of the content that holds
+     * @param body that content; null where the asker has it
+     */
+    record Answer(long call, CallOutcome outcome, long version, long term, ContentDigest digest, byte[] body)
+            implements Record {
+        /** The same for the call that it was passed on for, with a body that the asker gave. */
+        public Answer to(long other, byte[] given) {
+            return new Answer(other, outcome, version, term, digest, given);
+        }
+    }
 
     /** Store to store, between members; what it says is decided elsewhere. */
     record Between(Message message) implements Record {}
@@ -65,7 +78,7 @@
     record Pooled(Map<String, double[]> servers) implements Record {}
 
     /** The first byte of each record; another one is another form of them. */
-    int FORM = 1;
+    int FORM = 2;
     /** The longest record, a bound on what one peer makes another keep. */
     int LONGEST = 72 << 20;
 
@@ -93,9 +106,7 @@
             out.writeBoolean(summary.asks);
             out.writeInt(summary.stamps.size());
             for (GossipState.Stamp stamp : summary.stamps) {
-                out.writeByte(stamp.kind().ordinal());
-                out.writeUTF(stamp.key());
-                out.writeLong(stamp.stamp());
+                stamp.write(out);
             }
         } else if (this instanceof News news) {
             out.writeByte(5);
@@ -123,11 +134,14 @@
             out.writeByte(9);
             out.writeLong(get.call);
             out.writeLong(get.known);
+            out.writeLong(get.knownTerm);
         } else if (this instanceof Answer answer) {
             out.writeByte(10);
             out.writeLong(answer.call);
-            out.writeBoolean(answer.done);
+            out.writeByte(answer.outcome.ordinal());
             out.writeLong(answer.version);
+            out.writeLong(answer.term);
+            answer.digest.write(out);
             bytes(out, answer.body);
         } else if (this instanceof Between between) {
             out.writeByte(11);
@@ -172,8 +186,7 @@
                 int count = count(in);
                 List<GossipState.Stamp> stamps = new ArrayList<>();
                 for (int i = 0; i < count; i++) {
-                    stamps.add(
-                            new GossipState.Stamp(Entry.Kind.of(in.readUnsignedByte()), in.readUTF(), in.readLong()));
+                    stamps.add(GossipState.Stamp.read(in));
                 }
                 yield new Summary(parts, asks, stamps);
             }
@@ -196,8 +209,15 @@
                 yield new Heard(beats);
             }
             case 8 -> new Put(in.readLong(), in.readLong(), bytes(in));
-            case 9 -> new Get(in.readLong(), in.readLong());
-            case 10 -> new Answer(in.readLong(), in.readBoolean(), in.readLong(), bytes(in));
+            case 9 -> new Get(in.readLong(), in.readLong(), in.readLong());
+            case 10 ->
+                new Answer(
+                        in.readLong(),
+                        CallOutcome.of(in.readUnsignedByte()),
+                        in.readLong(),
+                        in.readLong(),
+                        ContentDigest.read(in),
+                        bytes(in));
             case 11 -> new Between(MessageCodec.read(in));
             case 12 -> {
                 LeaseElection.Word word = LeaseElection.Word.of(in.readUnsignedByte());
--- a/src/main/java/gorsemast/proxy/ProxyNode.java
+++ b/src/main/java/gorsemast/proxy/ProxyNode.java
@@ -3,6 +3,7 @@
 import gorsemast.cache.Homes;
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.ConfigurationException;
+import gorsemast.configuration.ContentDigest;
 import gorsemast.gossip.Entry;
 import gorsemast.gossip.Entry.Kind;
 import gorsemast.gossip.GossipState;
@@ -75,6 +76,9 @@
     private final Set<String> seeds = new LinkedHashSet<>();
     private final Set<String> services = new LinkedHashSet<>();
     private Configuration configuration;
+    /** Of the content in force. */
+    private ContentDigest contentDigest;
+
     private boolean serversDirty;
     private boolean edgesDirty;
     /** All that are up, with their zones, and those of them that it watches; null where they have changed. */
@@ -241,13 +245,15 @@
     }
 
     private void configured(Entry item) {
+        if (item != board.get(Kind.CONFIGURATION, "") || item.origin().digest().equals(contentDigest)) {
+            return; // a newer one has come with it, or a later term vouches for what is in force already
+        }
         try {
             Configuration next = Configuration.parse(item.body());
-            if (configuration != null && next.version() <= configuration.version()) {
-                return;
-            }
             configuration = next;
-            LOG.info("goes by version " + Long.toHexString(next.version()));
+            contentDigest = item.origin().digest();
+            LOG.info("goes by version " + Long.toHexString(next.version()) + " of term "
+                    + item.origin().term());
             tellConfiguration();
             serversDirty = true;
             tellServers();
--- a/src/main/java/gorsemast/registry/RegistryNode.java
+++ b/src/main/java/gorsemast/registry/RegistryNode.java
@@ -14,6 +14,7 @@
 import gorsemast.peer.Neighbours;
 import gorsemast.peer.Record;
 import gorsemast.peer.Record.Program;
+import gorsemast.store.CallOutcome;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -307,7 +308,11 @@
         long call = ++lastCall;
         Entry held = reply == null ? board.get(Kind.CONFIGURATION, "") : null;
         waiting.put(call, new Waiting(null, reply, now() + (reply == null ? ASK_MICROS : CALL_MICROS)));
-        if (!toStore(new Record.Get(call, held == null ? -1 : held.stamp())) && reply != null) {
+        if (!toStore(new Record.Get(
+                        call,
+                        held == null ? -1 : held.stamp(),
+                        held == null ? 0 : held.origin().term()))
+                && reply != null) {
             waiting.remove(call);
             reply.answer(503, "the store is away", null);
         }
@@ -322,37 +327,39 @@
     }
 
     private void answered(Record.Answer answer) {
-        if (answer.call() == 0 && answer.body() != null && answer.version() > 0) {
-            // What the store holds, acknowledged or not: it was valid, so it may be in force.
-            publish(new Entry(Kind.CONFIGURATION, "", answer.version(), answer.body(), now()));
-            return;
+        if (answer.outcome() != CallOutcome.UNCERTAIN) {
+            holds(answer);
+        }
+        if (answer.call() == 0) {
+            return; // what the store holds, acknowledged or not: it was valid, so it may be in force
         }
         Waiting call = waiting.remove(answer.call());
-        boolean read = call != null && call.put == null && call.reply != null;
-        if (!answer.done()) {
-            if (call != null && call.reply != null) {
-                call.reply.answer(503, "the store is not certain", null);
-            }
+        storeKnown |= answer.outcome() != CallOutcome.UNCERTAIN;
+        if (call == null || call.reply == null) {
             return;
         }
-        storeKnown = true;
-        if (answer.body() != null && answer.version() > 0) {
-            publish(new Entry(Kind.CONFIGURATION, "", answer.version(), answer.body(), now()));
-        }
-        if (call != null && call.put != null) {
-            if (answer.version() == call.put.version()) {
-                publish(new Entry(Kind.CONFIGURATION, "", call.put.version(), call.put.body(), now()));
-            }
-            call.reply.answer(200, null, null);
-        } else if (read) {
-            if (answer.version() == 0) {
-                call.reply.answer(404, "no configuration yet", null);
-            } else {
-                call.reply.answer(200, null, answer.body());
+        switch (answer.outcome()) {
+            case UNCERTAIN -> call.reply.answer(503, "the store is not certain", null);
+            case CONFLICT -> call.reply.answer(409, "configVersion: is taken by another content", null);
+            case DONE -> {
+                if (call.put != null) {
+                    call.reply.answer(200, null, null);
+                } else if (answer.version() == 0) {
+                    call.reply.answer(404, "no configuration yet", null);
+                } else {
+                    call.reply.answer(200, null, answer.body());
+                }
             }
         }
     }
 
+    /** Tells what the store says that it holds: never this registry's own copy of a call. */
+    private void holds(Record.Answer answer) {
+        if (answer.body() != null && answer.version() > 0) {
+            publish(Entry.configuration(answer.version(), answer.term(), answer.digest(), answer.body(), now()));
+        }
+    }
+
     // ---- commands
 
     /** Runs a command of {@code size} bytes; the reply may come later, and comes once. */
--- a/src/main/java/gorsemast/store/Message.java
+++ b/src/main/java/gorsemast/store/Message.java
@@ -29,7 +29,8 @@
     /**
      * A vote, sent once the promise is on the voter's disk.
      *
-     * @param newer what the voter holds where that is newer than what the candidate holds, else null
+     * @param newer what the voter holds where the candidate lacks some of it, without the body where only numbers are
+     *              lacking; else null
      */
     record Vote(Member from, long term, StoredVersion newer) implements Message {}
 
@@ -50,7 +51,7 @@
     /** The view of the primary's term, for witnesses and for members that were away. */
     record ViewChange(Member from, View view) implements Message {}
 
-    /** The primary to a backup: a new version. {@code round} numbers the primary's calls. */
+    /** The primary to a backup: a new version, with the numbers taken since the last. {@code round} numbers calls. */
     record Append(Member from, long term, long round, StoredVersion held) implements Message {}
 
     /** The version of an {@link Append} is on the backup's disk. */
--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -1,5 +1,6 @@
 package gorsemast.store;
 
+import gorsemast.configuration.ContentDigest;
 import gorsemast.store.Message.Append;
 import gorsemast.store.Message.AppendAck;
 import gorsemast.store.Message.Confirm;
@@ -63,8 +64,8 @@
         /** Puts this on disk, synced; {@link Replica#saved} is to be called with the token then, in the order of saves. */
         void save(ReplicaState state, boolean keptToo, long token);
 
-        /** The end of a call: done, with the version that holds; or unknown. */
-        void answer(long call, boolean done, StoredVersion kept);
+        /** The end of a call; with the version that holds, unless nothing is certain. */
+        void answer(long call, CallOutcome outcome, StoredVersion kept);
 
         /** A configuration that is acknowledged from now on, here as primary. */
         void committed(StoredVersion kept);
@@ -83,7 +84,7 @@
         PRIMARY
     }
 
-    private record Call(long id, boolean put, long version, byte[] body, long until) {}
+    private record Call(long id, boolean put, long version, byte[] body, ContentDigest digest, long until) {}
 
     private final Out out;
     private final SplittableRandom random;
@@ -179,14 +180,14 @@
         }
         calls.removeIf(call -> {
             if (now > call.until) {
-                out.answer(call.id, false, StoredVersion.NONE);
+                out.answer(call.id, CallOutcome.UNCERTAIN, StoredVersion.NONE);
             }
             return now > call.until;
         });
         if (working != null && now > working.until) {
             Call over = working;
             working = null;
-            out.answer(over.id, false, StoredVersion.NONE);
+            out.answer(over.id, CallOutcome.UNCERTAIN, StoredVersion.NONE);
             next();
         }
         if (!view.has(me.id())) {
@@ -364,7 +365,8 @@
             return;
         }
         yieldTo(request.term());
-        StoredVersion newer = kept.compareTo(request.held()) > 0 ? kept : null;
+        boolean knowsMore = request.held().merge(kept) != request.held();
+        StoredVersion newer = kept.compareTo(request.held()) > 0 ? kept : knowsMore ? kept.withoutBody() : null;
         save(false, () -> {
             if (promised == request.term()) {
                 send(request.from(), new Vote(me, request.term(), newer));
@@ -394,7 +396,7 @@
     private void vote(Vote vote) {
         if (role == Role.CANDIDATE && vote.term() == promised) {
             granted.add(vote.from().id());
-            best = vote.newer() != null && vote.newer().compareTo(best) > 0 ? vote.newer() : best;
+            best = vote.newer() != null ? best.merge(vote.newer()) : best;
             elect(promised);
         }
     }
@@ -422,8 +424,9 @@
         if (promised != append.term() || view.term() != append.term() || role != Role.FOLLOWER) {
             return;
         }
-        boolean newer = append.held().compareTo(kept) > 0;
-        kept = newer ? append.held() : kept;
+        StoredVersion merged = kept.merge(append.held());
+        boolean newer = merged != kept;
+        kept = merged;
         save(newer, () -> {
             if (promised == append.term()) {
                 send(append.from(), new AppendAck(me, append.term(), append.round()));
@@ -483,8 +486,9 @@
         roundUntil = now + ROUND_MICROS;
         installed.clear();
         view = next;
-        boolean newer = best.compareTo(kept) > 0;
-        kept = best;
+        StoredVersion begins = best.in(term); // no stray of a term in between is newer than what this one acknowledges
+        boolean newer = begins != kept;
+        kept = begins;
         save(newer, () -> {
             if (role == Role.INSTALLING && view == next && promised == term) {
                 installed.add(me.id());
@@ -516,8 +520,9 @@
             yieldTo(install.term());
         }
         view = install.view();
-        boolean newer = install.held().compareTo(kept) > 0;
-        kept = newer ? install.held() : kept;
+        StoredVersion merged = kept.merge(install.held());
+        boolean newer = merged != kept;
+        kept = merged;
         activePrimary = install.from().id();
         activeAt = now;
         save(newer, () -> {
@@ -576,13 +581,13 @@
     /** Keep this version; answered once. */
     public void put(long time, long call, long version, byte[] body) {
         now = time;
-        take(new Call(call, true, version, body, now + CALL_MICROS));
+        take(new Call(call, true, version, body, ContentDigest.of(body), now + CALL_MICROS));
     }
 
     /** The newest version that is acknowledged; answered once. */
     public void get(long time, long call) {
         now = time;
-        take(new Call(call, false, 0, null, now + CALL_MICROS));
+        take(new Call(call, false, 0, null, ContentDigest.NONE, now + CALL_MICROS));
     }
 
     private void take(Call call) {
@@ -591,7 +596,10 @@
             return;
         }
         if (role != Role.PRIMARY && !reachesMost()) {
-            out.answer(call.id, false, StoredVersion.NONE); // cut off: whoever asks had better ask elsewhere
+            out.answer(
+                    call.id,
+                    CallOutcome.UNCERTAIN,
+                    StoredVersion.NONE); // cut off: whoever asks had better ask elsewhere
             return;
         }
         calls.add(call); // also where nobody leads: an election is a matter of a moment
@@ -613,9 +621,8 @@
         told.clear();
         round++;
         long mine = round;
-        boolean writes = working.put && working.version > kept.version();
-        if (writes) {
-            kept = new StoredVersion(working.version, view.term(), working.body);
+        if (working.put) {
+            kept = with(working);
         }
         copies = kept != agreed; // also what an earlier call that was given up has left half told
         if (copies) {
@@ -631,12 +638,32 @@
         }
         for (Member member : view.members()) {
             if (view.backups().contains(member.id())) {
-                send(member, copies ? new Append(me, view.term(), mine, kept) : new Confirm(me, view.term(), mine));
+                send(
+                        member,
+                        copies
+                                ? new Append(me, view.term(), mine, kept.since(agreed))
+                                : new Confirm(me, view.term(), mine));
             }
         }
         finish();
     }
 
+    /** What is held once an order is done, which takes its number, unless that is taken or too old to be remembered. */
+    private StoredVersion with(Call order) {
+        if (order.version > kept.version()) {
+            return kept.next(order.version, view.term(), order.body, order.digest);
+        }
+        boolean free =
+                kept.numbers().digest(order.version) == null && !kept.numbers().forgets(order.version);
+        return free ? kept.taking(order.version, view.term(), order.digest) : kept;
+    }
+
+    /** How a call ends whose round with the backups has come to its end. */
+    private CallOutcome outcome(Call call) {
+        ContentDigest holds = call.put ? kept.numbers().digest(call.version) : null;
+        return holds == null || holds.equals(call.digest) ? CallOutcome.DONE : CallOutcome.CONFLICT;
+    }
+
     /** A call is done when all that hold what is acknowledged have told so in this term. */
     private void finish() {
         if (working != null && onDisk && told.containsAll(view.backups())) {
@@ -646,14 +673,14 @@
             if (copies) {
                 out.committed(kept);
             }
-            out.answer(done.id, true, kept);
+            out.answer(done.id, outcome(done), kept);
             next();
         }
     }
 
     private void fail() {
         if (working != null) {
-            out.answer(working.id, false, StoredVersion.NONE);
+            out.answer(working.id, CallOutcome.UNCERTAIN, StoredVersion.NONE);
             working = null;
         }
     }
--- a/src/main/java/gorsemast/store/ReplicaState.java
+++ b/src/main/java/gorsemast/store/ReplicaState.java
@@ -65,7 +65,7 @@
             if (in.readUnsignedByte() != 1) {
                 throw new IOException("another form of state");
             }
-            return new ReplicaState(Member.read(in), in.readLong(), View.read(in), StoredVersion.read(more));
+            return new ReplicaState(Member.read(in), in.readLong(), View.read(in), StoredVersion.recorded(more));
         }
     }
 }
--- a/src/main/java/gorsemast/store/StoreNode.java
+++ b/src/main/java/gorsemast/store/StoreNode.java
@@ -1,5 +1,6 @@
 package gorsemast.store;
 
+import gorsemast.configuration.ContentDigest;
 import gorsemast.logging.Log;
 import gorsemast.peer.Neighbour;
 import gorsemast.peer.Neighbours;
@@ -30,7 +31,15 @@
     }
 
     /** Who waits for a call's answer: a registry, or a store that passed it on. */
-    private record Asker(Neighbour from, long call, boolean put, long version, byte[] body, long known, long until) {}
+    private record Asker(
+            Neighbour from, long call, boolean put, long version, byte[] body, long known, long knownTerm, long until) {
+        /** The body that goes with an answer: that of a put, where it is what holds. */
+        byte[] body(CallOutcome outcome, ContentDigest holds, byte[] told) {
+            boolean same =
+                    put && outcome == CallOutcome.DONE && ContentDigest.of(body).equals(holds);
+            return same ? body : told;
+        }
+    }
 
     private final String ip;
     private final LongSupplier clock;
@@ -122,16 +131,17 @@
             keeper.message(now, between.message());
         } else if (record instanceof Record.Put put) {
             long call = ++lastCall;
-            askers.put(call, new Asker(one, put.call(), true, put.version(), put.body(), 0, now + ASKED_MICROS));
+            askers.put(call, new Asker(one, put.call(), true, put.version(), put.body(), 0, 0, now + ASKED_MICROS));
             keeper.put(now, call, put.version(), put.body());
         } else if (record instanceof Record.Get get) {
             long call = ++lastCall;
-            askers.put(call, new Asker(one, get.call(), false, 0, null, get.known(), now + ASKED_MICROS));
+            askers.put(
+                    call, new Asker(one, get.call(), false, 0, null, get.known(), get.knownTerm(), now + ASKED_MICROS));
             keeper.get(now, call);
         } else if (record instanceof Record.Answer answer) {
             Asker asker = askers.remove(answer.call());
             if (asker != null) {
-                asker.from.send(new Record.Answer(asker.call, answer.done(), answer.version(), answer.body()));
+                asker.from.send(answer.to(asker.call, asker.body(answer.outcome(), answer.digest(), answer.body())));
             }
         }
     }
@@ -152,11 +162,15 @@
     }
 
     @Override
-    public void answer(long call, boolean done, StoredVersion kept) {
+    public void answer(long call, CallOutcome outcome, StoredVersion kept) {
         Asker asker = askers.remove(call);
         if (asker != null) {
-            boolean body = done && !asker.put && kept.version() != asker.known;
-            asker.from.send(new Record.Answer(asker.call, done, kept.version(), body ? kept.body() : null));
+            boolean known = kept.version() == asker.known && kept.term() == asker.knownTerm;
+            boolean reads = !asker.put && outcome == CallOutcome.DONE && !known;
+            byte[] told = reads ? kept.body() : null;
+            boolean near = asker.from.peer().program() == Program.REGISTRY; // a store gives its own registry the body
+            byte[] body = near ? asker.body(outcome, kept.digest(), told) : told;
+            asker.from.send(new Record.Answer(asker.call, outcome, kept.version(), kept.term(), kept.digest(), body));
         }
     }
 
@@ -168,11 +182,11 @@
         }
         Neighbour store = neighbours.at(Program.STORE, primary.ip());
         if (store == null) {
-            answer(call, false, StoredVersion.NONE);
+            answer(call, CallOutcome.UNCERTAIN, StoredVersion.NONE);
         } else if (asker.put) {
             store.send(new Record.Put(call, asker.version, asker.body));
         } else {
-            store.send(new Record.Get(call, asker.known));
+            store.send(new Record.Get(call, asker.known, asker.knownTerm));
         }
     }
 
@@ -180,7 +194,8 @@
     public void committed(StoredVersion kept) {
         if (kept.version() > 0) {
             for (Neighbour one : neighbours.up(Program.REGISTRY)) {
-                one.send(new Record.Answer(0, true, kept.version(), kept.body()));
+                one.send(new Record.Answer(
+                        0, CallOutcome.DONE, kept.version(), kept.term(), kept.digest(), kept.body()));
             }
         }
     }
--- /dev/null
+++ b/src/main/java/gorsemast/store/TakenNumbers.java
@@ -0,0 +1,138 @@
+package gorsemast.store;
+
+import gorsemast.configuration.ContentDigest;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Which content has which number: the highest {@link #MOST} numbers that were taken, each with the term that vouches for
+ * it and the digest of its content. Of two contents under a number the later term's holds.
+ *
+ * <p><b>Merging</b> is idempotent, commutative and associative: the union by number, the later term first, cut to the
+ * highest numbers. A number that has been cut off is as one that was never taken. 32 bytes an entry: 16 KiB on a disk and
+ * in an installation at most; an append carries only the entries since the last one. Immutable; any thread.
+ */
+public final class TakenNumbers {
+    /** So many numbers are remembered. */
+    public static final int MOST = 512;
+    /** No number yet. */
+    public static final TakenNumbers NONE = new TakenNumbers(List.of());
+
+    /** A number that is taken: by whose term, and by which content. */
+    public record Taken(long number, long term, ContentDigest digest) {}
+
+    /** Lowest number first. */
+    private final List<Taken> entries;
+
+    private TakenNumbers(List<Taken> entries) {
+        this.entries = entries;
+    }
+
+    /** The content that has a number; null for none that is known. */
+    public ContentDigest digest(long number) {
+        int at = find(number);
+        return at < 0 ? null : entries.get(at).digest;
+    }
+
+    /** How many are remembered. */
+    public int size() {
+        return entries.size();
+    }
+
+    /** Whether a number is too low to be remembered beside those that are. */
+    boolean forgets(long number) {
+        return entries.size() >= MOST && number < entries.get(0).number;
+    }
+
+    private int find(long number) {
+        int low = 0;
+        int high = entries.size() - 1;
+        while (low <= high) {
+            int middle = (low + high) >>> 1;
+            long found = entries.get(middle).number;
+            if (found == number) {
+                return middle;
+            }
+            if (found < number) {
+                low = middle + 1;
+            } else {
+                high = middle - 1;
+            }
+        }
+        return -1;
+    }
+
+    /** With one more. */
+    TakenNumbers with(long number, long term, ContentDigest digest) {
+        return merge(new TakenNumbers(List.of(new Taken(number, term, digest))));
+    }
+
+    /** Both together; this one itself where the other adds nothing. */
+    TakenNumbers merge(TakenNumbers other) {
+        List<Taken> all = new ArrayList<>(entries.size() + other.entries.size());
+        boolean added = false;
+        int mine = 0;
+        int theirs = 0;
+        while (mine < entries.size() || theirs < other.entries.size()) {
+            Taken a = mine < entries.size() ? entries.get(mine) : null;
+            Taken b = theirs < other.entries.size() ? other.entries.get(theirs) : null;
+            int order = a == null ? 1 : b == null ? -1 : Long.compare(a.number, b.number);
+            boolean takes = order > 0 || order == 0 && b.term > a.term;
+            added |= takes;
+            all.add(takes ? b : a);
+            mine += order <= 0 ? 1 : 0;
+            theirs += order >= 0 ? 1 : 0;
+        }
+        if (!added) {
+            return this;
+        }
+        return new TakenNumbers(List.copyOf(all.subList(Math.max(0, all.size() - MOST), all.size())));
+    }
+
+    /** The same, vouched for by a term: what its primary begins with. */
+    TakenNumbers in(long term) {
+        return new TakenNumbers(entries.stream()
+                .map(one -> new Taken(one.number, term, one.digest))
+                .toList());
+    }
+
+    /** Those that the other lacks or has of an earlier term: what merged with the other makes this one. */
+    TakenNumbers since(TakenNumbers other) {
+        return new TakenNumbers(entries.stream()
+                .filter(one -> {
+                    int at = other.find(one.number);
+                    return at < 0 || other.entries.get(at).term < one.term;
+                })
+                .toList());
+    }
+
+    void write(DataOutputStream out) throws IOException {
+        out.writeInt(entries.size());
+        for (Taken one : entries) {
+            out.writeLong(one.number);
+            out.writeLong(one.term);
+            one.digest.write(out);
+        }
+    }
+
+    static TakenNumbers read(DataInputStream in) throws IOException {
+        int count = in.readInt();
+        if (count < 0 || count > MOST) {
+            throw new IOException(count + " numbers");
+        }
+        List<Taken> entries = new ArrayList<>(count);
+        long last = -1;
+        for (int i = 0; i < count; i++) {
+            Taken one = new Taken(in.readLong(), in.readLong(), ContentDigest.read(in));
+            if (one.number <= last) {
+                throw new IOException("numbers out of order");
+            }
+            last = one.number;
+            entries.add(one);
+        }
+        return new TakenNumbers(List.copyOf(entries));
+    }
+}
--- a/src/test/java/gorsemast/modelcheck/StoreCheckTest.java
+++ b/src/test/java/gorsemast/modelcheck/StoreCheckTest.java
@@ -28,6 +28,13 @@
         assertThat(result.courses()).isEqualTo(25 * 25);
     }
 
+    @Test
+    void allRowsOfOrdersKeepOneContentUnderEachNumber() {
+        StoreCheck.Result result = StoreCheck.orders(3, 3, Plant.NONE);
+        assertThat(result.broken()).as(String.join("\n", result.story())).isNull();
+        assertThat(result.courses()).isEqualTo(20 * 20 * 20);
+    }
+
     @ParameterizedTest
     @EnumSource(value = Plant.class, mode = EnumSource.Mode.EXCLUDE, names = "NONE")
     void eachPlantedDefectIsFound(Plant plant) {
--- a/src/test/java/gorsemast/standin/NetworkTest.java
+++ b/src/test/java/gorsemast/standin/NetworkTest.java
@@ -13,6 +13,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
@@ -177,9 +178,12 @@
                                     "POST",
                                     "/v1/configuration/replace",
                                     Map.of(),
-                                    LoopbackNetwork.configuration(1, "9s"))
+                                    LoopbackNetwork.configuration(1, LoopbackNetwork.FIRST_TTL))
                             .status())
                     .isEqualTo(200);
+            assertThat(replace((core + 1) % 3, LoopbackNetwork.configuration(1, "9s")))
+                    .as("an older number that another content has")
+                    .isEqualTo(409);
             assertThat(network.call(
                                     network.controls().get((core + 2) % 3),
                                     "GET",
@@ -191,6 +195,42 @@
         }
     }
 
+    private static int replace(int core, byte[] body) {
+        return network.call(network.controls().get(core), "POST", "/v1/configuration/replace", Map.of(), body)
+                .status();
+    }
+
+    /** Two operators race two contents under one number: one holds, whoever asks and however often. */
+    @Test
+    void ofTwoContentsUnderOneNumberOneIsAcknowledgedWhereverTheyAreSent() throws Exception {
+        for (int race = 0; race < 6; race++) {
+            int number = ++version;
+            byte[][] contents = {
+                LoopbackNetwork.configuration(number, "21s"), LoopbackNetwork.configuration(number, "22s")
+            };
+            int first = race % 3;
+            CompletableFuture<Integer> rival =
+                    CompletableFuture.supplyAsync(() -> replace((first + 1) % 3, contents[1]));
+            int[] status = {replace(first, contents[0]), 0};
+            status[1] = rival.get();
+            assertThat(status).containsExactlyInAnyOrder(200, 409);
+            byte[] winner = contents[status[0] == 200 ? 0 : 1];
+            byte[] loser = contents[status[0] == 200 ? 1 : 0];
+            eachRegistrySays(200, winner);
+            eachRegistrySays(409, loser);
+            assertThat(replace(first, LoopbackNetwork.configuration(++version, "23s")))
+                    .isEqualTo(200);
+            eachRegistrySays(200, winner);
+            eachRegistrySays(409, loser);
+        }
+    }
+
+    private static void eachRegistrySays(int status, byte[] body) {
+        for (int core = 0; core < 3; core++) {
+            assertThat(replace(core, body)).as("registry " + core).isEqualTo(status);
+        }
+    }
+
     @Test
     void aDrainingServerGetsNothingNewAndItsLateBeatsChangeNothing() throws IOException {
         StandInServer leaving = network.newServer("i-leaving", "orders", 90);
