Simulated races of two contents under one number, judged by content

The referee knows contents: never two acknowledged, an acknowledged one never refused, edges in touch go by the acknowledged one and never by a refused one. HOLD_NEWS holds up what all registries but one tell. Planted: PUBLISHES_ITS_OWN, CONFLICT_SAYS_DONE.

--- a/src/main/java/gorsemast/simulation/CoreProcesses.java
+++ b/src/main/java/gorsemast/simulation/CoreProcesses.java
@@ -1,11 +1,15 @@
 package gorsemast.simulation;
 
+import gorsemast.configuration.Configuration;
+import gorsemast.configuration.ContentDigest;
 import gorsemast.peer.Neighbour;
 import gorsemast.peer.Record;
 import gorsemast.peer.Record.Program;
 import gorsemast.registry.CallException;
 import gorsemast.registry.Calls;
+import gorsemast.registry.Command;
 import gorsemast.registry.RegistryNode;
+import gorsemast.store.CallOutcome;
 import gorsemast.store.ReplicaState;
 import gorsemast.store.StoreNode;
 import java.util.ArrayDeque;
@@ -20,6 +24,8 @@
     /** A registry. */
     static final class HeartbeatTable extends Process implements RegistryNode.Carrier {
         final RegistryNode office;
+        /** The last configuration that an operator sent here. */
+        private Configuration sent;
 
         HeartbeatTable(World world, Machine machine) {
             super(world, machine, Program.REGISTRY);
@@ -46,7 +52,9 @@
         /** A call from outside. */
         void call(String method, String path, byte[] body, RegistryNode.Reply reply) {
             try {
-                office.run(Calls.decode(method, path, body), body.length, reply);
+                Command command = Calls.decode(method, path, body);
+                sent = command instanceof Command.Replace replace ? replace.configuration() : sent;
+                office.run(command, body.length, reply);
             } catch (CallException e) {
                 reply.answer(e.code().status(), e.getMessage(), null);
             }
@@ -69,7 +77,22 @@
 
         @Override
         void heardFrom(Neighbour one, Record record) {
-            office.received(one, record);
+            office.received(one, record instanceof Record.Answer answer ? planted(answer) : record);
+        }
+
+        private Record planted(Record.Answer answer) {
+            boolean conflict = answer.outcome() == CallOutcome.CONFLICT;
+            if (world.plant == Plant.CONFLICT_SAYS_DONE && conflict) {
+                return new Record.Answer(
+                        answer.call(), CallOutcome.DONE, answer.version(), answer.term(), answer.digest(), null);
+            }
+            boolean mine = sent != null && sent.version() == answer.version() && answer.call() != 0;
+            if (world.plant == Plant.PUBLISHES_ITS_OWN && mine && answer.outcome() != CallOutcome.UNCERTAIN) {
+                ContentDigest digest = ContentDigest.of(sent.body());
+                return new Record.Answer(
+                        answer.call(), answer.outcome(), answer.version(), answer.term(), digest, sent.body());
+            }
+            return answer;
         }
 
         @Override
--- a/src/main/java/gorsemast/simulation/Course.java
+++ b/src/main/java/gorsemast/simulation/Course.java
@@ -20,12 +20,14 @@
     private static final int PATHS = 40;
     private static final long PROBE_MICROS = 1_000_000;
 
+    private static final String REPLACE = "/v1/configuration/replace";
+
     private final World world;
     private final Day day;
     private final Troubles troubles;
     private final Map<Machine, Boolean> taken = new HashMap<>();
     private final Map<Machine, Integer> missed = new HashMap<>();
-    private final Map<Long, String> contents = new HashMap<>();
+
     private long version;
     private long lastRequest;
     private int asked;
@@ -101,7 +103,8 @@
 
     // ---- the operator
 
-    static String configuration(long version) {
+    /** @param operator two of them send different contents under one number */
+    static String configuration(long version, int operator) {
         String other = version % 2 == 0 ? "orders" : "other";
         return "{\"configVersion\":\"" + String.format(Locale.ROOT, "%08x", version)
                 + "\",\"backendTable\":[{\"name\":\"objects\","
@@ -113,7 +116,7 @@
                 + ",\"cacheTtl\":\"" + World.TTL_MICROS / 1_000 + "ms\"}," + rule("safe", "/s/", "idempotent", "orders")
                 + "},"
                 + rule("pay", "/p/", "non_idempotent", "orders") + "}," + rule("moves", "/m/", "idempotent", other)
-                + "}]}]}";
+                + "}]}],\"sentBy\":" + operator + "}";
     }
 
     private static String rule(String name, String prefix, String type, String service) {
@@ -125,25 +128,35 @@
     /** A change under the next version, by one of two operators where both send at once. */
     void configure(Consumer<Long> acknowledged) {
         version += 1 + world.random.nextInt(3);
-        long mine = version;
-        String body = configuration(mine);
-        contents.put(mine, body);
-        order("/v1/configuration/replace", body, "version " + mine, ACK_MICROS, Long.MAX_VALUE, () -> {
-            world.referee.acknowledged(mine);
+        configure(version, 0, acknowledged);
+    }
+
+    private void configure(long mine, int operator, Consumer<Long> acknowledged) {
+        String body = configuration(mine, operator);
+        String name = "version " + mine + (operator == 0 ? "" : " of operator " + operator);
+        order(REPLACE, body, name, ACK_MICROS, Long.MAX_VALUE, () -> {
+            world.referee.acknowledged(mine, body);
             if (acknowledged != null) {
                 acknowledged.accept(mine);
             }
         });
     }
 
-    /** A change that takes the place of the last one in one operator's eyes, with its own content. */
+    /** Two operators send contents of their own under one number, and what was acknowledged is sent again. */
     void race() {
-        configure(null);
-        configure(null);
+        version += 1 + world.random.nextInt(3);
+        long mine = version;
+        for (int operator = 1; operator <= 2; operator++) {
+            int sender = operator;
+            configure(
+                    mine,
+                    sender,
+                    known -> world.time.after(world.random.nextLong(ACK_MICROS), () -> configure(mine, sender, null)));
+        }
     }
 
     void invalid() {
-        String good = configuration(version + 100);
+        String good = configuration(version + 100, 0);
         String[] broken = {
             good.substring(0, good.length() / 2),
             good.replace("\"backend\":\"orders\"", "\"backend\":\"none\""),
@@ -157,7 +170,7 @@
                 "operator",
                 cores.get(world.random.nextInt(cores.size())),
                 "POST",
-                "/v1/configuration/replace",
+                REPLACE,
                 body,
                 CALL_MICROS,
                 (status, text) -> {
@@ -232,7 +245,13 @@
             }
             if (status / 100 == 2) {
                 acknowledged.run();
-            } else if (status == 400) {
+            } else if (status == 409 && path.equals(REPLACE)) {
+                over[0] = true;
+                world.referee.refused(
+                        Configuration.parse(body.getBytes(StandardCharsets.UTF_8))
+                                .version(),
+                        body);
+            } else if (status == 400 || status == 409) {
                 throw new Broken("CONFIG", "a valid order is refused: " + text);
             } else {
                 world.time.after(
@@ -254,10 +273,7 @@
             return;
         }
         long read = Configuration.parse(got[0].getBytes(StandardCharsets.UTF_8)).version();
-        world.referee.readBack(read);
-        if (!got[0].equals(contents.get(read))) {
-            throw new Broken("CONFIG", "version " + read + " is read back with other content");
-        }
+        world.referee.readBack(read, got[0]);
     }
 
     private void read(int at, long until, String[] got) {
@@ -337,6 +353,7 @@
                     boolean planted =
                             world.plant == Plant.GOES_BACK && edge.seenVersion > 1 && world.random.nextInt(50) == 0;
                     world.referee.handles(edge, planted ? edge.seenVersion - 1 : now.version(), sentAt);
+                    world.referee.goesBy(edge, now, sentAt);
                 }
                 edge.request(
                         attempt,
--- a/src/main/java/gorsemast/simulation/Plant.java
+++ b/src/main/java/gorsemast/simulation/Plant.java
@@ -19,5 +19,9 @@
     /** An edge calls refused what may have run. */
     REFUSES_WHAT_RAN,
     /** Edges share no ceiling. */
-    NO_CEILING
+    NO_CEILING,
+    /** A registry tells its own copy of an order as what has the number. */
+    PUBLISHES_ITS_OWN,
+    /** A number that is taken by another content is acknowledged. */
+    CONFLICT_SAYS_DONE
 }
--- a/src/main/java/gorsemast/simulation/Process.java
+++ b/src/main/java/gorsemast/simulation/Process.java
@@ -76,7 +76,9 @@
                 way.clear();
                 return;
             }
-            if (world.cut(machine, other.machine) || !other.machine.power) {
+            if (world.cut(machine, other.machine)
+                    || world.held(program, machine, other.machine)
+                    || !other.machine.power) {
                 world.time.after(world.retry(), this::arrive);
                 return;
             }
--- a/src/main/java/gorsemast/simulation/Referee.java
+++ b/src/main/java/gorsemast/simulation/Referee.java
@@ -1,5 +1,7 @@
 package gorsemast.simulation;
 
+import gorsemast.configuration.Configuration;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -26,6 +28,10 @@
 
     private final World world;
     private final Map<Long, Long> acknowledged = new HashMap<>();
+    /** What was acknowledged under each number, and when a content was refused. */
+    private final Map<Long, String> contents = new HashMap<>();
+
+    private final Map<String, Long> refusedContents = new HashMap<>();
     private final Map<String, Integer> runs = new HashMap<>();
     private final Set<String> refused = new HashSet<>();
     private final Map<String, List<Change>> changes = new HashMap<>();
@@ -51,10 +57,38 @@
 
     // ---- configuration
 
-    /** The operator has read that a version is acknowledged. */
-    void acknowledged(long version) {
+    /** The operator has read that a version is acknowledged, with this content. */
+    void acknowledged(long version, String body) {
         acknowledged.putIfAbsent(version, now());
         newest = Math.max(newest, version);
+        String before = contents.putIfAbsent(version, body);
+        if (before != null && !before.equals(body)) {
+            throw new Broken("CONFIG", "two contents are acknowledged as version " + version);
+        }
+        if (refusedContents.containsKey(body)) {
+            throw new Broken("CONFIG", "version " + version + " is acknowledged after it was refused");
+        }
+    }
+
+    /** The operator has read that another content has its number. */
+    void refused(long version, String body) {
+        if (body.equals(contents.get(version))) {
+            throw new Broken("CONFIG", "version " + version + " was acknowledged, is sent again and is refused");
+        }
+        refusedContents.putIfAbsent(body, now());
+    }
+
+    /** An edge handles a request that was sent then by this configuration. */
+    void goesBy(Edge edge, Configuration by, long sentAt) {
+        String body = new String(by.body(), StandardCharsets.UTF_8);
+        String known = contents.get(by.version());
+        Long at = known == null || known.equals(body) ? refusedContents.get(body) : acknowledged.get(by.version());
+        if (at != null && sentAt > at + CONFIG_APPLY && touch(edge.machine)) {
+            throw new Broken(
+                    "CONFIG",
+                    edge.machine.ip + " goes by another content of version " + by.version() + " "
+                            + (sentAt - at) / 1_000 + " ms after the number was taken");
+        }
     }
 
     long newest() {
@@ -82,7 +116,10 @@
     }
 
     /** What is read back at the end. */
-    void readBack(long version) {
+    void readBack(long version, String body) {
+        if (contents.containsKey(version) && !contents.get(version).equals(body) || refusedContents.containsKey(body)) {
+            throw new Broken("CONFIG", "version " + version + " is read back with other content");
+        }
         if (version < newest) {
             throw new Broken("LOST", "version " + version + " is read back where " + newest + " was acknowledged");
         }
--- a/src/main/java/gorsemast/simulation/Trouble.java
+++ b/src/main/java/gorsemast/simulation/Trouble.java
@@ -14,7 +14,7 @@
     public enum Kind {
         /** The configuration changes. */
         CONFIG,
-        /** Two operators change it at once, under one version each. */
+        /** Two operators change it at once, under one number with two contents. */
         CONFIG_RACE,
         /** An invalid one is sent. */
         BAD_CONFIG,
@@ -62,6 +62,8 @@
         CUT_EDGE,
         /** A core machine reaches no other one. */
         CUT_CORE,
+        /** Of one registry only the others and edges hear at once: what the others tell is held up, and what stores tell is not. */
+        HOLD_NEWS,
         /** It hears the others, and they do not hear it. */
         CUT_ONE_WAY,
         /** A core machine's disk finishes nothing. */
--- a/src/main/java/gorsemast/simulation/Troubles.java
+++ b/src/main/java/gorsemast/simulation/Troubles.java
@@ -45,6 +45,7 @@
                             FREEZE_CORE,
                             CUT_CORE,
                             CUT_ONE_WAY,
+                            HOLD_NEWS,
                             STALL,
                             POWER_AFTER_ACK,
                             WIPE_AFTER_ACK,
@@ -100,6 +101,7 @@
             case CUT_EDGE -> cutOff(edge(n), trouble.span(), false);
             case CUT_CORE -> cutOff(core(n), trouble.span(), false);
             case CUT_ONE_WAY -> cutOff(core(n), trouble.span(), true);
+            case HOLD_NEWS -> holdNews(core(n), trouble.span());
             case STALL -> stall(core(n), trouble.span());
             case CLOCK -> {
                 clock(core(n), trouble.span());
@@ -270,6 +272,25 @@
     }
 
     /** It reaches no core machine; one way, it still hears them. */
+    private void holdNews(Machine heard, long span) {
+        List<Machine> held =
+                world.machines(true).stream().filter(one -> one != heard).toList();
+        world.coreTrouble();
+        held.forEach(from -> holdNews(from, true));
+        world.time.after(span, () -> {
+            held.forEach(from -> holdNews(from, false));
+            world.coreCalm();
+        });
+    }
+
+    private void holdNews(Machine from, boolean does) {
+        for (boolean core : new boolean[] {true, false}) {
+            for (Machine to : world.machines(core)) {
+                world.hold(Program.REGISTRY, from, to, does && from != to);
+            }
+        }
+    }
+
     private void cutOff(Machine machine, long span, boolean oneWay) {
         machine.trouble();
         List<Machine> others = new ArrayList<>(world.machines(true));
--- a/src/main/java/gorsemast/simulation/World.java
+++ b/src/main/java/gorsemast/simulation/World.java
@@ -286,6 +286,20 @@
         return cuts.contains(from.ip + ">" + to.ip);
     }
 
+    /** What a program on one machine tells those on another is held up, as by a link that is full or resends. */
+    void hold(Program program, Machine from, Machine to, boolean does) {
+        String way = program + ":" + from.ip + ">" + to.ip;
+        if (does) {
+            cuts.add(way);
+        } else {
+            cuts.remove(way);
+        }
+    }
+
+    boolean held(Program program, Machine from, Machine to) {
+        return cuts.contains(program + ":" + from.ip + ">" + to.ip);
+    }
+
     /** When a record behind a cut is tried again. */
     long retry() {
         return HELD_BACK + random.nextLong(HELD_BACK);
