A store tells early only what no later term can have refused

A store told its registry what it kept as soon as the two were linked: also a content that had been refused while it was away. It tells now when its view's primary vouched for it and a majority heard in this life knows of no later view, within a second of its start; else a term or a primary's word comes first. In the model nothing waits on a link for the next life of a process: a link is of one life.

--- a/src/main/java/gorsemast/modelcheck/Plant.java
+++ b/src/main/java/gorsemast/modelcheck/Plant.java
@@ -35,5 +35,7 @@
     /** What is handed over at a take-over has no numbers but its own. */
     NUMBERS_FORGOTTEN,
     /** A configuration keeps the term in which it was first taken, whichever term acknowledges it. */
-    FIRST_TERM_STAYS
+    FIRST_TERM_STAYS,
+    /** A store that starts tells what it holds, though a later term may have refused it. */
+    TELLS_WHAT_IT_HOLDS
 }
--- a/src/main/java/gorsemast/modelcheck/World.java
+++ b/src/main/java/gorsemast/modelcheck/World.java
@@ -61,6 +61,7 @@
         private final Deque<Save> saves = new ArrayDeque<>();
         private Replica keeper;
         private boolean frozen;
+        private boolean told;
 
         Machine(String ip) {
             this.ip = ip;
@@ -74,12 +75,23 @@
                         plant == Plant.WIPED_KEEPS_ITS_NAME ? Replica.first(firstMembers) : Replica.first(List.of()),
                         StoredVersion.NONE);
             }
+            told = false;
+            links.keySet()
+                    .removeIf(pair -> pair.endsWith(">" + ip)); // links are of one life: nothing waits for the next
             keeper = new Replica(disk, plant == Plant.NO_BACKUP ? 0 : 1, random.nextLong(), this);
             if (plant == Plant.WIPED_KEEPS_ITS_NAME && disk.me().id().endsWith("#0")) {
                 lives++;
             }
         }
 
+        /** As a store tells its registry once after its start. */
+        private void tellEarly() {
+            if (!told && (keeper.mayTell() || plant == Plant.TELLS_WHAT_IT_HOLDS)) {
+                told = true;
+                orders.tells(ip, keeper.kept());
+            }
+        }
+
         private boolean refusesAtOnce(Order order) {
             ContentDigest holds = keeper.kept().numbers().digest(order.version());
             return holds != null && !holds.equals(ContentDigest.of(order.body()));
@@ -361,6 +373,7 @@
             Machine machine = machines.get(ip);
             if (machine.keeper != null && !machine.frozen) {
                 machine.keeper.tick(now);
+                machine.tellEarly();
                 settle();
             }
         }
--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -53,6 +53,8 @@
     static final long STAND_BACK_MICROS = 250_000;
     /** A member that was not heard for this long may be replaced by a machine that asks to be one. */
     static final long GONE_MICROS = 2_500_000;
+    /** For so long after its start a member may tell what it keeps before there is a primary. */
+    static final long EARLY_MICROS = 1_000_000;
     /** What is asked and can't be done by then is given up; whoever asked asks somebody else. */
     static final long CALL_MICROS = 2_500_000;
 
@@ -105,6 +107,9 @@
     /** When each was last heard, by id, and what it said of itself. */
     private final Map<String, Long> heard = new HashMap<>();
 
+    /** The term of the view that each last told of. */
+    private final Map<String, Long> viewTerms = new HashMap<>();
+
     private final Map<String, Member> known = new HashMap<>();
     private String activePrimary = "";
     private long activeAt = Long.MIN_VALUE / 2;
@@ -118,6 +123,7 @@
 
     private boolean copies;
     private boolean begun;
+    private long begunAt;
     private long token;
     private final Map<Long, Runnable> saving = new HashMap<>();
 
@@ -163,6 +169,26 @@
         return kept;
     }
 
+    /**
+     * Whether what it keeps may be told to edges without a round: a primary that has acknowledged it, or a member that
+     * has just started, holds what its view's primary vouched for, and has heard in this life from a majority that knows of no
+     * later view. Whoever begins a later term has its view at more than half of the members first, so what a later term
+     * has refused is not told; a start that takes longer than {@link #EARLY_MICROS} waits for an election or a primary.
+     */
+    public boolean mayTell() {
+        if (role == Role.PRIMARY) {
+            return kept == agreed;
+        }
+        boolean holds = kept.term() == view.term(); // primary or backup, and not only told of the view
+        Set<String> agree = new HashSet<>(Set.of(me.id()));
+        viewTerms.forEach((id, term) -> {
+            if (term <= view.term()) {
+                agree.add(id);
+            }
+        });
+        return holds && now - begunAt < EARLY_MICROS && view.majority(agree);
+    }
+
     // ---- events
 
     /** To be called every few tens of milliseconds. */
@@ -170,6 +196,7 @@
         now = time;
         if (!begun) {
             begun = true;
+            begunAt = now;
             standBack();
         }
         if (now >= pingAt) {
@@ -334,6 +361,7 @@
 
     private void heartbeat(Heartbeat heartbeat) {
         String from = heartbeat.from().id();
+        viewTerms.put(from, heartbeat.viewTerm());
         boolean backup = view.backups().contains(from);
         if (role == Role.PRIMARY && heartbeat.viewTerm() > view.term()) {
             yieldTo(Math.max(promised, heartbeat.viewTerm())); // a later term has begun while this one was not heard
--- a/src/main/java/gorsemast/store/StoreNode.java
+++ b/src/main/java/gorsemast/store/StoreNode.java
@@ -49,6 +49,8 @@
     private final Map<Long, Asker> askers = new HashMap<>();
     private final Set<String> seeds;
     private long lastCall;
+    /** Whether the registry of this machine was told what is kept since it came up. */
+    private boolean told = true;
 
     /**
      * Of one process, from its start on.
@@ -100,6 +102,7 @@
     public void tick() {
         long now = clock.getAsLong();
         keeper.tick(now);
+        tellEarly();
         askers.values().removeIf(asker -> now > asker.until); // whoever it was passed on to did not answer
     }
 
@@ -115,7 +118,16 @@
         if (one.peer().program() == Program.STORE) {
             one.send(new Record.Between(keeper.greeting()));
         } else if (one.peer().ip().equals(ip)) {
-            committed(keeper.kept()); // so that edges that start have something at once, whatever an election takes
+            told = false;
+            tellEarly();
+        }
+    }
+
+    /** Edges that start have something at once, whatever an election takes. */
+    private void tellEarly() {
+        if (!told && keeper.mayTell()) {
+            told = true;
+            committed(keeper.kept());
         }
     }
 
