--- a/src/main/java/gorsemast/store/TakenNumbers.java
+++ b/src/main/java/gorsemast/store/TakenNumbers.java
@@ -73,7 +73,6 @@
     /** Both together; this one itself where the other adds nothing. */
     TakenNumbers merge(TakenNumbers other) {
         List<Taken> all = new ArrayList<>(entries.size() + other.entries.size());
-        boolean added = false;
         int mine = 0;
         int theirs = 0;
         while (mine < entries.size() || theirs < other.entries.size()) {
@@ -81,15 +80,12 @@
             Taken b = theirs < other.entries.size() ? other.entries.get(theirs) : null;
             int order = a == null ? 1 : b == null ? -1 : Long.compare(a.number, b.number);
             boolean takes = order > 0 || order == 0 && b.term > a.term;
-            added |= takes;
             all.add(takes ? b : a);
             mine += order <= 0 ? 1 : 0;
             theirs += order >= 0 ? 1 : 0;
         }
-        if (!added) {
-            return this;
-        }
-        return new TakenNumbers(List.copyOf(all.subList(Math.max(0, all.size() - MOST), all.size())));
+        List<Taken> highest = all.subList(Math.max(0, all.size() - MOST), all.size());
+        return highest.equals(entries) ? this : new TakenNumbers(List.copyOf(highest));
     }
 
     /** The same, vouched for by a term: what its primary begins with. */
--- a/src/test/java/gorsemast/gossip/GossipStateTest.java
+++ b/src/test/java/gorsemast/gossip/GossipStateTest.java
@@ -2,8 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import gorsemast.configuration.ContentDigest;
 import gorsemast.gossip.Entry.Kind;
 import gorsemast.gossip.ServerNews.State;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -16,13 +18,20 @@
         return new ServerNews(id, "s", "10.0.0.1:80", "z", 4, state, seq, 0);
     }
 
+    /** A number and a term have one content. */
+    private static Entry configuration(long number, long term) {
+        byte[] body = (number + " of " + term).getBytes(StandardCharsets.UTF_8);
+        return Entry.configuration(number, term, ContentDigest.of(body), body, 0);
+    }
+
     private static List<Entry> drawn(Random random) {
         List<Entry> items = new ArrayList<>();
         for (int i = 0; i < 200; i++) {
             items.add(
-                    switch (random.nextInt(3)) {
+                    switch (random.nextInt(4)) {
                         case 0 -> new PurgeNews("p" + random.nextInt(40), "h", "/" + i, "").item(random.nextInt(1_000));
-                        case 1 ->
+                        case 1 -> configuration(random.nextInt(3), random.nextInt(3));
+                        case 2 ->
                             server("i" + random.nextInt(20), State.values()[random.nextInt(4)], random.nextInt(9))
                                     .item(0);
                         default ->
@@ -68,6 +77,39 @@
         assertThat(one.differing(other.digest())).isZero();
     }
 
+    @Test
+    void ofTwoContentsUnderOneNumberTheLaterTermsHoldsAndDigestsTellThemApart() {
+        GossipState one = new GossipState();
+        GossipState other = new GossipState();
+        one.merge(0, configuration(7, 1));
+        other.merge(0, configuration(7, 2));
+        int parts = one.differing(other.digest());
+        assertThat(parts).isNotZero();
+        assertThat(other.newerThan(parts, one.stamps(parts))).hasSize(1);
+        assertThat(one.newerThan(parts, other.stamps(parts))).isEmpty();
+        assertThat(one.wanted(other.stamps(parts))).hasSize(1);
+        assertThat(one.merge(1, other.get(Kind.CONFIGURATION, ""))).isTrue();
+        assertThat(other.merge(1, configuration(7, 1))).isFalse();
+        assertThat(one.differing(other.digest())).isZero();
+    }
+
+    /** The planted defect: news of configurations merge by their number alone. */
+    @Test
+    void mergedByTheNumberAloneTwoContentsWouldStayAndNoDigestWouldTell() {
+        GossipState one = new GossipState();
+        GossipState other = new GossipState();
+        one.merge(0, byNumberAlone(configuration(7, 1)));
+        other.merge(0, byNumberAlone(configuration(7, 2)));
+        assertThat(one.differing(other.digest())).isZero();
+        assertThat(one.merge(1, other.get(Kind.CONFIGURATION, ""))).isFalse();
+        assertThat(one.get(Kind.CONFIGURATION, "").body())
+                .isNotEqualTo(other.get(Kind.CONFIGURATION, "").body());
+    }
+
+    private static Entry byNumberAlone(Entry item) {
+        return new Entry(item.kind(), item.key(), item.stamp(), item.body(), item.born());
+    }
+
     @Test
     void aServerThatStillServesIsNotForgottenAndOneThatLeftIs() {
         GossipState board = new GossipState();
--- /dev/null
+++ b/src/test/java/gorsemast/store/TakenNumbersTest.java
@@ -0,0 +1,93 @@
+package gorsemast.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import gorsemast.configuration.ContentDigest;
+import gorsemast.peer.Record;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** Which content has which number: merged in any order, cut to the highest, and read back as written. */
+class TakenNumbersTest {
+    private static ContentDigest digest(String content) {
+        return ContentDigest.of(content.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static byte[] written(TakenNumbers numbers) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        numbers.write(new DataOutputStream(bytes));
+        return bytes.toByteArray();
+    }
+
+    private static TakenNumbers drawn(Random random, int most) {
+        TakenNumbers numbers = TakenNumbers.NONE;
+        for (int i = random.nextInt(most); i > 0; i--) {
+            long term = random.nextInt(5);
+            long number = random.nextInt(2 * TakenNumbers.MOST);
+            numbers = numbers.with(number, term, digest(number + " of " + term)); // a term has one content for a number
+        }
+        return numbers;
+    }
+
+    @Test
+    void allOrdersOfMergingComeToTheSame() throws IOException {
+        Random random = new Random(5);
+        for (int round = 0; round < 20; round++) {
+            TakenNumbers a = drawn(random, 600);
+            TakenNumbers b = drawn(random, 600);
+            TakenNumbers c = drawn(random, 600);
+            byte[] one = written(a.merge(b).merge(c));
+            assertThat(written(c.merge(a.merge(b)))).isEqualTo(one);
+            assertThat(written(b.merge(c).merge(a))).isEqualTo(one);
+            TakenNumbers both = a.merge(b);
+            assertThat(both.merge(b)).as("nothing new").isSameAs(both);
+            assertThat(written(a.merge(both.since(a)))).as("only what lacks").isEqualTo(written(both));
+        }
+    }
+
+    @Test
+    void theLaterTermHoldsAndTheLowestAreForgotten() {
+        TakenNumbers numbers = TakenNumbers.NONE.with(7, 1, digest("a")).with(7, 2, digest("b"));
+        assertThat(numbers.digest(7)).isEqualTo(digest("b"));
+        assertThat(numbers.with(7, 1, digest("a")).digest(7)).isEqualTo(digest("b"));
+        for (int i = 0; i < TakenNumbers.MOST; i++) {
+            numbers = numbers.with(100 + i, 2, digest("c"));
+        }
+        assertThat(numbers.size()).isEqualTo(TakenNumbers.MOST);
+        assertThat(numbers.digest(7)).isNull();
+        assertThat(numbers.forgets(7)).isTrue();
+        assertThat(numbers.forgets(100 + TakenNumbers.MOST)).isFalse();
+    }
+
+    @Test
+    void whatIsWrittenIsReadAndWhatAnEarlierProgramWroteToo() throws IOException {
+        byte[] body = "body".getBytes(StandardCharsets.UTF_8);
+        StoredVersion kept = StoredVersion.NONE.next(3, 1, body, ContentDigest.of(body));
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        kept.write(new DataOutputStream(bytes));
+        StoredVersion read = StoredVersion.recorded(new DataInputStream(new ByteArrayInputStream(bytes.toByteArray())));
+        assertThat(read.digest()).isEqualTo(ContentDigest.of(body));
+        byte[] earlier = java.util.Arrays.copyOf(bytes.toByteArray(), 2 * Long.BYTES + Integer.BYTES + body.length);
+        StoredVersion old = StoredVersion.recorded(new DataInputStream(new ByteArrayInputStream(earlier)));
+        assertThat(old.digest()).isEqualTo(ContentDigest.of(body));
+        assertThat(old.version()).isEqualTo(3);
+    }
+
+    @Test
+    void answersCarryOutcomeTermAndDigest() throws IOException {
+        ContentDigest digest = digest("body");
+        for (CallOutcome outcome : List.of(CallOutcome.values())) {
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            new Record.Answer(5, outcome, 7, 3, digest, null).write(new DataOutputStream(bytes), 0);
+            assertThat(Record.read(new DataInputStream(new ByteArrayInputStream(bytes.toByteArray())), 0))
+                    .isEqualTo(new Record.Answer(5, outcome, 7, 3, digest, null));
+        }
+    }
+}
