--- a/src/main/java/gorsemast/modelcheck/OrderReferee.java
+++ b/src/main/java/gorsemast/modelcheck/OrderReferee.java
@@ -84,6 +84,16 @@
         return new Asked(order, newest);
     }
 
+    /** Whether a content of this number was acknowledged. */
+    boolean holds(long version) {
+        return acknowledged.containsKey(version);
+    }
+
+    /** The newest version that was acknowledged. */
+    long newest() {
+        return newest;
+    }
+
     /** Calls that were answered for certain. */
     int answered() {
         return answered;
@@ -134,6 +144,10 @@
     }
 
     private void holds(Order order) {
+        if (!sent.contains(order)) {
+            throw new World.Broken(
+                    "version " + order.version + " is answered as " + order.content + ", which nobody sent");
+        }
         String before = acknowledged.putIfAbsent(order.version, order.content);
         if (before != null && !before.equals(order.content)) {
             throw new World.Broken(
--- a/src/main/java/gorsemast/simulation/CoreProcesses.java
+++ b/src/main/java/gorsemast/simulation/CoreProcesses.java
@@ -2,6 +2,7 @@
 
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.ContentDigest;
+import gorsemast.node.FaultTolerance;
 import gorsemast.peer.Neighbour;
 import gorsemast.peer.Record;
 import gorsemast.peer.Record.Program;
@@ -10,6 +11,7 @@
 import gorsemast.registry.Command;
 import gorsemast.registry.RegistryNode;
 import gorsemast.store.CallOutcome;
+import gorsemast.store.Place;
 import gorsemast.store.ReplicaState;
 import gorsemast.store.StoreNode;
 import java.util.ArrayDeque;
@@ -22,12 +24,12 @@
     private CoreProcesses() {}
 
     /** A registry. */
-    static final class HeartbeatTable extends Process implements RegistryNode.Carrier {
+    static final class Registry extends Process implements RegistryNode.Carrier {
         final RegistryNode office;
         /** The last configuration that an operator sent here. */
         private Configuration sent;
 
-        HeartbeatTable(World world, Machine machine) {
+        Registry(World world, Machine machine) {
             super(world, machine, Program.REGISTRY);
             this.office = new RegistryNode(
                     new RegistryNode.Self(machine.ip, machine.zone, machine.ip + ":80", wall(), World.BEAT_MICROS, 1),
@@ -114,7 +116,10 @@
 
     /** A store. */
     static final class Store extends Process {
-        private record Save(ReplicaState state, long token) {}
+        /** Of the platform's grace, what a store uses at most. */
+        private static final long LEAVE_MICROS = 4_500_000;
+
+        private record Save(ReplicaState state, boolean keptToo, long token) {}
 
         final StoreNode teller;
         private final Machine.Disk disk;
@@ -127,7 +132,15 @@
                 disk.saved = ReplicaState.fresh(machine.ip, world.seeds(), firstBoot, world.random.nextLong());
             }
             this.teller = new StoreNode(
-                    machine.ip, world.seeds(), disk.saved, 1, world.random.nextLong(), this::now, this, this::save);
+                    machine.ip,
+                    world.seeds(),
+                    disk.saved,
+                    FaultTolerance.ofMachines(1),
+                    new Place(machine.zone, "", true),
+                    world.random.nextLong(),
+                    this::now,
+                    this,
+                    this::save);
             each(StoreNode.TICK_MICROS, this::tick);
         }
 
@@ -139,7 +152,7 @@
         }
 
         private void save(ReplicaState state, boolean keptToo, long token) {
-            saves.add(new Save(state, token));
+            saves.add(new Save(state, keptToo && world.plant != Plant.STATE_WITHOUT_VERSION, token));
             if (world.plant == Plant.SAVED_TOO_EARLY) {
                 run(() -> after(0, () -> teller.saved(token)));
             }
@@ -153,21 +166,41 @@
             }
             Save done = saves.poll();
             if (done != null) {
-                disk.saved = done.state;
+                disk.save(done.state, done.keptToo);
                 if (world.plant != Plant.SAVED_TOO_EARLY) {
                     run(() -> teller.saved(done.token));
                 }
             }
         }
 
+        /** It ends once another member has its place, or nobody is there to take it. */
+        @Override
+        void leave() {
+            if (world.plant == Plant.LEAVES_AT_ONCE) {
+                end(false);
+                return;
+            }
+            teller.leave();
+            awaitSuccessor(now() + LEAVE_MICROS);
+        }
+
+        private void awaitSuccessor(long until) {
+            if (teller.left() || now() > until) {
+                end(false);
+            } else {
+                after(StoreNode.TICK_MICROS, () -> awaitSuccessor(until));
+            }
+        }
+
         @Override
         void end(boolean power) {
             if (!alive) {
                 return;
             }
-            // A process's writes are in the system's hands; power may take those that were not synced.
-            while (!saves.isEmpty() && !(power && world.random.nextBoolean())) {
-                disk.saved = saves.poll().state;
+            // What it has not begun to write is gone, and power cuts what is under way.
+            while (machine.stalledUntil <= world.time.now() && !saves.isEmpty() && world.random.nextBoolean()) {
+                Save done = saves.poll();
+                disk.save(done.state, done.keptToo);
             }
             saves.clear();
             super.end(power);
--- a/src/main/java/gorsemast/simulation/Course.java
+++ b/src/main/java/gorsemast/simulation/Course.java
@@ -59,6 +59,9 @@
             server("orders", 6);
             server("other", 6);
         }
+        for (int i = 0; i < world.extraServers; i++) {
+            server("orders", 6);
+        }
         long begun = world.time.now();
         configure(null);
         world.time.run(begun + LEAD_MICROS);
@@ -106,7 +109,7 @@
     /** @param operator two of them send different contents under one number */
     static String configuration(long version, int operator) {
         String other = version % 2 == 0 ? "orders" : "other";
-        return "{\"configVersion\":\"" + String.format(Locale.ROOT, "%08x", version)
+        return "{\"sentBy\":" + operator + ",\"configVersion\":\"" + String.format(Locale.ROOT, "%08x", version)
                 + "\",\"backendTable\":[{\"name\":\"objects\","
                 + "\"healthPath\":\"/h\",\"maxConnections\":130,\"ratePerS\":" + World.RATE
                 + "},{\"name\":\"orders\",\"healthPath\":\"/h\","
@@ -116,10 +119,10 @@
                 + ",\"cacheTtl\":\"" + World.TTL_MICROS / 1_000 + "ms\"}," + rule("safe", "/s/", "idempotent", "orders")
                 + "},"
                 + rule("pay", "/p/", "non_idempotent", "orders") + "}," + rule("moves", "/m/", "idempotent", other)
-                + "}]}],\"sentBy\":" + operator + "}";
+                + "}]}]}";
     }
 
-    private static String rule(String name, String prefix, String type, String service) {
+    static String rule(String name, String prefix, String type, String service) {
         return "{\"name\":\"" + name + "\",\"pathPrefix\":\"" + prefix + "\",\"routeType\":\"" + type
                 + "\",\"timeout\":\"1500ms\","
                 + "\"targetLatency\":\"200ms\",\"priority\":1,\"maxAttempts\":2,\"backend\":\"" + service + "\"";
@@ -132,7 +135,7 @@
     }
 
     private void configure(long mine, int operator, Consumer<Long> acknowledged) {
-        String body = configuration(mine, operator);
+        String body = world.inflated(configuration(mine, operator));
         String name = "version " + mine + (operator == 0 ? "" : " of operator " + operator);
         order(REPLACE, body, name, ACK_MICROS, Long.MAX_VALUE, () -> {
             world.referee.acknowledged(mine, body);
@@ -218,7 +221,7 @@
                 over);
         // Held to be acknowledged only where the core was settled all the while.
         world.time.after(within + CALL_MICROS, () -> {
-            if (!over[0] && world.coreCalmFor() >= within + CALL_MICROS + World.CONTACT_MICROS) {
+            if (!over[0] && world.coreSettledFor() >= within + CALL_MICROS + World.CONTACT_MICROS) {
                 throw new Broken(
                         "ACK", name + " is not acknowledged in " + within / 1_000 + " ms with the core settled");
             }
--- a/src/main/java/gorsemast/simulation/Plant.java
+++ b/src/main/java/gorsemast/simulation/Plant.java
@@ -10,6 +10,8 @@
     MENDS_NOTHING,
     /** A store counts a save before it is on disk. */
     SAVED_TOO_EARLY,
+    /** A store that is asked to leave ends at once, without a word. */
+    LEAVES_AT_ONCE,
     /** An edge goes by the configuration that it is told last. */
     GOES_BACK,
     /** An edge sends to servers that leave. */
@@ -23,5 +25,7 @@
     /** A registry tells its own copy of an order as what has the number. */
     PUBLISHES_ITS_OWN,
     /** A number that is taken by another content is acknowledged. */
-    CONFLICT_SAYS_DONE
+    CONFLICT_SAYS_DONE,
+    /** A store's new version reaches the disk's state and not its version. */
+    STATE_WITHOUT_VERSION
 }
