Give each read of an object its connection alone, as its answer names nothing

Change: Network.ObjectRead marks such a request; its connection has carried nothing before and carries nothing after, so place is proof enough. Not-Executed and successes of calls that may run once still need the id. Fetches go under ids as clients have.

--- a/src/main/java/gorsemast/dispatch/Network.java
+++ b/src/main/java/gorsemast/dispatch/Network.java
@@ -4,9 +4,13 @@
 import gorsemast.http.Dialect;
 import gorsemast.http.KeepAlive;
 import gorsemast.http.Whose;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpVersion;
 
 /**
  * What the delivery network and its servers say to each other above HTTP: whether a request has run is told by
@@ -22,6 +26,14 @@
     /** What a server's answer carries. */
     public static final String SEAL = "Edge-Seal";
 
+    /** A request on a route whose objects may be held. */
+    public static final class ObjectRead extends DefaultFullHttpRequest {
+        /** Owns the body. */
+        public ObjectRead(HttpMethod method, String uri, ByteBuf body) {
+            super(HttpVersion.HTTP_1_1, method, uri, body);
+        }
+    }
+
     private static final String NOT_RUN = "Not-Executed";
     private static final int MISDIRECTED = 421;
     private static final int FAILED = 500;
@@ -43,14 +55,20 @@
     @Override
     public Whose whose(HttpRequest request, HttpResponse answer) {
         String told = answer.headers().get(ATTEMPT);
+        boolean sealed = answer.headers().contains(SEAL) || answer.status().codeClass() != HttpStatusClass.SUCCESS;
         if (told == null) {
-            return Whose.NOBODY;
+            return alone(request) && sealed ? Whose.BY_PLACE : Whose.NOBODY;
         }
         if (!told.equals(request.headers().get(ATTEMPT))) {
             return Whose.OTHER;
         }
-        boolean success = answer.status().codeClass() == HttpStatusClass.SUCCESS;
-        return success && !answer.headers().contains(SEAL) ? Whose.NOBODY : Whose.NAMED;
+        return sealed ? Whose.NAMED : Whose.NOBODY;
+    }
+
+    /** Servers of objects leave the id out of their answers, though the pages say that all answers carry it. */
+    @Override
+    public boolean alone(HttpRequest request) {
+        return request instanceof ObjectRead;
     }
 
     @Override
--- a/src/main/java/gorsemast/dispatch/Sender.java
+++ b/src/main/java/gorsemast/dispatch/Sender.java
@@ -282,7 +282,9 @@
 
     private static FullHttpRequest message(Call call, String id, long wait) {
         ByteBuf body = call.body().isReadable() ? call.body().retainedDuplicate() : Unpooled.EMPTY_BUFFER;
-        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri(), body);
+        FullHttpRequest message = call.route().kind() == Route.Kind.CACHEABLE
+                ? new Network.ObjectRead(call.method(), call.uri(), body)
+                : new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri(), body);
         HttpHeaders headers = message.headers();
         headers.set(HttpHeaderNames.HOST, call.route().host());
         Hops.copy(call.headers(), headers);
--- a/src/main/java/gorsemast/http/ConnectionState.java
+++ b/src/main/java/gorsemast/http/ConnectionState.java
@@ -52,6 +52,7 @@
     private Take reading;
     private int interim;
     private String name;
+    private boolean used;
     private boolean once;
     /** Names of what may run once and was turned away here: a second copy of that word would say so of another try. */
     private final Set<String> turnedAway = new TreeSet<>();
@@ -61,9 +62,9 @@
         return !carries && !passing && !answering && !spoilt && !closed && reading == null;
     }
 
-    /** Whether the attempt with this name may be: the same call was not turned away here before. */
-    public boolean mayCarry(String called) {
-        return mayCarry() && (called == null || !turnedAway.contains(called));
+    /** Whether the attempt with this name may be: its call was not turned away here, and it has it alone where it must. */
+    public boolean mayCarry(String called, boolean alone) {
+        return mayCarry() && !(alone && used) && (called == null || !turnedAway.contains(called));
     }
 
     /**
@@ -71,13 +72,16 @@
      *
      * @param called what its answers name it by; null where they name nothing
      * @param runsOnce whether its call may run once at most
+     * @param alone whether its answer may name nothing, so that nothing else may be asked on this connection
      */
-    public void carry(String called, boolean runsOnce) {
-        if (!mayCarry(called)) {
+    public void carry(String called, boolean runsOnce, boolean alone) {
+        if (!mayCarry(called, alone)) {
             throw new IllegalStateException("this connection is not free");
         }
         name = called;
         once = runsOnce;
+        used = true;
+        spoilt |= alone;
         carries = true;
         left = false;
         early = false;
--- a/src/main/java/gorsemast/http/Dialect.java
+++ b/src/main/java/gorsemast/http/Dialect.java
@@ -25,6 +25,14 @@
         return null;
     }
 
+    /**
+     * Whether its answer may name nothing, where others of this dialect do: it belongs to its request by place, which is
+     * certain only on a connection that carries nothing else, before or after.
+     */
+    default boolean alone(HttpRequest request) {
+        return false;
+    }
+
     /** For how long its server keeps the connection idle behind it, in milliseconds; -1 where it does not say. */
     default long keepsMillis(HttpResponse answer) {
         return -1;
--- a/src/main/java/gorsemast/http/UpstreamConnection.java
+++ b/src/main/java/gorsemast/http/UpstreamConnection.java
@@ -82,12 +82,7 @@
                 passed.open--;
                 upstream.pools.closed(node.host());
                 lost();
-                if (upstream.readiness.ready(node) && upstream.pools.spare(Upstream.now(), node.host())) {
-                    new UpstreamConnection(upstream, node).open();
-                }
-                if (upstream.readiness.ready(node) && upstream.waits(node.host()) > 0) {
-                    upstream.grow(node); // who waits for this one would else wait for half of its time
-                }
+                replace();
             });
             long took = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - begun);
             passed.connectMicros += took;
@@ -96,6 +91,16 @@
         });
     }
 
+    /** Opens another where one is wanted; who waits for this one would else wait for half of its time. */
+    private void replace() {
+        if (upstream.readiness.ready(node) && upstream.pools.spare(Upstream.now(), node.host())) {
+            new UpstreamConnection(upstream, node).open();
+        }
+        if (upstream.readiness.ready(node) && upstream.waits(node.host()) > 0) {
+            upstream.grow(node);
+        }
+    }
+
     /**
      * A connect that fails while others are open says that the node has no room for more: whoever waits goes on waiting
      * for one of these. Else one of them has met a node that is not there, and those for whom nothing is coming up need
@@ -124,14 +129,15 @@
     void carry(PendingAttempt next) {
         stopIdling();
         String name = upstream.dialect.name(next.request);
-        if (!state.mayCarry(name)) {
+        boolean alone = upstream.dialect.alone(next.request);
+        if (!state.mayCarry(name, alone)) {
             close();
             upstream.waitsFirst(next); // on another one
             return;
         }
         attempt = next;
         next.connection = this;
-        state.carry(name, next.once);
+        state.carry(name, next.once, alone);
         upstream.pools.taken(Upstream.now(), node.host());
         // The node may have begun to drain while the connection came up: the drain grace counts from the first byte
         // sent, and what is withheld has never run.
@@ -302,13 +308,11 @@
             lost(); // no answer of ours, or one whose end could not be told from a cut, or nobody wants it any more
             return;
         }
-        if (passage != null) {
-            lastPart = Upstream.now();
-            if (part.content().isReadable()) {
-                passage.part(part.content());
-            }
-        } else {
+        if (passage == null) {
             answer.add(channel.alloc(), part.content());
+        } else if (part.content().isReadable()) {
+            lastPart = Upstream.now();
+            passage.part(part.content());
         }
         if (state.isWhole() && passage != null) { // its taker may have left within this part
             Passage over = passage;
@@ -320,12 +324,11 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        switch (state.readDone(!decoder.empty())) {
-            case WHOLE -> conclude();
-            case CLOSE -> lost();
-            case MORE -> {
-                // the rest is on its way
-            }
+        ConnectionState.Done done = state.readDone(!decoder.empty());
+        if (done == ConnectionState.Done.WHOLE) {
+            conclude();
+        } else if (done == ConnectionState.Done.CLOSE) {
+            lost();
         }
     }
 
--- a/src/main/java/gorsemast/proxy/ClientConnection.java
+++ b/src/main/java/gorsemast/proxy/ClientConnection.java
@@ -1,9 +1,6 @@
 package gorsemast.proxy;
 
-import gorsemast.http.BodyBuffer;
-import gorsemast.http.Passage;
 import gorsemast.logging.Log;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -15,14 +12,11 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -76,10 +70,10 @@
         void closed(ClientConnection visitor);
     }
 
-    private final Channel channel;
-    private final Owner owner;
-    private final Deque<Request> requests = new ArrayDeque<>();
-    private Request reading;
+    final Channel channel;
+    final Owner owner;
+    private final Deque<ClientRequest> requests = new ArrayDeque<>();
+    private ClientRequest reading;
     /** When the first byte of what is not a whole head yet came; 0 where nothing has. */
     private long begun;
 
@@ -92,139 +86,6 @@
         this.owner = owner;
     }
 
-    /** A request on this connection. */
-    private final class Request implements Turn, Passage {
-        private final HttpRequest head;
-        private final BodyBuffer body = new BodyBuffer(channel.alloc());
-        private final boolean keepAlive;
-        /** As the configuration has it when it is begun; until then as it had it last. */
-        private boolean repeatable;
-
-        private long bytes;
-        private long headAt;
-        private long arrival;
-        private boolean whole;
-        private boolean started;
-        private boolean taken;
-        private boolean answered;
-        private boolean streaming;
-        private boolean streamed;
-        private boolean cut;
-        private long rest;
-        private HttpResponse ready;
-        private ByteBuf content = Unpooled.EMPTY_BUFFER;
-        private Flow flow;
-        private Runnable leave = () -> {};
-
-        Request(HttpRequest head) {
-            this.head = head;
-            this.keepAlive = HttpUtil.isKeepAlive(head);
-            this.repeatable = owner.repeatable(head);
-            this.headAt = owner.now();
-        }
-
-        @Override
-        public HttpMethod method() {
-            return head.method();
-        }
-
-        @Override
-        public String uri() {
-            return head.uri();
-        }
-
-        @Override
-        public HttpHeaders headers() {
-            return head.headers();
-        }
-
-        @Override
-        public ByteBuf takeBody() {
-            taken = true;
-            return body.take();
-        }
-
-        @Override
-        public long arrival() {
-            return arrival;
-        }
-
-        @Override
-        public void onLeave(Runnable task) {
-            leave = task;
-        }
-
-        @Override
-        public void answer(int status, HttpHeaders headers, ByteBuf bytesToSend) {
-            if (answered || broken) {
-                bytesToSend.release();
-                return;
-            }
-            answered = true;
-            drop();
-            content = bytesToSend;
-            ready = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
-            if (status != HttpResponseStatus.NOT_MODIFIED.code()) {
-                headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
-            }
-            flush();
-        }
-
-        @Override
-        public Passage begin(HttpResponse start, HttpHeaders headers, long length, Flow source) {
-            if (answered || broken) {
-                return null;
-            }
-            answered = true;
-            streaming = true;
-            flow = source;
-            rest = length;
-            drop();
-            ready = new DefaultHttpResponse(HttpVersion.HTTP_1_1, start.status(), headers);
-            if (length >= 0) {
-                headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
-            } else {
-                headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-            }
-            content = channel.alloc().heapBuffer();
-            flush();
-            return this;
-        }
-
-        @Override
-        public void part(ByteBuf part) {
-            rest -= part.readableBytes();
-            if (requests.peek() == this && ready == null) {
-                channel.writeAndFlush(new DefaultHttpContent(part.retainedDuplicate()));
-            } else {
-                content.writeBytes(part);
-            }
-            flow.pause(!channel.isWritable() || content.readableBytes() > BodyBuffer.BLOCK);
-        }
-
-        @Override
-        public void ended() {
-            streamed = true;
-            flush();
-        }
-
-        @Override
-        public void broken() {
-            cut = true;
-            flush();
-        }
-
-        /** Of its body nothing is kept any more. */
-        private void drop() {
-            if (!taken) {
-                body.drop();
-                taken = true;
-            }
-            owner.room(-bytes);
-            bytes = 0;
-        }
-    }
-
     // ---- what comes
 
     @Override
@@ -235,7 +96,7 @@
 
     /** Looks whether its time is over; called for all of them every {@link #SWEEP_MICROS}. */
     void sweep(long now) {
-        Request late = reading;
+        ClientRequest late = reading;
         if (late != null && now - late.headAt > owner.headMicros() + late.bytes * 1_000_000L / SLOWEST_BYTES) {
             refuse(late, HttpResponseStatus.REQUEST_TIMEOUT);
         } else if (requests.isEmpty() && begun != 0 && now - begun > owner.headMicros()) {
@@ -268,7 +129,7 @@
         since = owner.now();
         if (message instanceof HttpRequest head) {
             begun = 0;
-            reading = new Request(head);
+            reading = new ClientRequest(this, head);
             requests.add(reading);
             HttpResponseStatus problem = problem(head);
             if (problem != null) {
@@ -281,7 +142,7 @@
             }
         }
         if (message instanceof HttpContent part && reading != null) {
-            Request request = reading;
+            ClientRequest request = reading;
             if (part.decoderResult().isFailure()) {
                 refuse(request, HttpResponseStatus.BAD_REQUEST);
                 return;
@@ -322,7 +183,7 @@
     }
 
     /** An error for what can't be read on; the connection ends with it. */
-    private void refuse(Request request, HttpResponseStatus status) {
+    private void refuse(ClientRequest request, HttpResponseStatus status) {
         closing = true;
         reading = null;
         request.whole = true;
@@ -337,7 +198,7 @@
     private void start() {
         boolean first = true;
         boolean alone = true;
-        for (Request request : requests.toArray(new Request[0])) {
+        for (ClientRequest request : requests.toArray(new ClientRequest[0])) {
             if (!request.whole || broken) {
                 break;
             }
@@ -357,10 +218,19 @@
 
     // ---- what goes
 
-    private void flush() {
+    boolean isBroken() {
+        return broken;
+    }
+
+    /** Whether its answer is the one that is written now. */
+    boolean isFirst(ClientRequest request) {
+        return requests.peek() == request;
+    }
+
+    void flush() {
         boolean wrote = false;
         while (!requests.isEmpty() && requests.peek().answered && !broken) {
-            Request request = requests.peek();
+            ClientRequest request = requests.peek();
             boolean last = false;
             if (request.ready != null) {
                 last = (closing || !request.keepAlive || owner.isClosing()) && noneStartedBehind();
@@ -415,7 +285,7 @@
 
     private boolean noneStartedBehind() {
         boolean first = true;
-        for (Request request : requests) {
+        for (ClientRequest request : requests) {
             if (!first && request.started) {
                 return false;
             }
@@ -457,7 +327,7 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        Request first = requests.peek();
+        ClientRequest first = requests.peek();
         if (first != null && first.streaming && !first.streamed && channel.isWritable()) {
             since = owner.now();
             first.flow.pause(false);
@@ -479,7 +349,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         broken = true;
         owner.closed(this);
-        for (Request request : requests) {
+        for (ClientRequest request : requests) {
             if (!request.answered) {
                 request.answered = true;
                 if (request.started) {
--- a/src/main/java/gorsemast/proxy/ObjectDesk.java
+++ b/src/main/java/gorsemast/proxy/ObjectDesk.java
@@ -35,6 +35,7 @@
 import java.net.InetSocketAddress;
 import java.util.Arrays;
 import java.util.HashSet;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -280,7 +281,7 @@
         if (sender == null) {
             return false;
         }
-        String id = "o" + Long.toHexString(random.nextLong());
+        String id = HexFormat.of().toHexDigits(random.nextLong()); // as clients' ids are
         sender.take(
                 new Call(
                         what.route(),
--- a/src/main/java/gorsemast/simulation/EdgeConnections.java
+++ b/src/main/java/gorsemast/simulation/EdgeConnections.java
@@ -44,7 +44,7 @@
         Deque<Connection> kept = idle.computeIfAbsent(message.target(), target -> new ArrayDeque<>());
         while (!kept.isEmpty()) {
             Connection one = message.unsafe() ? kept.pollLast() : kept.pollFirst();
-            if (one.state.mayCarry(message.attempt())) {
+            if (one.state.mayCarry(message.attempt(), false)) {
                 return one;
             }
         }
@@ -77,7 +77,7 @@
         private boolean open = true;
 
         void carry(String address, Servers.Request next, Ending told) {
-            state.carry(next.attempt(), next.unsafe());
+            state.carry(next.attempt(), next.unsafe(), false);
             message = next;
             ending = told;
             boolean forgotten = kept && edge.world.servers.forgets(address);
--- a/src/test/java/gorsemast/dispatch/AnswerOwnerTest.java
+++ b/src/test/java/gorsemast/dispatch/AnswerOwnerTest.java
@@ -190,6 +190,21 @@
         assertThat(rig.told()).isEqualTo(new Told("once", Code.OK, "own"));
     }
 
+    /** Its answer names nothing, so its connection carries nothing else: a late second one reaches nobody. */
+    @Test
+    void aReadOfAnObjectHasItsConnectionAlone() throws Exception {
+        Connection used = asked("a", HttpMethod.GET);
+        used.says(answer(200, "a", "", "own"));
+        rig.told();
+        Connection first = asked("object1", HttpMethod.GET);
+        first.says("HTTP/1.1 200 X\r\nEdge-Seal: s\r\nContent-Length: 3\r\n\r\none");
+        assertThat(rig.told()).isEqualTo(new Told("object1", Code.OK, "one"));
+        assertThat(first.isClosed()).isTrue();
+        Connection second = asked("object2", HttpMethod.GET);
+        second.says("HTTP/1.1 200 X\r\nEdge-Seal: s\r\nContent-Length: 3\r\n\r\ntwo");
+        assertThat(rig.told()).isEqualTo(new Told("object2", Code.OK, "two"));
+    }
+
     /** Idle for no longer than half of what its server says, though the bound here is a minute. */
     @Test
     void keepAliveBoundsHowLongAConnectionIsIdle() throws Exception {
--- a/src/test/java/gorsemast/dispatch/CallerRig.java
+++ b/src/test/java/gorsemast/dispatch/CallerRig.java
@@ -3,6 +3,7 @@
 import anisebend.Balancer.Code;
 import anisebend.Balancer.Note;
 import gorsemast.http.Upstream;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -46,8 +47,10 @@
 
     /** On the event loop: an attempt with this id. */
     Upstream.Attempt start(RawServer server, String id, HttpMethod method, String body, long micros) {
-        FullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, method, "/" + id, Unpooled.copiedBuffer(body, StandardCharsets.US_ASCII));
+        ByteBuf content = Unpooled.copiedBuffer(body, StandardCharsets.US_ASCII);
+        FullHttpRequest request = id.startsWith("object")
+                ? new Network.ObjectRead(method, "/" + id, content)
+                : new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/" + id, content);
         request.headers().set("Host", "h").set(Network.ATTEMPT, id).set("Content-Length", body.length());
         boolean once = method.equals(HttpMethod.POST);
         return upstream.send(new Node("s", server.address()), request, micros, once, new Upstream.Ending() {
--- a/src/test/java/gorsemast/http/AnswerModel.java
+++ b/src/test/java/gorsemast/http/AnswerModel.java
@@ -129,7 +129,7 @@
                 int call = k;
                 String name = named ? "" + call : null;
                 boolean may = calls[k].maySend() && calls[k].last() + 1 < MOST_ATTEMPTS;
-                if (may && on.call < 0 && on.state.mayCarry(name)) {
+                if (may && on.call < 0 && on.state.mayCarry(name, false)) {
                     all.add(new Event("send " + k + at, () -> send(on, call, name)));
                 }
             }
@@ -207,7 +207,7 @@
             throw new Broken("MIXED: bytes of before are in the way");
         }
         calls[call].sent(calls[call].next());
-        on.state.carry(name, once(call));
+        on.state.carry(name, once(call), false);
         on.call = call;
         Asked one = new Asked(call);
         on.asked.add(one);
--- a/src/test/java/gorsemast/http/AnswerModelTest.java
+++ b/src/test/java/gorsemast/http/AnswerModelTest.java
@@ -81,8 +81,8 @@
             }
 
             @Override
-            public boolean mayCarry(String called) {
-                return defect == Defect.TURNED_AWAY_COMES_BACK ? mayCarry() : super.mayCarry(called);
+            public boolean mayCarry(String called, boolean alone) {
+                return defect == Defect.TURNED_AWAY_COMES_BACK ? mayCarry() : super.mayCarry(called, alone);
             }
 
             @Override
@@ -99,8 +99,8 @@
             }
 
             @Override
-            public void carry(String called, boolean runsOnce) {
-                super.carry(called, runsOnce);
+            public void carry(String called, boolean runsOnce, boolean alone) {
+                super.carry(called, runsOnce, alone);
                 whole = false;
             }
 
@@ -147,7 +147,7 @@
     @Test
     void anEndlessRowOfInterimAnswersIsNone() {
         ConnectionState state = new ConnectionState();
-        state.carry("a", false);
+        state.carry("a", false, false);
         state.lastByteLeaves();
         for (int i = 0; i < ConnectionState.MAX_INTERIM; i++) {
             assertThat(state.head(Whose.NOBODY, true, false, false)).isEqualTo(ConnectionState.Take.INTERIM);
