--- a/src/main/java/gorsemast/registry/DurableNews.java
+++ b/src/main/java/gorsemast/registry/DurableNews.java
@@ -23,6 +23,11 @@
     /** The first byte of a snapshot; earlier ones began with the form of their record. */
     private static final int FORM = 2;
 
+    /** What it knows is written down this often, where it has changed. */
+    private static final long WRITE_MICROS = 500_000;
+    /** And this often where only what edges have seen of servers has. */
+    private static final long POOL_WRITE_MICROS = 5_000_000;
+
     private static final Log LOG = new Log("registry");
 
     private final GossipState board;
@@ -30,11 +35,24 @@
     /** Stamps by key of what is synced. */
     private final Map<String, Long> synced = new HashMap<>();
 
+    private final boolean remembers;
     private boolean complete;
+    private boolean changed = true;
+    private boolean writing;
+    private long writeAt;
+    private long poolWriteAt;
 
-    DurableNews(GossipState board, RegistryNode.Carrier carrier) {
+    /**
+     * Of one process.
+     *
+     * @param remembers whether there is a disk
+     * @param firstBoot whether an empty one is as it should be
+     */
+    DurableNews(GossipState board, RegistryNode.Carrier carrier, boolean remembers, boolean firstBoot) {
         this.board = board;
         this.carrier = carrier;
+        this.remembers = remembers;
+        this.complete = remembers && firstBoot;
     }
 
     /** Whether the disk has all that this machine has ever confirmed to hold, and what its set of holders had before. */
@@ -42,13 +60,45 @@
         return complete;
     }
 
-    /** It has, or has no more. */
-    void complete(boolean now) {
-        complete = now;
+    /** It has no more: this machine counts no more, and others may by now hold what it has not. */
+    void incomplete() {
+        changed |= complete;
+        complete = false;
+    }
+
+    /** A piece of news has come. */
+    void changed(Entry item) {
+        changed |= item.kind().mended();
+    }
+
+    /** Writes a snapshot where one is due; to be called at each tick. */
+    void tick(long now, boolean poolChanged, Quorum quorum) {
+        boolean completes = quorum.completes();
+        boolean due = changed && now >= writeAt || poolChanged && now >= poolWriteAt || completes;
+        if (!remembers || writing || !due) {
+            return;
+        }
+        changed = false;
+        writing = true;
+        writeAt = now + WRITE_MICROS;
+        poolWriteAt = now + POOL_WRITE_MICROS;
+        long term = quorum.membership().term();
+        carrier.remember(snapshot(now, completes || complete), safe -> {
+            writing = false;
+            changed |= !safe;
+            if (safe && completes && term == quorum.membership().term()) {
+                LOG.info("its disk is complete from term " + term + " on");
+                complete = true;
+            }
+            changed |= completes && !complete; // the disk says so, and it isn't any more
+        });
     }
 
     /** Puts what is held of this key now on disk; {@code then} runs once that, or something newer, is synced. */
     void keep(Entry told, long now, Runnable then) {
+        if (!remembers) {
+            return;
+        }
         Entry item = board.get(told.kind(), told.key());
         String key = key(told);
         if (item == null || synced.getOrDefault(key, Long.MIN_VALUE) >= item.stamp()) {
@@ -70,8 +120,7 @@
         synced.keySet().removeIf(key -> board.get(Entry.Kind.values()[key.charAt(0) - '0'], key.substring(1)) == null);
     }
 
-    /** All news, as they go into a snapshot. */
-    byte[] snapshot(long now, boolean asComplete) {
+    private byte[] snapshot(long now, boolean asComplete) {
         List<Entry> items = new ArrayList<>();
         for (Entry.Kind kind : Entry.Kind.values()) {
             items.addAll(board.all(kind));
--- a/src/main/java/gorsemast/registry/RegistryNode.java
+++ b/src/main/java/gorsemast/registry/RegistryNode.java
@@ -45,14 +45,9 @@
     private static final int LARGE = 256 << 10;
     /** The store is asked for the newest version this often, in case its word was lost on the way. */
     private static final long ASK_MICROS = 1_000_000;
-    /** Members are asked this often whether they have what this one has not. */
-    private static final long COMPARE_MICROS = 500_000;
-    /** What it knows is written down this often, where it has changed. */
-    private static final long WRITE_MICROS = 500_000;
-    /** What edges have seen of servers is told to all of them this often, and written down this seldom. */
+    /** What edges have seen of servers is told to all of them this often. */
     private static final long POOL_MICROS = 1_000_000;
 
-    private static final long POOL_WRITE_MICROS = 5_000_000;
     private static final Log LOG = new Log("registry");
 
     /** One answer to a call; a second one is let be. */
@@ -102,19 +97,12 @@
     private final Map<Long, Waiting> waiting = new HashMap<>();
     private final Set<String> seeds = new LinkedHashSet<>();
     private final SplittableRandom random;
-    private final boolean remembers;
     private final long begun;
-    private boolean writing;
-    private long writeAt;
     private long poolAt;
-    private long poolWriteAt;
-    private boolean changed;
     private long lastCall;
     private long askAt;
-    private long compareAt;
     private boolean recalled;
-    private Membership membership;
-    private final VouchingLease vouching = new VouchingLease();
+    private final Quorum quorum;
     private final DurableNews durable;
     private final Orders orders;
 
@@ -136,18 +124,15 @@
         this.clock = clock;
         this.neighbours = neighbours;
         this.carrier = carrier;
-        this.remembers = remembers;
         this.random = new SplittableRandom(seed);
         this.begun = clock.getAsLong();
         this.registry = new HeartbeatTable(board, self.beatMicros);
         this.gossip = new Gossip(Program.REGISTRY, board, neighbours, clock, this::synced, this::news);
-        this.membership = Membership.none(self.losses);
-        this.orders = new Orders(membership);
-        this.durable = new DurableNews(board, carrier);
-        this.durable.complete(remembers && self.firstBoot);
-        this.changed = true;
-        this.telling =
-                new LeaseElection(self.ip, random.nextLong(), ips -> membership.majority(ips), (to, word, term, at) -> {
+        this.durable = new DurableNews(board, carrier, remembers, self.firstBoot);
+        this.quorum = new Quorum(self.ip, self.losses, board, durable, neighbours, clock);
+        this.orders = new Orders(self.ip, quorum, durable, gossip, clock);
+        this.telling = new LeaseElection(
+                self.ip, random.nextLong(), ips -> quorum.membership().majority(ips), (to, word, term, at) -> {
                     Neighbour one = neighbours.at(Program.REGISTRY, to);
                     if (one != null) {
                         one.send(new Record.Ballot(word, term, at));
@@ -181,21 +166,16 @@
     public boolean synced() {
         long now = now();
         boolean heardAll = recalled || !self.firstBoot || now - begun > 2 * self.beatMicros;
-        return heardAll && vouching.holds(now, membership, self.ip, counts());
-    }
-
-    /** Whether this machine's disk counts: a member's that is complete. */
-    private boolean counts() {
-        return membership.has(self.ip) && durable.complete();
+        return heardAll && quorum.vouches();
     }
 
     /** By whom it counts. */
     public Membership membership() {
-        return membership;
+        return quorum.membership();
     }
 
     private void news(Entry item) {
-        changed |= item.kind().mended();
+        durable.changed(item);
         if (item.kind() == Kind.SPEED) {
             SpeedNews speeds = SpeedNews.of(item);
             if (speeds != null) {
@@ -224,41 +204,6 @@
         }
     }
 
-    private void remember(long now) {
-        boolean completes = completes(now);
-        boolean due = changed && now >= writeAt || pool.changed() && now >= poolWriteAt || completes;
-        if (!remembers || writing || !due) {
-            return;
-        }
-        changed = false;
-        writing = true;
-        writeAt = now + WRITE_MICROS;
-        poolWriteAt = now + POOL_WRITE_MICROS;
-        long term = membership.term();
-        carrier.remember(durable.snapshot(now, completes || durable.complete()), safe -> {
-            writing = false;
-            changed |= !safe;
-            if (safe && completes && term == membership.term()) {
-                LOG.info("its disk is complete from term " + term + " on");
-                durable.complete(true);
-            }
-        });
-    }
-
-    /** Whether its disk, with a snapshot of now, has all that counts; one that is no member's counts for nothing. */
-    private boolean completes(long now) {
-        if (!membership.has(self.ip)) {
-            if (durable.complete() && !membership.members().isEmpty()) {
-                durable.complete(false);
-                changed = true;
-            }
-            return false;
-        }
-        return !durable.complete()
-                && membership.completes(
-                        self.ip, vouching.known(now, membership, true), vouching.known(now, membership, false));
-    }
-
     // ---- time
 
     /** To be called each {@link #TICK_MICROS}. */
@@ -278,9 +223,9 @@
         board.forget(now);
         registry.forget();
         durable.forget();
-        orders.tick(now);
-        compare(now);
-        remember(now);
+        orders.tick();
+        quorum.tick();
+        durable.tick(now, pool.changed(), quorum);
         if (pool.changed() && now >= poolAt) {
             poolAt = now + POOL_MICROS;
             Record.Pooled sum = new Record.Pooled(pool.sum(now));
@@ -337,66 +282,6 @@
         return ips;
     }
 
-    /** Whether enough members answer, with this one, to acknowledge an order. */
-    private boolean reachesEnough() {
-        long now = now();
-        Set<String> ips = reached();
-        ips.removeIf(ip -> !vouching.reached(now, ip));
-        if (counts()) {
-            ips.add(self.ip);
-        }
-        return membership.holds(ips);
-    }
-
-    // ---- who counts, and what they know
-
-    private void members(Record.Members told) {
-        Membership next = membership.next(told);
-        if (!next.equals(membership)) {
-            membership = next;
-            compareAt = 0;
-            orders.membership(next);
-        }
-    }
-
-    /** Asks the members what they have that this one has not; often while it can't vouch. */
-    private void compare(long now) {
-        if (now >= compareAt || !synced()) {
-            compareAt = now + COMPARE_MICROS;
-            Record.Compare mine = new Record.Compare(now, board.digest());
-            Set<String> members = membership.all();
-            for (Neighbour one : neighbours.up(Program.REGISTRY)) {
-                if (members.contains(one.peer().ip())) {
-                    one.send(mine);
-                }
-            }
-        }
-    }
-
-    private void compared(Neighbour one, Record.Compared answer) {
-        vouching.answered(one.peer().ip(), answer.at(), answer.term(), answer.complete(), answer.parts() == 0);
-        if (answer.parts() != 0) {
-            // Links keep their order: what differs comes before the answer to the second question.
-            one.send(new Record.Summary(answer.parts(), true, board.stamps(answer.parts())));
-            one.send(new Record.Compare(now(), new long[0]));
-        }
-    }
-
-    /** An order of another registry: confirmed once it is on this disk, where that counts. */
-    private void hold(Neighbour from, Record.News news) {
-        if (!remembers) {
-            return;
-        }
-        int[] left = {news.items().size()};
-        for (Entry item : news.items()) {
-            durable.keep(item, now(), () -> {
-                if (--left[0] == 0 && counts()) {
-                    from.send(new Record.Held(news.order(), membership.term()));
-                }
-            });
-        }
-    }
-
     // ---- the store
 
     private void ask(Reply reply) {
@@ -433,7 +318,7 @@
             return;
         }
         if (call != null) {
-            vouching.storeAnswered(call.sentAt);
+            quorum.lease().storeAnswered(call.sentAt);
             askAt = Math.max(askAt, call.sentAt + ASK_MICROS);
         }
         if (answer.body() != null && answer.version() > 0) {
@@ -486,7 +371,7 @@
      * once; it may be true all the same, and those that hear of it may go by it.
      */
     private void publish(HeartbeatTable.Outcome outcome, Reply reply) {
-        boolean promises = reachesEnough();
+        boolean promises = quorum.reachesEnough();
         if (outcome == null || !promises || !outcome.waits()) {
             if (outcome != null) {
                 gossip.publish(outcome.item());
@@ -495,14 +380,10 @@
             return;
         }
         Entry item = outcome.item();
-        long order = orders.begin(now() + CALL_MICROS, () -> {
+        orders.publish(item, CALL_MICROS, () -> {
             registry.safe(item.key(), item.stamp());
             reply.answer(200, null, null);
         });
-        gossip.publish(item, order);
-        if (remembers && counts()) {
-            durable.keep(item, now(), () -> orders.held(order, self.ip, membership.term()));
-        }
         carrier.later(CALL_MICROS, () -> reply.answer(503, "too few registries have it on disk", null));
     }
 
@@ -516,7 +397,7 @@
             return;
         }
         gossip.up(one);
-        compareAt = 0;
+        quorum.up();
         if (one.peer().program() == Program.PROXY) {
             Map<String, double[]> sum = pool.sum(now());
             if (!sum.isEmpty()) {
@@ -529,9 +410,12 @@
 
     /** It has said something. */
     public void received(Neighbour one, Record record) {
+        if (quorum.received(one, record)) {
+            return;
+        }
         if (gossip.received(one, record)) {
             if (record instanceof Record.News news && news.order() != 0) {
-                hold(one, news);
+                orders.confirm(one, news);
             }
             return;
         }
@@ -543,13 +427,10 @@
             answered(answer);
         } else if (record instanceof Record.Held held) {
             orders.held(held.order(), one.peer().ip(), held.term());
-        } else if (record instanceof Record.Compare compare) {
-            int parts = compare.buckets().length == 0 ? 0 : board.differing(compare.buckets());
-            one.send(new Record.Compared(compare.at(), membership.term(), counts(), parts));
-        } else if (record instanceof Record.Compared compared) {
-            compared(one, compared);
         } else if (record instanceof Record.Members members && one.peer().ip().equals(self.ip)) {
-            members(members);
+            if (quorum.members(members)) {
+                orders.membershipChanged();
+            }
         }
     }
 }
