--- a/src/main/java/gorsemast/registry/RegistryDisk.java
+++ b/src/main/java/gorsemast/registry/RegistryDisk.java
@@ -46,6 +46,7 @@
     /** Of the disk's thread: how many are written, and when the last sync began. */
     private long written;
 
+    private volatile long syncs;
     private long syncedAt = Long.MIN_VALUE / 2;
 
     /** In a folder, which must exist. */
@@ -96,6 +97,7 @@
             due = false;
         }
         syncedAt = now();
+        syncs++;
         try {
             journal.append(all.stream().map(Append::record).toList());
             written += all.size();
@@ -134,6 +136,11 @@
         });
     }
 
+    /** How often the journal was synced; any thread. */
+    long syncs() {
+        return syncs;
+    }
+
     private static long now() {
         return System.nanoTime() / 1_000;
     }
