--- a/src/main/java/gorsemast/registry/RegistryDisk.java
+++ b/src/main/java/gorsemast/registry/RegistryDisk.java
@@ -1,6 +1,7 @@
 package gorsemast.registry;
 
 import gorsemast.logging.Log;
+import gorsemast.node.Daemon;
 import gorsemast.storage.DiskException;
 import gorsemast.storage.Journal;
 import gorsemast.storage.Snapshot;
@@ -136,6 +137,12 @@
         });
     }
 
+    /** Ends its thread and lets go of its file. */
+    void close() {
+        Daemon.end(writer);
+        journal.close();
+    }
+
     /** How often the journal was synced; any thread. */
     long syncs() {
         return syncs;
--- a/src/main/java/gorsemast/registry/RegistryProgram.java
+++ b/src/main/java/gorsemast/registry/RegistryProgram.java
@@ -77,7 +77,11 @@
         }
         if (settings.dataDir() != null) {
             Files.createDirectories(settings.dataDir());
-            disk = new RegistryDisk(settings.dataDir(), loop);
+            disk = new RegistryDisk(settings.dataDir(), task -> {
+                if (!loop.isShuttingDown()) {
+                    loop.execute(task);
+                }
+            });
             office.recall(disk.snapshot(), disk.journal());
         }
         links.listen(Ports.REGISTRY.at(settings, settings.ip()));
@@ -97,6 +101,14 @@
         // What is acknowledged is on this disk and on others already.
     }
 
+    @Override
+    public void close() {
+        Daemon.end(loop);
+        if (disk != null) {
+            disk.close();
+        }
+    }
+
     private void tick() {
         try {
             Set<InetSocketAddress> wanted = new LinkedHashSet<>();
