--- a/src/test/java/gorsemast/standin/ProcessesTest.java
+++ b/src/test/java/gorsemast/standin/ProcessesTest.java
@@ -189,6 +189,41 @@
         LoopbackNetwork.until(() -> log("edge").contains("goes by version 8"));
     }
 
+    /** Killed at once: registries and the edge have nothing but what is on the registries' disks. */
+    @Test
+    void aDepartureIsKnownAfterAllWereKilledRightAfterItsAcknowledgement() throws IOException {
+        StandInServer leaver = network.newServer("i-2", "orders", 42);
+        servers.add(leaver);
+        LoopbackNetwork.until(
+                () -> ask("/orders/before").status() == 200 && !leaver.runs().isEmpty());
+        leaver.beats(false);
+        LoopbackNetwork.until(
+                () -> network.call(network.controls().get(1), "POST", "/v1/nodes/i-2/deregister", Map.of(), new byte[2])
+                                .status()
+                        == 200);
+        List<Process> all = List.copyOf(running.values());
+        all.forEach(Process::destroyForcibly);
+        all.forEach(process -> process.onExit().join());
+        int ran = leaver.runs().size();
+        long before = readies();
+        for (int core = 1; core <= 3; core++) {
+            core(core, false);
+        }
+        run("edge", "proxy", network.settings(NET + ".20", "edge", false, false, null));
+        LoopbackNetwork.until(() -> readies() > before);
+        for (int i = 0; i < 20; i++) {
+            assertThat(ask("/orders/after" + i).status()).isEqualTo(200);
+        }
+        assertThat(leaver.runs()).hasSize(ran);
+    }
+
+    private long readies() {
+        return log("edge")
+                .lines()
+                .filter(line -> line.contains("is ready with"))
+                .count();
+    }
+
     @Test
     void anEdgeThatIsToLeaveFinishesWhatItHas() throws Exception {
         servers.get(1).work(400_000);
