Tell the registry only a view that is on the store's disk

Cause: a view was told as soon as the store went by it. After a loss of power its disk could be behind, and the registry would go back to an earlier term than the one under which it had told another machine what it has; the proof needs that it never does. Change: StoreNode tells the view of a save once that is on disk, and at a link's start the last such one.

--- a/src/main/java/gorsemast/store/StoreNode.java
+++ b/src/main/java/gorsemast/store/StoreNode.java
@@ -41,7 +41,10 @@
     private final Replica keeper;
     private final Map<Long, Asker> askers = new HashMap<>();
     private final Set<String> seeds;
-    private View toldView;
+    /** Views by token that are on their way to the disk, and the last one that is on it. */
+    private final Map<Long, View> saving = new HashMap<>();
+
+    private View view;
     private long lastCall;
 
     /**
@@ -66,6 +69,7 @@
         this.clock = clock;
         this.neighbours = neighbours;
         this.saver = saver;
+        this.view = saved.view();
         FaultTolerance borne =
                 new FaultTolerance(Math.max(1, tolerance.machines()), tolerance.zones(), tolerance.regions());
         this.keeper = new Replica(saved, borne, place, seed, this);
@@ -109,32 +113,29 @@
     public void tick() {
         long now = clock.getAsLong();
         keeper.tick(now);
-        tellMembers();
         askers.values().removeIf(asker -> now > asker.until); // whoever it was passed on to did not answer
     }
 
     /** A save is on disk, and all before it. */
     public void saved(long token) {
         keeper.saved(clock.getAsLong(), token);
-        tellMembers();
+        tellMembers(saving.remove(token));
     }
 
-    /** The registry on this machine counts by the same view. */
-    private void tellMembers() {
-        if (!keeper.view().equals(toldView)) {
-            toldView = keeper.view();
-            Neighbour registry = neighbours.at(Program.REGISTRY, ip);
-            if (registry != null) {
-                registry.send(members());
-            }
+    /** The registry on this machine counts by the view that is on disk, which no later life of this store falls behind. */
+    private void tellMembers(View saved) {
+        if (saved == null || saved.equals(view)) {
+            return;
+        }
+        view = saved;
+        Neighbour registry = neighbours.at(Program.REGISTRY, ip);
+        if (registry != null) {
+            registry.send(members());
         }
     }
 
     private Record.Members members() {
-        return new Record.Members(
-                keeper.view().term(),
-                ips(keeper.view().members()),
-                ips(keeper.view().before()));
+        return new Record.Members(view.term(), ips(view.members()), ips(view.before()));
     }
 
     private static List<String> ips(List<Member> members) {
@@ -163,7 +164,6 @@
         long now = clock.getAsLong();
         if (record instanceof Record.Between between) {
             keeper.message(now, between.message());
-            tellMembers();
         } else if (record instanceof Record.Put put) {
             long call = ++lastCall;
             askers.put(call, new Asker(one, put.call(), true, put.version(), put.body(), 0, now + ASKED_MICROS));
@@ -192,6 +192,7 @@
 
     @Override
     public void save(ReplicaState state, boolean keptToo, long token) {
+        saving.put(token, state.view());
         saver.save(state, keptToo, token);
     }
 
