--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -16,7 +16,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -53,6 +52,12 @@
     static final long ROUND_MICROS = 400_000;
     /** Candidates stand back by up to this, so that they seldom meet. */
     static final long STAND_BACK_MICROS = 250_000;
+    /**
+     * Whose disk has not ended a save for this long leads no more and stands for no term; a backup that has not answered for
+     * as long is passed over. Many times what a sound disk takes, and short enough that with {@link #SILENT_MICROS} and an
+     * election after it an order is still acknowledged in time.
+     */
+    static final long SLOW_MICROS = 750_000;
     /** Within this a candidate waits for votes that would give it better placed backups. */
     static final long BETTER_MICROS = ROUND_MICROS / 2;
     /** What is asked and can't be done by then is given up; whoever asked asks somebody else. */
@@ -86,10 +91,13 @@
         PRIMARY
     }
 
+    private record Saving(long since, Runnable then) {}
+
     private record Call(long id, boolean put, long version, byte[] body, long until) {}
 
     private final Out out;
     private final SplittableRandom random;
+    private final long slowMicros;
     private final Membership membership;
     private final Liveness liveness;
     private Member me;
@@ -118,6 +126,7 @@
     private Call working;
     private final Set<String> told = new HashSet<>();
     private long round;
+    private long roundSince;
     private boolean onDisk;
     /** What all backups of this term hold. */
     private StoredVersion agreed = StoredVersion.NONE;
@@ -125,7 +134,8 @@
     private boolean copies;
     private boolean begun;
     private long token;
-    private final Map<Long, Runnable> saving = new HashMap<>();
+    /** Saves that are not on disk yet, by token, the oldest first. */
+    private final Map<Long, Saving> saving = new LinkedHashMap<>();
 
     /**
      * A member as its disk has it.
@@ -143,6 +153,12 @@
      * @param place where its machine stands
      */
     public Replica(ReplicaState saved, FaultTolerance tolerance, Place place, long seed, Out out) {
+        this(saved, tolerance, place, seed, SLOW_MICROS, out);
+    }
+
+    /** The same with a bound of its own in place of {@link #SLOW_MICROS}, in microseconds. */
+    public Replica(ReplicaState saved, FaultTolerance tolerance, Place place, long seed, long slowMicros, Out out) {
+        this.slowMicros = slowMicros;
         this.me = saved.me();
         this.promised = saved.promised();
         this.view = saved.view();
@@ -220,7 +236,8 @@
         switch (role) {
             case FOLLOWER -> {
                 boolean quiet = now - activeAt > SILENT_MICROS;
-                if (quiet && !membership.yields(view, me, now) && now >= standBackUntil && reachesMost()) {
+                boolean may = !slowDisk() && !membership.yields(view, me, now);
+                if (quiet && may && now >= standBackUntil && reachesMost()) {
                     stand(null);
                 }
             }
@@ -242,9 +259,35 @@
                 me, promised, view.term(), settled, role == Role.PRIMARY, membership.leaving(), membership.place());
     }
 
+    /** Whether the disk has not ended a save for long: it hangs, or is full. */
+    private boolean slowDisk() {
+        return !saving.isEmpty() && now - saving.values().iterator().next().since() > slowMicros;
+    }
+
+    /** Whether a backup lives and yet does not answer: its disk hangs, or it has left the term. */
+    private boolean slowBackup() {
+        return working != null && onDisk && now - roundSince > slowMicros && !told.containsAll(view.backups());
+    }
+
     /** What a primary does for the membership: one change at a time, and none before the last one is over. */
     private void lead() {
-        Membership.Step step = reachesMost() ? membership.step(view, me, now) : null;
+        if (slowDisk()) {
+            out.log("is primary no more: its disk ends nothing");
+            role = Role.FOLLOWER;
+            standBack();
+            fail();
+            return;
+        }
+        if (!reachesMost()) {
+            return;
+        }
+        Membership.Step step = membership.step(view, me, now);
+        if (step == null
+                && slowBackup()
+                && !membership.yields(view, me, now)
+                && view.before().isEmpty()) {
+            step = new Membership.Step(null, "has a backup of term " + view.term() + " that does not answer");
+        }
         if (step != null) {
             out.log(step.reason());
             stand(step.members());
@@ -651,6 +694,7 @@
         working = calls.poll();
         told.clear();
         round++;
+        roundSince = now;
         long mine = round;
         boolean writes = working.put && working.version > kept.version();
         if (writes) {
@@ -702,22 +746,22 @@
     private void save(boolean keptToo, Runnable then) {
         long mine = ++token;
         View view = this.view;
-        saving.put(mine, () -> {
+        saving.put(mine, new Saving(now, () -> {
             if (view.before().isEmpty() && view.term() > settled) {
                 settled = view.term();
                 pingAt = Math.min(pingAt, now); // who has been replaced may wait for it
             }
             then.run();
-        });
+        }));
         out.save(new ReplicaState(me, promised, view, kept), keptToo, mine);
     }
 
     /** This and all earlier saves are on disk. */
     public void saved(long time, long which) {
         now = time;
-        Runnable then = saving.remove(which);
-        if (then != null) {
-            then.run();
+        Saving done = saving.remove(which);
+        if (done != null) {
+            done.then().run();
         }
     }
 
--- a/src/main/java/gorsemast/store/StoreProgram.java
+++ b/src/main/java/gorsemast/store/StoreProgram.java
@@ -10,14 +10,12 @@
 import gorsemast.peer.Ports;
 import gorsemast.peer.Record;
 import gorsemast.storage.Disk;
-import gorsemast.storage.DiskException;
 import gorsemast.transport.Transport;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -35,8 +33,6 @@
     /** Of it, what may be waited; the rest is for the disk and the end itself. */
     private static final double GRACE_PART = 0.75;
 
-    private static final String STATE = "state";
-    private static final String CONFIGURATION = "configuration";
     private static final Log LOG = new Log("store");
 
     private final Settings settings;
@@ -48,7 +44,6 @@
     });
     private final long origin = System.nanoTime();
     private final Links links;
-    private Disk disk;
     private StoreNode teller;
     /** Set once the process is asked to end, and opened when it may; the loop's. */
     private CountDownLatch left;
@@ -72,8 +67,10 @@
         if (!settings.configMode().equals(Settings.HIGHEST)) {
             LOG.warn("configMode: keeps the highest version, not \"" + settings.configMode() + '"');
         }
-        disk = Disk.open(settings.dataDir());
-        ReplicaState saved = recover(disk.load());
+        Disk disk = Disk.open(settings.dataDir(), Seed.fresh());
+        ReplicaState saved = recover(disk);
+        StateWriter states =
+                new StateWriter(disk::save, writer, this::onLoop, token -> teller.saved(token), StoreProgram::pause);
         teller = new StoreNode(
                 settings.ip(),
                 settings.seedIps(),
@@ -83,15 +80,16 @@
                 Seed.fresh(),
                 this::now,
                 links,
-                this::save);
+                states::save);
         links.listen(Ports.STORE.at(settings, settings.ip()));
         loop.execute(this::tick);
         loop.scheduleWithFixedDelay(this::tick, StoreNode.TICK_MICROS, StoreNode.TICK_MICROS, TimeUnit.MICROSECONDS);
     }
 
-    private ReplicaState recover(Map<String, byte[]> records) throws IOException {
-        if (records.containsKey(STATE) && records.containsKey(CONFIGURATION)) {
-            ReplicaState saved = ReplicaState.of(records.get(STATE), records.get(CONFIGURATION));
+    private ReplicaState recover(Disk disk) throws IOException {
+        Disk.Saved records = disk.load();
+        if (records != null) {
+            ReplicaState saved = ReplicaState.of(records.state(), records.configuration());
             LOG.info("has version " + Long.toHexString(saved.kept().version()) + " of term "
                     + saved.kept().term() + ", promised " + saved.promised());
             return saved;
@@ -100,7 +98,7 @@
             LOG.warn("has an empty disk and asks to be taken in");
         }
         ReplicaState fresh = ReplicaState.fresh(settings.ip(), settings.seedIps(), settings.firstBoot(), Seed.fresh());
-        disk.save(Map.of(STATE, fresh.state(), CONFIGURATION, fresh.configuration()));
+        disk.save(fresh.state(), fresh.configuration());
         return fresh;
     }
 
@@ -130,14 +128,20 @@
         }
         writer.shutdown();
         try {
-            if (writer.awaitTermination(1, TimeUnit.SECONDS)) {
-                disk.close();
+            if (!writer.awaitTermination(1, TimeUnit.SECONDS)) {
+                LOG.warn("ends with a save under way");
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    @Override
+    public void close() {
+        Daemon.end(loop);
+        Daemon.end(writer);
+    }
+
     private void tick() {
         try {
             teller.tick();
@@ -175,24 +179,11 @@
 
     // ---- the disk
 
-    private void save(ReplicaState state, boolean keptToo, long token) {
-        byte[] record = state.state();
-        byte[] kept = keptToo ? state.configuration() : null;
-        writer.execute(() -> {
-            while (true) {
-                try {
-                    disk.save(kept == null ? Map.of(STATE, record) : Map.of(STATE, record, CONFIGURATION, kept));
-                    break;
-                } catch (DiskException e) {
-                    LOG.warn("can't write, tries again: " + e.getMessage());
-                    pause();
-                } catch (Error e) {
-                    LOG.fault(e);
-                    throw e;
-                }
-            }
-            loop.execute(() -> teller.saved(token));
-        });
+    /** Runs a task on the loop, unless that is being closed. */
+    private void onLoop(Runnable task) {
+        if (!loop.isShuttingDown()) {
+            loop.execute(task);
+        }
     }
 
     private static void pause() {
