--- a/src/test/java/gorsemast/standin/ProcessesTest.java
+++ b/src/test/java/gorsemast/standin/ProcessesTest.java
@@ -189,6 +189,28 @@
         LoopbackNetwork.until(() -> log("edge").contains("goes by version 8"));
     }
 
+    /** The new machine first; then the old one is asked to leave, and with it gone another one loses its disk. */
+    @Test
+    void aMachineIsReplacedInOrderAndAnotherOneLost() throws Exception {
+        core(4, false);
+        LoopbackNetwork.until(() -> log("store4").contains("runs on core-4"));
+        int by = put(2);
+        for (String program : new String[] {"registry", "store"}) {
+            Process process = running.remove(program + by);
+            process.destroy();
+            assertThat(process.waitFor(20, TimeUnit.SECONDS)).isTrue();
+            assertThat(process.exitValue()).isZero();
+        }
+        assertThat(log("store" + by)).contains("leaves as");
+        wipe(by);
+        LoopbackNetwork.until(() -> log("store").contains("takes in " + NET + ".4"));
+        int lost = by % 3 + 1;
+        kill(lost);
+        wipe(lost);
+        read(2);
+        put(3);
+    }
+
     @Test
     void anEdgeThatIsToLeaveFinishesWhatItHas() throws Exception {
         servers.get(1).work(400_000);
