--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -265,11 +265,8 @@
         switch (role) {
             case FOLLOWER -> {
                 boolean quiet = now - activeAt > SILENT_MICROS;
-                if (quiet
-                        && !membership.yields(view, me, now)
-                        && now >= standBackUntil
-                        && reachesMost()
-                        && !slowDisk()) {
+                boolean may = !slowDisk() && !membership.yields(view, me, now);
+                if (quiet && may && now >= standBackUntil && reachesMost()) {
                     stand(null);
                 }
             }
@@ -316,9 +313,9 @@
         Membership.Step step = membership.step(view, me, now);
         if (step == null
                 && slowBackup()
-                && !membership.leaving()
+                && !membership.yields(view, me, now)
                 && view.before().isEmpty()) {
-            step = new Membership.Step(null, "has a backup that ends nothing in term " + view.term());
+            step = new Membership.Step(null, "has a backup of term " + view.term() + " that does not answer");
         }
         if (step != null) {
             out.log(step.reason());
@@ -806,15 +803,14 @@
 
     private void save(boolean keptToo, Runnable then) {
         long mine = ++token;
-        View saved = view;
-        Runnable settles = () -> {
-            if (saved.before().isEmpty() && saved.term() > settled) {
-                settled = saved.term();
+        View view = this.view;
+        saving.put(mine, new Saving(now, () -> {
+            if (view.before().isEmpty() && view.term() > settled) {
+                settled = view.term();
                 pingAt = Math.min(pingAt, now); // who has been replaced may wait for it
             }
             then.run();
-        };
-        saving.put(mine, new Saving(now, settles));
+        }));
         out.save(new ReplicaState(me, promised, view, kept), keptToo, mine);
     }
 
