--- a/src/main/java/gorsemast/modelcheck/World.java
+++ b/src/main/java/gorsemast/modelcheck/World.java
@@ -1,12 +1,18 @@
 package gorsemast.modelcheck;
 
+import gorsemast.node.FaultTolerance;
 import gorsemast.store.Member;
 import gorsemast.store.Message;
 import gorsemast.store.Message.Append;
 import gorsemast.store.Message.AppendAck;
 import gorsemast.store.Message.Confirm;
 import gorsemast.store.Message.ConfirmAck;
+import gorsemast.store.Message.Install;
+import gorsemast.store.Message.InstallAck;
 import gorsemast.store.Message.RequestVote;
+import gorsemast.store.Message.ViewChange;
+import gorsemast.store.Message.Vote;
+import gorsemast.store.Place;
 import gorsemast.store.Replica;
 import gorsemast.store.ReplicaState;
 import gorsemast.store.StoredVersion;
@@ -23,11 +29,10 @@
 
 /**
  * Members of a store with their disks and the messages between them, in virtual time. Messages of one pair keep their
- * order, as on a link, but a link may break and lose what was on it. What is on its way to a disk when power is lost is
- * there or not; a process that dies leaves its writes behind.
+ * order, as on a link, but a link may break and lose what was on it. Disks are {@link ModelDisk}s.
  *
  * <p>The referee: what was acknowledged under a version is never answered with other content, a read never answers with
- * less than was acknowledged before it was asked for, and when all is well again a read answers, with at least the newest
+ * less than was acknowledged before it was asked for nor with what nobody sent, and when all is well again a read answers, with at least the newest
  * that was acknowledged. Deterministic by its seed.
  */
 public final class World {
@@ -41,73 +46,62 @@
     }
 
     private static final long STEP_MICROS = 25_000;
+    private static final int ROUGH_DRAWS = 5;
     private static final long LONG_MICROS = 20_000_000;
 
-    private record Save(ReplicaState state, long token, Replica of) {}
+    /** Operators give an order so long, whatever one disk does. */
+    private static final long ACK_MICROS = 4_000_000;
+    /** An operator that has no answer asks another machine after so long. */
+    private static final long AGAIN_MICROS = 1_000_000;
 
-    private record Asked(boolean put, long version, long floor) {}
+    private record Asked(boolean put, long version, long floor, String content) {}
 
     /** One machine. */
     private final class Machine implements Replica.Out {
         private final String ip;
-        private ReplicaState disk;
-        private ReplicaState earlier;
-        private final Deque<Save> saves = new ArrayDeque<>();
+        private final ModelDisk disk;
+        private final Map<Member, Append> inHand = new HashMap<>();
         private Replica keeper;
         private boolean frozen;
+        /** Removed for good. */
+        private boolean gone;
 
         Machine(String ip) {
             this.ip = ip;
+            this.disk = new ModelDisk(random, plant);
         }
 
         void start() {
-            if (disk == null) {
-                disk = new ReplicaState(
+            if (disk.held() == null) {
+                disk.begin(new ReplicaState(
                         new Member(ip + "#" + (plant == Plant.WIPED_KEEPS_ITS_NAME ? 0 : ++lives), ip),
                         0,
                         plant == Plant.WIPED_KEEPS_ITS_NAME ? Replica.first(firstMembers) : Replica.first(List.of()),
-                        StoredVersion.NONE);
+                        StoredVersion.NONE));
             }
-            keeper = new Replica(disk, plant == Plant.NO_BACKUP ? 0 : 1, random.nextLong(), this);
-            if (plant == Plant.WIPED_KEEPS_ITS_NAME && disk.me().id().endsWith("#0")) {
+            Place place = plant == Plant.ZONES_UNKNOWN ? Place.UNKNOWN : places.getOrDefault(ip, Place.UNKNOWN);
+            keeper = plant == Plant.WAITS_FOR_ANY_DISK
+                    ? new Replica(disk.held(), tolerance, place, random.nextLong(), LONG_MICROS * LONG_MICROS, this)
+                    : new Replica(disk.held(), tolerance, place, random.nextLong(), this);
+            if (plant == Plant.WIPED_KEEPS_ITS_NAME && disk.held().me().id().endsWith("#0")) {
                 lives++;
             }
         }
 
         void kill(boolean power) {
-            // A process's writes are in the system's hands; power may take those that were not synced.
-            while (!saves.isEmpty()) {
-                Save next = saves.poll();
-                if (power && random.nextBoolean()) {
-                    break;
-                }
-                write(next);
-            }
-            saves.clear();
+            disk.end(power);
             keeper = null;
             frozen = false;
-            if (power && plant == Plant.DISK_FORGETS_THE_LAST && earlier != null) {
-                disk = earlier;
-            }
+            inHand.clear();
             links.keySet().removeIf(pair -> pair.startsWith(ip + ">") || pair.endsWith(">" + ip));
         }
 
-        private void write(Save save) {
-            earlier = disk;
-            disk = save.state;
-        }
-
-        /** The disk finishes one write. */
-        boolean sync() {
-            if (saves.isEmpty()) {
-                return false;
-            }
-            Save done = saves.poll();
-            write(done);
-            if (keeper == done.of && plant != Plant.SAVED_TOO_EARLY) {
-                keeper.saved(now, done.token);
+        void wake() {
+            frozen = false;
+            if (plant == Plant.WAKES_AND_ACKNOWLEDGES && keeper != null) {
+                inHand.forEach((to, append) -> forge(new AppendAck(to, append.term(), append.round())));
+                settle();
             }
-            return true;
         }
 
         @Override
@@ -115,19 +109,66 @@
             if (to.ip().equals(ip)) {
                 return;
             }
+            if (message instanceof Install install && untold(install, machines.get(to.ip()))) {
+                forge(new InstallAck(to, install.term()));
+                return;
+            }
+            if (message instanceof ViewChange change
+                    && plant == Plant.CHANGES_OVERLAP
+                    && change.view().members().stream().noneMatch(to::equals)) {
+                return;
+            }
+            if (message instanceof RequestVote request && plant == Plant.OUTSIDER_VOTES && outsider(to)) {
+                forge(new Vote(to, request.term(), null));
+            }
             Message sent = SpoiledMessages.spoiled(plant, message, lastAsked);
+            if (plant == Plant.JOINS_EMPTY && message instanceof Install install && holdsNothing(to)) {
+                sent = new Install(install.from(), install.term(), install.view(), StoredVersion.NONE);
+            }
             if (sent != null) {
                 links.computeIfAbsent(ip + ">" + to.ip(), pair -> new ArrayDeque<>())
                         .add(sent);
             }
-            if (message instanceof Append append && plant == Plant.COPIED_WITHOUT_COPY) {
+            if (message instanceof Append append) {
+                inHand.put(to, append);
+            }
+            boolean uncopied = plant == Plant.COPIED_WITHOUT_COPY || plant == Plant.NO_BACKUP;
+            if (message instanceof Append append && uncopied) {
                 forge(new AppendAck(to, append.term(), append.round()));
             }
-            if (message instanceof Confirm confirm && plant == Plant.CONFIRMED_BY_NOBODY) {
+            boolean unconfirmed = plant == Plant.CONFIRMED_BY_NOBODY || plant == Plant.NO_BACKUP;
+            if (message instanceof Confirm confirm && unconfirmed) {
                 forge(new ConfirmAck(to, confirm.term(), confirm.round()));
             }
         }
 
+        /** Whether a planted defect has it that this one is not told, and counts all the same. */
+        private boolean untold(Install install, Machine to) {
+            return switch (plant) {
+                case NO_BACKUP -> true;
+
+                case CHANGES_OVERLAP ->
+                    !install.view().before().isEmpty()
+                            && install.view().backups().stream().noneMatch(id -> id.startsWith(to.ip + "#"));
+                default -> false;
+            };
+        }
+
+        private boolean holdsNothing(Member to) {
+            ReplicaState state = machines.get(to.ip()).disk.held();
+            return state != null && state.kept().version() == 0;
+        }
+
+        /** Whether a machine that runs and is no member could speak for this one, which is down. */
+        private boolean outsider(Member silent) {
+            return machines.get(silent.ip()).keeper == null
+                    && machines.values().stream()
+                            .anyMatch(one -> one.keeper != null
+                                    && !one.keeper
+                                            .view()
+                                            .has(one.disk.held().me().id()));
+        }
+
         private void forge(Message forged) {
             Replica mine = keeper;
             later.add(() -> {
@@ -139,7 +180,7 @@
 
         @Override
         public void save(ReplicaState state, boolean keptToo, long token) {
-            saves.add(new Save(state, token, keeper));
+            disk.save(state, keptToo, token, keeper);
             if (plant == Plant.SAVED_TOO_EARLY && keeper != null) {
                 Replica mine = keeper;
                 later.add(() -> {
@@ -165,6 +206,9 @@
                         ip + " answers with version " + kept.version() + " after " + asked.floor + " was acknowledged");
             }
             String text = new String(kept.body(), StandardCharsets.UTF_8);
+            if (kept.version() > 0 && !sent.contains(text)) {
+                throw new Broken("version " + kept.version() + " is answered as " + text + ", which nobody sent");
+            }
             String before = acknowledged.putIfAbsent(kept.version(), text);
             if (before != null && !before.equals(text)) {
                 throw new Broken("version " + kept.version() + " was acknowledged as " + before + " and as " + text);
@@ -208,6 +252,8 @@
 
     private final SplittableRandom random;
     private final Plant plant;
+    private final FaultTolerance tolerance;
+    private final Map<String, Place> places;
     private final List<Member> firstMembers = new ArrayList<>();
     private final Map<String, Machine> machines = new HashMap<>();
     private final List<String> ips = new ArrayList<>();
@@ -216,6 +262,7 @@
     private final Map<Long, Asked> calls = new HashMap<>();
     private final Map<Long, Integer> hops = new HashMap<>();
     private final Map<Long, String> acknowledged = new HashMap<>();
+    private final Set<String> sent = new HashSet<>();
     private final Deque<Runnable> later = new ArrayDeque<>();
     private List<String> story;
     private long now = 1_000_000;
@@ -229,6 +276,13 @@
 
     /** So many members on empty disks, at the system's first start, and further machines that are none. */
     public World(int members, int spares, long seed, Plant plant) {
+        this(members, spares, FaultTolerance.ofMachines(1), Map.of(), seed, plant);
+    }
+
+    /** The same where these losses are to be borne, with the places of machines, by name. */
+    World(int members, int spares, FaultTolerance tolerance, Map<String, Place> places, long seed, Plant plant) {
+        this.tolerance = tolerance;
+        this.places = Map.copyOf(places);
         this.random = new SplittableRandom(seed);
         this.plant = plant;
         for (int i = 1; i <= members + spares; i++) {
@@ -241,7 +295,8 @@
         }
         for (int i = 0; i < members; i++) {
             Machine machine = machines.get(ips.get(i));
-            machine.disk = new ReplicaState(firstMembers.get(i), 0, Replica.first(firstMembers), StoredVersion.NONE);
+            machine.disk.begin(
+                    new ReplicaState(firstMembers.get(i), 0, Replica.first(firstMembers), StoredVersion.NONE));
         }
         for (int i = 0; i < members; i++) {
             machines.get(ips.get(i)).start();
@@ -271,11 +326,7 @@
 
     private void enter(Machine at, long call, Asked asked) {
         if (asked.put) {
-            at.keeper.put(
-                    now,
-                    call,
-                    asked.version,
-                    ("content of " + asked.version + " by call " + call).getBytes(StandardCharsets.UTF_8));
+            at.keeper.put(now, call, asked.version, asked.content.getBytes(StandardCharsets.UTF_8));
         } else {
             at.keeper.get(now, call);
         }
@@ -292,22 +343,44 @@
 
     /** An operator sends the next version, or sends one again, to a machine. */
     void put(String ip, boolean same) {
+        versions += same ? 0 : 1;
+        put(ip, versions, "content of " + versions + " by call " + (lastCall + 1));
+    }
+
+    private void put(String ip, long version, String content) {
         Machine at = machines.get(ip);
         if (at.keeper != null && !at.frozen) {
             long call = ++lastCall;
-            versions += same ? 0 : 1;
-            Asked asked = new Asked(true, versions, newest);
+            Asked asked = new Asked(true, version, newest, content);
+            sent.add(content);
             calls.put(call, asked);
             enter(at, call, asked);
         }
     }
 
+    /** An operator sends the next version, to one machine after the other, and gives it {@link #ACK_MICROS}. */
+    void order(String ip) {
+        long version = ++versions;
+        long begun = now;
+        for (int at = ips.indexOf(ip); !acknowledged.containsKey(version); at++) {
+            if (now - begun > ACK_MICROS) {
+                throw new Broken("version " + version + " is not acknowledged in " + ACK_MICROS / 1_000 + " ms");
+            }
+            put(ips.get(at % ips.size()), version, "content of " + version);
+            for (long until = now + AGAIN_MICROS; now < until && !acknowledged.containsKey(version); ) {
+                quiet();
+                tick();
+                quiet();
+            }
+        }
+    }
+
     /** An operator reads. */
     void get(String ip) {
         Machine at = machines.get(ip);
         if (at.keeper != null && !at.frozen) {
             long call = ++lastCall;
-            Asked asked = new Asked(false, 0, newest);
+            Asked asked = new Asked(false, 0, newest, "");
             calls.put(call, asked);
             enter(at, call, asked);
         }
@@ -325,7 +398,8 @@
             lastAsked = request.term();
         }
         at.keeper.message(now, message);
-        Message answer = SpoiledMessages.answerInAnyTerm(plant, message, at.disk.me());
+        Message answer =
+                SpoiledMessages.answerInAnyTerm(plant, message, at.disk.held().me());
         if (answer != null) {
             Machine asker = machines.get(from);
             later.add(() -> {
@@ -340,7 +414,7 @@
 
     /** A disk finishes one write. */
     boolean sync(String ip) {
-        boolean did = machines.get(ip).sync();
+        boolean did = machines.get(ip).disk.sync(machines.get(ip).keeper, now);
         settle();
         return did;
     }
@@ -367,9 +441,10 @@
     /** Starts what is down. */
     void start(String ip) {
         Machine machine = machines.get(ip);
-        if (machine.keeper == null) {
+        if (machine.keeper == null && !machine.gone) {
             tell(ip + " starts");
             machine.start();
+            greet(machine);
             if (ip.equals(lost)) {
                 lostSince = now;
             }
@@ -385,28 +460,167 @@
         if (whole && allUp(ip)) {
             tell(ip + " loses its disk");
             machine.kill(true);
-            machine.disk = null;
-            machine.earlier = null;
+            machine.disk.wipe();
             lost = ip;
             lostSince = now;
         }
     }
 
+    /** Links come up, by the list of core machines that each process is given: each side says a first word. */
+    private void greet(Machine started) {
+        for (String ip : ips) {
+            Machine other = machines.get(ip);
+            if (other != started && other.keeper != null) {
+                started.send(new Member("", ip), started.keeper.greeting());
+                other.send(new Member("", started.ip), other.keeper.greeting());
+            }
+        }
+    }
+
+    /** A further machine, not started yet; its name. */
+    String add() {
+        String ip = "m" + (ips.size() + 1);
+        ips.add(ip);
+        machines.put(ip, new Machine(ip));
+        return ip;
+    }
+
+    /** For this long, messages and disks come at drawn moments: of a pair's messages, some three in each step. */
+    void rough(long micros) {
+        long until = now + micros;
+        while (now < until) {
+            for (int i = 0; i < ROUGH_DRAWS * ips.size() * ips.size(); i++) {
+                if (random.nextInt(3) > 0) {
+                    deliver(ips.get(random.nextInt(ips.size())), ips.get(random.nextInt(ips.size())));
+                } else {
+                    sync(ips.get(random.nextInt(ips.size())));
+                }
+            }
+            tick();
+        }
+    }
+
+    /** A machine is removed for good, with its disk. */
+    void remove(String ip) {
+        tell(ip + " is removed");
+        Machine machine = machines.get(ip);
+        if (machine.keeper != null) {
+            machine.kill(true);
+        }
+        machine.disk.wipe();
+        machine.gone = true;
+    }
+
+    /** A machine loses its disk, whatever else is lost. */
+    void lose(String ip) {
+        tell(ip + " loses its disk");
+        Machine machine = machines.get(ip);
+        if (machine.keeper != null) {
+            machine.kill(true);
+        }
+        machine.disk.wipe();
+    }
+
+    /** All processes are killed and come back at once. */
+    void quietKill() {
+        List<String> running =
+                ips.stream().filter(ip -> machines.get(ip).keeper != null).toList();
+        running.forEach(ip -> kill(ip, false));
+        running.forEach(this::start);
+    }
+
+    /** A machine is asked to leave. */
+    void ask(String ip) {
+        machines.get(ip).keeper.leave(now);
+        settle();
+    }
+
+    /** Whether one that was asked to leave may end. */
+    boolean left(String ip) {
+        return machines.get(ip).keeper.left(now);
+    }
+
+    /** A machine is asked to leave and ends as soon as it may, or when the time is over; how long that took. */
+    long leave(String ip, long grace) {
+        tell(ip + " leaves");
+        long from = now;
+        Replica replica = machines.get(ip).keeper;
+        ask(ip);
+        boolean rough = random.nextBoolean();
+        do {
+            if (rough) {
+                rough(STEP_MICROS);
+            } else {
+                quiet();
+                tick();
+            }
+        } while (!(plant == Plant.LEAVES_AT_ONCE || replica.left(now)) && now - from < grace);
+        kill(ip, false);
+        return now - from;
+    }
+
+    /** The machine that leads; null for none. */
+    String leader() {
+        return ips.stream()
+                .filter(ip -> machines.get(ip).keeper != null
+                        && !machines.get(ip).frozen
+                        && machines.get(ip).keeper.primary())
+                .findFirst()
+                .orElse(null);
+    }
+
+    /** The decisions of a machine that runs; null where none do. */
+    Replica replica(String ip) {
+        return machines.get(ip).keeper;
+    }
+
+    /** The newest version that was acknowledged. */
+    long newest() {
+        return newest;
+    }
+
+    /** How long it takes until a read sent to any machine that runs answers, asked anew each 0.1 s; -1 for never. */
+    long readAnswers(long within) {
+        long from = now;
+        int before = answered;
+        while (now - from < within) {
+            ips.forEach(this::get);
+            for (int i = 0; i < 4; i++) {
+                quiet();
+                tick();
+                if (answered > before) {
+                    return now - from;
+                }
+            }
+        }
+        return -1;
+    }
+
     private boolean allUp(String but) {
         return ips.stream()
                         .allMatch(ip -> ip.equals(but)
-                                || machines.get(ip).disk == null
+                                || machines.get(ip).disk.held() == null
                                 || machines.get(ip).keeper != null && !machines.get(ip).frozen)
                 && cuts.isEmpty()
-                && machines.get(but).disk != null
+                && machines.get(but).disk.held() != null
                 && steadySince < now - 4_000_000;
     }
 
     private long steadySince;
 
     void freeze(String ip, boolean does) {
-        machines.get(ip).frozen = does && machines.get(ip).keeper != null;
         tell(ip + (does ? " freezes" : " wakes"));
+        if (does) {
+            machines.get(ip).frozen = machines.get(ip).keeper != null;
+        } else if (machines.get(ip).frozen) {
+            machines.get(ip).wake();
+        }
+    }
+
+    /** A disk hangs or is full, and ends nothing; or works again. */
+    void stall(String ip, boolean does) {
+        tell(ip + (does ? "'s disk stalls" : "'s disk works"));
+        machines.get(ip).disk.stall(does);
     }
 
     void cut(String from, String to, boolean does) {
@@ -441,8 +655,10 @@
             deliver(a, b);
         } else if (what < 700) {
             sync(a);
-        } else if (what < 860) {
+        } else if (what < 850) {
             tick();
+        } else if (what < 860) {
+            stall(a, what < 853);
         } else if (what < 910) {
             put(a, random.nextInt(4) == 0);
         } else if (what < 945) {
@@ -473,6 +689,7 @@
         cuts.clear();
         for (String ip : ips) {
             machines.get(ip).frozen = false;
+            machines.get(ip).disk.stall(false);
             start(ip);
         }
         calm(6_000_000);
@@ -488,13 +705,25 @@
         get(ips.get(random.nextInt(ips.size())));
     }
 
+    /** A disk is lost, and all others lose power with it. */
+    void strikeAll(String wiped) {
+        wipe(wiped);
+        for (String ip : ips) {
+            kill(ip, true);
+        }
+    }
+
     /** One stands still while another takes over and acknowledges, wakes, and is asked before it has heard of that. */
     void sleep() {
         String sleeper = ips.get(random.nextInt(ips.size()));
         String other = ips.get(random.nextInt(ips.size()));
+        boolean inHand = random.nextBoolean();
+        if (inHand) {
+            put(sleeper, false); // written there, and nobody else has heard of it
+        }
         freeze(sleeper, true);
         calm(3_000_000);
-        put(other, false);
+        put(other, inHand && !other.equals(sleeper));
         calm(100_000);
         freeze(sleeper, false);
         get(sleeper);
@@ -509,6 +738,7 @@
         cuts.clear();
         for (String ip : ips) {
             machines.get(ip).frozen = false;
+            machines.get(ip).disk.stall(false);
             start(ip);
         }
         long until = now + LONG_MICROS;
@@ -517,7 +747,7 @@
             tick();
         }
         int before = answered;
-        get(ips.get(0));
+        get(ips.stream().filter(ip -> !machines.get(ip).gone).findFirst().orElseThrow());
         for (int i = 0; i < 200 && answered == before; i++) {
             quiet();
             tick();
--- a/src/main/java/gorsemast/simulation/Plant.java
+++ b/src/main/java/gorsemast/simulation/Plant.java
@@ -10,6 +10,8 @@
     MENDS_NOTHING,
     /** A store counts a save before it is on disk. */
     SAVED_TOO_EARLY,
+    /** A store that is asked to leave ends at once, without a word. */
+    LEAVES_AT_ONCE,
     /** An edge goes by the configuration that it is told last. */
     GOES_BACK,
     /** An edge sends to servers that leave. */
@@ -23,5 +25,9 @@
     /** An edge holds that what was reset has not run. */
     RESET_NEVER_RAN,
     /** Edges share no ceiling. */
-    NO_CEILING
+    NO_CEILING,
+    /** A store's new version reaches the disk's state and not its version. */
+    STATE_WITHOUT_VERSION,
+    /** A store leads on, and one stays backup, however long its disk ends nothing. */
+    WAITS_FOR_ANY_DISK
 }
--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -1,5 +1,6 @@
 package gorsemast.store;
 
+import gorsemast.node.FaultTolerance;
 import gorsemast.store.Message.Append;
 import gorsemast.store.Message.AppendAck;
 import gorsemast.store.Message.Confirm;
@@ -7,6 +8,7 @@
 import gorsemast.store.Message.Heartbeat;
 import gorsemast.store.Message.Install;
 import gorsemast.store.Message.InstallAck;
+import gorsemast.store.Message.Leave;
 import gorsemast.store.Message.RequestVote;
 import gorsemast.store.Message.ViewChange;
 import gorsemast.store.Message.Vote;
@@ -14,8 +16,8 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -45,13 +47,19 @@
     /** How often members say that they live. */
     static final long PING_MICROS = 150_000;
     /** A primary that was not heard for this long is followed by another: four signs of life. */
-    static final long SILENT_MICROS = 650_000;
+    static final long SILENT_MICROS = Liveness.SILENT_MICROS;
     /** What an election or an installation may take before it is begun anew; a disk of 5 ms and two ways are 15. */
     static final long ROUND_MICROS = 400_000;
     /** Candidates stand back by up to this, so that they seldom meet. */
     static final long STAND_BACK_MICROS = 250_000;
-    /** A member that was not heard for this long may be replaced by a machine that asks to be one. */
-    static final long GONE_MICROS = 2_500_000;
+    /**
+     * Whose disk has not ended a save for this long leads no more and stands for no term; a backup that has not answered for
+     * as long is passed over. Many times what a sound disk takes, and short enough that with {@link #SILENT_MICROS} and an
+     * election after it an order is still acknowledged in time.
+     */
+    static final long SLOW_MICROS = 750_000;
+    /** Within this a candidate waits for votes that would give it better placed backups. */
+    static final long BETTER_MICROS = ROUND_MICROS / 2;
     /** What is asked and can't be done by then is given up; whoever asked asks somebody else. */
     static final long CALL_MICROS = 2_500_000;
 
@@ -83,13 +91,24 @@
         PRIMARY
     }
 
+    private record Saving(long since, Runnable then) {}
+
     private record Call(long id, boolean put, long version, byte[] body, long until) {}
 
     private final Out out;
     private final SplittableRandom random;
-    private final int losses;
+    private final long slowMicros;
+    private final Membership membership;
+    private final Liveness liveness;
     private Member me;
     private long promised;
+    /** The highest term that any member has said to have promised; a hint for the next one to ask for. */
+    private long highest;
+    /** The term of the last view without an old list of members that is on disk; -1 for none. */
+    private long settled = -1;
+    /** In this life of the process it was a member, and has been replaced since: a joint view may need its vote yet. */
+    private boolean replaced;
+
     private View view;
     private StoredVersion kept;
     private Role role = Role.FOLLOWER;
@@ -101,16 +120,13 @@
     private StoredVersion best;
     private final Set<String> granted = new HashSet<>();
     private final Set<String> installed = new HashSet<>();
-    /** When each was last heard, by id, and what it said of itself. */
-    private final Map<String, Long> heard = new HashMap<>();
-
-    private final Map<String, Member> known = new HashMap<>();
     private String activePrimary = "";
     private long activeAt = Long.MIN_VALUE / 2;
     private final Deque<Call> calls = new ArrayDeque<>();
     private Call working;
     private final Set<String> told = new HashSet<>();
     private long round;
+    private long roundSince;
     private boolean onDisk;
     /** What all backups of this term hold. */
     private StoredVersion agreed = StoredVersion.NONE;
@@ -118,7 +134,8 @@
     private boolean copies;
     private boolean begun;
     private long token;
-    private final Map<Long, Runnable> saving = new HashMap<>();
+    /** Saves that are not on disk yet, by token, the oldest first. */
+    private final Map<Long, Saving> saving = new LinkedHashMap<>();
 
     /**
      * A member as its disk has it.
@@ -126,11 +143,29 @@
      * @param losses how many disks may be lost at the same time: so many backups
      */
     public Replica(ReplicaState saved, int losses, long seed, Out out) {
+        this(saved, FaultTolerance.ofMachines(losses), Place.UNKNOWN, seed, out);
+    }
+
+    /**
+     * A member as its disk has it.
+     *
+     * @param tolerance what may be lost at the same time
+     * @param place where its machine stands
+     */
+    public Replica(ReplicaState saved, FaultTolerance tolerance, Place place, long seed, Out out) {
+        this(saved, tolerance, place, seed, SLOW_MICROS, out);
+    }
+
+    /** The same with a bound of its own in place of {@link #SLOW_MICROS}, in microseconds. */
+    public Replica(ReplicaState saved, FaultTolerance tolerance, Place place, long seed, long slowMicros, Out out) {
+        this.slowMicros = slowMicros;
         this.me = saved.me();
         this.promised = saved.promised();
         this.view = saved.view();
+        this.settled = view.before().isEmpty() ? view.term() : -1;
         this.kept = saved.kept();
-        this.losses = losses;
+        this.membership = new Membership(tolerance, place);
+        this.liveness = membership.liveness;
         this.random = new SplittableRandom(seed);
         this.out = out;
     }
@@ -150,11 +185,12 @@
         return view;
     }
 
-    /** All that it knows of, for whoever keeps links to them. */
+    /** All that it knows of, for whoever keeps links to them; one for each address, members of the view first. */
     public List<Member> known() {
-        List<Member> all = new ArrayList<>(view.all());
-        known.values().stream().filter(member -> !all.contains(member)).forEach(all::add);
-        return all;
+        Map<String, Member> all = new LinkedHashMap<>();
+        view.all().forEach(member -> all.putIfAbsent(member.ip(), member));
+        liveness.others(view).forEach(member -> all.putIfAbsent(member.ip(), member));
+        return new ArrayList<>(all.values());
     }
 
     /** What it keeps now. */
@@ -173,6 +209,11 @@
         }
         if (now >= pingAt) {
             pingAt = now + PING_MICROS;
+            liveness.forget(view, now);
+            String lacks = role == Role.PRIMARY && view.before().isEmpty() ? membership.lacks(view, me, now) : null;
+            if (lacks != null) {
+                out.log(lacks);
+            }
             for (Member other : known()) {
                 send(other, greeting());
             }
@@ -195,7 +236,11 @@
         switch (role) {
             case FOLLOWER -> {
                 boolean quiet = now - activeAt > SILENT_MICROS;
-                if (quiet && now >= standBackUntil && reachesMost()) {
+                if (quiet
+                        && !membership.yields(view, me, now)
+                        && now >= standBackUntil
+                        && reachesMost()
+                        && !slowDisk()) {
                     stand(null);
                 }
             }
@@ -203,6 +248,8 @@
                 if (now > roundUntil) {
                     role = Role.FOLLOWER;
                     standBack();
+                } else if (role == Role.CANDIDATE) {
+                    elect(promised);
                 }
             }
             case PRIMARY -> lead();
@@ -211,60 +258,85 @@
 
     /** A sign of life, for whoever has just come. */
     public Message greeting() {
-        return new Heartbeat(me, promised, view.term(), role == Role.PRIMARY);
+        return new Heartbeat(
+                me, promised, view.term(), settled, role == Role.PRIMARY, membership.leaving(), membership.place());
     }
 
+    /** Whether the disk has not ended a save for long: it hangs, or is full. */
+    private boolean slowDisk() {
+        return !saving.isEmpty() && now - saving.values().iterator().next().since() > slowMicros;
+    }
+
+    /** Whether a backup lives and yet does not answer: its disk hangs, or it has left the term. */
+    private boolean slowBackup() {
+        return working != null && onDisk && now - roundSince > slowMicros && !told.containsAll(view.backups());
+    }
+
+    /** What a primary does for the membership: one change at a time, and none before the last one is over. */
     private void lead() {
-        boolean lacking = view.backups().stream().anyMatch(id -> now - lastHeard(id) > SILENT_MICROS);
-        Member joining = known.values().stream()
-                .filter(member -> !view.has(member.id())
-                        && now - lastHeard(member.id()) < SILENT_MICROS
-                        && replaceable(member) != null)
-                .findFirst()
-                .orElse(null);
-        if ((lacking || joining != null) && view.before().isEmpty() && reachesMost()) {
-            if (joining != null) {
-                Member gone = replaceable(joining);
-                List<Member> members = new ArrayList<>(view.members());
-                members.set(members.indexOf(gone), joining);
-                out.log("takes in " + joining.id() + " for " + gone.id());
-                stand(members);
-            } else {
-                out.log("has lost a backup of term " + view.term());
-                stand(null);
-            }
+        if (slowDisk()) {
+            out.log("is primary no more: its disk ends nothing");
+            role = Role.FOLLOWER;
+            standBack();
+            fail();
+            return;
+        }
+        if (!reachesMost()) {
+            return;
+        }
+        Membership.Step step = membership.step(view, me, now);
+        if (step == null
+                && slowBackup()
+                && !membership.leaving()
+                && view.before().isEmpty()) {
+            step = new Membership.Step(null, "has a backup that ends nothing in term " + view.term());
+        }
+        if (step != null) {
+            out.log(step.reason());
+            stand(step.members());
         }
     }
 
-    /** Whose place a machine that asks may have: that of its own lost disk, or of one that has been away for long. */
-    private Member replaceable(Member joining) {
-        for (Member member : view.members()) {
-            if (member.ip().equals(joining.ip())) {
-                return member;
-            }
-        }
-        Member longest = null;
-        for (Member member : view.members()) {
-            if (!member.equals(me)
-                    && now - lastHeard(member.id()) > GONE_MICROS
-                    && (longest == null || lastHeard(member.id()) < lastHeard(longest.id()))) {
-                longest = member;
-            }
+    // ---- leaving
+
+    /** Its process was asked to end: others follow it, and it serves on until {@link #left}. */
+    public void leave(long time) {
+        now = time;
+        membership.leave(now);
+        out.log("leaves as " + role + " of term " + view.term());
+        for (Member other : known()) {
+            send(other, new Leave(me));
         }
-        return longest;
     }
 
-    private long lastHeard(String id) {
-        return heard.computeIfAbsent(id, one -> now); // given its time from when it is first missed
+    /**
+     * Whether its process may end: it is no member any more; or nobody is there to take its place, and it holds no copy
+     * that is counted on, or has waited {@link Membership#HAND_OVER_MICROS} for others to take over.
+     */
+    public boolean left(long time) {
+        now = time;
+        boolean copy = role != Role.FOLLOWER
+                || me.id().equals(view.primary())
+                || view.backups().contains(me.id());
+        return membership.left(view, me, copy, now);
+    }
+
+    /** Another one leaves: if it led, its first backup stands at once, and the others a moment later. */
+    private void leave(Leave leave) {
+        String from = leave.from().id();
+        membership.leaves(from);
+        if (!view.has(from)) {
+            send(leave.from(), new ViewChange(me, view));
+        } else if (from.equals(activePrimary)) {
+            activeAt = Long.MIN_VALUE / 2;
+            boolean first = !view.backups().isEmpty() && view.backups().get(0).equals(me.id());
+            standBackUntil = now + (first ? 0 : STAND_BACK_MICROS / 5 + random.nextLong(STAND_BACK_MICROS));
+        }
     }
 
     private boolean reachesMost() {
-        Set<String> alive = new HashSet<>(Set.of(me.id()));
-        heard.forEach((id, at) -> {
-            if (now - at < SILENT_MICROS) {
-                alive.add(id);
-            }
-        });
+        Set<String> alive = liveness.alive(now);
+        alive.add(me.id());
         return view.majority(alive);
     }
 
@@ -280,7 +352,7 @@
     private void stand(List<Member> members) {
         role = Role.CANDIDATE;
         roundUntil = now + ROUND_MICROS;
-        promised = promised + 1;
+        promised = Math.max(promised, highest) + 1;
         long term = promised;
         out.log("stands for term " + term);
         granted.clear();
@@ -304,10 +376,11 @@
     /** A message from another member, or from a machine that asks to be one. */
     public void message(long time, Message message) {
         now = time;
-        heard.put(message.from().id(), now);
-        known.put(message.from().id(), message.from());
+        liveness.heard(message.from(), now);
         if (message instanceof Heartbeat heartbeat) {
             heartbeat(heartbeat);
+        } else if (message instanceof Leave leave) {
+            leave(leave);
         } else if (message instanceof RequestVote request) {
             requestVote(request);
         } else if (message instanceof Vote vote) {
@@ -319,7 +392,7 @@
         } else if (message instanceof InstallAck ack) {
             installAck(ack);
         } else if (message instanceof ViewChange change) {
-            adopt(change.view());
+            viewChange(change);
         } else if (message instanceof Append append) {
             append(append);
         } else if (message instanceof Confirm confirm) {
@@ -333,7 +406,9 @@
 
     private void heartbeat(Heartbeat heartbeat) {
         String from = heartbeat.from().id();
+        liveness.told(from, heartbeat.place(), heartbeat.leaving(), heartbeat.settled());
         boolean backup = view.backups().contains(from);
+        highest = view.has(from) ? Math.max(highest, heartbeat.promised()) : highest;
         if (role == Role.PRIMARY && heartbeat.viewTerm() > view.term()) {
             yieldTo(Math.max(promised, heartbeat.viewTerm())); // a later term has begun while this one was not heard
         }
@@ -343,18 +418,24 @@
             stand(null);
             return;
         }
-        if (heartbeat.primary() && heartbeat.viewTerm() >= view.term() && role != Role.PRIMARY) {
+        if (heartbeat.primary()
+                && !heartbeat.leaving()
+                && heartbeat.viewTerm() >= view.term()
+                && role != Role.PRIMARY) {
             activePrimary = from;
             activeAt = now;
             next();
         }
-        if (role == Role.PRIMARY && heartbeat.viewTerm() < view.term() && !backup) {
+        boolean old = heartbeat.viewTerm() < view.term();
+        boolean tells = view.has(me.id()) && !(role == Role.PRIMARY && backup);
+        if (tells && (old || heartbeat.leaving() && !view.has(from))) {
+            // Any member does: whoever was away, or joins, may reach this one alone.
             send(heartbeat.from(), new ViewChange(me, view));
         }
     }
 
     private void requestVote(RequestVote request) {
-        if (!view.has(me.id())) {
+        if (!view.has(me.id()) && !replaced) {
             return; // a life that nobody has taken in yet: what stood here before had a vote, this has none
         }
         String refusal = refusal(request);
@@ -376,8 +457,9 @@
     private String refusal(RequestVote request) {
         String candidate = request.from().id();
         boolean leads = role == Role.PRIMARY
+                && !membership.leaving()
                 && !candidate.equals(me.id())
-                && view.backups().stream().allMatch(id -> now - lastHeard(id) < SILENT_MICROS);
+                && view.backups().stream().allMatch(id -> liveness.silence(id, now) < SILENT_MICROS);
         boolean led = !activePrimary.equals(candidate) && now - activeAt < SILENT_MICROS;
         if (!view.has(candidate)) {
             return "no member";
@@ -461,22 +543,16 @@
         if (!view.majority(granted)) {
             return;
         }
-        // The nearest thing to a free choice: whoever was backup stays, as it has most of what is to be held.
-        List<String> backups = new ArrayList<>();
-        for (String id : view.backups()) {
-            pick(backups, id);
-        }
-        for (Member member : view.all()) {
-            pick(backups, member.id());
-        }
-        int wanted = Math.min(losses, view.members().size() - 1);
-        if (backups.size() < wanted) {
-            return; // nobody to hold it beside this one
+        boolean joint = proposed != view || !view.before().isEmpty();
+        boolean patient = now < roundUntil - ROUND_MICROS + BETTER_MICROS;
+        List<String> backups = membership.backups(view, proposed.members(), me, granted, patient, now);
+        if (backups == null) {
+            return; // nobody to hold it beside this one, or nobody yet who should
         }
         View next = new View(
                 term,
                 me.id(),
-                List.copyOf(backups.subList(0, wanted)),
+                List.copyOf(backups),
                 proposed.members(),
                 proposed == view ? view.before() : proposed.before());
         role = Role.INSTALLING;
@@ -491,7 +567,7 @@
                 for (Member member : next.all()) {
                     if (!member.equals(me)) {
                         boolean backup = next.backups().contains(member.id());
-                        send(member, backup ? new Install(me, term, next, kept) : new ViewChange(me, next));
+                        send(member, backup || joint ? new Install(me, term, next, kept) : new ViewChange(me, next));
                     }
                 }
                 begin();
@@ -499,15 +575,6 @@
         });
     }
 
-    private void pick(List<String> backups, String id) {
-        if (granted.contains(id)
-                && !id.equals(me.id())
-                && !backups.contains(id)
-                && proposed.members().stream().anyMatch(member -> member.id().equals(id))) {
-            backups.add(id);
-        }
-    }
-
     private void install(Install install) {
         if (install.term() < promised || install.term() < view.term()) {
             return;
@@ -527,6 +594,15 @@
         });
     }
 
+    private void viewChange(ViewChange change) {
+        adopt(change.view());
+        String from = change.from().id();
+        if (role == Role.FOLLOWER && view.term() == change.view().term() && from.equals(view.primary())) {
+            activePrimary = from; // else a witness would stand against a term that has only just begun
+            activeAt = now;
+        }
+    }
+
     /** A witness, or one that was away, learns who is who. */
     private void adopt(View newer) {
         if (newer != null
@@ -536,17 +612,26 @@
                         || newer.term() == view.term()
                                 && newer.before().isEmpty()
                                 && !view.before().isEmpty())) {
+            if (role == Role.CANDIDATE) {
+                role = Role.FOLLOWER; // it was asked for by an older view, and may propose members of before that
+                standBack();
+            }
+            replaced = (replaced || view.has(me.id())) && !newer.has(me.id());
             view = newer;
             promised = Math.max(promised, newer.term());
             save(false, () -> {});
         }
     }
 
-    /** The term begins once all backups hold what it begins with. */
+    /**
+     * The term begins once all backups hold what it begins with; where members change, also more than half of the old
+     * and of the new ones, so that no majority is left that goes by the old list alone.
+     */
     private void begin() {
         Set<String> needed = new HashSet<>(view.backups());
         needed.add(me.id());
-        if (role != Role.INSTALLING || !installed.containsAll(needed)) {
+        boolean joint = !view.before().isEmpty();
+        if (role != Role.INSTALLING || !installed.containsAll(needed) || joint && !view.majority(installed)) {
             return;
         }
         role = Role.PRIMARY;
@@ -556,14 +641,14 @@
             working = null;
         }
         out.log("is primary of term " + view.term() + " with " + view.backups());
-        if (!view.before().isEmpty()) {
-            // Backups and primary have both lists on disk: no majority of the old one alone is left.
+        List<Member> all = view.all();
+        if (joint) {
             view = new View(view.term(), view.primary(), view.backups(), view.members(), List.of());
             save(false, () -> {});
         }
-        for (Member member : view.members()) {
+        for (Member member : all) {
             if (!member.equals(me)) {
-                send(member, new ViewChange(me, view));
+                send(member, new ViewChange(me, view)); // also to whoever has just lost its place
             }
         }
         pingAt = now;
@@ -587,7 +672,7 @@
 
     private void take(Call call) {
         if (role == Role.FOLLOWER && !activePrimary.equals(me.id()) && now - activeAt < SILENT_MICROS) {
-            out.forward(call.id, known.getOrDefault(activePrimary, new Member(activePrimary, "")));
+            out.forward(call.id, liveness.member(activePrimary));
             return;
         }
         if (role != Role.PRIMARY && !reachesMost()) {
@@ -600,8 +685,8 @@
 
     private void next() {
         if (role == Role.FOLLOWER && now - activeAt < SILENT_MICROS && !activePrimary.equals(me.id())) {
-            Member to = known.get(activePrimary);
-            while (to != null && !calls.isEmpty()) {
+            Member to = liveness.member(activePrimary);
+            while (!calls.isEmpty()) {
                 out.forward(calls.poll().id, to);
             }
             return;
@@ -612,6 +697,7 @@
         working = calls.poll();
         told.clear();
         round++;
+        roundSince = now;
         long mine = round;
         boolean writes = working.put && working.version > kept.version();
         if (writes) {
@@ -662,16 +748,24 @@
 
     private void save(boolean keptToo, Runnable then) {
         long mine = ++token;
-        saving.put(mine, then);
+        View saved = view;
+        Runnable settles = () -> {
+            if (saved.before().isEmpty() && saved.term() > settled) {
+                settled = saved.term();
+                pingAt = Math.min(pingAt, now); // who has been replaced may wait for it
+            }
+            then.run();
+        };
+        saving.put(mine, new Saving(now, settles));
         out.save(new ReplicaState(me, promised, view, kept), keptToo, mine);
     }
 
     /** This and all earlier saves are on disk. */
     public void saved(long time, long which) {
         now = time;
-        Runnable then = saving.remove(which);
-        if (then != null) {
-            then.run();
+        Saving done = saving.remove(which);
+        if (done != null) {
+            done.then().run();
         }
     }
 
--- a/src/main/java/gorsemast/store/StoreProgram.java
+++ b/src/main/java/gorsemast/store/StoreProgram.java
@@ -10,15 +10,14 @@
 import gorsemast.peer.Ports;
 import gorsemast.peer.Record;
 import gorsemast.storage.Disk;
-import gorsemast.storage.DiskException;
 import gorsemast.transport.Transport;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
-import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -29,8 +28,11 @@
  */
 public final class StoreProgram implements Daemon, Link.Receiver {
     private static final long DISK_AGAIN_MILLIS = 100;
-    private static final String STATE = "state";
-    private static final String CONFIGURATION = "configuration";
+    /** Where the settings name no {@code grace}. */
+    private static final long GRACE_MICROS = 6_000_000;
+    /** Of it, what may be waited; the rest is for the disk and the end itself. */
+    private static final double GRACE_PART = 0.75;
+
     private static final Log LOG = new Log("store");
 
     private final Settings settings;
@@ -42,8 +44,9 @@
     });
     private final long origin = System.nanoTime();
     private final Links links;
-    private Disk disk;
     private StoreNode teller;
+    /** Set once the process is asked to end, and opened when it may; the loop's. */
+    private CountDownLatch left;
 
     /** By the platform's settings; nothing begins yet. */
     public StoreProgram(Settings settings) {
@@ -61,25 +64,32 @@
         if (settings.dataDir() == null) {
             throw new IOException("dataDir: the store needs a disk");
         }
-        disk = Disk.open(settings.dataDir());
-        ReplicaState saved = recover(disk.load());
+        if (!settings.configMode().equals(Settings.HIGHEST)) {
+            LOG.warn("configMode: keeps the highest version, not \"" + settings.configMode() + '"');
+        }
+        Disk disk = Disk.open(settings.dataDir(), Seed.fresh());
+        ReplicaState saved = recover(disk);
+        StateWriter states =
+                new StateWriter(disk::save, writer, this::onLoop, token -> teller.saved(token), StoreProgram::pause);
         teller = new StoreNode(
                 settings.ip(),
                 settings.seedIps(),
                 saved,
-                settings.losses(),
+                settings.tolerance(),
+                new Place(settings.zone(), settings.region(), settings.lossCounted()),
                 Seed.fresh(),
                 this::now,
                 links,
-                this::save);
+                states::save);
         links.listen(Ports.STORE.at(settings, settings.ip()));
         loop.execute(this::tick);
         loop.scheduleWithFixedDelay(this::tick, StoreNode.TICK_MICROS, StoreNode.TICK_MICROS, TimeUnit.MICROSECONDS);
     }
 
-    private ReplicaState recover(Map<String, byte[]> records) throws IOException {
-        if (records.containsKey(STATE) && records.containsKey(CONFIGURATION)) {
-            ReplicaState saved = ReplicaState.of(records.get(STATE), records.get(CONFIGURATION));
+    private ReplicaState recover(Disk disk) throws IOException {
+        Disk.Saved records = disk.load();
+        if (records != null) {
+            ReplicaState saved = ReplicaState.of(records.state(), records.configuration());
             LOG.info("has version " + Long.toHexString(saved.kept().version()) + " of term "
                     + saved.kept().term() + ", promised " + saved.promised());
             return saved;
@@ -88,7 +98,7 @@
             LOG.warn("has an empty disk and asks to be taken in");
         }
         ReplicaState fresh = ReplicaState.fresh(settings.ip(), settings.seedIps(), settings.firstBoot(), Seed.fresh());
-        disk.save(Map.of(STATE, fresh.state(), CONFIGURATION, fresh.configuration()));
+        disk.save(fresh.state(), fresh.configuration());
         return fresh;
     }
 
@@ -100,22 +110,45 @@
         });
     }
 
+    /** Ends once another member has its place, or nobody is there to take it; shortly before the platform's patience ends. */
     @Override
     public void stop() {
+        long grace = (long) (GRACE_PART * settings.time("grace", GRACE_MICROS));
+        CountDownLatch over = new CountDownLatch(1);
+        loop.execute(() -> {
+            teller.leave();
+            left = over;
+        });
+        try {
+            if (!over.await(grace, TimeUnit.MICROSECONDS)) {
+                LOG.warn("ends without a successor: grace is over");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         writer.shutdown();
         try {
-            if (writer.awaitTermination(1, TimeUnit.SECONDS)) {
-                disk.close();
+            if (!writer.awaitTermination(1, TimeUnit.SECONDS)) {
+                LOG.warn("ends with a save under way");
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    @Override
+    public void close() {
+        Daemon.end(loop);
+        Daemon.end(writer);
+    }
+
     private void tick() {
         try {
             teller.tick();
             dial();
+            if (left != null && teller.left()) {
+                left.countDown();
+            }
         } catch (RuntimeException e) {
             LOG.fault(e);
         }
@@ -146,24 +179,11 @@
 
     // ---- the disk
 
-    private void save(ReplicaState state, boolean keptToo, long token) {
-        byte[] record = state.state();
-        byte[] kept = keptToo ? state.configuration() : null;
-        writer.execute(() -> {
-            while (true) {
-                try {
-                    disk.save(kept == null ? Map.of(STATE, record) : Map.of(STATE, record, CONFIGURATION, kept));
-                    break;
-                } catch (DiskException e) {
-                    LOG.warn("can't write, tries again: " + e.getMessage());
-                    pause();
-                } catch (Error e) {
-                    LOG.fault(e);
-                    throw e;
-                }
-            }
-            loop.execute(() -> teller.saved(token));
-        });
+    /** Runs a task on the loop, unless that is being closed. */
+    private void onLoop(Runnable task) {
+        if (!loop.isShuttingDown()) {
+            loop.execute(task);
+        }
     }
 
     private static void pause() {
