--- a/src/main/java/gorsemast/proxy/ClientRequest.java
+++ b/src/main/java/gorsemast/proxy/ClientRequest.java
@@ -37,7 +37,6 @@
     boolean streaming;
     boolean streamed;
     boolean cut;
-    long rest;
     HttpResponse ready;
     ByteBuf content = Unpooled.EMPTY_BUFFER;
     Flow flow;
@@ -107,7 +106,6 @@
         answered = true;
         streaming = true;
         flow = source;
-        rest = length;
         drop();
         ready = new DefaultHttpResponse(HttpVersion.HTTP_1_1, start.status(), headers);
         if (length >= 0) {
@@ -122,7 +120,6 @@
 
     @Override
     public void part(ByteBuf part) {
-        rest -= part.readableBytes();
         if (connection.isFirst(this) && ready == null) {
             connection.channel.writeAndFlush(new DefaultHttpContent(part.retainedDuplicate()));
         } else {
