Run the control side as real processes with a relay that cuts between machines

A test could start the three programs as processes, but not cut them from one another, so the cases of a cut-off machine, of two contents under one number and of a loss after a replacement stood in the simulation alone.

Each machine is told a range of internalPorts of its own: what a process dials then names the dialer by the port and the wanted machine by the address, and a TCP relay listens there. The programs need no hook for it; a switch in Ports or Links was ruled out for that reason.

--- /dev/null
+++ b/src/test/java/gorsemast/processes/ProcessNetwork.java
@@ -0,0 +1,427 @@
+package gorsemast.processes;
+
+import gorsemast.peer.Ports;
+import gorsemast.standin.HttpCall;
+import gorsemast.standin.LoopbackNetwork;
+import gorsemast.standin.LoopbackNetwork.Answer;
+import gorsemast.standin.StandInServer;
+import gorsemast.transport.Transport;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+/**
+ * Real processes of all three programs on loopback, each machine under an address of its own, with a {@link LinkRelay}
+ * between any two machines.
+ *
+ * <p>The programs have no hook for that. A process listens at its own address and its own settings' {@code internalPorts},
+ * and dials the others at their addresses and, again, its own settings' ports, as ports are alike on all machines of the
+ * platform. Here each machine is told another range, so that what a machine dials is told by its port and whom it wants
+ * by the address: there the relay listens, and passes on to the port at which the wanted one listens. Calls from outside
+ * ({@code control}, {@code front}, {@code ready}) and those between two processes of one machine are not relayed.
+ *
+ * <p>With {@code -Dprocesses.deployed=true} the processes are started by the command lines of {@code deploy/system.toml},
+ * from the packaged jar, else from the test's class path. One caller; bounded waits; no sleeps.
+ */
+final class ProcessNetwork implements AutoCloseable {
+    static final long GRACE_SECONDS = 6;
+    private static final long BEAT_MILLIS = 400;
+    private static final long POLL_MILLIS = 20;
+    private static final long CLIENT_MILLIS = 1_500;
+    private static final int RANGE = 8;
+    private static final int OUTSIDE_PORTS = 4;
+    private static final int HIGHEST_PORT = 50_000;
+    private static final int TRIES = 20;
+    private static final int FIRST_EDGE = 20;
+    private static final AtomicInteger NETWORKS = new AtomicInteger();
+    private static final Pattern RUN = Pattern.compile("^run = \"([^\"]*)\"$", Pattern.MULTILINE);
+
+    private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, Transport.handlers()).next();
+    private final Path data;
+    private final int machines;
+    private final List<Integer> numbers = new ArrayList<>();
+    private final Map<String, Process> running = new LinkedHashMap<>();
+    private final List<StandInServer> servers = new ArrayList<>();
+    private String net;
+    private int port;
+    private LinkRelay relay;
+
+    /**
+     * Relays between {@code cores} core machines, numbered from 1, and {@code edges} edges, numbered from 20; no process
+     * runs yet.
+     */
+    ProcessNetwork(Path data, int cores, int edges) throws IOException {
+        this.data = data;
+        for (int core = 1; core <= cores; core++) {
+            numbers.add(core);
+        }
+        for (int edge = 0; edge < edges; edge++) {
+            numbers.add(FIRST_EDGE + edge);
+        }
+        machines = numbers.size();
+        IOException last = null;
+        for (int i = 0; i < TRIES && relay == null; i++) {
+            try {
+                connect();
+            } catch (IOException | RuntimeException e) {
+                last = new IOException("no free ports", e);
+                relay = null;
+            }
+        }
+        if (relay == null) {
+            throw last;
+        }
+    }
+
+    private void connect() throws IOException {
+        int own = (int) (ProcessHandle.current().pid() % 25_000) + 25_000 * (NETWORKS.getAndIncrement() % 2);
+        net = "127." + (20 + own / 250) + '.' + (1 + own % 250);
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(ip(1)))) {
+            port = Math.min(HIGHEST_PORT, free.getLocalPort());
+        }
+        relay = new LinkRelay();
+        try {
+            for (int from : numbers) {
+                for (int to : numbers) {
+                    for (Ports role : from == to ? new Ports[0] : Ports.values()) {
+                        relay.open(
+                                name(from),
+                                name(to),
+                                new InetSocketAddress(ip(to), internal(from) + role.ordinal()),
+                                new InetSocketAddress(ip(to), internal(to) + role.ordinal()));
+                    }
+                }
+            }
+        } catch (RuntimeException e) {
+            relay.close();
+            throw e;
+        }
+    }
+
+    private String ip(int machine) {
+        return net + '.' + machine;
+    }
+
+    private static String name(int machine) {
+        return machine < FIRST_EDGE ? "core-" + machine : "edge-" + machine;
+    }
+
+    private int internal(int machine) {
+        return port + OUTSIDE_PORTS + RANGE * numbers.indexOf(machine);
+    }
+
+    // ---- places
+
+    InetSocketAddress control(int core) {
+        return new InetSocketAddress(ip(core), port);
+    }
+
+    InetSocketAddress front(int edge) {
+        return new InetSocketAddress(ip(edge), port + 1);
+    }
+
+    private InetSocketAddress probe(int edge) {
+        return new InetSocketAddress(ip(edge), port + 2);
+    }
+
+    LinkRelay relay() {
+        return relay;
+    }
+
+    /** Cuts, or whatever is asked for, between one machine and each of some others. */
+    void between(int one, Collection<Integer> others, Trouble trouble) {
+        others.forEach(other -> trouble.strike(name(one), name(other)));
+    }
+
+    /** What strikes a pair of machines. */
+    interface Trouble {
+        void strike(String one, String other);
+    }
+
+    // ---- processes
+
+    /** Starts store and registry of a core machine; {@code first} where the whole system starts with empty disks. */
+    void startCore(int core, boolean first, int... seeds) {
+        start(core, "store", first, seeds);
+        start(core, "registry", first, seeds);
+    }
+
+    void startEdge(int edge, boolean first, int... seeds) {
+        start(edge, "proxy", first, seeds);
+    }
+
+    private void start(int machine, String program, boolean first, int... seeds) {
+        String name = program + machine;
+        try {
+            Path disk = null;
+            if (machine < FIRST_EDGE) {
+                disk = data.resolve(name);
+                Files.createDirectories(disk);
+            }
+            Path file = data.resolve(name + ".yaml");
+            Files.writeString(file, settings(machine, program, first, disk, seeds));
+            ProcessBuilder builder = new ProcessBuilder(command(program))
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                            data.resolve(name + ".log").toFile()));
+            builder.environment().put("GORSEMAST_CONFIG", file.toString());
+            running.put(name, builder.start());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static List<String> command(String program) throws IOException {
+        if (Boolean.getBoolean("processes.deployed")) {
+            Matcher runs = RUN.matcher(Files.readString(Path.of("deploy/system.toml")));
+            while (runs.find()) {
+                if (runs.group(1).endsWith("Main " + program)) {
+                    return List.of(runs.group(1).split(" "));
+                }
+            }
+            throw new IOException("deploy/system.toml has no role that runs " + program);
+        }
+        return List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1",
+                "-XX:+UseSerialGC",
+                "-Xshare:auto",
+                "-Xmx64m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "gorsemast.launcher.Main",
+                program);
+    }
+
+    /** The settings file as the platform writes it; each core machine stands in a zone of its own. */
+    private String settings(int machine, String program, boolean first, Path disk, int... seeds) {
+        boolean core = machine < FIRST_EDGE;
+        int zone = core ? machine : 1;
+        StringBuilder text = new StringBuilder();
+        text.append("nodeName: \"" + name(machine) + "\"\nrole: \"" + program + "\"\n");
+        text.append("machineClass: \"" + (core ? "shield" : "edge") + "\"\n");
+        text.append("ip: \"" + ip(machine) + "\"\nzone: \"zone-" + zone + "\"\nregion: \"lo\"\nzones:\n");
+        for (int i = 1; i <= machines; i++) {
+            text.append("  zone-" + i + ": \"lo\"\n");
+        }
+        text.append("listenAddrs:\n");
+        if (core) {
+            text.append("  control: \"" + ip(machine) + ':' + port + "\"\n");
+        } else {
+            text.append("  front: \"" + ip(machine) + ':' + (port + 1) + "\"\n");
+            text.append("  ready: \"" + ip(machine) + ':' + (port + 2) + "\"\n");
+        }
+        text.append("internalPorts:\n  - " + internal(machine) + "\n  - " + (internal(machine) + RANGE - 1) + '\n');
+        text.append("seedNodes:\n");
+        for (int seed : seeds) {
+            text.append("  - \"" + ip(seed) + ':' + port + "\"\n");
+        }
+        text.append("initialBoot: " + first + "\nlossCounted: " + core + '\n');
+        text.append("limits:\n  memoryMb: 430\n  fileDescriptors: 4096\n");
+        text.append("dataDir: " + (disk == null ? "null" : "\"" + disk + '"') + '\n');
+        text.append("heartbeat: \"" + BEAT_MILLIS + "ms\"\n");
+        text.append("activeContracts:\n  - \"base\"\n  - \"drain\"\n  - \"config\"\n  - \"recover\"\n  - \"cache\"\n");
+        text.append("faultTolerance:\n  machineLosses: 1\n  zones: 0\n  regionLosses: 0\n");
+        text.append("timingBounds:\n  seedLag: \"3s\"\n  contact: \"3000ms\"\n  ack: \"4000ms\"\n  syncTime: \"4s\"\n");
+        text.append("  drain: \"2000ms\"\n  grace: \"" + GRACE_SECONDS + "s\"\n  configApply: \"2000ms\"\n");
+        text.append(
+                "  downgradeSlack: \"250ms\"\n  stretchMax: \"5000ms\"\n  purge: \"2000ms\"\n  staleSlack: \"2s\"\n");
+        text.append("  retryBudgetRatio: 0.2\n  retryWindow: \"10s\"\n  retrySlack: 60\n  recovery: \"15s\"\n");
+        text.append("configMode: \"highest\"\n");
+        return text.toString();
+    }
+
+    private List<Process> of(int machine) {
+        return Stream.of("store", "registry", "proxy")
+                .map(program -> running.get(program + machine))
+                .filter(process -> process != null)
+                .toList();
+    }
+
+    /** SIGKILL to all processes of these machines at once; returns when all have ended. */
+    void kill(int... these) {
+        List<Process> ended = new ArrayList<>();
+        for (int machine : these) {
+            ended.addAll(of(machine));
+            running.keySet().removeAll(List.of("store" + machine, "registry" + machine, "proxy" + machine));
+        }
+        ended.forEach(Process::destroyForcibly);
+        ended.forEach(process -> process.onExit().join());
+    }
+
+    /** SIGTERM to both processes of a core machine, and SIGKILL after {@link #GRACE_SECONDS}. */
+    void terminate(int core) {
+        List<Process> leaving = of(core);
+        leaving.forEach(Process::destroy);
+        long last = System.nanoTime() + TimeUnit.SECONDS.toNanos(GRACE_SECONDS);
+        for (Process process : leaving) {
+            try {
+                process.waitFor(last - System.nanoTime(), TimeUnit.NANOSECONDS);
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+        kill(core);
+    }
+
+    /** SIGSTOP to all processes of a machine. */
+    void pause(int machine) {
+        signal(machine, "-STOP");
+    }
+
+    /** SIGCONT to them. */
+    void resume(int machine) {
+        signal(machine, "-CONT");
+    }
+
+    private void signal(int machine, String signal) {
+        List<String> command = new ArrayList<>(List.of("kill", signal));
+        of(machine).forEach(process -> command.add(Long.toString(process.pid())));
+        try {
+            if (new ProcessBuilder(command).start().waitFor() != 0) {
+                throw new IllegalStateException(command + " failed");
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Removes the disks of a machine whose processes have ended. */
+    void wipe(int core) {
+        for (String program : new String[] {"store", "registry"}) {
+            try (Stream<Path> files = Files.walk(data.resolve(program + core))) {
+                for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(file);
+                }
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
+    /** What the processes of this name have written. */
+    String log(String name) {
+        try {
+            return Files.readString(data.resolve(name + ".log"));
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    /** The running process, for a look at what it uses. */
+    Process process(String name) {
+        return running.get(name);
+    }
+
+    /**
+     * The core machine whose store has said last that it is the primary, as its log has it, which comes
+     * some seconds late; 0 for none.
+     */
+    int primary() {
+        int primary = 0;
+        long newest = -1;
+        Pattern leads = Pattern.compile("is primary of term (\\d+)");
+        for (int core : numbers) {
+            Matcher said = leads.matcher(log("store" + core));
+            while (said.find()) {
+                if (Long.parseLong(said.group(1)) > newest) {
+                    newest = Long.parseLong(said.group(1));
+                    primary = core;
+                }
+            }
+        }
+        return primary;
+    }
+
+    // ---- calls
+
+    /** Something that is asked again and again. */
+    interface Condition {
+        boolean holds();
+    }
+
+    /** Asks until it holds; throws, naming it, where that takes longer than {@code millis}. */
+    static void until(String what, long millis, Condition condition) {
+        long begun = System.nanoTime();
+        while (!condition.holds()) {
+            if (System.nanoTime() - begun > TimeUnit.MILLISECONDS.toNanos(millis)) {
+                throw new AssertionError(what + " did not come about in " + millis + " ms");
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_MILLIS));
+        }
+    }
+
+    /** A call from outside; status 0 where no whole answer came within {@code millis}. */
+    CompletableFuture<Answer> send(
+            InetSocketAddress to, String method, String path, Map<String, String> headers, byte[] body, long millis) {
+        CompletableFuture<Answer> answer = new CompletableFuture<>();
+        HttpCall.send(
+                loop, to, method, path, headers, body, (status, bytes) -> answer.complete(new Answer(status, bytes)));
+        return answer.completeOnTimeout(new Answer(0, new byte[0]), millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** A call of an operator or a server to a core machine. */
+    CompletableFuture<Answer> control(int core, String method, String path, byte[] body, long millis) {
+        return send(control(core), method, path, Map.of("Content-Type", "application/json"), body, millis);
+    }
+
+    /** A client's request. */
+    Answer ask(int edge, String path) {
+        return send(front(edge), "GET", path, LoopbackNetwork.client("a" + System.nanoTime()), null, CLIENT_MILLIS)
+                .join();
+    }
+
+    /** Whether an edge says that it is ready. */
+    boolean ready(int edge) {
+        return send(probe(edge), "GET", "/v1/readiness", Map.of(), null, CLIENT_MILLIS)
+                        .join()
+                        .status()
+                == 200;
+    }
+
+    /** A server that beats at these core machines. */
+    StandInServer server(String id, String service, int number, int... at) throws IOException {
+        List<InetSocketAddress> controls = new ArrayList<>();
+        for (int core : at) {
+            controls.add(control(core));
+        }
+        StandInServer server = new StandInServer(loop, id, service, "zone-1", ip(number), port, controls, BEAT_MILLIS);
+        servers.add(server);
+        return server;
+    }
+
+    /** All of them, in the order of their start. */
+    List<StandInServer> servers() {
+        return List.copyOf(servers);
+    }
+
+    @Override
+    public void close() throws IOException {
+        servers.forEach(StandInServer::close);
+        running.values().forEach(Process::destroyForcibly);
+        running.values().forEach(process -> process.onExit().join());
+        relay.close();
+        loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
