Bring about two contents under one number at the edges, with links of registries held

The relay can hold connections to one service of a machine. With the links of one registry held while its store's are not, a second content under a taken number was answered 200 and published there: an edge that hears of that registry alone went by it, and still did 3 s after the heal, while the other edge went by the taken one (test aRegistryThatHasNotHeardOfTheTakenContentTellsItsEdgesNoOther, which fails with the decisions as they are).

--- a/src/test/java/gorsemast/processes/LinkRelay.java
+++ b/src/test/java/gorsemast/processes/LinkRelay.java
@@ -11,8 +11,10 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
@@ -44,10 +46,14 @@
         REFUSES
     }
 
-    /** Who dials whom; also a direction of bytes. */
-    private record Way(String from, String to) {
+    /** Who dials whom, for which of its services; also a direction of bytes. */
+    private record Way(String from, String to, String service) {
         Way back() {
-            return new Way(to, from);
+            return new Way(to, from, service);
+        }
+
+        boolean between(String one, String other) {
+            return from.equals(one) && to.equals(other) || from.equals(other) && to.equals(one);
         }
     }
 
@@ -87,7 +93,7 @@
     private final Selector selector = Selector.open();
     private final List<Entrance> entrances = new ArrayList<>();
     private final List<Half> halves = new ArrayList<>();
-    private final Map<Way, Boolean> held = new HashMap<>();
+    private final Set<Way> held = new HashSet<>();
     private final Map<Way, Manner> manners = new HashMap<>();
     private final ConcurrentLinkedQueue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final Thread thread = new Thread(this::run, "link-relay");
@@ -98,10 +104,10 @@
         thread.start();
     }
 
-    /** From now on {@code from} reaches {@code leadsTo}, a port of the machine {@code to}, at {@code at}. */
-    void open(String from, String to, InetSocketAddress at, InetSocketAddress leadsTo) {
+    /** From now on {@code from} reaches {@code leadsTo}, a service of the machine {@code to}, at {@code at}. */
+    void open(String from, String to, String service, InetSocketAddress at, InetSocketAddress leadsTo) {
         call(() -> {
-            Entrance entrance = new Entrance(new Way(from, to), at, leadsTo);
+            Entrance entrance = new Entrance(new Way(from, to, service), at, leadsTo);
             listen(entrance);
             entrances.add(entrance);
         });
@@ -109,16 +115,30 @@
 
     /** Holds all bytes from one machine to another, and new connections of both, until {@link #heal}. */
     void hold(String from, String to) {
-        call(() -> {
-            held.put(new Way(from, to), true);
-            settle();
-        });
+        hold(from, to, null);
     }
 
     /** Holds both directions: a cut that says nothing. */
     void cut(String one, String other) {
-        hold(one, other);
-        hold(other, one);
+        cut(one, other, null);
+    }
+
+    /** The same for connections to this service alone, whichever of the two has dialled. */
+    void cut(String one, String other, String service) {
+        hold(one, other, service);
+        hold(other, one, service);
+    }
+
+    private void hold(String from, String to, String service) {
+        call(() -> {
+            for (Entrance entrance : entrances) {
+                Way way = entrance.way;
+                if (way.between(from, to) && (service == null || service.equals(way.service()))) {
+                    held.add(new Way(from, to, way.service()));
+                }
+            }
+            settle();
+        });
     }
 
     /** Resets what is open between two machines and each new connection, until {@link #heal}. */
@@ -133,11 +153,13 @@
 
     private void change(String one, String other, Manner manner) {
         call(() -> {
-            Way way = new Way(one, other);
-            manners.put(way, manner);
-            manners.put(way.back(), manner);
+            for (Entrance entrance : entrances) {
+                if (entrance.way.between(one, other)) {
+                    manners.put(entrance.way, manner);
+                }
+            }
             for (Half half : List.copyOf(halves)) {
-                if (half.way.equals(way) || half.way.equals(way.back())) {
+                if (half.way.between(one, other)) {
                     abort(half);
                 }
             }
@@ -192,7 +214,7 @@
     }
 
     private boolean held(Way way) {
-        return held.getOrDefault(way, false);
+        return held.contains(way);
     }
 
     private boolean hangs(Way way) {
--- a/src/test/java/gorsemast/processes/LinkRelayTest.java
+++ b/src/test/java/gorsemast/processes/LinkRelayTest.java
@@ -32,7 +32,7 @@
             entrance = (InetSocketAddress) free.getLocalSocketAddress();
         }
         relay = new LinkRelay();
-        relay.open("a", "b", entrance, (InetSocketAddress) server.getLocalSocketAddress());
+        relay.open("a", "b", "links", entrance, (InetSocketAddress) server.getLocalSocketAddress());
     }
 
     @AfterEach
@@ -90,6 +90,18 @@
         }
     }
 
+    @Test
+    void aCutOfAnotherServiceIsNotOurs() throws IOException {
+        try (Socket near = dial();
+                Socket far = server.accept()) {
+            relay.cut("b", "a", "objects");
+            says(near, far, 11);
+            relay.cut("b", "a", "links");
+            near.getOutputStream().write(12);
+            saysNothing(far);
+        }
+    }
+
     /** What the first connection says that says anything: those that filled the queue are at their ends. */
     private int firstWord() throws IOException {
         while (true) {
--- a/src/test/java/gorsemast/processes/OrdersProcessesTest.java
+++ b/src/test/java/gorsemast/processes/OrdersProcessesTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import gorsemast.peer.Ports;
 import gorsemast.standin.LoopbackNetwork.Answer;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -18,6 +19,7 @@
 /** Two contents under one number, sent to two registries at once; the one that was taken sent again, to all, later. */
 class OrdersProcessesTest {
     private static final int EDGE = 20;
+    private static final int LATE_EDGE = 21;
     private static final int ROUNDS = 4;
     private static final long START_MILLIS = 20_000;
 
@@ -29,7 +31,7 @@
 
     @BeforeEach
     void start() throws IOException {
-        network = new ProcessNetwork(data, 3, 1);
+        network = new ProcessNetwork(data, 3, 2);
         operator = new Operator(network);
         startAll(true);
         network.server("i-1", "orders", 41, 1, 2, 3);
@@ -118,6 +120,34 @@
         assertThat(operator.goesBy(EDGE, loser)).isFalse();
     }
 
+    @Test
+    void aRegistryThatHasNotHeardOfTheTakenContentTellsItsEdgesNoOther() {
+        network.startEdge(LATE_EDGE, false, 1, 2, 3);
+        ProcessNetwork.until(
+                "the second edge's first answers", START_MILLIS, () -> operator.goesBy(LATE_EDGE, "first"));
+        // Registry 1 hears of the others by its store alone; one edge hears of registry 1, the other of the rest.
+        network.between(1, List.of(2, 3), (one, other) -> network.relay().cut(one, other, Ports.REGISTRY.name()));
+        network.between(LATE_EDGE, List.of(2, 3, EDGE), network.relay()::cut);
+        network.between(EDGE, List.of(1), network.relay()::cut);
+        operator.order(5, "taken", 2, 3);
+        Answer other = operator.replace(1, 5, "other").join();
+        ProcessNetwork.until(
+                "edge 20 goes by the taken one", Operator.CAUGHT_UP_MILLIS, () -> operator.goesBy(EDGE, "taken"));
+        boolean toldOther = operator.goesBy(LATE_EDGE, "other");
+        network.relay().heal();
+        ProcessNetwork.until(
+                "the second edge goes by the taken content; that it ever went by the other: " + toldOther
+                        + ", answer to the other: " + other.status(),
+                Operator.CAUGHT_UP_MILLIS,
+                () -> operator.goesBy(LATE_EDGE, "taken"));
+        assertThat(Operator.confirms(other))
+                .as("another content: " + other.status())
+                .isFalse();
+        assertThat(toldOther).as("an edge went by what was not taken").isFalse();
+        assertThat(operator.goesBy(LATE_EDGE, "other")).isFalse();
+        assertThat(operator.goesBy(EDGE, "other")).isFalse();
+    }
+
     @Test
     void theSecondContentIsRefusedWhoeverItIsSentTo() {
         operator.order(5, "taken", 1);
--- a/src/test/java/gorsemast/processes/ProcessNetwork.java
+++ b/src/test/java/gorsemast/processes/ProcessNetwork.java
@@ -106,6 +106,7 @@
                         relay.open(
                                 name(from),
                                 name(to),
+                                role.name(),
                                 new InetSocketAddress(ip(to), internal(from) + role.ordinal()),
                                 new InetSocketAddress(ip(to), internal(to) + role.ordinal()));
                     }
