--- a/src/test/java/gorsemast/processes/Operator.java
+++ b/src/test/java/gorsemast/processes/Operator.java
@@ -74,6 +74,11 @@
                 core, "POST", "/v1/nodes/" + id + "/heartbeat", body.getBytes(StandardCharsets.UTF_8), CALL_MILLIS);
     }
 
+    /** A server's last call. */
+    CompletableFuture<Answer> deregister(int core, String id) {
+        return network.control(core, "POST", "/v1/nodes/" + id + "/deregister", new byte[] {'{', '}'}, CALL_MILLIS);
+    }
+
     /** A call to one registry. */
     interface Call {
         CompletableFuture<Answer> to(int core);
--- a/src/test/java/gorsemast/processes/RecallProcessesTest.java
+++ b/src/test/java/gorsemast/processes/RecallProcessesTest.java
@@ -91,16 +91,15 @@
                 .isZero();
     }
 
-    @Test
-    void aDrainOutlivesTheEndOfAllRegistries() {
-        assertThat(beat(1, "draining", 1_000)).isEqualTo(200);
+    /** Whatever was acknowledged, with no edge in reach: all are killed, and no edge sends the server anything. */
+    private void nothingReachesItAfterTheEndOfAll() {
         restartCore();
         beat(2, "ready", 999); // one that was under way all the while
         network.startEdge(LATE_EDGE, false, 1, 2, 3);
         ProcessNetwork.until("the late edge is ready", START_MILLIS, () -> network.ready(LATE_EDGE));
         nothingReaches(LATE_EDGE);
         network.relay().heal();
-        ProcessNetwork.until("the first edge hears of the drain", KNOWN_MILLIS, () -> {
+        ProcessNetwork.until("the first edge hears that it leaves", KNOWN_MILLIS, () -> {
             int before = leaving.runs().size();
             for (int i = 0; i < REQUESTS; i++) {
                 network.ask(EDGE, "/orders/healed" + i);
@@ -110,6 +109,18 @@
         nothingReaches(EDGE);
     }
 
+    @Test
+    void aDrainOutlivesTheEndOfAllRegistries() {
+        assertThat(beat(1, "draining", 1_000)).isEqualTo(200);
+        nothingReachesItAfterTheEndOfAll();
+    }
+
+    @Test
+    void aDepartureOutlivesTheEndOfAllRegistries() {
+        assertThat(operator.deregister(1, leaving.id()).join().status()).isEqualTo(200);
+        nothingReachesItAfterTheEndOfAll();
+    }
+
     @Test
     void aPurgeOutlivesTheEndOfAllRegistries() {
         network.servers().get(0).change("/objects/held");
