Start the late edge also once the newer configuration has to be in force

An edge that starts right after the acknowledgement may be ready by a lease of two seconds that still runs; one that starts configApply later may not. The stricter case stays as it is. Mends the compilation of the test of what is recalled.

--- a/src/test/java/gorsemast/processes/CutOffProcessesTest.java
+++ b/src/test/java/gorsemast/processes/CutOffProcessesTest.java
@@ -25,6 +25,9 @@
     private static final long START_MILLIS = 20_000;
     private static final long CUT_NANOS = TimeUnit.SECONDS.toNanos(Integer.getInteger("processes.cut", 5));
 
+    /** {@code configApply}. */
+    private static final long APPLIED_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     @TempDir(cleanup = CleanupMode.ON_SUCCESS)
     Path data;
 
@@ -135,15 +138,18 @@
         catchUp(version, "healed", EDGE);
     }
 
-    @Test
-    void anEdgeThatReachesOnlyTheCutOffRegistryIsNotReady() {
-        long begun = System.nanoTime();
+    /** Cuts off the victim, and the late edge from all but the victim; returns when the others have taken order 3. */
+    private void cutOffWithTheLateEdge() {
         network.between(victim, others, network.relay()::cut);
         network.between(LATE_EDGE, others, network.relay()::cut);
         // Edges pass news on too: with a way by an edge the cut-off registry would hear of what is newer.
         network.between(LATE_EDGE, List.of(EDGE), network.relay()::cut);
         network.between(EDGE, List.of(victim), network.relay()::cut);
         order(3, "majority");
+    }
+
+    /** Starts the late edge, sees that it is not ready until the cut's end, and that it is soon after. */
+    private void startTheLateEdge(long begun) {
         network.startEdge(LATE_EDGE, false, victim, others.get(0), others.get(1));
         ProcessNetwork.until("the late edge's start", START_MILLIS, () -> network.log("proxy" + LATE_EDGE)
                 .contains("runs on"));
@@ -158,6 +164,25 @@
         catchUp(3, "majority", EDGE, LATE_EDGE);
     }
 
+    @Test
+    void anEdgeThatReachesOnlyTheCutOffRegistryIsNotReady() {
+        long begun = System.nanoTime();
+        cutOffWithTheLateEdge();
+        startTheLateEdge(begun);
+    }
+
+    /** The same, once the newer configuration has to be in force. */
+    @Test
+    void anEdgeThatStartsAfterTheBoundReachesOnlyTheCutOffRegistryAndIsNotReady() {
+        long begun = System.nanoTime();
+        cutOffWithTheLateEdge();
+        long acknowledged = System.nanoTime();
+        do {
+            askCutSide(2, 1);
+        } while (System.nanoTime() - acknowledged < APPLIED_NANOS);
+        startTheLateEdge(begun);
+    }
+
     @Test
     void oneWayByResetRefusedAndFrozenNothingOldIsRead() {
         int version = 10;
--- a/src/test/java/gorsemast/processes/RecallProcessesTest.java
+++ b/src/test/java/gorsemast/processes/RecallProcessesTest.java
@@ -65,11 +65,19 @@
         }
     }
 
-    private int beat(int core, String state, int callSeq) {
-        String address = leaving.address().getAddress().getHostAddress()
+    private String address() {
+        return leaving.address().getAddress().getHostAddress()
                 + ':'
                 + leaving.address().getPort();
-        return operator.beat(core, leaving.id(), address, state, callSeq).join().status();
+    }
+
+    private void beat(int core, String state, int callSeq) {
+        operator.beat(core, leaving.id(), address(), state, callSeq).join();
+    }
+
+    /** Sends it as its caller does, to one registry after another until the answer is clear, which is a 200. */
+    private void acknowledged(String what, Operator.Call call) {
+        assertThat(operator.clear(what, call, 1, 2, 3).status()).as(what).isEqualTo(200);
     }
 
     private void restartCore() {
