--- a/src/test/java/gorsemast/processes/LinkRelay.java
+++ b/src/test/java/gorsemast/processes/LinkRelay.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
-import java.nio.ByteBuffer;
 import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
@@ -32,7 +31,6 @@
  * <p>One thread does all of it; the public methods may be called from any other thread and return when it is done.
  */
 final class LinkRelay implements AutoCloseable {
-    private static final int BUFFER_BYTES = 64 << 10;
     private static final int QUEUE = 1;
     /** One more than a queue of {@link #QUEUE} takes, and one for a connection that was just accepted. */
     private static final int FILLERS = QUEUE + 2;
@@ -46,17 +44,6 @@
         REFUSES
     }
 
-    /** Who dials whom, for which of its services; also a direction of bytes. */
-    private record Way(String from, String to, String service) {
-        Way back() {
-            return new Way(to, from, service);
-        }
-
-        boolean between(String one, String other) {
-            return from.equals(one) && to.equals(other) || from.equals(other) && to.equals(one);
-        }
-    }
-
     /** A place at which {@code way.from} reaches a port of {@code way.to}. */
     private static final class Entrance {
         private final Way way;
@@ -72,24 +59,6 @@
         }
     }
 
-    /** One of the two halves of a relayed connection: reads its own socket and writes to the other half's. */
-    private static final class Half {
-        private final Way way;
-        private final SocketChannel socket;
-        private final ByteBuffer waiting = ByteBuffer.allocate(BUFFER_BYTES);
-        private Half other;
-        private boolean ended;
-        private boolean connected;
-        /** It failed while the pair was cut: the other side hears of that when the pair is healed. */
-        private boolean broken;
-
-        Half(Way way, SocketChannel socket, boolean connected) {
-            this.way = way;
-            this.socket = socket;
-            this.connected = connected;
-        }
-    }
-
     private final Selector selector = Selector.open();
     private final List<Entrance> entrances = new ArrayList<>();
     private final List<Half> halves = new ArrayList<>();
--- a/src/test/java/gorsemast/processes/ProcessNetwork.java
+++ b/src/test/java/gorsemast/processes/ProcessNetwork.java
@@ -16,6 +16,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -43,8 +44,6 @@
  * from the packaged jar, else from the test's class path. One caller; bounded waits; no sleeps.
  */
 final class ProcessNetwork implements AutoCloseable {
-    static final long GRACE_SECONDS = 6;
-    private static final long BEAT_MILLIS = 400;
     private static final long POLL_MILLIS = 20;
     private static final long CLIENT_MILLIS = 1_500;
     private static final int RANGE = 8;
@@ -53,7 +52,6 @@
     private static final int TRIES = 20;
     private static final int FIRST_EDGE = 20;
     private static final AtomicInteger NETWORKS = new AtomicInteger();
-    private static final Pattern RUN = Pattern.compile("^run = \"([^\"]*)\"$", Pattern.MULTILINE);
 
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, Transport.handlers()).next();
     private final Path data;
@@ -197,8 +195,9 @@
                 Files.createDirectories(disk);
             }
             Path file = data.resolve(name + ".yaml");
-            Files.writeString(file, settings(machine, program, first, disk, seeds));
-            ProcessBuilder builder = new ProcessBuilder(command(program))
+            Files.writeString(
+                    file, settings(machine, program, first, disk, seeds).text());
+            ProcessBuilder builder = new ProcessBuilder(Commands.of(program))
                     .redirectErrorStream(true)
                     .redirectOutput(ProcessBuilder.Redirect.appendTo(
                             data.resolve(name + ".log").toFile()));
@@ -211,64 +210,22 @@
         }
     }
 
-    private static List<String> command(String program) throws IOException {
-        if (Boolean.getBoolean("processes.deployed")) {
-            Matcher runs = RUN.matcher(Files.readString(Path.of("deploy/system.toml")));
-            while (runs.find()) {
-                if (runs.group(1).endsWith("Main " + program)) {
-                    return List.of(runs.group(1).split(" "));
-                }
-            }
-            throw new IOException("deploy/system.toml has no role that runs " + program);
-        }
-        return List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:TieredStopAtLevel=1",
-                "-XX:+UseSerialGC",
-                "-Xshare:auto",
-                "-Xmx64m",
-                "-cp",
-                System.getProperty("java.class.path"),
-                "gorsemast.launcher.Main",
-                program);
-    }
-
-    /** The settings file as the platform writes it; each core machine stands in a zone of its own. */
-    private String settings(int machine, String program, boolean first, Path disk, int... seeds) {
+    /** Each core machine stands in a zone of its own, edges in the first. */
+    private MachineSettings settings(int machine, String program, boolean first, Path disk, int... seeds) {
         boolean core = machine < FIRST_EDGE;
-        int zone = core ? machine : 1;
-        StringBuilder text = new StringBuilder();
-        text.append("nodeName: \"" + name(machine) + "\"\nrole: \"" + program + "\"\n");
-        text.append("machineClass: \"" + (core ? "shield" : "edge") + "\"\n");
-        text.append("ip: \"" + ip(machine) + "\"\nzone: \"zone-" + zone + "\"\nregion: \"lo\"\nzones:\n");
-        for (int i = 1; i <= machines; i++) {
-            text.append("  zone-" + i + ": \"lo\"\n");
-        }
-        text.append("listenAddrs:\n");
-        if (core) {
-            text.append("  control: \"" + ip(machine) + ':' + port + "\"\n");
-        } else {
-            text.append("  front: \"" + ip(machine) + ':' + (port + 1) + "\"\n");
-            text.append("  ready: \"" + ip(machine) + ':' + (port + 2) + "\"\n");
-        }
-        text.append("internalPorts:\n  - " + internal(machine) + "\n  - " + (internal(machine) + RANGE - 1) + '\n');
-        text.append("seedNodes:\n");
-        for (int seed : seeds) {
-            text.append("  - \"" + ip(seed) + ':' + port + "\"\n");
-        }
-        text.append("initialBoot: " + first + "\nlossCounted: " + core + '\n');
-        text.append("limits:\n  memoryMb: 430\n  fileDescriptors: 4096\n");
-        text.append("dataDir: " + (disk == null ? "null" : "\"" + disk.toAbsolutePath() + '"') + '\n');
-        text.append("heartbeat: \"" + BEAT_MILLIS + "ms\"\n");
-        text.append("activeContracts:\n  - \"base\"\n  - \"drain\"\n  - \"config\"\n  - \"recover\"\n  - \"cache\"\n");
-        text.append("faultTolerance:\n  machineLosses: 1\n  zones: 0\n  regionLosses: 0\n");
-        text.append("timingBounds:\n  seedLag: \"3s\"\n  contact: \"3000ms\"\n  ack: \"4000ms\"\n  syncTime: \"4s\"\n");
-        text.append("  drain: \"2000ms\"\n  grace: \"" + GRACE_SECONDS + "s\"\n  configApply: \"2000ms\"\n");
-        text.append(
-                "  downgradeSlack: \"250ms\"\n  stretchMax: \"5000ms\"\n  purge: \"2000ms\"\n  staleSlack: \"2s\"\n");
-        text.append("  retryBudgetRatio: 0.2\n  retryWindow: \"10s\"\n  retrySlack: 60\n  recovery: \"15s\"\n");
-        text.append("configMode: \"highest\"\n");
-        return text.toString();
+        return new MachineSettings(
+                name(machine),
+                program,
+                core,
+                ip(machine),
+                port,
+                internal(machine),
+                RANGE,
+                core ? machine : 1,
+                machines,
+                Arrays.stream(seeds).mapToObj(this::ip).toList(),
+                first,
+                disk);
     }
 
     private List<Process> of(int machine) {
@@ -289,11 +246,11 @@
         ended.forEach(process -> process.onExit().join());
     }
 
-    /** SIGTERM to both processes of a core machine, and SIGKILL after {@link #GRACE_SECONDS}. */
+    /** SIGTERM to both processes of a core machine, and SIGKILL after {@link #MachineSettings#GRACE_SECONDS}. */
     void terminate(int core) {
         List<Process> leaving = of(core);
         leaving.forEach(Process::destroy);
-        long last = System.nanoTime() + TimeUnit.SECONDS.toNanos(GRACE_SECONDS);
+        long last = System.nanoTime() + TimeUnit.SECONDS.toNanos(MachineSettings.GRACE_SECONDS);
         for (Process process : leaving) {
             try {
                 process.waitFor(last - System.nanoTime(), TimeUnit.NANOSECONDS);
@@ -427,7 +384,8 @@
         for (int core : at) {
             controls.add(control(core));
         }
-        StandInServer server = new StandInServer(loop, id, service, "zone-1", ip(number), port, controls, BEAT_MILLIS);
+        StandInServer server =
+                new StandInServer(loop, id, service, "zone-1", ip(number), port, controls, MachineSettings.BEAT_MILLIS);
         servers.add(server);
         return server;
     }
