--- a/src/test/java/gorsemast/processes/ProcessNetwork.java
+++ b/src/test/java/gorsemast/processes/ProcessNetwork.java
@@ -246,7 +246,7 @@
         ended.forEach(process -> process.onExit().join());
     }
 
-    /** SIGTERM to both processes of a core machine, and SIGKILL after {@link #MachineSettings#GRACE_SECONDS}. */
+    /** SIGTERM to both processes of a core machine, and SIGKILL after {@link MachineSettings#GRACE_SECONDS}. */
     void terminate(int core) {
         List<Process> leaving = of(core);
         leaving.forEach(Process::destroy);
