--- a/src/test/java/gorsemast/processes/LinkRelay.java
+++ b/src/test/java/gorsemast/processes/LinkRelay.java
@@ -356,7 +356,7 @@
             try {
                 one.socket.setOption(StandardSocketOptions.SO_LINGER, 0);
             } catch (IOException e) {
-                continue; // it is closed already
+                half.broken = true; // it is closed already
             }
         }
         close(half);
@@ -368,7 +368,7 @@
             try {
                 one.socket.close();
             } catch (IOException e) {
-                continue; // it is closed all the same
+                one.broken = true; // it is closed all the same
             }
         }
     }
