--- a/src/main/java/gorsemast/command/HuntCommand.java
+++ b/src/main/java/gorsemast/command/HuntCommand.java
@@ -1,15 +1,20 @@
 package gorsemast.command;
 
 import gorsemast.http.NettyLog;
+import gorsemast.simulation.Day;
 import gorsemast.simulation.Hunt;
 import gorsemast.simulation.Outcome;
 import gorsemast.simulation.Plant;
+import gorsemast.simulation.Trouble;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
+import java.util.function.IntFunction;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -22,6 +27,9 @@
                 + "with machines, disks, links, servers, operators and clients round them. A broken day is cut down and printed as a "
                 + "test. Exits with 1 where a rule is broken.")
 final class HuntCommand implements Callable<Integer> {
+    private static final int SHORTEST = 24;
+    private static final int LONGEST = 3_600;
+
     @Spec
     private CommandSpec spec;
 
@@ -56,35 +64,83 @@
             description = "One of ${COMPLETION-CANDIDATES}.")
     private Plant plant;
 
+    @Option(
+            names = "--most",
+            defaultValue = "3",
+            paramLabel = "N",
+            description = "Ends soon after so many broken days (${DEFAULT-VALUE}).")
+    private int most;
+
+    @Option(
+            names = "--seconds",
+            defaultValue = "0",
+            paramLabel = "N",
+            description = "Long days of so many seconds, with hundreds of changes (${DEFAULT-VALUE}: usual days).")
+    private int seconds;
+
+    @Option(
+            names = "--losses",
+            defaultValue = "1",
+            paramLabel = "N",
+            description = "Core machines that may be lost at once, less than half of them (${DEFAULT-VALUE}).")
+    private int losses;
+
+    @Option(
+            names = "--without",
+            split = ",",
+            paramLabel = "KIND",
+            description = "Kinds of trouble to leave out: ${COMPLETION-CANDIDATES}.")
+    private Set<Trouble.Kind> without = EnumSet.noneOf(Trouble.Kind.class);
+
     @Override
     public Integer call() {
-        if (days < 1 || cores < 3 || cores > 9 || edges < 1 || edges > 500) {
-            throw Gorsemast.usage(spec, "--days from 1, --cores from 3 to 9, --edges from 1 to 500");
+        if (days < 1
+                || cores < 3
+                || cores > 9
+                || edges < 1
+                || edges > 500
+                || most < 1
+                || losses < 1
+                || 2 * losses >= cores
+                || seconds != 0 && (seconds < SHORTEST || seconds > LONGEST)) {
+            throw Gorsemast.usage(
+                    spec,
+                    "--days, --most and --losses from 1, twice --losses below --cores, --cores from 3 to 9, --edges from 1 to 500, --seconds 0 or "
+                            + SHORTEST + " to " + LONGEST);
         }
         NettyLog.install();
-        Hunt.Result result = Hunt.run(cores, edges, seed, days, plant, 3);
+        IntFunction<Day> all = number -> (seconds > 0
+                        ? Day.drawn(cores, edges, seed + number, seconds)
+                        : Day.drawn(cores, edges, seed + number))
+                .without(without)
+                .bearing(losses);
+        Hunt.Result result = Hunt.run(all, days, plant, most);
         for (Hunt.Found broken : result.found()) {
             Hunt.Found least = Hunt.shortest(broken, plant);
             least.story().forEach(System.out::println);
             System.out.println(least.day().asTest());
             System.out.println();
         }
-        List<Outcome> all = result.outcomes();
+        List<Outcome> outcomes = result.outcomes();
         System.out.printf(
                 Locale.ROOT,
                 "%d days, %d broken%n",
                 result.days(),
                 result.found().size());
         Map<String, List<Long>> times = new TreeMap<>();
-        all.forEach(day -> day.times().forEach((what, took) -> times.computeIfAbsent(what, name -> new ArrayList<>())
-                .addAll(took)));
+        outcomes.forEach(
+                day -> day.times().forEach((what, took) -> times.computeIfAbsent(what, name -> new ArrayList<>())
+                        .addAll(took)));
         times.forEach((what, took) -> System.out.println(what + ": " + spread(took)));
-        if (!all.isEmpty()) {
+        if (!outcomes.isEmpty()) {
             System.out.printf(
                     Locale.ROOT,
                     "an edge sends %.0f bytes and %.1f records a second%n",
-                    all.stream().mapToDouble(Outcome::edgeBytes).average().orElse(0),
-                    all.stream().mapToDouble(Outcome::edgeRecords).average().orElse(0));
+                    outcomes.stream().mapToDouble(Outcome::edgeBytes).average().orElse(0),
+                    outcomes.stream()
+                            .mapToDouble(Outcome::edgeRecords)
+                            .average()
+                            .orElse(0));
         }
         return result.found().isEmpty() ? Gorsemast.DONE : Gorsemast.FAILED;
     }
--- a/src/main/java/gorsemast/simulation/CoreProcesses.java
+++ b/src/main/java/gorsemast/simulation/CoreProcesses.java
@@ -5,6 +5,7 @@
 import gorsemast.peer.Record.Program;
 import gorsemast.registry.CallException;
 import gorsemast.registry.Calls;
+import gorsemast.registry.Command;
 import gorsemast.registry.RegistryNode;
 import gorsemast.store.ReplicaState;
 import gorsemast.store.StoreNode;
@@ -20,11 +21,13 @@
     /** A registry. */
     static final class HeartbeatTable extends Process implements RegistryNode.Carrier {
         final RegistryNode office;
+        private final PlantedRegistry.Own own = new PlantedRegistry.Own();
 
         HeartbeatTable(World world, Machine machine) {
             super(world, machine, Program.REGISTRY);
             this.office = new RegistryNode(
-                    new RegistryNode.Self(machine.ip, machine.zone, machine.ip + ":80", wall(), World.BEAT_MICROS, 1),
+                    new RegistryNode.Self(
+                            machine.ip, machine.zone, machine.ip + ":80", wall(), World.BEAT_MICROS, world.losses()),
                     world.seeds(),
                     true,
                     world.random.nextLong(),
@@ -46,12 +49,21 @@
         /** A call from outside. */
         void call(String method, String path, byte[] body, RegistryNode.Reply reply) {
             try {
-                office.run(Calls.decode(method, path, body), body.length, reply);
+                Command command = Calls.decode(method, path, body);
+                own.ordered(command);
+                if (!PlantedRegistry.answers(world.plant, office, command, reply)) {
+                    office.run(command, body.length, reply);
+                }
             } catch (CallException e) {
                 reply.answer(e.code().status(), e.getMessage(), null);
             }
         }
 
+        @Override
+        Record planted(Record record) {
+            return world.plant == Plant.TELLS_ITS_OWN ? own.told(record) : record;
+        }
+
         @Override
         Record.Hello hello() {
             return office.hello();
@@ -81,7 +93,7 @@
         public void remember(byte[] record, Runnable done) {
             Machine.Disk disk = machine.disk;
             world.time.after(world.sync(machine), () -> {
-                if (machine.power && machine.disk == disk) {
+                if (machine.power && machine.disk == disk && machine.fullUntil <= world.time.now()) {
                     disk.known = record;
                 }
                 run(done);
@@ -104,7 +116,14 @@
                 disk.saved = ReplicaState.fresh(machine.ip, world.seeds(), firstBoot, world.random.nextLong());
             }
             this.teller = new StoreNode(
-                    machine.ip, world.seeds(), disk.saved, 1, world.random.nextLong(), this::now, this, this::save);
+                    machine.ip,
+                    world.seeds(),
+                    disk.saved,
+                    world.losses(),
+                    world.random.nextLong(),
+                    this::now,
+                    this,
+                    this::save);
             each(StoreNode.TICK_MICROS, this::tick);
         }
 
@@ -124,8 +143,9 @@
         }
 
         private void synced() {
-            if (machine.stalledUntil > world.time.now()) {
-                world.time.after(machine.stalledUntil - world.time.now(), this::synced);
+            long blocked = Math.max(machine.stalledUntil, machine.fullUntil) - world.time.now();
+            if (blocked > 0) {
+                world.time.after(blocked, this::synced);
                 return;
             }
             Save done = saves.poll();
--- a/src/main/java/gorsemast/simulation/Day.java
+++ b/src/main/java/gorsemast/simulation/Day.java
@@ -5,16 +5,25 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
  * A day: sizes, a seed for everything that is drawn while it is played, and what happens.
  *
  * @param length of traffic, in microseconds
+ * @param losses how many core machines may be lost at once
  */
-public record Day(int cores, int edges, long seed, long length, List<Trouble> troubles, Closing closing) {
+public record Day(int cores, int edges, long seed, long length, List<Trouble> troubles, Closing closing, int losses) {
     private static final long SECOND = 1_000_000;
     private static final int MOST = 9;
+    private static final int HOWS = 12;
+    private static final int LONGEST_CUT = 20;
+
+    /** One core machine may be lost at once. */
+    public Day(int cores, int edges, long seed, long length, List<Trouble> troubles, Closing closing) {
+        this(cores, edges, seed, length, troubles, closing, 1);
+    }
 
     /** Draws one as the operators do: planned work and faults, early ones in calm, later ones together. */
     public static Day drawn(int cores, int edges, long seed) {
@@ -22,13 +31,26 @@
         List<Trouble> troubles = new ArrayList<>();
         int count = 2 + random.nextInt(MOST - 1);
         long length = 24 * SECOND;
+        return drawn(cores, edges, seed, length, count, random, troubles);
+    }
+
+    /** A long one: so many seconds, a trouble each few seconds, and changes all the while. */
+    public static Day drawn(int cores, int edges, long seed, int seconds) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Trouble> troubles = new ArrayList<>();
+        troubles.add(new Trouble(Kind.CONFIG_STREAM, SECOND, (seconds - 6) * SECOND, 0));
+        return drawn(cores, edges, seed, seconds * SECOND, seconds / 3, random, troubles);
+    }
+
+    private static Day drawn(
+            int cores, int edges, long seed, long length, int count, SplittableRandom random, List<Trouble> troubles) {
         for (int i = 0; i < count; i++) {
             Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
             troubles.add(new Trouble(
                     kind,
                     SECOND + random.nextLong(length - 6 * SECOND),
-                    SECOND + random.nextLong(4 * SECOND),
-                    random.nextInt(1_000)));
+                    SECOND + random.nextLong((random.nextInt(4) == 0 ? LONGEST_CUT : 4) * SECOND),
+                    random.nextInt(HOWS * Trouble.HOW)));
         }
         // Something that can be acknowledged wrongly goes on in each of them.
         troubles.add(new Trouble(Kind.CONFIG, 2 * SECOND + random.nextLong(length / 2), 0, 0));
@@ -38,12 +60,23 @@
                 0,
                 random.nextInt(1_000)));
         troubles.sort(Comparator.comparingLong(Trouble::at));
-        return new Day(cores, edges, seed, length, List.copyOf(troubles), Closing.values()[random.nextInt(4)]);
+        Closing closing = Closing.values()[random.nextInt(Closing.values().length)];
+        return new Day(cores, edges, seed, length, List.copyOf(troubles), closing);
     }
 
     /** The same with other troubles. */
     Day with(List<Trouble> others, Closing ending) {
-        return new Day(cores, edges, seed, length, List.copyOf(others), ending);
+        return new Day(cores, edges, seed, length, List.copyOf(others), ending, losses);
+    }
+
+    /** The same where so many core machines may be lost at once. */
+    public Day bearing(int most) {
+        return new Day(cores, edges, seed, length, troubles, closing, most);
+    }
+
+    /** The same without troubles of these kinds. */
+    public Day without(Set<Kind> kinds) {
+        return with(troubles.stream().filter(one -> !kinds.contains(one.kind())).toList(), closing);
     }
 
     /** As a test's text. */
@@ -65,6 +98,7 @@
         }
         return text.append("), Closing.")
                 .append(closing)
+                .append(losses == 1 ? "" : ", " + losses)
                 .append(").play(Plant.NONE)")
                 .toString();
     }
--- a/src/main/java/gorsemast/simulation/Edge.java
+++ b/src/main/java/gorsemast/simulation/Edge.java
@@ -17,6 +17,7 @@
 import gorsemast.peer.Record.Program;
 import gorsemast.proxy.ProxyNode;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -48,6 +49,13 @@
     boolean leaving;
     /** The highest version that anybody has seen the effect of in this life. */
     long seenVersion;
+    /** The content of it. */
+    String seenContent = "";
+
+    private Configuration newest;
+    private Configuration before;
+    private Configuration read;
+    private String text;
 
     Edge(World world, Machine machine) {
         super(world, machine, Program.PROXY);
@@ -80,7 +88,28 @@
     }
 
     boolean ready() {
-        return lookout.ready() && !leaving;
+        boolean planted = world.plant == Plant.NEVER_READY && machine.stops > 0 && machine.zone.equals("a");
+        return lookout.ready() && !leaving && !planted;
+    }
+
+    /** The configuration that a request is handled by; null before the first. */
+    Configuration goesBy() {
+        Configuration now = lookout.configuration();
+        if (now != newest) {
+            before = newest;
+            newest = now;
+        }
+        boolean planted = world.plant == Plant.GOES_BACK && before != null && world.random.nextInt(50) == 0;
+        return planted ? before : now;
+    }
+
+    /** The content of a configuration, as text. */
+    String content(Configuration of) {
+        if (of != read) {
+            read = of;
+            text = new String(of.body(), StandardCharsets.UTF_8);
+        }
+        return text;
     }
 
     @Override
--- a/src/main/java/gorsemast/simulation/Hunt.java
+++ b/src/main/java/gorsemast/simulation/Hunt.java
@@ -31,7 +31,7 @@
     }
 
     /** The same with days of one's own, by number. */
-    static Result run(IntFunction<Day> all, int days, Plant plant, int most) {
+    public static Result run(IntFunction<Day> all, int days, Plant plant, int most) {
         Log.divert(line -> {});
         try {
             AtomicInteger broken = new AtomicInteger();
--- a/src/main/java/gorsemast/simulation/Machine.java
+++ b/src/main/java/gorsemast/simulation/Machine.java
@@ -25,6 +25,15 @@
     /** A stalled disk finishes nothing until then. */
     long stalledUntil;
 
+    /** A full disk takes nothing until then. */
+    long fullUntil;
+    /** What each write takes beyond the usual. */
+    long diskMicros;
+    /** When a way from or to it was last cut or joined. */
+    long pathChanged;
+    /** How often its processes have been stopped. */
+    int stops;
+
     long frozenUntil;
     /** Of the time of day, which only starts read. */
     long clockError;
--- a/src/main/java/gorsemast/simulation/Outcome.java
+++ b/src/main/java/gorsemast/simulation/Outcome.java
@@ -13,6 +13,8 @@
  * @param edgeRecords that it sent a second
  */
 public record Outcome(int asked, int served, Map<String, List<Long>> times, double edgeBytes, double edgeRecords) {
+    /** A trouble, from its time until it struck, as it may have to wait its turn. */
+    public static final String STRUCK = "struck ";
     /** An order of the operator, until it is acknowledged. */
     public static final String ACKNOWLEDGED = "order acknowledged";
     /** An edge that starts, until it is ready. */
--- a/src/main/java/gorsemast/simulation/Plant.java
+++ b/src/main/java/gorsemast/simulation/Plant.java
@@ -19,5 +19,17 @@
     /** An edge calls refused what may have run. */
     REFUSES_WHAT_RAN,
     /** Edges share no ceiling. */
-    NO_CEILING
+    NO_CEILING,
+    /** A registry acknowledges any content of a number that it knows of. */
+    ACKS_ANY_CONTENT,
+    /** A registry refuses a number that it knows of, also for the same content. */
+    REFUSES_AGAIN,
+    /** A registry tells edges its own order's content as that of the number, acknowledged or not. */
+    TELLS_ITS_OWN,
+    /** A registry answers reads by what it knows, however old. */
+    READS_ALONE,
+    /** A registry gives no answer to orders of some numbers. */
+    ANSWERS_NOTHING,
+    /** Edges of one zone never call themselves ready again after a start. */
+    NEVER_READY
 }
--- a/src/main/java/gorsemast/simulation/Process.java
+++ b/src/main/java/gorsemast/simulation/Process.java
@@ -62,10 +62,10 @@
                 after(0, () -> heardFrom(this, new Record.Held(news.order())));
                 return;
             }
-            byte[] bytes = Codec.bytes(record, now());
+            byte[] bytes = Codec.bytes(planted(record), now());
             world.count(Process.this, bytes.length);
             way.add(bytes);
-            long at = Math.max(lastArrival, world.time.now() + world.delay(machine, other.machine));
+            long at = Math.max(lastArrival, world.time.now() + world.ways.delay(machine, other.machine));
             lastArrival = at;
             world.time.after(at - world.time.now(), this::arrive);
         }
@@ -76,8 +76,8 @@
                 way.clear();
                 return;
             }
-            if (world.cut(machine, other.machine) || !other.machine.power) {
-                world.time.after(world.retry(), this::arrive);
+            if (world.ways.cut(machine, other.machine) || !other.machine.power) {
+                world.time.after(world.ways.retry(), this::arrive);
                 return;
             }
             byte[] bytes = way.remove(0);
@@ -124,8 +124,8 @@
                 return;
             }
             open = false;
-            if (tells && !world.cut(machine, other.machine)) {
-                world.time.after(world.delay(machine, other.machine), () -> other.run(() -> far.close(false)));
+            if (tells && !world.ways.cut(machine, other.machine)) {
+                world.time.after(world.ways.delay(machine, other.machine), () -> other.run(() -> far.close(false)));
             }
             if (ends.remove(this) && alive) {
                 unlinked(this);
@@ -154,6 +154,11 @@
         this.origin = world.time.now() - 1_000_000 - world.random.nextLong(5_000_000);
     }
 
+    /** What is sent in place of a record, for a planted defect. */
+    Record planted(Record record) {
+        return record;
+    }
+
     abstract Record.Hello hello();
 
     abstract void linked(Neighbour one);
@@ -210,6 +215,12 @@
         }
     }
 
+    /** Its links to that machine are reset; the other side is told by nobody. */
+    void reset(Machine to) {
+        run(() ->
+                List.copyOf(all).stream().filter(end -> end.other.machine == to).forEach(end -> end.close(false)));
+    }
+
     // ---- links
 
     @Override
@@ -240,12 +251,13 @@
         Object attempt = new Object();
         dialled.put(target, attempt);
         Machine to = world.machine(target.ip());
+        boolean refused = to != null && world.ways.refused(machine, to);
         boolean silent = to == null
                 || !to.power
-                || world.cut(machine, to)
-                || world.cut(to, machine)
+                || world.ways.cut(machine, to)
+                || world.ways.cut(to, machine)
                 || to.frozenUntil > world.time.now();
-        after(silent ? CONNECT_MICROS : 2 * world.delay(machine, to), () -> {
+        after(silent && !refused ? CONNECT_MICROS : 2 * world.ways.delay(machine, to), () -> {
             if (dialled.get(target) != attempt) {
                 return;
             }
--- a/src/main/java/gorsemast/simulation/Referee.java
+++ b/src/main/java/gorsemast/simulation/Referee.java
@@ -10,12 +10,10 @@
 import java.util.Set;
 
 /**
- * Judges by the operators' rules what clients, servers and operators have seen. A machine is in touch when nothing has
- * troubled it, nor the core, for {@link World#CONTACT_MICROS}; what has a time bound is asked of these only. Throws
- * {@link Broken}. Times in microseconds of the world's clock.
+ * Judges by the operators' rules what clients and servers have seen; {@link Contents} judges configurations. What has a time
+ * bound is asked of machines in touch only, see {@link Contact}. Throws {@link Broken}. Times in microseconds of the world's clock.
  */
 final class Referee {
-    private static final long CONFIG_APPLY = 2_000_000;
     private static final long PURGE = 2_000_000;
     private static final long STALE_SLACK = 2_000_000;
     private static final double OVERRUN = 1.1;
@@ -25,7 +23,6 @@
     private record Purge(String path, long sentAt, long ackedAt) {}
 
     private final World world;
-    private final Map<Long, Long> acknowledged = new HashMap<>();
     private final Map<String, Integer> runs = new HashMap<>();
     private final Set<String> refused = new HashSet<>();
     private final Map<String, List<Change>> changes = new HashMap<>();
@@ -35,7 +32,6 @@
     private final Map<String, Deque<Long>> further = new HashMap<>();
     private final Map<String, Deque<Long>> asked = new HashMap<>();
     private final Deque<Long> fetched = new ArrayDeque<>();
-    private long newest;
 
     Referee(World world) {
         this.world = world;
@@ -45,47 +41,8 @@
         return world.time.now();
     }
 
-    boolean touch(Machine machine) {
-        return machine.calmFor(now()) >= World.CONTACT_MICROS && world.coreCalmFor() >= World.CONTACT_MICROS;
-    }
-
-    // ---- configuration
-
-    /** The operator has read that a version is acknowledged. */
-    void acknowledged(long version) {
-        acknowledged.putIfAbsent(version, now());
-        newest = Math.max(newest, version);
-    }
-
-    long newest() {
-        return newest;
-    }
-
-    /** An edge handles a request that was sent then, by this version. */
-    void handles(Edge edge, long version, long sentAt) {
-        if (version < edge.seenVersion) {
-            throw new Broken(
-                    "CONFIG", edge.machine.ip + " goes back from version " + edge.seenVersion + " to " + version);
-        }
-        edge.seenVersion = version;
-        if (!touch(edge.machine)) {
-            return;
-        }
-        acknowledged.forEach((known, at) -> {
-            if (known > version && sentAt > at + CONFIG_APPLY) {
-                throw new Broken(
-                        "CONFIG",
-                        edge.machine.ip + " goes by version " + version + " " + (sentAt - at) / 1_000 + " ms after "
-                                + known + " was acknowledged");
-            }
-        });
-    }
-
-    /** What is read back at the end. */
-    void readBack(long version) {
-        if (version < newest) {
-            throw new Broken("LOST", "version " + version + " is read back where " + newest + " was acknowledged");
-        }
+    private boolean touch(Machine machine) {
+        return world.contact.touch(machine);
     }
 
     // ---- servers
@@ -201,7 +158,8 @@
     }
 
     private void fresh(Edge edge, String path, long sentAt, long version) {
-        if (!touch(edge.machine)) {
+        boolean touched = touch(edge.machine);
+        if (!touched && !world.contact.well(edge.machine)) {
             return;
         }
         long replacedAt = 0;
@@ -214,16 +172,19 @@
         if (replacedAt == 0) {
             return;
         }
-        if (sentAt > replacedAt + World.TTL_MICROS + STALE_SLACK) {
+        if (touched && sentAt > replacedAt + World.TTL_MICROS + STALE_SLACK) {
             throw new Broken(
                     "STALE",
                     edge.machine.ip + " serves version " + version + " of " + path + ", replaced "
                             + (sentAt - replacedAt) / 1_000 + " ms ago");
         }
+        long within = touched ? PURGE : PURGE + World.STRETCH_MICROS;
         for (Purge purge : purges) {
-            if ((purge.path == null || purge.path.equals(path))
+            boolean bound = touched || world.contact.majorityFor() >= now() - purge.ackedAt;
+            if (bound
+                    && (purge.path == null || purge.path.equals(path))
                     && replacedAt <= purge.sentAt
-                    && sentAt > purge.ackedAt + PURGE) {
+                    && sentAt > purge.ackedAt + within) {
                 throw new Broken(
                         "STALE",
                         edge.machine.ip + " serves version " + version + " of " + path + " "
--- a/src/main/java/gorsemast/simulation/Servers.java
+++ b/src/main/java/gorsemast/simulation/Servers.java
@@ -24,6 +24,10 @@
 
     private static final long CALL_MICROS = 1_000_000;
     private static final int QUEUE = 8;
+    /** How long a server serves on beyond the time that it has to. */
+    static final long USUAL_LINGER = 400_000;
+
+    private static final long LATEST_ANSWER = 2_500_000;
 
     private final World world;
     private final Map<String, Server> byAddress = new HashMap<>();
@@ -50,6 +54,10 @@
         /** So many of its answers are lost after it has run what it was asked. */
         double loses;
 
+        /** So many of its answers come late or twice. */
+        double late;
+
+        private Machine first;
         private int seq;
         private int at;
         private int busy;
@@ -67,6 +75,11 @@
             world.time.after(world.random.nextLong(World.BEAT_MICROS / 4), this::beat);
         }
 
+        /** It calls this core machine before all others. */
+        void prefers(Machine machine) {
+            first = machine;
+        }
+
         private void beat() {
             if (!alive) {
                 return;
@@ -86,14 +99,11 @@
 
         private void call(String what, String body, boolean leaves, int tries, Consumer<Boolean> then) {
             List<Machine> cores = world.known();
-            Machine to = cores.get(Math.floorMod(at, cores.size()));
+            Machine to = first != null && tries == 0 ? first : cores.get(Math.floorMod(at, cores.size()));
             world.call(
-                    "servers-" + zone,
                     to,
-                    "POST",
-                    "/v1/nodes/" + id + "/" + what,
-                    body,
-                    CALL_MICROS,
+                    new World.Call("POST", "/v1/nodes/" + id + "/" + what, body, CALL_MICROS),
+                    status -> {},
                     (status, text) -> {
                         if (!alive) {
                             return;
@@ -112,17 +122,36 @@
                     });
         }
 
-        /** It leaves in order: tells so, serves on, signs off, ends. */
-        void drain() {
+        /**
+         * It leaves in order: tells so, serves on, signs off, ends.
+         *
+         * @param lingers how long it serves on beyond the time that it has to
+         * @param told run when it has read an acknowledgement
+         */
+        void drain(long lingers, Runnable told) {
             if (!alive || draining) {
                 return;
             }
             draining = true;
-            tell(
-                    "heartbeat",
-                    acknowledged -> world.time.after(
-                            World.DRAIN_MICROS + 400_000,
-                            () -> tell("deregister", over -> world.time.after(300_000, this::crash))));
+            long begun = world.time.now();
+            boolean[] over = new boolean[1];
+            tell("heartbeat", acknowledged -> {
+                over[0] = true;
+                if (acknowledged) {
+                    told.run();
+                }
+                world.time.after(
+                        World.DRAIN_MICROS + lingers,
+                        () -> tell("deregister", ended -> world.time.after(300_000, this::crash)));
+            });
+            world.time.after(Operator.ACK_MICROS, () -> {
+                if (!over[0] && Math.min(world.contact.stretch(), world.time.now() - begun) >= Operator.ACK_MICROS) {
+                    throw new Broken(
+                            "ACK",
+                            id + " drains, and nobody has said so in " + Operator.ACK_MICROS / 1_000
+                                    + " ms with the core settled");
+                }
+            });
         }
 
         /** It ends without a word. */
@@ -157,7 +186,14 @@
                     queue.remove(0).run();
                 }
                 if (alive && world.random.nextDouble() >= loses) {
-                    reply.accept(new Reply(world.random.nextInt(300) == 0 ? Answer.ERROR : Answer.OK, version));
+                    Reply answer = new Reply(world.random.nextInt(300) == 0 ? Answer.ERROR : Answer.OK, version);
+                    boolean spoilt = late > 0 && world.random.nextDouble() < late;
+                    if (!spoilt || world.random.nextBoolean()) {
+                        reply.accept(answer);
+                    }
+                    if (spoilt) {
+                        world.time.after(world.random.nextLong(LATEST_ANSWER), () -> reply.accept(answer));
+                    }
                 }
             });
         }
@@ -176,7 +212,7 @@
      * @param refused called where nothing listens at the address
      */
     void send(Machine from, String address, Request request, Consumer<Reply> reply, Runnable refused) {
-        long way = world.way(400);
+        long way = world.ways.way(400);
         world.time.after(way, () -> {
             Server server = byAddress.get(address);
             if (server == null) {
--- a/src/main/java/gorsemast/simulation/Trouble.java
+++ b/src/main/java/gorsemast/simulation/Trouble.java
@@ -7,16 +7,35 @@
  *
  * @param at in microseconds
  * @param span how long it lasts, in microseconds, where it lasts
- * @param pick which of the machines, servers or objects that fit: the same number picks the same
+ * @param pick which of the machines, servers or objects that fit: the same number picks the same; see {@link #HOW}
  */
 public record Trouble(Kind kind, long at, long span, int pick) {
+    /**
+     * {@code pick / HOW} chooses how: of a cut, {@link Ways.Cut}; of what strikes after an acknowledgement, {@link Acknowledged}.
+     */
+    public static final int HOW = 1_000;
+
     /** What happens; the first group is planned work. */
     public enum Kind {
         /** The configuration changes. */
         CONFIG,
         /** Two operators change it at once, under one version each. */
         CONFIG_RACE,
-        /** An invalid one is sent. */
+        /** Two operators send two contents under one number, to two machines: at once, or a tenth of the span apart. */
+        SAME_NUMBER,
+        /** One change is sent to three machines at once. */
+        CONFIG_THRICE,
+        /** Eight changes are under way at once. */
+        CONFIG_MANY,
+        /** Changes come one after the other, several each second. */
+        CONFIG_STREAM,
+        /** A change that was acknowledged is sent again, unchanged. */
+        CONFIG_AGAIN,
+        /** All core machines that are known are asked for the configuration. */
+        READ,
+        /** Seven of ten answers to operators are lost. */
+        LOSE_ACKS,
+        /** A broken one is sent, one of the version that holds or of an older one, or an earlier one again. */
         BAD_CONFIG,
         /** An object changes and is purged, by path or tag. */
         PURGE,
@@ -24,6 +43,8 @@
         PURGE_STORM,
         /** A server drains and leaves. */
         DRAIN,
+        /** A server drains, serves on for long, and leaves. */
+        DRAIN_LONG,
         /** A new server comes, then an old one drains. */
         RELEASE,
         /** Edges are asked to leave in turn and start again. */
@@ -32,12 +53,22 @@
         RELOAD,
         /** A core machine is replaced by an empty one at another address. */
         REPLACE_CORE,
+        /** A core machine is replaced in order: an empty one comes, then the old one is asked to leave. */
+        REPLACE_PLANNED,
+        /** Two are replaced at once, where two may be lost. */
+        REPLACE_TWO,
+        /** All are replaced in turn, so that all first lists are old. */
+        REPLACE_ALL,
+        /** A further core machine comes, empty. */
+        SPARE_CORE,
         /** A server ends without a word. */
         CRASH_SERVER,
         /** It does, and its address goes to another service. */
         REUSE,
         /** Servers of one service run requests and lose the answers of some. */
         LOSE_ANSWERS,
+        /** One answer of five of a server comes late, or twice. */
+        LATE_ANSWERS,
         /** A server turns slow. */
         SLOW_SERVER,
         /** An edge's process is killed. */
@@ -54,6 +85,14 @@
         POWER_AFTER_ACK,
         /** The same, and its disk. */
         WIPE_AFTER_ACK,
+        /** All core machines lose power right after one of them acknowledges something. */
+        POWER_ALL_AFTER_ACK,
+        /** All core machines lose power 5 to 400 ms after an order is sent, acknowledged or not. */
+        POWER_ALL_TIMED,
+        /** A core machine loses power and disk. */
+        WIPE_CORE,
+        /** One loses its disk and all others their power, right after one acknowledges something. */
+        WIPE_REST_POWER,
         /** An edge stands still. */
         FREEZE_EDGE,
         /** A core machine does. */
@@ -64,18 +103,46 @@
         CUT_CORE,
         /** It hears the others, and they do not hear it. */
         CUT_ONE_WAY,
+        /** They hear it, and it does not hear them. */
+        CUT_ONE_WAY_IN,
+        /** The machine whose store leads reaches no other one. */
+        CUT_LEADER,
+        /** It does not hear them, or they do not hear it. */
+        CUT_LEADER_ONE_WAY,
+        /** A core machine and the edges of its zone are on one side, all others on the other; an edge of each is restarted. */
+        CUT_SIDE,
+        /** The same with two core machines, where two may be lost. */
+        CUT_TWO,
+        /** The same with one, which is restarted, then the others. */
+        CUT_BOTH,
+        /** A core machine is cut off, new lists begin with it, and edges are restarted. */
+        CUT_SEEDS,
+        /** What a core machine and another machine send each other comes late, by up to some seconds. */
+        HOLD_LINK,
+        /** All machines of a zone lose power. */
+        ZONE_POWER,
+        /** All machines of a zone are cut off from the others. */
+        ZONE_CUT,
+        /** A core machine's disk takes long for each write. */
+        SLOW_DISK,
+        /** A core machine's disk has no room. */
+        FULL_DISK,
         /** A core machine's disk finishes nothing. */
         STALL,
         /** The time of day jumps on a core machine and an edge. */
         CLOCK
     }
 
-    /** Everything that may end a day, right after a change was acknowledged. */
+    /** Everything that may end a day; where nothing else is said, right after a change was acknowledged. */
     public enum Closing {
         NONE,
         KILL_ALL,
         POWER_ALL,
-        WIPE
+        WIPE,
+        /** Power is lost right after a purge or a drain was acknowledged. */
+        POWER_ANY,
+        /** Power is lost 5 to 400 ms after an order was sent, acknowledged or not. */
+        POWER_TIMED
     }
 
     @Override
--- a/src/main/java/gorsemast/simulation/Troubles.java
+++ b/src/main/java/gorsemast/simulation/Troubles.java
@@ -1,30 +1,42 @@
 package gorsemast.simulation;
 
-import gorsemast.peer.Record.Program;
-import gorsemast.simulation.Servers.Server;
-import gorsemast.simulation.Trouble.Closing;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 
-/** Makes troubles happen. What would lose more core machines at once than may be lost waits its turn. */
+/** Has troubles happen, each in its turn: what would lose more core machines at once than may be lost waits. */
 final class Troubles {
     private static final long AGAIN_MICROS = 500_000;
+    private static final int MOST_WAITS = 30;
     private static final long RESTART_MICROS = 300_000;
 
     private final World world;
-    private final Course course;
+    private final MachineTroubles machines;
+    private final ServerTroubles servers;
+    private final CutTroubles cuts;
+    private final Replacements replacements;
+    private final AckTroubles acks;
 
-    Troubles(World world, Course course) {
+    Troubles(World world) {
         this.world = world;
-        this.course = course;
+        this.machines = new MachineTroubles(world);
+        this.servers = new ServerTroubles(world);
+        this.cuts = new CutTroubles(world, machines);
+        this.replacements = new Replacements(world);
+        this.acks = new AckTroubles(world, machines, servers);
     }
 
-    private static <T> T pick(List<T> of, int number) {
+    MachineTroubles machines() {
+        return machines;
+    }
+
+    ServerTroubles servers() {
+        return servers;
+    }
+
+    static <T> T pick(List<T> of, int number) {
         return of.isEmpty() ? null : of.get(number % of.size());
     }
 
-    private Machine core(int number) {
+    Machine core(int number) {
         return pick(world.machines(true), number);
     }
 
@@ -32,79 +44,148 @@
         return pick(world.machines(false), number);
     }
 
+    /** How many core machines a trouble takes at once; -1 for all of them. */
+    private int takes(Trouble trouble) {
+        return switch (trouble.kind()) {
+            case REPLACE_CORE,
+                    REPLACE_PLANNED,
+                    SPARE_CORE,
+                    KILL_CORE,
+                    POWER_CORE,
+                    FREEZE_CORE,
+                    CUT_CORE,
+                    CUT_ONE_WAY,
+                    CUT_ONE_WAY_IN,
+                    CUT_LEADER,
+                    CUT_LEADER_ONE_WAY,
+                    CUT_SIDE,
+                    CUT_SEEDS,
+                    HOLD_LINK,
+                    STALL,
+                    SLOW_DISK,
+                    FULL_DISK,
+                    WIPE_CORE,
+                    WIPE_REST_POWER,
+                    POWER_AFTER_ACK,
+                    WIPE_AFTER_ACK -> 1;
+            case CUT_BOTH, KILL_CORES, POWER_ALL_AFTER_ACK, POWER_ALL_TIMED, REPLACE_ALL -> -1;
+            case CUT_TWO, REPLACE_TWO -> 2;
+            case ZONE_POWER, ZONE_CUT -> cuts.coresOf(trouble.pick()).size();
+            default -> 0;
+        };
+    }
+
+    private boolean may(int takes) {
+        return takes == 0 || (takes < 0 ? world.mayLose(world.losses()) : world.mayLose(takes));
+    }
+
     void strike(Trouble trouble) {
-        strike(trouble, 0);
+        if (takes(trouble) <= world.losses()) {
+            strike(trouble, 0);
+        }
     }
 
     private void strike(Trouble trouble, int waited) {
-        boolean counted =
-                switch (trouble.kind()) {
-                    case REPLACE_CORE,
-                            KILL_CORE,
-                            POWER_CORE,
-                            FREEZE_CORE,
-                            CUT_CORE,
-                            CUT_ONE_WAY,
-                            STALL,
-                            POWER_AFTER_ACK,
-                            WIPE_AFTER_ACK,
-                            KILL_CORES -> true;
-                    default -> false;
-                };
-        if (counted && !world.mayLose()) {
-            if (waited < 30) {
+        if (!may(takes(trouble))) {
+            if (waited < MOST_WAITS) {
                 world.time.after(AGAIN_MICROS, () -> strike(trouble, waited + 1));
             }
             return;
         }
         world.say(trouble.toString());
-        if (counted) {
-            primaryLost(
-                    trouble.kind().toString(),
-                    switch (trouble.kind()) {
-                        case POWER_AFTER_ACK, WIPE_AFTER_ACK, KILL_CORES, STALL ->
-                            null; // told where they strike, or nobody takes over
-                        default -> core(trouble.pick());
-                    });
-        }
+        world.took(Outcome.STRUCK + trouble.kind(), waited * AGAIN_MICROS);
         int n = trouble.pick();
+        long span = trouble.span();
         switch (trouble.kind()) {
-            case CONFIG -> course.configure(null);
-            case CONFIG_RACE -> course.race();
-            case BAD_CONFIG -> course.invalid();
-            case PURGE -> course.purge(n);
-            case PURGE_STORM -> storm(n, world.time.now() + trouble.span());
-            case DRAIN -> leaves(n);
-            case RELEASE -> release(n);
-            case ROLL -> roll(0);
-            case RELOAD -> reload();
-            case REPLACE_CORE -> replace(core(n));
-            case CRASH_SERVER -> crash(n, false);
-            case REUSE -> crash(n, true);
-            case LOSE_ANSWERS -> lose(n, trouble.span());
-            case SLOW_SERVER -> slow(n, trouble.span());
-            case KILL_EDGE -> bounce(edge(n), false, RESTART_MICROS);
+            case CONFIG -> world.operator.configure(() -> {});
+            case CONFIG_RACE -> world.operator.race();
+            case SAME_NUMBER -> world.operator.sameNumber(n % 2 == 0 ? 0 : span / 10);
+            case CONFIG_THRICE -> world.operator.thrice();
+            case CONFIG_MANY -> world.operator.many();
+            case CONFIG_STREAM -> stream(world.time.now() + span);
+            case CONFIG_AGAIN -> world.operator.again(n);
+            case BAD_CONFIG -> world.operator.bad(n);
+            case READ -> world.operator.readAll();
+            case LOSE_ACKS -> loseAcks(span);
+            case PURGE -> world.operator.purge(n, () -> {});
+            case PURGE_STORM -> storm(n, world.time.now() + span);
+            case DRAIN -> servers.leaves(n, () -> {});
+            case DRAIN_LONG -> servers.leavesSlowly(n, span);
+            case RELEASE -> servers.release(n);
+            case CRASH_SERVER -> servers.crash(n, false);
+            case REUSE -> servers.crash(n, true);
+            case LOSE_ANSWERS -> servers.lose(n, span);
+            case SLOW_SERVER -> servers.slow(n, span);
+            case LATE_ANSWERS -> servers.late(n, span);
+            case ROLL -> machines.roll(0);
+            case RELOAD -> machines.reload();
+            case KILL_EDGE -> machines.bounce(edge(n), false, RESTART_MICROS);
             case HERD ->
                 world.machines(false).forEach(one -> {
                     if ((one.ip.hashCode() ^ n) % 3 != 0) {
-                        bounce(one, false, RESTART_MICROS);
+                        machines.bounce(one, false, RESTART_MICROS);
                     }
                 });
-            case KILL_CORE -> bounce(core(n), false, RESTART_MICROS);
-            case KILL_CORES -> world.machines(true).forEach(one -> bounce(one, false, RESTART_MICROS));
-            case POWER_CORE -> bounce(core(n), true, trouble.span());
-            case POWER_AFTER_ACK -> afterAck(false, trouble.span());
-            case WIPE_AFTER_ACK -> afterAck(true, trouble.span());
-            case FREEZE_EDGE -> freeze(edge(n), trouble.span());
-            case FREEZE_CORE -> freeze(core(n), trouble.span());
-            case CUT_EDGE -> cutOff(edge(n), trouble.span(), false);
-            case CUT_CORE -> cutOff(core(n), trouble.span(), false);
-            case CUT_ONE_WAY -> cutOff(core(n), trouble.span(), true);
-            case STALL -> stall(core(n), trouble.span());
+            case KILL_CORES -> world.machines(true).forEach(one -> machines.bounce(one, false, RESTART_MICROS));
+            case FREEZE_EDGE -> machines.freeze(edge(n), span);
+            case CUT_EDGE -> cuts.off(edge(n), span, Ways.Cut.of(n), true, true);
             case CLOCK -> {
-                clock(core(n), trouble.span());
-                clock(edge(n), trouble.span());
+                machines.clock(core(n), span);
+                machines.clock(edge(n), span);
             }
+            default -> core(trouble);
+        }
+    }
+
+    private void core(Trouble trouble) {
+        int n = trouble.pick();
+        long span = trouble.span();
+        Machine leader = world.primaryBut(null);
+        Machine struck =
+                switch (trouble.kind()) {
+                    case CUT_LEADER, CUT_LEADER_ONE_WAY -> leader == null ? core(n) : leader;
+                    default -> core(n);
+                };
+        switch (trouble.kind()) {
+            case POWER_AFTER_ACK, WIPE_AFTER_ACK, STALL, SLOW_DISK, FULL_DISK, HOLD_LINK -> {
+                // told where they strike, or nobody takes over
+            }
+            default -> primaryLost(trouble.kind().toString(), struck);
+        }
+        Ways.Cut how = Ways.Cut.of(n);
+        switch (trouble.kind()) {
+            case KILL_CORE -> machines.bounce(struck, false, RESTART_MICROS);
+            case POWER_CORE -> machines.bounce(struck, true, span);
+            case FREEZE_CORE -> machines.freeze(struck, span);
+            case STALL -> machines.stall(struck, span);
+            case SLOW_DISK -> machines.slowDisk(struck, span);
+            case FULL_DISK -> machines.fullDisk(struck, span);
+            case WIPE_CORE -> machines.wipe(struck, span);
+            case WIPE_REST_POWER -> acks.wipeRestPower(struck, n, span);
+            case POWER_AFTER_ACK -> acks.one(n, false, span);
+            case WIPE_AFTER_ACK -> acks.one(n, true, span);
+            case POWER_ALL_AFTER_ACK -> acks.all(n, span);
+            case POWER_ALL_TIMED -> acks.timed(n, span);
+            case CUT_CORE, CUT_LEADER -> cuts.off(struck, span, how, true, true);
+            case CUT_ONE_WAY -> cuts.off(struck, span, how, true, false);
+            case CUT_ONE_WAY_IN -> cuts.off(struck, span, how, false, true);
+            case CUT_LEADER_ONE_WAY -> cuts.off(struck, span, how, n % 2 == 0, n % 2 != 0);
+            case CUT_SIDE -> cuts.sides(List.of(struck), span, how, false);
+            case CUT_SEEDS -> cuts.seeds(struck, span, how);
+            case CUT_TWO -> cuts.sides(List.of(struck, core(n + 1)), span, how, false);
+            case CUT_BOTH -> cuts.sides(List.of(struck), span, how, true);
+            case HOLD_LINK -> cuts.hold(struck, n, span);
+            case ZONE_POWER -> cuts.zone(n, span, true);
+            case ZONE_CUT -> cuts.zone(n, span, false);
+            case REPLACE_CORE -> replacements.unplanned(struck);
+            case REPLACE_PLANNED -> replacements.planned(struck, span);
+            case REPLACE_TWO -> {
+                replacements.unplanned(struck);
+                replacements.unplanned(core(n)); // the next one, as the first has gone
+            }
+            case REPLACE_ALL -> replacements.all();
+            case SPARE_CORE -> replacements.spare();
+            default -> throw new IllegalStateException(trouble.toString());
         }
     }
 
@@ -117,215 +198,24 @@
 
     private void storm(int n, long until) {
         if (world.time.now() < until) {
-            course.purge(n + world.random.nextInt(100));
+            world.operator.purge(n + world.random.nextInt(100), () -> {});
             world.time.after(65_000, () -> storm(n, until));
         }
     }
 
-    // ---- servers
-
-    private Server leaver(int n) {
-        String service = n % 2 == 0 ? "orders" : World.OBJECTS;
-        List<Server> serving =
-                world.servers.of(service).stream().filter(one -> !one.draining).toList();
-        return serving.size() < 2 ? null : pick(serving, n);
-    }
-
-    private void leaves(int n) {
-        Server server = leaver(n);
-        if (server != null) {
-            world.say(server.id + " drains");
-            server.drain();
-        }
-    }
-
-    private void release(int n) {
-        Server server = leaver(n);
-        if (server != null) {
-            course.server(server.service, server.slots);
-            world.time.after(700_000, server::drain);
-        }
-    }
-
-    private void crash(int n, boolean reused) {
-        Server server = leaver(n);
-        if (server != null) {
-            world.say(server.id + " crashes");
-            server.crash();
-            world.time.after(reused ? 400_000 : 2_000_000, () -> {
-                if (reused) {
-                    course.server(server.service.equals("orders") ? World.OBJECTS : "orders", 6, server.address);
-                }
-                course.server(server.service, server.slots);
-            });
-        }
-    }
-
-    private void lose(int n, long span) {
-        List<Server> some = world.servers.of(n % 2 == 0 ? "orders" : World.OBJECTS);
-        some.forEach(one -> one.loses = 0.05);
-        world.time.after(span, () -> some.forEach(one -> one.loses = 0));
-    }
-
-    private void slow(int n, long span) {
-        Server server = pick(world.servers.of(null), n);
-        server.slow = 4;
-        world.time.after(span, () -> server.slow = 1);
-    }
-
-    // ---- machines
-
-    /** A machine's processes end, or it loses power, and come back. */
-    private void bounce(Machine machine, boolean power, long down) {
-        machine.trouble();
-        world.stop(machine, power);
-        world.time.after(down, () -> {
-            if (!machine.gone) {
-                world.say(machine.ip + " starts");
-                world.start(machine, false);
-            }
-            machine.calm(world.time.now());
-        });
-    }
-
-    private void roll(int number) {
-        List<Machine> edges = world.machines(false);
-        if (number >= edges.size()) {
-            return;
-        }
-        Machine machine = edges.get(number);
-        Process process = world.process(Program.PROXY, machine);
-        machine.trouble();
-        if (process != null) {
-            process.run(process::leave);
-        }
-        world.time.after(3_300_000, () -> {
-            world.stop(machine, false);
-            world.start(machine, false);
-            machine.calm(world.time.now());
-        });
-        world.time.after(1_300_000, () -> roll(number + 1));
-    }
-
-    private void reload() {
-        Set<String> seeds = world.seeds();
-        for (boolean core : new boolean[] {true, false}) {
-            for (Machine machine : world.machines(core)) {
-                for (Process process : machine.processes) {
-                    process.run(() -> {
-                        if (process instanceof Edge edge) {
-                            edge.lookout.seeds(seeds);
-                        } else if (process instanceof CoreProcesses.HeartbeatTable registry) {
-                            registry.office.seeds(seeds);
-                        } else if (process instanceof CoreProcesses.Store store) {
-                            store.teller.seeds(seeds);
-                        }
-                    });
-                }
-            }
-        }
-    }
-
-    private void replace(Machine machine) {
-        world.coreTrouble();
-        world.stop(machine, true);
-        machine.gone = true;
-        world.listLater();
-        world.time.after(1_000_000, () -> {
-            Machine next = world.add(machine.zone, true);
-            world.say(next.ip + " takes the place of " + machine.ip);
-            world.start(next, false);
-            world.listLater();
-            world.coreCalm();
-        });
-    }
-
-    private void afterAck(boolean wipes, long down) {
-        world.onAck(machine -> world.time.after(world.random.nextLong(4_000), () -> {
-            if (!world.mayLose() || machine.gone) {
-                return;
-            }
-            if (wipes) {
-                world.say(machine.ip + " loses its disk");
-            }
-            primaryLost(wipes ? "WIPE_AFTER_ACK" : "POWER_AFTER_ACK", machine);
-            bounce(machine, true, down);
-            if (wipes) {
-                machine.disk = new Machine.Disk();
-            }
-        }));
-    }
-
-    private void freeze(Machine machine, long span) {
-        machine.trouble();
-        machine.frozenUntil = world.time.now() + span;
-        world.time.after(span, () -> back(machine, "a freeze"));
-    }
-
-    private void back(Machine machine, String after) {
-        machine.calm(world.time.now());
-        if (!machine.core && !machine.gone) {
-            world.watch(Outcome.CAUGHT_UP + after, () -> world.caughtUp(machine));
+    private void stream(long until) {
+        if (world.time.now() < until) {
+            world.operator.configure(() -> {});
+            world.time.after(40_000 + world.random.nextLong(120_000), () -> stream(until));
         }
     }
 
-    /** It reaches no core machine; one way, it still hears them. */
-    private void cutOff(Machine machine, long span, boolean oneWay) {
-        machine.trouble();
-        List<Machine> others = new ArrayList<>(world.machines(true));
-        others.remove(machine);
-        others.forEach(other -> {
-            world.cut(machine, other, true);
-            if (!oneWay) {
-                world.cut(other, machine, true);
-            }
-        });
+    private void loseAcks(long span) {
+        world.contact.linkTrouble(true);
+        world.ackLoss = 0.7;
         world.time.after(span, () -> {
-            others.forEach(other -> {
-                world.cut(machine, other, false);
-                world.cut(other, machine, false);
-            });
-            back(machine, "a cut");
+            world.ackLoss = 0;
+            world.contact.linkTrouble(false);
         });
     }
-
-    private void stall(Machine machine, long span) {
-        machine.trouble();
-        machine.stalledUntil = world.time.now() + span;
-        world.time.after(span, () -> machine.calm(world.time.now()));
-    }
-
-    private void clock(Machine machine, long span) {
-        machine.trouble();
-        machine.clockError = world.random.nextBoolean() ? 3_000_000 : -3_000_000;
-        world.time.after(span, () -> {
-            machine.clockError = 0;
-            machine.calm(world.time.now());
-        });
-    }
-
-    // ---- the closing fault
-
-    void close(Closing closing, Runnable restored) {
-        world.say("closing fault " + closing);
-        if (closing == Closing.WIPE) {
-            Machine struck = core(world.random.nextInt(10));
-            boolean othersToo = world.random.nextBoolean();
-            if (world.mayLose()) {
-                world.say(struck.ip + " loses its disk");
-                bounce(struck, true, 1_000_000);
-                struck.disk = new Machine.Disk();
-                if (othersToo) {
-                    world.machines(true).stream()
-                            .filter(one -> one != struck)
-                            .forEach(one -> bounce(one, true, 1_000_000));
-                }
-            }
-        } else {
-            for (boolean core : new boolean[] {true, false}) {
-                world.machines(core).forEach(one -> bounce(one, closing == Closing.POWER_ALL, 1_000_000));
-            }
-        }
-        world.time.after(1_000_000, restored);
-    }
 }
--- a/src/main/java/gorsemast/simulation/World.java
+++ b/src/main/java/gorsemast/simulation/World.java
@@ -5,11 +5,9 @@
 import gorsemast.peer.Record.Program;
 import gorsemast.simulation.CoreProcesses.HeartbeatTable;
 import gorsemast.simulation.CoreProcesses.Store;
-import gorsemast.simulation.Trouble.Closing;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -20,6 +18,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 
 /**
  * Machines, the ways between them, and everything that lives on them, for one day in virtual time. One thread; times in
@@ -33,6 +32,11 @@
     static final long WINDOW_MICROS = 5_000_000;
     static final long CONTACT_MICROS = 3_000_000;
     static final long SYNC_MICROS = 4_000_000;
+    /** What an unsettled core may stretch the bounds of configurations and purges by. */
+    static final long STRETCH_MICROS = 5_000_000;
+    /** From a request to leave until a machine is gone. */
+    static final long GRACE_MICROS = 6_000_000;
+
     static final long TTL_MICROS = 10_000_000;
     /** That one server takes from all callers. */
     static final int CONNECTIONS = 130;
@@ -44,12 +48,22 @@
     private static final long SEED_LAG = 3_000_000;
     private static final long WATCH_MICROS = 5_000;
     private static final long WATCHED_MICROS = 20_000_000;
-    private static final long HELD_BACK = 50_000;
+    private static final int SEEDS = 3;
 
     final VirtualTime time = new VirtualTime(10_000_000);
     final SplittableRandom random;
     final Plant plant;
+    final Ways ways = new Ways(this);
+    final Contact contact = new Contact(this);
     final Referee referee = new Referee(this);
+    final Contents contents = new Contents(this);
+    final Operator operator = new Operator(this);
+    final Clients clients = new Clients(this);
+    /** A share of the answers to operators that is lost. */
+    double ackLoss;
+    /** What new lists begin with; null for nothing special. */
+    String firstSeed;
+
     final Servers servers = new Servers(this);
     /** Versions of objects that have changed. */
     final Map<String, Long> objects = new HashMap<>();
@@ -58,13 +72,12 @@
     private final List<String> story;
     private final Map<String, List<Long>> times = new TreeMap<>();
     private final Map<String, Machine> machines = new LinkedHashMap<>();
-    private final Set<String> cuts = new HashSet<>();
     private List<String> seeds = new ArrayList<>();
-    private Consumer<Machine> onAck = machine -> {};
+    private final List<Waiting> waiting = new ArrayList<>();
+    private int replacing;
+    private int lastServer;
     private long edgeBytes;
     private long edgeRecords;
-    private int coreTroubles;
-    private long coreCalmSince;
     private int addresses;
 
     World(Day day, Plant plant, List<String> story) {
@@ -129,10 +142,10 @@
                                 == 0);
     }
 
-    Outcome outcome(int asked, int served, long from) {
+    Outcome outcome(long from) {
         long edges = machines.values().stream().filter(one -> !one.core).count();
         double seconds = Math.max(1, (time.now() - from) / 1e6) * edges;
-        return new Outcome(asked, served, times, edgeBytes / seconds, edgeRecords / seconds);
+        return new Outcome(clients.asked(), clients.served(), times, edgeBytes / seconds, edgeRecords / seconds);
     }
 
     void countFromNow() {
@@ -226,8 +239,13 @@
 
     // ---- the core as the operators' list has it
 
+    /** What a process that starts now is told: three core machines at most. */
     Set<String> seeds() {
-        return new LinkedHashSet<>(seeds);
+        List<String> listed = new ArrayList<>(seeds);
+        if (firstSeed != null && listed.remove(firstSeed)) {
+            listed.add(0, firstSeed);
+        }
+        return new LinkedHashSet<>(listed.subList(0, Math.min(SEEDS, listed.size())));
     }
 
     /** Machines that callers from outside know of. */
@@ -244,73 +262,50 @@
         seeds = new ArrayList<>(machines(true).stream().map(one -> one.ip).toList());
     }
 
-    void coreTrouble() {
-        coreTroubles++;
-    }
-
-    void coreCalm() {
-        coreTroubles--;
-        coreCalmSince = time.now();
+    /** How many core machines may be lost at once. */
+    int losses() {
+        return day.losses();
     }
 
-    /** For so long nothing has troubled the core. */
-    long coreCalmFor() {
-        long calm = coreTroubles > 0 ? 0 : time.now() - coreCalmSince;
-        for (Machine machine : machines(true)) {
-            calm = Math.min(calm, machine.calmFor(time.now()));
-        }
-        return calm;
+    /** So many more core machines are gone whose successors have not come yet. */
+    void replacing(int more) {
+        replacing += more;
     }
 
-    /** Whether all core machines are well and have been for as long as a lost one needs to be whole again. */
-    boolean mayLose() {
-        return coreCalmFor() >= SYNC_MICROS;
+    /** Whether so many more core machines may be lost now. */
+    boolean mayLose(int more) {
+        return contact.lost() + replacing + more <= losses();
     }
 
     boolean allCalm() {
-        return coreCalmFor() >= CONTACT_MICROS
+        return contact.settledFor() >= 0
                 && machines(false).stream().allMatch(one -> one.calmFor(time.now()) >= CONTACT_MICROS);
     }
 
-    // ---- ways
-
-    void cut(Machine a, Machine b, boolean does) {
-        if (does) {
-            cuts.add(a.ip + ">" + b.ip);
-        } else {
-            cuts.remove(a.ip + ">" + b.ip);
-        }
-    }
-
-    boolean cut(Machine from, Machine to) {
-        return cuts.contains(from.ip + ">" + to.ip);
-    }
+    // ---- servers
 
-    /** When a record behind a cut is tried again. */
-    long retry() {
-        return HELD_BACK + random.nextLong(HELD_BACK);
+    Servers.Server server(String service, int slots) {
+        return server(service, slots, "10.9.0." + ++lastServer + ":80");
     }
 
-    long way(long micros) {
-        return micros / 2 + random.nextLong(micros);
+    Servers.Server server(String service, int slots, String address) {
+        return servers.new Server(service, address, new String[] {"a", "b", "c"}[lastServer % 3], slots);
     }
 
-    long delay(Machine a, Machine b) {
-        return way(a == b ? 100 : a.zone.equals(b.zone) ? 400 : 1_200);
-    }
+    // ---- messages and calls
 
     /** How long a write to a machine's disk takes. */
     long sync(Machine machine) {
-        return Math.max(0, machine.stalledUntil - time.now()) + 400 + random.nextLong(3_000);
+        return Math.max(0, machine.stalledUntil - time.now()) + machine.diskMicros + 400 + random.nextLong(3_000);
     }
 
     /** A message to a process, which is lost where that is not reached. */
     void message(Machine from, String ip, Program program, Consumer<Process> then) {
         Machine to = machines.get(ip);
-        if (to == null || cut(from, to)) {
+        if (to == null || ways.cut(from, to)) {
             return;
         }
-        time.after(delay(from, to), () -> {
+        time.after(ways.delay(from, to), () -> {
             Process process = to.power ? process(program, to) : null;
             if (process != null) {
                 process.run(() -> then.accept(process));
@@ -318,15 +313,16 @@
         });
     }
 
-    /** A call from outside to a machine's registry; {@code end} is called once, with status 0 for no answer. */
-    void call(
-            String who,
-            Machine to,
-            String method,
-            String path,
-            String body,
-            long patience,
-            BiConsumer<Integer, String> end) {
+    /** A call from outside; its caller waits {@code patience} for the answer. */
+    record Call(String method, String path, String body, long patience) {}
+
+    /**
+     * A call from outside to a machine's registry.
+     *
+     * @param answered called when that answers, whether the caller hears of it or not
+     * @param end called once, with status 0 for no answer
+     */
+    void call(Machine to, Call call, IntConsumer answered, BiConsumer<Integer, String> end) {
         boolean[] over = new boolean[1];
         BiConsumer<Integer, String> once = (status, text) -> {
             if (!over[0]) {
@@ -334,8 +330,8 @@
                 end.accept(status, text);
             }
         };
-        time.after(patience, () -> once.accept(0, null));
-        long way = way(1_000);
+        time.after(call.patience, () -> once.accept(0, null));
+        long way = ways.way(1_000);
         time.after(way, () -> {
             Process process = to.power && !to.gone ? process(Program.REGISTRY, to) : null;
             if (process == null) {
@@ -344,28 +340,37 @@
                 }
                 return;
             }
-            process.run(() -> ((HeartbeatTable) process)
-                    .call(method, path, body.getBytes(StandardCharsets.UTF_8), (status, text, bytes) -> {
-                        if (status == 200 && method.equals("POST") && !path.endsWith("heartbeat")) {
-                            onAck.accept(to);
-                        }
-                        time.after(
-                                way,
-                                () -> once.accept(
-                                        status, bytes == null ? text : new String(bytes, StandardCharsets.UTF_8)));
-                    }));
+            byte[] body = call.body.getBytes(StandardCharsets.UTF_8);
+            boolean[] replied = new boolean[1];
+            process.run(() -> ((HeartbeatTable) process).call(call.method, call.path, body, (status, text, bytes) -> {
+                if (replied[0]) {
+                    return; // a second answer is let be
+                }
+                replied[0] = true;
+                answered.accept(status);
+                if (status == 200 && call.method.equals("POST")) {
+                    acknowledged(Acknowledged.of(call), to);
+                }
+                boolean operators = !call.path.startsWith("/v1/nodes/");
+                if (ackLoss > 0 && operators && random.nextDouble() < ackLoss) {
+                    return;
+                }
+                String told = bytes == null ? text : new String(bytes, StandardCharsets.UTF_8);
+                time.after(way, () -> once.accept(status, told));
+            }));
         });
     }
 
-    /** What strikes the next machine that acknowledges something. */
-    void onAck(Consumer<Machine> what) {
-        onAck = machine -> {
-            onAck = other -> {};
-            what.accept(machine);
-        };
+    private record Waiting(Acknowledged what, Consumer<Machine> then) {}
+
+    /** What happens when a core machine next acknowledges something of that sort. */
+    void onAck(Acknowledged what, Consumer<Machine> then) {
+        waiting.add(new Waiting(what, then));
     }
 
-    Closing closing() {
-        return day.closing();
+    private void acknowledged(Acknowledged what, Machine by) {
+        List<Waiting> due = waiting.stream().filter(one -> one.what.fits(what)).toList();
+        waiting.removeAll(due);
+        due.forEach(one -> one.then.accept(by));
     }
 }
