--- a/src/main/java/gorsemast/command/HuntCommand.java
+++ b/src/main/java/gorsemast/command/HuntCommand.java
@@ -85,6 +85,11 @@
             description = "Core machines that may be lost at once, less than half of them (${DEFAULT-VALUE}).")
     private int losses;
 
+    @Option(
+            names = "--pressed",
+            description = "Days on which orders come all the while and the core is struck again and again.")
+    private boolean pressed;
+
     @Option(
             names = "--without",
             split = ",",
@@ -109,9 +114,11 @@
                             + SHORTEST + " to " + LONGEST);
         }
         NettyLog.install();
-        IntFunction<Day> all = number -> (seconds > 0
-                        ? Day.drawn(cores, edges, seed + number, seconds)
-                        : Day.drawn(cores, edges, seed + number))
+        IntFunction<Day> all = number -> (pressed
+                        ? Day.pressed(cores, edges, seed + number)
+                        : seconds > 0
+                                ? Day.drawn(cores, edges, seed + number, seconds)
+                                : Day.drawn(cores, edges, seed + number))
                 .without(without)
                 .bearing(losses);
         Hunt.Result result = Hunt.run(all, days, plant, most);
@@ -133,6 +140,12 @@
                         .addAll(took)));
         times.forEach((what, took) -> System.out.println(what + ": " + spread(took)));
         if (!outcomes.isEmpty()) {
+            System.out.printf(
+                    Locale.ROOT,
+                    "of requests %.3f are held to a bound of time%n",
+                    outcomes.stream().mapToInt(Outcome::bound).sum()
+                            / (double)
+                                    outcomes.stream().mapToInt(Outcome::judged).sum());
             System.out.printf(
                     Locale.ROOT,
                     "an edge sends %.0f bytes and %.1f records a second%n",
--- a/src/main/java/gorsemast/simulation/Contact.java
+++ b/src/main/java/gorsemast/simulation/Contact.java
@@ -11,12 +11,19 @@
  * between two, and none is slowed or was in that time. One thread; times in microseconds of the world's clock.
  */
 final class Contact {
+    /** What changes without an event, as processes that start do, is seen after so long. */
+    private static final long LOOK_MICROS = 5_000;
+
     private final World world;
     private long lastEvent;
     private int slowed;
     /** When more than half of the core was last seen not to run connected and unslowed. */
     private long majorityLost;
 
+    private boolean most;
+    /** When that was last looked at. */
+    private long looked = Long.MIN_VALUE;
+
     private int linkTroubles;
     private long linksCalmSince;
 
@@ -31,6 +38,7 @@
     /** A core machine was killed, stopped, started, frozen, thawed, removed, its clock stepped; or two were cut or joined. */
     void event() {
         lastEvent = now();
+        looked = Long.MIN_VALUE;
         majority();
     }
 
@@ -68,6 +76,17 @@
 
     /** Whether more than half of the core runs and is connected now. */
     boolean majority() {
+        if (looked + LOOK_MICROS < now()) {
+            looked = now();
+            most = slowed == 0 && mostRuns();
+        }
+        if (!most) {
+            majorityLost = now();
+        }
+        return most;
+    }
+
+    private boolean mostRuns() {
         List<Machine> core = world.machines(true);
         List<Machine> best = new ArrayList<>();
         for (Machine middle : core) {
@@ -79,11 +98,7 @@
             }
             best = together.size() > best.size() ? together : best;
         }
-        boolean most = 2 * best.size() > core.size() && slowed == 0;
-        if (!most) {
-            majorityLost = now();
-        }
-        return most;
+        return 2 * best.size() > core.size();
     }
 
     /** For so long the core has been settled; negative where it is not. */
--- a/src/main/java/gorsemast/simulation/Contents.java
+++ b/src/main/java/gorsemast/simulation/Contents.java
@@ -49,6 +49,8 @@
 
     private final Set<String> handled = new HashSet<>();
     private long highestSent;
+    private int judged;
+    private int bound;
 
     Contents(World world) {
         this.world = world;
@@ -117,11 +119,30 @@
         }
     }
 
+    /** Requests that were handled by some configuration. */
+    int judged() {
+        return judged;
+    }
+
+    /** Of them, those for which some bound of time held. */
+    int bound() {
+        return bound;
+    }
+
     /** The highest number that is acknowledged; 0 for none. */
     long newest() {
         return steps.isEmpty() ? 0 : steps.get(steps.size() - 1).number;
     }
 
+    /** The highest number that was acknowledged by then; 0 for none. */
+    long newestAt(long time) {
+        long newest = 0;
+        for (Acknowledged step : steps) {
+            newest = step.at <= time ? step.number : newest;
+        }
+        return newest;
+    }
+
     /** An edge handles a request that was sent then, by this configuration. */
     void handles(Edge edge, long number, String content, long sentAt) {
         String who = edge.machine.ip;
@@ -152,9 +173,11 @@
 
     private void inForce(Edge edge, long number, String content, long sentAt) {
         long allowed = allowed(edge.machine);
+        judged++;
         if (allowed < 0) {
             return;
         }
+        bound++;
         for (int i = steps.size() - 1; i >= 0; i--) {
             Acknowledged step = steps.get(i);
             if (sentAt <= step.at + allowed || !bound(step.at, allowed)) {
--- a/src/main/java/gorsemast/simulation/Course.java
+++ b/src/main/java/gorsemast/simulation/Course.java
@@ -40,6 +40,7 @@
             throw new Broken("ACK", "the first configuration is not taken before traffic starts");
         }
         world.clients.probe();
+        world.kept.look();
         long start = world.time.now();
         world.countFromNow();
         world.clients.requests(start + day.length() + (day.closing() == Closing.NONE ? 0 : 2 * RECOVERY_MICROS));
--- a/src/main/java/gorsemast/simulation/Day.java
+++ b/src/main/java/gorsemast/simulation/Day.java
@@ -64,6 +64,81 @@
         return new Day(cores, edges, seed, length, List.copyOf(troubles), closing);
     }
 
+    /** What goes on all the while on a pressed day; what stands twice is drawn twice as often. */
+    private static final List<Kind> ORDERS = List.of(
+            Kind.CONFIG,
+            Kind.CONFIG,
+            Kind.CONFIG,
+            Kind.SAME_NUMBER,
+            Kind.CONFIG_THRICE,
+            Kind.CONFIG_AGAIN,
+            Kind.BAD_CONFIG,
+            Kind.READ,
+            Kind.PURGE,
+            Kind.PURGE,
+            Kind.RELEASE,
+            Kind.DRAIN_LONG);
+    /** What strikes the core on a pressed day. */
+    private static final List<Kind> CORE = List.of(
+            Kind.KILL_CORE,
+            Kind.KILL_CORES,
+            Kind.POWER_CORE,
+            Kind.FREEZE_CORE,
+            Kind.CUT_CORE,
+            Kind.CUT_ONE_WAY,
+            Kind.CUT_ONE_WAY_IN,
+            Kind.CUT_LEADER,
+            Kind.CUT_LEADER,
+            Kind.CUT_LEADER_ONE_WAY,
+            Kind.CUT_LEADER_ONE_WAY,
+            Kind.CUT_SIDE,
+            Kind.CUT_BOTH,
+            Kind.CUT_SEEDS,
+            Kind.HOLD_LINK,
+            Kind.STALL,
+            Kind.SLOW_DISK,
+            Kind.FULL_DISK,
+            Kind.WIPE_CORE,
+            Kind.WIPE_REST_POWER,
+            Kind.POWER_AFTER_ACK,
+            Kind.WIPE_AFTER_ACK,
+            Kind.POWER_ALL_AFTER_ACK,
+            Kind.POWER_ALL_TIMED,
+            Kind.REPLACE_CORE,
+            Kind.REPLACE_PLANNED,
+            Kind.REPLACE_ALL,
+            Kind.SPARE_CORE);
+
+    private static final List<Kind> OTHERS =
+            List.of(Kind.LOSE_ACKS, Kind.KILL_EDGE, Kind.HERD, Kind.FREEZE_EDGE, Kind.CUT_EDGE, Kind.RELOAD);
+
+    /** Draws one on which orders of all sorts come all the while, and the core is struck again and again. */
+    public static Day pressed(int cores, int edges, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        long length = 30 * SECOND;
+        List<Trouble> troubles = new ArrayList<>();
+        for (long at = SECOND; at < length - 2 * SECOND; at += random.nextLong(SECOND)) {
+            troubles.add(trouble(ORDERS, at, 3, random));
+        }
+        for (int i = 3 + random.nextInt(5); i > 0; i--) {
+            troubles.add(trouble(CORE, SECOND + random.nextLong(length - 4 * SECOND), LONGEST_CUT, random));
+        }
+        for (int i = random.nextInt(4); i > 0; i--) {
+            troubles.add(trouble(OTHERS, SECOND + random.nextLong(length - 4 * SECOND), LONGEST_CUT / 2, random));
+        }
+        troubles.sort(Comparator.comparingLong(Trouble::at));
+        Closing closing = Closing.values()[random.nextInt(Closing.values().length)];
+        return new Day(cores, edges, seed, length, List.copyOf(troubles), closing);
+    }
+
+    private static Trouble trouble(List<Kind> of, long at, int seconds, SplittableRandom random) {
+        return new Trouble(
+                of.get(random.nextInt(of.size())),
+                at,
+                SECOND / 2 + random.nextLong(random.nextInt(2) == 0 ? seconds * SECOND : 3 * SECOND),
+                random.nextInt(HOWS * Trouble.HOW));
+    }
+
     /** The same with other troubles. */
     Day with(List<Trouble> others, Closing ending) {
         return new Day(cores, edges, seed, length, List.copyOf(others), ending, losses);
--- a/src/main/java/gorsemast/simulation/Hunt.java
+++ b/src/main/java/gorsemast/simulation/Hunt.java
@@ -10,8 +10,8 @@
 import java.util.stream.IntStream;
 
 /**
- * Draws days, looks for broken rules, and cuts a broken day down to the troubles that it takes (delta debugging by single
- * steps, Zeller 1999).
+ * Draws days, looks for broken rules, and cuts a broken day down to the troubles that it takes (delta debugging by
+ * halves, then ever smaller parts, Zeller 1999).
  */
 public final class Hunt {
     /** A broken day, cut down. */
@@ -81,14 +81,16 @@
     private static Found shrink(Day day, Broken first, Plant plant) {
         Day least = day;
         Broken broken = first;
-        for (int i = least.troubles().size() - 1; i >= 0; i--) {
-            List<Trouble> fewer = new ArrayList<>(least.troubles());
-            fewer.remove(i);
-            Day shorter = least.with(fewer, least.closing());
-            Broken still = broken(shorter, plant);
-            if (still != null && still.rule().equals(broken.rule())) {
-                least = shorter;
-                broken = still;
+        for (int part = Math.max(1, day.troubles().size() / 2); part > 0; part /= 2) {
+            for (int i = least.troubles().size() - part; i > -part; i -= part) {
+                List<Trouble> fewer = new ArrayList<>(least.troubles());
+                fewer.subList(Math.max(0, i), i + part).clear();
+                Day shorter = least.with(fewer, least.closing());
+                Broken still = broken(shorter, plant);
+                if (still != null && still.rule().equals(broken.rule())) {
+                    least = shorter;
+                    broken = still;
+                }
             }
         }
         Day unclosed = least.with(least.troubles(), Closing.NONE);
--- a/src/main/java/gorsemast/simulation/Operator.java
+++ b/src/main/java/gorsemast/simulation/Operator.java
@@ -297,6 +297,7 @@
                 ACK_MICROS + ROUTE_MICROS * ROUTES + LOOK_MICROS,
                 () -> {
                     world.referee.purged(tag ? null : path, sentAt);
+                    world.kept.purged(tag ? "" : path, tag ? "all" : "", sentAt);
                     then.run();
                 });
     }
--- a/src/main/java/gorsemast/simulation/Outcome.java
+++ b/src/main/java/gorsemast/simulation/Outcome.java
@@ -8,11 +8,20 @@
  *
  * @param asked requests of clients
  * @param served of them
+ * @param judged requests that an edge handled by some configuration
+ * @param bound of them, those for which some bound of time held
  * @param times how long things took, by what it was, in microseconds
  * @param edgeBytes that an edge sent over its links a second, on average
  * @param edgeRecords that it sent a second
  */
-public record Outcome(int asked, int served, Map<String, List<Long>> times, double edgeBytes, double edgeRecords) {
+public record Outcome(
+        int asked,
+        int served,
+        int judged,
+        int bound,
+        Map<String, List<Long>> times,
+        double edgeBytes,
+        double edgeRecords) {
     /** A trouble, from its time until it struck, as it may have to wait its turn. */
     public static final String STRUCK = "struck ";
     /** An order of the operator, until it is acknowledged. */
--- a/src/main/java/gorsemast/simulation/Process.java
+++ b/src/main/java/gorsemast/simulation/Process.java
@@ -140,6 +140,9 @@
     final Machine machine;
     final Program program;
     boolean alive = true;
+    /** When it began to listen. */
+    final long bornAt;
+
     private final long origin;
     private final Set<End> ends = new LinkedHashSet<>();
     private final Set<End> all = new LinkedHashSet<>();
@@ -151,6 +154,7 @@
         this.world = world;
         this.machine = machine;
         this.program = program;
+        this.bornAt = world.time.now();
         this.origin = world.time.now() - 1_000_000 - world.random.nextLong(5_000_000);
     }
 
--- a/src/main/java/gorsemast/simulation/Referee.java
+++ b/src/main/java/gorsemast/simulation/Referee.java
@@ -50,6 +50,7 @@
     void leaves(Servers.Server server, Machine by) {
         if (server.leavesFrom == 0 && touch(by)) {
             server.leavesFrom = now();
+            world.kept.leaves(server);
         }
     }
 
--- a/src/main/java/gorsemast/simulation/ServerTroubles.java
+++ b/src/main/java/gorsemast/simulation/ServerTroubles.java
@@ -32,7 +32,8 @@
     void leavesSlowly(int n, long span) {
         Server server = leaver(n);
         if (server != null) {
-            world.say(server.id + " drains slowly");
+            server.quiet = n / Trouble.HOW % 2 == 1;
+            world.say(server.id + " drains slowly" + (server.quiet ? ", without beats" : ""));
             server.drain(Servers.USUAL_LINGER + span, () -> {});
         }
     }
--- a/src/main/java/gorsemast/simulation/Servers.java
+++ b/src/main/java/gorsemast/simulation/Servers.java
@@ -56,6 +56,8 @@
 
         /** So many of its answers come late or twice. */
         double late;
+        /** It beats no more once it has told that it leaves. */
+        boolean quiet;
 
         private Machine first;
         private int seq;
@@ -84,7 +86,9 @@
             if (!alive) {
                 return;
             }
-            tell("heartbeat", acknowledged -> {});
+            if (!draining || !quiet) {
+                tell("heartbeat", acknowledged -> {});
+            }
             world.time.after(World.BEAT_MICROS - 100_000 + world.random.nextLong(200_000), this::beat);
         }
 
--- a/src/main/java/gorsemast/simulation/World.java
+++ b/src/main/java/gorsemast/simulation/World.java
@@ -57,6 +57,7 @@
     final Contact contact = new Contact(this);
     final Referee referee = new Referee(this);
     final Contents contents = new Contents(this);
+    final Kept kept = new Kept(this);
     final Operator operator = new Operator(this);
     final Clients clients = new Clients(this);
     /** A share of the answers to operators that is lost. */
@@ -145,7 +146,14 @@
     Outcome outcome(long from) {
         long edges = machines.values().stream().filter(one -> !one.core).count();
         double seconds = Math.max(1, (time.now() - from) / 1e6) * edges;
-        return new Outcome(clients.asked(), clients.served(), times, edgeBytes / seconds, edgeRecords / seconds);
+        return new Outcome(
+                clients.asked(),
+                clients.served(),
+                contents.judged(),
+                contents.bound(),
+                times,
+                edgeBytes / seconds,
+                edgeRecords / seconds);
     }
 
     void countFromNow() {
@@ -173,9 +181,13 @@
     }
 
     List<Machine> machines(boolean core) {
-        return machines.values().stream()
-                .filter(one -> one.core == core && !one.gone)
-                .toList();
+        List<Machine> found = new ArrayList<>();
+        for (Machine one : machines.values()) {
+            if (one.core == core && !one.gone) {
+                found.add(one);
+            }
+        }
+        return found;
     }
 
     /** The process of this program on a machine; null where none listens. */
@@ -222,6 +234,7 @@
     private void awaitReady(Edge edge, long from) {
         if (edge.ready()) {
             took(Outcome.READY, time.now() - from);
+            kept.ready(edge);
         } else {
             edge.after(50_000, () -> awaitReady(edge, from));
         }
