--- a/src/main/java/gorsemast/simulation/CutTroubles.java
+++ b/src/main/java/gorsemast/simulation/CutTroubles.java
@@ -136,29 +136,32 @@
         });
     }
 
-    /** What a core machine and another machine send each other comes late, by up to some seconds, and in order. */
-    void hold(Machine machine, int n, long span) {
-        List<Machine> others = otherCores(List.of(machine));
-        if (n % 2 == 1) {
-            others = world.machines(false);
-        }
-        Machine other = Troubles.pick(others, n / 2);
+    /** What a machine and others send each other comes late, by up to some seconds, and in order. */
+    void hold(Machine machine, List<Machine> others, long span) {
         long most = LEAST_HOLD + world.random.nextLong(SPREAD_HOLD);
-        world.say(machine.ip + " and " + other.ip + " hear each other late by " + most / 1_000 + " ms");
-        world.ways.hold(machine, other, most);
-        world.ways.hold(other, machine, most);
-        machine.trouble();
-        other.trouble();
-        world.contact.slowed(true);
-        world.contact.linkTrouble(true);
+        world.say(machine.ip + " and " + others.stream().map(one -> one.ip).toList() + " hear each other late by "
+                + most / 1_000 + " ms");
+        holds(machine, others, most);
         world.time.after(span, () -> {
-            world.ways.hold(machine, other, 0);
-            world.ways.hold(other, machine, 0);
-            world.contact.slowed(false);
+            holds(machine, others, 0);
+            if (machine.core) {
+                world.contact.slowed(false);
+            }
             world.contact.linkTrouble(false);
             machine.calm(world.time.now());
-            other.calm(world.time.now());
         });
+        machine.trouble();
+        if (machine.core) {
+            world.contact.slowed(true);
+        }
+        world.contact.linkTrouble(true);
+    }
+
+    private void holds(Machine machine, List<Machine> others, long most) {
+        for (Machine other : others) {
+            world.ways.hold(machine, other, most);
+            world.ways.hold(other, machine, most);
+        }
     }
 
     /** All machines of a zone lose power, or are cut off from the others. */
--- a/src/main/java/gorsemast/simulation/Day.java
+++ b/src/main/java/gorsemast/simulation/Day.java
@@ -109,8 +109,15 @@
             Kind.REPLACE_ALL,
             Kind.SPARE_CORE);
 
-    private static final List<Kind> OTHERS =
-            List.of(Kind.LOSE_ACKS, Kind.KILL_EDGE, Kind.HERD, Kind.FREEZE_EDGE, Kind.CUT_EDGE, Kind.RELOAD);
+    private static final List<Kind> OTHERS = List.of(
+            Kind.LOSE_ACKS,
+            Kind.KILL_EDGE,
+            Kind.HERD,
+            Kind.FREEZE_EDGE,
+            Kind.FREEZE_EDGES,
+            Kind.HOLD_EDGE,
+            Kind.CUT_EDGE,
+            Kind.RELOAD);
 
     /** Draws one on which orders of all sorts come all the while, and the core is struck again and again. */
     public static Day pressed(int cores, int edges, long seed) {
--- a/src/main/java/gorsemast/simulation/Process.java
+++ b/src/main/java/gorsemast/simulation/Process.java
@@ -214,6 +214,13 @@
     /** It ends; with {@code power}, nobody is told. */
     void end(boolean power) {
         if (alive) {
+            if (power) {
+                // What has not left a machine yet goes with its power.
+                all.stream()
+                        .filter(end -> world.ways.held(machine, end.other.machine)
+                                || world.ways.cut(machine, end.other.machine))
+                        .forEach(end -> end.way.clear());
+            }
             List.copyOf(all).forEach(end -> end.close(!power));
             alive = false;
         }
--- a/src/main/java/gorsemast/simulation/Trouble.java
+++ b/src/main/java/gorsemast/simulation/Trouble.java
@@ -95,6 +95,8 @@
         WIPE_REST_POWER,
         /** An edge stands still. */
         FREEZE_EDGE,
+        /** All edges do, for as long as half of the span to all of it. */
+        FREEZE_EDGES,
         /** A core machine does. */
         FREEZE_CORE,
         /** An edge reaches no core machine. */
@@ -117,8 +119,10 @@
         CUT_BOTH,
         /** A core machine is cut off, new lists begin with it, and edges are restarted. */
         CUT_SEEDS,
-        /** What a core machine and another machine send each other comes late, by up to some seconds. */
+        /** What two core machines send each other comes late, by up to some seconds. */
         HOLD_LINK,
+        /** What an edge and all core machines send each other comes late, by up to some seconds. */
+        HOLD_EDGE,
         /** All machines of a zone lose power. */
         ZONE_POWER,
         /** All machines of a zone are cut off from the others. */
--- a/src/main/java/gorsemast/simulation/Troubles.java
+++ b/src/main/java/gorsemast/simulation/Troubles.java
@@ -128,6 +128,10 @@
                 });
             case KILL_CORES -> world.machines(true).forEach(one -> machines.bounce(one, false, RESTART_MICROS));
             case FREEZE_EDGE -> machines.freeze(edge(n), span);
+            case FREEZE_EDGES ->
+                world.machines(false)
+                        .forEach(one -> machines.freeze(one, span / 2 + world.random.nextLong(span / 2 + 1)));
+            case HOLD_EDGE -> cuts.hold(edge(n), world.machines(true), span);
             case CUT_EDGE -> cuts.off(edge(n), span, Ways.Cut.of(n), true, true);
             case CLOCK -> {
                 machines.clock(core(n), span);
@@ -174,7 +178,7 @@
             case CUT_SEEDS -> cuts.seeds(struck, span, how);
             case CUT_TWO -> cuts.sides(List.of(struck, core(n + 1)), span, how, false);
             case CUT_BOTH -> cuts.sides(List.of(struck), span, how, true);
-            case HOLD_LINK -> cuts.hold(struck, n, span);
+            case HOLD_LINK -> cuts.hold(struck, List.of(core(n + 1)), span);
             case ZONE_POWER -> cuts.zone(n, span, true);
             case ZONE_CUT -> cuts.zone(n, span, false);
             case REPLACE_CORE -> replacements.unplanned(struck);
--- a/src/main/java/gorsemast/simulation/Ways.java
+++ b/src/main/java/gorsemast/simulation/Ways.java
@@ -75,6 +75,11 @@
         }
     }
 
+    /** Whether what one sends the other comes late now. */
+    boolean held(Machine from, Machine to) {
+        return !holds.isEmpty() && holds.containsKey(new Way(from, to));
+    }
+
     /** When a record behind a cut is tried again. */
     long retry() {
         return HELD_BACK + world.random.nextLong(HELD_BACK);
