--- a/src/main/java/gorsemast/simulation/CoreProcesses.java
+++ b/src/main/java/gorsemast/simulation/CoreProcesses.java
@@ -19,11 +19,11 @@
     private CoreProcesses() {}
 
     /** A registry. */
-    static final class HeartbeatTable extends Process implements RegistryNode.Carrier {
+    static final class Registry extends Process implements RegistryNode.Carrier {
         final RegistryNode office;
         private final PlantedRegistry.Own own = new PlantedRegistry.Own();
 
-        HeartbeatTable(World world, Machine machine) {
+        Registry(World world, Machine machine) {
             super(world, machine, Program.REGISTRY);
             this.office = new RegistryNode(
                     new RegistryNode.Self(
--- a/src/main/java/gorsemast/simulation/Course.java
+++ b/src/main/java/gorsemast/simulation/Course.java
@@ -33,6 +33,9 @@
             world.server("orders", 6);
             world.server("other", 6);
         }
+        for (int i = 0; i < world.extraServers; i++) {
+            world.server("orders", 6);
+        }
         long begun = world.time.now();
         world.operator.configure(() -> {});
         world.time.run(begun + LEAD_MICROS);
--- a/src/main/java/gorsemast/simulation/Kept.java
+++ b/src/main/java/gorsemast/simulation/Kept.java
@@ -5,7 +5,7 @@
 import gorsemast.gossip.PurgeNews;
 import gorsemast.gossip.ServerNews;
 import gorsemast.peer.Record.Program;
-import gorsemast.simulation.CoreProcesses.HeartbeatTable;
+import gorsemast.simulation.CoreProcesses.Registry;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -63,7 +63,7 @@
     void look() {
         for (Machine machine : world.machines(true)) {
             if (world.contact.touch(machine)
-                    && world.process(Program.REGISTRY, machine) instanceof HeartbeatTable registry
+                    && world.process(Program.REGISTRY, machine) instanceof Registry registry
                     && registry.office.synced()) {
                 knows(machine, registry);
             }
@@ -71,7 +71,7 @@
         world.time.after(LOOK_MICROS, this::look);
     }
 
-    private void knows(Machine machine, HeartbeatTable registry) {
+    private void knows(Machine machine, Registry registry) {
         for (Leaving one : leaving) {
             if (matters(one) && ready(registry.office.board().get(Kind.SERVER, one.server.id))) {
                 throw new Broken(
@@ -95,7 +95,7 @@
         return server != null && server.state() == ServerNews.State.READY;
     }
 
-    private boolean knows(HeartbeatTable registry, Purge purge) {
+    private boolean knows(Registry registry, Purge purge) {
         long age = world.time.now() - purge.sentAt + SLACK_MICROS;
         return registry.office.board().all(Kind.PURGE).stream()
                 .filter(entry -> registry.now() - entry.born() <= age)
--- a/src/main/java/gorsemast/simulation/Operator.java
+++ b/src/main/java/gorsemast/simulation/Operator.java
@@ -115,7 +115,7 @@
 
         /** Held to be answered in one stretch in which the core is settled. */
         private void look() {
-            long most = ACK_MICROS + ROUTE_MICROS * ROUTES;
+            long most = ACK_MICROS + ROUTE_MICROS * (ROUTES + world.extraRoutes);
             if (Math.min(world.contact.stretch(), world.time.now() - begun) > most) {
                 if (!over) {
                     throw new Broken(
@@ -142,7 +142,13 @@
     // ---- configurations
 
     /** A valid body; two with one version and different {@code content} differ in what they do. */
-    static String configuration(long version, int content) {
+    String configuration(long version, int content) {
+        StringBuilder more = new StringBuilder();
+        for (int i = 0; i < world.extraRoutes; i++) {
+            more.append(',')
+                    .append(rule("extra-" + i, "/extra/" + i + "/", "idempotent", "orders", 200))
+                    .append('}');
+        }
         String other = content % 2 == 0 ? "orders" : "other";
         return "{\"configVersion\":\"" + String.format(Locale.ROOT, "%08x", version)
                 + "\",\"backendTable\":[{\"name\":\"objects\","
@@ -154,7 +160,7 @@
                 + ",\"cacheTtl\":\"" + World.TTL_MICROS / 1_000 + "ms\"},"
                 + rule("safe", "/s/", "idempotent", "orders", 200) + "},"
                 + rule("pay", "/p/", "non_idempotent", "orders", 200) + "},"
-                + rule("moves", "/m/", "idempotent", other, 200 + content) + "}]}]}";
+                + rule("moves", "/m/", "idempotent", other, 200 + content) + "}" + more + "]}]}";
     }
 
     private static String rule(String name, String prefix, String type, String service, int aim) {
@@ -294,7 +300,7 @@
         order(
                 new Text("purge of " + (tag ? "all" : path), "/v1/purge", body, 0),
                 somewhere(),
-                ACK_MICROS + ROUTE_MICROS * ROUTES + LOOK_MICROS,
+                ACK_MICROS + ROUTE_MICROS * (ROUTES + world.extraRoutes) + LOOK_MICROS,
                 () -> {
                     world.referee.purged(tag ? null : path, sentAt);
                     world.kept.purged(tag ? "" : path, tag ? "all" : "", sentAt);
--- a/src/main/java/gorsemast/simulation/World.java
+++ b/src/main/java/gorsemast/simulation/World.java
@@ -3,7 +3,7 @@
 import gorsemast.dispatch.Briefing;
 import gorsemast.emulator.VirtualTime;
 import gorsemast.peer.Record.Program;
-import gorsemast.simulation.CoreProcesses.HeartbeatTable;
+import gorsemast.simulation.CoreProcesses.Registry;
 import gorsemast.simulation.CoreProcesses.Store;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -66,6 +66,14 @@
     String firstSeed;
 
     final Servers servers = new Servers(this);
+    /** What went over links since traffic began. */
+    final LinkTraffic traffic = new LinkTraffic();
+    /** Where a study measures it; null else. */
+    ProcessorTime processorTime;
+    /** Servers beside the nine that each day has. */
+    int extraServers;
+    /** Routes beside the four that each configuration has. */
+    int extraRoutes;
     /** Versions of objects that have changed. */
     final Map<String, Long> objects = new HashMap<>();
 
@@ -77,8 +85,7 @@
     private final List<Waiting> waiting = new ArrayList<>();
     private int replacing;
     private int lastServer;
-    private long edgeBytes;
-    private long edgeRecords;
+    private long countedSince;
     private int addresses;
 
     World(Day day, Plant plant, List<String> story) {
@@ -135,7 +142,7 @@
             return false;
         }
         return machines(true).stream()
-                .anyMatch(core -> process(Program.REGISTRY, core) instanceof HeartbeatTable registry
+                .anyMatch(core -> process(Program.REGISTRY, core) instanceof Registry registry
                         && registry.office.synced()
                         && registry.office
                                         .board()
@@ -152,20 +159,21 @@
                 contents.judged(),
                 contents.bound(),
                 times,
-                edgeBytes / seconds,
-                edgeRecords / seconds);
+                traffic.bytesFrom(Program.PROXY) / seconds,
+                traffic.recordsFrom(Program.PROXY) / seconds);
     }
 
     void countFromNow() {
-        edgeBytes = 0;
-        edgeRecords = 0;
+        countedSince = time.now();
+        traffic.reset();
+        if (processorTime != null) {
+            processorTime.reset();
+        }
     }
 
-    void count(Process from, int bytes) {
-        if (from.program == Program.PROXY) {
-            edgeBytes += bytes + Integer.BYTES;
-            edgeRecords++;
-        }
+    /** Since when costs are counted until now. */
+    long countedMicros() {
+        return time.now() - countedSince;
     }
 
     // ---- machines
@@ -221,7 +229,7 @@
                 return;
             }
             if (machine.core) {
-                machine.processes.add(new HeartbeatTable(this, machine));
+                machine.processes.add(new Registry(this, machine));
                 machine.processes.add(new Store(this, machine, firstBoot));
             } else {
                 Edge edge = new Edge(this, machine);
@@ -355,7 +363,7 @@
             }
             byte[] body = call.body.getBytes(StandardCharsets.UTF_8);
             boolean[] replied = new boolean[1];
-            process.run(() -> ((HeartbeatTable) process).call(call.method, call.path, body, (status, text, bytes) -> {
+            process.run(() -> ((Registry) process).call(call.method, call.path, body, (status, text, bytes) -> {
                 if (replied[0]) {
                     return; // a second answer is let be
                 }
