--- a/src/main/java/gorsemast/simulation/CutTroubles.java
+++ b/src/main/java/gorsemast/simulation/CutTroubles.java
@@ -164,6 +164,31 @@
         }
     }
 
+    /** What all registries but one tell is held up, to all others; what stores tell is not. */
+    void holdNews(Machine heard, long span) {
+        List<Machine> held = otherCores(List.of(heard));
+        List<Machine> all = new ArrayList<>(world.machines(true));
+        all.addAll(world.machines(false));
+        world.contact.slowed(true);
+        world.contact.linkTrouble(true);
+        holdNews(held, all, true);
+        world.time.after(span, () -> {
+            holdNews(held, all, false);
+            world.contact.slowed(false);
+            world.contact.linkTrouble(false);
+        });
+    }
+
+    private void holdNews(List<Machine> held, List<Machine> all, boolean does) {
+        for (Machine from : held) {
+            for (Machine to : all) {
+                if (from != to) {
+                    world.ways.holdProgram(Program.REGISTRY, from, to, does);
+                }
+            }
+        }
+    }
+
     /** All machines of a zone lose power, or are cut off from the others. */
     void zone(int n, long span, boolean power) {
         List<Machine> these = new ArrayList<>(ofZone(n, true));
--- a/src/main/java/gorsemast/simulation/Day.java
+++ b/src/main/java/gorsemast/simulation/Day.java
@@ -95,6 +95,9 @@
             Kind.CUT_BOTH,
             Kind.CUT_SEEDS,
             Kind.HOLD_LINK,
+            Kind.HOLD_NEWS,
+            Kind.ROLL_CORES,
+            Kind.REPLACE_PRIMARY_THEN_WIPE,
             Kind.STALL,
             Kind.SLOW_DISK,
             Kind.FULL_DISK,
@@ -105,7 +108,7 @@
             Kind.POWER_ALL_AFTER_ACK,
             Kind.POWER_ALL_TIMED,
             Kind.REPLACE_CORE,
-            Kind.REPLACE_PLANNED,
+            Kind.REPLACE_CORE_PLANNED,
             Kind.REPLACE_ALL,
             Kind.SPARE_CORE);
 
--- a/src/main/java/gorsemast/simulation/MachineTroubles.java
+++ b/src/main/java/gorsemast/simulation/MachineTroubles.java
@@ -120,12 +120,9 @@
         slowed(machine, span, () -> {});
     }
 
+    /** A disk in trouble is a trouble of its machine; the core stays settled, as the rules have it. */
     private void slowed(Machine machine, long span, Runnable over) {
-        world.contact.slowed(true);
-        troubled(machine, span, false, () -> {
-            over.run();
-            world.contact.slowed(false);
-        });
+        troubled(machine, span, false, over);
     }
 
     void clock(Machine machine, long span) {
--- a/src/main/java/gorsemast/simulation/Operator.java
+++ b/src/main/java/gorsemast/simulation/Operator.java
@@ -210,10 +210,17 @@
         change(change(next()), somewhere(), then);
     }
 
-    /** Two operators send at once, under one version each. */
+    /** Two operators send contents of their own under one number at once; what was acknowledged is sent again. */
     void race() {
-        configure(() -> {});
-        configure(() -> {});
+        long number = next();
+        for (int i = 0; i < 2; i++) {
+            Text text = change(number);
+            change(
+                    text,
+                    somewhere(),
+                    () -> world.time.after(
+                            world.random.nextLong(ACK_MICROS), () -> change(text, somewhere(), () -> {})));
+        }
     }
 
     /** Two operators send two contents under one number, to two machines, the second one some time after the first. */
--- a/src/main/java/gorsemast/simulation/Referee.java
+++ b/src/main/java/gorsemast/simulation/Referee.java
@@ -45,6 +45,11 @@
         return world.contact.touch(machine);
     }
 
+    /** The highest number of a configuration that is acknowledged. */
+    long newest() {
+        return world.contents.newest();
+    }
+
     // ---- servers
 
     void leaves(Servers.Server server, Machine by) {
--- a/src/main/java/gorsemast/simulation/Trouble.java
+++ b/src/main/java/gorsemast/simulation/Trouble.java
@@ -19,7 +19,7 @@
     public enum Kind {
         /** The configuration changes. */
         CONFIG,
-        /** Two operators change it at once, under one version each. */
+        /** Two operators send contents of their own under one number at once; what was acknowledged is sent again. */
         CONFIG_RACE,
         /** Two operators send two contents under one number, to two machines: at once, or a tenth of the span apart. */
         SAME_NUMBER,
@@ -54,7 +54,11 @@
         /** A core machine is replaced by an empty one at another address. */
         REPLACE_CORE,
         /** A core machine is replaced in order: an empty one comes, then the old one is asked to leave. */
-        REPLACE_PLANNED,
+        REPLACE_CORE_PLANNED,
+        /** The same, for the one that leads; and at once the one that leads then, if any, or the oldest loses its disk. */
+        REPLACE_PRIMARY_THEN_WIPE,
+        /** Core machines are asked to leave in turn and start again. */
+        ROLL_CORES,
         /** Two are replaced at once, where two may be lost. */
         REPLACE_TWO,
         /** All are replaced in turn, so that all first lists are old. */
@@ -105,6 +109,8 @@
         CUT_CORE,
         /** It hears the others, and they do not hear it. */
         CUT_ONE_WAY,
+        /** Of one registry only the others and edges hear at once: what the others tell is held up, and what stores tell is not. */
+        HOLD_NEWS,
         /** They hear it, and it does not hear them. */
         CUT_ONE_WAY_IN,
         /** The machine whose store leads reaches no other one. */
--- a/src/main/java/gorsemast/simulation/Troubles.java
+++ b/src/main/java/gorsemast/simulation/Troubles.java
@@ -7,6 +7,7 @@
     private static final long AGAIN_MICROS = 500_000;
     private static final int MOST_WAITS = 30;
     private static final long RESTART_MICROS = 300_000;
+    private static final long WIPED_MICROS = 1_000_000;
 
     private final World world;
     private final MachineTroubles machines;
@@ -20,7 +21,7 @@
         this.machines = new MachineTroubles(world);
         this.servers = new ServerTroubles(world);
         this.cuts = new CutTroubles(world, machines);
-        this.replacements = new Replacements(world);
+        this.replacements = new Replacements(world, machines);
         this.acks = new AckTroubles(world, machines, servers);
     }
 
@@ -48,7 +49,10 @@
     private int takes(Trouble trouble) {
         return switch (trouble.kind()) {
             case REPLACE_CORE,
-                    REPLACE_PLANNED,
+                    REPLACE_CORE_PLANNED,
+                    REPLACE_PRIMARY_THEN_WIPE,
+                    ROLL_CORES,
+                    HOLD_NEWS,
                     SPARE_CORE,
                     KILL_CORE,
                     POWER_CORE,
@@ -147,11 +151,11 @@
         Machine leader = world.primaryBut(null);
         Machine struck =
                 switch (trouble.kind()) {
-                    case CUT_LEADER, CUT_LEADER_ONE_WAY -> leader == null ? core(n) : leader;
+                    case CUT_LEADER, CUT_LEADER_ONE_WAY, REPLACE_PRIMARY_THEN_WIPE -> leader == null ? core(n) : leader;
                     default -> core(n);
                 };
         switch (trouble.kind()) {
-            case POWER_AFTER_ACK, WIPE_AFTER_ACK, STALL, SLOW_DISK, FULL_DISK, HOLD_LINK -> {
+            case POWER_AFTER_ACK, WIPE_AFTER_ACK, STALL, SLOW_DISK, FULL_DISK, HOLD_LINK, HOLD_NEWS, ROLL_CORES -> {
                 // told where they strike, or nobody takes over
             }
             default -> primaryLost(trouble.kind().toString(), struck);
@@ -182,7 +186,10 @@
             case ZONE_POWER -> cuts.zone(n, span, true);
             case ZONE_CUT -> cuts.zone(n, span, false);
             case REPLACE_CORE -> replacements.unplanned(struck);
-            case REPLACE_PLANNED -> replacements.planned(struck, span);
+            case REPLACE_CORE_PLANNED -> replacements.planned(struck, () -> {});
+            case REPLACE_PRIMARY_THEN_WIPE -> replacements.planned(struck, this::wipeLeader);
+            case ROLL_CORES -> replacements.roll(world.machines(true));
+            case HOLD_NEWS -> cuts.holdNews(struck, span);
             case REPLACE_TWO -> {
                 replacements.unplanned(struck);
                 replacements.unplanned(core(n)); // the next one, as the first has gone
@@ -200,6 +207,11 @@
         }
     }
 
+    private void wipeLeader() {
+        Machine leads = world.primaryBut(null);
+        machines.wipe(leads != null ? leads : core(0), WIPED_MICROS);
+    }
+
     private void storm(int n, long until) {
         if (world.time.now() < until) {
             world.operator.purge(n + world.random.nextInt(100), () -> {});
--- a/src/main/java/gorsemast/simulation/Ways.java
+++ b/src/main/java/gorsemast/simulation/Ways.java
@@ -1,7 +1,10 @@
 package gorsemast.simulation;
 
+import gorsemast.peer.Record.Program;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /** The ways between machines: how long a message takes, what is cut, reset, refused or held up. One thread; microseconds. */
 final class Ways {
@@ -29,11 +32,20 @@
         }
     }
 
+    private record ProgramWay(Program program, Machine from, Machine to) {
+        // An enum's own number differs from process to process.
+        @Override
+        public int hashCode() {
+            return 31 * (31 * from.hashCode() + to.hashCode()) + program.ordinal();
+        }
+    }
+
     private static final long HELD_BACK = 50_000;
 
     private final World world;
     private final Map<Way, Cut> cuts = new HashMap<>();
     private final Map<Way, Hold> holds = new HashMap<>();
+    private final Set<ProgramWay> heldPrograms = new HashSet<>();
 
     Ways(World world) {
         this.world = world;
@@ -75,6 +87,21 @@
         }
     }
 
+    /** What one program on a machine tells another machine is held up until it is no more. */
+    void holdProgram(Program program, Machine from, Machine to, boolean does) {
+        ProgramWay way = new ProgramWay(program, from, to);
+        if (does) {
+            heldPrograms.add(way);
+        } else {
+            heldPrograms.remove(way);
+        }
+    }
+
+    /** Whether a record waits: behind a cut, or as its program is held up. */
+    boolean waits(Program program, Machine from, Machine to) {
+        return cut(from, to) || !heldPrograms.isEmpty() && heldPrograms.contains(new ProgramWay(program, from, to));
+    }
+
     /** Whether what one sends the other comes late now. */
     boolean held(Machine from, Machine to) {
         return !holds.isEmpty() && holds.containsKey(new Way(from, to));
--- a/src/main/java/gorsemast/simulation/World.java
+++ b/src/main/java/gorsemast/simulation/World.java
@@ -382,6 +382,28 @@
         });
     }
 
+    /** The same, by hand. */
+    void call(
+            String who,
+            Machine to,
+            String method,
+            String path,
+            String body,
+            long patience,
+            BiConsumer<Integer, String> end) {
+        call(to, new Call(method, path, body, patience), status -> {}, end);
+    }
+
+    /** Cuts or joins the way in one direction, by hand. */
+    void cut(Machine from, Machine to, boolean does) {
+        ways.cut(from, to, does ? Ways.Cut.SILENT : null);
+    }
+
+    /** What happens when a core machine next acknowledges an order, by hand. */
+    void onAck(Consumer<Machine> then) {
+        onAck(Acknowledged.ANY, then);
+    }
+
     private record Waiting(Acknowledged what, Consumer<Machine> then) {}
 
     /** What happens when a core machine next acknowledges something of that sort. */
