--- a/src/main/java/gorsemast/simulation/CoreProcesses.java
+++ b/src/main/java/gorsemast/simulation/CoreProcesses.java
@@ -1,5 +1,6 @@
 package gorsemast.simulation;
 
+import gorsemast.node.FaultTolerance;
 import gorsemast.peer.Neighbour;
 import gorsemast.peer.Record;
 import gorsemast.peer.Record.Program;
@@ -7,6 +8,7 @@
 import gorsemast.registry.Calls;
 import gorsemast.registry.Command;
 import gorsemast.registry.RegistryNode;
+import gorsemast.store.Place;
 import gorsemast.store.ReplicaState;
 import gorsemast.store.StoreNode;
 import java.util.ArrayDeque;
@@ -103,7 +105,10 @@
 
     /** A store. */
     static final class Store extends Process {
-        private record Save(ReplicaState state, long token) {}
+        /** Of the platform's grace, what a store uses at most. */
+        private static final long LEAVE_MICROS = 4_500_000;
+
+        private record Save(ReplicaState state, boolean keptToo, long token) {}
 
         final StoreNode teller;
         private final Machine.Disk disk;
@@ -119,7 +124,8 @@
                     machine.ip,
                     world.seeds(),
                     disk.saved,
-                    world.losses(),
+                    FaultTolerance.ofMachines(world.losses()),
+                    new Place(machine.zone, "", true),
                     world.random.nextLong(),
                     this::now,
                     this,
@@ -135,7 +141,7 @@
         }
 
         private void save(ReplicaState state, boolean keptToo, long token) {
-            saves.add(new Save(state, token));
+            saves.add(new Save(state, keptToo && world.plant != Plant.STATE_WITHOUT_VERSION, token));
             if (world.plant == Plant.SAVED_TOO_EARLY) {
                 run(() -> after(0, () -> teller.saved(token)));
             }
@@ -150,21 +156,41 @@
             }
             Save done = saves.poll();
             if (done != null) {
-                disk.saved = done.state;
+                disk.save(done.state, done.keptToo);
                 if (world.plant != Plant.SAVED_TOO_EARLY) {
                     run(() -> teller.saved(done.token));
                 }
             }
         }
 
+        /** It ends once another member has its place, or nobody is there to take it. */
+        @Override
+        void leave() {
+            if (world.plant == Plant.LEAVES_AT_ONCE) {
+                end(false);
+                return;
+            }
+            teller.leave();
+            awaitSuccessor(now() + LEAVE_MICROS);
+        }
+
+        private void awaitSuccessor(long until) {
+            if (teller.left() || now() > until) {
+                end(false);
+            } else {
+                after(StoreNode.TICK_MICROS, () -> awaitSuccessor(until));
+            }
+        }
+
         @Override
         void end(boolean power) {
             if (!alive) {
                 return;
             }
-            // A process's writes are in the system's hands; power may take those that were not synced.
-            while (!saves.isEmpty() && !(power && world.random.nextBoolean())) {
-                disk.saved = saves.poll().state;
+            // What it has not begun to write is gone, and power cuts what is under way.
+            while (machine.stalledUntil <= world.time.now() && !saves.isEmpty() && world.random.nextBoolean()) {
+                Save done = saves.poll();
+                disk.save(done.state, done.keptToo);
             }
             saves.clear();
             super.end(power);
--- a/src/main/java/gorsemast/simulation/Machine.java
+++ b/src/main/java/gorsemast/simulation/Machine.java
@@ -13,6 +13,13 @@
     static final class Disk {
         byte[] known;
         ReplicaState saved;
+
+        /** Replaces the state, and the version where that is saved too. */
+        void save(ReplicaState state, boolean keptToo) {
+            saved = keptToo || saved == null
+                    ? state
+                    : new ReplicaState(state.me(), state.promised(), state.view(), saved.kept());
+        }
     }
 
     final String ip;
