Store: a leaving member stays while the view that replaces it is joint

Cause: once a leaving member knows the joint view, the newcomer is no candidate beside the view any more and the leaver holds no copy, so it ended while a majority of the old list still needed it. One disk lost right then, which is tolerated, and nobody led again. Ruled out: the order of the referee (the new member had its time to sync).

--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -365,7 +365,9 @@
                 || me.id().equals(view.primary())
                 || view.backups().contains(me.id());
         boolean others = view.all().stream().anyMatch(one -> liveness.alive(one.id(), now));
-        return !copy || !others || now - leavingSince > HAND_OVER_MICROS;
+        // In a joint view it is still one of those whose majority counts, and the newcomer is no candidate any more.
+        boolean needed = copy || !view.before().isEmpty();
+        return !needed || !others || now - leavingSince > HAND_OVER_MICROS;
     }
 
     /** Another one leaves: if it led, its first backup stands at once, and the others a moment later. */
