--- a/src/main/java/gorsemast/simulation/MachineTroubles.java
+++ b/src/main/java/gorsemast/simulation/MachineTroubles.java
@@ -35,7 +35,7 @@
             return;
         }
         world.stop(machine, power);
-        int stopped = ++machine.stops;
+        int stopped = machine.stops;
         troubled(machine, down, true, () -> {
             if (!machine.gone && machine.stops == stopped) {
                 world.say(machine.ip + " starts");
--- a/src/main/java/gorsemast/simulation/World.java
+++ b/src/main/java/gorsemast/simulation/World.java
@@ -223,9 +223,10 @@
         machine.power = true;
         long takes = START_MICROS + random.nextLong(START_MICROS / 2);
         int life = machine.processes.size();
+        int stops = machine.stops;
         long from = time.now();
         time.after(takes, () -> {
-            if (!machine.power || machine.gone || machine.processes.size() != life) {
+            if (!machine.power || machine.gone || machine.processes.size() != life || machine.stops != stops) {
                 return;
             }
             if (machine.core) {
@@ -251,6 +252,7 @@
     /** Its processes end; without power nobody is told, and what was not synced may be lost. */
     void stop(Machine machine, boolean power) {
         say(machine.ip + (power ? " loses power" : " is killed"));
+        machine.stops++;
         machine.processes.forEach(one -> one.end(power));
         machine.frozenUntil = 0;
         if (power) {
