--- a/src/main/java/gorsemast/simulation/AckTroubles.java
+++ b/src/main/java/gorsemast/simulation/AckTroubles.java
@@ -18,7 +18,7 @@
 
     /** The next core machine that acknowledges something loses power, and perhaps its disk. */
     void one(int n, boolean wipes, long down) {
-        world.onAck(
+        world.outside.onAck(
                 Acknowledged.of(n),
                 machine -> world.time.after(world.random.nextLong(AFTER_MICROS), () -> {
                     if (!world.mayLose(1) || machine.gone) {
@@ -39,7 +39,7 @@
 
     /** All core machines lose power right after the next acknowledgement. */
     void all(int n, long down) {
-        world.onAck(
+        world.outside.onAck(
                 Acknowledged.of(n),
                 by -> world.time.after(world.random.nextLong(AFTER_MICROS), () -> {
                     if (world.mayLose(world.losses())) {
@@ -64,7 +64,7 @@
 
     /** One loses its disk, and all others lose power, right after the next acknowledgement. */
     void wipeRestPower(Machine drawn, int n, long down) {
-        world.onAck(
+        world.outside.onAck(
                 Acknowledged.of(n),
                 by -> world.time.after(world.random.nextLong(AFTER_MICROS), () -> {
                     Machine wiped = drawn.gone || n % 2 == 0 ? by : drawn;
--- a/src/main/java/gorsemast/simulation/Acknowledged.java
+++ b/src/main/java/gorsemast/simulation/Acknowledged.java
@@ -19,7 +19,7 @@
     }
 
     /** Of a call that was answered with 200. */
-    static Acknowledged of(World.Call call) {
+    static Acknowledged of(Outside.Call call) {
         if (call.path().endsWith("/replace")) {
             return CONFIGURATION;
         }
--- a/src/main/java/gorsemast/simulation/Operator.java
+++ b/src/main/java/gorsemast/simulation/Operator.java
@@ -69,9 +69,9 @@
             List<Machine> cores = world.known();
             Machine to = cores.get(Math.floorMod(at, cores.size()));
             long sentAt = world.time.now();
-            world.call(
+            world.outside.call(
                     to,
-                    new World.Call("POST", text.path, text.body, CALL_MICROS),
+                    new Outside.Call("POST", text.path, text.body, CALL_MICROS),
                     status -> {
                         if (text.number > 0) {
                             world.contents.answered(text.number, text.body, status, sentAt);
@@ -283,9 +283,9 @@
             good.replace("\"pathPrefix\":\"/s/\"", "\"pathPrefix\":\"s\"")
         };
         List<Machine> cores = world.known();
-        world.call(
+        world.outside.call(
                 cores.get(world.random.nextInt(cores.size())),
-                new World.Call("POST", "/v1/configuration/replace", broken[which], CALL_MICROS),
+                new Outside.Call("POST", "/v1/configuration/replace", broken[which], CALL_MICROS),
                 status -> {
                     if (status / 100 == 2) {
                         throw new Broken("CONFIG", "an invalid configuration is acknowledged");
@@ -324,9 +324,9 @@
 
     private void read(Machine from, int[] got) {
         long newest = world.contents.newest();
-        world.call(
+        world.outside.call(
                 from,
-                new World.Call("GET", "/v1/configuration/read", "", CALL_MICROS),
+                new Outside.Call("GET", "/v1/configuration/read", "", CALL_MICROS),
                 status -> {},
                 (status, text) -> {
                     if (status == 200) {
--- a/src/main/java/gorsemast/simulation/Servers.java
+++ b/src/main/java/gorsemast/simulation/Servers.java
@@ -104,9 +104,9 @@
         private void call(String what, String body, boolean leaves, int tries, Consumer<Boolean> then) {
             List<Machine> cores = world.known();
             Machine to = first != null && tries == 0 ? first : cores.get(Math.floorMod(at, cores.size()));
-            world.call(
+            world.outside.call(
                     to,
-                    new World.Call("POST", "/v1/nodes/" + id + "/" + what, body, CALL_MICROS),
+                    new Outside.Call("POST", "/v1/nodes/" + id + "/" + what, body, CALL_MICROS),
                     status -> {},
                     (status, text) -> {
                         if (!alive) {
--- a/src/main/java/gorsemast/simulation/Troubles.java
+++ b/src/main/java/gorsemast/simulation/Troubles.java
@@ -228,9 +228,9 @@
 
     private void loseAcks(long span) {
         world.contact.linkTrouble(true);
-        world.ackLoss = 0.7;
+        world.outside.ackLoss = 0.7;
         world.time.after(span, () -> {
-            world.ackLoss = 0;
+            world.outside.ackLoss = 0;
             world.contact.linkTrouble(false);
         });
     }
--- a/src/main/java/gorsemast/simulation/World.java
+++ b/src/main/java/gorsemast/simulation/World.java
@@ -5,7 +5,6 @@
 import gorsemast.peer.Record.Program;
 import gorsemast.simulation.CoreProcesses.Registry;
 import gorsemast.simulation.CoreProcesses.Store;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -18,7 +17,6 @@
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.IntConsumer;
 
 /**
  * Machines, the ways between them, and everything that lives on them, for one day in virtual time. One thread; times in
@@ -58,10 +56,9 @@
     final Referee referee = new Referee(this);
     final Contents contents = new Contents(this);
     final Kept kept = new Kept(this);
+    final Outside outside = new Outside(this);
     final Operator operator = new Operator(this);
     final Clients clients = new Clients(this);
-    /** A share of the answers to operators that is lost. */
-    double ackLoss;
     /** What new lists begin with; null for nothing special. */
     String firstSeed;
 
@@ -82,7 +79,6 @@
     private final Map<String, List<Long>> times = new TreeMap<>();
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private List<String> seeds = new ArrayList<>();
-    private final List<Waiting> waiting = new ArrayList<>();
     private int replacing;
     private int lastServer;
     private long countedSince;
@@ -336,55 +332,7 @@
         });
     }
 
-    /** A call from outside; its caller waits {@code patience} for the answer. */
-    record Call(String method, String path, String body, long patience) {}
-
-    /**
-     * A call from outside to a machine's registry.
-     *
-     * @param answered called when that answers, whether the caller hears of it or not
-     * @param end called once, with status 0 for no answer
-     */
-    void call(Machine to, Call call, IntConsumer answered, BiConsumer<Integer, String> end) {
-        boolean[] over = new boolean[1];
-        BiConsumer<Integer, String> once = (status, text) -> {
-            if (!over[0]) {
-                over[0] = true;
-                end.accept(status, text);
-            }
-        };
-        time.after(call.patience, () -> once.accept(0, null));
-        long way = ways.way(1_000);
-        time.after(way, () -> {
-            Process process = to.power && !to.gone ? process(Program.REGISTRY, to) : null;
-            if (process == null) {
-                if (to.power && !to.gone) {
-                    time.after(way, () -> once.accept(0, null));
-                }
-                return;
-            }
-            byte[] body = call.body.getBytes(StandardCharsets.UTF_8);
-            boolean[] replied = new boolean[1];
-            process.run(() -> ((Registry) process).call(call.method, call.path, body, (status, text, bytes) -> {
-                if (replied[0]) {
-                    return; // a second answer is let be
-                }
-                replied[0] = true;
-                answered.accept(status);
-                if (status == 200 && call.method.equals("POST")) {
-                    acknowledged(Acknowledged.of(call), to);
-                }
-                boolean operators = !call.path.startsWith("/v1/nodes/");
-                if (ackLoss > 0 && operators && random.nextDouble() < ackLoss) {
-                    return;
-                }
-                String told = bytes == null ? text : new String(bytes, StandardCharsets.UTF_8);
-                time.after(way, () -> once.accept(status, told));
-            }));
-        });
-    }
-
-    /** The same, by hand. */
+    /** A call from outside, by hand. */
     void call(
             String who,
             Machine to,
@@ -393,7 +341,7 @@
             String body,
             long patience,
             BiConsumer<Integer, String> end) {
-        call(to, new Call(method, path, body, patience), status -> {}, end);
+        outside.call(to, new Outside.Call(method, path, body, patience), status -> {}, end);
     }
 
     /** Cuts or joins the way in one direction, by hand. */
@@ -403,19 +351,6 @@
 
     /** What happens when a core machine next acknowledges an order, by hand. */
     void onAck(Consumer<Machine> then) {
-        onAck(Acknowledged.ANY, then);
-    }
-
-    private record Waiting(Acknowledged what, Consumer<Machine> then) {}
-
-    /** What happens when a core machine next acknowledges something of that sort. */
-    void onAck(Acknowledged what, Consumer<Machine> then) {
-        waiting.add(new Waiting(what, then));
-    }
-
-    private void acknowledged(Acknowledged what, Machine by) {
-        List<Waiting> due = waiting.stream().filter(one -> one.what.fits(what)).toList();
-        waiting.removeAll(due);
-        due.forEach(one -> one.then.accept(by));
+        outside.onAck(Acknowledged.ANY, then);
     }
 }
