--- a/src/main/java/gorsemast/simulation/ServerTroubles.java
+++ b/src/main/java/gorsemast/simulation/ServerTroubles.java
@@ -72,9 +72,17 @@
         world.time.after(span, () -> server.slow = 1);
     }
 
-    void late(int n, long span) {
-        Server server = Troubles.pick(world.servers.of(null), n);
-        server.late = 0.2;
-        world.time.after(span, () -> server.late = 0);
+    void confuse(int n, long span) {
+        List<Server> some = world.servers.of(n % 3 > 0 ? "orders" : World.OBJECTS);
+        some.forEach(one -> {
+            one.confuses = 0.2;
+            one.forgets = 0.2;
+        });
+        world.time.after(
+                span,
+                () -> some.forEach(one -> {
+                    one.confuses = 0;
+                    one.forgets = 0;
+                }));
     }
 }
--- a/src/main/java/gorsemast/simulation/Troubles.java
+++ b/src/main/java/gorsemast/simulation/Troubles.java
@@ -120,7 +120,7 @@
             case REUSE -> servers.crash(n, true);
             case LOSE_ANSWERS -> servers.lose(n, span);
             case SLOW_SERVER -> servers.slow(n, span);
-            case LATE_ANSWERS -> servers.late(n, span);
+            case CONFUSED -> servers.confuse(n, span);
             case ROLL -> machines.roll(0);
             case RELOAD -> machines.reload();
             case KILL_EDGE -> machines.bounce(edge(n), false, RESTART_MICROS);
