--- a/src/main/java/gorsemast/simulation/EdgeConnections.java
+++ b/src/main/java/gorsemast/simulation/EdgeConnections.java
@@ -82,7 +82,7 @@
             ending = told;
             boolean forgotten = kept && edge.world.servers.forgets(address);
             if (forgotten) {
-                edge.after(edge.world.way(400), this::lost);
+                edge.after(edge.world.ways.way(400), this::lost);
             }
             if (next.unsafe()) {
                 edge.after(HOLD_MICROS, () -> leaves(address, told, forgotten));
--- a/src/main/java/gorsemast/simulation/Plant.java
+++ b/src/main/java/gorsemast/simulation/Plant.java
@@ -30,6 +30,18 @@
     PUBLISHES_ITS_OWN,
     /** A number that is taken by another content is acknowledged. */
     CONFLICT_SAYS_DONE,
+    /** A registry acknowledges any content of a number that it knows of. */
+    ACKS_ANY_CONTENT,
+    /** A registry refuses a number that it knows of, also for the same content. */
+    REFUSES_AGAIN,
+    /** A registry tells edges its own order's content as that of the number, acknowledged or not. */
+    TELLS_ITS_OWN,
+    /** A registry answers reads by what it knows, however old. */
+    READS_ALONE,
+    /** A registry gives no answer to orders of some numbers. */
+    ANSWERS_NOTHING,
+    /** Edges of one zone never call themselves ready again after a start. */
+    NEVER_READY,
     /** A store's new version reaches the disk's state and not its version. */
     STATE_WITHOUT_VERSION,
     /** A store leads on, and one stays backup, however long its disk ends nothing. */
--- a/src/main/java/gorsemast/simulation/ScaleStudy.java
+++ b/src/main/java/gorsemast/simulation/ScaleStudy.java
@@ -95,7 +95,7 @@
                 .toList();
         return new Cost(
                 load,
-                world.inflated(Course.configuration(1, 0)).length(),
+                world.operator.configuration(1, 0).length(),
                 traffic.bytesFrom(Program.PROXY) / edges,
                 traffic.bytesTo(Program.PROXY) / edges,
                 traffic.recordsFrom(Program.PROXY) / edges,
