--- a/src/main/java/gorsemast/proxy/ClientConnection.java
+++ b/src/main/java/gorsemast/proxy/ClientConnection.java
@@ -97,7 +97,9 @@
         private final HttpRequest head;
         private final BodyBuffer body = new BodyBuffer(channel.alloc());
         private final boolean keepAlive;
-        private final boolean repeatable;
+        /** As the configuration has it when it is begun; until then as it had it last. */
+        private boolean repeatable;
+
         private long bytes;
         private long headAt;
         private long arrival;
@@ -108,7 +110,6 @@
         private boolean streaming;
         private boolean streamed;
         private boolean cut;
-        private long rest;
         private HttpResponse ready;
         private ByteBuf content = Unpooled.EMPTY_BUFFER;
         private Flow flow;
@@ -176,7 +177,6 @@
             answered = true;
             streaming = true;
             flow = source;
-            rest = length;
             drop();
             ready = new DefaultHttpResponse(HttpVersion.HTTP_1_1, start.status(), headers);
             if (length >= 0) {
@@ -191,7 +191,6 @@
 
         @Override
         public void part(ByteBuf part) {
-            rest -= part.readableBytes();
             if (requests.peek() == this && ready == null) {
                 channel.writeAndFlush(new DefaultHttpContent(part.retainedDuplicate()));
             } else {
@@ -339,6 +338,9 @@
             if (!request.whole || broken) {
                 break;
             }
+            if (!request.started) {
+                request.repeatable = owner.repeatable(request.head); // a new configuration may have come since its head
+            }
             if (!request.started && (first || request.repeatable && alone)) {
                 request.started = true;
                 owner.take(request);
--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -236,8 +236,11 @@
         switch (role) {
             case FOLLOWER -> {
                 boolean quiet = now - activeAt > SILENT_MICROS;
-                boolean may = !slowDisk() && !membership.yields(view, me, now);
-                if (quiet && may && now >= standBackUntil && reachesMost()) {
+                if (quiet
+                        && !membership.yields(view, me, now)
+                        && now >= standBackUntil
+                        && reachesMost()
+                        && !slowDisk()) {
                     stand(null);
                 }
             }
@@ -286,7 +289,7 @@
                 && slowBackup()
                 && !membership.yields(view, me, now)
                 && view.before().isEmpty()) {
-            step = new Membership.Step(null, "has a backup of term " + view.term() + " that does not answer");
+            step = new Membership.Step(null, "has a backup that ends nothing in term " + view.term());
         }
         if (step != null) {
             out.log(step.reason());
@@ -745,14 +748,15 @@
 
     private void save(boolean keptToo, Runnable then) {
         long mine = ++token;
-        View view = this.view;
-        saving.put(mine, new Saving(now, () -> {
-            if (view.before().isEmpty() && view.term() > settled) {
-                settled = view.term();
+        View saved = view;
+        Runnable settles = () -> {
+            if (saved.before().isEmpty() && saved.term() > settled) {
+                settled = saved.term();
                 pingAt = Math.min(pingAt, now); // who has been replaced may wait for it
             }
             then.run();
-        }));
+        };
+        saving.put(mine, new Saving(now, settles));
         out.save(new ReplicaState(me, promised, view, kept), keptToo, mine);
     }
 
