--- a/src/main/java/gorsemast/command/Check.java
+++ b/src/main/java/gorsemast/command/Check.java
@@ -3,6 +3,7 @@
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.ConfigurationException;
 import gorsemast.http.NettyLog;
+import gorsemast.modelcheck.MembershipCheck;
 import gorsemast.modelcheck.Plant;
 import gorsemast.modelcheck.StoreCheck;
 import gorsemast.node.Settings;
@@ -102,21 +103,37 @@
                 description = "One of ${COMPLETION-CANDIDATES}.")
         private Plant plant;
 
+        /** A course of changes takes as long as some ten others. */
+        private static final int COURSES_A_CHANGE = 10;
+
+        private static final int CHANGES = 6;
+
         @Override
         public Integer call() {
             long begun = System.nanoTime();
             StoreCheck.Result rows = StoreCheck.all(members, depth, plant);
             StoreCheck.Result drawn =
                     rows.broken() != null ? rows : StoreCheck.drawn(members, spares, seed, courses, events, plant);
+            StoreCheck.Result changed = drawn.broken() != null
+                    ? drawn
+                    : MembershipCheck.drawn(members, 1, seed, Math.max(1, courses / COURSES_A_CHANGE), CHANGES, plant);
             double seconds = (System.nanoTime() - begun) / 1e9;
-            if (drawn.broken() != null) {
-                drawn.story().forEach(System.out::println);
-                System.out.println("broken: " + drawn.broken());
+            if (changed.broken() != null) {
+                changed.story().forEach(System.out::println);
+                System.out.println("broken: " + changed.broken());
                 return Gorsemast.FAILED;
             }
             System.out.printf(
-                    "%d rows of %d events, %d courses of %d: %d calls answered, nothing lost; %.1f s%n",
-                    rows.courses(), depth, drawn.courses(), events, rows.answered() + drawn.answered(), seconds);
+                    "%d rows of %d events, %d courses of %d, %d courses of %d changes of members:"
+                            + " %d calls answered, nothing lost; %.1f s%n",
+                    rows.courses(),
+                    depth,
+                    drawn.courses(),
+                    events,
+                    changed.courses(),
+                    CHANGES,
+                    rows.answered() + drawn.answered() + changed.answered(),
+                    seconds);
             return Gorsemast.DONE;
         }
     }
--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -803,14 +803,15 @@
 
     private void save(boolean keptToo, Runnable then) {
         long mine = ++token;
-        View view = this.view;
-        saving.put(mine, new Saving(now, () -> {
-            if (view.before().isEmpty() && view.term() > settled) {
-                settled = view.term();
+        View saved = view;
+        Runnable settles = () -> {
+            if (saved.before().isEmpty() && saved.term() > settled) {
+                settled = saved.term();
                 pingAt = Math.min(pingAt, now); // who has been replaced may wait for it
             }
             then.run();
-        }));
+        };
+        saving.put(mine, new Saving(now, settles));
         out.save(new ReplicaState(me, promised, view, kept), keptToo, mine);
     }
 
