--- a/src/main/java/gorsemast/http/Upstream.java
+++ b/src/main/java/gorsemast/http/Upstream.java
@@ -98,7 +98,6 @@
     final Dialect dialect;
     final Pools pools;
     final long idleMillis;
-    private final long connectMillis;
     private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
     /** Attempts that wait for a connection, in the order in which they came; some may have ended meanwhile. */
     private final Map<String, Deque<PendingAttempt>> waiting = new HashMap<>();
@@ -128,7 +127,6 @@
         this.readiness = readiness;
         this.pools = new Pools(maxConnections, new SplittableRandom(seed));
         this.idleMillis = idleMillis / IDLE_PART;
-        this.connectMillis = connectMillis;
         this.bootstrap = client(loop, connectMillis);
     }
 
