--- a/src/main/java/gorsemast/registry/RegistryDisk.java
+++ b/src/main/java/gorsemast/registry/RegistryDisk.java
@@ -44,10 +44,10 @@
     private int waitingBytes;
     private boolean due;
     private long submitted;
+    private long syncs;
     /** Of the disk's thread: how many are written, and when the last sync began. */
     private long written;
 
-    private volatile long syncs;
     private long syncedAt = Long.MIN_VALUE / 2;
 
     /** In a folder, which must exist. */
@@ -96,9 +96,9 @@
             waiting = new ArrayList<>();
             waitingBytes = 0;
             due = false;
+            syncs++;
         }
         syncedAt = now();
-        syncs++;
         try {
             journal.append(all.stream().map(Append::record).toList());
             written += all.size();
@@ -145,7 +145,9 @@
 
     /** How often the journal was synced; any thread. */
     long syncs() {
-        return syncs;
+        synchronized (lock) {
+            return syncs;
+        }
     }
 
     private static long now() {
