--- a/src/main/java/gorsemast/registry/RegistryDisk.java
+++ b/src/main/java/gorsemast/registry/RegistryDisk.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 /**
@@ -45,10 +44,10 @@
     private int waitingBytes;
     private boolean due;
     private long submitted;
+    private long syncs;
     /** Of the disk's thread: how many are written, and when the last sync began. */
     private long written;
 
-    private final AtomicLong syncs = new AtomicLong();
     private long syncedAt = Long.MIN_VALUE / 2;
 
     /** In a folder, which must exist. */
@@ -97,9 +96,9 @@
             waiting = new ArrayList<>();
             waitingBytes = 0;
             due = false;
+            syncs++;
         }
         syncedAt = now();
-        syncs.incrementAndGet();
         try {
             journal.append(all.stream().map(Append::record).toList());
             written += all.size();
@@ -146,7 +145,9 @@
 
     /** How often the journal was synced; any thread. */
     long syncs() {
-        return syncs.get();
+        synchronized (lock) {
+            return syncs;
+        }
     }
 
     private static long now() {
