A new member's disk counts as soon as it has compared, not at the next tick

The new member's registry was to compare its news at the next tick (0.25 s), so its disk did not count yet, and for as long as the lost one stayed away nothing but configurations was acknowledged.

--- a/src/main/java/gorsemast/registry/RegistryNode.java
+++ b/src/main/java/gorsemast/registry/RegistryNode.java
@@ -416,6 +416,9 @@
     /** It has said something. */
     public void received(Neighbour one, Record record) {
         if (quorum.received(one, record)) {
+            if (quorum.completes()) {
+                durable.tick(now(), pool.changed(), quorum); // whoever is lost next, this disk has to count by then
+            }
             return;
         }
         if (gossip.received(one, record)) {
@@ -435,6 +438,7 @@
         } else if (record instanceof Record.Members members && one.peer().ip().equals(self.ip)) {
             if (quorum.members(members)) {
                 orders.membershipChanged();
+                quorum.tick(); // a new member compares at once: its disk counts only after that
             }
         }
     }
