--- a/src/main/java/gorsemast/storage/Snapshot.java
+++ b/src/main/java/gorsemast/storage/Snapshot.java
@@ -10,8 +10,9 @@
 import java.util.zip.CRC32C;
 
 /**
- * One file that is swapped whole, for what may be lost but is better had at once after a start: what a registry knew.
- * Nothing that is acknowledged rests on it. A plain file and no Xodus, as opening that takes as long as all the rest of a
+ * One file that is swapped whole: what a registry knew, with the records of its journal that were compacted into it.
+ * Acknowledged changes rest on it: it is synced, with its folder, before {@link #write} returns, and a journal is emptied of
+ * what the file holds only after that. A plain file and no Xodus, as opening that takes as long as all the rest of a
  * registry's start. One thread, which waits for the disk.
  */
 public final class Snapshot {
