--- a/src/main/java/gorsemast/modelcheck/MembershipCheck.java
+++ b/src/main/java/gorsemast/modelcheck/MembershipCheck.java
@@ -23,12 +23,12 @@
     /** Within this a read must answer after a loss that is to be borne. */
     static final long READ_WITHIN = 4 * SECOND;
 
-    private final World world;
+    private final StoreWorld world;
     private final SplittableRandom random;
     private final List<String> machines = new ArrayList<>();
     private final int losses;
 
-    private MembershipCheck(World world, int losses, SplittableRandom random) {
+    private MembershipCheck(StoreWorld world, int losses, SplittableRandom random) {
         this.world = world;
         this.losses = losses;
         this.random = random;
@@ -46,11 +46,12 @@
         long answered = 0;
         for (int c = 0; c < courses; c++) {
             int more = Math.max(0, 2 * losses + 1 - members) + c % 2;
-            World world = new World(members, more, FaultTolerance.ofMachines(losses), Map.of(), seeds.nextLong(), plant)
+            StoreWorld world = new StoreWorld(
+                            members, more, FaultTolerance.ofMachines(losses), Map.of(), seeds.nextLong(), plant)
                     .telling();
             try {
                 new MembershipCheck(world, losses, seeds.split()).course(changes);
-            } catch (World.Broken e) {
+            } catch (StoreWorld.Broken e) {
                 return new Result(c + 1, answered, e.getMessage(), world.story());
             }
             answered += world.answered();
@@ -86,7 +87,8 @@
             world.calm(SECOND / 10);
         }
         if (world.newest() == before) {
-            throw new World.Broken("no order is acknowledged within 4 s though no more is lost than is to be borne");
+            throw new StoreWorld.Broken(
+                    "no order is acknowledged within 4 s though no more is lost than is to be borne");
         }
     }
 
@@ -167,7 +169,7 @@
             machines.stream().filter(ip -> !lost.contains(ip)).forEach(world::start);
         }
         if (world.readAnswers(READ_WITHIN) < 0) {
-            throw new World.Broken("no read answers within 4 s after " + lost + " were lost");
+            throw new StoreWorld.Broken("no read answers within 4 s after " + lost + " were lost");
         }
         lost.forEach(world::start);
         world.calm(SYNC_TIME);
@@ -184,7 +186,8 @@
         for (int i = 0; i < zones.size(); i++) {
             places.put("m" + (i + 1), new Place(zones.get(i), "r", true));
         }
-        World world = new World(3, zones.size() - 3, new FaultTolerance(1, 1, 0), places, seed, plant).telling();
+        StoreWorld world =
+                new StoreWorld(3, zones.size() - 3, new FaultTolerance(1, 1, 0), places, seed, plant).telling();
         try {
             MembershipCheck check = new MembershipCheck(world, 1, new SplittableRandom(seed));
             world.calm(SECOND);
@@ -197,9 +200,9 @@
                 }
             }
             if (world.readAnswers(READ_WITHIN) < 0) {
-                throw new World.Broken("no read answers within 4 s after zone " + lost + " was lost");
+                throw new StoreWorld.Broken("no read answers within 4 s after zone " + lost + " was lost");
             }
-        } catch (World.Broken e) {
+        } catch (StoreWorld.Broken e) {
             return new Result(1, world.answered(), e.getMessage(), world.story());
         }
         return new Result(1, world.answered(), null, List.of());
--- a/src/main/java/gorsemast/modelcheck/OrderReferee.java
+++ b/src/main/java/gorsemast/modelcheck/OrderReferee.java
@@ -16,7 +16,7 @@
 /**
  * Judges orders by number and content: of the contents that were sent under a number one at most is ever acknowledged,
  * read or told; it is never refused, before or after; another one is refused only where that one is found in the end.
- * Throws {@link World.Broken}. One thread.
+ * Throws {@link StoreWorld.Broken}. One thread.
  */
 final class OrderReferee {
     /** A configuration that an operator sends. */
@@ -107,11 +107,11 @@
         answered++;
         Order order = asked.order;
         if (kept.version() < asked.floor) {
-            throw new World.Broken(
+            throw new StoreWorld.Broken(
                     who + " answers with version " + kept.version() + " after " + asked.floor + " was acknowledged");
         }
         if (order != null && kept.version() < order.version) {
-            throw new World.Broken(
+            throw new StoreWorld.Broken(
                     "version " + order.version + " is answered " + outcome + " where " + kept.version() + " holds");
         }
         if (outcome == CallOutcome.CONFLICT) {
@@ -128,7 +128,7 @@
     /** A content that is told to edges as one that may be in force. */
     void tells(String who, StoredVersion kept) {
         if (kept.version() > 0 && refused.contains(order(kept))) {
-            throw new World.Broken(who + " tells " + order(kept).content + ", which was refused");
+            throw new StoreWorld.Broken(who + " tells " + order(kept).content + ", which was refused");
         }
     }
 
@@ -138,23 +138,23 @@
 
     private void refuses(Order order) {
         if (order.content.equals(acknowledged.get(order.version))) {
-            throw new World.Broken(order.content + " is refused after it was acknowledged");
+            throw new StoreWorld.Broken(order.content + " is refused after it was acknowledged");
         }
         refused.add(order);
     }
 
     private void holds(Order order) {
         if (!sent.contains(order)) {
-            throw new World.Broken(
+            throw new StoreWorld.Broken(
                     "version " + order.version + " is answered as " + order.content + ", which nobody sent");
         }
         String before = acknowledged.putIfAbsent(order.version, order.content);
         if (before != null && !before.equals(order.content)) {
-            throw new World.Broken(
+            throw new StoreWorld.Broken(
                     "version " + order.version + " was acknowledged as " + before + " and as " + order.content);
         }
         if (refused.contains(order)) {
-            throw new World.Broken(order.content + " is acknowledged after it was refused");
+            throw new StoreWorld.Broken(order.content + " is acknowledged after it was refused");
         }
     }
 
@@ -162,7 +162,7 @@
     void end(List<Order> contested) {
         for (Order order : contested) {
             if (acknowledged.get(order.version) == null) {
-                throw new World.Broken(order.content + " has a rival, and neither is acknowledged in the end");
+                throw new StoreWorld.Broken(order.content + " has a rival, and neither is acknowledged in the end");
             }
         }
     }
--- a/src/main/java/gorsemast/modelcheck/StoreCheck.java
+++ b/src/main/java/gorsemast/modelcheck/StoreCheck.java
@@ -5,7 +5,7 @@
 import java.util.SplittableRandom;
 
 /**
- * Courses of a {@link World}: drawn ones from a seed, and all orders of a few events up to a depth.
+ * Courses of a {@link StoreWorld}: drawn ones from a seed, and all orders of a few events up to a depth.
  *
  * <p>All orders are played from a state in which a version is acknowledged, by playing each row of events from its
  * beginning (stateless search, Godefroid 1997); what a row leaves undone is brought to its end and judged.
@@ -21,23 +21,24 @@
         long answered = 0;
         SplittableRandom seeds = new SplittableRandom(seed);
         for (int c = 0; c < courses; c++) {
-            World world = new World(members, spares, seeds.nextLong(), plant).telling();
+            StoreWorld world = new StoreWorld(members, spares, seeds.nextLong(), plant).telling();
+            StoreCourses course = new StoreCourses(world);
             try {
                 world.calm(1_500_000);
                 for (int e = 0; e < events; e++) {
-                    world.drawn();
+                    course.drawn();
                     if (e % 400 == 399) {
-                        world.strike();
+                        course.strike();
                     } else if (e % 400 == 199) {
-                        world.sleep();
+                        course.sleep();
                     } else if (e % 400 == 99) {
-                        world.outage();
+                        course.outage();
                     } else if (e % 400 == 299) {
-                        world.contend();
+                        course.contend();
                     }
                 }
                 world.heal();
-            } catch (World.Broken e) {
+            } catch (StoreWorld.Broken e) {
                 return new Result(c + 1, answered, e.getMessage(), world.story());
             }
             answered += world.answered();
@@ -55,7 +56,7 @@
         for (int disk = 1; disk <= members; disk++) {
             for (int entrance = 1; entrance <= members; entrance++) {
                 for (long after = 0; after <= 300_000; after += 25_000) {
-                    World world = new World(members, spares, 7 + courses, plant).telling();
+                    StoreWorld world = new StoreWorld(members, spares, 7 + courses, plant).telling();
                     try {
                         world.calm(6_000_000);
                         world.put("m" + entrance, false);
@@ -66,7 +67,7 @@
                             world.calm(1_000_000);
                         }
                         world.heal();
-                    } catch (World.Broken e) {
+                    } catch (StoreWorld.Broken e) {
                         return new Result(courses + 1, answered, e.getMessage(), world.story());
                     }
                     courses++;
@@ -86,7 +87,7 @@
         long answered = 0;
         SplittableRandom random = new SplittableRandom(seed);
         for (int c = 0; c < courses; c++) {
-            World world = new World(members, spares, random.nextLong(), plant).telling();
+            StoreWorld world = new StoreWorld(members, spares, random.nextLong(), plant).telling();
             try {
                 world.calm(2_000_000);
                 int away = random.nextInt(members);
@@ -103,9 +104,9 @@
                 world.start(world.machines().get(away));
                 world.calm(6_000_000);
                 world.order(world.machines().get(away));
-                world.strikeAll(world.machines().get((away + random.nextInt(members)) % members));
+                new StoreCourses(world).strikeAll(world.machines().get((away + random.nextInt(members)) % members));
                 world.heal();
-            } catch (World.Broken e) {
+            } catch (StoreWorld.Broken e) {
                 return new Result(c + 1, answered, e.getMessage(), world.story());
             }
             answered += world.answered();
@@ -113,7 +114,7 @@
         return new Result(courses, answered, null, List.of());
     }
 
-    private static void trouble(World world, String ip, SplittableRandom random) {
+    private static void trouble(StoreWorld world, String ip, SplittableRandom random) {
         int what = random.nextInt(4);
         world.put(ip, false);
         switch (what) {
@@ -130,7 +131,7 @@
     }
 
     private interface Event {
-        void happen(World world);
+        void happen(StoreWorld world);
     }
 
     /** All orders of these events, so many in a row. */
@@ -179,9 +180,9 @@
         events.add(world -> world.isolate("m1", true));
         events.add(world -> world.isolate("m1", false));
         events.add(world -> world.breakLink("m1", "m2"));
-        events.add(World::quiet);
+        events.add(StoreWorld::quiet);
         events.add(world -> world.calm(2_000_000));
-        events.add(World::restartAll);
+        events.add(StoreWorld::restartAll);
         return rows(members, depth, plant, events, world -> {});
     }
 
@@ -190,7 +191,7 @@
         long courses = 0;
         long answered = 0;
         while (true) {
-            World world = new World(members, 0, 7, plant).telling();
+            StoreWorld world = new StoreWorld(members, 0, 7, plant).telling();
             try {
                 world.calm(6_000_000);
                 world.put("m1", false);
@@ -200,7 +201,7 @@
                     between.happen(world);
                 }
                 world.heal();
-            } catch (World.Broken e) {
+            } catch (StoreWorld.Broken e) {
                 return new Result(courses + 1, answered, e.getMessage(), world.story());
             }
             courses++;
--- a/src/test/java/gorsemast/modelcheck/MembershipTest.java
+++ b/src/test/java/gorsemast/modelcheck/MembershipTest.java
@@ -16,8 +16,9 @@
     private static final long SECOND = 1_000_000;
 
     /** A world that has run, with an acknowledged version. */
-    private static World settled(int members, int spares, int losses, long seed, Plant plant) {
-        World world = new World(members, spares, FaultTolerance.ofMachines(losses), Map.of(), seed, plant).telling();
+    private static StoreWorld settled(int members, int spares, int losses, long seed, Plant plant) {
+        StoreWorld world =
+                new StoreWorld(members, spares, FaultTolerance.ofMachines(losses), Map.of(), seed, plant).telling();
         world.calm(SECOND);
         world.machines().forEach(world::start);
         world.calm(6 * SECOND);
@@ -25,14 +26,14 @@
         return world;
     }
 
-    private static void put(World world) {
+    private static void put(StoreWorld world) {
         long before = world.newest();
         world.put(world.leader(), false);
         world.calm(SECOND / 5);
         assertThat(world.newest()).as(String.join("\n", world.story())).isGreaterThan(before);
     }
 
-    private static void reads(World world) {
+    private static void reads(StoreWorld world) {
         assertThat(world.readAnswers(MembershipCheck.READ_WITHIN))
                 .as(String.join("\n", world.story()))
                 .isNotNegative();
@@ -46,7 +47,7 @@
     void fiveMembersGrowWhereTwoLossesAreToBeBorne() {
         for (int a = 1; a <= 5; a++) {
             for (int b = a + 1; b <= 5; b++) {
-                World world = settled(3, 2, 2, 31 + a * 7 + b, Plant.NONE);
+                StoreWorld world = settled(3, 2, 2, 31 + a * 7 + b, Plant.NONE);
                 world.lose("m" + a);
                 world.lose("m" + b);
                 reads(world);
@@ -60,7 +61,7 @@
             for (String lost : others(List.of("m1", "m2", "m3", "m4"), removed)) {
                 for (int seed = 0; seed < 24; seed++) {
                     int killed = seed % 4; // all processes, so many seconds after the new one's start
-                    World world = new World(3, 1, seed, Plant.NONE).telling();
+                    StoreWorld world = new StoreWorld(3, 1, seed, Plant.NONE).telling();
                     world.calm(6 * SECOND);
                     world.remove(removed);
                     world.calm(SECOND);
@@ -81,7 +82,7 @@
         for (int seed = 0; seed < 16; seed++) {
             for (String lost : List.of("m1", "m2", "m3")) {
                 for (boolean sameAddress : new boolean[] {true, false}) {
-                    World world = new World(3, 1, seed, Plant.NONE).telling();
+                    StoreWorld world = new StoreWorld(3, 1, seed, Plant.NONE).telling();
                     world.calm(6 * SECOND);
                     world.lose(lost);
                     world.calm(SECOND);
@@ -99,7 +100,7 @@
         }
     }
 
-    private static boolean out(World world, String id) {
+    private static boolean out(StoreWorld world, String id) {
         String leader = world.leader();
         return leader != null
                 && world.replica(leader).view().before().isEmpty()
@@ -114,7 +115,7 @@
     private static void aMemberLeavesAndAnotherIsLost(Plant plant) {
         for (String leaves : List.of("m1", "m2", "m3")) {
             for (String lost : others(List.of("m1", "m2", "m3", "m4"), leaves)) {
-                World world = settled(3, 1, 1, 5, plant);
+                StoreWorld world = settled(3, 1, 1, 5, plant);
                 assertThat(world.leave(leaves, MembershipCheck.GRACE)).isLessThan(SECOND / 2);
                 world.remove(leaves);
                 world.lose(lost);
@@ -130,7 +131,7 @@
 
     private static void theOnlyCopyLeaves(Plant plant) {
         for (int seed = 0; seed < 8; seed++) {
-            World world = settled(3, 1, 1, seed, plant);
+            StoreWorld world = settled(3, 1, 1, seed, plant);
             String primary = world.leader();
             String backup = world.replica(primary).view().backups().get(0).split("#")[0];
             world.lose(backup);
@@ -144,7 +145,7 @@
     @ParameterizedTest
     @CsvSource({"2, 1", "2, 2", "2, 3", "3, 1", "3, 2", "3, 3"})
     void severalAreReplacedAtOnce(int many, int seed) {
-        World world = settled(3, many, 1, seed, Plant.NONE);
+        StoreWorld world = settled(3, many, 1, seed, Plant.NONE);
         List<String> old = new ArrayList<>(List.of("m1", "m2", "m3"));
         while (old.size() > many) {
             old.remove(seed % old.size());
@@ -165,7 +166,7 @@
     @Test
     void nobodyWaitsForASuccessorThatIsNotThere() {
         for (String leaves : List.of("m1", "m2", "m3")) {
-            World world = settled(3, 0, 1, 3, Plant.NONE);
+            StoreWorld world = settled(3, 0, 1, 3, Plant.NONE);
             assertThat(world.leave(leaves, MembershipCheck.GRACE)).isLessThan(SECOND / 4);
             world.calm(SECOND / 10);
             put(world); // somebody else leads already
@@ -175,7 +176,7 @@
     @Test
     void allRestartedInTurnAreFollowedAtOnce() {
         for (int spares = 0; spares <= 1; spares++) {
-            World world = settled(3, spares, 1, 9, Plant.NONE);
+            StoreWorld world = settled(3, spares, 1, 9, Plant.NONE);
             for (String ip : world.machines()) {
                 world.leave(ip, MembershipCheck.GRACE);
                 world.calm(SECOND / 10); // an election that it began may be under way
@@ -190,7 +191,7 @@
 
     @Test
     void whoHasLeftIsForgotten() {
-        World world = settled(3, 1, 1, 4, Plant.NONE);
+        StoreWorld world = settled(3, 1, 1, 4, Plant.NONE);
         world.remove("m2");
         world.calm(15 * SECOND);
         assertThat(world.replica(world.leader()).known())
@@ -223,7 +224,7 @@
 
     private static String missesAChange(Plant plant) {
         for (int seed = 0; seed < 8; seed++) {
-            World world = settled(3, 1, 1, seed, plant);
+            StoreWorld world = settled(3, 1, 1, seed, plant);
             String old = world.leader();
             String backup = world.replica(old).view().backups().get(0).split("#")[0];
             try {
@@ -246,14 +247,14 @@
                     world.get(backup);
                     world.get(old);
                 }
-            } catch (World.Broken e) {
+            } catch (StoreWorld.Broken e) {
                 return e.getMessage();
             }
         }
         return null;
     }
 
-    private static boolean joined(World world, String old) {
+    private static boolean joined(StoreWorld world, String old) {
         String leader = world.leader();
         return leader != null
                 && !leader.equals(old)
