Take the pending saves of a store's replica into a class of their own

Saves holds the tokens, what follows each save, the last settled view on disk and whether the disk is slow. No change of behaviour.

--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -95,21 +95,18 @@
         PRIMARY
     }
 
-    private record Saving(long since, Runnable then) {}
-
     private record Call(long id, boolean put, long version, byte[] body, ContentDigest digest, long until) {}
 
     private final Out out;
     private final SplittableRandom random;
     private final long slowMicros;
+    private final Saves saves;
     private final Membership membership;
     private final Liveness liveness;
     private Member me;
     private long promised;
     /** The highest term that any member has said to have promised; a hint for the next one to ask for. */
     private long highest;
-    /** The term of the last view without an old list of members that is on disk; -1 for none. */
-    private long settled = -1;
     /** In this life of the process it was a member, and has been replaced since: a joint view may need its vote yet. */
     private boolean replaced;
 
@@ -141,9 +138,6 @@
     private boolean copies;
     private boolean begun;
     private long begunAt;
-    private long token;
-    /** Saves that are not on disk yet, by token, the oldest first. */
-    private final Map<Long, Saving> saving = new LinkedHashMap<>();
 
     /**
      * A member as its disk has it.
@@ -170,7 +164,7 @@
         this.me = saved.me();
         this.promised = saved.promised();
         this.view = saved.view();
-        this.settled = view.before().isEmpty() ? view.term() : -1;
+        this.saves = new Saves(slowMicros, view, () -> pingAt = Math.min(pingAt, now)); // the replaced may wait for it
         this.kept = saved.kept();
         this.membership = new Membership(tolerance, place);
         this.liveness = membership.liveness;
@@ -265,7 +259,7 @@
         switch (role) {
             case FOLLOWER -> {
                 boolean quiet = now - activeAt > SILENT_MICROS;
-                boolean may = !slowDisk() && !membership.yields(view, me, now);
+                boolean may = !saves.slow(now) && !membership.yields(view, me, now);
                 if (quiet && may && now >= standBackUntil && reachesMost()) {
                     stand(null);
                 }
@@ -285,12 +279,13 @@
     /** A sign of life, for whoever has just come. */
     public Message greeting() {
         return new Heartbeat(
-                me, promised, view.term(), settled, role == Role.PRIMARY, membership.leaving(), membership.place());
-    }
-
-    /** Whether the disk has not ended a save for long: it hangs, or is full. */
-    private boolean slowDisk() {
-        return !saving.isEmpty() && now - saving.values().iterator().next().since() > slowMicros;
+                me,
+                promised,
+                view.term(),
+                saves.settled(),
+                role == Role.PRIMARY,
+                membership.leaving(),
+                membership.place());
     }
 
     /** Whether a backup lives and yet does not answer: its disk hangs, or it has left the term. */
@@ -300,7 +295,7 @@
 
     /** What a primary does for the membership: one change at a time, and none before the last one is over. */
     private void lead() {
-        if (slowDisk()) {
+        if (saves.slow(now)) {
             out.log("is primary no more: its disk ends nothing");
             role = Role.FOLLOWER;
             standBack();
@@ -802,26 +797,14 @@
     // ---- disk and links
 
     private void save(boolean keptToo, Runnable then) {
-        long mine = ++token;
-        View saved = view;
-        Runnable settles = () -> {
-            if (saved.before().isEmpty() && saved.term() > settled) {
-                settled = saved.term();
-                pingAt = Math.min(pingAt, now); // who has been replaced may wait for it
-            }
-            then.run();
-        };
-        saving.put(mine, new Saving(now, settles));
-        out.save(new ReplicaState(me, promised, view, kept), keptToo, mine);
+        long token = saves.begin(view, now, then);
+        out.save(new ReplicaState(me, promised, view, kept), keptToo, token);
     }
 
     /** This and all earlier saves are on disk. */
     public void saved(long time, long which) {
         now = time;
-        Saving done = saving.remove(which);
-        if (done != null) {
-            done.then().run();
-        }
+        saves.done(which);
     }
 
     private void send(Member to, Message message) {
