Take the calls of a store's replica and their rounds into a class of their own

OrderQueue holds the calls that wait, the one that is served, who has acknowledged its round, what all backups hold, and the times after which calls are given up. Replica sends and decides as before: no change of behaviour.

--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -14,9 +14,7 @@
 import gorsemast.store.Message.ViewChange;
 import gorsemast.store.Message.Vote;
 import gorsemast.store.Message.VoteRefused;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -95,8 +93,6 @@
         PRIMARY
     }
 
-    private record Call(long id, boolean put, long version, byte[] body, ContentDigest digest, long until) {}
-
     private final Out out;
     private final SplittableRandom random;
     private final long slowMicros;
@@ -126,16 +122,8 @@
 
     private String activePrimary = "";
     private long activeAt = Long.MIN_VALUE / 2;
-    private final Deque<Call> calls = new ArrayDeque<>();
-    private Call working;
-    private final Set<String> told = new HashSet<>();
-    private long round;
-    private long roundSince;
-    private boolean onDisk;
-    /** What all backups of this term hold. */
-    private StoredVersion agreed = StoredVersion.NONE;
-
-    private boolean copies;
+    private final OrderQueue orders;
+
     private boolean begun;
     private long begunAt;
 
@@ -170,6 +158,7 @@
         this.liveness = membership.liveness;
         this.random = new SplittableRandom(seed);
         this.out = out;
+        this.orders = new OrderQueue(out);
     }
 
     /** The first view, before any election. */
@@ -208,7 +197,7 @@
      */
     public boolean mayTell() {
         if (role == Role.PRIMARY) {
-            return kept == agreed;
+            return kept == orders.agreed();
         }
         boolean holds = kept.term() == view.term(); // primary or backup, and not only told of the view
         Set<String> agree = new HashSet<>(Set.of(me.id()));
@@ -241,16 +230,8 @@
                 send(other, greeting());
             }
         }
-        calls.removeIf(call -> {
-            if (now > call.until) {
-                out.answer(call.id, CallOutcome.UNCERTAIN, StoredVersion.NONE);
-            }
-            return now > call.until;
-        });
-        if (working != null && now > working.until) {
-            Call over = working;
-            working = null;
-            out.answer(over.id, CallOutcome.UNCERTAIN, StoredVersion.NONE);
+        orders.expireWaiting(now);
+        if (orders.expireWorking(now)) {
             next();
         }
         if (!view.has(me.id())) {
@@ -288,18 +269,13 @@
                 membership.place());
     }
 
-    /** Whether a backup lives and yet does not answer: its disk hangs, or it has left the term. */
-    private boolean slowBackup() {
-        return working != null && onDisk && now - roundSince > slowMicros && !told.containsAll(view.backups());
-    }
-
     /** What a primary does for the membership: one change at a time, and none before the last one is over. */
     private void lead() {
         if (saves.slow(now)) {
             out.log("is primary no more: its disk ends nothing");
             role = Role.FOLLOWER;
             standBack();
-            fail();
+            orders.fail();
             return;
         }
         if (!reachesMost()) {
@@ -307,7 +283,7 @@
         }
         Membership.Step step = membership.step(view, me, now);
         if (step == null
-                && slowBackup()
+                && orders.slow(view.backups(), slowMicros, now)
                 && !membership.yields(view, me, now)
                 && view.before().isEmpty()) {
             step = new Membership.Step(null, "has a backup of term " + view.term() + " that does not answer");
@@ -546,8 +522,8 @@
     }
 
     private void acknowledged(Member from, long term, long ofRound) {
-        if (role == Role.PRIMARY && term == view.term() && ofRound == round) {
-            told.add(from.id());
+        if (role == Role.PRIMARY && term == view.term() && ofRound == orders.round()) {
+            orders.acknowledged(from.id());
             finish();
         }
     }
@@ -562,7 +538,7 @@
             standBack();
         }
         role = Role.FOLLOWER;
-        fail();
+        orders.fail();
     }
 
     private void elect(long term) {
@@ -663,11 +639,7 @@
             return;
         }
         role = Role.PRIMARY;
-        agreed = kept;
-        if (working != null) {
-            calls.addFirst(working); // what this term began with may hold it already
-            working = null;
-        }
+        orders.restart(kept);
         out.log("is primary of term " + view.term() + " with " + view.backups());
         List<Member> all = view.all();
         if (joint) {
@@ -689,61 +661,50 @@
     /** Keep this version; answered once. */
     public void put(long time, long call, long version, byte[] body) {
         now = time;
-        take(new Call(call, true, version, body, ContentDigest.of(body), now + CALL_MICROS));
+        take(new OrderQueue.Call(call, true, version, body, ContentDigest.of(body), now + CALL_MICROS));
     }
 
     /** The newest version that is acknowledged; answered once. */
     public void get(long time, long call) {
         now = time;
-        take(new Call(call, false, 0, null, ContentDigest.NONE, now + CALL_MICROS));
+        take(new OrderQueue.Call(call, false, 0, null, ContentDigest.NONE, now + CALL_MICROS));
     }
 
-    private void take(Call call) {
+    private void take(OrderQueue.Call call) {
         if (role == Role.FOLLOWER && !activePrimary.equals(me.id()) && now - activeAt < SILENT_MICROS) {
-            out.forward(call.id, liveness.member(activePrimary));
+            out.forward(call.id(), liveness.member(activePrimary));
             return;
         }
         if (role != Role.PRIMARY && !reachesMost()) {
             out.answer(
-                    call.id,
+                    call.id(),
                     CallOutcome.UNCERTAIN,
                     StoredVersion.NONE); // cut off: whoever asks had better ask elsewhere
             return;
         }
-        calls.add(call); // also where nobody leads: an election is a matter of a moment
+        orders.add(call); // also where nobody leads: an election is a matter of a moment
         next();
     }
 
     private void next() {
         if (role == Role.FOLLOWER && now - activeAt < SILENT_MICROS && !activePrimary.equals(me.id())) {
-            Member to = liveness.member(activePrimary);
-            while (!calls.isEmpty()) {
-                out.forward(calls.poll().id, to);
-            }
+            orders.forward(liveness.member(activePrimary));
             return;
         }
-        if (role != Role.PRIMARY || working != null || calls.isEmpty()) {
+        if (role != Role.PRIMARY || !orders.ready()) {
             return;
         }
-        working = calls.poll();
-        told.clear();
-        round++;
-        roundSince = now;
-        long mine = round;
-        if (working.put) {
-            kept = with(working);
-        }
-        copies = kept != agreed; // also what an earlier call that was given up has left half told
+        StoredVersion agreed = orders.agreed();
+        kept = orders.begin(kept, view.term(), now);
+        long mine = orders.round();
+        boolean copies = orders.copies();
         if (copies) {
-            onDisk = false;
             save(true, () -> {
-                if (role == Role.PRIMARY && round == mine) {
-                    onDisk = true;
+                if (role == Role.PRIMARY && orders.round() == mine) {
+                    orders.onDisk();
                     finish();
                 }
             });
-        } else {
-            onDisk = true;
         }
         for (Member member : view.members()) {
             if (view.backups().contains(member.id())) {
@@ -757,43 +718,13 @@
         finish();
     }
 
-    /** What is held once an order is done, which takes its number, unless that is taken or too old to be remembered. */
-    private StoredVersion with(Call order) {
-        if (order.version > kept.version()) {
-            return kept.next(order.version, view.term(), order.body, order.digest);
-        }
-        boolean free =
-                kept.numbers().digest(order.version) == null && !kept.numbers().forgets(order.version);
-        return free ? kept.taking(order.version, view.term(), order.digest) : kept;
-    }
-
-    /** How a call ends whose round with the backups has come to its end. */
-    private CallOutcome outcome(Call call) {
-        ContentDigest holds = call.put ? kept.numbers().digest(call.version) : null;
-        return holds == null || holds.equals(call.digest) ? CallOutcome.DONE : CallOutcome.CONFLICT;
-    }
-
     /** A call is done when all that hold what is acknowledged have told so in this term. */
     private void finish() {
-        if (working != null && onDisk && told.containsAll(view.backups())) {
-            Call done = working;
-            working = null;
-            agreed = kept;
-            if (copies) {
-                out.committed(kept);
-            }
-            out.answer(done.id, outcome(done), kept);
+        if (orders.finish(view.backups(), kept)) {
             next();
         }
     }
 
-    private void fail() {
-        if (working != null) {
-            out.answer(working.id, CallOutcome.UNCERTAIN, StoredVersion.NONE);
-            working = null;
-        }
-    }
-
     // ---- disk and links
 
     private void save(boolean keptToo, Runnable then) {
