Take what a replica knows of the leader, and early answers, into classes of their own

LeaderHint holds which member was last heard as primary and when; EarlyAnswers holds whether a member that has just started may give out what its disk holds. No change of behaviour.

--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -15,7 +15,6 @@
 import gorsemast.store.Message.Vote;
 import gorsemast.store.Message.VoteRefused;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -117,16 +116,11 @@
     private StoredVersion best;
     private final Set<String> granted = new HashSet<>();
     private final Set<String> installed = new HashSet<>();
-    /** The term of the view that each last told of. */
-    private final Map<String, Long> viewTerms = new HashMap<>();
 
-    private String activePrimary = "";
-    private long activeAt = Long.MIN_VALUE / 2;
+    private final LeaderHint leader = new LeaderHint();
+    private final EarlyAnswers early = new EarlyAnswers();
     private final OrderQueue orders;
 
-    private boolean begun;
-    private long begunAt;
-
     /**
      * A member as its disk has it.
      *
@@ -200,13 +194,7 @@
             return kept == orders.agreed();
         }
         boolean holds = kept.term() == view.term(); // primary or backup, and not only told of the view
-        Set<String> agree = new HashSet<>(Set.of(me.id()));
-        viewTerms.forEach((id, term) -> {
-            if (term <= view.term()) {
-                agree.add(id);
-            }
-        });
-        return holds && now - begunAt < EARLY_MICROS && view.majority(agree);
+        return holds && early.allowed(view, me.id(), now);
     }
 
     // ---- events
@@ -214,9 +202,7 @@
     /** To be called every few tens of milliseconds. */
     public void tick(long time) {
         now = time;
-        if (!begun) {
-            begun = true;
-            begunAt = now;
+        if (early.begin(now)) {
             standBack();
         }
         if (now >= pingAt) {
@@ -239,9 +225,8 @@
         }
         switch (role) {
             case FOLLOWER -> {
-                boolean quiet = now - activeAt > SILENT_MICROS;
                 boolean may = !saves.slow(now) && !membership.yields(view, me, now);
-                if (quiet && may && now >= standBackUntil && reachesMost()) {
+                if (leader.silent(now) && may && now >= standBackUntil && reachesMost()) {
                     stand(null);
                 }
             }
@@ -324,8 +309,8 @@
         membership.leaves(from);
         if (!view.has(from)) {
             send(leave.from(), new ViewChange(me, view));
-        } else if (from.equals(activePrimary)) {
-            activeAt = Long.MIN_VALUE / 2;
+        } else if (from.equals(leader.primary())) {
+            leader.expire();
             boolean first = !view.backups().isEmpty() && view.backups().get(0).equals(me.id());
             standBackUntil = now + (first ? 0 : STAND_BACK_MICROS / 5 + random.nextLong(STAND_BACK_MICROS));
         }
@@ -404,9 +389,7 @@
     private void heartbeat(Heartbeat heartbeat) {
         String from = heartbeat.from().id();
         liveness.told(from, heartbeat.place(), heartbeat.leaving(), heartbeat.settled());
-        if (now - begunAt < EARLY_MICROS) {
-            viewTerms.put(from, heartbeat.viewTerm());
-        }
+        early.heard(from, heartbeat.viewTerm(), now);
         boolean backup = view.backups().contains(from);
         highest = view.has(from) ? Math.max(highest, heartbeat.promised()) : highest;
         if (role == Role.PRIMARY && heartbeat.viewTerm() > view.term()) {
@@ -422,8 +405,7 @@
                 && !heartbeat.leaving()
                 && heartbeat.viewTerm() >= view.term()
                 && role != Role.PRIMARY) {
-            activePrimary = from;
-            activeAt = now;
+            leader.heard(from, now);
             next();
         }
         boolean old = heartbeat.viewTerm() < view.term();
@@ -461,7 +443,7 @@
                 && !membership.leaving()
                 && !candidate.equals(me.id())
                 && view.backups().stream().allMatch(id -> liveness.silence(id, now) < SILENT_MICROS);
-        boolean led = !activePrimary.equals(candidate) && now - activeAt < SILENT_MICROS;
+        boolean led = leader.ledByOther(candidate, now);
         if (!view.has(candidate)) {
             return "no member";
         }
@@ -589,8 +571,7 @@
         StoredVersion merged = kept.merge(install.held());
         boolean newer = merged != kept;
         kept = merged;
-        activePrimary = install.from().id();
-        activeAt = now;
+        leader.heard(install.from().id(), now);
         save(newer, () -> {
             if (promised == install.term()) {
                 send(install.from(), new InstallAck(me, install.term()));
@@ -602,8 +583,7 @@
         adopt(change.view());
         String from = change.from().id();
         if (role == Role.FOLLOWER && view.term() == change.view().term() && from.equals(view.primary())) {
-            activePrimary = from; // else a witness would stand against a term that has only just begun
-            activeAt = now;
+            leader.heard(from, now); // else a witness would stand against a term that has only just begun
         }
     }
 
@@ -671,8 +651,8 @@
     }
 
     private void take(OrderQueue.Call call) {
-        if (role == Role.FOLLOWER && !activePrimary.equals(me.id()) && now - activeAt < SILENT_MICROS) {
-            out.forward(call.id(), liveness.member(activePrimary));
+        if (role == Role.FOLLOWER && leader.ledByOther(me.id(), now)) {
+            out.forward(call.id(), liveness.member(leader.primary()));
             return;
         }
         if (role != Role.PRIMARY && !reachesMost()) {
@@ -687,8 +667,8 @@
     }
 
     private void next() {
-        if (role == Role.FOLLOWER && now - activeAt < SILENT_MICROS && !activePrimary.equals(me.id())) {
-            orders.forward(liveness.member(activePrimary));
+        if (role == Role.FOLLOWER && leader.ledByOther(me.id(), now)) {
+            orders.forward(liveness.member(leader.primary()));
             return;
         }
         if (role != Role.PRIMARY || !orders.ready()) {
