--- a/src/main/java/gorsemast/store/Replica.java
+++ b/src/main/java/gorsemast/store/Replica.java
@@ -14,10 +14,7 @@
 import gorsemast.store.Message.ViewChange;
 import gorsemast.store.Message.Vote;
 import gorsemast.store.Message.VoteRefused;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -95,21 +92,16 @@
         PRIMARY
     }
 
-    private record Saving(long since, Runnable then) {}
-
-    private record Call(long id, boolean put, long version, byte[] body, ContentDigest digest, long until) {}
-
     private final Out out;
     private final SplittableRandom random;
     private final long slowMicros;
+    private final Saves saves;
     private final Membership membership;
     private final Liveness liveness;
     private Member me;
     private long promised;
     /** The highest term that any member has said to have promised; a hint for the next one to ask for. */
     private long highest;
-    /** The term of the last view without an old list of members that is on disk; -1 for none. */
-    private long settled = -1;
     /** In this life of the process it was a member, and has been replaced since: a joint view may need its vote yet. */
     private boolean replaced;
 
@@ -124,26 +116,10 @@
     private StoredVersion best;
     private final Set<String> granted = new HashSet<>();
     private final Set<String> installed = new HashSet<>();
-    /** The term of the view that each last told of. */
-    private final Map<String, Long> viewTerms = new HashMap<>();
-
-    private String activePrimary = "";
-    private long activeAt = Long.MIN_VALUE / 2;
-    private final Deque<Call> calls = new ArrayDeque<>();
-    private Call working;
-    private final Set<String> told = new HashSet<>();
-    private long round;
-    private long roundSince;
-    private boolean onDisk;
-    /** What all backups of this term hold. */
-    private StoredVersion agreed = StoredVersion.NONE;
-
-    private boolean copies;
-    private boolean begun;
-    private long begunAt;
-    private long token;
-    /** Saves that are not on disk yet, by token, the oldest first. */
-    private final Map<Long, Saving> saving = new LinkedHashMap<>();
+
+    private final LeaderHint leader = new LeaderHint();
+    private final EarlyAnswers early = new EarlyAnswers();
+    private final OrderQueue orders;
 
     /**
      * A member as its disk has it.
@@ -170,12 +146,13 @@
         this.me = saved.me();
         this.promised = saved.promised();
         this.view = saved.view();
-        this.settled = view.before().isEmpty() ? view.term() : -1;
+        this.saves = new Saves(slowMicros, view, () -> pingAt = Math.min(pingAt, now)); // the replaced may wait for it
         this.kept = saved.kept();
         this.membership = new Membership(tolerance, place);
         this.liveness = membership.liveness;
         this.random = new SplittableRandom(seed);
         this.out = out;
+        this.orders = new OrderQueue(out);
     }
 
     /** The first view, before any election. */
@@ -214,16 +191,10 @@
      */
     public boolean mayTell() {
         if (role == Role.PRIMARY) {
-            return kept == agreed;
+            return kept == orders.agreed();
         }
         boolean holds = kept.term() == view.term(); // primary or backup, and not only told of the view
-        Set<String> agree = new HashSet<>(Set.of(me.id()));
-        viewTerms.forEach((id, term) -> {
-            if (term <= view.term()) {
-                agree.add(id);
-            }
-        });
-        return holds && now - begunAt < EARLY_MICROS && view.majority(agree);
+        return holds && early.allowed(view, me.id(), now);
     }
 
     // ---- events
@@ -231,9 +202,7 @@
     /** To be called every few tens of milliseconds. */
     public void tick(long time) {
         now = time;
-        if (!begun) {
-            begun = true;
-            begunAt = now;
+        if (early.begin(now)) {
             standBack();
         }
         if (now >= pingAt) {
@@ -247,16 +216,8 @@
                 send(other, greeting());
             }
         }
-        calls.removeIf(call -> {
-            if (now > call.until) {
-                out.answer(call.id, CallOutcome.UNCERTAIN, StoredVersion.NONE);
-            }
-            return now > call.until;
-        });
-        if (working != null && now > working.until) {
-            Call over = working;
-            working = null;
-            out.answer(over.id, CallOutcome.UNCERTAIN, StoredVersion.NONE);
+        orders.expireWaiting(now);
+        if (orders.expireWorking(now)) {
             next();
         }
         if (!view.has(me.id())) {
@@ -264,9 +225,8 @@
         }
         switch (role) {
             case FOLLOWER -> {
-                boolean quiet = now - activeAt > SILENT_MICROS;
-                boolean may = !slowDisk() && !membership.yields(view, me, now);
-                if (quiet && may && now >= standBackUntil && reachesMost()) {
+                boolean may = !saves.slow(now) && !membership.yields(view, me, now);
+                if (leader.silent(now) && may && now >= standBackUntil && reachesMost()) {
                     stand(null);
                 }
             }
@@ -285,26 +245,22 @@
     /** A sign of life, for whoever has just come. */
     public Message greeting() {
         return new Heartbeat(
-                me, promised, view.term(), settled, role == Role.PRIMARY, membership.leaving(), membership.place());
-    }
-
-    /** Whether the disk has not ended a save for long: it hangs, or is full. */
-    private boolean slowDisk() {
-        return !saving.isEmpty() && now - saving.values().iterator().next().since() > slowMicros;
-    }
-
-    /** Whether a backup lives and yet does not answer: its disk hangs, or it has left the term. */
-    private boolean slowBackup() {
-        return working != null && onDisk && now - roundSince > slowMicros && !told.containsAll(view.backups());
+                me,
+                promised,
+                view.term(),
+                saves.settled(),
+                role == Role.PRIMARY,
+                membership.leaving(),
+                membership.place());
     }
 
     /** What a primary does for the membership: one change at a time, and none before the last one is over. */
     private void lead() {
-        if (slowDisk()) {
+        if (saves.slow(now)) {
             out.log("is primary no more: its disk ends nothing");
             role = Role.FOLLOWER;
             standBack();
-            fail();
+            orders.fail();
             return;
         }
         if (!reachesMost()) {
@@ -312,7 +268,7 @@
         }
         Membership.Step step = membership.step(view, me, now);
         if (step == null
-                && slowBackup()
+                && orders.slow(view.backups(), slowMicros, now)
                 && !membership.yields(view, me, now)
                 && view.before().isEmpty()) {
             step = new Membership.Step(null, "has a backup of term " + view.term() + " that does not answer");
@@ -353,8 +309,8 @@
         membership.leaves(from);
         if (!view.has(from)) {
             send(leave.from(), new ViewChange(me, view));
-        } else if (from.equals(activePrimary)) {
-            activeAt = Long.MIN_VALUE / 2;
+        } else if (from.equals(leader.primary())) {
+            leader.expire();
             boolean first = !view.backups().isEmpty() && view.backups().get(0).equals(me.id());
             standBackUntil = now + (first ? 0 : STAND_BACK_MICROS / 5 + random.nextLong(STAND_BACK_MICROS));
         }
@@ -433,9 +389,7 @@
     private void heartbeat(Heartbeat heartbeat) {
         String from = heartbeat.from().id();
         liveness.told(from, heartbeat.place(), heartbeat.leaving(), heartbeat.settled());
-        if (now - begunAt < EARLY_MICROS) {
-            viewTerms.put(from, heartbeat.viewTerm());
-        }
+        early.heard(from, heartbeat.viewTerm(), now);
         boolean backup = view.backups().contains(from);
         highest = view.has(from) ? Math.max(highest, heartbeat.promised()) : highest;
         if (role == Role.PRIMARY && heartbeat.viewTerm() > view.term()) {
@@ -451,8 +405,7 @@
                 && !heartbeat.leaving()
                 && heartbeat.viewTerm() >= view.term()
                 && role != Role.PRIMARY) {
-            activePrimary = from;
-            activeAt = now;
+            leader.heard(from, now);
             next();
         }
         boolean old = heartbeat.viewTerm() < view.term();
@@ -490,7 +443,7 @@
                 && !membership.leaving()
                 && !candidate.equals(me.id())
                 && view.backups().stream().allMatch(id -> liveness.silence(id, now) < SILENT_MICROS);
-        boolean led = !activePrimary.equals(candidate) && now - activeAt < SILENT_MICROS;
+        boolean led = leader.ledByOther(candidate, now);
         if (!view.has(candidate)) {
             return "no member";
         }
@@ -551,8 +504,8 @@
     }
 
     private void acknowledged(Member from, long term, long ofRound) {
-        if (role == Role.PRIMARY && term == view.term() && ofRound == round) {
-            told.add(from.id());
+        if (role == Role.PRIMARY && term == view.term() && ofRound == orders.round()) {
+            orders.acknowledged(from.id());
             finish();
         }
     }
@@ -567,7 +520,7 @@
             standBack();
         }
         role = Role.FOLLOWER;
-        fail();
+        orders.fail();
     }
 
     private void elect(long term) {
@@ -618,8 +571,7 @@
         StoredVersion merged = kept.merge(install.held());
         boolean newer = merged != kept;
         kept = merged;
-        activePrimary = install.from().id();
-        activeAt = now;
+        leader.heard(install.from().id(), now);
         save(newer, () -> {
             if (promised == install.term()) {
                 send(install.from(), new InstallAck(me, install.term()));
@@ -631,8 +583,7 @@
         adopt(change.view());
         String from = change.from().id();
         if (role == Role.FOLLOWER && view.term() == change.view().term() && from.equals(view.primary())) {
-            activePrimary = from; // else a witness would stand against a term that has only just begun
-            activeAt = now;
+            leader.heard(from, now); // else a witness would stand against a term that has only just begun
         }
     }
 
@@ -668,11 +619,7 @@
             return;
         }
         role = Role.PRIMARY;
-        agreed = kept;
-        if (working != null) {
-            calls.addFirst(working); // what this term began with may hold it already
-            working = null;
-        }
+        orders.restart(kept);
         out.log("is primary of term " + view.term() + " with " + view.backups());
         List<Member> all = view.all();
         if (joint) {
@@ -694,61 +641,50 @@
     /** Keep this version; answered once. */
     public void put(long time, long call, long version, byte[] body) {
         now = time;
-        take(new Call(call, true, version, body, ContentDigest.of(body), now + CALL_MICROS));
+        take(new OrderQueue.Call(call, true, version, body, ContentDigest.of(body), now + CALL_MICROS));
     }
 
     /** The newest version that is acknowledged; answered once. */
     public void get(long time, long call) {
         now = time;
-        take(new Call(call, false, 0, null, ContentDigest.NONE, now + CALL_MICROS));
+        take(new OrderQueue.Call(call, false, 0, null, ContentDigest.NONE, now + CALL_MICROS));
     }
 
-    private void take(Call call) {
-        if (role == Role.FOLLOWER && !activePrimary.equals(me.id()) && now - activeAt < SILENT_MICROS) {
-            out.forward(call.id, liveness.member(activePrimary));
+    private void take(OrderQueue.Call call) {
+        if (role == Role.FOLLOWER && leader.ledByOther(me.id(), now)) {
+            out.forward(call.id(), liveness.member(leader.primary()));
             return;
         }
         if (role != Role.PRIMARY && !reachesMost()) {
             out.answer(
-                    call.id,
+                    call.id(),
                     CallOutcome.UNCERTAIN,
                     StoredVersion.NONE); // cut off: whoever asks had better ask elsewhere
             return;
         }
-        calls.add(call); // also where nobody leads: an election is a matter of a moment
+        orders.add(call); // also where nobody leads: an election is a matter of a moment
         next();
     }
 
     private void next() {
-        if (role == Role.FOLLOWER && now - activeAt < SILENT_MICROS && !activePrimary.equals(me.id())) {
-            Member to = liveness.member(activePrimary);
-            while (!calls.isEmpty()) {
-                out.forward(calls.poll().id, to);
-            }
+        if (role == Role.FOLLOWER && leader.ledByOther(me.id(), now)) {
+            orders.forward(liveness.member(leader.primary()));
             return;
         }
-        if (role != Role.PRIMARY || working != null || calls.isEmpty()) {
+        if (role != Role.PRIMARY || !orders.ready()) {
             return;
         }
-        working = calls.poll();
-        told.clear();
-        round++;
-        roundSince = now;
-        long mine = round;
-        if (working.put) {
-            kept = with(working);
-        }
-        copies = kept != agreed; // also what an earlier call that was given up has left half told
+        StoredVersion agreed = orders.agreed();
+        kept = orders.begin(kept, view.term(), now);
+        long mine = orders.round();
+        boolean copies = orders.copies();
         if (copies) {
-            onDisk = false;
             save(true, () -> {
-                if (role == Role.PRIMARY && round == mine) {
-                    onDisk = true;
+                if (role == Role.PRIMARY && orders.round() == mine) {
+                    orders.onDisk();
                     finish();
                 }
             });
-        } else {
-            onDisk = true;
         }
         for (Member member : view.members()) {
             if (view.backups().contains(member.id())) {
@@ -762,66 +698,24 @@
         finish();
     }
 
-    /** What is held once an order is done, which takes its number, unless that is taken or too old to be remembered. */
-    private StoredVersion with(Call order) {
-        if (order.version > kept.version()) {
-            return kept.next(order.version, view.term(), order.body, order.digest);
-        }
-        boolean free =
-                kept.numbers().digest(order.version) == null && !kept.numbers().forgets(order.version);
-        return free ? kept.taking(order.version, view.term(), order.digest) : kept;
-    }
-
-    /** How a call ends whose round with the backups has come to its end. */
-    private CallOutcome outcome(Call call) {
-        ContentDigest holds = call.put ? kept.numbers().digest(call.version) : null;
-        return holds == null || holds.equals(call.digest) ? CallOutcome.DONE : CallOutcome.CONFLICT;
-    }
-
     /** A call is done when all that hold what is acknowledged have told so in this term. */
     private void finish() {
-        if (working != null && onDisk && told.containsAll(view.backups())) {
-            Call done = working;
-            working = null;
-            agreed = kept;
-            if (copies) {
-                out.committed(kept);
-            }
-            out.answer(done.id, outcome(done), kept);
+        if (orders.finish(view.backups(), kept)) {
             next();
         }
     }
 
-    private void fail() {
-        if (working != null) {
-            out.answer(working.id, CallOutcome.UNCERTAIN, StoredVersion.NONE);
-            working = null;
-        }
-    }
-
     // ---- disk and links
 
     private void save(boolean keptToo, Runnable then) {
-        long mine = ++token;
-        View saved = view;
-        Runnable settles = () -> {
-            if (saved.before().isEmpty() && saved.term() > settled) {
-                settled = saved.term();
-                pingAt = Math.min(pingAt, now); // who has been replaced may wait for it
-            }
-            then.run();
-        };
-        saving.put(mine, new Saving(now, settles));
-        out.save(new ReplicaState(me, promised, view, kept), keptToo, mine);
+        long token = saves.begin(view, now, then);
+        out.save(new ReplicaState(me, promised, view, kept), keptToo, token);
     }
 
     /** This and all earlier saves are on disk. */
     public void saved(long time, long which) {
         now = time;
-        Saving done = saving.remove(which);
-        if (done != null) {
-            done.then().run();
-        }
+        saves.done(which);
     }
 
     private void send(Member to, Message message) {
