--- a/src/test/java/gorsemast/simulation/HuntTest.java
+++ b/src/test/java/gorsemast/simulation/HuntTest.java
@@ -91,9 +91,9 @@
     /** Drawn days seldom have a purge acknowledged by just the machine that is struck, so these days are made for it. */
     @Test
     void whatOnlyTheMachineKnewThatAcknowledgedItIsFoundMissing() {
-        Hunt.Result alone = Hunt.run(this::struckAfterAPurge, 40, Plant.ACKS_ALONE, 1);
+        Hunt.Result alone = Hunt.run(this::struckAfterAPurge, 40, Plant.ACKS_ALONE, 40);
         // KEPT tells of the purge that registries have forgotten before a copy is served past it, which is STALE.
-        assertThat(alone.found()).extracting(found -> found.broken().rule()).containsAnyOf("KEPT", "STALE");
+        assertThat(alone.found()).extracting(found -> found.broken().rule()).contains("KEPT", "STALE");
         assertThat(Hunt.run(this::struckAfterAPurge, 40, Plant.NONE, 1).found()).isEmpty();
     }
 
@@ -179,14 +179,12 @@
 
     @Test
     void aDayIsTheSameFromTheSameSeedAndCutDownToWhatItTakes() {
-        Hunt.Found found = Hunt.run(3, 4, 1, 60, Plant.SENDS_TO_LEAVING, 60).found().stream()
-                .filter(one -> one.broken().rule().equals("DRAIN"))
-                .findFirst()
-                .orElseThrow();
+        Hunt.Found found =
+                Hunt.run(3, 4, 1, 60, Plant.SENDS_TO_LEAVING, 1).found().get(0);
         Hunt.Found least = Hunt.shortest(found, Plant.SENDS_TO_LEAVING);
         assertThat(least.broken().rule()).isEqualTo("DRAIN");
         assertThat(least.day().troubles().size())
-                .isLessThanOrEqualTo(found.day().troubles().size());
+                .isLessThan(found.day().troubles().size());
         Hunt.Found again = Hunt.shortest(found, Plant.SENDS_TO_LEAVING);
         assertThat(again.story()).isEqualTo(least.story());
     }
