--- a/src/main/java/gorsemast/command/Check.java
+++ b/src/main/java/gorsemast/command/Check.java
@@ -14,8 +14,10 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
 
 /** Reads a file and says what is wrong with it: settings of either program, or an operator's configuration. */
 @Command(
@@ -70,6 +72,9 @@
             description = "Plays the store's decisions: all rows of events up to a depth, and drawn courses. "
                     + "Exits with 1 where what was acknowledged is lost, and prints how.")
     static final class Model implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+
         @Option(
                 names = "--depth",
                 defaultValue = "2",
@@ -110,6 +115,9 @@
 
         @Override
         public Integer call() {
+            if (depth < 1 || members < 3 || spares < 0 || courses < 1 || events < 1) {
+                throw Gorsemast.usage(spec, "--members from 3, --spares from 0, the others from 1");
+            }
             long begun = System.nanoTime();
             StoreCheck.Result rows = StoreCheck.all(members, depth, plant);
             StoreCheck.Result drawn =
--- a/src/main/java/gorsemast/command/CheckRegistry.java
+++ b/src/main/java/gorsemast/command/CheckRegistry.java
@@ -5,7 +5,9 @@
 import gorsemast.modelcheck.RegistryPlant;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
 
 /** Registries' leases and orders, over all rows of events and drawn courses. */
 @Command(
@@ -13,6 +15,9 @@
         description = "Plays the registries' decisions: all rows of events up to a depth, and drawn courses. "
                 + "Exits with 1 where one vouches that lacks what was acknowledged, and prints how.")
 final class CheckRegistry implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
     @Option(
             names = "--depth",
             defaultValue = "2",
@@ -38,6 +43,9 @@
 
     @Override
     public Integer call() {
+        if (depth < 1 || courses < 1 || events < 1) {
+            throw Gorsemast.usage(spec, "--depth, --courses and --events from 1");
+        }
         NettyLog.install();
         long begun = System.nanoTime();
         RegistryCheck.Result rows = RegistryCheck.all(depth, plant);
