Count which answers an edge gives by itself, and why

Need: an edge's log told how many requests were refused for want of a place, and of no 4xx that they were given, nor why. Change: OwnAnswer, one value a cause; a line "own answers" each 10 s, and with the line that says that the edge leaves. Result: no decision changed.

--- a/src/main/java/gorsemast/proxy/ClientConnection.java
+++ b/src/main/java/gorsemast/proxy/ClientConnection.java
@@ -78,6 +78,9 @@
         /** Counts what happened on a connection, with how long it took. */
         void happened(SocketEvent event, long micros);
 
+        /** Counts an answer that no service gave. */
+        void answeredItself(OwnAnswer why);
+
         void opened(ClientConnection connection);
 
         void closed(ClientConnection connection);
@@ -119,7 +122,7 @@
     void sweep(long now) {
         ClientRequest late = reading;
         if (late != null && now - late.headAt > owner.headMicros() + late.bytes * 1_000_000L / SLOWEST_BYTES) {
-            refuse(late, HttpResponseStatus.REQUEST_TIMEOUT);
+            refuse(late, OwnAnswer.TOO_SLOW);
         } else if (requests.isEmpty() && begun != 0 && now - begun > owner.headMicros()) {
             close();
         } else if (requests.isEmpty() && begun == 0 && now - since > owner.idleMicros()) {
@@ -153,7 +156,7 @@
             asked++;
             reading = new ClientRequest(this, head);
             requests.add(reading);
-            HttpResponseStatus problem = problem(head);
+            OwnAnswer problem = problem(head);
             if (problem != null) {
                 refuse(reading, problem);
                 return;
@@ -166,17 +169,17 @@
         if (message instanceof HttpContent part && reading != null) {
             ClientRequest request = reading;
             if (part.decoderResult().isFailure()) {
-                refuse(request, HttpResponseStatus.BAD_REQUEST);
+                refuse(request, OwnAnswer.MALFORMED);
                 return;
             }
             int more = part.content().readableBytes();
             if (request.bytes + more > owner.bodyBytes()) {
-                refuse(request, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+                refuse(request, OwnAnswer.BODY_TOO_LONG);
                 return;
             }
             if (more > 0) {
                 if (!owner.room(more)) {
-                    refuse(request, HttpResponseStatus.SERVICE_UNAVAILABLE);
+                    refuse(request, OwnAnswer.NO_ROOM_FOR_BODY);
                     return;
                 }
                 request.bytes += more;
@@ -191,21 +194,23 @@
         }
     }
 
-    private static HttpResponseStatus problem(HttpRequest head) {
+    private static OwnAnswer problem(HttpRequest head) {
         if (head.decoderResult().isFailure()) {
             return head.decoderResult().cause() instanceof io.netty.handler.codec.http.TooLongHttpHeaderException
                             || head.decoderResult().cause()
                                     instanceof io.netty.handler.codec.http.TooLongHttpLineException
-                    ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                    : HttpResponseStatus.BAD_REQUEST;
+                    ? OwnAnswer.HEAD_TOO_LONG
+                    : OwnAnswer.MALFORMED;
         }
         boolean oneHost = head.headers().getAll(HttpHeaderNames.HOST).size() == 1;
         boolean path = head.uri().startsWith("/");
-        return oneHost && path && head.protocolVersion().majorVersion() == 1 ? null : HttpResponseStatus.BAD_REQUEST;
+        return oneHost && path && head.protocolVersion().majorVersion() == 1 ? null : OwnAnswer.MALFORMED;
     }
 
     /** An error for what can't be read on; the connection ends with it. */
-    private void refuse(ClientRequest request, HttpResponseStatus status) {
+    private void refuse(ClientRequest request, OwnAnswer why) {
+        HttpResponseStatus status = status(why);
+        owner.answeredItself(why);
         closing = true;
         reading = null;
         request.whole = true;
@@ -217,6 +222,16 @@
         request.answer(status.code(), headers, Unpooled.EMPTY_BUFFER);
     }
 
+    private static HttpResponseStatus status(OwnAnswer why) {
+        return switch (why) {
+            case TOO_SLOW -> HttpResponseStatus.REQUEST_TIMEOUT;
+            case BODY_TOO_LONG -> HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
+            case HEAD_TOO_LONG -> HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+            case NO_ROOM_FOR_BODY -> HttpResponseStatus.SERVICE_UNAVAILABLE;
+            default -> HttpResponseStatus.BAD_REQUEST;
+        };
+    }
+
     private void start() {
         boolean first = true;
         boolean alone = true;
--- /dev/null
+++ b/src/main/java/gorsemast/proxy/EdgeCounters.java
@@ -0,0 +1,16 @@
+package gorsemast.proxy;
+
+import gorsemast.observe.EventCounters;
+
+/**
+ * What one edge counts of its clients, for its log; one thread.
+ *
+ * @param sockets what happens to its sockets
+ * @param answers which answers it gives by itself
+ */
+record EdgeCounters(EventCounters<SocketEvent> sockets, EventCounters<OwnAnswer> answers) {
+    /** With nothing counted. */
+    EdgeCounters() {
+        this(new EventCounters<>(SocketEvent.class), new EventCounters<>(OwnAnswer.class));
+    }
+}
--- a/src/main/java/gorsemast/proxy/Front.java
+++ b/src/main/java/gorsemast/proxy/Front.java
@@ -64,6 +64,7 @@
     private final ObjectDesk desk;
     private final AcceptLimiter acceptLimiter;
     private final EventCounters<SocketEvent> sockets;
+    private final EventCounters<OwnAnswer> answers;
     /** Whether connections end with their answers, as there are too few for those who keep theirs. */
     private final boolean closes;
 
@@ -84,7 +85,7 @@
             Supplier<Configuration> configuration,
             Function<String, Sender> senders,
             ObjectDesk desk,
-            EventCounters<SocketEvent> sockets,
+            EdgeCounters counters,
             SocketBudget places,
             long seed) {
         this.loop = loop;
@@ -94,7 +95,8 @@
         this.desk = desk;
         this.places = places;
         this.closes = !places.keeps();
-        this.sockets = sockets;
+        this.sockets = counters.sockets();
+        this.answers = counters.answers();
         this.acceptLimiter = new AcceptLimiter(places.clients(), new ClientWatcher());
         this.admission = new ConcurrencyLimiter(places.waiting());
         this.random = new SplittableRandom(seed);
@@ -196,6 +198,11 @@
         sockets.count(event, micros);
     }
 
+    @Override
+    public void answeredItself(OwnAnswer why) {
+        answers.count(why);
+    }
+
     @Override
     public long now() {
         return clock.getAsLong();
@@ -282,8 +289,10 @@
         if (route == null) {
             turn.takeBody().release();
             if (configuration.get() == null) {
+                answers.count(OwnAnswer.NO_CONFIGURATION);
                 refuse(turn, LATER_MICROS);
             } else {
+                answers.count(OwnAnswer.NO_ROUTE);
                 turn.answer(NOT_FOUND, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
             }
             return;
@@ -291,6 +300,7 @@
         String id = turn.headers().get(Network.ATTEMPT);
         long budget = budget(turn.headers().get(Network.BUDGET));
         if (budget == 0 || id == null && !route.repeatable()) {
+            answers.count(budget == 0 ? OwnAnswer.UNREADABLE_BUDGET : OwnAnswer.NO_ATTEMPT_ID);
             turn.takeBody().release();
             turn.answer(BAD, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
             return;
@@ -315,6 +325,7 @@
     private void turnAway(Turn turn) {
         turn.takeBody().release();
         sockets.count(SocketEvent.CLIENT_TURNED_AWAY);
+        answers.count(OwnAnswer.NO_PLACE);
         refuse(turn, comeBack.refused(0, random.nextDouble()));
     }
 
@@ -322,6 +333,7 @@
     private void forward(Turn turn, Route route, String id, long giveUp) {
         Sender sender = senders.apply(route.service(random.nextDouble()));
         if (sender == null) {
+            answers.count(OwnAnswer.SERVICE_REFUSED);
             turn.takeBody().release();
             refuse(turn, LATER_MICROS);
             return;
@@ -395,12 +407,14 @@
         @Override
         public void refused(long retryAfter, boolean sent) {
             ended(SocketEvent.CALL_REFUSED);
+            answers.count(OwnAnswer.SERVICE_REFUSED);
             refuse(turn, retryAfter);
         }
 
         @Override
         public void failed(boolean timeUp, boolean sent) {
             ended(SocketEvent.CALL_FAILED);
+            answers.count(timeUp ? OwnAnswer.TIME_OVER : OwnAnswer.SERVICE_FAILED);
             turn.answer(timeUp ? TIME_OUT : FAILED, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
         }
     }
--- a/src/main/java/gorsemast/proxy/ObjectDesk.java
+++ b/src/main/java/gorsemast/proxy/ObjectDesk.java
@@ -19,6 +19,7 @@
 import gorsemast.dispatch.Sender;
 import gorsemast.gossip.GossipState;
 import gorsemast.http.Passage;
+import gorsemast.observe.EventCounters;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -65,6 +66,7 @@
     private final Function<String, Sender> senders;
     private final Supplier<Configuration> configuration;
     private final IntSupplier edges;
+    private final EventCounters<OwnAnswer> answers;
     private final SplittableRandom random;
     private Fetching<FullHttpResponse> fetching;
 
@@ -75,6 +77,7 @@
             Function<String, Sender> senders,
             Supplier<Configuration> configuration,
             IntSupplier edges,
+            EventCounters<OwnAnswer> answers,
             long seed) {
         this.loop = loop;
         this.clock = clock;
@@ -82,6 +85,7 @@
         this.senders = senders;
         this.configuration = configuration;
         this.edges = edges;
+        this.answers = answers;
         this.random = new SplittableRandom(seed);
     }
 
@@ -125,6 +129,7 @@
         ScheduledFuture<?> limit = loop.schedule(
                 () -> {
                     over[0] = true;
+                    answers.count(OwnAnswer.TIME_OVER);
                     turn.answer(TIME_OUT, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
                 },
                 Math.max(0, giveUp - clock.getAsLong()),
@@ -163,6 +168,7 @@
             @Override
             public void refused(long retryAfter) {
                 if (!done()) {
+                    answers.count(OwnAnswer.OBJECT_REFUSED);
                     Front.refuse(turn, retryAfter);
                 }
             }
@@ -170,6 +176,7 @@
             @Override
             public void failed() {
                 if (!done()) {
+                    answers.count(OwnAnswer.TIME_OVER);
                     turn.answer(TIME_OUT, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
                 }
             }
@@ -309,7 +316,7 @@
     // ---- to clients
 
     /** Answers from a whole copy: all of it, a range of it, or that it is unchanged. */
-    private static void answer(Turn turn, Copy copy, String attemptId) {
+    private void answer(Turn turn, Copy copy, String attemptId) {
         HttpHeaders headers = new DefaultHttpHeaders();
         copy.headers().forEach(header -> headers.add(header.getKey(), header.getValue()));
         if (attemptId != null) {
@@ -318,6 +325,7 @@
         String tag = copy.header("ETag");
         String wanted = turn.headers().get(HttpHeaderNames.IF_NONE_MATCH);
         if (tag != null && tag.equals(wanted)) {
+            answers.count(OwnAnswer.UNCHANGED);
             turn.answer(UNCHANGED, headers, Unpooled.EMPTY_BUFFER);
             return;
         }
@@ -326,6 +334,7 @@
         if (range == null) {
             turn.answer(OK, headers, Unpooled.wrappedBuffer(copy.body()));
         } else if (range[0] >= length) {
+            answers.count(OwnAnswer.RANGE_BEYOND_END);
             headers.set(HttpHeaderNames.CONTENT_RANGE, "bytes */" + length);
             turn.answer(RANGE, headers, Unpooled.EMPTY_BUFFER);
         } else {
--- a/src/main/java/gorsemast/proxy/ProxyProgram.java
+++ b/src/main/java/gorsemast/proxy/ProxyProgram.java
@@ -15,7 +15,6 @@
 import gorsemast.node.Daemon;
 import gorsemast.node.Seed;
 import gorsemast.node.Settings;
-import gorsemast.observe.EventCounters;
 import gorsemast.peer.Link;
 import gorsemast.peer.Links;
 import gorsemast.peer.Neighbour;
@@ -91,7 +90,7 @@
     private final ObjectDesk desk;
     private final Fetching<FullHttpResponse> fetching;
     private final Front front;
-    private final EventCounters<SocketEvent> sockets = new EventCounters<>(SocketEvent.class);
+    private final EdgeCounters counters = new EdgeCounters();
     private final Map<String, Sender> senders = new HashMap<>();
     private final SplittableRandom random = new SplittableRandom(Seed.fresh());
     private final long origin = System.nanoTime();
@@ -136,11 +135,12 @@
                         ip -> Ports.OBJECTS.at(settings, ip),
                         places.between(),
                         places.keeps(),
-                        sockets,
+                        counters.sockets(),
                         random.nextLong()),
                 senders::get,
                 lookout::configuration,
                 lookout.homes()::count,
+                counters.answers(),
                 random.nextLong());
         this.fetching = new Fetching<>(
                 settings.ip(),
@@ -154,7 +154,7 @@
                 desk);
         desk.goBy(fetching);
         this.front = new Front(
-                loop, this::now, lookout::configuration, senders::get, desk, sockets, places, random.nextLong());
+                loop, this::now, lookout::configuration, senders::get, desk, counters, places, random.nextLong());
     }
 
     private Record.Hello hello() {
@@ -192,7 +192,14 @@
         if (places.watched() > 0) {
             links.listen(Ports.PROXY.at(settings, settings.ip()));
         }
-        new ObjectsServer(loop, this::now, lookout::configuration, desk, lookout.board(), sockets, places.asked())
+        new ObjectsServer(
+                        loop,
+                        this::now,
+                        lookout::configuration,
+                        desk,
+                        lookout.board(),
+                        counters.sockets(),
+                        places.asked())
                 .listen(Ports.OBJECTS.at(settings, settings.ip()));
         listenForProbes(probes);
         loop.execute(this::tick);
@@ -252,7 +259,8 @@
         loop.execute(() -> {
             stopping = true;
             LOG.info("leaves, " + front.held() + " requests held; took " + front.taken() + ", "
-                    + fetching.counters().describe());
+                    + fetching.counters().describe() + "; own answers: "
+                    + counters.answers().describe());
             loop.schedule(front::closing, Math.min(NOTICED_MICROS, grace / 2), TimeUnit.MICROSECONDS);
             long begun = now();
             loop.scheduleWithFixedDelay(
@@ -312,8 +320,11 @@
             if (fetching.counters().changed()) {
                 LOG.info("objects: " + fetching.counters().describe());
             }
-            if (sockets.changed()) {
-                LOG.info("sockets: " + sockets.describe());
+            if (counters.sockets().changed()) {
+                LOG.info("sockets: " + counters.sockets().describe());
+            }
+            if (counters.answers().changed()) {
+                LOG.info("own answers: " + counters.answers().describe());
             }
         }
     }
--- a/src/test/java/gorsemast/proxy/PipelineTest.java
+++ b/src/test/java/gorsemast/proxy/PipelineTest.java
@@ -97,6 +97,11 @@
                 // not looked at
             }
 
+            @Override
+            public void answeredItself(OwnAnswer why) {
+                // not looked at
+            }
+
             @Override
             public void opened(ClientConnection connection) {
                 // one is enough
