Let requests of lightly used routes wait briefly for the next place

Cause: on an edge with few sockets a request that found no place was refused at once, whoever it was, so that a route asked for now and then lost as often as busy ones whose clients come back again and again. Class: admission without fairness, no wait in place of a bounded one. Change: ConcurrencyLimiter averages what each kind has held of late; who has held less than half of its fair share may wait, on the socket that turns others round, for half of its aim and 100 ms at most, and has the next place. Lightest first; who gives way is refused.

--- a/src/main/java/gorsemast/admission/ConcurrencyLimiter.java
+++ b/src/main/java/gorsemast/admission/ConcurrencyLimiter.java
@@ -1,6 +1,8 @@
 package gorsemast.admission;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -15,7 +17,12 @@
  * <p>Requests of a kind that usually hold a place for longer than their aim may have a part of the places only, so that long answers
  * alone can't take all of them. What a kind usually takes is learned from its requests.
  *
- * <p><b>Could hurt</b> where requests would have waited briefly and are refused: they come back, which costs a connection. O(1); one record
+ * <p>A kind that has held well under its fair share of the places of late may wait, briefly and on one of those sockets, and has the next
+ * place that comes free. Who has held least goes first; who must give way to it is refused. So a kind that is seldom asked for is served
+ * beside busy ones, whose clients come back again and again, and no place stands idle for it.
+ *
+ * <p><b>Could hurt</b> where requests would have waited briefly and are refused: they come back, which costs a connection; and where one
+ * waits in vain, as long as it does nobody else is accepted on its socket. O(1), and O(kinds of late) where no place is free; one record
  * a kind of request; no clock, no I/O; one thread; times in microseconds.
  */
 public final class ConcurrencyLimiter {
@@ -23,8 +30,16 @@
     public static final int UNBOUNDED = Integer.MAX_VALUE;
 
     private static final double NEW_PART = 0.1;
-    /** Beyond so many kinds the records begin anew. */
+    /** Beyond so many kinds those that hold nothing are forgotten. */
     private static final int MOST_KINDS = 4_096;
+    /** Over about so long the places that a kind holds are averaged. */
+    private static final double OF_LATE_MICROS = 1e6;
+    /** A kind that holds fewer places on average takes no part in the shares. */
+    private static final double UNUSED = 0.01;
+    /** Who has held less than this part of its fair share may wait. */
+    private static final double LIGHT_PART = 0.5;
+    /** Nobody waits longer, nor for more than half of its aim. */
+    private static final long LONGEST_WAIT_MICROS = 100_000;
 
     /**
      * Requests that are alike.
@@ -33,48 +48,181 @@
      * @param aimMicros within which their answers are wanted
      * @param mostIfLong places that they may hold where they usually take longer than that
      */
-    public record Kind(String name, long aimMicros, int mostIfLong) {}
+    public record Kind(String name, long aimMicros, int mostIfLong) {
+        /** How long one of them may wait for a place. */
+        public long longestWaitMicros() {
+            return Math.min(LONGEST_WAIT_MICROS, aimMicros / 2);
+        }
+    }
+
+    /** One request that asks for a place; told once, unless it was answered at once or withdrawn. */
+    public interface Waiter {
+        /** It has the place that came free. */
+        void admitted();
+
+        /** It gives way to another. */
+        void refused();
+    }
+
+    /** What a request is told at once. */
+    public enum Admission {
+        /** It has a place, which {@link #release} gives back. */
+        ADMITTED,
+        /** It is told later, unless it is withdrawn. */
+        WAITS,
+        /** There is none for it. */
+        REFUSED
+    }
+
+    /** What is known of a kind. */
+    private static final class Usage {
+        private int held;
+        /** For how long one of its requests usually has a place; no number before the first. */
+        private double usual = Double.NaN;
+        /** How many places it has held on average of late, as of then. */
+        private double average;
+
+        private long averagedAt;
+
+        double average(long now) {
+            double kept = Math.exp(-Math.max(0, now - averagedAt) / OF_LATE_MICROS);
+            return average * kept + held * (1 - kept);
+        }
+
+        void change(int by, long now) {
+            average = average(now);
+            averagedAt = now;
+            held += by;
+        }
+    }
+
+    private record Waiting(Kind kind, Waiter waiter) {}
 
     private final int places;
-    private final Map<String, Double> usual = new HashMap<>();
-    private final Map<String, Integer> held = new HashMap<>();
+    private final int mostWaiting;
+    private final Map<String, Usage> kinds = new HashMap<>();
+    private final List<Waiting> queue = new ArrayList<>();
     private int taken;
 
-    /** @param places in all; {@link #UNBOUNDED} where nothing is short */
-    public ConcurrencyLimiter(int places) {
+    /**
+     * For so many requests at a time.
+     *
+     * @param places in all; {@link #UNBOUNDED} where nothing is short
+     * @param mostWaiting how many may wait for one
+     */
+    public ConcurrencyLimiter(int places, int mostWaiting) {
         this.places = Math.max(1, places);
+        this.mostWaiting = mostWaiting;
     }
 
-    /** Takes a place for a request, which {@link #release} gives back; false where there is none for it. */
-    public boolean acquire(Kind kind) {
+    /** Asks for a place for a request; where it waits, {@code waiter} is told. */
+    public Admission acquire(Kind kind, long now, Waiter waiter) {
         if (places == UNBOUNDED) {
-            return true;
+            return Admission.ADMITTED;
         }
-        int ofKind = held.getOrDefault(kind.name, 0);
-        boolean crowds = ofKind >= Math.max(1, kind.mostIfLong) && usual.getOrDefault(kind.name, 0.0) > kind.aimMicros;
-        if (taken >= places || crowds) {
-            return false;
+        Usage usage = usage(kind, now);
+        if (usage.held >= Math.max(1, kind.mostIfLong) && usage.usual > kind.aimMicros) {
+            return Admission.REFUSED;
         }
+        if (taken < places) {
+            take(usage, now);
+            return Admission.ADMITTED;
+        }
+        return isLight(usage, now) && queue(new Waiting(kind, waiter), now) ? Admission.WAITS : Admission.REFUSED;
+    }
+
+    private Usage usage(Kind kind, long now) {
+        return kinds.computeIfAbsent(kind.name, name -> {
+            Usage fresh = new Usage();
+            fresh.averagedAt = now;
+            return fresh;
+        });
+    }
+
+    private void take(Usage usage, long now) {
         taken++;
-        held.put(kind.name, ofKind + 1);
+        usage.change(1, now);
+    }
+
+    private boolean isLight(Usage usage, long now) {
+        long active = kinds.values().stream()
+                .filter(one -> one != usage && one.average(now) > UNUSED)
+                .count();
+        return usage.average(now) < LIGHT_PART * places / (active + 1);
+    }
+
+    /** Whether it may wait, where need be in the place of one whose kind has held more. */
+    private boolean queue(Waiting one, long now) {
+        if (queue.size() >= mostWaiting) {
+            Waiting heaviest = heaviest(now);
+            if (heaviest == null || average(heaviest, now) <= average(one, now)) {
+                return false;
+            }
+            queue.remove(heaviest);
+            queue.add(one);
+            heaviest.waiter.refused();
+        } else {
+            queue.add(one);
+        }
         return true;
     }
 
+    private double average(Waiting one, long now) {
+        return usage(one.kind, now).average(now);
+    }
+
+    private Waiting heaviest(long now) {
+        Waiting heaviest = null;
+        for (Waiting one : queue) {
+            if (heaviest == null || average(one, now) > average(heaviest, now)) {
+                heaviest = one;
+            }
+        }
+        return heaviest;
+    }
+
+    private Waiting lightest(long now) {
+        Waiting lightest = null;
+        for (Waiting one : queue) {
+            if (lightest == null || average(one, now) < average(lightest, now)) {
+                lightest = one;
+            }
+        }
+        return lightest;
+    }
+
+    /** A request waits no longer; it is not told any more. Returns whether it waited. */
+    public boolean withdraw(Waiter waiter) {
+        return queue.removeIf(one -> one.waiter == waiter);
+    }
+
     /** A place that was taken for a request is free again after so long. */
-    public void release(Kind kind, long heldMicros) {
+    public void release(Kind kind, long heldMicros, long now) {
         if (places == UNBOUNDED) {
             return;
         }
         taken--;
-        held.computeIfPresent(kind.name, (name, count) -> count == 1 ? null : count - 1);
-        if (usual.size() > MOST_KINDS) {
-            usual.clear();
+        Usage usage = usage(kind, now);
+        usage.change(-1, now);
+        usage.usual = Double.isNaN(usage.usual) ? heldMicros : usage.usual + NEW_PART * (heldMicros - usage.usual);
+        if (kinds.size() > MOST_KINDS) {
+            kinds.values().removeIf(one -> one.held == 0);
+        }
+        Waiting next = lightest(now);
+        if (next != null) {
+            queue.remove(next);
+            take(usage(next.kind, now), now);
+            next.waiter.admitted();
         }
-        usual.merge(kind.name, (double) heldMicros, (known, now) -> known + NEW_PART * (now - known));
     }
 
     /** How many places are taken. */
     public int taken() {
         return taken;
     }
+
+    /** How many requests wait for one. */
+    public int waiting() {
+        return queue.size();
+    }
 }
--- a/src/main/java/gorsemast/proxy/ClientConnection.java
+++ b/src/main/java/gorsemast/proxy/ClientConnection.java
@@ -69,11 +69,11 @@
 
         void take(Turn turn);
 
-        /** Takes a place for requests of a kind that take time; false where there is none. */
-        boolean acquire(ConcurrencyLimiter.Kind kind);
+        /** Who has a place for requests that take time. */
+        ConcurrencyLimiter limiter();
 
-        /** Gives it back after so long. */
-        void release(ConcurrencyLimiter.Kind kind, long heldMicros);
+        /** One of its places came free. */
+        void released();
 
         /** Counts what happened on a connection, with how long it took. */
         void happened(SocketEvent event, long micros);
@@ -97,17 +97,14 @@
     /** How many requests have begun to come on it. */
     private long asked;
 
-    /** The kind of request that it has a place for; null where it has none. */
-    private ConcurrencyLimiter.Kind entered;
-
-    private long enteredAt;
-
+    private final PlaceHolder place;
     private boolean closing;
     private boolean broken;
 
     ClientConnection(Channel channel, Owner owner) {
         this.channel = channel;
         this.owner = owner;
+        this.place = new PlaceHolder(channel.eventLoop(), owner::now, owner.limiter(), owner::released);
     }
 
     // ---- what comes
@@ -265,20 +262,9 @@
         });
     }
 
-    /** Takes a place for requests that take time, unless it has one; false where all are taken. */
-    boolean acquire(ConcurrencyLimiter.Kind kind) {
-        if (entered == null && owner.acquire(kind)) {
-            entered = kind;
-            enteredAt = owner.now();
-        }
-        return entered != null;
-    }
-
-    private void leavePlace() {
-        if (entered != null) {
-            owner.release(entered, owner.now() - enteredAt);
-            entered = null;
-        }
+    /** Asks for a place for requests that take time, as {@link Turn#acquire} says. */
+    void acquire(ConcurrencyLimiter.Kind kind, Runnable admitted, Runnable refused) {
+        place.acquire(kind, admitted, refused);
     }
 
     // ---- what goes
@@ -339,7 +325,7 @@
             written.addListener(done -> {
                 owner.happened(SocketEvent.ANSWER_WRITTEN, owner.now() - ready);
                 if (requests.isEmpty()) {
-                    leavePlace();
+                    place.leave();
                 }
             });
             wrote = false;
@@ -432,7 +418,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         broken = true;
         owner.closed(this);
-        leavePlace();
+        place.leave();
         if (asked == 0) {
             owner.happened(SocketEvent.CLIENT_LEFT_UNASKED, 0);
         }
--- a/src/main/java/gorsemast/proxy/ClientRequest.java
+++ b/src/main/java/gorsemast/proxy/ClientRequest.java
@@ -84,8 +84,8 @@
     }
 
     @Override
-    public boolean acquire(ConcurrencyLimiter.Kind kind) {
-        return connection.acquire(kind);
+    public void acquire(ConcurrencyLimiter.Kind kind, Runnable admitted, Runnable refused) {
+        connection.acquire(kind, admitted, refused);
     }
 
     @Override
--- a/src/main/java/gorsemast/proxy/Front.java
+++ b/src/main/java/gorsemast/proxy/Front.java
@@ -69,7 +69,7 @@
     private final boolean closes;
 
     private final SocketBudget places;
-    private final ConcurrencyLimiter admission;
+    private final ConcurrencyLimiter limiter;
     private final ComeBack comeBack = new ComeBack();
     private final SplittableRandom random;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
@@ -98,7 +98,7 @@
         this.sockets = counters.sockets();
         this.answers = counters.answers();
         this.acceptLimiter = new AcceptLimiter(places.clients(), new ClientWatcher());
-        this.admission = new ConcurrencyLimiter(places.waiting());
+        this.limiter = new ConcurrencyLimiter(places.inHand(), places.waiting());
         this.random = new SplittableRandom(seed);
     }
 
@@ -237,14 +237,13 @@
     }
 
     @Override
-    public boolean acquire(ConcurrencyLimiter.Kind kind) {
-        return admission.acquire(kind);
+    public ConcurrencyLimiter limiter() {
+        return limiter;
     }
 
     @Override
-    public void release(ConcurrencyLimiter.Kind kind, long heldMicros) {
+    public void released() {
         comeBack.served();
-        admission.release(kind, heldMicros);
     }
 
     @Override
@@ -308,12 +307,11 @@
         long wait = Math.min(route.timeoutMicros(), budget < 0 ? Long.MAX_VALUE : Math.max(1_000, budget - WAY_MICROS));
         long giveUp = turn.arrival() + wait;
         if (route.kind() == Route.Kind.CACHEABLE && turn.method().equals(HttpMethod.GET)) {
-            ConcurrencyLimiter.Kind kind = kind(route, places.waiting() - 1);
+            ConcurrencyLimiter.Kind kind = kind(route, places.inHand() - 1);
             desk.serve(turn, kind, route, id, giveUp, () -> forward(turn, route, id, giveUp), () -> turnAway(turn));
-        } else if (turn.acquire(kind(route, places.servers() - 1))) {
-            forward(turn, route, id, giveUp);
         } else {
-            turnAway(turn);
+            ConcurrencyLimiter.Kind kind = kind(route, places.servers() - 1);
+            turn.acquire(kind, () -> forward(turn, route, id, giveUp), () -> turnAway(turn));
         }
     }
 
--- a/src/main/java/gorsemast/proxy/ObjectDesk.java
+++ b/src/main/java/gorsemast/proxy/ObjectDesk.java
@@ -112,10 +112,17 @@
         WantedObject what = new WantedObject(route, route.host(), turn.uri());
         Copy copy = fetching.held(what);
         boolean atOnce = copy != null && copy.body().length <= SHORT;
-        if (!atOnce && !turn.acquire(kind)) {
-            turnAway.run();
-            return;
+        if (atOnce) {
+            turn.takeBody().release();
+            answer(turn, copy, attemptId);
+        } else {
+            turn.acquire(kind, () -> takeTime(turn, what, attemptId, giveUp, direct), turnAway);
         }
+    }
+
+    /** A request that has a place for what takes time. */
+    private void takeTime(Turn turn, WantedObject what, String attemptId, long giveUp, Runnable direct) {
+        Copy copy = fetching.held(what); // one may have come while it waited
         if (copy == null && fetching.isLong(what)) {
             direct.run();
             return;
--- a/src/main/java/gorsemast/proxy/SocketBudget.java
+++ b/src/main/java/gorsemast/proxy/SocketBudget.java
@@ -43,10 +43,15 @@
     }
 
     /** How many requests that take time may be in hand for clients. */
-    int waiting() {
+    int inHand() {
         return keeps() ? ConcurrencyLimiter.UNBOUNDED : Math.max(1, clients - TURNING);
     }
 
+    /** How many requests may wait for such a place; each keeps a socket from turning others round. */
+    int waiting() {
+        return TURNING;
+    }
+
     /** Whether connections between edges are kept for the next request. */
     boolean keeps() {
         return watched > 0;
--- a/src/main/java/gorsemast/proxy/Turn.java
+++ b/src/main/java/gorsemast/proxy/Turn.java
@@ -26,11 +26,10 @@
     void onLeave(Runnable task);
 
     /**
-     * Takes one of the places for requests that take time, unless its connection has one already.
-     *
-     * @return false where all are taken
+     * Asks for one of the places for requests that take time, unless its connection has one already. One of the two is run, at once or
+     * within {@link ConcurrencyLimiter.Kind#longestWaitMicros}, unless its client leaves before.
      */
-    boolean acquire(ConcurrencyLimiter.Kind kind);
+    void acquire(ConcurrencyLimiter.Kind kind, Runnable admitted, Runnable refused);
 
     /**
      * Answers; a second answer is let be.
--- a/src/test/java/gorsemast/proxy/PipelineTest.java
+++ b/src/test/java/gorsemast/proxy/PipelineTest.java
@@ -83,12 +83,12 @@
             }
 
             @Override
-            public boolean acquire(ConcurrencyLimiter.Kind kind) {
-                return true;
+            public ConcurrencyLimiter limiter() {
+                return new ConcurrencyLimiter(ConcurrencyLimiter.UNBOUNDED, 0);
             }
 
             @Override
-            public void release(ConcurrencyLimiter.Kind kind, long heldMicros) {
+            public void released() {
                 // there are enough
             }
 
