Let a request's first line fill the head that the operator allows

Cause: an edge's decoder allowed half of the head's limit for the first line, and its listener for other edges 4 kB, so that a proper request with a long path got 431, or its object could not be had from its home. Change: the first line is bounded by the head's limit at clients' and at edges' listeners; the program in service keeps its own.

--- a/src/main/java/gorsemast/http/StrictHttp.java
+++ b/src/main/java/gorsemast/http/StrictHttp.java
@@ -34,12 +34,12 @@
     public static final class Requests extends HttpRequestDecoder {
         /** Heads of {@code MAX_HEAD} bytes at most. */
         public Requests() {
-            this(MAX_HEAD);
+            super(config());
         }
 
-        /** @param maxHead bytes that a head may have, its first line half of them */
+        /** @param maxHead bytes that a head may have, and its first line of them as many as it needs */
         public Requests(int maxHead) {
-            super(config().setMaxHeaderSize(maxHead).setMaxInitialLineLength(Math.max(MAX_LINE, maxHead / 2)));
+            super(config().setMaxHeaderSize(maxHead).setMaxInitialLineLength(Math.max(MAX_LINE, maxHead)));
         }
 
         @Override
--- a/src/main/java/gorsemast/proxy/Front.java
+++ b/src/main/java/gorsemast/proxy/Front.java
@@ -48,7 +48,7 @@
     /** Before the client's own time is over, by as much as an answer takes to it. */
     private static final long WAY_MICROS = 8_000;
     /** A head is kept whole, so the operator's limit has one itself. */
-    private static final int MOST_HEAD = 256 << 10;
+    static final int MOST_HEAD = 256 << 10;
 
     private static final long MOST_BODIES = 24L << 20;
     private static final long MICROS = 1_000_000L;
--- a/src/main/java/gorsemast/proxy/ObjectsServer.java
+++ b/src/main/java/gorsemast/proxy/ObjectsServer.java
@@ -72,7 +72,7 @@
                 acceptLimiter.comes(ch);
                 ch.pipeline()
                         .addLast(
-                                new StrictHttp.Requests(),
+                                new StrictHttp.Requests(Front.MOST_HEAD),
                                 new HttpResponseEncoder(),
                                 new HttpObjectAggregator(MOST, true),
                                 new Asker());
--- a/src/main/java/gorsemast/standin/StandInServer.java
+++ b/src/main/java/gorsemast/standin/StandInServer.java
@@ -33,6 +33,9 @@
  * be called from any thread.
  */
 public final class StandInServer implements AutoCloseable {
+    /** A client may fill a head of the longest that an operator allows in tests. */
+    private static final int MOST_HEAD = 32 << 10;
+
     private static final int MOST = 1 << 20;
     /** What it appends to objects below a path {@code /long/}. */
     public static final int LONG = 3 << 20;
@@ -91,7 +94,7 @@
                 open.add(ch);
                 ch.pipeline()
                         .addLast(
-                                new StrictHttp.Requests(),
+                                new StrictHttp.Requests(MOST_HEAD),
                                 new HttpResponseEncoder(),
                                 new HttpObjectAggregator(MOST),
                                 new Serving());
--- a/src/test/java/gorsemast/standin/ProperRequestsTest.java
+++ b/src/test/java/gorsemast/standin/ProperRequestsTest.java
@@ -18,13 +18,17 @@
  * <p>How: a client that is late on a busy machine says that 0 milliseconds are left, or less than that. Its request is as proper as any;
  * it got a 400, which ends a client's tries, where one that comes back may still be served.
  *
- * <p>Cause: "not a positive number below a bound" was taken for "can't be read". So were times beyond the bound.
+ * <p>Cause: "not a positive number below a bound" was taken for "can't be read". So were times beyond the bound; and of a head within the
+ * operator's limit a first line of more than half of that was refused.
  *
  * <p>Proof: each of them sent to an edge over a socket.
  */
 class ProperRequestsTest {
     private static final int TIME_OUT_MILLIS = 10_000;
 
+    /** {@code maxHeaderBytes} of the configuration in force is 16,384. */
+    private static final int LONG_LINE = 12_000;
+
     @TempDir
     static Path data;
 
@@ -79,4 +83,10 @@
     void whatIsNoNumberIsTurnedAway(String budget) throws IOException {
         assertThat(ask("/orders/unreadable", budget)).startsWith("HTTP/1.1 400 ");
     }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"/orders/", "/objects/"})
+    void aFirstLineMayFillTheHead(String route) throws IOException {
+        assertThat(ask(route + "x".repeat(LONG_LINE), "1500")).startsWith("HTTP/1.1 200 ");
+    }
 }
