--- a/src/test/java/gorsemast/admission/ConcurrencyLimiterTest.java
+++ b/src/test/java/gorsemast/admission/ConcurrencyLimiterTest.java
@@ -5,6 +5,10 @@
 import gorsemast.admission.ConcurrencyLimiter.Admission;
 import gorsemast.admission.ConcurrencyLimiter.Kind;
 import gorsemast.admission.ConcurrencyLimiter.Waiter;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -107,4 +111,160 @@
                     .isEqualTo(Admission.ADMITTED);
         }
     }
+
+    // ---- who may wait
+
+    /** One kind in a crowd: how often it is asked for and how long one request holds a place. */
+    private record Traffic(Kind kind, double perSecond, long workMicros) {}
+
+    /** What became of a kind's requests. */
+    private static final class Tally {
+        private int asked;
+        private int admitted;
+        private int waited;
+
+        double served() {
+            return (double) admitted / asked;
+        }
+    }
+
+    /** A crowd in virtual time, a minute long; requests that wait leave when their time is over. */
+    private static final class Crowd {
+        private record Ending(long at, Runnable what) {}
+
+        private final ConcurrencyLimiter limiter;
+        private final PriorityQueue<Ending> endings = new PriorityQueue<>((a, b) -> Long.compare(a.at, b.at));
+        private final SplittableRandom random;
+        private long now;
+
+        Crowd(int mostWaiting, long seed) {
+            limiter = new ConcurrencyLimiter(PLACES, mostWaiting);
+            random = new SplittableRandom(seed);
+        }
+
+        Map<String, Tally> play(List<Traffic> all) {
+            Map<String, Tally> tallies = new HashMap<>();
+            all.forEach(one -> tallies.put(one.kind.name(), new Tally()));
+            double perSecond = all.stream().mapToDouble(Traffic::perSecond).sum();
+            while (now < 60_000_000) {
+                long next = now + (long) (-Math.log(1 - random.nextDouble()) / perSecond * 1e6);
+                while (!endings.isEmpty() && endings.peek().at <= next) {
+                    Ending ending = endings.poll();
+                    now = ending.at;
+                    ending.what.run();
+                }
+                now = next;
+                double drawn = random.nextDouble() * perSecond;
+                int which = 0;
+                while (drawn >= all.get(which).perSecond) {
+                    drawn -= all.get(which++).perSecond;
+                }
+                ask(all.get(which), tallies.get(all.get(which).kind.name()));
+                assertThat(limiter.taken()).isBetween(0, PLACES);
+            }
+            return tallies;
+        }
+
+        private void ask(Traffic one, Tally tally) {
+            tally.asked++;
+            Waiter waiter = new Waiter() {
+                @Override
+                public void admitted() {
+                    hold(one, tally);
+                }
+
+                @Override
+                public void refused() {
+                    // it has given way
+                }
+            };
+            switch (limiter.acquire(one.kind, now, waiter)) {
+                case ADMITTED -> hold(one, tally);
+                case WAITS -> {
+                    tally.waited++;
+                    endings.add(new Ending(now + one.kind.longestWaitMicros(), () -> limiter.withdraw(waiter)));
+                }
+                default -> {
+                    // it comes back as another request
+                }
+            }
+        }
+
+        private void hold(Traffic one, Tally tally) {
+            tally.admitted++;
+            endings.add(new Ending(now + one.workMicros, () -> limiter.release(one.kind, one.workMicros, now)));
+        }
+    }
+
+    private static final Traffic BUSY = new Traffic(new Kind("busy", 200_000, PLACES), 300, 50_000);
+    private static final Traffic BUSY_TOO = new Traffic(new Kind("busy too", 200_000, PLACES), 150, 50_000);
+    private static final Traffic RARE = new Traffic(new Kind("rare", 200_000, PLACES), 1, 50_000);
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void aRareKindIsServedBesideBusyOnesAndCostsThemNothing(long seed) {
+        List<Traffic> all = List.of(BUSY, BUSY_TOO, RARE);
+        Map<String, Tally> without = new Crowd(0, seed).play(all);
+        Map<String, Tally> with = new Crowd(1, seed).play(all);
+        assertThat(without.get("rare").served()).as("where nobody may wait").isLessThan(0.5);
+        assertThat(with.get("rare").served()).isGreaterThan(0.95);
+        int before = without.values().stream().mapToInt(one -> one.admitted).sum();
+        int after = with.values().stream().mapToInt(one -> one.admitted).sum();
+        assertThat(after).as("no place stands idle").isGreaterThanOrEqualTo((int) (0.99 * before));
+        assertThat(with.get("busy").waited).as("who holds most does not wait").isLessThan(with.get("busy").asked / 100);
+    }
+
+    /** Of two kinds that are rare alike both are served; of a rarer one that comes while one waits the other gives way. */
+    @Test
+    void theLightestGoesFirst() {
+        ConcurrencyLimiter limiter = new ConcurrencyLimiter(PLACES, 1);
+        Kind light = new Kind("light", 200_000, PLACES);
+        Kind lighter = new Kind("lighter", 200_000, PLACES);
+        List<String> told = new ArrayList<>();
+        assertThat(limiter.acquire(light, 0, NOBODY)).isEqualTo(Admission.ADMITTED);
+        limiter.release(light, SHORT_MICROS, SHORT_MICROS);
+        for (int i = 0; i < PLACES; i++) {
+            assertThat(limiter.acquire(CALL, 1_000_000, NOBODY)).isEqualTo(Admission.ADMITTED);
+        }
+        long now = 3_000_000;
+        assertThat(limiter.acquire(CALL, now, NOBODY)).as("holds all").isEqualTo(Admission.REFUSED);
+        assertThat(limiter.acquire(light, now, telling("light", told))).isEqualTo(Admission.WAITS);
+        assertThat(limiter.acquire(lighter, now, telling("lighter", told))).isEqualTo(Admission.WAITS);
+        assertThat(told).containsExactly("light refused");
+        assertThat(limiter.acquire(light, now, telling("light", told)))
+                .as("gives way to nobody")
+                .isEqualTo(Admission.REFUSED);
+        limiter.release(CALL, SHORT_MICROS, now);
+        assertThat(told).containsExactly("light refused", "lighter admitted");
+        assertThat(limiter.taken()).isEqualTo(PLACES);
+        assertThat(limiter.waiting()).isZero();
+    }
+
+    @Test
+    void whoHasLeftIsNotAdmitted() {
+        ConcurrencyLimiter limiter = new ConcurrencyLimiter(1, 1);
+        List<String> told = new ArrayList<>();
+        Waiter waiter = telling("one", told);
+        assertThat(limiter.acquire(CALL, 0, NOBODY)).isEqualTo(Admission.ADMITTED);
+        assertThat(limiter.acquire(LONG, 0, waiter)).isEqualTo(Admission.WAITS);
+        assertThat(limiter.withdraw(waiter)).isTrue();
+        assertThat(limiter.withdraw(waiter)).as("once only").isFalse();
+        limiter.release(CALL, SHORT_MICROS, SHORT_MICROS);
+        assertThat(told).isEmpty();
+        assertThat(limiter.taken()).isZero();
+    }
+
+    private static Waiter telling(String name, List<String> told) {
+        return new Waiter() {
+            @Override
+            public void admitted() {
+                told.add(name + " admitted");
+            }
+
+            @Override
+            public void refused() {
+                told.add(name + " refused");
+            }
+        };
+    }
 }
--- a/src/test/java/gorsemast/proxy/ProxyNodeTest.java
+++ b/src/test/java/gorsemast/proxy/ProxyNodeTest.java
@@ -127,4 +127,39 @@
         answered(false, 20_000);
         assertThat(edge.wantedRegistries()).containsExactlyInAnyOrder("10.0.0.1", "10.0.0.2", "10.0.0.3");
     }
+
+    @Test
+    void whatItHeardIsCheckedUntilARegistryVouchesForIt() {
+        assertThat(edge.configurationStatus()).isEqualTo(ConfigurationStatus.CHECKING);
+        long asks = lastQuestion();
+        assertThat(asks).as("asked behind the news, before any tick").isEqualTo(now);
+        now += 20_000;
+        edge.received(registry, new Digest(true, 0, asks, held.digest()));
+        assertThat(edge.configurationStatus()).isEqualTo(ConfigurationStatus.CONFIRMED);
+        assertThat(edge.ready()).isTrue();
+        now += 60_000_000;
+        assertThat(edge.configurationStatus()).as("serves on").isEqualTo(ConfigurationStatus.CONFIRMED);
+    }
+
+    @Test
+    void whereNobodyVouchesItGoesByWhatItHeard() {
+        edge.received(registry, new Digest(false, 0, lastQuestion(), held.digest()));
+        assertThat(edge.configurationStatus()).isEqualTo(ConfigurationStatus.UNCONFIRMED);
+    }
+
+    @Test
+    void whereNobodyAnswersItIsNotCheckedForLong() {
+        now += 900_000;
+        assertThat(edge.configurationStatus()).isEqualTo(ConfigurationStatus.CHECKING);
+        now += 200_000;
+        assertThat(edge.configurationStatus()).isEqualTo(ConfigurationStatus.UNCONFIRMED);
+    }
+
+    private long lastQuestion() {
+        long asks = 0;
+        for (Record record : sent) {
+            asks = record instanceof Digest digest && digest.asks() != 0 ? digest.asks() : asks;
+        }
+        return asks;
+    }
 }
