Ask every edge for added and dropped routes in a soak with pauses, cuts and common kills

Need: the soak of signals looked neither at routes that a change added or dropped nor at pauses, cuts, resets and kills of many at once, so that neither CONFIG nor DENIED could be seen in it. Seeds of SignalSoakTest play what they always have.

--- a/src/test/java/gorsemast/processes/LinkRelay.java
+++ b/src/test/java/gorsemast/processes/LinkRelay.java
@@ -145,6 +145,15 @@
         });
     }
 
+    /** The same between two machines alone. */
+    void heal(String one, String other) {
+        call(() -> {
+            held.removeIf(way -> way.between(one, other));
+            manners.keySet().removeIf(way -> way.between(one, other));
+            settle();
+        });
+    }
+
     // ---- on the relay's own thread
 
     private interface Task {
--- a/src/test/java/gorsemast/processes/SignalSoak.java
+++ b/src/test/java/gorsemast/processes/SignalSoak.java
@@ -37,7 +37,35 @@
         EDGE_HUNG_UP,
         CORE_KILLED,
         CONFIGURATION,
-        PURGE
+        PURGE,
+        /** From here on: only where {@link Plan#wide}. */
+        EDGES_KILLED_TOGETHER,
+        EDGE_PAUSED,
+        EDGE_CUT_OFF,
+        EDGE_RESET,
+        CORE_PAUSED,
+        CORE_CUT_OFF,
+        CORES_KILLED_TOGETHER
+    }
+
+    /**
+     * How large a soak is.
+     *
+     * @param edges how many; every second of which has twenty sockets only
+     * @param clientsPerEdge that ask one thing after the other
+     * @param courseMillis in which things happen
+     * @param wide whether machines are also paused, cut off, reset and killed together, and routes are asked for as soon as they have to be
+     *     in force; else a seed plays what it always has
+     */
+    record Plan(int edges, int clientsPerEdge, long courseMillis, boolean wide) {
+        /** Signals, kills of one process and changes. */
+        static Plan signals(int edges) {
+            return new Plan(edges, CLIENTS_PER_EDGE, COURSE_MILLIS, false);
+        }
+
+        private int kinds() {
+            return wide ? Event.values().length : Event.EDGES_KILLED_TOGETHER.ordinal();
+        }
     }
 
     private static final int CORES = 3;
@@ -52,6 +80,13 @@
     private static final long COURSE_MILLIS = 4_500;
     private static final long LONGEST_GAP_MILLIS = 700;
     private static final long DOWN_MILLIS = 300;
+    /** Longest that a machine is paused or cut off; a client waits longer. */
+    private static final long LONGEST_LASTING_MILLIS = 2_500;
+
+    private static final long SHORTEST_LASTING_MILLIS = 300;
+    /** How long edges in touch are asked for routes at the end of a wide course. */
+    private static final long CALM_MILLIS = 3_000;
+
     private static final long RECOVERS_MILLIS = 20_000;
     /** Longer than an edge holds a request: the clients' budget is 1.5 s. */
     private static final long PATIENCE_MILLIS = 4_000;
@@ -60,7 +95,8 @@
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
     /** What a course has shown; {@code asked} counts what reached an edge, and {@code faults} is empty where all held. */
-    record Verdict(long seed, List<String> events, int asked, int served, List<String> faults) {}
+    record Verdict(
+            long seed, List<String> events, int asked, int served, RouteJudge.Tally added, List<String> faults) {}
 
     private record Asked(int edge, Ended ended) {}
 
@@ -80,13 +116,20 @@
     /** When each edge has last got SIGTERM, of {@link System#nanoTime}. */
     private final Map<Integer, Long> leftAt = new HashMap<>();
 
+    private final Plan plan;
+    private final Disturbances disturbances;
+    private final RouteJudge routes;
+
     private int version = 1;
     private String word = "first";
 
-    SignalSoak(Path data, int edgeCount) throws IOException {
-        edges = IntStream.range(FIRST_EDGE, FIRST_EDGE + edgeCount).boxed().toList();
-        network = new ProcessNetwork(data, CORES, edgeCount);
+    SignalSoak(Path data, Plan plan) throws IOException {
+        this.plan = plan;
+        edges = IntStream.range(FIRST_EDGE, FIRST_EDGE + plan.edges).boxed().toList();
+        network = new ProcessNetwork(data, CORES, plan.edges);
         operator = new Operator(network);
+        disturbances = new Disturbances(network);
+        routes = new RouteJudge(network, edges, disturbances::inTouch);
         for (int core = 1; core <= CORES; core++) {
             network.startCore(core, true, 1, 2, 3);
         }
@@ -119,7 +162,7 @@
         AtomicBoolean over = new AtomicBoolean();
         List<CompletableFuture<Void>> ends = new ArrayList<>();
         for (int edge : edges) {
-            for (int i = 0; i < CLIENTS_PER_EDGE; i++) {
+            for (int i = 0; i < plan.clientsPerEdge; i++) {
                 CompletableFuture<Void> end = new CompletableFuture<>();
                 ends.add(end);
                 KeptConnection connection = new KeptConnection(loop, network.front(edge), PATIENCE_MILLIS);
@@ -129,6 +172,9 @@
         }
         List<String> faults = new ArrayList<>();
         List<String> events = strike(random, faults);
+        if (plan.wide) {
+            calm(faults);
+        }
         over.set(true);
         ends.forEach(CompletableFuture::join);
         recover(faults);
@@ -137,7 +183,8 @@
         int served =
                 (int) asked.stream().filter(one -> one.ended.status() == 200).count();
         int reached = (int) asked.stream().filter(one -> one.ended.connected()).count();
-        return new Verdict(seed, events, reached, served, faults);
+        RouteJudge.Tally added = routes.judge((double) served / Math.max(1, reached), faults);
+        return new Verdict(seed, events, reached, served, added, faults);
     }
 
     private void ask(
@@ -174,11 +221,15 @@
         CompletableFuture<Answer> order = null;
         int orderedVersion = version;
         String orderedWord = word;
-        while (System.nanoTime() - begun < TimeUnit.MILLISECONDS.toNanos(COURSE_MILLIS) || order != null) {
+        while (System.nanoTime() - begun < TimeUnit.MILLISECONDS.toNanos(plan.courseMillis) || order != null) {
             bringBack();
+            disturbances.poll();
             if (order != null && order.isDone()) {
                 Answer answer = order.join();
                 if (Operator.confirms(answer)) {
+                    if (plan.wide) {
+                        routes.confirmed(orderedWord, word);
+                    }
                     version = orderedVersion;
                     word = orderedWord;
                     order = null;
@@ -189,62 +240,110 @@
                     order = operator.replace(1 + random.nextInt(CORES), orderedVersion, orderedWord);
                 }
             }
-            boolean striking = System.nanoTime() - begun < TimeUnit.MILLISECONDS.toNanos(COURSE_MILLIS);
+            boolean striking = System.nanoTime() - begun < TimeUnit.MILLISECONDS.toNanos(plan.courseMillis);
             if (striking && System.nanoTime() >= next) {
                 next += TimeUnit.MILLISECONDS.toNanos(1 + random.nextLong(LONGEST_GAP_MILLIS));
-                Event event = Event.values()[random.nextInt(Event.values().length)];
+                Event event = Event.values()[random.nextInt(plan.kinds())];
                 int edge = edges.get(random.nextInt(edges.size()));
                 int core = 1 + random.nextInt(CORES);
                 if (event == Event.CONFIGURATION && order == null) {
                     orderedVersion = version + 1 + random.nextInt(3);
                     orderedWord = "w" + orderedVersion;
+                    routes.sent();
                     order = operator.replace(core, orderedVersion, orderedWord);
                     events.add(event + " " + orderedVersion);
-                } else if (event != Event.CONFIGURATION && strike(event, edge, core)) {
-                    events.add(event + " " + (event == Event.CORE_KILLED ? core : edge));
+                } else if (event != Event.CONFIGURATION && strike(event, edge, core, random)) {
+                    events.add(event + " " + (event.name().startsWith("CORE") ? core : edge));
                 }
             }
+            routes.poll();
             LockSupport.parkNanos(POLL_NANOS);
         }
         return events;
     }
 
-    private boolean strike(Event event, int edge, int core) {
-        boolean edgeIsUp = !down.containsKey(edge) && !leaving.contains(edge);
-        boolean coresAreUp = down.keySet().stream().allMatch(machine -> machine >= FIRST_EDGE);
+    private boolean strike(Event event, int edge, int core, SplittableRandom random) {
+        boolean edgeIsUp = isUp(edge);
+        boolean coresAreUp = IntStream.rangeClosed(1, CORES).allMatch(this::isUp);
+        boolean strikes =
+                switch (event) {
+                    case EDGE_TERMINATED, EDGE_KILLED, EDGE_PAUSED, EDGE_CUT_OFF, EDGE_RESET -> edgeIsUp;
+                    case EDGE_HUNG_UP ->
+                        edgeIsUp && listens(edge); // before that a virtual machine's own handler ends it
+                    case CORE_KILLED, CORE_PAUSED, CORE_CUT_OFF, CORES_KILLED_TOGETHER -> coresAreUp;
+                    default -> true;
+                };
+        if (!strikes) {
+            return false;
+        }
         switch (event) {
-            case EDGE_TERMINATED -> {
-                if (edgeIsUp) {
-                    network.process("proxy" + edge).destroy();
-                    leaving.add(edge);
-                    leftAt.put(edge, System.nanoTime());
-                }
-                return edgeIsUp;
-            }
-            case EDGE_KILLED -> {
-                if (edgeIsUp) {
-                    kill(edge);
-                }
-                return edgeIsUp;
-            }
-            case EDGE_HUNG_UP -> {
-                boolean listens = edgeIsUp && listens(edge); // before that a virtual machine's own handler ends it
-                if (listens) {
-                    network.hangUp(edge);
-                }
-                return listens;
-            }
-            case CORE_KILLED -> {
-                if (coresAreUp) {
-                    kill(core);
-                }
-                return coresAreUp;
-            }
-            default -> {
-                operator.purge(core, "/objects/" + edge);
-                return true;
-            }
+            case EDGE_TERMINATED -> terminate(edge);
+            case EDGE_KILLED -> kill(List.of(edge));
+            case EDGE_HUNG_UP -> network.hangUp(edge);
+            case CORE_KILLED -> kill(List.of(core));
+            case EDGES_KILLED_TOGETHER ->
+                kill(edges.stream()
+                        .filter(this::isUp)
+                        .filter(one -> random.nextBoolean())
+                        .toList());
+            case EDGE_PAUSED -> disturbances.pause(edge, lasting(random));
+            case EDGE_CUT_OFF -> disturbances.cut(edge, coreMachines(), lasting(random));
+            case EDGE_RESET -> disturbances.reset(edge, coreMachines());
+            case CORE_PAUSED -> disturbances.pause(core, lasting(random));
+            case CORE_CUT_OFF ->
+                disturbances.cut(
+                        core, coreMachines().stream().filter(one -> one != core).toList(), lasting(random));
+            case CORES_KILLED_TOGETHER -> kill(coreMachines());
+            default -> operator.purge(core, "/objects/" + edge);
         }
+        return true;
+    }
+
+    /** All troubles end, and a last change is confirmed; clients go on until every edge has been asked for it while in touch. */
+    private void calm(List<String> faults) {
+        disturbances.endAll();
+        try {
+            ProcessNetwork.until("all processes are up", RECOVERS_MILLIS, () -> {
+                bringBack();
+                return leaving.isEmpty() && down.isEmpty();
+            });
+            routes.sent();
+            String before = word;
+            version++;
+            word = "w" + version;
+            operator.order(version, word, 1, 2, 3);
+            routes.confirmed(word, before);
+            ProcessNetwork.until("all edges are in touch", RECOVERS_MILLIS, () -> {
+                routes.poll();
+                return edges.stream().allMatch(disturbances::inTouch);
+            });
+        } catch (AssertionError e) {
+            faults.add(e.getMessage());
+        }
+        long begun = System.nanoTime();
+        while (System.nanoTime() - begun < TimeUnit.MILLISECONDS.toNanos(CALM_MILLIS)) {
+            routes.poll();
+            LockSupport.parkNanos(POLL_NANOS);
+        }
+    }
+
+    private static long lasting(SplittableRandom random) {
+        return SHORTEST_LASTING_MILLIS + random.nextLong(LONGEST_LASTING_MILLIS - SHORTEST_LASTING_MILLIS);
+    }
+
+    private static List<Integer> coreMachines() {
+        return IntStream.rangeClosed(1, CORES).boxed().toList();
+    }
+
+    private boolean isUp(int machine) {
+        return !down.containsKey(machine) && !leaving.contains(machine) && !disturbances.goesOnAt(machine);
+    }
+
+    private void terminate(int edge) {
+        network.process("proxy" + edge).destroy();
+        leaving.add(edge);
+        leftAt.put(edge, System.nanoTime());
+        disturbances.happened(edge);
     }
 
     private boolean listens(int edge) {
@@ -254,10 +353,13 @@
                 != 0;
     }
 
-    private void kill(int machine) {
-        kills.add(new Killed(machine, System.nanoTime()));
-        network.kill(machine);
-        down.put(machine, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DOWN_MILLIS));
+    private void kill(List<Integer> machines) {
+        machines.forEach(machine -> kills.add(new Killed(machine, System.nanoTime())));
+        network.kill(machines.stream().mapToInt(Integer::intValue).toArray());
+        for (int machine : machines) {
+            disturbances.happened(machine);
+            down.put(machine, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DOWN_MILLIS));
+        }
     }
 
     /** Starts what was killed for long enough, and what has ended after SIGTERM. */
@@ -265,12 +367,14 @@
         for (int edge : Set.copyOf(leaving)) {
             if (!network.process("proxy" + edge).isAlive()) {
                 leaving.remove(edge);
+                disturbances.happened(edge);
                 startEdge(edge, false);
             }
         }
         for (Map.Entry<Integer, Long> one : Map.copyOf(down).entrySet()) {
             if (System.nanoTime() >= one.getValue()) {
                 down.remove(one.getKey());
+                disturbances.happened(one.getKey());
                 if (one.getKey() < FIRST_EDGE) {
                     network.startCore(one.getKey(), false, 1, 2, 3);
                 } else {
--- a/src/test/java/gorsemast/processes/SignalSoakTest.java
+++ b/src/test/java/gorsemast/processes/SignalSoakTest.java
@@ -23,7 +23,7 @@
 
     @Test
     void nothingThatRanIsLostAndNothingRunsTwice() throws IOException {
-        try (SignalSoak soak = new SignalSoak(data, EDGES)) {
+        try (SignalSoak soak = new SignalSoak(data, SignalSoak.Plan.signals(EDGES))) {
             for (long seed = FIRST; seed < FIRST + SEEDS; seed++) {
                 SignalSoak.Verdict verdict = soak.play(seed);
                 System.out.println("signals seed " + seed + ": " + verdict.served() + " of " + verdict.asked()
--- /dev/null
+++ b/src/test/java/gorsemast/processes/WideSoakTest.java
@@ -0,0 +1,45 @@
+package gorsemast.processes;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * As {@link SignalSoakTest}, and machines are also paused, cut off, reset and killed together, while each edge is asked for the routes that
+ * the last confirmed change has added and dropped. {@code -Dwide.seeds} courses are played, 2 where nothing is said, from
+ * {@code -Dwide.first} on, with {@code -Dwide.edges} edges and {@code -Dwide.clients} clients each, for {@code -Dwide.millis}.
+ */
+class WideSoakTest {
+    private static final int SEEDS = Integer.getInteger("wide.seeds", 2);
+    private static final long FIRST = Long.getLong("wide.first", 1);
+    private static final SignalSoak.Plan PLAN = new SignalSoak.Plan(
+            Integer.getInteger("wide.edges", 6),
+            Integer.getInteger("wide.clients", 8),
+            Long.getLong("wide.millis", 12_000),
+            true);
+
+    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
+    Path data;
+
+    @Test
+    void whatIsConfirmedIsInForceAndNobodyIsDeniedIt() throws IOException {
+        try (SignalSoak soak = new SignalSoak(data, PLAN)) {
+            for (long seed = FIRST; seed < FIRST + SEEDS; seed++) {
+                SignalSoak.Verdict verdict = soak.play(seed);
+                System.out.println(
+                        "wide seed " + seed + ": " + verdict.served() + " of " + verdict.asked() + " served, of "
+                                + verdict.added() + " on added routes, "
+                                + verdict.faults().size() + " faults, "
+                                + verdict.events());
+                assertThat(verdict.faults())
+                        .as("seed %d: %s", seed, verdict.events())
+                        .isEmpty();
+                assertThat(verdict.served()).as("seed %d", seed).isGreaterThan(verdict.asked() / 4);
+            }
+        }
+    }
+}
