--- a/src/test/java/gorsemast/processes/RouteJudge.java
+++ b/src/test/java/gorsemast/processes/RouteJudge.java
@@ -26,6 +26,10 @@
     private static final int OK = 200;
     /** From so many requests on the rule holds. */
     private static final int ENOUGH = 20;
+    /** From so many on one edge is judged by itself, and serves this part at least, however busy its first routes are. */
+    private static final int ENOUGH_OF_ONE = 15;
+
+    private static final double PART_OF_ONE = 0.5;
 
     /** A test request that no newer change has overtaken, and what came of it. */
     private record Tried(int edge, boolean added, boolean inTouch, int change, int status) {}
@@ -128,6 +132,16 @@
         if (tally.asked() >= ENOUGH && tally.served() < tally.asked() * servedOfFirst / 4) {
             faults.add(tally + ": of the first routes' requests " + servedOfFirst + " were served");
         }
+        judgeEach(all, faults);
         return tally;
     }
+
+    private void judgeEach(List<Tried> all, List<String> faults) {
+        for (int edge : edges) {
+            Tally tally = Tally.of(all.stream().filter(one -> one.edge == edge).toList());
+            if (tally.asked() >= ENOUGH_OF_ONE && tally.served() < PART_OF_ONE * tally.asked()) {
+                faults.add("edge " + edge + " serves its added routes seldom: " + tally.inTouch);
+            }
+        }
+    }
 }
