Let wait who wants little, not who gets little

Cause: a busy kind among busier ones held under half of its fair share, so that its requests waited all the time; the socket that turns others round was taken by them, and new clients waited unaccepted. Change: what counts is how much of the places a kind asks for, refused or not.

--- a/src/main/java/gorsemast/admission/ConcurrencyLimiter.java
+++ b/src/main/java/gorsemast/admission/ConcurrencyLimiter.java
@@ -17,9 +17,10 @@
  * <p>Requests of a kind that usually hold a place for longer than their aim may have a part of the places only, so that long answers
  * alone can't take all of them. What a kind usually takes is learned from its requests.
  *
- * <p>A kind that has held well under its fair share of the places of late may wait, briefly and on one of those sockets, and has the next
- * place that comes free. Who has held least goes first; who must give way to it is refused. So a kind that is seldom asked for is served
- * beside busy ones, whose clients come back again and again, and no place stands idle for it.
+ * <p>A kind that wants well under its fair share of the places may wait, briefly and on one of those sockets, and has the next place that
+ * comes free. Who wants least goes first; who must give way to it is refused. So a kind that is seldom asked for is served beside busy ones,
+ * whose clients come back again and again, and no place stands idle for it. What counts is what a kind asks for, not what it gets: of one
+ * that gets little because it asks for far too much every request would wait, and that socket would turn nobody round any more.
  *
  * <p><b>Could hurt</b> where requests would have waited briefly and are refused: they come back, which costs a connection; and where one
  * waits in vain, as long as it does nobody else is accepted on its socket. O(1), and O(kinds of late) where no place is free; one record
@@ -32,11 +33,11 @@
     private static final double NEW_PART = 0.1;
     /** Beyond so many kinds those that hold nothing are forgotten. */
     private static final int MOST_KINDS = 4_096;
-    /** Over about so long the places that a kind holds are averaged. */
+    /** Over about so long what a kind asks for is averaged. */
     private static final double OF_LATE_MICROS = 1e6;
-    /** A kind that holds fewer places on average takes no part in the shares. */
+    /** A kind that wants fewer places on average takes no part in the shares. */
     private static final double UNUSED = 0.01;
-    /** Who has held less than this part of its fair share may wait. */
+    /** Who wants less than this part of its fair share may wait. */
     private static final double LIGHT_PART = 0.5;
     /** Nobody waits longer, nor for more than half of its aim. */
     private static final long LONGEST_WAIT_MICROS = 100_000;
@@ -79,20 +80,23 @@
         private int held;
         /** For how long one of its requests usually has a place; no number before the first. */
         private double usual = Double.NaN;
-        /** How many places it has held on average of late, as of then. */
-        private double average;
+        /** How many of its requests have come of late, those long ago counting less, as of then. */
+        private double asked;
 
-        private long averagedAt;
+        private long askedAt;
 
-        double average(long now) {
-            double kept = Math.exp(-Math.max(0, now - averagedAt) / OF_LATE_MICROS);
-            return average * kept + held * (1 - kept);
+        private double asked(long now) {
+            return asked * Math.exp(-Math.max(0, now - askedAt) / OF_LATE_MICROS);
         }
 
-        void change(int by, long now) {
-            average = average(now);
-            averagedAt = now;
-            held += by;
+        void ask(long now) {
+            asked = asked(now) + 1;
+            askedAt = now;
+        }
+
+        /** How many places it would hold on average if none of its requests were refused; those that it holds at least. */
+        double wanted(long now) {
+            return Double.isNaN(usual) ? held : Math.max(held, asked(now) * usual / OF_LATE_MICROS);
         }
     }
 
@@ -120,42 +124,39 @@
         if (places == UNBOUNDED) {
             return Admission.ADMITTED;
         }
-        Usage usage = usage(kind, now);
+        Usage usage = usage(kind);
+        usage.ask(now);
         if (usage.held >= Math.max(1, kind.mostIfLong) && usage.usual > kind.aimMicros) {
             return Admission.REFUSED;
         }
         if (taken < places) {
-            take(usage, now);
+            take(usage);
             return Admission.ADMITTED;
         }
         return isLight(usage, now) && queue(new Waiting(kind, waiter), now) ? Admission.WAITS : Admission.REFUSED;
     }
 
-    private Usage usage(Kind kind, long now) {
-        return kinds.computeIfAbsent(kind.name, name -> {
-            Usage fresh = new Usage();
-            fresh.averagedAt = now;
-            return fresh;
-        });
+    private Usage usage(Kind kind) {
+        return kinds.computeIfAbsent(kind.name, name -> new Usage());
     }
 
-    private void take(Usage usage, long now) {
+    private void take(Usage usage) {
         taken++;
-        usage.change(1, now);
+        usage.held++;
     }
 
     private boolean isLight(Usage usage, long now) {
         long active = kinds.values().stream()
-                .filter(one -> one != usage && one.average(now) > UNUSED)
+                .filter(one -> one != usage && one.wanted(now) > UNUSED)
                 .count();
-        return usage.average(now) < LIGHT_PART * places / (active + 1);
+        return usage.wanted(now) < LIGHT_PART * places / (active + 1);
     }
 
-    /** Whether it may wait, where need be in the place of one whose kind has held more. */
+    /** Whether it may wait, where need be in the place of one whose kind wants more. */
     private boolean queue(Waiting one, long now) {
         if (queue.size() >= mostWaiting) {
             Waiting heaviest = heaviest(now);
-            if (heaviest == null || average(heaviest, now) <= average(one, now)) {
+            if (heaviest == null || wanted(heaviest, now) <= wanted(one, now)) {
                 return false;
             }
             queue.remove(heaviest);
@@ -167,14 +168,14 @@
         return true;
     }
 
-    private double average(Waiting one, long now) {
-        return usage(one.kind, now).average(now);
+    private double wanted(Waiting one, long now) {
+        return usage(one.kind).wanted(now);
     }
 
     private Waiting heaviest(long now) {
         Waiting heaviest = null;
         for (Waiting one : queue) {
-            if (heaviest == null || average(one, now) > average(heaviest, now)) {
+            if (heaviest == null || wanted(one, now) > wanted(heaviest, now)) {
                 heaviest = one;
             }
         }
@@ -184,7 +185,7 @@
     private Waiting lightest(long now) {
         Waiting lightest = null;
         for (Waiting one : queue) {
-            if (lightest == null || average(one, now) < average(lightest, now)) {
+            if (lightest == null || wanted(one, now) < wanted(lightest, now)) {
                 lightest = one;
             }
         }
@@ -202,8 +203,8 @@
             return;
         }
         taken--;
-        Usage usage = usage(kind, now);
-        usage.change(-1, now);
+        Usage usage = usage(kind);
+        usage.held--;
         usage.usual = Double.isNaN(usage.usual) ? heldMicros : usage.usual + NEW_PART * (heldMicros - usage.usual);
         if (kinds.size() > MOST_KINDS) {
             kinds.values().removeIf(one -> one.held == 0);
@@ -211,7 +212,7 @@
         Waiting next = lightest(now);
         if (next != null) {
             queue.remove(next);
-            take(usage(next.kind, now), now);
+            take(usage(next.kind));
             next.waiter.admitted();
         }
     }
--- a/src/test/java/gorsemast/admission/ConcurrencyLimiterTest.java
+++ b/src/test/java/gorsemast/admission/ConcurrencyLimiterTest.java
@@ -214,6 +214,17 @@
         assertThat(with.get("busy").waited).as("who holds most does not wait").isLessThan(with.get("busy").asked / 100);
     }
 
+    /** It gets less than its fair share, as there are busier ones; if it waited for that the socket for it would be taken all the time. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void whoAsksForFarTooMuchDoesNotWaitThoughItGetsLittle(long seed) {
+        Traffic third = new Traffic(new Kind("third", 200_000, PLACES), 60, 50_000);
+        Map<String, Tally> tallies = new Crowd(1, seed).play(List.of(BUSY, BUSY_TOO, third, RARE));
+        assertThat(tallies.get("third").served()).isLessThan(0.5);
+        assertThat(tallies.get("third").waited).isLessThan(tallies.get("third").asked / 20);
+        assertThat(tallies.get("rare").served()).isGreaterThan(0.95);
+    }
+
     /** Of two kinds that are rare alike both are served; of a rarer one that comes while one waits the other gives way. */
     @Test
     void theLightestGoesFirst() {
