--- a/src/main/java/gorsemast/admission/ConcurrencyLimiter.java
+++ b/src/main/java/gorsemast/admission/ConcurrencyLimiter.java
@@ -94,9 +94,9 @@
             askedAt = now;
         }
 
-        /** How many places it would hold on average if none of its requests were refused; those that it holds at least. */
+        /** How many places it would hold on average if none of its requests were refused; before that is known, those that it holds. */
         double wanted(long now) {
-            return Double.isNaN(usual) ? held : Math.max(held, asked(now) * usual / OF_LATE_MICROS);
+            return Double.isNaN(usual) ? held : asked(now) * usual / OF_LATE_MICROS;
         }
     }
 
