Let nobody wait for a place while none comes free

Cause, by reading: requests that no server answers hold all places to their end; each light request behind them then waited 0.1 s in vain on the one socket that turns others round, which so took ten a second. Change: once one has waited in vain nobody waits until a place has come free.

--- a/src/main/java/gorsemast/admission/ConcurrencyLimiter.java
+++ b/src/main/java/gorsemast/admission/ConcurrencyLimiter.java
@@ -107,6 +107,8 @@
     private final Map<String, Usage> kinds = new HashMap<>();
     private final List<Waiting> queue = new ArrayList<>();
     private int taken;
+    /** Whether one has waited in vain since a place last came free. */
+    private boolean stuck;
 
     /**
      * For so many requests at a time.
@@ -133,7 +135,9 @@
             take(usage);
             return Admission.ADMITTED;
         }
-        return isLight(usage, now) && queue(new Waiting(kind, waiter), now) ? Admission.WAITS : Admission.REFUSED;
+        return !stuck && isLight(usage, now) && queue(new Waiting(kind, waiter), now)
+                ? Admission.WAITS
+                : Admission.REFUSED;
     }
 
     private Usage usage(Kind kind) {
@@ -192,17 +196,28 @@
         return lightest;
     }
 
-    /** A request waits no longer; it is not told any more. Returns whether it waited. */
+    /** A request waits no longer, as its client has left; it is not told any more. Returns whether it waited. */
     public boolean withdraw(Waiter waiter) {
         return queue.removeIf(one -> one.waiter == waiter);
     }
 
+    /**
+     * A request has waited for as long as it may; it is not told any more. Returns whether it waited. Where no place comes free in such a
+     * time the next ones would wait in vain too, each on a socket that turns others round: they are refused until one does.
+     */
+    public boolean expire(Waiter waiter) {
+        boolean waited = withdraw(waiter);
+        stuck |= waited;
+        return waited;
+    }
+
     /** A place that was taken for a request is free again after so long. */
     public void release(Kind kind, long heldMicros, long now) {
         if (places == UNBOUNDED) {
             return;
         }
         taken--;
+        stuck = false;
         Usage usage = usage(kind);
         usage.held--;
         usage.usual = Double.isNaN(usage.usual) ? heldMicros : usage.usual + NEW_PART * (heldMicros - usage.usual);
--- a/src/main/java/gorsemast/proxy/PlaceHolder.java
+++ b/src/main/java/gorsemast/proxy/PlaceHolder.java
@@ -85,7 +85,7 @@
     }
 
     private void expire() {
-        if (limiter.withdraw(this)) {
+        if (limiter.expire(this)) {
             refused();
         }
     }
--- a/src/test/java/gorsemast/admission/ConcurrencyLimiterTest.java
+++ b/src/test/java/gorsemast/admission/ConcurrencyLimiterTest.java
@@ -182,7 +182,7 @@
                 case ADMITTED -> hold(one, tally);
                 case WAITS -> {
                     tally.waited++;
-                    endings.add(new Ending(now + one.kind.longestWaitMicros(), () -> limiter.withdraw(waiter)));
+                    endings.add(new Ending(now + one.kind.longestWaitMicros(), () -> limiter.expire(waiter)));
                 }
                 default -> {
                     // it comes back as another request
@@ -265,6 +265,22 @@
         assertThat(limiter.taken()).isZero();
     }
 
+    /** Servers that hang hold all places: the socket on which requests wait must go on turning others round. */
+    @Test
+    void afterOneHasWaitedInVainNobodyWaitsUntilAPlaceComesFree() {
+        ConcurrencyLimiter limiter = new ConcurrencyLimiter(1, 1);
+        List<String> told = new ArrayList<>();
+        Waiter first = telling("first", told);
+        assertThat(limiter.acquire(CALL, 0, NOBODY)).isEqualTo(Admission.ADMITTED);
+        assertThat(limiter.acquire(LONG, 0, first)).isEqualTo(Admission.WAITS);
+        assertThat(limiter.expire(first)).isTrue();
+        assertThat(limiter.acquire(LONG, 100_000, NOBODY)).isEqualTo(Admission.REFUSED);
+        limiter.release(CALL, SHORT_MICROS, 200_000);
+        assertThat(limiter.acquire(CALL, 200_000, NOBODY)).isEqualTo(Admission.ADMITTED);
+        assertThat(limiter.acquire(LONG, 200_000, telling("next", told))).isEqualTo(Admission.WAITS);
+        assertThat(told).isEmpty();
+    }
+
     private static Waiter telling(String name, List<String> told) {
         return new Waiter() {
             @Override
