--- a/src/test/java/gorsemast/admission/ConcurrencyLimiterTest.java
+++ b/src/test/java/gorsemast/admission/ConcurrencyLimiterTest.java
@@ -182,7 +182,7 @@
                 case ADMITTED -> hold(one, tally);
                 case WAITS -> {
                     tally.waited++;
-                    endings.add(new Ending(now + one.kind.longestWaitMicros(), () -> limiter.withdraw(waiter)));
+                    endings.add(new Ending(now + one.kind.longestWaitMicros(), () -> limiter.expire(waiter)));
                 }
                 default -> {
                     // it comes back as another request
@@ -214,6 +214,17 @@
         assertThat(with.get("busy").waited).as("who holds most does not wait").isLessThan(with.get("busy").asked / 100);
     }
 
+    /** It gets less than its fair share, as there are busier ones; if it waited for that the socket for it would be taken all the time. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void whoAsksForFarTooMuchDoesNotWaitThoughItGetsLittle(long seed) {
+        Traffic third = new Traffic(new Kind("third", 200_000, PLACES), 60, 50_000);
+        Map<String, Tally> tallies = new Crowd(1, seed).play(List.of(BUSY, BUSY_TOO, third, RARE));
+        assertThat(tallies.get("third").served()).isLessThan(0.5);
+        assertThat(tallies.get("third").waited).isLessThan(tallies.get("third").asked / 20);
+        assertThat(tallies.get("rare").served()).isGreaterThan(0.95);
+    }
+
     /** Of two kinds that are rare alike both are served; of a rarer one that comes while one waits the other gives way. */
     @Test
     void theLightestGoesFirst() {
@@ -254,6 +265,22 @@
         assertThat(limiter.taken()).isZero();
     }
 
+    /** Servers that hang hold all places: the socket on which requests wait must go on turning others round. */
+    @Test
+    void afterOneHasWaitedInVainNobodyWaitsUntilAPlaceComesFree() {
+        ConcurrencyLimiter limiter = new ConcurrencyLimiter(1, 1);
+        List<String> told = new ArrayList<>();
+        Waiter first = telling("first", told);
+        assertThat(limiter.acquire(CALL, 0, NOBODY)).isEqualTo(Admission.ADMITTED);
+        assertThat(limiter.acquire(LONG, 0, first)).isEqualTo(Admission.WAITS);
+        assertThat(limiter.expire(first)).isTrue();
+        assertThat(limiter.acquire(LONG, 100_000, NOBODY)).isEqualTo(Admission.REFUSED);
+        limiter.release(CALL, SHORT_MICROS, 200_000);
+        assertThat(limiter.acquire(CALL, 200_000, NOBODY)).isEqualTo(Admission.ADMITTED);
+        assertThat(limiter.acquire(LONG, 200_000, telling("next", told))).isEqualTo(Admission.WAITS);
+        assertThat(told).isEmpty();
+    }
+
     private static Waiter telling(String name, List<String> told) {
         return new Waiter() {
             @Override
