Review case 2: one of seven servers turns slow, inside the site's share

Cause: one of two servers is a share of 0.5, where the site's srv_slow has 0.16. Change: seven servers, one slow (0.143), and more objects; the check and its bound are as they were.

--- a/review/rig/StaleAfterTagPurge.java
+++ b/review/rig/StaleAfterTagPurge.java
@@ -18,7 +18,11 @@
 public final class StaleAfterTagPurge {
     private static final int CORES = 3;
     private static final int EDGES = 3;
-    private static final int OBJECTS = 12;
+    private static final int OBJECTS = 36;
+    /** One of them turns slow: a share of 0.143, where the site gives 0.16. */
+    private static final int SERVERS = 7;
+
+    private static final String SLOW_SERVER = "i-7f3a91c2";
     private static final double PURGE_SECONDS = 2.0;
     /** The work of an ordinary object and of a large one, by the site's work_ms: mean 120, at most 690. */
     private static final long WORK_MILLIS = 120;
@@ -86,7 +90,7 @@
         }
         int version = versions.getOrDefault(path, 1);
         boolean large = path.contains("large");
-        double factor = slow && server.id().equals("i-7f3a91c2") ? SLOW : 1;
+        double factor = slow && server.id().equals(SLOW_SERVER) ? SLOW : 1;
         long millis = (long) ((large ? LARGE_WORK_MILLIS : WORK_MILLIS) * factor);
         if (large) {
             record.line("server %s begins %s at version %d, %d ms of work", server.id(), path, version, millis);
@@ -128,13 +132,20 @@
     private int run() throws IOException, InterruptedException {
         try (Network network = new Network(record, Map.of("syncTime", "\"6s\"", "retrySlack", "210"))) {
             network.startAll(CORES, EDGES);
-            try (Server first = new Server(record, network, "i-7f3a91c2", "huvo11a", 40, 1, 32, CORES, this::work);
-                    Server second = new Server(record, network, "i-b4158f58", "huvo11a", 41, 2, 32, CORES, this::work)) {
+            List<Server> servers = new ArrayList<>();
+            for (int number = 0; number < SERVERS; number++) {
+                String id = number == 0 ? SLOW_SERVER : "i-b4158f5" + number;
+                servers.add(new Server(record, network, id, "huvo11a", 40 + number, 1 + number % 3, 32, CORES, this::work));
+            }
+            try {
                 network.order("configuration 7", "/v1/configuration/replace", configuration(), CORES, 20);
                 network.awaitReady(EDGES, 20);
-                record.line("servers %s and %s beat", first.id(), second.id());
-                Thread.sleep(4_000); // contact, and heartbeats of both servers
+                Thread.sleep(4_000); // contact, and heartbeats of all servers
                 return play(network);
+            } finally {
+                for (Server server : servers) {
+                    server.close();
+                }
             }
         }
     }
@@ -152,7 +163,7 @@
         }
         Thread.sleep(3_000);
         slow = trouble;
-        record.line(slow ? "server i-7f3a91c2 turns slow, %.0f times the work" : "no server turns slow", SLOW);
+        record.line(slow ? "server " + SLOW_SERVER + " turns slow, %.0f times the work" : "no server turns slow", SLOW);
         inBackground(() -> {
             try {
                 Thread.sleep((long) (1_000 * SLOW_SECONDS));
