Edges log the age of the configuration at a 404, stalls, and what an end leaves unanswered

The logs couldn't tell a 404 after a stall from one by a slow spread or by a registry that vouches for an older version; nor how many requests an edge had read and not answered when it ended.

A ready edge now asks one registry after another, twice a second, for a digest; the answer says how long ago the registry's store confirmed the configuration (a field at the end of the digest, which earlier versions neither send nor read). With it a 404 is logged, once a second at most, with the version, the age of the confirmation and the last stall; a resumed process says how long it stood still; an edge that ends says how many requests are unanswered, when it begins and when it has ended. No decision depends on any of this yet.

--- a/src/main/java/gorsemast/gossip/GossipState.java
+++ b/src/main/java/gorsemast/gossip/GossipState.java
@@ -164,6 +164,11 @@
         return bits;
     }
 
+    /** Returns whether the bucket of the configuration is among these, given as bits. */
+    public static boolean includesConfiguration(int buckets) {
+        return (buckets >> bucket(Kind.CONFIGURATION, "") & 1) == 1;
+    }
+
     /** Returns the versions of all entries in these buckets, given as bits. */
     public List<EntryVersion> versions(int buckets) {
         List<EntryVersion> found = new ArrayList<>();
--- a/src/main/java/gorsemast/peer/Gossip.java
+++ b/src/main/java/gorsemast/peer/Gossip.java
@@ -21,26 +21,36 @@
  * to. Digests are sent over each link when it comes up and over one more link at each tick; buckets that differ are
  * repaired in both directions. So a lost message, a partition or a freeze costs a tick and a round trip. A proxy that is
  * catching up requests a digest from its registries at each tick, because a registry with many links reaches each one only
- * rarely by its own ticks. Not thread-safe.
+ * rarely by its own ticks. One that has caught up requests a digest from one registry after another, so that it knows at any
+ * time how long ago its configuration was the newest. Not thread-safe.
  */
 public final class Gossip {
     /** A digest makes a process ready only if it replies to a request this recent, by the requester's own clock. */
     static final long MAX_REPLY_AGE_MICROS = 1_000_000;
+    /** How often a proxy that has caught up asks a registry to confirm its configuration. */
+    static final long CONFIRMATION_INTERVAL_MICROS = 500_000;
+
+    private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final GossipState state;
     private final Neighbours neighbours;
     private final Program program;
     private final LongSupplier clock;
     private final BooleanSupplier synced;
+    private final LongSupplier configurationAge;
     private final Consumer<Entry> changed;
     private boolean caughtUp;
-    private long unsyncedReplyAt = Long.MIN_VALUE / 2;
+    private long unsyncedReplyAt = NEVER;
+    private long configurationConfirmedAt = NEVER;
+    private long nextConfirmationAt;
     private int nextNeighbour;
+    private int nextRegistry;
 
     /**
      * Creates the gossip of one process.
      *
      * @param synced whether this process confirms that its state is current (a registry), or is ready (a proxy)
+     * @param configurationAge how long ago this process knew its configuration to be the newest, as a {@link Digest} says it
      * @param changed receives each entry that is new here, after it was merged
      */
     public Gossip(
@@ -49,25 +59,33 @@
             Neighbours neighbours,
             LongSupplier clock,
             BooleanSupplier synced,
+            LongSupplier configurationAge,
             Consumer<Entry> changed) {
         this.program = program;
         this.state = state;
         this.neighbours = neighbours;
         this.clock = clock;
         this.synced = synced;
+        this.configurationAge = configurationAge;
         this.changed = changed;
     }
 
     /** Sends a digest to a neighbour that has connected. */
     public void connected(Neighbour neighbour) {
-        neighbour.send(digest(0));
+        neighbour.send(neighbour.hello().program() == Program.REGISTRY ? request() : digest(0));
     }
 
     private Digest digest(long inReplyTo) {
         boolean isSynced = synced.getAsBoolean();
         // A reply requests no reply.
         long requestTime = program == Program.PROXY && !isSynced && inReplyTo == 0 ? clock.getAsLong() : 0;
-        return new Digest(isSynced, requestTime, inReplyTo, state.digest());
+        return new Digest(isSynced, requestTime, inReplyTo, state.digest(), configurationAge.getAsLong());
+    }
+
+    /** A digest that, if this process is a proxy, requests the receiver's. */
+    private Digest request() {
+        long requestTime = program == Program.PROXY ? clock.getAsLong() : 0;
+        return new Digest(synced.getAsBoolean(), requestTime, 0, state.digest(), configurationAge.getAsLong());
     }
 
     /** Publishes an entry of this process; returns whether it was new. */
@@ -100,7 +118,11 @@
             if (fresh && neighbour.hello().program() == Program.REGISTRY) {
                 // Compared on arrival: a moment later either side may have something newer.
                 caughtUp |= digest.synced() && differing == 0;
-                unsyncedReplyAt = digest.synced() ? Long.MIN_VALUE / 2 : clock.getAsLong();
+                unsyncedReplyAt = digest.synced() ? NEVER : clock.getAsLong();
+                if (digest.synced() && !GossipState.includesConfiguration(differing)) {
+                    configurationConfirmedAt =
+                            Math.max(configurationConfirmedAt, digest.inReplyTo() - digest.configurationAge());
+                }
             }
             if (digest.requestTime() != 0) {
                 // A starting process waits for this, however many links there are.
@@ -161,11 +183,25 @@
     public void tick() {
         Collection<Neighbour> up = neighbours.connected();
         if (program == Program.PROXY && !synced.getAsBoolean()) {
-            Digest digest = digest(0);
-            neighbours.connected(Program.REGISTRY).forEach(neighbour -> neighbour.send(digest));
+            requestConfirmations();
         } else if (!up.isEmpty()) {
             List<Neighbour> all = new ArrayList<>(up);
             all.get(Math.floorMod(nextNeighbour++, all.size())).send(digest(0));
+            requestConfirmationIfDue();
+        }
+    }
+
+    /** Asks all registries to confirm this proxy's state. */
+    public void requestConfirmations() {
+        Digest request = request();
+        neighbours.connected(Program.REGISTRY).forEach(neighbour -> neighbour.send(request));
+    }
+
+    private void requestConfirmationIfDue() {
+        List<Neighbour> registries = neighbours.connected(Program.REGISTRY);
+        if (program == Program.PROXY && clock.getAsLong() >= nextConfirmationAt && !registries.isEmpty()) {
+            nextConfirmationAt = clock.getAsLong() + CONFIRMATION_INTERVAL_MICROS;
+            registries.get(Math.floorMod(nextRegistry++, registries.size())).send(request());
         }
     }
 
@@ -174,6 +210,14 @@
         return caughtUp;
     }
 
+    /**
+     * Returns when the configuration of this process was last known to be the newest: it includes all that had been
+     * acknowledged by then. Long before the start for never.
+     */
+    public long configurationConfirmedAt() {
+        return configurationConfirmedAt;
+    }
+
     /** Returns whether the last registry that replied recently did not confirm its state as current. */
     public boolean registryUnsynced() {
         return clock.getAsLong() - unsyncedReplyAt < MAX_REPLY_AGE_MICROS;
--- a/src/main/java/gorsemast/peer/PeerMessage.java
+++ b/src/main/java/gorsemast/peer/PeerMessage.java
@@ -37,8 +37,14 @@
      * @param synced whether the sender confirms that its state is current
      * @param requestTime the sender's time if it requests the other's digest, else 0
      * @param inReplyTo the {@code requestTime} of the request that this replies to, else 0
+     * @param configurationAge how long ago, in microseconds, the sender's configuration was known to be the newest; {@link
+     *     #UNKNOWN_AGE} where the sender can't tell
      */
-    record Digest(boolean synced, long requestTime, long inReplyTo, long[] buckets) implements PeerMessage {}
+    record Digest(boolean synced, long requestTime, long inReplyTo, long[] buckets, long configurationAge)
+            implements PeerMessage {
+        /** Longer ago than anything that counts. */
+        public static final long UNKNOWN_AGE = Long.MAX_VALUE / 4;
+    }
 
     /**
      * Registry to registry: requests a comparison with these digests. Empty buckets only ask for an answer after all
@@ -131,6 +137,7 @@
             for (long bucket : digest.buckets) {
                 out.writeLong(bucket);
             }
+            out.writeLong(digest.configurationAge);
         } else if (this instanceof Summary summary) {
             out.writeByte(4);
             out.writeInt(summary.buckets);
@@ -223,7 +230,12 @@
             }
             case 2 -> new Ping();
             case 3 -> {
-                yield new Digest(in.readBoolean(), in.readLong(), in.readLong(), readBuckets(in, GossipState.BUCKETS));
+                yield new Digest(
+                        in.readBoolean(),
+                        in.readLong(),
+                        in.readLong(),
+                        readBuckets(in, GossipState.BUCKETS),
+                        in.available() > 0 ? in.readLong() : Digest.UNKNOWN_AGE); // earlier versions end here
             }
             case 4 -> {
                 int parts = in.readInt();
--- a/src/main/java/gorsemast/proxy/ClientConnection.java
+++ b/src/main/java/gorsemast/proxy/ClientConnection.java
@@ -396,6 +396,13 @@
                 && (waiting == null || waiting.totalPendingWriteBytes() == 0);
     }
 
+    /** Number of requests that have been read whole and whose response is not complete. */
+    int unansweredRequests() {
+        return (int) requests.stream()
+                .filter(request -> request.complete && !(request.answered && (!request.streaming || request.streamed)))
+                .count();
+    }
+
     /** Whether the connection has been idle for so long that no request is likely to be in transit. */
     boolean isQuiet(long now) {
         return isIdle() && now - lastActivityAt > QUIET_MICROS;
--- a/src/main/java/gorsemast/proxy/Frontend.java
+++ b/src/main/java/gorsemast/proxy/Frontend.java
@@ -11,6 +11,7 @@
 import gorsemast.dispatch.ServiceDispatcher;
 import gorsemast.http.ResponseSink;
 import gorsemast.http.StrictHttp;
+import gorsemast.logging.Log;
 import gorsemast.observe.EventCounters;
 import gorsemast.transport.Transport;
 import io.netty.buffer.Unpooled;
@@ -57,16 +58,22 @@
     private static final long UNREADABLE_BUDGET = -1;
 
     private static final int MAX_BUFFERED_RESPONSE_BYTES = 64 << 10;
+    /** The log says at most this often why a route was not found. */
+    private static final long NO_ROUTE_LOG_INTERVAL_MICROS = 1_000_000;
+
     private static final int NOT_FOUND = 404;
     private static final int BAD_REQUEST = 400;
     private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
     private static final int SERVICE_UNAVAILABLE = 503;
 
+    private static final Log LOG = new Log("proxy");
+
     private final EventLoop loop;
     private final LongSupplier clock;
     private final Supplier<Configuration> configuration;
     private final Supplier<ConfigurationStatus> status;
+    private final Supplier<String> configurationDescription;
     private final Function<String, ServiceDispatcher> dispatchers;
     private final ObjectService objects;
     private final AcceptLimiter acceptLimiter;
@@ -85,12 +92,14 @@
     private long bufferedBodyBytes;
     private int forwarded;
     private long requestCount;
+    private long nextNoRouteLogAt;
 
     Frontend(
             EventLoop loop,
             LongSupplier clock,
             Supplier<Configuration> configuration,
             Supplier<ConfigurationStatus> status,
+            Supplier<String> configurationDescription,
             Function<String, ServiceDispatcher> dispatchers,
             ObjectService objects,
             EdgeCounters counters,
@@ -100,6 +109,7 @@
         this.clock = clock;
         this.configuration = configuration;
         this.status = status;
+        this.configurationDescription = configurationDescription;
         this.dispatchers = dispatchers;
         this.objects = objects;
         this.socketBudget = socketBudget;
@@ -192,6 +202,18 @@
         }
     }
 
+    /** Number of requests that have been read and whose response is not complete. */
+    int unansweredRequests() {
+        return connections.stream()
+                .mapToInt(ClientConnection::unansweredRequests)
+                .sum();
+    }
+
+    /** Number of open client connections. */
+    int connectionCount() {
+        return connections.size();
+    }
+
     /** Number of requests since the start. */
     long requestCount() {
         return requestCount;
@@ -352,6 +374,7 @@
     private void notFound(Exchange exchange, ConfigurationStatus configurationStatus) {
         if (configurationStatus == ConfigurationStatus.CONFIRMED) {
             localResponses.count(LocalResponse.NO_ROUTE);
+            logNoRoute(exchange);
             exchange.respond(NOT_FOUND, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
         } else {
             boolean hasNoConfiguration = configurationStatus == ConfigurationStatus.ABSENT;
@@ -360,6 +383,13 @@
         }
     }
 
+    private void logNoRoute(Exchange exchange) {
+        if (now() >= nextNoRouteLogAt) {
+            nextNoRouteLogAt = now() + NO_ROUTE_LOG_INTERVAL_MICROS;
+            LOG.info("no route for " + exchange.uri() + " in " + configurationDescription.get());
+        }
+    }
+
     private static ConcurrencyLimiter.Kind kind(Route route, int maxSlotsIfSlow) {
         return new ConcurrencyLimiter.Kind(route.name(), route.targetLatencyMicros(), maxSlotsIfSlow);
     }
--- a/src/main/java/gorsemast/proxy/ProxyNode.java
+++ b/src/main/java/gorsemast/proxy/ProxyNode.java
@@ -91,6 +91,7 @@
     private final GossipState gossipState = new GossipState();
     private final HomeSelector homes;
     private final Gossip gossip;
+    private final ConfigurationFreshness freshness;
     private final Map<String, Long> coldUntil = new HashMap<>();
     private final Set<String> seeds = new LinkedHashSet<>();
     private final Set<String> services = new LinkedHashSet<>();
@@ -144,7 +145,15 @@
         this.ownSpeeds = ownSpeeds;
         this.listener = listener;
         this.homes = new HomeSelector(ip, zone);
-        this.gossip = new Gossip(Program.PROXY, gossipState, neighbours, clock, () -> ready, this::changed);
+        this.gossip = new Gossip(
+                Program.PROXY,
+                gossipState,
+                neighbours,
+                clock,
+                () -> ready,
+                () -> PeerMessage.Digest.UNKNOWN_AGE,
+                this::changed);
+        this.freshness = new ConfigurationFreshness(startedAt);
         this.seeds.addAll(seeds);
     }
 
@@ -170,6 +179,7 @@
 
     /** Whether the configuration is known to be the newest. */
     ConfigurationStatus configurationStatus() {
+        recordRunning();
         if (configuration == null) {
             return ConfigurationStatus.ABSENT;
         }
@@ -181,6 +191,18 @@
         return mayBeConfirmed ? ConfigurationStatus.CHECKING : ConfigurationStatus.UNCONFIRMED;
     }
 
+    /** Describes, for the log, which configuration is active and how long ago it was known to be the newest. */
+    public String describeConfiguration() {
+        String version = configuration == null ? "none" : Long.toHexString(configuration.version());
+        return "configuration " + version + ", " + freshness.describe(clock.getAsLong());
+    }
+
+    private void recordRunning() {
+        if (freshness.recordRunning(clock.getAsLong())) {
+            LOG.info("resumed with " + describeConfiguration());
+        }
+    }
+
     /** Whether the node holds, or once held, what a synced registry holds. */
     public boolean ready() {
         return ready;
@@ -193,6 +215,7 @@
 
     /** Performs the periodic work; must be called every {@link #TICK_MICROS}. */
     public void tick() {
+        recordRunning();
         long now = clock.getAsLong();
         homes.updateEdges(edgesUp());
         gossip.tick();
@@ -384,6 +407,7 @@
             listener.speedsReceived(pooled.servers());
         } else {
             gossip.received(neighbour, message);
+            freshness.recordConfirmed(gossip.configurationConfirmedAt());
             becomeReady();
         }
     }
--- a/src/main/java/gorsemast/proxy/ProxyProgram.java
+++ b/src/main/java/gorsemast/proxy/ProxyProgram.java
@@ -80,6 +80,8 @@
     /** How often the counters are logged. */
     private static final long REPORT_INTERVAL_MICROS = 10_000_000;
 
+    private static final long MICROS_PER_MILLI = 1_000;
+
     private static final Log LOG = new Log("proxy");
 
     private final Settings settings;
@@ -167,6 +169,7 @@
                 this::now,
                 node::configuration,
                 node::configurationStatus,
+                node::describeConfiguration,
                 dispatchers::get,
                 objects,
                 counters,
@@ -275,7 +278,8 @@
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(() -> {
             stopping = true;
-            LOG.info("shutting down, " + frontend.forwardedRequests() + " requests in progress; handled "
+            LOG.info("shutting down, " + frontend.unansweredRequests() + " requests in progress, "
+                    + frontend.forwardedRequests() + " of them forwarded; handled "
                     + frontend.requestCount() + ", "
                     + coordinator.counters().describe() + "; local responses: "
                     + counters.localResponses().describe() + "; sockets: "
@@ -308,7 +312,10 @@
         if (idle || elapsed > latestEnd - STOP_ACCEPTING_RESERVE_MICROS) {
             frontend.stopListening();
         }
-        if (idle || elapsed > latestEnd) {
+        if ((idle || elapsed > latestEnd) && done.getCount() > 0) {
+            LOG.info("shut down after " + elapsed / MICROS_PER_MILLI + " ms, " + frontend.unansweredRequests()
+                    + " requests unanswered, " + frontend.forwardedRequests() + " of them forwarded, on "
+                    + frontend.connectionCount() + " connections");
             done.countDown();
         }
     }
--- a/src/main/java/gorsemast/registry/ConfirmationLease.java
+++ b/src/main/java/gorsemast/registry/ConfirmationLease.java
@@ -42,6 +42,11 @@
         return now - storeConfirmedAt < LEASE_MICROS;
     }
 
+    /** Returns when the store's last confirmation was requested; long before the start for never. */
+    long storeConfirmedAt() {
+        return storeConfirmedAt;
+    }
+
     /** Notes an answer of a registry; {@code upToDate} says that this one holds all that the other held. */
     void registryAnswered(String ip, long requestedAt, long term, boolean complete, boolean upToDate) {
         lastAnswerAt.merge(ip, requestedAt, Math::max);
--- a/src/main/java/gorsemast/registry/RegistryNode.java
+++ b/src/main/java/gorsemast/registry/RegistryNode.java
@@ -134,7 +134,8 @@
         this.random = new SplittableRandom(seed);
         this.startedAt = clock.getAsLong();
         this.heartbeats = new HeartbeatTable(state, parameters.heartbeatMicros);
-        this.gossip = new Gossip(Program.REGISTRY, state, neighbours, clock, this::synced, this::entryChanged);
+        this.gossip = new Gossip(
+                Program.REGISTRY, state, neighbours, clock, this::synced, this::configurationAge, this::entryChanged);
         this.durable = new DurableState(state, environment, hasDisk, parameters.firstBoot);
         this.quorum = new Quorum(parameters.ip, parameters.losses, state, durable, neighbours, clock);
         this.replication = new ReplicationTracker(parameters.ip, quorum, durable, gossip, clock);
@@ -181,6 +182,11 @@
         return heardAll && quorum.holdsLease();
     }
 
+    /** Returns how long ago the store confirmed that the configuration published here is the newest. */
+    private long configurationAge() {
+        return now() - quorum.lease().storeConfirmedAt();
+    }
+
     /** Returns the current membership. */
     public Membership membership() {
         return quorum.membership();
--- a/src/test/java/gorsemast/peer/GossipCatchUpTest.java
+++ b/src/test/java/gorsemast/peer/GossipCatchUpTest.java
@@ -49,7 +49,7 @@
 
         Node(Program program, int number) {
             hello = new Hello(program, "10.0." + program.ordinal() + "." + number, "a", "", 1);
-            gossip = new Gossip(program, state, this, time::now, () -> true, entry -> {});
+            gossip = new Gossip(program, state, this, time::now, () -> true, () -> 0, entry -> {});
             nodes.add(this);
             tick();
         }
--- a/src/test/java/gorsemast/proxy/ProxyNodeTest.java
+++ b/src/test/java/gorsemast/proxy/ProxyNodeTest.java
@@ -101,7 +101,7 @@
             requestTime = message instanceof Digest digest ? digest.requestTime() : requestTime;
         }
         now += delayMicros;
-        edge.received(registry, new Digest(synced, 0, requestTime, registryState.digest()));
+        edge.received(registry, new Digest(synced, 0, requestTime, registryState.digest(), 0));
         edge.tick();
     }
 
@@ -117,7 +117,7 @@
     void isNotReadyAfterAnUnsyncedDelayedOrUnrequestedDigest() {
         registryAnswers(false, 20_000);
         registryAnswers(true, 3_000_000);
-        edge.received(registry, new Digest(true, 0, 0, registryState.digest()));
+        edge.received(registry, new Digest(true, 0, 0, registryState.digest(), 0));
         edge.tick();
         assertThat(edge.ready()).isFalse();
     }
@@ -139,7 +139,7 @@
                 .as("requested after the update, before any tick")
                 .isEqualTo(now);
         now += 20_000;
-        edge.received(registry, new Digest(true, 0, requestTime, registryState.digest()));
+        edge.received(registry, new Digest(true, 0, requestTime, registryState.digest(), 0));
         assertThat(edge.configurationStatus()).isEqualTo(ConfigurationStatus.CONFIRMED);
         assertThat(edge.ready()).isTrue();
         now += 60_000_000;
@@ -148,7 +148,7 @@
 
     @Test
     void configurationIsUnconfirmedWhereNoRegistryIsSynced() {
-        edge.received(registry, new Digest(false, 0, lastRequestTime(), registryState.digest()));
+        edge.received(registry, new Digest(false, 0, lastRequestTime(), registryState.digest(), 0));
         assertThat(edge.configurationStatus()).isEqualTo(ConfigurationStatus.UNCONFIRMED);
     }
 
