--- a/src/test/java/gorsemast/processes/KeptConnection.java
+++ b/src/test/java/gorsemast/processes/KeptConnection.java
@@ -32,6 +32,7 @@
 final class KeptConnection {
     private static final int MOST = 8 << 20;
     private static final int CONNECT_MILLIS = 1_000;
+    private static final long USUAL_BUDGET_MILLIS = 1_500;
 
     /** What is asked next. */
     record Request(String id, String method, String path) {
@@ -46,6 +47,7 @@
     private final EventLoop loop;
     private final InetSocketAddress to;
     private final long patienceMillis;
+    private final long budgetMillis;
     private Channel channel;
     private Request current;
     private long sentNanos;
@@ -53,9 +55,15 @@
     private int turn;
 
     KeptConnection(EventLoop loop, InetSocketAddress to, long patienceMillis) {
+        this(loop, to, patienceMillis, USUAL_BUDGET_MILLIS);
+    }
+
+    /** @param budgetMillis how long the requests say that their client waits */
+    KeptConnection(EventLoop loop, InetSocketAddress to, long patienceMillis, long budgetMillis) {
         this.loop = loop;
         this.to = to;
         this.patienceMillis = patienceMillis;
+        this.budgetMillis = budgetMillis;
     }
 
     /** Asks; one request at a time. */
@@ -105,6 +113,7 @@
         FullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1, HttpMethod.valueOf(current.method), current.path, Unpooled.wrappedBuffer(body));
         LoopbackNetwork.client(current.id).forEach(message.headers()::set);
+        message.headers().set("Time-Budget", budgetMillis);
         message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
         channel.writeAndFlush(message);
     }
