LOST: an ending edge starts only what it can end, and answers what it abandons

Callers saw connections closed without an answer around SIGTERM of an edge, on routes with timeouts of 6 s and more.

Cause: after SIGTERM an edge kept starting requests with their route's whole timeout as deadline, and at the end of the process, half a second before grace is over, closed the connections of all that were in hand: calls that servers were at work on, and object reads that waited for a permit or another edge and that no server had seen.

Change: ShutdownSchedule says when each step of the end is due and what may still be started. A request that arrives in the first three seconds is; later ones only if their deadline lies before the end, or if the edge has the answer in its cache. All others are refused at once with a retry time. What is still in hand half a second before the end gets a 503 with a retry time, or a 504 where it may run only once and has been started; queued requests aren't started any more. These responses are counted as SHUTTING_DOWN.

Why it works: what a server may still be working on at the end arrived within three seconds of the signal, and all else has its deadline or a response before.

--- a/src/main/java/gorsemast/proxy/ClientConnection.java
+++ b/src/main/java/gorsemast/proxy/ClientConnection.java
@@ -25,6 +25,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -265,12 +266,39 @@
      */
     private void handOver(ClientRequest request) {
         channel.eventLoop().execute(() -> {
-            if (!broken && channel.isActive()) {
+            if (!broken && !request.answered && channel.isActive()) {
                 owner.handle(request);
             }
         });
     }
 
+    /** Withdraws a queued request for a concurrency slot. */
+    void withdrawFromQueue() {
+        slot.withdraw();
+    }
+
+    /**
+     * Responds to the requests that have been read and not answered, as the process ends: with 503 where a request may be
+     * sent again, else with 504, which promises nothing.
+     */
+    void abandonRequests() {
+        for (ClientRequest request : List.copyOf(requests)) {
+            if (request.complete && !request.answered) {
+                owner.countLocalResponse(LocalResponse.SHUTTING_DOWN);
+                request.disconnectTask.run();
+                boolean mayBeSentAgain = request.repeatable || !request.started;
+                HttpHeaders headers = new DefaultHttpHeaders();
+                if (mayBeSentAgain) {
+                    headers.set(
+                            HttpHeaderNames.RETRY_AFTER, Frontend.formatSeconds(Frontend.SHUTDOWN_RETRY_AFTER_MICROS));
+                }
+                HttpResponseStatus status =
+                        mayBeSentAgain ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.GATEWAY_TIMEOUT;
+                request.respond(status.code(), headers, Unpooled.EMPTY_BUFFER);
+            }
+        }
+    }
+
     /** Requests a concurrency slot as described at {@link Exchange#acquire}. */
     void acquire(ConcurrencyLimiter.Kind kind, Runnable admitted, Runnable refused) {
         slot.acquire(kind, admitted, refused);
--- a/src/main/java/gorsemast/proxy/ConnectionSlot.java
+++ b/src/main/java/gorsemast/proxy/ConnectionSlot.java
@@ -90,11 +90,16 @@
         }
     }
 
-    /** Releases the slot, or withdraws the request for it without running a callback. */
-    void release() {
+    /** Withdraws the request for the slot, if it is queued, without running a callback. */
+    void withdraw() {
         if (!pending.isEmpty() && limiter.withdraw(this)) {
             takePending();
         }
+    }
+
+    /** Releases the slot, or withdraws the request for it without running a callback. */
+    void release() {
+        withdraw();
         if (isHeld) {
             isHeld = false;
             onRelease.run();
--- a/src/main/java/gorsemast/proxy/Frontend.java
+++ b/src/main/java/gorsemast/proxy/Frontend.java
@@ -46,6 +46,8 @@
     static final long DEFAULT_RETRY_AFTER_MICROS = 300_000;
     /** Retry-After while the edge checks whether its configuration is the newest. */
     private static final long CHECKING_RETRY_AFTER_MICROS = 100_000;
+    /** Retry-After when the process ends: other edges serve at once. */
+    static final long SHUTDOWN_RETRY_AFTER_MICROS = 100_000;
     /** Subtracted from the client's time budget so that the response reaches the client in time. */
     private static final long RESPONSE_TRANSIT_MICROS = 8_000;
     /** Heads are held in memory, so the configured limit has an upper bound. */
@@ -88,7 +90,9 @@
     private final SplittableRandom random;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
-    private boolean closing;
+    /** Null until the process has been told to end. */
+    private ShutdownSchedule shutdown;
+
     private long bufferedBodyBytes;
     private int forwarded;
     private long requestCount;
@@ -148,9 +152,15 @@
         return listener;
     }
 
-    /** Closes connections after their responses from now on. */
-    void startClosing() {
-        closing = true;
+    /** Begins the shutdown: from now on requests are started only as the schedule allows. */
+    void beginShutdown(ShutdownSchedule schedule) {
+        shutdown = schedule;
+    }
+
+    /** Ends all requests in progress with a response of the edge's own, and starts none of those that wait. */
+    void abandonRequests() {
+        connections.forEach(ClientConnection::withdrawFromQueue);
+        List.copyOf(connections).forEach(ClientConnection::abandonRequests);
     }
 
     /** Stops accepting connections, so that no request starts that the end of the process would cut off. */
@@ -263,7 +273,9 @@
 
     @Override
     public boolean isClosing() {
-        return closing || closesAfterResponse || acceptLimiter.isMostlyFull();
+        return shutdown != null && now() >= shutdown.closesAfterResponsesAt()
+                || closesAfterResponse
+                || acceptLimiter.isMostlyFull();
     }
 
     @Override
@@ -350,7 +362,15 @@
         }
         long waitMicros = Math.min(route.timeoutMicros(), Math.max(1_000, budget - RESPONSE_TRANSIT_MICROS));
         long deadline = exchange.arrivedAt() + waitMicros;
-        if (route.kind() == Route.Kind.CACHEABLE && exchange.method().equals(HttpMethod.GET)) {
+        boolean isObjectRequest =
+                route.kind() == Route.Kind.CACHEABLE && exchange.method().equals(HttpMethod.GET);
+        if (shutdown != null && !shutdown.mayStart(now(), deadline)) {
+            if (!isObjectRequest || !objects.serveFromCache(exchange, route, attemptId)) {
+                localResponses.count(LocalResponse.SHUTTING_DOWN);
+                exchange.takeBody().release();
+                refuse(exchange, SHUTDOWN_RETRY_AFTER_MICROS);
+            }
+        } else if (isObjectRequest) {
             ConcurrencyLimiter.Kind kind = kind(route, socketBudget.maxConcurrentRequests() - 1);
             objects.serve(
                     exchange,
--- a/src/main/java/gorsemast/proxy/LocalResponse.java
+++ b/src/main/java/gorsemast/proxy/LocalResponse.java
@@ -37,6 +37,8 @@
     SERVICE_REFUSED,
     /** 503: the object could not be fetched in time, or no edge could be asked for it. */
     OBJECT_REFUSED,
+    /** 503: the process ends before a response could be complete. */
+    SHUTTING_DOWN,
     /** 502: the service failed. */
     SERVICE_FAILED,
     /** 504: the time limit has passed. */
--- a/src/main/java/gorsemast/proxy/ObjectService.java
+++ b/src/main/java/gorsemast/proxy/ObjectService.java
@@ -120,6 +120,16 @@
         }
     }
 
+    /** Serves a client's request if the object is cached; returns whether it was. */
+    boolean serveFromCache(Exchange exchange, Route route, String attemptId) {
+        CachedResponse cached = coordinator.lookUp(new ObjectRequest(route, route.host(), exchange.uri()));
+        if (cached != null) {
+            exchange.takeBody().release();
+            respond(exchange, cached, attemptId);
+        }
+        return cached != null;
+    }
+
     /** Serves a request that holds a concurrency slot. */
     private void serveWithSlot(
             Exchange exchange, ObjectRequest object, String attemptId, long deadline, Runnable forward) {
--- a/src/main/java/gorsemast/proxy/ProxyProgram.java
+++ b/src/main/java/gorsemast/proxy/ProxyProgram.java
@@ -66,16 +66,10 @@
      * three times what the additional hits are worth.
      */
     private static final long CACHE_BYTES = 9L << 20;
-    /** The platform probes readiness each second and reacts after two failures; until then new clients still arrive. */
-    private static final long PROBE_REACTION_MICROS = 2_400_000;
-    /** Remaining requests are abandoned this long before the platform kills the process. */
-    private static final long SHUTDOWN_RESERVE_MICROS = 500_000;
-    /** Idle connections are closed this long after the edge began to close connections after their responses. */
-    private static final long IDLE_CLOSE_DELAY_MICROS = 600_000;
-    /** Stops accepting this long before remaining requests are abandoned: later clients might not get a response. */
-    private static final long STOP_ACCEPTING_RESERVE_MICROS = 1_000_000;
     /** How often the shutdown checks whether all connections are closed. */
     private static final long SHUTDOWN_POLL_MICROS = 60_000;
+    /** How long the process stays for the responses to abandoned requests to be sent. */
+    private static final long SEND_MICROS = 200_000;
 
     /** How often the counters are logged. */
     private static final long REPORT_INTERVAL_MICROS = 10_000_000;
@@ -284,10 +278,10 @@
                     + coordinator.counters().describe() + "; local responses: "
                     + counters.localResponses().describe() + "; sockets: "
                     + counters.socketEvents().describe());
-            loop.schedule(frontend::startClosing, Math.min(PROBE_REACTION_MICROS, grace / 2), TimeUnit.MICROSECONDS);
-            long startedAt = now();
+            ShutdownSchedule schedule = new ShutdownSchedule(now(), grace);
+            frontend.beginShutdown(schedule);
             loop.scheduleWithFixedDelay(
-                    () -> checkShutdown(startedAt, grace, done),
+                    () -> checkShutdown(schedule, done),
                     SHUTDOWN_POLL_MICROS,
                     SHUTDOWN_POLL_MICROS,
                     TimeUnit.MICROSECONDS);
@@ -300,22 +294,24 @@
     }
 
     /**
-     * Checks whether the shutdown is complete, which it is {@code grace} after {@code startedAt} at the latest. This
-     * loop keeps running until the process exits, so it stops accepting first: a client accepted at that point would
-     * have its request forwarded and never answered.
+     * Takes the steps of the shutdown that are due. This loop keeps running until the process exits, so it stops
+     * accepting first: a client accepted at that point would have its request forwarded and never answered.
      */
-    private void checkShutdown(long startedAt, long grace, CountDownLatch done) {
-        long elapsed = now() - startedAt;
-        long latestEnd = grace - SHUTDOWN_RESERVE_MICROS;
-        boolean closesIdle = elapsed > Math.min(PROBE_REACTION_MICROS, grace / 2) + IDLE_CLOSE_DELAY_MICROS;
-        boolean idle = closesIdle && frontend.closeIdle() == 0;
-        if (idle || elapsed > latestEnd - STOP_ACCEPTING_RESERVE_MICROS) {
+    private void checkShutdown(ShutdownSchedule schedule, CountDownLatch done) {
+        long now = now();
+        if (now >= schedule.abandonsAt()) {
+            frontend.abandonRequests();
+        }
+        boolean idle = now >= schedule.closesIdleAt() && frontend.closeIdle() == 0;
+        if (idle || now >= schedule.stopsAcceptingAt()) {
             frontend.stopListening();
         }
-        if ((idle || elapsed > latestEnd) && done.getCount() > 0) {
-            LOG.info("shut down after " + elapsed / MICROS_PER_MILLI + " ms, " + frontend.unansweredRequests()
-                    + " requests unanswered, " + frontend.forwardedRequests() + " of them forwarded, on "
-                    + frontend.connectionCount() + " connections");
+        boolean ends = idle || now >= schedule.abandonsAt() + SEND_MICROS;
+        if (ends && done.getCount() > 0) {
+            LOG.info("shut down after " + schedule.elapsed(now) / MICROS_PER_MILLI + " ms, "
+                    + frontend.unansweredRequests() + " requests unanswered, " + frontend.forwardedRequests()
+                    + " of them forwarded, on " + frontend.connectionCount() + " connections; local responses: "
+                    + counters.localResponses().describe());
             done.countDown();
         }
     }
