CONFIG: a 404 and service after a stall need a recent confirmation by a registry

Callers got 404 on routes whose addition had been acknowledged more than configApply before, and a 404 ends a client's tries. Edges that had stood still also served routes that had been dropped.

Cause: an edge that had once been ready counted as confirmed for ever. After a stop, or cut off from all registries, it answered what it found in its sockets by the configuration from before.

Change: a configuration counts as confirmed while a registry's answer shows that it includes all that had been acknowledged configApply ago: the time of the request less the age of the registry's own confirmation by its store. Without that an unknown route gets a 503 with a retry time. A process that notices that it did not run for a second asks all registries at once and serves nothing until one has confirmed, for a second at most; links that stay silent don't end the service of known routes. Registries ask their store twice a second instead of once, so that both ages stay below configApply.

Why it works: each 404 rests on a request that was sent, by the edge's own monotonic clock, so recently that any newer version was acknowledged less than configApply ago.

--- a/src/main/java/gorsemast/proxy/ConfigurationFreshness.java
+++ b/src/main/java/gorsemast/proxy/ConfigurationFreshness.java
@@ -1,23 +1,29 @@
 package gorsemast.proxy;
 
 /**
- * Tells how long ago an edge's configuration was known to be the newest, and whether the process stood still: stopped,
- * out of its processor quota, or in a long collection. Single-threaded; times in microseconds of a monotonic clock.
+ * Tells whether an edge's configuration is recent enough to say that something does not exist, and whether the process
+ * stood still: stopped, out of its processor quota, or in a long collection. Single-threaded; times in microseconds of a monotonic clock.
  */
 final class ConfigurationFreshness {
+    /** After a stall a registry that is reachable and synced confirms the configuration within this time. */
+    private static final long CONFIRMATION_TIMEOUT_MICROS = 1_000_000;
+
     /** A process that did not run for longer than this stood still. Its periodic work is due four times as often. */
     static final long STALL_MICROS = 4 * ProxyNode.TICK_MICROS;
 
     private static final long MICROS_PER_MILLI = 1_000;
     private static final long NEVER = Long.MIN_VALUE / 2;
 
+    private final long maxAgeMicros;
     private long lastRunAt;
     private long resumedAt = NEVER;
     private long lastStallMicros;
     private long confirmedAt = NEVER;
 
-    ConfigurationFreshness(long now) {
+    /** @param maxAgeMicros age up to which the configuration counts as the newest */
+    ConfigurationFreshness(long now, long maxAgeMicros) {
         this.lastRunAt = now;
+        this.maxAgeMicros = maxAgeMicros;
     }
 
     /** Records that the process runs; returns whether it stood still since the last call. */
@@ -37,6 +43,16 @@
         confirmedAt = Math.max(confirmedAt, at);
     }
 
+    /** Whether the configuration counts as the newest. */
+    boolean isCurrent(long now) {
+        return now - confirmedAt <= maxAgeMicros;
+    }
+
+    /** Whether the process has just resumed, and may learn any moment what it has missed. */
+    boolean hasJustResumed(long now) {
+        return now - resumedAt < CONFIRMATION_TIMEOUT_MICROS;
+    }
+
     /** Describes the age of the configuration and the last stall, for the log. */
     String describe(long now) {
         String age = confirmedAt == NEVER
--- a/src/main/java/gorsemast/proxy/ConfigurationStatus.java
+++ b/src/main/java/gorsemast/proxy/ConfigurationStatus.java
@@ -1,19 +1,19 @@
 package gorsemast.proxy;
 
 /** Whether the configuration that an edge holds is known to be the newest. */
-enum ConfigurationStatus {
+public enum ConfigurationStatus {
     /** There is no configuration. */
     ABSENT,
     /**
-     * The edge has just received its first configuration. A synced registry will shortly confirm whether it is the
-     * newest.
+     * The edge has just received its first configuration, or has just resumed after it stood still. A synced registry
+     * will shortly confirm whether the configuration is the newest. Until then no request is served.
      */
     CHECKING,
     /**
-     * No reachable registry confirms the configuration. Requests are served by it, but unknown routes are not
+     * No registry has confirmed the configuration recently. Requests are served by it, but unknown routes are not
      * answered with 404.
      */
     UNCONFIRMED,
-    /** The configuration has been confirmed by a registry. */
+    /** The configuration includes all that must be in force, as a registry has confirmed. */
     CONFIRMED
 }
--- a/src/main/java/gorsemast/proxy/ProxyNode.java
+++ b/src/main/java/gorsemast/proxy/ProxyNode.java
@@ -120,6 +120,7 @@
      * @param maxLinkedRegistries registries to link to
      * @param maxLinkedEdges other edges to link to
      * @param incarnation higher for a later start of the machine
+     * @param configApplyMicros how long after its acknowledgement a configuration must be in force
      * @param ownSpeeds server speeds observed by this edge, in the format of {@link SpeedReport}
      */
     public ProxyNode(
@@ -128,6 +129,7 @@
             int maxLinkedRegistries,
             int maxLinkedEdges,
             long incarnation,
+            long configApplyMicros,
             Set<String> seeds,
             LongSupplier clock,
             Neighbours neighbours,
@@ -153,7 +155,7 @@
                 () -> ready,
                 () -> PeerMessage.Digest.UNKNOWN_AGE,
                 this::changed);
-        this.freshness = new ConfigurationFreshness(startedAt);
+        this.freshness = new ConfigurationFreshness(startedAt, configApplyMicros);
         this.seeds.addAll(seeds);
     }
 
@@ -178,17 +180,20 @@
     }
 
     /** Whether the configuration is known to be the newest. */
-    ConfigurationStatus configurationStatus() {
+    public ConfigurationStatus configurationStatus() {
         recordRunning();
         if (configuration == null) {
             return ConfigurationStatus.ABSENT;
         }
-        if (ready) {
+        long now = clock.getAsLong();
+        if (ready && freshness.isCurrent(now)) {
             return ConfigurationStatus.CONFIRMED;
         }
         boolean mayBeConfirmed =
-                clock.getAsLong() - firstConfiguredAt < CONFIRMATION_TIMEOUT_MICROS && !gossip.registryUnsynced();
-        return mayBeConfirmed ? ConfigurationStatus.CHECKING : ConfigurationStatus.UNCONFIRMED;
+                ready ? freshness.hasJustResumed(now) : now - firstConfiguredAt < CONFIRMATION_TIMEOUT_MICROS;
+        return mayBeConfirmed && !gossip.registryUnsynced()
+                ? ConfigurationStatus.CHECKING
+                : ConfigurationStatus.UNCONFIRMED;
     }
 
     /** Describes, for the log, which configuration is active and how long ago it was known to be the newest. */
@@ -200,6 +205,7 @@
     private void recordRunning() {
         if (freshness.recordRunning(clock.getAsLong())) {
             LOG.info("resumed with " + describeConfiguration());
+            gossip.requestConfirmations();
         }
     }
 
--- a/src/main/java/gorsemast/proxy/ProxyProgram.java
+++ b/src/main/java/gorsemast/proxy/ProxyProgram.java
@@ -66,6 +66,8 @@
      * three times what the additional hits are worth.
      */
     private static final long CACHE_BYTES = 9L << 20;
+
+    private static final long DEFAULT_CONFIG_APPLY_MICROS = 2_000_000;
     /** How often the shutdown checks whether all connections are closed. */
     private static final long SHUTDOWN_POLL_MICROS = 60_000;
     /** How long the process stays for the responses to abandoned requests to be sent. */
@@ -109,6 +111,7 @@
                 socketBudget.registries(),
                 socketBudget.linkedEdges(),
                 System.currentTimeMillis(),
+                settings.time("configApply", DEFAULT_CONFIG_APPLY_MICROS),
                 settings.seedIps(),
                 this::now,
                 links,
--- a/src/main/java/gorsemast/registry/RegistryNode.java
+++ b/src/main/java/gorsemast/registry/RegistryNode.java
@@ -45,7 +45,7 @@
     /** From this size on, callers wait longer for the answer. */
     private static final int LARGE_COMMAND_BYTES = 256 << 10;
     /** The interval of queries for the store's newest version, in case its message was lost. */
-    private static final long STORE_QUERY_INTERVAL_MICROS = 1_000_000;
+    private static final long STORE_QUERY_INTERVAL_MICROS = 500_000;
     /** The interval at which the aggregated server speeds are sent to all edges. */
     private static final long SPEED_INTERVAL_MICROS = 1_000_000;
 
