STALE: after a stall an edge serves nothing until it has missed no purge either

Cause: only the configuration had to be confirmed after a stall, not the rest of the state.

Change: an edge that has just resumed waits until a registry's answer to a request of the last configApply equals its whole state, for a second at most. Gossip keeps the time of that request instead of a flag that was never taken back; ConfigurationFreshness is StateFreshness now, as it covers both.

--- a/src/main/java/gorsemast/peer/Gossip.java
+++ b/src/main/java/gorsemast/peer/Gossip.java
@@ -39,9 +39,9 @@
     private final BooleanSupplier synced;
     private final LongSupplier configurationAge;
     private final Consumer<Entry> changed;
-    private boolean caughtUp;
     private long unsyncedReplyAt = NEVER;
     private long configurationConfirmedAt = NEVER;
+    private long stateConfirmedAt = NEVER;
     private long nextConfirmationAt;
     private int nextNeighbour;
     private int nextRegistry;
@@ -117,7 +117,9 @@
             boolean fresh = digest.inReplyTo() != 0 && clock.getAsLong() - digest.inReplyTo() < MAX_REPLY_AGE_MICROS;
             if (fresh && neighbour.hello().program() == Program.REGISTRY) {
                 // Compared on arrival: a moment later either side may have something newer.
-                caughtUp |= digest.synced() && differing == 0;
+                if (digest.synced() && differing == 0) {
+                    stateConfirmedAt = Math.max(stateConfirmedAt, digest.inReplyTo());
+                }
                 unsyncedReplyAt = digest.synced() ? NEVER : clock.getAsLong();
                 if (digest.synced() && !GossipState.includesConfiguration(differing)) {
                     configurationConfirmedAt =
@@ -207,7 +209,15 @@
 
     /** Returns whether this process once held exactly the state of a registry that confirmed it as current. */
     public boolean caughtUp() {
-        return caughtUp;
+        return stateConfirmedAt != NEVER;
+    }
+
+    /**
+     * Returns when this process last asked a registry that then confirmed as current exactly the state held here. Long before
+     * the start for never.
+     */
+    public long stateConfirmedAt() {
+        return stateConfirmedAt;
     }
 
     /**
--- a/src/main/java/gorsemast/proxy/ConfigurationStatus.java
+++ b/src/main/java/gorsemast/proxy/ConfigurationStatus.java
@@ -6,7 +6,7 @@
     ABSENT,
     /**
      * The edge has just received its first configuration, or has just resumed after it stood still. A synced registry
-     * will shortly confirm whether the configuration is the newest. Until then no request is served.
+     * will shortly confirm whether its state is the newest. Until then no request is served.
      */
     CHECKING,
     /**
--- a/src/main/java/gorsemast/proxy/ProxyNode.java
+++ b/src/main/java/gorsemast/proxy/ProxyNode.java
@@ -91,7 +91,7 @@
     private final GossipState gossipState = new GossipState();
     private final HomeSelector homes;
     private final Gossip gossip;
-    private final ConfigurationFreshness freshness;
+    private final StateFreshness freshness;
     private final Map<String, Long> coldUntil = new HashMap<>();
     private final Set<String> seeds = new LinkedHashSet<>();
     private final Set<String> services = new LinkedHashSet<>();
@@ -155,7 +155,7 @@
                 () -> ready,
                 () -> PeerMessage.Digest.UNKNOWN_AGE,
                 this::changed);
-        this.freshness = new ConfigurationFreshness(startedAt, configApplyMicros);
+        this.freshness = new StateFreshness(startedAt, configApplyMicros);
         this.seeds.addAll(seeds);
     }
 
@@ -186,13 +186,13 @@
             return ConfigurationStatus.ABSENT;
         }
         long now = clock.getAsLong();
-        if (ready && freshness.isCurrent(now)) {
-            return ConfigurationStatus.CONFIRMED;
-        }
         boolean mayBeConfirmed =
-                ready ? freshness.hasJustResumed(now) : now - firstConfiguredAt < CONFIRMATION_TIMEOUT_MICROS;
-        return mayBeConfirmed && !gossip.registryUnsynced()
-                ? ConfigurationStatus.CHECKING
+                ready ? freshness.isCatchingUp(now) : now - firstConfiguredAt < CONFIRMATION_TIMEOUT_MICROS;
+        if (mayBeConfirmed && !gossip.registryUnsynced()) {
+            return ConfigurationStatus.CHECKING;
+        }
+        return ready && freshness.isConfigurationCurrent(now)
+                ? ConfigurationStatus.CONFIRMED
                 : ConfigurationStatus.UNCONFIRMED;
     }
 
@@ -413,7 +413,7 @@
             listener.speedsReceived(pooled.servers());
         } else {
             gossip.received(neighbour, message);
-            freshness.recordConfirmed(gossip.configurationConfirmedAt());
+            freshness.recordConfirmed(gossip.configurationConfirmedAt(), gossip.stateConfirmedAt());
             becomeReady();
         }
     }
--- a/src/main/java/gorsemast/proxy/ConfigurationFreshness.java
+++ b/src/main/java/gorsemast/proxy/StateFreshness.java
@@ -1,10 +1,10 @@
 package gorsemast.proxy;
 
 /**
- * Tells whether an edge's configuration is recent enough to say that something does not exist, and whether the process
- * stood still: stopped, out of its processor quota, or in a long collection. Single-threaded; times in microseconds of a monotonic clock.
+ * Tells whether an edge's state, its configuration above all, is recent enough to say that something does not
+ * exist, and whether the process stood still: stopped, out of its processor quota, or in a long collection. Single-threaded; times in microseconds of a monotonic clock.
  */
-final class ConfigurationFreshness {
+final class StateFreshness {
     /** After a stall a registry that is reachable and synced confirms the configuration within this time. */
     private static final long CONFIRMATION_TIMEOUT_MICROS = 1_000_000;
 
@@ -18,10 +18,11 @@
     private long lastRunAt;
     private long resumedAt = NEVER;
     private long lastStallMicros;
-    private long confirmedAt = NEVER;
+    private long configurationConfirmedAt = NEVER;
+    private long stateConfirmedAt = NEVER;
 
-    /** @param maxAgeMicros age up to which the configuration counts as the newest */
-    ConfigurationFreshness(long now, long maxAgeMicros) {
+    /** @param maxAgeMicros age up to which what is known counts as the newest */
+    StateFreshness(long now, long maxAgeMicros) {
         this.lastRunAt = now;
         this.maxAgeMicros = maxAgeMicros;
     }
@@ -38,26 +39,33 @@
         return true;
     }
 
-    /** Records that the configuration includes all that had been acknowledged by then. */
-    void recordConfirmed(long at) {
-        confirmedAt = Math.max(confirmedAt, at);
+    /**
+     * Records what registries have confirmed.
+     *
+     * @param configurationAt when the configuration was the newest
+     * @param stateAt when the whole state, with all purges and servers, was that of a synced registry
+     */
+    void recordConfirmed(long configurationAt, long stateAt) {
+        configurationConfirmedAt = Math.max(configurationConfirmedAt, configurationAt);
+        stateConfirmedAt = Math.max(stateConfirmedAt, stateAt);
     }
 
     /** Whether the configuration counts as the newest. */
-    boolean isCurrent(long now) {
-        return now - confirmedAt <= maxAgeMicros;
+    boolean isConfigurationCurrent(long now) {
+        return now - configurationConfirmedAt <= maxAgeMicros;
     }
 
-    /** Whether the process has just resumed, and may learn any moment what it has missed. */
-    boolean hasJustResumed(long now) {
-        return now - resumedAt < CONFIRMATION_TIMEOUT_MICROS;
+    /** Whether the process has just resumed and does not know yet what it has missed. */
+    boolean isCatchingUp(long now) {
+        boolean isCurrent = isConfigurationCurrent(now) && now - stateConfirmedAt <= maxAgeMicros;
+        return now - resumedAt < CONFIRMATION_TIMEOUT_MICROS && !isCurrent;
     }
 
     /** Describes the age of the configuration and the last stall, for the log. */
     String describe(long now) {
-        String age = confirmedAt == NEVER
+        String age = configurationConfirmedAt == NEVER
                 ? "never confirmed"
-                : "confirmed " + (now - confirmedAt) / MICROS_PER_MILLI + " ms ago";
+                : "confirmed " + (now - configurationConfirmedAt) / MICROS_PER_MILLI + " ms ago";
         String stall = resumedAt == NEVER
                 ? "never stood still"
                 : "stood still for " + lastStallMicros / MICROS_PER_MILLI + " ms until "
--- a/src/test/java/gorsemast/processes/OutdatedEdgeTest.java
+++ b/src/test/java/gorsemast/processes/OutdatedEdgeTest.java
@@ -4,12 +4,14 @@
 
 import gorsemast.standin.LoopbackNetwork;
 import gorsemast.standin.LoopbackNetwork.Answer;
+import gorsemast.standin.StandInServer;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,6 +23,7 @@
     private static final int CORES = 3;
     private static final int EDGE = 20;
     private static final int REQUESTS = 20;
+    private static final String OBJECT = "/objects/";
     private static final long START_MILLIS = 30_000;
     private static final long PATIENCE_MILLIS = 4_000;
     /** {@code configApply}, after which an acknowledged change must be in force, and a little. */
@@ -33,6 +36,7 @@
 
     private ProcessNetwork network;
     private Operator operator;
+    private StandInServer objects;
     private int number;
 
     @BeforeEach
@@ -44,6 +48,7 @@
         }
         network.startEdge(EDGE, true, 1, 2, 3);
         network.server("i-0", "orders", 40, 1, 2, 3);
+        objects = network.server("i-1", "objects", 41, 1, 2, 3);
         ProcessNetwork.until(
                 "the first order",
                 START_MILLIS,
@@ -102,6 +107,26 @@
                 () -> network.ask(EDGE, Operator.route("first") + 'x').status() == 404);
     }
 
+    /** STALE: an edge that had stood still served copies that had been purged more than 2 s before. */
+    @Test
+    void anEdgeThatStoodStillServesNoPurgedCopy() {
+        ProcessNetwork.until("the copies", START_MILLIS, () -> IntStream.range(0, REQUESTS)
+                .allMatch(i -> network.ask(EDGE, OBJECT + i).status() == 200));
+        network.pause(EDGE);
+        pass(LINKS_LOST_MILLIS);
+        for (int i = 0; i < REQUESTS; i++) {
+            String path = OBJECT + i;
+            objects.change(path);
+            operator.clear("a purge", core -> operator.purge(core, path), 1, 2, 3);
+        }
+        pass(IN_FORCE_MILLIS);
+        List<CompletableFuture<Answer>> answers = send(OBJECT);
+        network.resume(EDGE);
+        assertThat(answers.stream().map(answer -> answer.join().text()))
+                .as("answers after the purge")
+                .noneMatch(text -> text.contains("version 0"));
+    }
+
     /** CONFIG: an edge that reached no registry said 404 on a route that had been added more than 2 s before. */
     @Test
     void anEdgeThatReachesNoRegistryDeniesNoAddedRoute() {
--- a/src/test/java/gorsemast/proxy/ProxyNodeTest.java
+++ b/src/test/java/gorsemast/proxy/ProxyNodeTest.java
@@ -184,6 +184,32 @@
         assertThat(edge.configurationStatus()).isEqualTo(ConfigurationStatus.CONFIRMED);
     }
 
+    /** STALE: an edge that had stood still served copies before it knew of the purges that it had missed. */
+    @Test
+    void edgeThatStoodStillServesNothingUntilItHasMissedNoPurge() {
+        confirm(0);
+        now += 5_000_000;
+        Entry purge = otherBucketThanTheConfiguration();
+        registryState.merge(now, purge);
+        assertThat(edge.configurationStatus()).isEqualTo(ConfigurationStatus.CHECKING);
+        confirm(0);
+        assertThat(edge.configurationStatus()).as("a purge is missing").isEqualTo(ConfigurationStatus.CHECKING);
+        edge.received(registry, new PeerMessage.Updates(0, List.of(purge)));
+        confirm(0);
+        assertThat(edge.configurationStatus()).isEqualTo(ConfigurationStatus.CONFIRMED);
+    }
+
+    private Entry otherBucketThanTheConfiguration() {
+        for (int i = 0; ; i++) {
+            Entry purge = new Entry(Kind.PURGE, "p" + i, 1, new byte[0], now);
+            GossipState alone = new GossipState();
+            alone.merge(now, purge);
+            if (!GossipState.includesConfiguration(new GossipState().differingBuckets(alone.digest()))) {
+                return purge;
+            }
+        }
+    }
+
     @Test
     void edgeThatStoodStillServesAgainThoughNoRegistryAnswers() {
         confirm(0);
