Proxy: Retry-After and Time-Budget are read and written in classes of their own

RetryAfter and TimeBudget have them now, the latter with an empty result in place of a negative number that marked an unreadable value.

--- a/src/main/java/gorsemast/proxy/ClientConnection.java
+++ b/src/main/java/gorsemast/proxy/ClientConnection.java
@@ -289,8 +289,7 @@
                 boolean mayBeSentAgain = request.repeatable || !request.started;
                 HttpHeaders headers = new DefaultHttpHeaders();
                 if (mayBeSentAgain) {
-                    headers.set(
-                            HttpHeaderNames.RETRY_AFTER, Frontend.formatSeconds(Frontend.SHUTDOWN_RETRY_AFTER_MICROS));
+                    headers.set(HttpHeaderNames.RETRY_AFTER, RetryAfter.format(RetryAfter.SHUTDOWN_MICROS));
                 }
                 HttpResponseStatus status =
                         mayBeSentAgain ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.GATEWAY_TIMEOUT;
--- a/src/main/java/gorsemast/proxy/Frontend.java
+++ b/src/main/java/gorsemast/proxy/Frontend.java
@@ -30,6 +30,7 @@
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -42,12 +43,6 @@
  * the object cache or to a service. Runs on one event loop.
  */
 final class Frontend implements ClientConnection.Owner {
-    /** Retry-After where no better estimate exists. */
-    static final long DEFAULT_RETRY_AFTER_MICROS = 300_000;
-    /** Retry-After while the edge checks whether its configuration is the newest. */
-    private static final long CHECKING_RETRY_AFTER_MICROS = 100_000;
-    /** Retry-After when the process ends: other edges serve at once. */
-    static final long SHUTDOWN_RETRY_AFTER_MICROS = 100_000;
     /** Subtracted from the client's time budget so that the response reaches the client in time. */
     private static final long RESPONSE_TRANSIT_MICROS = 8_000;
     /** Heads are held in memory, so the configured limit has an upper bound. */
@@ -55,10 +50,6 @@
 
     private static final long MAX_BUFFERED_BODY_BYTES = 24L << 20;
     private static final long MICROS_PER_SECOND = 1_000_000L;
-    private static final long MICROS_PER_MILLI = 1_000;
-    /** Marks a time budget that is not a number. */
-    private static final long UNREADABLE_BUDGET = -1;
-
     private static final int MAX_BUFFERED_RESPONSE_BYTES = 64 << 10;
     /** The log says at most this often why a route was not found. */
     private static final long NO_ROUTE_LOG_INTERVAL_MICROS = 1_000_000;
@@ -336,7 +327,7 @@
         if (configurationStatus == ConfigurationStatus.CHECKING) {
             localResponses.count(LocalResponse.NOT_CONFIRMED);
             exchange.takeBody().release();
-            refuse(exchange, CHECKING_RETRY_AFTER_MICROS);
+            refuse(exchange, RetryAfter.CHECKING_MICROS);
             return;
         }
         if (route == null) {
@@ -345,19 +336,20 @@
             return;
         }
         String attemptId = exchange.headers().get(ServerDialect.ATTEMPT_ID);
-        long budget = parseBudget(exchange.headers().get(ServerDialect.TIME_BUDGET));
-        boolean isUnreadable = budget == UNREADABLE_BUDGET;
+        OptionalLong readBudget = TimeBudget.parse(exchange.headers().get(ServerDialect.TIME_BUDGET));
+        boolean isUnreadable = readBudget.isEmpty();
         if (isUnreadable || attemptId == null && !route.isRepeatable()) {
             localResponses.count(isUnreadable ? LocalResponse.UNREADABLE_BUDGET : LocalResponse.NO_ATTEMPT_ID);
             exchange.takeBody().release();
             exchange.respond(BAD_REQUEST, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
             return;
         }
+        long budget = readBudget.getAsLong();
         if (budget == 0) {
             // 503 rather than 400: the request is valid and has not run, so the client may retry it.
             localResponses.count(LocalResponse.BUDGET_SPENT);
             exchange.takeBody().release();
-            refuse(exchange, DEFAULT_RETRY_AFTER_MICROS);
+            refuse(exchange, RetryAfter.DEFAULT_MICROS);
             return;
         }
         long waitMicros = Math.min(route.timeoutMicros(), Math.max(1_000, budget - RESPONSE_TRANSIT_MICROS));
@@ -368,7 +360,7 @@
             if (!isObjectRequest || !objects.serveFromCache(exchange, route, attemptId)) {
                 localResponses.count(LocalResponse.SHUTTING_DOWN);
                 exchange.takeBody().release();
-                refuse(exchange, SHUTDOWN_RETRY_AFTER_MICROS);
+                refuse(exchange, RetryAfter.SHUTDOWN_MICROS);
             }
         } else if (isObjectRequest) {
             ConcurrencyLimiter.Kind kind = kind(route, socketBudget.maxConcurrentRequests() - 1);
@@ -399,7 +391,7 @@
         } else {
             boolean hasNoConfiguration = configurationStatus == ConfigurationStatus.ABSENT;
             localResponses.count(hasNoConfiguration ? LocalResponse.NO_CONFIGURATION : LocalResponse.NOT_CONFIRMED);
-            refuse(exchange, DEFAULT_RETRY_AFTER_MICROS);
+            refuse(exchange, RetryAfter.DEFAULT_MICROS);
         }
     }
 
@@ -428,7 +420,7 @@
         if (dispatcher == null) {
             localResponses.count(LocalResponse.SERVICE_REFUSED);
             exchange.takeBody().release();
-            refuse(exchange, DEFAULT_RETRY_AFTER_MICROS);
+            refuse(exchange, RetryAfter.DEFAULT_MICROS);
             return;
         }
         forwarded++;
@@ -452,22 +444,6 @@
         });
     }
 
-    /**
-     * Parses a time budget. Returns microseconds, 0 if nothing is left, {@link #UNREADABLE_BUDGET} for anything but a
-     * number, and {@link Long#MAX_VALUE} without a header.
-     */
-    private static long parseBudget(String header) {
-        if (header == null) {
-            return Long.MAX_VALUE;
-        }
-        try {
-            double millis = Double.parseDouble(header);
-            return Double.isNaN(millis) ? UNREADABLE_BUDGET : (long) Math.max(0, millis * MICROS_PER_MILLI);
-        } catch (NumberFormatException e) {
-            return UNREADABLE_BUDGET;
-        }
-    }
-
     /** Forwards a service's response to the client. */
     private final class ResponseForwarder implements CallListener {
         private final Exchange exchange;
@@ -518,22 +494,7 @@
     /** Responds with 503 and Retry-After, which promises that the request has not run. */
     static void refuse(Exchange exchange, long retryAfterMicros) {
         HttpHeaders headers = new DefaultHttpHeaders();
-        headers.set(HttpHeaderNames.RETRY_AFTER, formatSeconds(retryAfterMicros));
+        headers.set(HttpHeaderNames.RETRY_AFTER, RetryAfter.format(retryAfterMicros));
         exchange.respond(SERVICE_UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER);
     }
-
-    /** Formats microseconds as seconds with three decimals, at least 0.001. */
-    static String formatSeconds(long micros) {
-        long millis = Math.max(1, micros / 1_000);
-        return millis / 1_000 + "." + millis % 1_000 / 100 + millis % 100 / 10 + millis % 10;
-    }
-
-    /** Parses seconds with a fraction into microseconds. */
-    static long parseSeconds(String seconds) {
-        try {
-            return (long) (Double.parseDouble(seconds) * MICROS_PER_SECOND);
-        } catch (NumberFormatException e) {
-            return DEFAULT_RETRY_AFTER_MICROS;
-        }
-    }
 }
--- a/src/main/java/gorsemast/proxy/HomeClient.java
+++ b/src/main/java/gorsemast/proxy/HomeClient.java
@@ -149,7 +149,7 @@
         if (cachedResponse != null) {
             listener.onResponse(cachedResponse);
         } else if (status == SERVICE_UNAVAILABLE && retryAfter != null) {
-            listener.onRefused(Frontend.parseSeconds(retryAfter));
+            listener.onRefused(RetryAfter.parse(retryAfter));
         } else if (status == SERVICE_UNAVAILABLE && answer.headers().contains(HomeDialect.STILL_FETCHING_HEADER)) {
             listener.onStillFetching();
         } else if (status != HomeDialect.CONFLICT && status < INTERNAL_SERVER_ERROR) {
--- a/src/main/java/gorsemast/proxy/ObjectsServer.java
+++ b/src/main/java/gorsemast/proxy/ObjectsServer.java
@@ -182,7 +182,7 @@
                 @Override
                 public void onRefused(long retryAfter) {
                     HttpHeaders headers = new DefaultHttpHeaders();
-                    headers.set(HttpHeaderNames.RETRY_AFTER, Frontend.formatSeconds(retryAfter));
+                    headers.set(HttpHeaderNames.RETRY_AFTER, RetryAfter.format(retryAfter));
                     write(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE.code(), headers, Unpooled.EMPTY_BUFFER);
                 }
 
