MIXED: a response with a broken status line is a failure of its server

Clients got answers that are none: a server in trouble sent the status 000, and the edge answered "HTTP/1.1 0 Unknown Status (0)". Likewise 001, 0, 99, and 600, 999 or 1000 after the retry; +200 and 0200, HTTP/2.0 and http/1.1 were passed on as 200; a control byte of a reason phrase stood in the status line of long, streamed answers.

Cause: Netty's response decoder takes any number for a status, any version and nearly any byte of a reason, and StrictHttp.Responses checked header names only. ServerDialect takes each status below 500 for an answer and forwards those above after the last retry.

Change: StrictHttp.Responses checks the status line by RFC 9112, section 4, and RFC 9110, section 15 (ResponseRules). All attempts at servers, other edges and cache nodes read through it, so such an answer ends its attempt as a reset: retried where that is allowed, 502 where not, neither cached nor shared. Other whitespace and an empty reason stay answers. Where it comes before the last byte of the request was sent, the request may have run and isn't sent again, as with other early answers; other garbage counts as before.

The other forms in ResponseForm (field lines, framing) were rejected before as well; their tests are kept.

--- a/src/main/java/gorsemast/http/StrictHttp.java
+++ b/src/main/java/gorsemast/http/StrictHttp.java
@@ -69,6 +69,12 @@
             isHeadResponse = isHead;
         }
 
+        @Override
+        protected HttpMessage createMessage(String[] statusLine) {
+            ResponseRules.checkStatusLine(statusLine[0], statusLine[1], statusLine[2]);
+            return super.createMessage(statusLine);
+        }
+
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
             return isHeadResponse || super.isContentAlwaysEmpty(message);
--- a/src/main/java/gorsemast/http/UpstreamConnection.java
+++ b/src/main/java/gorsemast/http/UpstreamConnection.java
@@ -280,16 +280,19 @@
         lastReceivedAt = Upstream.now();
         // A response that is delimited only by the end of the connection ends after closeFuture, when its attempt has
         // already ended as a reset: it might have been truncated anywhere.
+        boolean isBroken = start.decoderResult().cause() instanceof BrokenResponseException;
         boolean notHttp =
                 start.decoderResult().isFailure() || start.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
-        if (notHttp && !state.isAnswering()) {
+        if (notHttp && !isBroken && !state.isAnswering()) {
             connectionLost();
             return;
         }
-        Code code = upstream.dialect.code(start);
+        // A broken response belongs to no request, but whoever sent it may have run the one in progress.
+        boolean isIdentified = attempt != null && !isBroken;
+        Code code = isBroken ? Code.ERROR : upstream.dialect.code(start);
         ConnectionState.Disposition disposition = state.head(
-                attempt == null ? ResponseMatch.UNIDENTIFIED : upstream.dialect.match(attempt.request, start),
-                start.status().codeClass() == HttpStatusClass.INFORMATIONAL,
+                isIdentified ? upstream.dialect.match(attempt.request, start) : ResponseMatch.UNIDENTIFIED,
+                !isBroken && start.status().codeClass() == HttpStatusClass.INFORMATIONAL,
                 !code.mayHaveRun,
                 code == Code.OK);
         if (disposition == ConnectionState.Disposition.BROKEN) {
--- a/src/main/java/gorsemast/standin/StandInServer.java
+++ b/src/main/java/gorsemast/standin/StandInServer.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
@@ -55,6 +56,16 @@
     /** A request that it executed, with its start by {@link System#nanoTime}. */
     public record Run(String attemptId, String method, String uri, String body, long nanos) {}
 
+    /** Chooses what is sent in place of a response. */
+    public interface RawResponses {
+        /**
+         * All bytes of the response as ISO 8859-1; null to respond as the behavior says.
+         *
+         * @param body the body of the regular response
+         */
+        String rawResponse(Run run, String body);
+    }
+
     private final EventLoop loop;
     private final String id;
     private final String service;
@@ -66,6 +77,7 @@
     private volatile Behavior behavior = Behavior.SERVES;
     private volatile String state = "ready";
     private volatile boolean heartbeatsEnabled = true;
+    private volatile RawResponses rawResponses = (run, body) -> null;
     private volatile long workMicros;
     private volatile int failure = HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
     private Channel listener;
@@ -118,6 +130,11 @@
         behavior = next;
     }
 
+    /** Sets what it sends in place of responses from now on, after executing the requests. */
+    public void setRawResponses(RawResponses next) {
+        rawResponses = next;
+    }
+
     /** Executes requests and responds with this status, without marking them as not executed. */
     public void failsWith(int status) {
         failure = status;
@@ -202,16 +219,22 @@
                 return;
             }
             String uri = request.uri();
+            Run run = new Run(
+                    attempt,
+                    request.method().name(),
+                    uri,
+                    request.content().toString(StandardCharsets.UTF_8),
+                    System.nanoTime());
             synchronized (runs) {
-                runs.add(new Run(
-                        attempt,
-                        request.method().name(),
-                        uri,
-                        request.content().toString(StandardCharsets.UTF_8),
-                        System.nanoTime()));
+                runs.add(run);
             }
             String body = "object " + uri + " version " + versions.getOrDefault(uri, 0) + '\n'
                     + (uri.contains("/long/") ? "x".repeat(LONG_OBJECT_BYTES) : "");
+            String raw = rawResponses.rawResponse(run, body);
+            if (raw != null) {
+                loop.schedule(() -> writeRaw(ctx, raw), workMicros, TimeUnit.MICROSECONDS);
+                return;
+            }
             if (current == Behavior.REPEATS_PREVIOUS_RESPONSE && lastAttempt != null) {
                 write(ctx, HttpResponseStatus.OK, lastAttempt, lastBody, true); // instead of the response that is due
             }
@@ -224,14 +247,9 @@
                 case RESETS -> ctx.close();
                 case FAILS -> write(ctx, HttpResponseStatus.valueOf(failure), attempt, "failed", true);
                 case TRUNCATES_RESPONSE -> {
-                    byte[] whole = ("HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nEdge-Seal: " + id
-                                    + "\r\nContent-Length: " + (body.length() + 10) + "\r\n\r\n" + body)
-                            .getBytes(StandardCharsets.UTF_8);
-                    // bypasses the encoder, which would not write an incomplete response
-                    ctx.pipeline()
-                            .firstContext()
-                            .writeAndFlush(Unpooled.wrappedBuffer(whole))
-                            .addListener(done -> ctx.close());
+                    String whole = "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nEdge-Seal: " + id
+                            + "\r\nContent-Length: " + (body.length() + 10) + "\r\n\r\n" + body;
+                    writeRaw(ctx, whole).addListener(done -> ctx.close());
                 }
                 default ->
                     loop.schedule(
@@ -246,6 +264,13 @@
             }
         }
 
+        /** Bypasses the encoder, which would not write a response that is incomplete or invalid. */
+        private ChannelFuture writeRaw(ChannelHandlerContext ctx, String text) {
+            return ctx.pipeline()
+                    .firstContext()
+                    .writeAndFlush(Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1)));
+        }
+
         private void write(
                 ChannelHandlerContext ctx, HttpResponseStatus status, String attempt, String body, boolean executed) {
             ByteBuf content = ByteBufUtil.writeUtf8(ctx.alloc(), body);
--- a/src/test/java/gorsemast/dispatch/CallerRig.java
+++ b/src/test/java/gorsemast/dispatch/CallerRig.java
@@ -2,6 +2,7 @@
 
 import anisebend.Balancer.CacheStatus;
 import anisebend.Balancer.Code;
+import gorsemast.http.ResponseSink;
 import gorsemast.http.Upstream;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -12,6 +13,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -59,6 +61,13 @@
                 String text = answer == null ? null : answer.content().toString(StandardCharsets.US_ASCII);
                 outcomes.add(new Outcome(id, code, text));
             }
+
+            @Override
+            public ResponseSink streaming(
+                    CacheStatus note, HttpResponse head, long length, ResponseSink.FlowControl flow) {
+                outcomes.add(new Outcome(id, Code.OK, "streamed " + head.status()));
+                return null;
+            }
         });
     }
 
--- a/src/test/java/gorsemast/dispatch/RawServer.java
+++ b/src/test/java/gorsemast/dispatch/RawServer.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -85,14 +86,23 @@
         }
 
         public void send(String text) throws IOException {
-            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        /** Sends as much as the other side takes before it closes the connection. */
+        public void sendUntilClosed(String text) throws IOException {
+            try {
+                send(text);
+            } catch (SocketException e) {
+                socket.close(); // the other side rejected the beginning
+            }
         }
 
         /** Whether the other side has closed the connection without sending anything more. */
         public boolean isClosed() throws IOException {
             try {
                 return socket.getInputStream().read() < 0;
-            } catch (java.net.SocketException e) {
+            } catch (SocketException e) {
                 return true;
             }
         }
--- a/src/test/java/gorsemast/proxy/HomeAnswerTest.java
+++ b/src/test/java/gorsemast/proxy/HomeAnswerTest.java
@@ -9,6 +9,7 @@
 import gorsemast.configuration.Configuration;
 import gorsemast.configuration.Route;
 import gorsemast.dispatch.RawServer;
+import gorsemast.http.ResponseForm;
 import gorsemast.http.Upstream;
 import gorsemast.observe.EventCounters;
 import gorsemast.standin.LoopbackNetwork;
@@ -17,12 +18,14 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.FullHttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Which responses between edges are accepted, where the home misbehaves or the address belongs to another process. */
@@ -106,6 +109,25 @@
         }
     }
 
+    static List<ResponseForm> broken() {
+        return ResponseForm.broken();
+    }
+
+    /** An object behind a broken response would be cached here and shared with other edges' clients. */
+    @ParameterizedTest
+    @MethodSource("broken")
+    void brokenResponseIsNoCopy(ResponseForm form) throws Exception {
+        for (String body : List.of("one", "x".repeat(150_000))) {
+            try (RawServer home = new RawServer(4)) {
+                request(homeClient(home), "/objects/a");
+                RawServer.Connection connection = home.accept();
+                String copy = requestId(connection.request()) + "Edge-Seal: s\r\nHome-Age: 0\r\nHome-Life: 1000000\r\n";
+                connection.sendUntilClosed(form.text(copy, body));
+                assertThat(outcomes.poll(20, TimeUnit.SECONDS)).isEqualTo("silent");
+            }
+        }
+    }
+
     @Test
     void homeReportsThatItIsStillFetching() throws Exception {
         try (RawServer home = new RawServer(4)) {
