--- a/src/main/java/gorsemast/http/ResponseRules.java
+++ b/src/main/java/gorsemast/http/ResponseRules.java
@@ -1,5 +1,9 @@
 package gorsemast.http;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+
 /**
  * What a response must satisfy, by RFC 9112 and RFC 9110, beyond what Netty's decoder requires. Each method throws a
  * {@link BrokenResponseException} where a rule is violated.
@@ -58,4 +62,24 @@
         }
         return true;
     }
+
+    /**
+     * Checks that a body has no transfer coding but one of {@code chunked}, the only one that is decoded here (RFC 9112,
+     * sections 6.1 and 7). A body in any other would be passed on coded.
+     */
+    static void checkTransferCoding(HttpHeaders headers) {
+        int codings = 0;
+        for (String line : headers.getAll(HttpHeaderNames.TRANSFER_ENCODING)) {
+            for (String element : line.split(",", -1)) {
+                String coding = element.trim();
+                if (!coding.isEmpty() && !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding)) {
+                    throw new BrokenResponseException("transfer coding of a response");
+                }
+                codings += coding.isEmpty() ? 0 : 1;
+            }
+        }
+        if (codings > 1) {
+            throw new BrokenResponseException("response that is chunked more than once");
+        }
+    }
 }
--- a/src/main/java/gorsemast/http/StrictHttp.java
+++ b/src/main/java/gorsemast/http/StrictHttp.java
@@ -75,8 +75,10 @@
             return super.createMessage(statusLine);
         }
 
+        /** Called at the end of each head, before the framing of the body is chosen. */
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            ResponseRules.checkTransferCoding(message.headers());
             return isHeadResponse || super.isContentAlwaysEmpty(message);
         }
 
--- a/src/test/java/gorsemast/dispatch/BrokenAnswerTest.java
+++ b/src/test/java/gorsemast/dispatch/BrokenAnswerTest.java
@@ -73,7 +73,7 @@
     @Test
     void earlyBrokenAnswerMayHaveRun() throws Exception {
         for (ResponseForm form : ResponseForm.broken().stream()
-                .filter(form -> form.toString().matches("HTTP/1.1 (000|600|0200) .*"))
+                .filter(form -> form.toString().matches("HTTP/1.1 (000|600|0200) .*|.*gzip, chunked.*"))
                 .toList()) {
             try (CallerRig own = new CallerRig(1)) {
                 own.send(server, "before", HttpMethod.GET, "", LONG_TIMEOUT_MICROS);
--- a/src/test/java/gorsemast/http/ResponseForm.java
+++ b/src/test/java/gorsemast/http/ResponseForm.java
@@ -81,10 +81,16 @@
     /** Bodies whose end or coding can't be relied on, by RFC 9112, sections 6 and 7. */
     public static List<ResponseForm> brokenFraming() {
         return List.of(
+                chunked("Transfer-Encoding: gzip, chunked\r\n"),
+                chunked("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n"),
                 chunked("Transfer-Encoding: chunked, chunked\r\n"),
                 chunked(CHUNKED + CHUNKED),
+                chunked("Transfer-Encoding: identity, chunked\r\n"),
                 chunked("Transfer-Encoding: chunked, gzip\r\n"),
+                chunked("Transfer-Encoding: chunked;q=1\r\n"),
+                chunked("Transfer-Encoding: xchunked\r\n"),
                 chunked(CHUNKED + "Content-Length: 1\r\n"),
+                plain("Transfer-Encoding: gzip\r\nContent-Length: $"),
                 plain("Content-Length: +$"),
                 plain("Content-Length: -$"),
                 plain("Content-Length: 0x$"),
--- a/src/test/java/gorsemast/standin/BrokenAnswerTest.java
+++ b/src/test/java/gorsemast/standin/BrokenAnswerTest.java
@@ -147,7 +147,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {" 000 ", " 600 ", "O<01>K", "O<00>K", "HTTP/2.0"})
+    @ValueSource(strings = {" 000 ", " 600 ", "O<01>K", "O<00>K", "HTTP/2.0", "gzip, chunked"})
     void brokenAnswerToHeadReachesNoClient(String text) {
         answerFirstWith(form(text), 0);
         String path = newPath("/orders/");
@@ -156,7 +156,7 @@
 
     /** What follows on the client's connection gets its own answer. */
     @ParameterizedTest
-    @ValueSource(strings = {" 000 ", " 600 ", "O<01>K", "O<00>K", "HTTP/2.0"})
+    @ValueSource(strings = {" 000 ", " 600 ", "O<01>K", "O<00>K", "HTTP/2.0", "gzip, chunked"})
     void requestBehindABrokenAnswerGetsItsOwn(String text) {
         answerFirstWith(form(text), LONG_BODY_BYTES);
         String first = newPath("/orders/pay/");
@@ -170,7 +170,7 @@
     /** Clients of both edges wait for one fetch, whose home is one of these edges. */
     @Test
     void brokenAnswerIsNeitherSharedNorCached() {
-        for (String text : List.of(" 000 ", " 600 ", "O<01>K", "O<00>K", "HTTP/2.0")) {
+        for (String text : List.of(" 000 ", " 600 ", "O<01>K", "O<00>K", "HTTP/2.0", "gzip, chunked")) {
             answerFirstWith(form(text), MARK.length());
             network.servers().forEach(server -> server.setWorkMicros(SHARED_FETCH_MICROS));
             String path = newPath("/objects/");
