--- a/src/main/java/gorsemast/http/StrictHttp.java
+++ b/src/main/java/gorsemast/http/StrictHttp.java
@@ -1,6 +1,7 @@
 package gorsemast.http;
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -55,6 +56,7 @@
 
     public static final class Responses extends HttpResponseDecoder {
         private boolean isHeadResponse;
+        private boolean hasContentLength;
 
         /** Creates a decoder for one connection. */
         public Responses() {
@@ -71,6 +73,7 @@
 
         @Override
         protected HttpMessage createMessage(String[] statusLine) {
+            hasContentLength = false;
             ResponseRules.checkStatusLine(statusLine[0], statusLine[1], statusLine[2]);
             return super.createMessage(statusLine);
         }
@@ -95,7 +98,19 @@
             if (start + length >= line.length || line[start + length] != ':') {
                 throw new IllegalArgumentException("header name without a colon");
             }
-            return super.splitHeaderName(line, start, length);
+            AsciiString name = super.splitHeaderName(line, start, length);
+            if (HttpHeaderNames.CONTENT_LENGTH.contentEqualsIgnoreCase(name)) {
+                rejectSecondLength();
+            }
+            return name;
+        }
+
+        /** In HTTP/1.0 Netty takes the first of several lengths, whatever the others are. */
+        private void rejectSecondLength() {
+            if (hasContentLength) {
+                throw new BrokenResponseException("two Content-Length headers");
+            }
+            hasContentLength = true;
         }
 
         /** Whether all that has come belongs to the messages passed on so far. */
--- a/src/test/java/gorsemast/http/ResponseForm.java
+++ b/src/test/java/gorsemast/http/ResponseForm.java
@@ -97,6 +97,8 @@
                 plain("Content-Length: $, $"),
                 plain("Content-Length: $\r\nContent-Length: 0"),
                 plain("Content-Length: "),
+                new ResponseForm("HTTP/1.0 200 OK", body -> "Content-Length: 0\r\nContent-Length: 1\r\n\r\n" + body),
+                new ResponseForm("HTTP/1.0 200 OK", body -> "Content-Length: 4, 0\r\n\r\n" + body),
                 new ResponseForm("HTTP/1.0 200 OK", body -> CHUNKED + "\r\n" + chunk(body) + "0\r\n\r\n"),
                 chunks("+1\r\nx\r\n", "0\r\n\r\n"),
                 chunks("0x1\r\nx\r\n", "0\r\n\r\n"),
