Discovery and control clients: read answers by the strict decoder

The list of cache nodes was taken from an answer that is none (+200, 0200, HTTP/2.0, control bytes in the reason, "gzip, chunked", a blank in a field's name or before its colon), and clients of the control interface reported such answers, or Netty's own 999 for bytes that couldn't be decoded at all, as a status instead of as no answer.

Cause: both use Netty's HttpClientCodec with its defaults, which none of the checks of StrictHttp reaches; HttpCall never asked whether decoding had failed.

Change: StrictHttp.addClientCodecs is the one way to read whole answers, for Discovery, HttpCall and the warm-up's own client: the strict decoder behind a handler that turns an undecodable message into an exception. The readers close then and report a failure, as they did for a closed connection. HttpCall tells the decoder of HEAD, as HttpClientCodec did.

--- a/src/main/java/anisebend/net/Discovery.java
+++ b/src/main/java/anisebend/net/Discovery.java
@@ -3,6 +3,7 @@
 import anisebend.Balancer.ListKind;
 import anisebend.Balancer.Server;
 import anisebend.Balancer.State;
+import gorsemast.http.StrictHttp;
 import gorsemast.http.Upstream;
 import gorsemast.register.ListWatch;
 import io.netty.bootstrap.Bootstrap;
@@ -17,10 +18,8 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.NetUtil;
@@ -207,7 +206,7 @@
     private void handleResponse(FullHttpResponse response) {
         ListWatch.Call next;
         try {
-            if (response.decoderResult().isFailure() || response.status().code() != 200) {
+            if (response.status().code() != 200) {
                 throw new IOException("discovery service responded with status "
                         + response.status().code());
             }
@@ -339,11 +338,8 @@
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel ch) {
-                            ch.pipeline()
-                                    .addLast(
-                                            new HttpClientCodec(),
-                                            new HttpObjectAggregator(MAX_RESPONSE_BYTES),
-                                            new ResponseHandler());
+                            StrictHttp.addClientCodecs(ch.pipeline(), HttpMethod.GET, MAX_RESPONSE_BYTES);
+                            ch.pipeline().addLast(new ResponseHandler());
                         }
                     })
                     .connect(address);
--- a/src/main/java/anisebend/net/Warmup.java
+++ b/src/main/java/anisebend/net/Warmup.java
@@ -16,9 +16,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -123,12 +121,8 @@
                         @Override
                         protected void initChannel(Channel ch) {
                             channels.add(ch);
-                            ch.pipeline()
-                                    .addLast(
-                                            new HttpRequestEncoder(),
-                                            new StrictHttp.Responses(),
-                                            new HttpObjectAggregator(Upstream.MAX_BUFFERED_BYTES),
-                                            new SelfClient());
+                            StrictHttp.addClientCodecs(ch.pipeline(), HttpMethod.GET, Upstream.MAX_BUFFERED_BYTES);
+                            ch.pipeline().addLast(new SelfClient());
                         }
                     })
                     .connect(self);
--- a/src/main/java/gorsemast/http/StrictHttp.java
+++ b/src/main/java/gorsemast/http/StrictHttp.java
@@ -1,9 +1,13 @@
 package gorsemast.http;
 
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
 
@@ -19,6 +23,17 @@
 
     private StrictHttp() {}
 
+    /**
+     * Adds the codecs of a client that reads whole final responses to requests with this method. What is none reaches the
+     * handlers behind as an exception.
+     */
+    public static void addClientCodecs(ChannelPipeline pipeline, HttpMethod method, int maxBodyBytes) {
+        Responses decoder = new Responses();
+        decoder.setHeadResponse(method.equals(HttpMethod.HEAD));
+        pipeline.addLast(
+                new HttpRequestEncoder(), decoder, new FinalResponses(), new HttpObjectAggregator(maxBodyBytes));
+    }
+
     private static HttpDecoderConfig config() {
         return new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_LINE_BYTES)
--- a/src/main/java/gorsemast/standin/HttpCall.java
+++ b/src/main/java/gorsemast/standin/HttpCall.java
@@ -1,5 +1,6 @@
 package gorsemast.standin;
 
+import gorsemast.http.StrictHttp;
 import gorsemast.transport.Transport;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -13,10 +14,8 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.Map;
@@ -67,11 +66,8 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline()
-                                .addLast(
-                                        new HttpClientCodec(),
-                                        new HttpObjectAggregator(MAX_BODY_BYTES),
-                                        new ResponseReader(done));
+                        StrictHttp.addClientCodecs(ch.pipeline(), request.method(), MAX_BODY_BYTES);
+                        ch.pipeline().addLast(new ResponseReader(done));
                     }
                 })
                 .connect(to)
