Discovery and control clients: an interim response is not the answer

A 100 or 103 before the answer was reported as the answer's status by HttpCall, and failed a request for the list of cache nodes.

Cause: HttpObjectAggregator passes an interim (1xx) response on as a whole one, and the readers took the first response for the final one.

--- a/src/test/java/anisebend/net/BrokenAnswerTest.java
+++ b/src/test/java/anisebend/net/BrokenAnswerTest.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -143,4 +144,12 @@
             assertEquals(ListKind.FULL, changes.outcome(form.text("", nodes())));
         }
     }
+
+    @Test
+    void interimResponseIsNotTheList() throws Exception {
+        try (Changes changes = new Changes()) {
+            String text = "HTTP/1.1 103 Early Hints\r\n\r\n" + answer(200, "", nodes());
+            assertEquals(ListKind.FULL, changes.outcome(text));
+        }
+    }
 }
--- a/src/test/java/gorsemast/standin/HttpCallTest.java
+++ b/src/test/java/gorsemast/standin/HttpCallTest.java
@@ -62,6 +62,16 @@
         assertThat(answer("GET", form.text("", "body"))).isEqualTo("200 body");
     }
 
+    /** Interim responses precede the answer; one that switches protocols is no answer to any request sent here. */
+    @Test
+    void interimResponseIsNoAnswer() throws Exception {
+        String whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+        assertThat(answer("GET", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nA: 1\r\n\r\n" + whole))
+                .isEqualTo("200 body");
+        assertThat(answer("GET", "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n" + whole))
+                .isEqualTo(NONE);
+    }
+
     @Test
     void answerToHeadHasNoBody() throws Exception {
         assertThat(answer("HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"))
