--- a/src/main/java/gorsemast/http/ResponseRules.java
+++ b/src/main/java/gorsemast/http/ResponseRules.java
@@ -22,6 +22,7 @@
      * Checks the words of a status line (RFC 9112, section 4).
      *
      * @param reason the reason phrase, which may be empty
+     * @throws IllegalArgumentException if the line doesn't begin as a status line at all
      */
     static void checkStatusLine(String version, String status, String reason) {
         if (!version.regionMatches(true, 0, PROTOCOL, 0, PROTOCOL.length())) {
--- a/src/main/java/gorsemast/http/StrictHttp.java
+++ b/src/main/java/gorsemast/http/StrictHttp.java
@@ -47,6 +47,7 @@
         throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
     }
 
+    /** Decodes the requests of one connection. */
     public static final class Requests extends HttpRequestDecoder {
         /** Accepts heads of up to {@link #MAX_HEAD_BYTES}. */
         public Requests() {
@@ -69,6 +70,7 @@
         }
     }
 
+    /** Decodes the responses of one connection, and fails those that violate {@link ResponseRules}. */
     public static final class Responses extends HttpResponseDecoder {
         private boolean isHeadResponse;
         private boolean hasContentLength;
@@ -129,7 +131,7 @@
         }
 
         /** Whether all that has come belongs to the messages passed on so far. */
-        public boolean empty() {
+        public boolean isEmpty() {
             return actualReadableBytes() == 0;
         }
     }
--- a/src/main/java/gorsemast/http/UpstreamConnection.java
+++ b/src/main/java/gorsemast/http/UpstreamConnection.java
@@ -344,7 +344,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        ConnectionState.ReadOutcome done = state.readDone(!decoder.empty());
+        ConnectionState.ReadOutcome done = state.readDone(!decoder.isEmpty());
         if (done == ConnectionState.ReadOutcome.WHOLE) {
             completeResponse();
         } else if (done == ConnectionState.ReadOutcome.CLOSE) {
