Tests: interim answers, bodiless answers and trailers that were handled already

All 17 tests pass on the product code before the fixes too, so nothing is changed for them. BrokenResponseException's comment covers both places that throw it.

--- a/src/main/java/gorsemast/http/BrokenResponseException.java
+++ b/src/main/java/gorsemast/http/BrokenResponseException.java
@@ -1,8 +1,8 @@
 package gorsemast.http;
 
 /**
- * A server has sent a response that violates HTTP. Unlike other bytes that can't be decoded, it is the server's reaction
- * to a request.
+ * A response violates HTTP. Thrown by the decoder, it is still the server's reaction to a request, unlike other bytes that
+ * can't be decoded; {@link FinalResponses} makes no such difference.
  */
 public final class BrokenResponseException extends IllegalArgumentException {
     private static final long serialVersionUID = 1L;
--- a/src/test/java/gorsemast/dispatch/BrokenAnswerTest.java
+++ b/src/test/java/gorsemast/dispatch/BrokenAnswerTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Servers whose answers are none: the attempt has failed and may have run, and the connection is closed. */
 class BrokenAnswerTest {
@@ -69,6 +70,44 @@
         assertThat(outcome(form, "read", HttpMethod.HEAD, "").code()).isEqualTo(Code.RESET);
     }
 
+    /** An interim response, or a switch of protocols that nobody requested, is not the answer. */
+    @ParameterizedTest
+    @ValueSource(ints = {100, 101, 150})
+    void responseWithoutAFinalOneIsAFailure(int status) throws Exception {
+        for (String id : List.of("object", "read", "once")) {
+            rig.send(server, id, id.equals("once") ? HttpMethod.POST : HttpMethod.GET, "", LONG_TIMEOUT_MICROS);
+            Connection connection = server.accept();
+            connection.request();
+            connection.send("HTTP/1.1 " + status + " X\r\nAttempt-Id: " + id + "\r\nEdge-Seal: s\r\n\r\n");
+            connection.end();
+            assertThat(rig.nextOutcome()).isEqualTo(new Outcome(id, Code.RESET, null));
+        }
+    }
+
+    /** Bytes behind an answer that has no body belong to nobody, and end the connection. */
+    @ParameterizedTest
+    @ValueSource(ints = {204, 304})
+    void bytesBehindAnAnswerWithoutBodyAreDropped(int status) throws Exception {
+        rig.send(server, "read", HttpMethod.GET, "", LONG_TIMEOUT_MICROS);
+        Connection connection = server.accept();
+        connection.request();
+        String head = "HTTP/1.1 " + status + " X\r\nAttempt-Id: read\r\nEdge-Seal: s\r\nContent-Length: 4\r\n\r\n";
+        connection.send(head + "body");
+        assertThat(rig.nextOutcome()).isEqualTo(new Outcome("read", Code.OK, ""));
+        assertThat(connection.isClosed()).isTrue();
+    }
+
+    static List<ResponseForm> brokenTrailers() {
+        return ResponseForm.brokenTrailers();
+    }
+
+    @ParameterizedTest
+    @MethodSource("brokenTrailers")
+    void brokenTrailerIsAFailureOrLeftOut(ResponseForm form) throws Exception {
+        assertThat(outcome(form, "read", HttpMethod.GET, "body"))
+                .isIn(new Outcome("read", Code.RESET, null), new Outcome("read", Code.OK, "body"));
+    }
+
     /** The server has answered, however badly, a request whose last byte is held back: it must not be sent again. */
     @Test
     void earlyBrokenAnswerMayHaveRun() throws Exception {
--- a/src/test/java/gorsemast/http/ResponseForm.java
+++ b/src/test/java/gorsemast/http/ResponseForm.java
@@ -119,7 +119,20 @@
                 .toList();
     }
 
-    /** All of them. */
+    /** Trailers that are none behind a whole body: a failure, or the answer without them. */
+    public static List<ResponseForm> brokenTrailers() {
+        return Stream.of(
+                        "X-Trailer\0: 1",
+                        "X-Trailer : 1",
+                        "X-Trailer",
+                        ": X-Trailer",
+                        "X-Trailer: a\0b",
+                        "X-Trailer: a\rb")
+                .map(trailer -> chunks("", "0\r\n" + trailer + "\r\n\r\n"))
+                .toList();
+    }
+
+    /** All forms that are a failure: status lines, framing and fields. */
     public static List<ResponseForm> broken() {
         return Stream.of(brokenStatusLines(), brokenFraming(), brokenFields())
                 .flatMap(List::stream)
--- a/src/test/java/gorsemast/standin/BrokenAnswerTest.java
+++ b/src/test/java/gorsemast/standin/BrokenAnswerTest.java
@@ -139,6 +139,23 @@
         }
     }
 
+    static List<ResponseForm> brokenTrailers() {
+        return ResponseForm.brokenTrailers();
+    }
+
+    @ParameterizedTest
+    @MethodSource("brokenTrailers")
+    void brokenTrailerReachesNoClient(ResponseForm form) {
+        for (int bodyBytes : new int[] {MARK.length(), LONG_BODY_BYTES}) {
+            answerFirstWith(form, bodyBytes);
+            for (String route : List.of("/objects/", "/orders/")) {
+                assertThat(sendUntilRun(0, "GET", newPath(route)))
+                        .matches("(?s)HTTP/1\\.1 (200 OK|502 Bad Gateway|503 Service Unavailable)\r\n.*")
+                        .doesNotContain("X-Trailer");
+            }
+        }
+    }
+
     private static ResponseForm form(String text) {
         return ResponseForm.broken().stream()
                 .filter(form -> form.toString().contains(text))
