review 4: the same edges also go on running a route that was dropped

Change: the script sends a version that drops a route, and says beside its result how often that route was served later than configApply.

--- a/review/4/CutRegistry.java
+++ b/review/4/CutRegistry.java
@@ -18,6 +18,7 @@
 final class CutRegistry {
     private static final int EDGES = 6;
     private static final long PURGE_MS = 2_000;
+    private static final long CONFIG_APPLY_MS = 2_000;
     private static final long CONTACT_MS = 3_000;
     private static final long CUT_MS = 5_000;
     private static final long MARGIN_MS = 200;
@@ -41,14 +42,20 @@
         }
     }
 
-    private static String configuration() {
-        return "{\"configVersion\":\"00000001\",\"backendTable\":[{\"name\":\"objects\",\"healthPath\":\"/health\","
+    /** The second version drops a route. */
+    private static String configuration(int version) {
+        return "{\"configVersion\":\"0000000" + version + "\",\"backendTable\":[{\"name\":\"objects\",\"healthPath\":\"/health\","
                 + "\"maxConnections\":450,\"protocol\":\"h1\",\"tls\":false,\"ratePerS\":880.0}],"
                 + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeout\":\"3000ms\","
                 + "\"idleTimeout\":\"15000ms\"},\"virtualHosts\":[{\"hostname\":\"demo.example\",\"pathRules\":["
                 + "{\"name\":\"o\",\"pathPrefix\":\"/objects/\",\"routeType\":\"cacheable\",\"timeout\":\"1200ms\","
                 + "\"targetLatency\":\"300ms\",\"priority\":1,\"backend\":\"objects\",\"maxAttempts\":2,"
-                + "\"cacheTtl\":\"40s\"}]}]}";
+                + "\"cacheTtl\":\"40s\"}"
+                + (version > 1
+                        ? ""
+                        : ",{\"name\":\"d\",\"pathPrefix\":\"/dropped/\",\"routeType\":\"idempotent\",\"timeout\":\"1200ms\","
+                                + "\"targetLatency\":\"300ms\",\"priority\":1,\"backend\":\"objects\",\"maxAttempts\":2}")
+                + "]}]}";
     }
 
     private static final AtomicInteger IDS = new AtomicInteger();
@@ -97,7 +104,7 @@
             for (int i = 0; i < 2; i++) {
                 servers.add(new Objects("i-0" + i, net, 60 + i));
             }
-            net.start(EDGES, configuration());
+            net.start(EDGES, configuration(1));
             Thread.sleep(4_000);
             result = play(net, trouble);
         } catch (Exception e) {
@@ -136,9 +143,14 @@
                 (victim + 1) % Net.CORES, "POST", "/v1/purge", "{\"hostname\":\"demo.example\",\"path\":\"" + path + "\"}", 4_000);
         long acknowledgedMs = (acknowledged - start) / 1_000_000;
         say(acknowledgedMs + " ms: the purge is acknowledged");
+        long configuredMs = (net.order((victim + 1) % Net.CORES, "POST", "/v1/configuration/replace", configuration(2), 4_000)
+                        - start)
+                / 1_000_000;
+        say(configuredMs + " ms: version 2 of the configuration, which drops a route, is acknowledged");
         sleepUntil(start, Math.max(CONTACT_MS, acknowledgedMs + PURGE_MS) + MARGIN_MS);
         int stale = 0;
         int asked = 0;
+        int dropped = 0;
         int[] last = new int[EDGES];
         while (millisSince(start) < CUT_MS - MARGIN_MS) {
             for (int i = 0; i < EDGES; i++) {
@@ -146,6 +158,9 @@
                 int version = ask(net.front(i), path);
                 asked++;
                 last[i] = version;
+                if (millisSince(start) > configuredMs + CONFIG_APPLY_MS + MARGIN_MS) {
+                    dropped += ask(net.front(i), "/dropped/x") > 0 ? 1 : 0;
+                }
                 if (version == 1) {
                     stale++;
                     say(at + " ms: edge " + i + " serves version 1, " + (at - acknowledgedMs)
@@ -162,6 +177,7 @@
             seen.append(' ').append(version);
         }
         say("asked " + asked + " times; last version seen by edge:" + seen + "; stale answers " + stale);
+        say("beside it, not part of the result: the dropped route was served " + dropped + " times later than configApply");
         for (int i = 0; i < Net.CORES; i++) {
             if (!net.processes.get("shield-" + i + "-registry").isAlive() || !net.processes.get("shield-" + i + "-store").isAlive()) {
                 say("a core process ended");
