--- a/review/4/CutRegistry.java
+++ b/review/4/CutRegistry.java
@@ -18,6 +18,7 @@
 final class CutRegistry {
     private static final int EDGES = 6;
     private static final long PURGE_MS = 2_000;
+    private static final long DRAIN_MS = 2_000;
     private static final long CONFIG_APPLY_MS = 2_000;
     private static final long CONTACT_MS = 3_000;
     private static final long CUT_MS = 5_000;
@@ -45,7 +46,8 @@
     /** The second version drops a route. */
     private static String configuration(int version) {
         return "{\"configVersion\":\"0000000" + version + "\",\"backendTable\":[{\"name\":\"objects\",\"healthPath\":\"/health\","
-                + "\"maxConnections\":450,\"protocol\":\"h1\",\"tls\":false,\"ratePerS\":880.0}],"
+                + "\"maxConnections\":450,\"protocol\":\"h1\",\"tls\":false,\"ratePerS\":880.0},"
+                + "{\"name\":\"orders\",\"healthPath\":\"/health\",\"maxConnections\":450,\"protocol\":\"h1\",\"tls\":false}],"
                 + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeout\":\"3000ms\","
                 + "\"idleTimeout\":\"15000ms\"},\"virtualHosts\":[{\"hostname\":\"demo.example\",\"pathRules\":["
                 + "{\"name\":\"o\",\"pathPrefix\":\"/objects/\",\"routeType\":\"cacheable\",\"timeout\":\"1200ms\","
@@ -55,21 +57,37 @@
                         ? ""
                         : ",{\"name\":\"d\",\"pathPrefix\":\"/dropped/\",\"routeType\":\"idempotent\",\"timeout\":\"1200ms\","
                                 + "\"targetLatency\":\"300ms\",\"priority\":1,\"backend\":\"objects\",\"maxAttempts\":2}")
-                + "]}]}";
+                + ",{\"name\":\"p\",\"pathPrefix\":\"/orders/\",\"routeType\":\"non_idempotent\",\"timeout\":\"1200ms\","
+                + "\"targetLatency\":\"300ms\",\"priority\":1,\"backend\":\"orders\",\"maxAttempts\":2}]}]}";
     }
 
     private static final AtomicInteger IDS = new AtomicInteger();
 
-    /** The version that an edge serves; 0 where it serves none. */
-    private static int ask(InetSocketAddress front, String path) {
+    private static Net.Answer send(InetSocketAddress front, String line, String headersAndBody) throws IOException {
         try (Socket socket = new Socket()) {
             socket.connect(front, 1_000);
             socket.setSoTimeout(1_300);
             socket.getOutputStream()
-                    .write(("GET " + path + " HTTP/1.1\r\nHost: demo.example\r\nAttempt-Id: c" + IDS.incrementAndGet()
-                                    + "\r\nTime-Budget: 1200\r\n\r\n")
+                    .write((line + " HTTP/1.1\r\nHost: demo.example\r\nAttempt-Id: c" + IDS.incrementAndGet()
+                                    + "\r\nTime-Budget: 1200\r\n" + headersAndBody)
                             .getBytes(StandardCharsets.UTF_8));
-            Net.Answer answer = Net.read(socket.getInputStream(), false);
+            return Net.read(socket.getInputStream(), false);
+        }
+    }
+
+    /** Sends an order that may run once. */
+    private static void order(InetSocketAddress front) {
+        try {
+            send(front, "POST /orders/x", "Content-Length: 2\r\n\r\nab");
+        } catch (IOException e) {
+            // not part of the result
+        }
+    }
+
+    /** The version that an edge serves; 0 where it serves none. */
+    private static int ask(InetSocketAddress front, String path) {
+        try {
+            Net.Answer answer = send(front, "GET " + path, "\r\n");
             return answer.status() == 200 && answer.header("Edge-Seal") != null
                     ? Integer.parseInt(new String(answer.body(), StandardCharsets.UTF_8).split(" ")[1])
                     : 0;
@@ -104,9 +122,12 @@
             for (int i = 0; i < 2; i++) {
                 servers.add(new Objects("i-0" + i, net, 60 + i));
             }
+            Server leaving = new Server("i-10", "orders", "z1", net.prefix + 70, net.port + 5, 16, 5, net.controls());
+            servers.add(leaving);
+            servers.add(new Server("i-11", "orders", "z1", net.prefix + 71, net.port + 5, 16, 5, net.controls()));
             net.start(EDGES, configuration(1));
             Thread.sleep(4_000);
-            result = play(net, trouble);
+            result = play(net, leaving, trouble);
         } catch (Exception e) {
             say("could not run: " + e);
         }
@@ -114,7 +135,7 @@
         System.exit(result);
     }
 
-    private static int play(Net net, boolean trouble) throws Exception {
+    private static int play(Net net, Server leaving, boolean trouble) throws Exception {
         String path = "/objects/a";
         for (int i = 0; i < EDGES; i++) {
             for (int tries = 0; ask(net.front(i), path) != 1; tries++) {
@@ -147,6 +168,14 @@
                         - start)
                 / 1_000_000;
         say(configuredMs + " ms: version 2 of the configuration, which drops a route, is acknowledged");
+        leaving.beats = false;
+        leaving.controls = List.of(net.control((victim + 1) % Net.CORES), net.control((victim + 2) % Net.CORES));
+        leaving.state = "draining";
+        for (int tries = 0; tries < 10 && !leaving.beatOnce(); tries++) {
+            Thread.sleep(20);
+        }
+        long drainedMs = millisSince(start);
+        say(drainedMs + " ms: a server that leaves has its drain acknowledged");
         sleepUntil(start, Math.max(CONTACT_MS, acknowledgedMs + PURGE_MS) + MARGIN_MS);
         int stale = 0;
         int asked = 0;
@@ -157,6 +186,7 @@
                 long at = millisSince(start);
                 int version = ask(net.front(i), path);
                 asked++;
+                order(net.front(i));
                 last[i] = version;
                 if (millisSince(start) > configuredMs + CONFIG_APPLY_MS + MARGIN_MS) {
                     dropped += ask(net.front(i), "/dropped/x") > 0 ? 1 : 0;
@@ -178,6 +208,11 @@
         }
         say("asked " + asked + " times; last version seen by edge:" + seen + "; stale answers " + stale);
         say("beside it, not part of the result: the dropped route was served " + dropped + " times later than configApply");
+        long late = leaving.runs.stream()
+                .mapToLong(run -> (run.startedAt() - start) / 1_000_000)
+                .filter(at -> at > Math.max(CONTACT_MS, drainedMs + DRAIN_MS) + MARGIN_MS)
+                .count();
+        say("likewise: the leaving server ran " + late + " requests that may run once, later than drain");
         for (int i = 0; i < Net.CORES; i++) {
             if (!net.processes.get("shield-" + i + "-registry").isAlive() || !net.processes.get("shield-" + i + "-store").isAlive()) {
                 say("a core process ended");
--- a/review/rig-2/Server.java
+++ b/review/rig-2/Server.java
@@ -21,7 +21,8 @@
     final String service;
     final String zone;
     final ServerSocket listener;
-    final List<InetSocketAddress> controls;
+    /** Where it sends its calls, in this order. */
+    volatile List<InetSocketAddress> controls;
     final ConcurrentLinkedQueue<Run> runs = new ConcurrentLinkedQueue<>();
     final Semaphore slots;
     final int capacity;
