STALE: an edge logs which of its registries confirm their state

The log couldn't tell whether an edge that serves purged copies is linked to a registry that says it isn't synced, to one that wrongly confirms, or to one that says nothing. RegistryMonitor keeps that for each link, and logs each change. Nothing is decided by it yet.

--- a/src/main/java/gorsemast/proxy/ProxyNode.java
+++ b/src/main/java/gorsemast/proxy/ProxyNode.java
@@ -92,6 +92,7 @@
     private final HomeSelector homes;
     private final Gossip gossip;
     private final StateFreshness freshness;
+    private final RegistryMonitor registryMonitor = new RegistryMonitor();
     private final Map<String, Long> coldUntil = new HashMap<>();
     private final Set<String> seeds = new LinkedHashSet<>();
     private final Set<String> services = new LinkedHashSet<>();
@@ -205,6 +206,7 @@
     private void recordRunning() {
         if (freshness.recordRunning(clock.getAsLong())) {
             LOG.info("resumed with " + describeConfiguration());
+            registryMonitor.resume(clock.getAsLong());
             gossip.requestConfirmations();
         }
     }
@@ -224,6 +226,7 @@
         recordRunning();
         long now = clock.getAsLong();
         homes.updateEdges(edgesUp());
+        registryMonitor.update(now, linkedRegistries());
         gossip.tick();
         publishSpeeds(now);
         gossipState.removeExpired(now);
@@ -254,6 +257,14 @@
         }
     }
 
+    private Set<String> linkedRegistries() {
+        Set<String> linked = new LinkedHashSet<>();
+        neighbours
+                .connected(Program.REGISTRY)
+                .forEach(one -> linked.add(one.hello().ip()));
+        return linked;
+    }
+
     /** Addresses of the machines whose registries this edge should be linked to. */
     public Set<String> targetRegistries() {
         Set<String> cores = new LinkedHashSet<>();
@@ -263,10 +274,7 @@
                 cores.add(machine.ip());
             }
         }
-        Set<String> linked = new LinkedHashSet<>();
-        neighbours
-                .connected(Program.REGISTRY)
-                .forEach(one -> linked.add(one.hello().ip()));
+        Set<String> linked = linkedRegistries();
         // At first few core machines are known: the configured seeds are tried until enough are connected.
         Set<String> candidates = new LinkedHashSet<>(cores);
         boolean isSearching =
@@ -413,6 +421,11 @@
             listener.speedsReceived(pooled.servers());
         } else {
             gossip.received(neighbour, message);
+            if (message instanceof PeerMessage.Digest digest
+                    && digest.inReplyTo() != 0
+                    && neighbour.hello().program() == Program.REGISTRY) {
+                registryMonitor.replied(neighbour.hello().ip(), digest.inReplyTo(), digest.synced(), clock.getAsLong());
+            }
             freshness.recordConfirmed(gossip.configurationConfirmedAt(), gossip.stateConfirmedAt());
             becomeReady();
         }
