--- a/src/main/java/gorsemast/peer/Gossip.java
+++ b/src/main/java/gorsemast/peer/Gossip.java
@@ -21,13 +21,13 @@
  * to. Digests are sent over each link when it comes up and over one more link at each tick; buckets that differ are
  * repaired in both directions. So a lost message, a partition or a freeze costs a tick and a round trip. A proxy that is
  * catching up requests a digest from its registries at each tick, because a registry with many links reaches each one only
- * rarely by its own ticks. One that has caught up requests a digest from one registry after another, so that it knows at any
- * time how long ago its configuration was the newest. Not thread-safe.
+ * rarely by its own ticks. One that has caught up still requests a digest from each registry twice a second, so that it knows
+ * at any time how long ago its configuration was the newest, and which registries confirm their state. Not thread-safe.
  */
 public final class Gossip {
     /** A digest makes a process ready only if it replies to a request this recent, by the requester's own clock. */
     static final long MAX_REPLY_AGE_MICROS = 1_000_000;
-    /** How often a proxy that has caught up asks a registry to confirm its configuration. */
+    /** How often a proxy that has caught up asks its registries to confirm its state. */
     static final long CONFIRMATION_INTERVAL_MICROS = 500_000;
 
     private static final long NEVER = Long.MIN_VALUE / 2;
@@ -44,7 +44,6 @@
     private long stateConfirmedAt = NEVER;
     private long nextConfirmationAt;
     private int nextNeighbour;
-    private int nextRegistry;
 
     /**
      * Creates the gossip of one process.
@@ -189,7 +188,7 @@
         } else if (!up.isEmpty()) {
             List<Neighbour> all = new ArrayList<>(up);
             all.get(Math.floorMod(nextNeighbour++, all.size())).send(digest(0));
-            requestConfirmationIfDue();
+            requestConfirmationsIfDue();
         }
     }
 
@@ -199,11 +198,11 @@
         neighbours.connected(Program.REGISTRY).forEach(neighbour -> neighbour.send(request));
     }
 
-    private void requestConfirmationIfDue() {
-        List<Neighbour> registries = neighbours.connected(Program.REGISTRY);
-        if (program == Program.PROXY && clock.getAsLong() >= nextConfirmationAt && !registries.isEmpty()) {
-            nextConfirmationAt = clock.getAsLong() + CONFIRMATION_INTERVAL_MICROS;
-            registries.get(Math.floorMod(nextRegistry++, registries.size())).send(request());
+    private void requestConfirmationsIfDue() {
+        long now = clock.getAsLong();
+        if (program == Program.PROXY && now >= nextConfirmationAt) {
+            nextConfirmationAt = now + CONFIRMATION_INTERVAL_MICROS;
+            requestConfirmations();
         }
     }
 
--- a/src/main/java/gorsemast/proxy/ProxyNode.java
+++ b/src/main/java/gorsemast/proxy/ProxyNode.java
@@ -50,9 +50,6 @@
     /** A registry that is reachable and synced confirms the configuration within this time. */
     private static final long CONFIRMATION_TIMEOUT_MICROS = 1_000_000;
 
-    /** Additional registries to link to while the linked ones are not synced. */
-    private static final int EXTRA_REGISTRIES = 2;
-
     private static final Log LOG = new Log("proxy");
 
     /** Receives changes. Called on the caller's thread, after an update has been merged. */
@@ -93,6 +90,7 @@
     private final Gossip gossip;
     private final StateFreshness freshness;
     private final RegistryMonitor registryMonitor = new RegistryMonitor();
+    private final RegistrySelector registrySelector;
     private final Map<String, Long> coldUntil = new HashMap<>();
     private final Set<String> seeds = new LinkedHashSet<>();
     private final Set<String> services = new LinkedHashSet<>();
@@ -157,6 +155,7 @@
                 () -> PeerMessage.Digest.UNKNOWN_AGE,
                 this::changed);
         this.freshness = new StateFreshness(startedAt, configApplyMicros);
+        this.registrySelector = new RegistrySelector(ip, maxLinkedRegistries, startedAt, registryMonitor);
         this.seeds.addAll(seeds);
     }
 
@@ -275,24 +274,11 @@
             }
         }
         Set<String> linked = linkedRegistries();
+        long now = clock.getAsLong();
         // At first few core machines are known: the configured seeds are tried until enough are connected.
-        Set<String> candidates = new LinkedHashSet<>(cores);
-        boolean isSearching =
-                !ready && clock.getAsLong() - startedAt > NOT_READY_LOG_INTERVAL_MICROS && gossip.registryUnsynced();
-        if (linked.size() < maxLinkedRegistries || isSearching) {
-            candidates.addAll(seeds);
-        }
-        List<String> ranked = Hash.ranked(ip, candidates);
-        // The linked registries may be partitioned from the others.
-        int registryTarget = isSearching ? maxLinkedRegistries + EXTRA_REGISTRIES : maxLinkedRegistries;
-        int target = linked.isEmpty() || cores.isEmpty() ? ranked.size() : registryTarget;
-        Set<String> targets = new LinkedHashSet<>();
-        for (String core : ranked) {
-            if (targets.size() < target || linked.contains(core) && targets.size() < maxLinkedRegistries) {
-                targets.add(core);
-            }
-        }
-        return targets;
+        boolean needsSeeds =
+                cores.isEmpty() || linked.size() < maxLinkedRegistries || registrySelector.isSearching(now, linked);
+        return registrySelector.select(now, cores, needsSeeds ? seeds : Set.of(), linked);
     }
 
     /** Addresses of the other edges that this edge should be linked to. */
--- a/src/main/java/gorsemast/registry/RegistryNode.java
+++ b/src/main/java/gorsemast/registry/RegistryNode.java
@@ -173,13 +173,15 @@
     }
 
     /**
-     * Returns whether the state is confirmed to be current: the lease is valid and, at the first start of the whole system,
-     * the servers have had time to send heartbeats.
+     * Returns whether the state is confirmed to be current: the lease is valid, enough members answer to acknowledge a
+     * command and, at the first start of the whole system, the servers have had time to send heartbeats. A partitioned
+     * registry still holds its lease for a while; edges are not to rely on it for that time, as they then have too
+     * little left to find another one.
      */
     public boolean synced() {
         long now = now();
         boolean heardAll = restored || !parameters.firstBoot || now - startedAt > 2 * parameters.heartbeatMicros;
-        return heardAll && quorum.holdsLease();
+        return heardAll && quorum.holdsLease() && quorum.reachesDurableSet();
     }
 
     /** Returns how long ago the store confirmed that the configuration published here is the newest. */
--- a/src/main/java/gorsemast/simulation/Edge.java
+++ b/src/main/java/gorsemast/simulation/Edge.java
@@ -36,6 +36,8 @@
 final class Edge extends Process implements ProxyNode.Listener, ObjectSources<String> {
     private static final long OBJECT_MICROS = 1_500_000;
     private static final long CONFIG_APPLY_MICROS = 2_000_000;
+    /** Links to registries, and to other edges, of an edge that has many sockets. */
+    private static final int LINKS = 2;
 
     /** How a client's request ended. */
     enum RequestResult {
@@ -67,8 +69,8 @@
         this.proxyNode = new ProxyNode(
                 machine.ip,
                 machine.zone,
-                2,
-                2,
+                machine.fewLinks ? 1 : LINKS,
+                machine.fewLinks ? 0 : LINKS,
                 wall(),
                 CONFIG_APPLY_MICROS,
                 simulation.seeds(),
--- a/src/main/java/gorsemast/simulation/Machine.java
+++ b/src/main/java/gorsemast/simulation/Machine.java
@@ -26,6 +26,9 @@
     final String ip;
     final String zone;
     final boolean core;
+    /** Whether this edge has so few sockets that it keeps a link to one registry and none to other edges. */
+    boolean fewLinks;
+
     final List<Process> processes = new ArrayList<>();
     Disk disk = new Disk();
     boolean power = true;
--- a/src/main/java/gorsemast/simulation/ScaleStudy.java
+++ b/src/main/java/gorsemast/simulation/ScaleStudy.java
@@ -60,6 +60,7 @@
         Log.redirect(line -> {});
         try {
             Simulation simulation = new Simulation(scenario(load), InjectedDefect.NONE, null);
+            simulation.fewLinks = Simulation.FewLinks.NONE;
             simulation.extraServers = load.servers;
             simulation.extraRoutes = load.routes;
             simulation.processorTime = new ProcessorTime();
--- a/src/main/java/gorsemast/simulation/Simulation.java
+++ b/src/main/java/gorsemast/simulation/Simulation.java
@@ -42,6 +42,13 @@
     static final double RATE = 25;
 
     static final ModuleConfiguration.RetryBudget BUDGET = new ModuleConfiguration.RetryBudget(0.2, 60, 10_000_000);
+    /** The edges that have so few sockets that they keep a link to one registry and none to other edges. */
+    enum FewLinks {
+        NONE,
+        EVERY_SECOND,
+        ALL
+    }
+
     private static final long START_MICROS = 500_000;
     private static final long SEED_LAG = 3_000_000;
     private static final long WATCH_MICROS = 5_000;
@@ -71,6 +78,9 @@
     int extraServers;
     /** Routes beside the four that each configuration has. */
     int extraRoutes;
+    /** How many of the edges have few links. Those with many pass updates on between registries that don't reach each other. */
+    FewLinks fewLinks;
+
     /** Versions of objects that have changed. */
     final Map<String, Long> objects = new HashMap<>();
 
@@ -89,6 +99,7 @@
         this.defect = defect;
         this.eventLog = eventLog;
         this.random = new SplittableRandom(scenario.seed());
+        this.fewLinks = FewLinks.values()[(int) Math.floorMod(scenario.seed(), (long) FewLinks.values().length)];
     }
 
     void logEvent(String what) {
@@ -177,6 +188,8 @@
 
     Machine add(String zone, boolean core) {
         Machine machine = new Machine((core ? "10.0.0." : "10.1.0.") + ++addresses, zone, core, time.now());
+        boolean isSecond = machines(false).size() % 2 == 1;
+        machine.fewLinks = !core && (fewLinks == FewLinks.ALL || fewLinks == FewLinks.EVERY_SECOND && isSecond);
         machines.put(machine.ip, machine);
         return machine;
     }
--- a/src/test/java/gorsemast/processes/LinkRelay.java
+++ b/src/test/java/gorsemast/processes/LinkRelay.java
@@ -82,6 +82,15 @@
         });
     }
 
+    /** How many connections are open that one machine has dialled to a service of another. */
+    int connections(String from, String to, String service) {
+        int[] open = new int[1];
+        Way way = new Way(from, to, service);
+        call(() -> open[0] =
+                (int) halves.stream().filter(half -> half.way.equals(way)).count());
+        return open[0];
+    }
+
     /** Holds all bytes from one machine to another, and new connections of both, until {@link #heal}. */
     void hold(String from, String to) {
         hold(from, to, null);
--- a/src/test/java/gorsemast/processes/Operator.java
+++ b/src/test/java/gorsemast/processes/Operator.java
@@ -65,6 +65,12 @@
         return network.control(core, "POST", "/v1/purge", body.getBytes(StandardCharsets.UTF_8), CALL_MILLIS);
     }
 
+    /** One call with a purge of all objects with a tag. */
+    CompletableFuture<Answer> purgeTag(int core, String tag) {
+        byte[] body = ("{\"tag\":\"" + tag + "\"}").getBytes(StandardCharsets.UTF_8);
+        return network.control(core, "POST", "/v1/purge", body, CALL_MILLIS);
+    }
+
     /** One beat of a server at {@code address}. */
     CompletableFuture<Answer> beat(int core, String id, String address, String state, int callSeq) {
         String body = "{\"backend\":\"orders\",\"address\":\"" + address
--- a/src/test/java/gorsemast/processes/ProcessNetwork.java
+++ b/src/test/java/gorsemast/processes/ProcessNetwork.java
@@ -155,6 +155,11 @@
         return relay;
     }
 
+    /** Whether an edge has a link to the registry of a core machine. */
+    boolean isLinked(int edge, int core) {
+        return relay.connections(name(edge), name(core), Ports.REGISTRY.name()) > 0;
+    }
+
     /** Cuts, or whatever is asked for, between one machine and each of some others. */
     void between(int one, Collection<Integer> others, Trouble trouble) {
         others.forEach(other -> trouble.strike(name(one), name(other)));
