--- a/src/test/java/gorsemast/processes/Disturbances.java
+++ b/src/test/java/gorsemast/processes/Disturbances.java
@@ -15,8 +15,6 @@
     /** {@code contact}. */
     private static final long CONTACT_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-    private static final int FIRST_EDGE = 20;
-
     /** A trouble that goes on, and how it is ended. */
     private record Lasting(int machine, long until, Runnable end) {}
 
@@ -26,22 +24,50 @@
     private final Map<Integer, Long> lastAt = new ConcurrentHashMap<>();
     /** Machines at which one goes on; one at a time each. */
     private final Set<Integer> going = ConcurrentHashMap.newKeySet();
+    /** Machines whose processes have ended and are not started again yet. */
+    private final Set<Integer> down = ConcurrentHashMap.newKeySet();
 
     Disturbances(ProcessNetwork network) {
         this.network = network;
     }
 
-    /** Something has just happened to a machine: a signal, an end, a start. */
+    /** Something has just happened to a machine: a signal, a reset. */
     void happened(int machine) {
         lastAt.put(machine, System.nanoTime());
     }
 
-    /** Whether nothing has happened of late to this edge or to any core machine. */
+    /** A machine's processes have ended or are ending. */
+    void stopped(int machine) {
+        down.add(machine);
+        happened(machine);
+    }
+
+    /** They are started again. */
+    void started(int machine) {
+        happened(machine);
+        down.remove(machine);
+    }
+
+    /**
+     * Whether an edge is in touch, by the operators' rules: for {@code contact} nothing has happened to it, its links or a core machine,
+     * and more than half of the core runs and is connected. So a core machine that stays cut off or paused excuses nobody for longer.
+     */
     boolean inTouch(int edge) {
-        return lastAt.keySet().stream()
-                .filter(machine -> machine == edge || machine < FIRST_EDGE)
-                .noneMatch(
-                        machine -> going.contains(machine) || System.nanoTime() - lastAt.get(machine) < CONTACT_NANOS);
+        List<Integer> cores = network.coreMachines();
+        long connected = cores.stream().filter(this::isUndisturbed).count();
+        return isUndisturbed(edge)
+                && isCalm(edge)
+                && cores.stream().allMatch(this::isCalm)
+                && 2 * connected > cores.size();
+    }
+
+    private boolean isUndisturbed(int machine) {
+        return !going.contains(machine) && !down.contains(machine);
+    }
+
+    private boolean isCalm(int machine) {
+        Long at = lastAt.get(machine);
+        return at == null || System.nanoTime() - at >= CONTACT_NANOS;
     }
 
     /** Whether a pause or a cut goes on at a machine. */
@@ -51,14 +77,24 @@
 
     /** SIGSTOP to all processes of a machine, for so long. */
     void pause(int machine, long millis) {
-        network.pause(machine);
-        begin(machine, millis, () -> network.resume(machine));
+        trouble(machine, millis, () -> network.pause(machine), () -> network.resume(machine));
     }
 
     /** Cuts a machine off from these, for so long. */
     void cut(int machine, List<Integer> others, long millis) {
-        network.between(machine, others, network.relay()::cut);
-        begin(machine, millis, () -> network.between(machine, others, network.relay()::heal));
+        trouble(
+                machine,
+                millis,
+                () -> network.between(machine, others, network.relay()::cut),
+                () -> network.between(machine, others, network.relay()::heal));
+    }
+
+    /** A trouble at a machine that lasts for so long. */
+    void trouble(int machine, long millis, Runnable begin, Runnable end) {
+        going.add(machine);
+        begin.run();
+        happened(machine);
+        lasting.add(new Lasting(machine, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis), end));
     }
 
     /** Resets all connections between a machine and these, once. */
@@ -88,10 +124,4 @@
             }
         }
     }
-
-    private void begin(int machine, long millis, Runnable end) {
-        happened(machine);
-        going.add(machine);
-        lasting.add(new Lasting(machine, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis), end));
-    }
 }
--- a/src/test/java/gorsemast/processes/PartitionedRegistryTest.java
+++ b/src/test/java/gorsemast/processes/PartitionedRegistryTest.java
@@ -41,14 +41,6 @@
     private static final long TROUBLE_MILLIS = 5_500;
     private static final long MARGIN_MILLIS = 50;
 
-    /** What happens to the registry's machine. */
-    enum Trouble {
-        CUT_OFF,
-        CUT_OFF_OUTWARDS,
-        CUT_OFF_INWARDS,
-        STANDS_STILL
-    }
-
     @TempDir(cleanup = CleanupMode.ON_SUCCESS)
     Path data;
 
@@ -112,25 +104,6 @@
         return IntStream.rangeClosed(1, CORES).filter(other -> other != core).toArray();
     }
 
-    private void begin(Trouble trouble, int core) {
-        List<Integer> others = IntStream.of(others(core)).boxed().toList();
-        LinkRelay relay = network.relay();
-        switch (trouble) {
-            case CUT_OFF -> network.between(core, others, relay::cut);
-            case CUT_OFF_OUTWARDS -> network.between(core, others, relay::hold);
-            case CUT_OFF_INWARDS -> network.between(core, others, (one, other) -> relay.hold(other, one));
-            case STANDS_STILL -> network.pause(core);
-        }
-    }
-
-    private void end(Trouble trouble, int core) {
-        if (trouble == Trouble.STANDS_STILL) {
-            network.resume(core);
-        } else {
-            network.relay().heal();
-        }
-    }
-
     private CompletableFuture<Answer> send(int edge, String method, String path) {
         return network.send(
                 network.front(edge),
@@ -214,18 +187,18 @@
 
     @ParameterizedTest
     @CsvSource({"CUT_OFF,220", "CUT_OFF_OUTWARDS,220", "CUT_OFF_INWARDS,220", "STANDS_STILL,220", "CUT_OFF,4096"})
-    void edgesInTouchFollowTheOtherRegistries(Trouble trouble, int descriptors) throws IOException {
+    void edgesInTouchFollowTheOtherRegistries(CoreTrouble trouble, int descriptors) throws IOException {
         start(descriptors);
         fillCaches(0);
         int core = mostLinked();
         long begun = System.nanoTime();
-        begin(trouble, core);
+        trouble.begin(network, core, others(core));
         drain(core);
         long inForce = change(core, 2, "second", begun);
         passUntil(begun, inForce);
         List<String> faults = judge(begun, TROUBLE_MILLIS, 1, "first");
         long late = drainedRunsAfter(begun, inForce);
-        end(trouble, core);
+        trouble.end(network, core, others(core));
         assertThat(faults).isEmpty();
         assertThat(late).as("requests that the leaving server ran").isZero();
     }
@@ -239,7 +212,7 @@
         for (int round = 1; round <= 3; round++) {
             int core = mostLinked();
             long begun = System.nanoTime();
-            begin(Trouble.CUT_OFF, core);
+            CoreTrouble.CUT_OFF.begin(network, core, others(core));
             passUntil(begun, round * 200L);
             long inForce = change(core, 1 + round, "round" + round, begun);
             passUntil(begun, inForce);
@@ -257,7 +230,7 @@
         int core = mostLinked();
         List<Integer> linked =
                 edges.stream().filter(edge -> network.isLinked(edge, core)).toList();
-        begin(Trouble.CUT_OFF, core);
+        CoreTrouble.CUT_OFF.begin(network, core, others(core));
         for (int edge : edges) {
             network.pause(edge);
         }
--- a/src/test/java/gorsemast/processes/ProcessNetwork.java
+++ b/src/test/java/gorsemast/processes/ProcessNetwork.java
@@ -130,6 +130,11 @@
         return port + OUTSIDE_PORTS + RANGE * numbers.indexOf(machine);
     }
 
+    /** The numbers of the core machines. */
+    List<Integer> coreMachines() {
+        return numbers.stream().filter(number -> number < FIRST_EDGE).toList();
+    }
+
     // ---- places
 
     /** Where a store takes links, without a relay. */
--- a/src/test/java/gorsemast/processes/RouteJudge.java
+++ b/src/test/java/gorsemast/processes/RouteJudge.java
@@ -24,6 +24,9 @@
     /** {@code configApply}, and a little. */
     private static final long IN_FORCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_050);
 
+    /** What servers are asked without any edge. */
+    static final String DIRECT = "/orders/direct";
+
     private static final long GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
     private static final long PATIENCE_MILLIS = 500;
     private static final int NOT_FOUND = 404;
@@ -103,7 +106,7 @@
             ask(edge, false);
         }
         for (StandInServer server : network.servers()) {
-            send(server.address(), "/orders/direct").thenAccept(answer -> direct.add(answer.status()));
+            send(server.address(), DIRECT).thenAccept(answer -> direct.add(answer.status()));
         }
     }
 
--- a/src/test/java/gorsemast/processes/SignalSoak.java
+++ b/src/test/java/gorsemast/processes/SignalSoak.java
@@ -85,6 +85,9 @@
     }
 
     private static final int CORES = 3;
+    /** Last byte of the address of the first server that comes and leaves within a course. */
+    private static final int FIRST_LEAVING = 100;
+
     private static final int FIRST_EDGE = 20;
     private static final int FEW_DESCRIPTORS = 220;
     private static final int MANY_DESCRIPTORS = 4_096;
@@ -113,9 +116,18 @@
     private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
-    /** What a course has shown; {@code asked} counts what reached an edge, and {@code faults} is empty where all held. */
+    /**
+     * What a course has shown; {@code asked} counts what reached an edge, {@code purged} the answers that were subject to a purge, and
+     * {@code faults} is empty where all held.
+     */
     record Verdict(
-            long seed, List<String> events, int asked, int served, RouteJudge.Tally added, List<String> faults) {}
+            long seed,
+            List<String> events,
+            int asked,
+            int served,
+            RouteJudge.Tally added,
+            int purged,
+            List<String> faults) {}
 
     private record Asked(int edge, Ended ended) {}
 
@@ -127,6 +139,7 @@
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, Transport.handlers()).next();
     private final List<Integer> edges;
     private final List<StandInServer> servers = new ArrayList<>();
+    private final List<StandInServer> objectServers = new ArrayList<>();
     private final List<Killed> kills = new ArrayList<>();
     /** Machines whose processes are to start again, and from when on, of {@link System#nanoTime}. */
     private final Map<Integer, Long> down = new HashMap<>();
@@ -138,8 +151,10 @@
     private final Plan plan;
     private final Disturbances disturbances;
     private final RouteJudge routes;
+    private final PurgeJudge purges;
 
     private boolean congestedNow;
+    private int losses;
     private int version = 1;
     private String word = "first";
 
@@ -150,6 +165,7 @@
         operator = new Operator(network);
         disturbances = new Disturbances(network);
         routes = new RouteJudge(network, edges, disturbances::inTouch);
+        purges = new PurgeJudge(network, operator, edges, objectServers, disturbances::inTouch);
         for (int core = 1; core <= CORES; core++) {
             network.startCore(core, true, 1, 2, 3);
         }
@@ -158,6 +174,9 @@
             StandInServer server = network.server("i-" + i, i == 0 ? "objects" : "orders", 200 + i, 1, 2, 3);
             server.setWorkMicros(WORK_MICROS);
             servers.add(server);
+            if (i == 0) {
+                objectServers.add(server);
+            }
         }
         ProcessNetwork.until(
                 "the first configuration",
@@ -195,6 +214,7 @@
         List<String> events = strike(random, faults);
         if (plan.wide) {
             calm(faults);
+            loseOneCoreMachine(seed, faults);
         }
         over.set(true);
         ends.forEach(CompletableFuture::join);
@@ -205,7 +225,8 @@
                 (int) asked.stream().filter(one -> one.ended.status() == 200).count();
         int reached = (int) asked.stream().filter(one -> one.ended.connected()).count();
         RouteJudge.Tally added = routes.judge((double) served / Math.max(1, reached), faults);
-        return new Verdict(seed, events, reached, served, added, faults);
+        int purged = purges.judge(faults);
+        return new Verdict(seed, events, reached, served, added, purged, faults);
     }
 
     private void ask(
@@ -227,8 +248,10 @@
                     case 1 -> new Request(id, "POST", "/orders/pay/" + id);
                     default -> new Request(id, "GET", "/objects/" + random.nextInt(OBJECTS));
                 };
+        boolean inTouch = disturbances.inTouch(edge);
         connection.ask(request, ended -> {
             asked.add(new Asked(edge, ended));
+            purges.answered(edge, ended.sentNanos(), ended.status(), ended.body(), inTouch);
             loop.schedule(() -> ask(connection, edge, random, asked, over, end), THINK_MILLIS, TimeUnit.MILLISECONDS);
         });
     }
@@ -278,7 +301,7 @@
                     events.add(event + " " + (event.name().startsWith("CORE") ? core : edge));
                 }
             }
-            routes.poll();
+            poll();
             LockSupport.parkNanos(POLL_NANOS);
         }
         return events;
@@ -316,7 +339,7 @@
                 disturbances.cut(
                         core, coreMachines().stream().filter(one -> one != core).toList(), lasting(random));
             case CORES_KILLED_TOGETHER -> kill(coreMachines());
-            default -> operator.purge(core, "/objects/" + edge);
+            default -> purges.purgePath("/objects/" + edge, core, 1 + core % CORES, 1 + (core + 1) % CORES);
         }
         return true;
     }
@@ -330,14 +353,9 @@
                 bringBack();
                 return leaving.isEmpty() && down.isEmpty();
             });
-            routes.sent();
-            String before = word;
-            version++;
-            word = "w" + version;
-            operator.order(version, word, 1, 2, 3);
-            routes.confirmed(word, before);
+            change(1, 2, 3);
             ProcessNetwork.until("all edges are in touch", RECOVERS_MILLIS, () -> {
-                routes.poll();
+                poll();
                 return edges.stream().allMatch(disturbances::inTouch);
             });
         } catch (AssertionError e) {
@@ -345,11 +363,43 @@
         }
         long begun = System.nanoTime();
         while (System.nanoTime() - begun < TimeUnit.MILLISECONDS.toNanos(CALM_MILLIS)) {
-            routes.poll();
+            poll();
             LockSupport.parkNanos(POLL_NANOS);
         }
     }
 
+    private void poll() {
+        routes.poll();
+        if (plan.wide) {
+            purges.poll();
+        }
+    }
+
+    /** One core machine is lost to the others, while all else is calm. Leaves the random course of the other events as it is. */
+    private void loseOneCoreMachine(long seed, List<String> faults) {
+        try {
+            new CoreLoss(network, operator, disturbances, purges)
+                    .play(
+                            new SplittableRandom(~seed),
+                            "leaving-" + seed,
+                            FIRST_LEAVING + losses++,
+                            this::change,
+                            this::poll,
+                            faults);
+        } catch (IOException | AssertionError e) {
+            faults.add(e.getMessage());
+        }
+    }
+
+    private void change(int... cores) {
+        routes.sent();
+        String before = word;
+        version++;
+        word = "w" + version;
+        operator.order(version, word, cores);
+        routes.confirmed(word, before);
+    }
+
     private long lasting(SplittableRandom random) {
         return SHORTEST_LASTING_MILLIS + random.nextLong(plan.lastingMillis - SHORTEST_LASTING_MILLIS);
     }
@@ -389,7 +439,7 @@
         network.process("proxy" + edge).destroy();
         leaving.add(edge);
         leftAt.put(edge, System.nanoTime());
-        disturbances.happened(edge);
+        disturbances.stopped(edge);
     }
 
     private boolean listens(int edge) {
@@ -405,7 +455,7 @@
         long over = System.nanoTime();
         machines.forEach(machine -> kills.add(new Killed(machine, ordered, over)));
         for (int machine : machines) {
-            disturbances.happened(machine);
+            disturbances.stopped(machine);
             down.put(machine, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DOWN_MILLIS));
         }
     }
@@ -415,14 +465,14 @@
         for (int edge : Set.copyOf(leaving)) {
             if (!network.process("proxy" + edge).isAlive()) {
                 leaving.remove(edge);
-                disturbances.happened(edge);
+                disturbances.started(edge);
                 startEdge(edge, false);
             }
         }
         for (Map.Entry<Integer, Long> one : Map.copyOf(down).entrySet()) {
             if (System.nanoTime() >= one.getValue()) {
                 down.remove(one.getKey());
-                disturbances.happened(one.getKey());
+                disturbances.started(one.getKey());
                 if (one.getKey() < FIRST_EDGE) {
                     network.startCore(one.getKey(), false, 1, 2, 3);
                 } else {
--- a/src/test/java/gorsemast/processes/WideSoakTest.java
+++ b/src/test/java/gorsemast/processes/WideSoakTest.java
@@ -18,26 +18,40 @@
 class WideSoakTest {
     private static final int SEEDS = Integer.getInteger("wide.seeds", 2);
     private static final long FIRST = Long.getLong("wide.first", 1);
-    private static final SignalSoak.Plan PLAN = new SignalSoak.Plan(
-            Integer.getInteger("wide.edges", 6),
-            Boolean.getBoolean("wide.crowded"),
-            Integer.getInteger("wide.clients", 8),
-            Long.getLong("wide.millis", 12_000),
-            true,
-            Long.getLong("wide.lasting", SignalSoak.LASTING_MILLIS),
-            Boolean.getBoolean("wide.congested"));
+
+    private static SignalSoak.Plan plan(boolean crowded) {
+        return new SignalSoak.Plan(
+                Integer.getInteger("wide.edges", 6),
+                crowded,
+                Integer.getInteger("wide.clients", 8),
+                Long.getLong("wide.millis", 12_000),
+                true,
+                Long.getLong("wide.lasting", SignalSoak.LASTING_MILLIS),
+                Boolean.getBoolean("wide.congested"));
+    }
 
     @TempDir(cleanup = CleanupMode.ON_SUCCESS)
     Path data;
 
     @Test
     void whatIsConfirmedIsInForceAndNobodyIsDeniedIt() throws IOException {
-        try (SignalSoak soak = new SignalSoak(data, PLAN)) {
-            for (long seed = FIRST; seed < FIRST + SEEDS; seed++) {
+        play(plan(Boolean.getBoolean("wide.crowded")), SEEDS);
+    }
+
+    /** Edges with many sockets pass updates on between core machines that don't reach each other; here none has. */
+    @Test
+    void theSameWhereNoEdgePassesUpdatesOn() throws IOException {
+        play(plan(true), 1);
+    }
+
+    private void play(SignalSoak.Plan plan, int seeds) throws IOException {
+        try (SignalSoak soak = new SignalSoak(data, plan)) {
+            for (long seed = FIRST; seed < FIRST + seeds; seed++) {
                 SignalSoak.Verdict verdict = soak.play(seed);
                 System.out.println(
                         "wide seed " + seed + ": " + verdict.served() + " of " + verdict.asked() + " served, of "
-                                + verdict.added() + " on added routes, "
+                                + verdict.added() + " on added routes, " + verdict.purged()
+                                + " of purged objects judged, "
                                 + verdict.faults().size() + " faults, "
                                 + verdict.events());
                 assertThat(verdict.faults())
