Rig: a process that a herd kills counts as struck until its kill has ended it

Traced by reading, not brought about again.

Change: the end of a killed process is noted too, as in Rig; the bound of 0.1 s stays.

--- a/src/main/java/gorsemast/rig/Herd.java
+++ b/src/main/java/gorsemast/rig/Herd.java
@@ -144,6 +144,7 @@
         for (Proxies.Proxy proxy : killed) {
             faults.add(new RunChecker.ProcessFault(proxy.number, System.nanoTime()));
             proxy.kill(false);
+            faults.add(new RunChecker.ProcessFault(proxy.number, System.nanoTime())); // ends later than ordered
             proxy.startList = old;
         }
         standIns.replace(NODES_KILLED, NODES_ADDED);
