--- a/src/test/java/gorsemast/processes/CoreLoss.java
+++ b/src/test/java/gorsemast/processes/CoreLoss.java
@@ -80,7 +80,7 @@
                     + trouble);
         }
         disturbances.endAll();
-        leaving.close();
+        network.close(leaving);
     }
 
     /** A change of the configuration that is acknowledged when the method returns. */
--- a/src/test/java/gorsemast/processes/ProcessNetwork.java
+++ b/src/test/java/gorsemast/processes/ProcessNetwork.java
@@ -413,7 +413,13 @@
         return server;
     }
 
-    /** All of them, in the order of their start. */
+    /** Closes a server for good. */
+    void close(StandInServer server) {
+        server.close();
+        servers.remove(server);
+    }
+
+    /** All that have not been closed, in the order of their start. */
     List<StandInServer> servers() {
         return List.copyOf(servers);
     }
