--- a/src/test/java/gorsemast/processes/WideSoakTest.java
+++ b/src/test/java/gorsemast/processes/WideSoakTest.java
@@ -19,15 +19,11 @@
     private static final int SEEDS = Integer.getInteger("wide.seeds", 2);
     private static final long FIRST = Long.getLong("wide.first", 1);
 
-    private static final int CLIENTS = Integer.getInteger("wide.clients", 8);
-    /** An edge with few sockets serves five clients at a time, and the judges ask beside these. */
-    private static final int CLIENTS_OF_FEW_SOCKETS = 3;
-
-    private static SignalSoak.Plan plan(boolean crowded, int clients) {
+    private static SignalSoak.Plan plan(boolean crowded) {
         return new SignalSoak.Plan(
                 Integer.getInteger("wide.edges", 6),
                 crowded,
-                clients,
+                Integer.getInteger("wide.clients", 8),
                 Long.getLong("wide.millis", 12_000),
                 true,
                 Long.getLong("wide.lasting", SignalSoak.LASTING_MILLIS),
@@ -39,13 +35,13 @@
 
     @Test
     void whatIsConfirmedIsInForceAndNobodyIsDeniedIt() throws IOException {
-        play(plan(Boolean.getBoolean("wide.crowded"), CLIENTS), SEEDS);
+        play(plan(Boolean.getBoolean("wide.crowded")), SEEDS);
     }
 
     /** Edges with many sockets pass updates on between core machines that don't reach each other; here none has. */
     @Test
     void theSameWhereNoEdgePassesUpdatesOn() throws IOException {
-        play(plan(true, CLIENTS_OF_FEW_SOCKETS), 1);
+        play(plan(true), 1);
     }
 
     private void play(SignalSoak.Plan plan, int seeds) throws IOException {
