Graceful restarts: check the takeover in 24 scenarios instead of one

Cause: the control run of MembershipDayTest (seed 901, machines that leave without a handover) expects a slow takeover.

Change: 24 scenarios with seeds 901 to 924. Stricter than before: in each of them every takeover with a handover stays below 200 ms, and every one without is above 500 ms, where any one sufficed.

--- a/src/test/java/gorsemast/simulation/MembershipDayTest.java
+++ b/src/test/java/gorsemast/simulation/MembershipDayTest.java
@@ -5,6 +5,7 @@
 import gorsemast.http.NettyLog;
 import gorsemast.simulation.Fault.Closing;
 import gorsemast.simulation.Fault.Kind;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
@@ -12,6 +13,8 @@
 /** Core machines are replaced and restarted gracefully, and one is lost once its successor had time to sync. */
 class MembershipDayTest {
     private static final long SECOND = 1_000_000;
+    /** In some of them no machine is primary when it is asked to leave. */
+    private static final int RESTARTED_SCENARIOS = 24;
 
     @BeforeAll
     static void quiet() {
@@ -70,21 +73,34 @@
                 .isEmpty();
     }
 
-    @Test
-    void aPrimaryThatIsAskedToLeaveIsFollowedWithoutASilence() {
-        Scenario scenario = new Scenario(
+    private static Scenario restartedInTurn(int number) {
+        return new Scenario(
                 3,
                 4,
-                901,
+                901 + number,
                 20 * SECOND,
                 List.of(
                         new Fault(Kind.ROLL_CORES, SECOND, 0, 0),
                         new Fault(Kind.CONFIG, 2_200_000, 0, 0),
                         new Fault(Kind.CONFIG, 3_600_000, 0, 0)),
                 Closing.KILL_ALL);
-        List<Long> taken = scenario.run(InjectedDefect.NONE).times().get(Outcome.TAKEN_OVER + "SIGTERM");
-        assertThat(taken).isNotEmpty().allMatch(micros -> micros < 200_000);
-        List<Long> before = scenario.run(InjectedDefect.LEAVES_AT_ONCE).times().get(Outcome.TAKEN_OVER + "SIGTERM");
-        assertThat(before).anyMatch(micros -> micros > 500_000);
+    }
+
+    private static List<Long> takeovers(Scenario scenario, InjectedDefect defect) {
+        return scenario.run(defect).times().getOrDefault(Outcome.TAKEN_OVER + "SIGTERM", List.of());
+    }
+
+    @Test
+    void aPrimaryThatIsAskedToLeaveIsFollowedWithoutASilence() {
+        List<Long> withoutHandover = new ArrayList<>();
+        for (int number = 0; number < RESTARTED_SCENARIOS; number++) {
+            Scenario scenario = restartedInTurn(number);
+            assertThat(takeovers(scenario, InjectedDefect.NONE))
+                    .as(scenario.toTestCode())
+                    .isNotEmpty()
+                    .allMatch(micros -> micros < 200_000);
+            withoutHandover.addAll(takeovers(scenario, InjectedDefect.LEAVES_AT_ONCE));
+        }
+        assertThat(withoutHandover).isNotEmpty().allMatch(micros -> micros > 500_000);
     }
 }
