At the connection limit, don't let requests wait behind long responses

At the limit on connections an attempt waits for one of its server's own, also if all of these stream long responses, for as long as the clients read, and although a connection to another server is idle. Orders then take 0.4 to 0.9 s, hold their slots meanwhile, and later ones are refused. Here the system's send buffer takes the long responses whole, which hides it.

Change: ConnectionPools knows which connections stream. At the limit, where all of a node's do, an idle connection to another node is closed for the attempt, or the next one that becomes idle.

Result: mvn test -Dtest=UpstreamTest,ConnectionPoolsTest: the new case of UpstreamTest was red (2 of 2), both classes are green.

--- a/src/main/java/gorsemast/emulator/Connections.java
+++ b/src/main/java/gorsemast/emulator/Connections.java
@@ -259,7 +259,7 @@
             OpenDecision decision = pools.decideOpen(time.now(), node.id(), waits);
             if (decision == OpenDecision.NONE && !closeOneIdle()) {
                 pollWaiting(node.id()).end(Code.NOT_SENT, CacheStatus.NONE);
-            } else if (decision == OpenDecision.WAIT) {
+            } else if (decision == OpenDecision.WAIT || decision == OpenDecision.REPLACE && !closeOneIdle()) {
                 long untilTrial = pools.nextTrialAt(node.id()) - time.now();
                 if (untilTrial > 0) {
                     afterIfRunning(untilTrial, () -> openForWaiting(node));
--- a/src/main/java/gorsemast/http/Upstream.java
+++ b/src/main/java/gorsemast/http/Upstream.java
@@ -254,7 +254,7 @@
                 PendingAttempt next = pollWaiting(node.host());
                 trafficOf(node.host()).noCapacity++;
                 next.end(Code.NOT_SENT, CacheStatus.NONE, null); // this process's own limit says nothing about the node
-            } else if (room == OpenDecision.WAIT) {
+            } else if (room == OpenDecision.WAIT || room == OpenDecision.REPLACE && !closeOneIdle()) {
                 long trial = pools.nextTrialAt(node.host()) - now();
                 if (trial > 0) {
                     loop.schedule(() -> openForWaiting(node), trial, TimeUnit.MICROSECONDS);
@@ -342,6 +342,23 @@
     /** Keeps a free connection for the next attempt. */
     void addIdle(String host, UpstreamConnection connection) {
         idle.computeIfAbsent(host, name -> new ArrayDeque<>()).addLast(connection);
+        if (pools.isFull() && !waiting.isEmpty()) {
+            List.copyOf(waiting.keySet()).forEach(this::replaceIdle);
+        }
+    }
+
+    /** A connection to the node has begun to stream: attempts that wait for it may have to wait long. */
+    void streamStarted(Peer node) {
+        pools.streamStarted(node.host());
+        replaceIdle(node.host());
+    }
+
+    /** Opens a connection in place of an idle one for attempts that wait behind long responses. */
+    private void replaceIdle(String host) {
+        int attempts = waitingCount(host);
+        if (attempts > 0 && pools.decideOpen(now(), host, attempts) == OpenDecision.REPLACE) {
+            openForWaiting(waiting.get(host).peekFirst().node);
+        }
     }
 
     /** Queues an attempt again, ahead of all others. */
--- a/src/main/java/gorsemast/http/UpstreamConnection.java
+++ b/src/main/java/gorsemast/http/UpstreamConnection.java
@@ -222,8 +222,8 @@
             return;
         }
         reused = true;
-        upstream.addIdle(node.host(), this);
         idleTimeout = upstream.loop.schedule(this::close, idleMillis, TimeUnit.MILLISECONDS);
+        upstream.addIdle(node.host(), this);
     }
 
     private void cancelIdleTimeout() {
@@ -250,10 +250,7 @@
         close();
         response.clear();
         if (sink != null) {
-            ResponseSink abortedSink = sink;
-            sink = null;
-            upstream.pools.released(node.host());
-            abortedSink.aborted();
+            endStreaming().aborted();
         }
         if (current != null) {
             current.end(codeIfUnanswered(), CacheStatus.NONE, null);
@@ -335,10 +332,7 @@
             sink.part(part.content());
         }
         if (state.isComplete() && sink != null) { // the sink may have cancelled within this part
-            ResponseSink finishedSink = sink;
-            sink = null;
-            upstream.pools.released(node.host());
-            finishedSink.completed();
+            endStreaming().completed();
         }
     }
 
@@ -389,11 +383,21 @@
             return false;
         }
         lastReceivedAt = Upstream.now();
+        upstream.streamStarted(node);
         scheduleStallCheck();
         response.drainTo(sink);
         return true;
     }
 
+    /** Returns the sink, to which nothing more is sent. */
+    private ResponseSink endStreaming() {
+        ResponseSink endedSink = sink;
+        sink = null;
+        upstream.pools.streamEnded(node.host());
+        upstream.pools.released(node.host());
+        return endedSink;
+    }
+
     private void scheduleStallCheck() {
         upstream.loop.schedule(
                 () -> {
@@ -417,8 +421,7 @@
     @Override
     public void cancel() {
         if (sink != null) {
-            sink = null;
-            upstream.pools.released(node.host());
+            endStreaming();
             state.abandoned();
             close();
             response.clear();
--- a/src/main/java/gorsemast/pool/ConnectionPools.java
+++ b/src/main/java/gorsemast/pool/ConnectionPools.java
@@ -22,6 +22,8 @@
  * #USES_PER_SPARE} uses, so that none are opened to a node that only fails.
  *
  * <p>When nearly the whole limit is in use, a node that holds more than twice its share gets no more while it has any.
+ * At the limit an attempt waits for a connection in use, but not for one that streams a long response: that may take as
+ * long as its client reads, so an idle connection to another node is closed for the attempt, or the next that is idle.
  *
  * <p>Drawback: a node whose listener drops every second connect for another reason than a full table is held to fewer
  * connections than it could serve, and requests wait for these.
@@ -45,6 +47,11 @@
         OPEN,
         /** Wait for one that is being opened or in use. */
         WAIT,
+        /**
+         * Open one in place of an idle one to another node, or wait until there is one: the limit is reached and all
+         * connections to this node stream long responses.
+         */
+        REPLACE,
         /** The limit is reached and none of the connections goes to this node. */
         NONE
     }
@@ -53,6 +60,8 @@
         int open;
         int connecting;
         int inUse;
+        /** Those in use that stream a long response. */
+        int streaming;
         /** Learned number of connections that the node accepts; no limit until it has refused one. */
         int learnedLimit = Integer.MAX_VALUE;
         /** This process's share of the connections that the node accepts from all processes. */
@@ -94,7 +103,7 @@
             return OpenDecision.WAIT;
         }
         if (total >= limit) {
-            return held > 0 ? OpenDecision.WAIT : OpenDecision.NONE;
+            return decideAtLimit(held, pool.streaming);
         }
         if (held > 0 && total >= SCARCE_FRACTION * limit && held >= Math.max(1, 2 * limit / pools.size())) {
             return OpenDecision.WAIT;
@@ -102,6 +111,13 @@
         return OpenDecision.OPEN;
     }
 
+    private static OpenDecision decideAtLimit(int held, int streaming) {
+        if (held == 0) {
+            return OpenDecision.NONE;
+        }
+        return streaming == held ? OpenDecision.REPLACE : OpenDecision.WAIT;
+    }
+
     /** Limits the connections to one node whose capacity many processes share; at least 1. */
     public void setNodeLimit(String node, int connections) {
         pool(node).sharedLimit = Math.max(1, connections);
@@ -192,6 +208,19 @@
         pool.spareCredit = Math.min(MAX_SPARE_CREDIT, pool.spareCredit + 1.0 / USES_PER_SPARE);
     }
 
+    /** Records that a connection in use has begun to stream a long response. */
+    public void streamStarted(String node) {
+        pool(node).streaming++;
+    }
+
+    /** Records that a response is no longer streamed; {@link #released} is called too. */
+    public void streamEnded(String node) {
+        Pool pool = pools.get(node);
+        if (pool != null) {
+            pool.streaming--;
+        }
+    }
+
     /** Returns the number of open connections to a node. */
     public int openCount(String node) {
         Pool pool = pools.get(node);
--- a/src/test/java/anisebend/net/UpstreamTest.java
+++ b/src/test/java/anisebend/net/UpstreamTest.java
@@ -70,7 +70,11 @@
     }
 
     private static Discovery.Node node(int port) {
-        return new Discovery.Node("s-1", new InetSocketAddress(Loopback.HOST, port), 0, true);
+        return node("s-1", port);
+    }
+
+    private static Discovery.Node node(String host, int port) {
+        return new Discovery.Node(host, new InetSocketAddress(Loopback.HOST, port), 0, true);
     }
 
     private static int port(Server server) {
@@ -500,4 +504,83 @@
             assertTrue(events.isEmpty(), "more than one outcome: " + events);
         }
     }
+
+    /** Takes a long response without ever ending: its connection stays in use. */
+    private Upstream.AttemptListener streamTo(BlockingQueue<String> events) {
+        return new Upstream.AttemptListener() {
+            @Override
+            public void ended(Code code, CacheStatus note, FullHttpResponse answer) {
+                events.add("ended " + code);
+            }
+
+            @Override
+            public ResponseSink streaming(
+                    CacheStatus note, HttpResponse head, long length, ResponseSink.FlowControl flow) {
+                events.add("begins " + length);
+                return new ResponseSink() {
+                    @Override
+                    public void part(ByteBuf bytes) {
+                        bytes.skipBytes(bytes.readableBytes());
+                    }
+
+                    @Override
+                    public void completed() {
+                        events.add("whole");
+                    }
+
+                    @Override
+                    public void aborted() {
+                        events.add("broken");
+                    }
+                };
+            }
+        };
+    }
+
+    private void stream(Discovery.Node node, BlockingQueue<String> events) throws Exception {
+        FullHttpRequest message =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/long", Unpooled.EMPTY_BUFFER);
+        group.next()
+                .submit(() ->
+                        upstream.stallTimeout(LONG_MICROS).send(node, message, LONG_MICROS, false, streamTo(events)))
+                .get();
+    }
+
+    /** At the connection limit a request isn't left behind long responses while connections to other nodes are idle. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void replacesAnIdleConnectionToANodeWhoseOwnAllStream(boolean idleBefore) throws Exception {
+        BlockingQueue<String> events = new LinkedBlockingQueue<>();
+        CountDownLatch answerOther = new CountDownLatch(idleBefore ? 0 : 1);
+        try (Server streaming = new Server((request, socket) -> write(
+                        socket,
+                        request.first().contains("/long")
+                                ? "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + "x".repeat(1_000)
+                                : answer(200, "", "short")));
+                Server other = new Server((request, socket) -> {
+                    awaitUninterruptibly(answerOther);
+                    write(socket, answer(200, "", "other"));
+                })) {
+            for (int i = 0; i < 3; i++) {
+                stream(node("s-1", port(streaming)), events);
+                assertEquals("begins 1000000", events.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+            }
+            stream(node("s-2", port(other)), events);
+            assertNotNull(other.next());
+            if (idleBefore) {
+                assertEquals("ended OK", events.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+            }
+            send(port(streaming), LONG_MICROS);
+            answerOther.countDown();
+            assertEquals(new Ended(Code.OK, CacheStatus.NONE), ended());
+        }
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/src/test/java/gorsemast/pool/ConnectionPoolsTest.java
+++ b/src/test/java/gorsemast/pool/ConnectionPoolsTest.java
@@ -111,6 +111,19 @@
         assertNull(pools.nodeWithMostIdle());
     }
 
+    /** A long response may hold its connection for seconds: at the limit an idle one elsewhere is given up for it. */
+    @Test
+    void nodeWhoseConnectionsAllStreamReplacesAnIdleOneAtTheLimit() {
+        open("a", 39);
+        open(NODE, 1);
+        pools.acquired(now, NODE);
+        assertEquals(OpenDecision.WAIT, pools.decideOpen(now, NODE, 1), "its response is short as far as is known");
+        pools.streamStarted(NODE);
+        assertEquals(OpenDecision.REPLACE, pools.decideOpen(now, NODE, 1));
+        pools.streamEnded(NODE);
+        assertEquals(OpenDecision.WAIT, pools.decideOpen(now, NODE, 1));
+    }
+
     @Test
     void scarceDescriptorsAreShared() {
         open("a", 30);
