Give popular long objects several homes from a sixteenth of a link on

Cause: an object whose traffic takes up to an eighth of a link had one home.

Change: the bound is a sixteenth.

--- a/src/main/java/gorsemast/cache/HotObjectTracker.java
+++ b/src/main/java/gorsemast/cache/HotObjectTracker.java
@@ -16,7 +16,8 @@
  * requested objects; O(1) per call. No clock, no I/O; not thread-safe; times are in microseconds.
  */
 final class HotObjectTracker {
-    private static final double MAX_LINK_RATIO = 0.125;
+    /** An edge may be a home of several such objects at once. */
+    private static final double MAX_LINK_RATIO = 0.0625;
     private static final int MAX_HOMES = 8;
     /** Splitting off a home for fewer edges than this saves nothing. */
     private static final int MIN_EDGES_PER_HOME = 4;
