Keep permits to fetch for routes with little demand

Cause: the cacheable routes of a service share its permits to send requests to its servers. Where these are scarce, a route that requests many objects takes each one as it becomes available.

Change: max-min fairness by recent demand. A route beyond what it is entitled to leaves as many permits as routes with little demand still lack; routes with much demand compete as before. Prefetches leave half, as before.

Not played with real processes.

--- a/src/main/java/gorsemast/cache/FetchCoordinator.java
+++ b/src/main/java/gorsemast/cache/FetchCoordinator.java
@@ -542,7 +542,7 @@
      * object; false if none is available.
      */
     public boolean tryAcquirePermit(String service) {
-        OriginPermits.Permit permit = permits.tryAcquire(service, false);
+        OriginPermits.Permit permit = permits.tryAcquire(service);
         if (permit != null) {
             permit.markUsed();
         }
@@ -566,7 +566,9 @@
         long requestedAt = clock.getAsLong();
         fetch.moveToStage(HOP_FETCHER);
         String service = fetch.object.route().selectService(random.nextDouble());
-        OriginPermits.Permit permit = permits.tryAcquire(service, prefetch);
+        OriginPermits.Permit permit = prefetch
+                ? permits.tryAcquirePrefetch(service)
+                : permits.tryAcquire(service, fetch.object.route().name());
         if (permit == null) {
             long wait = permits.microsUntilAvailable(service);
             if (!prefetch
--- a/src/main/java/gorsemast/cache/HotObjectTracker.java
+++ b/src/main/java/gorsemast/cache/HotObjectTracker.java
@@ -18,6 +18,7 @@
 final class HotObjectTracker {
     /** An edge may be a home of several such objects at once. */
     private static final double MAX_LINK_RATIO = 0.0625;
+
     private static final int MAX_HOMES = 8;
     /** Splitting off a home for fewer edges than this saves nothing. */
     private static final int MIN_EDGES_PER_HOME = 4;
--- a/src/main/java/gorsemast/cache/OriginPermits.java
+++ b/src/main/java/gorsemast/cache/OriginPermits.java
@@ -29,6 +29,9 @@
      */
     private static final double NON_FETCHER_RATIO = 0.12;
 
+    /** Part of the permits that requests ahead of need leave to those for which somebody waits. */
+    private static final double PREFETCH_RESERVED_RATIO = 0.5;
+
     private static final double MICROS_PER_SECOND = 1e6;
 
     private final LongSupplier clock;
@@ -39,6 +42,7 @@
     private final long startedAt;
     private final Map<String, SlidingWindowLimiter> limiters = new HashMap<>();
     private final Map<String, SlowGrowingShare> shares = new HashMap<>();
+    private final Map<String, RouteReservations> reservations = new HashMap<>();
     private int outstanding;
 
     /** A permit that has been taken; it is settled once, by being used or released. */
@@ -47,11 +51,15 @@
         private final SlidingWindowLimiter limiter;
 
         private final long step;
+        /** Takes note of a permit that is given back. */
+        private final Runnable onRelease;
+
         private boolean settled;
 
-        private Permit(SlidingWindowLimiter limiter, long step) {
+        private Permit(SlidingWindowLimiter limiter, long step, Runnable onRelease) {
             this.limiter = limiter;
             this.step = step;
+            this.onRelease = onRelease;
             outstanding++;
         }
 
@@ -64,6 +72,7 @@
         public void release() {
             if (settle() && limiter != null) {
                 limiter.release(step);
+                onRelease.run();
             }
         }
 
@@ -133,19 +142,49 @@
         return limiters.computeIfAbsent(service, name -> new SlidingWindowLimiter(windowMicros, startedAt));
     }
 
-    /**
-     * Takes a permit to send one request now; null if none is available.
-     *
-     * @param prefetch whether nobody waits for the response
-     */
-    public Permit tryAcquire(String service, boolean prefetch) {
-        if (Double.isInfinite(serverRatePerSecond.applyAsDouble(service))) {
-            return new Permit(null, 0);
+    private RouteReservations reservationsFor(String service) {
+        return reservations.computeIfAbsent(service, name -> new RouteReservations(windowMicros));
+    }
+
+    /** Takes a permit to send one request of a route now; null if none is available. */
+    public Permit tryAcquire(String service, String route) {
+        if (isUnlimited(service)) {
+            return new Permit(null, 0, () -> {});
+        }
+        RouteReservations reserved = reservationsFor(service);
+        long now = clock.getAsLong();
+        reserved.recordRequest(now, route);
+        Permit permit = tryAcquire(
+                service,
+                reserved.reservedForOthers(now, route, permitShare(service)),
+                () -> reserved.recordReleased(route));
+        if (permit != null) {
+            reserved.recordGranted(now, route);
         }
+        return permit;
+    }
+
+    /** Takes a permit for a request for whose response nobody waits; null if none is available. */
+    public Permit tryAcquirePrefetch(String service) {
+        return isUnlimited(service)
+                ? new Permit(null, 0, () -> {})
+                : tryAcquire(service, PREFETCH_RESERVED_RATIO * permitShare(service), () -> {});
+    }
+
+    /** Takes a permit for a request that belongs to no route's objects; null if none is available. */
+    public Permit tryAcquire(String service) {
+        return isUnlimited(service) ? new Permit(null, 0, () -> {}) : tryAcquire(service, 0, () -> {});
+    }
+
+    private boolean isUnlimited(String service) {
+        return Double.isInfinite(serverRatePerSecond.applyAsDouble(service));
+    }
+
+    private Permit tryAcquire(String service, double reserved, Runnable onRelease) {
         SlidingWindowLimiter limiter = limiterFor(service);
         long now = clock.getAsLong();
-        return limiter.tryAcquire(now, permitShare(service), prefetch)
-                ? new Permit(limiter, limiter.stepOf(now))
+        return limiter.tryAcquire(now, permitShare(service), reserved)
+                ? new Permit(limiter, limiter.stepOf(now), onRelease)
                 : null;
     }
 
--- a/src/main/java/gorsemast/cache/SlidingWindowLimiter.java
+++ b/src/main/java/gorsemast/cache/SlidingWindowLimiter.java
@@ -5,8 +5,8 @@
  * edges.
  *
  * <p>Each edge has a share of the requests allowed per window and counts what it sent over the last window in steps,
- * so that the total over any window stays within the limit without communication between edges. Requests ahead of
- * need may use only half of the share. A process that starts does not know what the previous process on its machine
+ * so that the total over any window stays within the limit without communication between edges. A request may have to
+ * leave a part of the share to others. A process that starts does not know what the previous process on its machine
  * has sent, so it counts as if its share had been spent evenly before; and no step may take more than {@link
  * #MAX_STEP_RATIO}, so that the previous process can't have spent the whole share just before it ended. Thus many
  * edges that are killed and restarted together stay within the window too.
@@ -17,7 +17,6 @@
  */
 public final class SlidingWindowLimiter {
     private static final int STEPS = 10;
-    private static final double PREFETCH_RATIO = 0.5;
     /** Largest part of the window's share that one step may send: one and a half times an even one. */
     private static final double MAX_STEP_RATIO = 0.15;
 
@@ -70,11 +69,11 @@
      * Counts one more request if it may be sent now; else returns false.
      *
      * @param limit how many requests this edge may send in one window
-     * @param prefetch whether nobody waits for the response
+     * @param reserved how many of them are left to others; where the limit is 1 or more, one is always usable
      */
-    public boolean tryAcquire(long now, double limit, boolean prefetch) {
+    public boolean tryAcquire(long now, double limit, double reserved) {
         advance(now, limit);
-        boolean full = sum() + 1 > (prefetch ? Math.min(limit, Math.max(1, limit * PREFETCH_RATIO)) : limit);
+        boolean full = sum() + 1 > Math.min(limit, Math.max(1, limit - reserved));
         if (full || counts[slot(step)] + 1 > Math.max(1, MAX_STEP_RATIO * limit)) {
             return false;
         }
--- a/src/test/java/gorsemast/cache/ContentTest.java
+++ b/src/test/java/gorsemast/cache/ContentTest.java
@@ -123,7 +123,7 @@
                 limiter = new SlidingWindowLimiter(5_000_000, now);
             }
             boolean pause = now > 26_000_000 && now < 31_000_000; // then all at once, just before that process ends
-            if (!pause && limiter.tryAcquire(now, permits, false)) {
+            if (!pause && limiter.tryAcquire(now, permits, 0)) {
                 taken[count++] = now;
             }
         }
@@ -144,12 +144,12 @@
         long last = now;
         double permits = OriginPermits.permitsPerWindow(10, 5_000_000);
         for (; now < 104_000_000; now += 1_000) {
-            last = limiter.tryAcquire(now, permits, false) ? now : last;
+            last = limiter.tryAcquire(now, permits, 0) ? now : last;
         }
         long in = limiter.microsUntilAvailable(now, permits);
         assertThat(in).isBetween(1_000_000L, 2_000_000L);
-        assertThat(limiter.tryAcquire(now + in - 600_000, permits, false)).isFalse();
-        assertThat(limiter.tryAcquire(now + in, permits, false)).isTrue();
+        assertThat(limiter.tryAcquire(now + in - 600_000, permits, 0)).isFalse();
+        assertThat(limiter.tryAcquire(now + in, permits, 0)).isTrue();
     }
 
     @Test
--- a/src/test/java/gorsemast/cache/FetchInvariantsTest.java
+++ b/src/test/java/gorsemast/cache/FetchInvariantsTest.java
@@ -112,7 +112,7 @@
 
     @Test
     void unsettledPermitIsDetected() {
-        coordinator.permits().tryAcquire("s", false);
+        coordinator.permits().tryAcquire("s");
         assertThat(violations(FetchInvariants.Violation.RIGHT_UNSETTLED)).isEqualTo(1);
     }
 
--- a/src/test/java/gorsemast/cache/ObjectFleet.java
+++ b/src/test/java/gorsemast/cache/ObjectFleet.java
@@ -40,6 +40,13 @@
     private static final Route NOTICES = route("n", 300_000, 4 * SECOND_MICROS, 40 * SECOND_MICROS);
     private static final Route TABLES = route("t", 600_000, 6 * SECOND_MICROS, 20 * SECOND_MICROS);
 
+    private static final long ADD_ROUTE_MICROS = 1_500_000;
+    /** How long the clients request a route's objects after it was added. */
+    private static final long REQUEST_ADDED_MICROS = 6 * SECOND_MICROS;
+
+    private static final int OBJECTS_OF_ADDED_ROUTE = 4;
+    private static final double ADDED_REQUESTS_PER_SECOND = 5;
+
     /** Parameters of a simulated fleet. */
     record Setup(
             int edges,
@@ -147,6 +154,9 @@
         }
     }
 
+    /** Served parts of the requests on the first routes, and on those that were added. */
+    record AddedRoutes(double firstServedRatio, double addedServedRatio) {}
+
     private record Event(long at, long order, Runnable task) implements Comparable<Event> {
         @Override
         public int compareTo(Event other) {
@@ -170,6 +180,8 @@
     private long served;
     private long inTarget;
     private long duplicates;
+    private long requestedOfAdded;
+    private long servedOfAdded;
 
     private ObjectFleet(Setup setup) {
         this.setup = setup;
@@ -200,7 +212,19 @@
 
     /** Runs a fleet. */
     static Result simulate(Setup setup) {
+        return simulate(new ObjectFleet(setup));
+    }
+
+    /** Runs a fleet to whose service a route with few objects is added again and again. */
+    static AddedRoutes simulateAddedRoutes(Setup setup) {
         ObjectFleet fleet = new ObjectFleet(setup);
+        fleet.scheduleAddedRoutes();
+        double firstServedRatio = simulate(fleet).servedRatio();
+        return new AddedRoutes(firstServedRatio, (double) fleet.servedOfAdded / fleet.requestedOfAdded);
+    }
+
+    private static Result simulate(ObjectFleet fleet) {
+        Setup setup = fleet.setup;
         Map<String, String> names = new HashMap<>();
         for (int i = 0; i < setup.edges(); i++) {
             names.put("10.1.0." + i, "z" + i % 4);
@@ -256,7 +280,7 @@
         boolean fresh = since != null && now - since < request.object.route().ttlMicros();
         if (!fresh
                 && limiter.tryAcquire(
-                        now, OriginPermits.permitsPerWindow(setup.serverRatePerSecond(), 5 * SECOND_MICROS), false)) {
+                        now, OriginPermits.permitsPerWindow(setup.serverRatePerSecond(), 5 * SECOND_MICROS), 0)) {
             cachedAt.put(request.object.key(), now);
             serverRequests.add(now);
             fresh = true;
@@ -340,6 +364,27 @@
         }
     }
 
+    private void scheduleAddedRoutes() {
+        SplittableRandom draws = new SplittableRandom(setup.seed() + 2);
+        long end = setup.seconds() * SECOND_MICROS;
+        for (long added = 0; added < end; added += ADD_ROUTE_MICROS) {
+            Route route = route("added" + added, 300_000, 4 * SECOND_MICROS, 40 * SECOND_MICROS);
+            long at = added;
+            while (at < Math.min(end, added + REQUEST_ADDED_MICROS)) {
+                at += (long) (-Math.log(1 - draws.nextDouble()) / ADDED_REQUESTS_PER_SECOND * SECOND_MICROS);
+                ObjectRequest object =
+                        new ObjectRequest(route, "h", route.prefix() + draws.nextInt(OBJECTS_OF_ADDED_ROUTE));
+                long startedAt = START_MICROS + at;
+                requestedOfAdded++;
+                after(at, () -> client(new ClientRequest(object, startedAt, false)));
+            }
+        }
+    }
+
+    private static boolean isAdded(ObjectRequest object) {
+        return object.route() != NOTICES && object.route() != TABLES;
+    }
+
     private ObjectRequest object(double draw) {
         int low = 0;
         int high = OBJECT_COUNT - 1;
@@ -362,7 +407,9 @@
     private void finish(ClientRequest request, boolean success, long retryAfter) {
         Route route = request.object.route();
         long remaining = request.startedAt + route.timeoutMicros() - now;
-        if (success && remaining > 0) {
+        if (success && remaining > 0 && isAdded(request.object)) {
+            servedOfAdded++;
+        } else if (success && remaining > 0) {
             served++;
             inTarget += now - request.startedAt <= route.targetLatencyMicros() ? 1 : 0;
         } else if (!success && !request.isRetry && remaining > 0) {
@@ -372,7 +419,7 @@
     }
 
     private static int bytes(ObjectRequest object) {
-        return object.route() == NOTICES ? 6_000 : 120_000;
+        return object.route() == TABLES ? 120_000 : 6_000;
     }
 
     // ---- one edge
--- a/src/test/java/gorsemast/cache/ObjectFleetTest.java
+++ b/src/test/java/gorsemast/cache/ObjectFleetTest.java
@@ -6,6 +6,9 @@
 import gorsemast.cache.ObjectFleet.Setup;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
+import java.util.function.LongFunction;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -13,6 +16,7 @@
 /** Compares what a fleet of edges serves with what one shared cache would serve. */
 class ObjectFleetTest {
     private static final int POPULAR_OBJECTS_SEEDS = 20;
+    private static final int ADDED_ROUTES_SEEDS = 6;
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
@@ -94,6 +98,24 @@
                 .isPositive();
     }
 
+    /** Their few objects must not lose the competition for permits to the many of the first routes. */
+    @Test
+    void addedRoutesAreServedNoLessThanTheFirstOnes() {
+        Map<String, LongFunction<Setup>> setups = Map.of(
+                "small", Setup::scaledDown,
+                "full size", seed -> Setup.scaledDown(seed).fullSize(),
+                "narrow links", seed -> Setup.popularObjects(seed).withServerRate(0.25));
+        setups.forEach((name, setup) -> {
+            double[] margins = LongStream.rangeClosed(1, ADDED_ROUTES_SEEDS)
+                    .mapToObj(seed -> ObjectFleet.simulateAddedRoutes(setup.apply(seed)))
+                    .mapToDouble(run -> run.addedServedRatio() - run.firstServedRatio())
+                    .toArray();
+            assertThat(Arrays.stream(margins).average().orElseThrow())
+                    .as("%s: added less first, %s", name, Arrays.toString(margins))
+                    .isNotNegative();
+        });
+    }
+
     /** What the mean exceeds with a confidence of 97.7%: two standard errors below the mean of the samples. */
     private static double lowerConfidenceBound(double[] samples) {
         double mean = Arrays.stream(samples).average().orElseThrow();
--- a/src/test/java/gorsemast/cache/OriginRightsTest.java
+++ b/src/test/java/gorsemast/cache/OriginRightsTest.java
@@ -84,15 +84,13 @@
         long[] now = {100_000_000};
         OriginPermits permits = permitsOfOneEdge(now);
         now[0] += 2 * WINDOW;
-        OriginPermits.Permit first = permits.tryAcquire("objects", false);
+        OriginPermits.Permit first = permits.tryAcquire("objects");
         assertThat(first).isNotNull();
-        assertThat(permits.tryAcquire("objects", false))
-                .as("one per half second")
-                .isNull();
+        assertThat(permits.tryAcquire("objects")).as("one per half second").isNull();
         first.release();
         first.release();
-        assertThat(permits.tryAcquire("objects", false)).isNotNull();
-        assertThat(permits.tryAcquire("objects", false)).isNull();
+        assertThat(permits.tryAcquire("objects")).isNotNull();
+        assertThat(permits.tryAcquire("objects")).isNull();
     }
 
     @Test
@@ -100,14 +98,14 @@
         long[] now = {100_000_000};
         OriginPermits permits = permitsOfOneEdge(now);
         now[0] += 2 * WINDOW;
-        OriginPermits.Permit first = permits.tryAcquire("objects", false);
+        OriginPermits.Permit first = permits.tryAcquire("objects");
         now[0] += 11 * WINDOW / 10; // the step that now occupies its slot in the ring
-        assertThat(permits.tryAcquire("objects", false)).isNotNull();
+        assertThat(permits.tryAcquire("objects")).isNotNull();
         first.release();
         now[0] += WINDOW / 10;
-        assertThat(permits.tryAcquire("objects", false)).isNotNull();
+        assertThat(permits.tryAcquire("objects")).isNotNull();
         now[0] += WINDOW / 10;
-        assertThat(permits.tryAcquire("objects", false))
+        assertThat(permits.tryAcquire("objects"))
                 .as("two per window are the limit")
                 .isNull();
     }
