Resume a streamed response's source when the response becomes the first

Cause: a source is paused while its client's channel is not writable, also for a response that is not the first of its connection. Only a change of writability resumed it, and only for the first. If the channel was writable again before the response became the first, nobody did.

Change: the source of the first response is resumed whenever the channel is writable after what there is of it has been written.

--- a/src/main/java/gorsemast/proxy/ClientConnection.java
+++ b/src/main/java/gorsemast/proxy/ClientConnection.java
@@ -348,6 +348,7 @@
             }
             if (request.streaming && !request.streamed) {
                 channel.flush();
+                resume(request);
                 return;
             }
             if (request.streaming) {
@@ -443,7 +444,14 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         ClientRequest first = requests.peek();
-        if (first != null && first.streaming && !first.streamed && channel.isWritable()) {
+        if (first != null && first.streaming && !first.streamed) {
+            resume(first);
+        }
+    }
+
+    /** Lets the first response's source go on, which may have been paused while another response was the first. */
+    private void resume(ClientRequest first) {
+        if (channel.isWritable()) {
             lastActivityAt = owner.now();
             first.flowControl.pause(false);
         }
--- a/src/test/java/gorsemast/proxy/PipelineTest.java
+++ b/src/test/java/gorsemast/proxy/PipelineTest.java
@@ -4,13 +4,18 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import gorsemast.admission.ConcurrencyLimiter;
+import gorsemast.http.ResponseSink;
 import gorsemast.http.StrictHttp;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -245,4 +250,48 @@
         assertThat(respondTo(0)).contains("connection: close");
         assertThat(channel.isOpen()).as("nothing else can be on its way").isFalse();
     }
+
+    /** Records whether the source of a streamed response is paused. */
+    private static final class Source implements ResponseSink.FlowControl {
+        private boolean paused;
+
+        @Override
+        public void pause(boolean now) {
+            paused = now;
+        }
+
+        @Override
+        public void cancel() {
+            paused = true;
+        }
+    }
+
+    private ResponseSink startStreaming(int index, int length, Source source) {
+        HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        return started.get(index).startStreaming(head, new DefaultHttpHeaders(), length, source);
+    }
+
+    private static ByteBuf bytes(int length) {
+        return Unpooled.wrappedBuffer(new byte[length]);
+    }
+
+    private void clientReads(boolean reads) {
+        channel.unsafe().outboundBuffer().setUserDefinedWritability(1, reads);
+        channel.runPendingTasks();
+    }
+
+    /** LOST: nobody resumed the server's connection, and the response never came to its end. */
+    @Test
+    void streamPausedBehindAnotherResponseGoesOnWhenItIsFirst() {
+        sendRequests("/a", "/b");
+        assertThat(started()).containsExactly("/a", "/b");
+        Source source = new Source();
+        ResponseSink sink = startStreaming(1, 100_000, source);
+        clientReads(false);
+        sink.part(bytes(1_000));
+        assertThat(source.paused).isTrue();
+        clientReads(true);
+        respondTo(0);
+        assertThat(source.paused).isFalse();
+    }
 }
