End a connection whose write fails, and write responses only as a client reads

Cause: ClientConnection wrote every response that was ready, whatever the channel still held. Netty copies each to direct memory, of which the program has 24 MB. Once that is used up a write fails; nobody looked at its result, so the bytes of the next response followed in their place. Each failed reservation also holds up the event loop.

Change: proxy.ResponseWriter. A write that fails closes the connection, here and at the listener for other edges. A whole response that the client doesn't read at all ends its connection after its idle time, ten seconds at least. One more release of a buffer that was already released, when a connection broke within a write, is gone.

--- a/src/main/java/gorsemast/proxy/ClientConnection.java
+++ b/src/main/java/gorsemast/proxy/ClientConnection.java
@@ -11,7 +11,6 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -103,12 +102,18 @@
     private long requestCount;
 
     private final ConnectionSlot slot;
+    final ResponseWriter writer;
+    private boolean isFlushing;
+    /** Whether something has changed since the responses were last written. */
+    private boolean flushAgain;
+
     private boolean closing;
     private boolean broken;
 
     ClientConnection(Channel channel, Owner owner) {
         this.channel = channel;
         this.owner = owner;
+        this.writer = new ResponseWriter(channel);
         this.slot = new ConnectionSlot(channel.eventLoop(), owner::now, owner.limiter(), owner::slotReleased);
     }
 
@@ -132,13 +137,18 @@
         } else if (requests.isEmpty() && messageStartedAt == 0 && now - lastActivityAt > owner.idleTimeoutMicros()) {
             close();
         } else if (!requests.isEmpty()
-                && requests.peek().streaming
+                && requests.peek().answered
                 && !channel.isWritable()
-                && now - lastActivityAt > STALL_TIMEOUT_MICROS) {
+                && now - lastActivityAt > stallTimeoutMicros(requests.peek())) {
             close();
         }
     }
 
+    /** A stream that stands still holds its server's connection too; a whole response holds only this one. */
+    private long stallTimeoutMicros(ClientRequest first) {
+        return first.streaming ? STALL_TIMEOUT_MICROS : Math.max(STALL_TIMEOUT_MICROS, owner.idleTimeoutMicros());
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
@@ -314,71 +324,92 @@
         return requests.peek() == request;
     }
 
+    /** Writes what can be written of the responses, in the order of their requests. */
     void flush() {
-        boolean wrote = false;
-        while (!requests.isEmpty() && requests.peek().answered && !broken) {
-            ClientRequest request = requests.peek();
-            boolean last = false;
-            if (request.responseHead != null) {
-                last = (closing || !request.keepAlive || owner.isClosing()) && noneStartedBehind();
-                if (last) {
-                    request.responseHead.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-                    closing = true;
-                } else {
-                    request.responseHead.headers().remove(HttpHeaderNames.CONNECTION);
-                }
-                channel.write(request.responseHead);
-                request.responseHead = null;
-                if (request.pendingContent.isReadable()) {
-                    channel.write(new DefaultHttpContent(request.pendingContent));
-                } else {
-                    request.pendingContent.release();
-                }
-                request.pendingContent = request.streaming ? channel.alloc().heapBuffer() : Unpooled.EMPTY_BUFFER;
-                wrote = true;
-            } else if (request.pendingContent.isReadable()) {
-                channel.write(new DefaultHttpContent(request.pendingContent));
-                request.pendingContent = channel.alloc().heapBuffer();
-            }
-            if (request.streaming && request.aborted) {
-                request.pendingContent.release();
-                channel.flush();
-                channel.close(); // an aborted response must not look complete
-                return;
-            }
-            if (request.streaming && !request.streamed) {
-                channel.flush();
-                resume(request);
-                return;
-            }
-            if (request.streaming) {
-                request.pendingContent.release();
-            }
-            requests.poll();
-            lastActivityAt = owner.now();
-            long readyAt = lastActivityAt;
-            ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-            owner.countEvent(SocketEvent.CLIENT_ANSWERED, readyAt - request.arrivedAt);
-            written.addListener(done -> {
-                owner.countEvent(SocketEvent.ANSWER_WRITTEN, owner.now() - readyAt);
-                if (requests.isEmpty()) {
-                    slot.release();
-                }
-            });
-            wrote = false;
-            if (closing && requests.stream().noneMatch(pending -> pending.started)) {
-                written.addListener((ChannelFutureListener) done -> closeAfterLastResponse());
-                return;
-            }
+        flushAgain = true;
+        if (isFlushing) {
+            return; // called from within, as writing changes the writability
         }
-        if (wrote) {
-            channel.flush();
+        isFlushing = true;
+        try {
+            while (flushAgain) {
+                flushAgain = false;
+                writeResponses();
+            }
+        } finally {
+            isFlushing = false;
         }
         if (!closing && !broken) {
             startRequests();
         }
     }
 
+    private void writeResponses() {
+        while (writeFirstResponse()) {
+            finishResponse(requests.poll());
+        }
+        writer.flush();
+    }
+
+    /** Writes as much as possible of the first response and returns whether nothing of it is left. */
+    private boolean writeFirstResponse() {
+        ClientRequest request = requests.peek();
+        if (request == null || !request.answered || broken || !writer.hasRoom()) {
+            return false;
+        }
+        if (request.responseHead != null) {
+            writeHead(request);
+        }
+        boolean wroteAll = writer.writeContent(request.pendingContent);
+        if (request.streaming && request.aborted) {
+            writer.flush();
+            channel.close(); // an aborted response must not look complete
+            return false;
+        }
+        if (!wroteAll || broken) {
+            return false;
+        }
+        boolean isComplete = !request.streaming || request.streamed;
+        request.pendingContent.release();
+        request.pendingContent =
+                isComplete ? Unpooled.EMPTY_BUFFER : channel.alloc().heapBuffer();
+        if (!isComplete) {
+            writer.flush();
+            resume(request);
+        }
+        return isComplete;
+    }
+
+    private void writeHead(ClientRequest request) {
+        boolean isLast = (closing || !request.keepAlive || owner.isClosing()) && noneStartedBehind();
+        if (isLast) {
+            request.responseHead.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            closing = true;
+        } else {
+            request.responseHead.headers().remove(HttpHeaderNames.CONNECTION);
+        }
+        writer.write(request.responseHead);
+        request.responseHead = null;
+    }
+
+    /** Ends the response that has just been removed, and the connection with it if it was the last one. */
+    private void finishResponse(ClientRequest request) {
+        lastActivityAt = owner.now();
+        long readyAt = lastActivityAt;
+        owner.countEvent(SocketEvent.CLIENT_ANSWERED, readyAt - request.arrivedAt);
+        ChannelFuture written = writer.write(LastHttpContent.EMPTY_LAST_CONTENT);
+        writer.flush();
+        written.addListener(done -> {
+            owner.countEvent(SocketEvent.ANSWER_WRITTEN, owner.now() - readyAt);
+            if (requests.isEmpty()) {
+                slot.release();
+            }
+        });
+        if (closing && requests.stream().noneMatch(pending -> pending.started)) {
+            written.addListener((ChannelFutureListener) done -> closeAfterLastResponse());
+        }
+    }
+
     private boolean noneStartedBehind() {
         boolean first = true;
         for (ClientRequest request : requests) {
@@ -443,9 +474,9 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        ClientRequest first = requests.peek();
-        if (first != null && first.streaming && !first.streamed) {
-            resume(first);
+        if (channel.isWritable()) {
+            lastActivityAt = owner.now();
+            flush();
         }
     }
 
--- a/src/main/java/gorsemast/proxy/ClientRequest.java
+++ b/src/main/java/gorsemast/proxy/ClientRequest.java
@@ -5,7 +5,6 @@
 import gorsemast.http.ResponseSink;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -130,11 +129,14 @@
 
     @Override
     public void part(ByteBuf part) {
-        if (connection.isFirst(this) && responseHead == null) {
-            connection.channel.writeAndFlush(new DefaultHttpContent(part.retainedDuplicate()));
-        } else {
-            pendingContent.writeBytes(part);
+        if (connection.isFirst(this) && responseHead == null && !pendingContent.isReadable()) {
+            connection.writer.writeContent(part);
+            connection.writer.flush();
+        }
+        if (connection.isBroken()) {
+            return;
         }
+        pendingContent.writeBytes(part);
         flowControl.pause(!connection.channel.isWritable() || pendingContent.readableBytes() > BodyBuffer.BLOCK_BYTES);
     }
 
--- a/src/main/java/gorsemast/proxy/ObjectsServer.java
+++ b/src/main/java/gorsemast/proxy/ObjectsServer.java
@@ -227,9 +227,8 @@
             ChannelFuture written = ctx.writeAndFlush(answer);
             written.addListener(
                     done -> socketEvents.count(SocketEvent.EDGE_ANSWER_WRITTEN, clock.getAsLong() - startedAt));
-            if (!keepAlive) {
-                written.addListener(ChannelFutureListener.CLOSE);
-            }
+            // After a failed write the next response would take the place of what is missing of this one.
+            written.addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
         }
 
         @Override
--- a/src/test/java/gorsemast/proxy/PipelineTest.java
+++ b/src/test/java/gorsemast/proxy/PipelineTest.java
@@ -8,6 +8,9 @@
 import gorsemast.http.StrictHttp;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -31,6 +34,9 @@
  * not be started.
  */
 class PipelineTest {
+    /** Of a response whose write fails. */
+    private static final int BODY_BYTES = 5_000;
+
     private final List<Exchange> started = new ArrayList<>();
     private final Set<String> notRepeatable = new HashSet<>(Set.of("/pay"));
     private final Map<String, Boolean> firstDecisions = new HashMap<>();
@@ -294,4 +300,39 @@
         respondTo(0);
         assertThat(source.paused).isFalse();
     }
+
+    /** MIXED: the bytes of the next response took the place of those whose write had failed. */
+    @Test
+    void failedWriteEndsTheConnection() {
+        sendRequests("/a", "/b");
+        assertThat(started()).containsExactly("/a", "/b");
+        channel.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
+            @Override
+            public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+                if (message instanceof ByteBuf content && content.readableBytes() == BODY_BYTES) {
+                    content.release();
+                    promise.setFailure(new OutOfMemoryError("injected: no direct memory"));
+                } else {
+                    ctx.write(message, promise);
+                }
+            }
+        });
+        started.get(1).respond(200, new DefaultHttpHeaders(), bytes(10));
+        started.get(0).respond(200, new DefaultHttpHeaders(), bytes(BODY_BYTES));
+        channel.runPendingTasks();
+        assertThat(channel.isOpen()).isFalse();
+        assertThat(respondTo(0).split("HTTP/1.1 200", -1)).hasSizeLessThanOrEqualTo(2);
+    }
+
+    /** Each response that is written takes memory outside the heap, of which there is little. */
+    @Test
+    void responsesAreNotWrittenWhileTheClientDoesNotRead() {
+        sendRequests("/a", "/b");
+        assertThat(started()).containsExactly("/a", "/b");
+        clientReads(false);
+        started.get(1).respond(200, new DefaultHttpHeaders(), bytes(10));
+        assertThat(respondTo(0)).isEmpty();
+        clientReads(true);
+        assertThat(respondTo(0).split("HTTP/1.1 200", -1)).hasSize(3);
+    }
 }
