End a connection whose write of a part fails, at every other writer of HTTP

With direct memory used up, a part is missing and the next bytes take its place.

Change: such a write closes its connection (http.RequestWriter, anisebend.net.ClientConnection, registry.ControlServer).

The other two are read in the code; no run shows them.

--- a/src/main/java/anisebend/net/ClientConnection.java
+++ b/src/main/java/anisebend/net/ClientConnection.java
@@ -478,7 +478,7 @@
             HttpUtil.setTransferEncodingChunked(response, true);
         }
         HttpUtil.setKeepAlive(response, keepAlive);
-        channel.write(response);
+        channel.write(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         stateSince = owner.engine().now();
         return this;
     }
@@ -486,7 +486,9 @@
     @Override
     public void part(ByteBuf bytes) {
         remainingBytes -= remainingBytes > 0 ? bytes.readableBytes() : 0;
-        channel.writeAndFlush(new DefaultHttpContent(bytes.retainedDuplicate()));
+        // The bytes that follow would otherwise take the place of those that could not be written.
+        channel.writeAndFlush(new DefaultHttpContent(bytes.retainedDuplicate()))
+                .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         if (!channel.isWritable() && responseFlow != null) {
             stateSince = owner.engine().now();
             responseFlow.pause(true);
--- a/src/main/java/gorsemast/http/RequestWriter.java
+++ b/src/main/java/gorsemast/http/RequestWriter.java
@@ -3,10 +3,12 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -80,9 +82,9 @@
     private void writeInParts(
             FullHttpRequest whole, boolean holds, BooleanSupplier isStillWanted, SendListener listener) {
         ByteBuf content = whole.content();
-        channel.write(new DefaultHttpRequest(whole.protocolVersion(), whole.method(), whole.uri(), whole.headers()));
+        writePart(new DefaultHttpRequest(whole.protocolVersion(), whole.method(), whole.uri(), whole.headers()));
         while (content.readableBytes() > BodyBuffer.BLOCK_BYTES) {
-            channel.write(new DefaultHttpContent(content.readRetainedSlice(BodyBuffer.BLOCK_BYTES)));
+            writePart(new DefaultHttpContent(content.readRetainedSlice(BodyBuffer.BLOCK_BYTES)));
         }
         if (!holds) {
             finish(channel.writeAndFlush(new DefaultLastHttpContent(content)), listener);
@@ -97,6 +99,11 @@
                 listener);
     }
 
+    /** Writes what more is to follow: without it, the rest and the next request would be taken for parts of the body. */
+    private void writePart(HttpObject part) {
+        channel.write(part).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    }
+
     /** Withholds the end of the head of a request without a body: until it arrives no server can have parsed it. */
     private void holdHead(FullHttpRequest whole, BooleanSupplier isStillWanted, SendListener listener) {
         ByteBuf head = channel.alloc().heapBuffer();
--- a/src/main/java/gorsemast/registry/ControlServer.java
+++ b/src/main/java/gorsemast/registry/ControlServer.java
@@ -7,7 +7,6 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -113,10 +112,8 @@
             if (!keepAlive) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
-            ChannelFuture writeFuture = ctx.writeAndFlush(response);
-            if (!keepAlive) {
-                writeFuture.addListener(ChannelFutureListener.CLOSE);
-            }
+            ctx.writeAndFlush(response)
+                    .addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
         }
 
         private String quote(String text) {
