A connection within a request's head is not idle

Cause: Netty's decoder consumes each line of a head as it comes. So the decoder's buffer is empty after a whole line, and isEmpty, which is to say whether a request has begun, said that none had. Such a connection counted as idle: it was closed as idle at the end of the process, and the time limit for heads didn't apply.

Change: StrictHttp.Requests knows when it is within a head.

--- a/src/main/java/gorsemast/http/StrictHttp.java
+++ b/src/main/java/gorsemast/http/StrictHttp.java
@@ -1,5 +1,7 @@
 package gorsemast.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -10,6 +12,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import java.util.List;
 
 /**
  * Netty's HTTP decoders with strict parsing. A message with both a length and chunked encoding may hide another one
@@ -49,6 +52,9 @@
 
     /** Decodes the requests of one connection. */
     public static final class Requests extends HttpRequestDecoder {
+        /** Whether the first line of a message has been decoded, and not yet all of its head. */
+        private boolean isInHead;
+
         /** Accepts heads of up to {@link #MAX_HEAD_BYTES}. */
         public Requests() {
             super(config());
@@ -64,9 +70,21 @@
             rejectTwoLengths();
         }
 
+        @Override
+        protected HttpMessage createMessage(String[] requestLine) throws Exception {
+            isInHead = true;
+            return super.createMessage(requestLine);
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+            super.decode(ctx, buffer, out);
+            isInHead &= out.stream().noneMatch(HttpMessage.class::isInstance);
+        }
+
         /** Whether all that has come belongs to the messages passed on so far. */
         public boolean isEmpty() {
-            return actualReadableBytes() == 0;
+            return actualReadableBytes() == 0 && !isInHead;
         }
     }
 
--- a/src/test/java/gorsemast/proxy/PipelineTest.java
+++ b/src/test/java/gorsemast/proxy/PipelineTest.java
@@ -335,4 +335,17 @@
         clientReads(true);
         assertThat(respondTo(0).split("HTTP/1.1 200", -1)).hasSize(3);
     }
+
+    /** Netty's decoder consumes each line of a head as it comes, so that nothing may be left in its buffer. */
+    @Test
+    void connectionIsNotIdleWithinAHead() {
+        ClientConnection connection = channel.pipeline().get(ClientConnection.class);
+        assertThat(connection.isIdle()).isTrue();
+        send("GET /a HTTP/1.1\r\nHost: h\r\n");
+        assertThat(connection.isIdle()).isFalse();
+        send("\r\n");
+        assertThat(started()).containsExactly("/a");
+        respondTo(0);
+        assertThat(connection.isIdle()).isTrue();
+    }
 }
