Apply a changed limit for heads to kept connections

A connection that was accepted before an edge had a configuration had 16 KiB for good.

Cause: each connection's decoder got the limit of the moment of its acceptance.

The other limits (bodies, time for a head, idle time) were read anew each time already.

--- a/src/main/java/gorsemast/http/StrictHttp.java
+++ b/src/main/java/gorsemast/http/StrictHttp.java
@@ -55,14 +55,24 @@
         /** Whether the first line of a message has been decoded, and not yet all of its head. */
         private boolean isInHead;
 
+        private final int maxHeadBytes;
+
         /** Accepts heads of up to {@link #MAX_HEAD_BYTES}. */
         public Requests() {
             super(config());
+            this.maxHeadBytes = MAX_HEAD_BYTES;
+        }
+
+        /** @param maxHeadBytes maximum size of a head; its first line may use all of it */
+        public Requests(int maxHeadBytes) {
+            super(config().setMaxHeaderSize(maxHeadBytes)
+                    .setMaxInitialLineLength(Math.max(MAX_LINE_BYTES, maxHeadBytes)));
+            this.maxHeadBytes = maxHeadBytes;
         }
 
-        /** @param maxHead maximum size of a head in bytes; its first line may use all of it */
-        public Requests(int maxHead) {
-            super(config().setMaxHeaderSize(maxHead).setMaxInitialLineLength(Math.max(MAX_LINE_BYTES, maxHead)));
+        /** Returns the maximum size of a head in bytes. */
+        public int maxHeadBytes() {
+            return maxHeadBytes;
         }
 
         @Override
--- a/src/main/java/gorsemast/proxy/ClientConnection.java
+++ b/src/main/java/gorsemast/proxy/ClientConnection.java
@@ -1,6 +1,7 @@
 package gorsemast.proxy;
 
 import gorsemast.admission.ConcurrencyLimiter;
+import gorsemast.http.StrictHttp;
 import gorsemast.logging.Log;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -49,6 +50,9 @@
     interface Owner {
         long now();
 
+        /** Longest head of a request that is accepted, in bytes. */
+        int maxHeadBytes();
+
         /** Longest request body that is accepted, in bytes. */
         long maxBodyBytes();
 
@@ -125,8 +129,29 @@
         owner.opened(this);
     }
 
-    /** Closes the connection if a timeout has passed. Called for all connections every {@link #SWEEP_MICROS}. */
-    void checkTimeouts(long now) {
+    /** Applies changed limits, also those on time. Called for all connections every {@link #SWEEP_MICROS}. */
+    void checkLimits(long now) {
+        updateHeadLimit();
+        checkTimeouts(now);
+    }
+
+    /** Replaces the decoder between two requests if the limit for heads has changed, as its own can't change. */
+    private void updateHeadLimit() {
+        StrictHttp.Requests decoder = decoder();
+        if (receiving == null
+                && !closing
+                && channel.isActive()
+                && decoder.isEmpty()
+                && decoder.maxHeadBytes() != owner.maxHeadBytes()) {
+            channel.pipeline().replace(decoder, null, new StrictHttp.Requests(owner.maxHeadBytes()));
+        }
+    }
+
+    private StrictHttp.Requests decoder() {
+        return channel.pipeline().get(StrictHttp.Requests.class);
+    }
+
+    private void checkTimeouts(long now) {
         ClientRequest overdue = receiving;
         if (overdue != null
                 && now - overdue.headReceivedAt
@@ -428,10 +453,7 @@
      * sends what it has accepted, and the socket is free meanwhile.
      */
     private void closeAfterLastResponse() {
-        boolean nothingInTransit = requestCount == 1
-                && channel.pipeline()
-                        .get(gorsemast.http.StrictHttp.Requests.class)
-                        .isEmpty();
+        boolean nothingInTransit = requestCount == 1 && decoder().isEmpty();
         if (nothingInTransit && owner.hasFewSockets()) {
             channel.close();
         } else if (channel instanceof DuplexChannel duplex && channel.isActive()) {
@@ -491,12 +513,9 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (receiving == null && requests.isEmpty() && messageStartedAt == 0 && !closing) {
-            messageStartedAt = decoderHasBytes(ctx) ? owner.now() : 0;
+            messageStartedAt = decoder().isEmpty() ? 0 : owner.now();
         }
-    }
-
-    private static boolean decoderHasBytes(ChannelHandlerContext ctx) {
-        return !ctx.pipeline().get(gorsemast.http.StrictHttp.Requests.class).isEmpty();
+        updateHeadLimit();
     }
 
     @Override
--- a/src/main/java/gorsemast/proxy/Frontend.java
+++ b/src/main/java/gorsemast/proxy/Frontend.java
@@ -47,6 +47,8 @@
     private static final long RESPONSE_TRANSIT_MICROS = 8_000;
     /** Heads are held in memory, so the configured limit has an upper bound. */
     static final int MAX_HEAD_BYTES = 256 << 10;
+    /** Also while there is no configuration. */
+    private static final int MIN_HEAD_BYTES = 16 << 10;
 
     private static final long MAX_BUFFERED_BODY_BYTES = 24L << 20;
     private static final long MICROS_PER_SECOND = 1_000_000L;
@@ -116,9 +118,9 @@
         this.random = new SplittableRandom(seed);
     }
 
-    Channel listen(InetSocketAddress at, int headBytes) throws IOException {
+    Channel listen(InetSocketAddress at) throws IOException {
         loop.scheduleWithFixedDelay(
-                () -> List.copyOf(connections).forEach(connection -> connection.checkTimeouts(now())),
+                () -> List.copyOf(connections).forEach(connection -> connection.checkLimits(now())),
                 ClientConnection.SWEEP_MICROS,
                 ClientConnection.SWEEP_MICROS,
                 TimeUnit.MICROSECONDS);
@@ -126,15 +128,9 @@
             @Override
             protected void initChannel(Channel ch) {
                 acceptLimiter.connectionAccepted(ch);
-                Configuration current = configuration.get();
-                int head = current == null
-                        ? headBytes
-                        : Math.max(
-                                headBytes,
-                                Math.min(MAX_HEAD_BYTES, current.limits().headerBytes()));
                 ch.pipeline()
                         .addLast(
-                                new StrictHttp.Requests(head),
+                                new StrictHttp.Requests(maxHeadBytes()),
                                 new HttpResponseEncoder(),
                                 new ClientConnection(ch, Frontend.this));
             }
@@ -242,6 +238,13 @@
         return clock.getAsLong();
     }
 
+    @Override
+    public int maxHeadBytes() {
+        Configuration current = configuration.get();
+        int configured = current == null ? 0 : current.limits().headerBytes();
+        return Math.max(MIN_HEAD_BYTES, Math.min(MAX_HEAD_BYTES, configured));
+    }
+
     @Override
     public long maxBodyBytes() {
         Configuration current = configuration.get();
--- a/src/main/java/gorsemast/proxy/ProxyProgram.java
+++ b/src/main/java/gorsemast/proxy/ProxyProgram.java
@@ -58,7 +58,6 @@
     /** File descriptors reserved for the platform. */
     private static final int RESERVED_DESCRIPTORS = 200;
 
-    private static final int HEAD_BYTES = 16 << 10;
     private static final long SERVER_IDLE_MILLIS = 8_000;
     private static final long CONNECT_MILLIS = 400;
     /**
@@ -205,7 +204,7 @@
         if (clients == null || probes == null) {
             throw new IOException("listenAddrs: front and ready are required");
         }
-        frontend.listen(clients, HEAD_BYTES); // listens first, so that early clients wait and are not refused
+        frontend.listen(clients); // listens first, so that early clients wait and are not refused
         if (socketBudget.linkedEdges() > 0) {
             links.listen(Ports.PROXY.address(settings, settings.ip()));
         }
--- a/src/test/java/gorsemast/proxy/PipelineTest.java
+++ b/src/test/java/gorsemast/proxy/PipelineTest.java
@@ -34,6 +34,7 @@
  * not be started.
  */
 class PipelineTest {
+    private static final int HEAD_LIMIT = 8_192;
     /** Of a response whose write fails. */
     private static final int BODY_BYTES = 5_000;
 
@@ -42,10 +43,12 @@
     private final Map<String, Boolean> firstDecisions = new HashMap<>();
     private boolean closing;
     private boolean hasFewSockets;
+    private int maxHeadBytes = HEAD_LIMIT;
     /** Injected defect: the decision whether a request may be repeated is made once, when its head arrives. */
     private boolean decidesAtHead;
 
-    private final EmbeddedChannel channel = new EmbeddedChannel(new StrictHttp.Requests(), new HttpResponseEncoder());
+    private final EmbeddedChannel channel =
+            new EmbeddedChannel(new StrictHttp.Requests(HEAD_LIMIT), new HttpResponseEncoder());
 
     PipelineTest() {
         channel.pipeline().addLast(new ClientConnection(channel, new ClientConnection.Owner() {
@@ -54,6 +57,11 @@
                 return 1;
             }
 
+            @Override
+            public int maxHeadBytes() {
+                return maxHeadBytes;
+            }
+
             @Override
             public long maxBodyBytes() {
                 return 100;
@@ -348,4 +356,34 @@
         respondTo(0);
         assertThat(connection.isIdle()).isTrue();
     }
+
+    private static String longHeader() {
+        return "X-Long: " + "x".repeat(2 * HEAD_LIMIT) + "\r\n";
+    }
+
+    /** DENIED: a kept connection was held to the limit of the moment at which it had been accepted. */
+    @Test
+    void raisedHeadLimitAppliesToAKeptConnection() {
+        sendRequests("/a");
+        assertThat(started()).containsExactly("/a");
+        respondTo(0);
+        maxHeadBytes = 4 * HEAD_LIMIT;
+        channel.pipeline().get(ClientConnection.class).checkLimits(1);
+        send("GET /b HTTP/1.1\r\nHost: h\r\n" + longHeader() + "\r\n");
+        assertThat(started()).containsExactly("/a", "/b");
+    }
+
+    @Test
+    void changedHeadLimitWaitsForTheEndOfAMessage() {
+        ClientConnection connection = channel.pipeline().get(ClientConnection.class);
+        send("POST /a HTTP/1.1\r\nHost: h\r\n");
+        maxHeadBytes = 4 * HEAD_LIMIT;
+        connection.checkLimits(1);
+        send("Content-Length: 2\r\n\r\nx");
+        connection.checkLimits(1);
+        send("x");
+        assertThat(started()).containsExactly("/a");
+        send("GET /b HTTP/1.1\r\nHost: h\r\n" + longHeader() + "\r\n");
+        assertThat(started()).containsExactly("/a", "/b");
+    }
 }
